Add the core state machines: settings, storage, consensus, ledger, leases, scheduler

Weighed: one process-wide consensus group, optimistic placement without agreement, and a replicated ledger for each data centre; the last is taken, for the reasons in the starting design (a cut-off data centre goes on, and something of ours checks every placement). Change: deterministic state machines without I/O, and the schema that all calls, commands and frames come from.

--- /dev/null
+++ b/paddlepier/cli/main.cpp
@@ -0,0 +1,4 @@
+int main()
+{
+    return 0;
+}
--- /dev/null
+++ b/paddlepier/consensus/replica.cpp
@@ -0,0 +1,373 @@
+// Replica: construction, elections, terms and membership. Replication is in replication.cpp.
+
+#include "paddlepier/consensus/replica.h"
+
+#include "paddlepier/wire/codec.h"
+
+#include <algorithm>
+#include <array>
+
+namespace paddlepier::consensus
+{
+
+const char *nameOf(ReplicaRole role)
+{
+    static constexpr std::array<const char *, 4> names{"Follower", "PreCandidate", "Candidate", "Leader"};
+    return names[static_cast<std::size_t>(role)];
+}
+
+Replica::Replica(ReplicaSettings replicaSettings, storage::RecoveredState recovered, Timestamp now, std::uint64_t seed)
+    : settings(std::move(replicaSettings))
+    , random(seed)
+    , hardState(std::move(recovered.hardState))
+    , snapshot(std::move(recovered.snapshot))
+    , lastHeardLeader(now) // A restarted voter may have promised a leader its silence just before.
+{
+    if (this->snapshot) {
+        this->baseIndex = this->snapshot->index;
+        this->baseTerm = this->snapshot->term;
+        this->committedIndex = this->baseIndex;
+    }
+    for (wire::LogRecordT &entry : recovered.entries) {
+        if (entry.index <= this->baseIndex) {
+            continue;
+        }
+        if (entry.index != this->lastIndex() + 1) {
+            break; // The rest belongs to a log that an installed snapshot has replaced.
+        }
+        this->entries.push_back(std::move(entry));
+    }
+    this->durableIndex = this->lastIndex();
+    this->recomputeMembership();
+    this->resetElectionTimer(now);
+}
+
+void Replica::formGroup(Timestamp now)
+{
+    wire::MembershipT first;
+    first.voters.push_back(this->settings.self);
+    this->hardState.term = 1;
+    this->saveHardState();
+    this->appendOwn(wire::EntryKind::Membership, wire::pack(first));
+    this->startElection(now, false, false);
+}
+
+void Replica::recomputeMembership()
+{
+    this->members = this->snapshot && this->snapshot->membership ? *this->snapshot->membership : wire::MembershipT();
+    this->membershipIndex = this->snapshot ? this->snapshot->index : 0;
+    for (const wire::LogRecordT &entry : this->entries) {
+        if (entry.kind == wire::EntryKind::Membership) {
+            this->members = wire::unpack<wire::MembershipT>(entry.data);
+            this->membershipIndex = entry.index;
+        }
+    }
+}
+
+void Replica::saveHardState()
+{
+    this->effects.hardState = this->hardState;
+}
+
+void Replica::resetElectionTimer(Timestamp now)
+{
+    std::uniform_real_distribution<double> spread(1.0, 2.0);
+    this->electionDeadline = now + this->settings.election * spread(this->random);
+}
+
+void Replica::becomeFollower(Term newTerm, const std::string &newLeader)
+{
+    if (newTerm > this->hardState.term) {
+        this->hardState.term = newTerm;
+        this->hardState.votedFor.clear();
+        this->saveHardState();
+    }
+    this->role = ReplicaRole::Follower;
+    this->leaderName = newLeader;
+    this->progresses.clear();
+    this->votes.clear();
+}
+
+void Replica::startElection(Timestamp now, bool preVote, bool handOver)
+{
+    this->resetElectionTimer(now);
+    if (!this->isVoter(this->settings.self)) {
+        return;
+    }
+    this->leaderName.clear();
+    this->votes.clear();
+    this->votes[this->settings.self] = true;
+    this->role = preVote ? ReplicaRole::PreCandidate : ReplicaRole::Candidate;
+    if (!preVote) {
+        ++this->hardState.term;
+        this->hardState.votedFor = this->settings.self;
+        this->saveHardState();
+    }
+    wire::VoteRequestT request;
+    request.term = preVote ? this->hardState.term + 1 : this->hardState.term;
+    request.lastIndex = this->lastIndex();
+    request.lastTerm = *this->termAt(this->lastIndex());
+    request.preVote = preVote;
+    request.handOver = handOver;
+    for (const std::string &voter : this->members.voters) {
+        if (voter != this->settings.self) {
+            this->sendAfterSync(voter, request);
+        }
+    }
+    if (this->quorum() > 1) {
+        return;
+    }
+    if (preVote) {
+        this->startElection(now, false, false);
+    } else {
+        this->becomeLeader(now);
+    }
+}
+
+void Replica::becomeLeader(Timestamp now)
+{
+    this->role = ReplicaRole::Leader;
+    this->leaderName = this->settings.self;
+    this->leadingSince = now;
+    this->progresses.clear();
+    for (const std::string &member : this->otherMembers()) {
+        Progress &progress = this->progresses[member];
+        progress.next = this->lastIndex() + 1;
+        progress.lastReply = now;
+    }
+    // An entry of the own term lets the leader commit what earlier leaders left.
+    this->appendOwn(wire::EntryKind::Empty, "");
+    this->termStartIndex = this->lastIndex();
+    this->broadcast(now, true);
+}
+
+bool Replica::stepDownWithoutQuorum(Timestamp now)
+{
+    std::size_t heard = 1;
+    for (const auto &[member, progress] : this->progresses) {
+        if (this->isVoter(member) && now - progress.lastReply < 2 * this->settings.election) {
+            ++heard;
+        }
+    }
+    if (heard >= this->quorum()) {
+        return false;
+    }
+    this->becomeFollower(this->hardState.term, "");
+    this->resetElectionTimer(now);
+    return true;
+}
+
+void Replica::tick(Timestamp now)
+{
+    if (this->role == ReplicaRole::Leader) {
+        if (!this->stepDownWithoutQuorum(now) && now - this->lastBroadcast >= this->settings.heartbeat) {
+            this->broadcast(now, true);
+        }
+        return;
+    }
+    if (now >= this->electionDeadline) {
+        this->startElection(now, this->settings.guards.preVote, false);
+    }
+}
+
+void Replica::receive(Timestamp now, const std::string &from, wire::PeerBodyUnion body)
+{
+    if (const auto *request = body.AsVoteRequest()) {
+        this->onVoteRequest(now, from, *request);
+    } else if (const auto *reply = body.AsVoteReply()) {
+        this->onVoteReply(now, from, *reply);
+    } else if (auto *append = body.AsAppendRequest()) {
+        this->onAppendRequest(now, from, *append);
+    } else if (const auto *appendReply = body.AsAppendReply()) {
+        this->onAppendReply(now, from, *appendReply);
+    } else if (const auto *chunk = body.AsSnapshotChunk()) {
+        this->onSnapshotChunk(now, from, *chunk);
+    } else if (const auto *snapshotReply = body.AsSnapshotReply()) {
+        this->onSnapshotReply(now, from, *snapshotReply);
+    }
+}
+
+bool Replica::mayVote(Timestamp now, const wire::VoteRequestT &request) const
+{
+    const bool hearsLeader = this->role == ReplicaRole::Leader || now - this->lastHeardLeader < this->settings.election;
+    if (this->settings.guards.stickyVotes && hearsLeader && !request.handOver) {
+        return false;
+    }
+    const Term lastTerm = *this->termAt(this->lastIndex());
+    const bool isUpToDate = request.lastTerm > lastTerm || (request.lastTerm == lastTerm && request.lastIndex >= this->lastIndex());
+    return isUpToDate && request.term >= this->hardState.term;
+}
+
+void Replica::onVoteRequest(Timestamp now, const std::string &from, const wire::VoteRequestT &request)
+{
+    const bool willing = this->mayVote(now, request);
+    wire::VoteReplyT reply;
+    reply.preVote = request.preVote;
+    if (request.preVote) {
+        reply.granted = willing && request.term > this->hardState.term;
+        reply.term = reply.granted ? request.term : this->hardState.term;
+        this->sendAfterSync(from, reply);
+        return;
+    }
+    // A refused candidate must not raise the term here, or a replica cut off for long would unseat a healthy leader.
+    if (request.term > this->hardState.term && willing) {
+        this->becomeFollower(request.term, "");
+    }
+    const bool isFree = this->hardState.votedFor.empty() || this->hardState.votedFor == from;
+    reply.granted = willing && request.term == this->hardState.term && isFree && this->role != ReplicaRole::Leader;
+    reply.term = this->hardState.term;
+    if (reply.granted) {
+        this->hardState.votedFor = from;
+        this->saveHardState();
+        this->resetElectionTimer(now);
+    }
+    this->sendAfterSync(from, reply);
+}
+
+void Replica::onVoteReply(Timestamp now, const std::string &from, const wire::VoteReplyT &reply)
+{
+    if (!reply.granted) {
+        if (reply.term > this->hardState.term) {
+            this->becomeFollower(reply.term, "");
+        }
+        return;
+    }
+    const bool isPreVote = this->role == ReplicaRole::PreCandidate && reply.preVote && reply.term == this->hardState.term + 1;
+    const bool isVote = this->role == ReplicaRole::Candidate && !reply.preVote && reply.term == this->hardState.term;
+    if (!(isPreVote || isVote) || !this->isVoter(from)) {
+        return;
+    }
+    this->votes[from] = true;
+    if (this->votes.size() < this->quorum()) {
+        return;
+    }
+    if (isPreVote) {
+        this->startElection(now, false, false);
+    } else {
+        this->becomeLeader(now);
+    }
+}
+
+bool Replica::proposeMembership(const wire::MembershipT &next)
+{
+    if (!this->isCaughtUpLeader() || this->hasPendingMembership()) {
+        return false;
+    }
+    this->appendOwn(wire::EntryKind::Membership, wire::pack(next));
+    for (const std::string &member : this->otherMembers()) {
+        if (!this->progresses.contains(member)) {
+            this->progresses[member].next = this->lastIndex() + 1;
+        }
+    }
+    return true;
+}
+
+bool Replica::handOver(Timestamp now)
+{
+    if (this->role != ReplicaRole::Leader) {
+        return false;
+    }
+    const std::string *best = nullptr;
+    for (const auto &[member, progress] : this->progresses) {
+        const bool isAlive = now - progress.lastReply < this->settings.election;
+        if (isAlive && this->isVoter(member) && (best == nullptr || progress.match > this->progresses[*best].match)) {
+            best = &member;
+        }
+    }
+    if (best == nullptr) {
+        return false;
+    }
+    wire::AppendRequestT request;
+    request.term = this->hardState.term;
+    request.previousIndex = this->progresses[*best].match;
+    request.previousTerm = this->termAt(request.previousIndex).value_or(0);
+    request.commit = std::min(this->committedIndex, request.previousIndex);
+    request.handOver = true;
+    this->sendNow(*best, std::move(request));
+    this->becomeFollower(this->hardState.term, "");
+    this->resetElectionTimer(now);
+    return true;
+}
+
+Effects Replica::takeEffects()
+{
+    Effects taken;
+    std::swap(taken, this->effects);
+    return taken;
+}
+
+bool Replica::isLeader() const
+{
+    return this->role == ReplicaRole::Leader;
+}
+
+bool Replica::hasLeaderLease(Timestamp now) const
+{
+    if (this->role != ReplicaRole::Leader) {
+        return false;
+    }
+    std::vector<Timestamp> confirmed;
+    for (const std::string &voter : this->members.voters) {
+        const auto found = this->progresses.find(voter);
+        confirmed.push_back(found == this->progresses.end() ? (voter == this->settings.self ? now : absl::InfinitePast()) : found->second.lastAckSentAt);
+    }
+    std::sort(confirmed.begin(), confirmed.end(), std::greater<>());
+    const Duration usable = this->settings.election * (1.0 - 2.0 * this->settings.driftPerMille / 1000.0);
+    return now < confirmed[this->quorum() - 1] + usable;
+}
+
+bool Replica::isCaughtUpLeader() const
+{
+    return this->role == ReplicaRole::Leader && this->committedIndex >= this->termStartIndex;
+}
+
+Timestamp Replica::leaderSince() const
+{
+    return this->leadingSince;
+}
+
+const std::string &Replica::leader() const
+{
+    return this->leaderName;
+}
+
+Term Replica::currentTerm() const
+{
+    return this->hardState.term;
+}
+
+bool Replica::isMember() const
+{
+    return !this->members.voters.empty();
+}
+
+const wire::MembershipT &Replica::membership() const
+{
+    return this->members;
+}
+
+bool Replica::hasPendingMembership() const
+{
+    return this->membershipIndex > this->committedIndex;
+}
+
+bool Replica::isVoter(const std::string &replica) const
+{
+    return std::find(this->members.voters.begin(), this->members.voters.end(), replica) != this->members.voters.end();
+}
+
+std::size_t Replica::quorum() const
+{
+    return this->members.voters.size() / 2 + 1;
+}
+
+std::vector<std::string> Replica::otherMembers() const
+{
+    std::vector<std::string> others;
+    for (const auto *list : {&this->members.voters, &this->members.learners}) {
+        std::copy_if(list->begin(), list->end(), std::back_inserter(others), [this](const std::string &name) { return name != this->settings.self; });
+    }
+    return others;
+}
+
+} // namespace paddlepier::consensus
--- /dev/null
+++ b/paddlepier/ledger/ledger.h
@@ -0,0 +1,139 @@
+// The ledger of one data centre: sole authority over its workers, jobs, leases and not-to-be-repeated requests.
+//
+// A deterministic state machine. Commands come out of the replicated log in one order; applying the same commands gives
+// the same state in every replica. Nothing here reads a clock: each entry carries the time that its leader stamped.
+//
+// Rules that hold whatever commands arrive, and in whatever order:
+//  - a worker's reservations never exceed its capacity (Worker::reserve);
+//  - a task has at most one active placement; its epoch grows with each one (Job);
+//  - the placements of one group are taken all or not at all;
+//  - a request key is opened at most once (RequestTable).
+//
+// Example:
+//     const Applied result = ledger.apply(entry);
+//     if (result.error != ErrorCode::None) { ... }
+//
+// Thread safety: none; owned by the control thread. Complexity is stated at the members.
+
+#ifndef PADDLEPIER_LEDGER_LEDGER_H
+#define PADDLEPIER_LEDGER_LEDGER_H
+
+#include "paddlepier/base/error.h"
+#include "paddlepier/ledger/job.h"
+#include "paddlepier/ledger/requesttable.h"
+#include "paddlepier/ledger/worker.h"
+#include "paddlepier/wire/ledger_generated.h"
+
+#include <absl/container/flat_hash_map.h>
+#include <absl/container/flat_hash_set.h>
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace paddlepier::ledger
+{
+
+/** Outcome of one command. */
+struct Applied {
+    ErrorCode error = ErrorCode::None;
+    std::string message;
+    std::uint64_t job = 0;
+    bool alreadyKnown = false;
+    std::uint32_t placed = 0;
+    wire::BeginResult begin = wire::BeginResult::Accepted;
+};
+
+/** Sums over the whole ledger, kept up to date: reading them is O(1). */
+struct Totals {
+    std::uint64_t queuedTasks = 0;
+    std::uint64_t activeTasks = 0;
+    std::uint64_t lostJobs = 0;
+};
+
+/** Ended jobs are kept this long for `status` and `explain`, in microseconds. */
+constexpr std::int64_t jobRetentionMicros = 24LL * 3600 * 1'000'000;
+
+/** Most tasks that one job may have. */
+constexpr std::uint32_t mostTasksPerJob = 10'000;
+
+class Ledger
+{
+public:
+    Ledger() = default;
+
+    Applied apply(const wire::LedgerEntryT &entry);
+
+    std::string snapshot() const;
+    /** Replaces the whole state. @throws MalformedBodyError if @p bytes are not a snapshot */
+    void restore(std::string_view bytes);
+
+    const Worker *findWorker(std::string_view name) const;
+    const Job *findJob(std::uint64_t id) const;
+    const wire::RequestRecordT *findRequest(std::string_view partner, std::string_view key) const;
+
+    const std::map<std::string, Worker, std::less<>> &workers() const;
+    const std::map<std::uint64_t, Job> &jobs() const;
+    /** Jobs that have a queued task. */
+    const std::set<std::uint64_t> &queuedJobs() const;
+    const Resources &reservedBy(const std::string &partner) const;
+    Totals totals() const;
+    /** Epoch of the next placement. */
+    std::uint64_t upcomingEpoch() const;
+    /** Time of the newest applied entry, microseconds since 1970. */
+    std::int64_t lastAppliedMicros() const;
+
+    /** Names of workers that changed since the last call, for derived indexes. */
+    std::vector<std::string> takeChangedWorkers();
+    /** Jobs whose queued tasks changed since the last call. */
+    std::vector<std::uint64_t> takeChangedJobs();
+
+private:
+    Applied registerWorker(const wire::RegisterWorkerT &command);
+    Applied removeWorker(const wire::RemoveWorkerT &command);
+    Applied drainWorker(const wire::DrainWorkerT &command);
+    Applied submitJob(const wire::SubmitJobT &command);
+    Applied cancelJob(const wire::CancelJobT &command);
+    Applied placeTasks(const wire::PlaceTasksT &command);
+    Applied reportTasks(const wire::ReportTasksT &command);
+    Applied expireLeases(const wire::ExpireLeasesT &command);
+
+    bool placeGroup(const wire::PlacementGroupT &group);
+    bool reserveFor(const wire::PlacementT &placement);
+    void endAttempt(const wire::TaskLease &lease, const std::string &worker, AttemptEnd end);
+    void release(const Job &job, const Released &released);
+    /** Services leave a draining worker at once; other kinds end there. */
+    void moveServices(const Worker &worker);
+    template<typename Change>
+    void changeJob(Job &job, Change change);
+    void noteWorker(const std::string &name);
+    void forgetEndedJobs();
+
+    std::map<std::string, Worker, std::less<>> workerByName;
+    std::map<std::uint64_t, Job> jobById;
+    absl::flat_hash_map<std::string, std::uint64_t> jobBySubmission;
+    RequestTable requests;
+    std::uint64_t nextJob = 1;
+    std::uint64_t nextEpoch = 1;
+    std::int64_t appliedMicros = 0;
+
+    // Derived, rebuilt by restore():
+    std::set<std::uint64_t> queued;
+    std::deque<std::uint64_t> endedJobs;
+    absl::flat_hash_map<std::string, Resources> reservedByPartner;
+    Totals sums;
+    absl::flat_hash_set<std::string> changedWorkers;
+    absl::flat_hash_set<std::uint64_t> changedJobs;
+};
+
+/** Key under which a submission is remembered. */
+std::string submissionKey(std::string_view partner, std::string_view submissionId);
+
+} // namespace paddlepier::ledger
+
+#endif
--- /dev/null
+++ b/paddlepier/ledger/requesttable.h
@@ -0,0 +1,60 @@
+// Records of requests that must not be repeated.
+//
+// A key is opened once; whoever opened it is the only one that may send the request to a backend server. A later
+// request under the same key gets the recorded answer, or is told that the first is in progress or that its end is
+// unknown. Only an answer `NotRun` frees the key, since then nothing was sent.
+//
+// Retention: a record is kept for requestRetentionMicros after its deadline, at most mostRequests records are kept, and a
+// full table refuses new keys instead of forgetting old ones.
+//
+// Thread safety: none; owned by the ledger. open() and close() are O(1), forget() O(log n) a record.
+
+#ifndef PADDLEPIER_LEDGER_REQUESTTABLE_H
+#define PADDLEPIER_LEDGER_REQUESTTABLE_H
+
+#include "paddlepier/wire/ledger_generated.h"
+
+#include <absl/container/flat_hash_map.h>
+
+#include <cstdint>
+#include <memory>
+#include <set>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace paddlepier::ledger
+{
+
+constexpr std::int64_t requestRetentionMicros = 24LL * 3600 * 1'000'000;
+constexpr std::size_t mostRequests = 200'000;
+
+enum class OpenOutcome { Accepted, Known, KeyReused, TableFull };
+
+class RequestTable
+{
+public:
+    OpenOutcome open(const wire::OpenRequestT &request);
+
+    /** Records the answer of the attempt @p requestId. @return false if that attempt doesn't hold the key */
+    bool close(const wire::CloseRequestT &request);
+
+    /** Drops records whose retention is over at @p atMicros. */
+    void forget(std::int64_t atMicros);
+
+    const wire::RequestRecordT *find(std::string_view partner, std::string_view key) const;
+    std::size_t size() const;
+
+    std::vector<std::unique_ptr<wire::RequestRecordT>> pack() const;
+    void restore(const std::vector<std::unique_ptr<wire::RequestRecordT>> &records);
+
+private:
+    absl::flat_hash_map<std::string, wire::RequestRecordT> records;
+    // Invariant: one element for each record, ordered by deadline.
+    std::set<std::pair<std::int64_t, std::string>> byDeadline;
+};
+
+} // namespace paddlepier::ledger
+
+#endif
--- /dev/null
+++ b/paddlepier/scheduling/placementindex.cpp
@@ -0,0 +1,112 @@
+// Index of free resources over workers.
+
+#include "paddlepier/scheduling/placementindex.h"
+
+namespace paddlepier::scheduling
+{
+
+bool PlacementIndex::KeyOrder::operator()(const Key &left, const Key &right) const
+{
+    const auto amounts = [](const Key &key) { return std::make_tuple(std::get<0>(key), std::get<1>(key), std::get<2>(key)); };
+    if (amounts(left) != amounts(right)) {
+        return amounts(left) < amounts(right);
+    }
+    const Candidate *leftCandidate = std::get<3>(left);
+    const Candidate *rightCandidate = std::get<3>(right);
+    if (leftCandidate == nullptr || rightCandidate == nullptr) {
+        return leftCandidate == nullptr && rightCandidate != nullptr;
+    }
+    return leftCandidate->worker < rightCandidate->worker;
+}
+
+PlacementIndex::Key PlacementIndex::keyOf(const Candidate &candidate)
+{
+    return {candidate.free.milliProcessors(), candidate.free.memoryMegabytes(), candidate.free.accelerators(), &candidate};
+}
+
+PlacementIndex::Order &PlacementIndex::orderOf(const Candidate &candidate)
+{
+    return candidate.free.accelerators() > 0 ? this->accelerated : this->plain;
+}
+
+void PlacementIndex::set(const std::string &worker, const std::string &rack, const Resources &free)
+{
+    const auto [found, isNew] = this->byName.try_emplace(worker);
+    if (isNew) {
+        found->second = std::make_unique<Candidate>(Candidate{worker, rack, free});
+        this->orderOf(*found->second).insert(keyOf(*found->second));
+        return;
+    }
+    found->second->rack = rack;
+    this->change(worker, free);
+}
+
+void PlacementIndex::change(const std::string &worker, const Resources &free)
+{
+    Candidate &candidate = *this->byName.at(worker);
+    this->orderOf(candidate).erase(keyOf(candidate));
+    candidate.free = free;
+    this->orderOf(candidate).insert(keyOf(candidate));
+}
+
+void PlacementIndex::remove(const std::string &worker)
+{
+    const auto found = this->byName.find(worker);
+    if (found != this->byName.end()) {
+        this->orderOf(*found->second).erase(keyOf(*found->second));
+        this->byName.erase(found);
+    }
+}
+
+void PlacementIndex::clear()
+{
+    this->plain.clear();
+    this->accelerated.clear();
+    this->byName.clear();
+}
+
+void PlacementIndex::take(const std::string &worker, const Resources &need)
+{
+    this->change(worker, ledger::minus(this->byName.at(worker)->free, need));
+}
+
+void PlacementIndex::give(const std::string &worker, const Resources &need)
+{
+    this->change(worker, ledger::plus(this->byName.at(worker)->free, need));
+}
+
+const Candidate *PlacementIndex::tightestIn(const Order &order, const Resources &need)
+{
+    const Key lowest{need.milliProcessors(), need.memoryMegabytes(), need.accelerators(), nullptr};
+    for (auto entry = order.lower_bound(lowest); entry != order.end(); ++entry) {
+        const Candidate &candidate = *std::get<3>(*entry);
+        if (ledger::fits(need, candidate.free)) {
+            return &candidate;
+        }
+    }
+    return nullptr;
+}
+
+const Candidate *PlacementIndex::tightest(const Resources &need) const
+{
+    if (need.accelerators() == 0) {
+        const Candidate *found = tightestIn(this->plain, need);
+        if (found != nullptr) {
+            return found;
+        }
+    }
+    return tightestIn(this->accelerated, need);
+}
+
+const Candidate *PlacementIndex::find(const std::string &worker) const
+{
+    const auto found = this->byName.find(worker);
+    return found == this->byName.end() ? nullptr : found->second.get();
+}
+
+std::size_t PlacementIndex::size() const
+{
+    return this->byName.size();
+}
+
+} // namespace paddlepier::scheduling
--- /dev/null
+++ b/paddlepier/scheduling/policies.h
@@ -0,0 +1,99 @@
+// Placement policies, one for each kind of job.
+//
+// A policy picks the worker for one task out of the index. Policies are chosen when the code is built: the scheduler
+// takes any type that meets PlacementPolicy.
+//
+// Thread safety: values without shared state.
+
+#ifndef PADDLEPIER_SCHEDULING_POLICIES_H
+#define PADDLEPIER_SCHEDULING_POLICIES_H
+
+#include "paddlepier/ledger/job.h"
+#include "paddlepier/ledger/ledger.h"
+#include "paddlepier/scheduling/placementindex.h"
+
+#include <absl/container/flat_hash_map.h>
+
+#include <concepts>
+#include <string>
+
+namespace paddlepier::scheduling
+{
+
+template<typename Policy>
+concept PlacementPolicy = requires(Policy policy, const PlacementIndex &index, const Resources &need, const Candidate &chosen)
+{
+    {
+        policy.choose(index, need)
+        } -> std::same_as<const Candidate *>;
+    policy.chose(chosen);
+};
+
+/** Batch and gangs: the tightest worker, which keeps large holes for large tasks. */
+class PackingPolicy
+{
+public:
+    const Candidate *choose(const PlacementIndex &index, const Resources &need) const
+    {
+        return index.tightest(need);
+    }
+
+    void chose(const Candidate &) const
+    {
+    }
+};
+
+/** Services: the rack, then the worker, that holds the fewest tasks of the same job; among equals the roomiest. */
+class SpreadingPolicy
+{
+public:
+    SpreadingPolicy(const ledger::Ledger &ledger, const ledger::Job &job)
+    {
+        for (const wire::TaskRecordT &task : job.tasks()) {
+            const ledger::Worker *worker = ledger::isActive(task.state) ? ledger.findWorker(task.worker) : nullptr;
+            if (worker != nullptr) {
+                ++this->tasksInRack[worker->registration().rack];
+                ++this->tasksOnWorker[task.worker];
+            }
+        }
+    }
+
+    const Candidate *choose(const PlacementIndex &index, const Resources &need) const
+    {
+        const Candidate *best = nullptr;
+        std::size_t visited = 0;
+        index.visitRoomiest(need, [&](const Candidate &candidate) {
+            if (best == nullptr || this->weightOf(candidate) < this->weightOf(*best)) {
+                best = &candidate;
+            }
+            return ++visited < mostVisited;
+        });
+        return best;
+    }
+
+    void chose(const Candidate &candidate)
+    {
+        ++this->tasksInRack[candidate.rack];
+        ++this->tasksOnWorker[candidate.worker];
+    }
+
+private:
+    /** Enough to see several racks of 8, and few enough to stay cheap with thousands of workers. */
+    static constexpr std::size_t mostVisited = 64;
+
+    std::pair<std::size_t, std::size_t> weightOf(const Candidate &candidate) const
+    {
+        const auto count = [](const auto &map, const std::string &name) {
+            const auto found = map.find(name);
+            return found == map.end() ? std::size_t{0} : found->second;
+        };
+        return {count(this->tasksInRack, candidate.rack), count(this->tasksOnWorker, candidate.worker)};
+    }
+
+    absl::flat_hash_map<std::string, std::size_t> tasksInRack;
+    absl::flat_hash_map<std::string, std::size_t> tasksOnWorker;
+};
+
+} // namespace paddlepier::scheduling
+
+#endif
--- /dev/null
+++ b/paddlepier/scheduling/scheduler.cpp
@@ -0,0 +1,276 @@
+// Placement of queued tasks.
+
+#include "paddlepier/scheduling/scheduler.h"
+
+#include "paddlepier/scheduling/policies.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace paddlepier::scheduling
+{
+
+namespace
+{
+
+constexpr std::int64_t microsPerSecond = 1'000'000;
+
+static_assert(PlacementPolicy<PackingPolicy>);
+static_assert(PlacementPolicy<SpreadingPolicy>);
+
+std::unique_ptr<wire::PlacementT> toPlacement(const ledger::Job &job, std::uint32_t index, const std::string &worker)
+{
+    auto placement = std::make_unique<wire::PlacementT>();
+    placement->job = job.id();
+    placement->index = index;
+    placement->worker = worker;
+    return placement;
+}
+
+} // namespace
+
+/** What one call of decide() works on. */
+struct Scheduler::Round {
+    const ledger::Ledger &ledger;
+    const std::int64_t atMicros;
+    wire::PlaceTasksT command;
+    std::size_t placed = 0;
+    Resources capacity;
+    std::map<std::string, Resources> used;
+    /** Amounts that fitted nowhere in this round; anything as large needs no further search. */
+    std::vector<Resources> tooLarge;
+
+    bool isFull() const
+    {
+        return this->placed >= mostPlacementsPerRound;
+    }
+
+    bool isKnownTooLarge(const Resources &need) const
+    {
+        return std::any_of(this->tooLarge.begin(), this->tooLarge.end(), [&need](const Resources &failed) { return ledger::fits(failed, need); });
+    }
+
+    void count(const ledger::Job &job)
+    {
+        Resources &sum = this->used[job.record().partner];
+        sum = ledger::plus(sum, job.spec().resources);
+        ++this->placed;
+    }
+};
+
+Scheduler::Class Scheduler::classOf(const ledger::Job &job)
+{
+    if (job.spec().urgent) {
+        return Class::Urgent;
+    }
+    return job.spec().kind == wire::JobKind::Service ? Class::Service : Class::Other;
+}
+
+Scheduler::QueueKey Scheduler::keyOf(const ledger::Job &job)
+{
+    const auto seconds = static_cast<std::int64_t>(job.spec().deadlineSeconds);
+    const std::int64_t deadline = seconds == 0 ? std::numeric_limits<std::int64_t>::max() : job.record().submittedAtMicros + seconds * microsPerSecond;
+    return {-static_cast<std::int64_t>(job.spec().priority), deadline, job.id()};
+}
+
+void Scheduler::refresh(ledger::Ledger &ledger)
+{
+    for (const std::string &name : ledger.takeChangedWorkers()) {
+        this->updateWorker(ledger, name);
+    }
+    for (const std::uint64_t id : ledger.takeChangedJobs()) {
+        this->updateJob(ledger, id);
+    }
+}
+
+void Scheduler::updateWorker(const ledger::Ledger &ledger, const std::string &name)
+{
+    const ledger::Worker *worker = ledger.findWorker(name);
+    const auto known = this->reachable.find(name);
+    if (worker == nullptr || worker->isDraining() || known == this->reachable.end() || !known->second) {
+        this->index.remove(name);
+        return;
+    }
+    this->index.set(name, worker->registration().rack, worker->available());
+}
+
+void Scheduler::updateJob(const ledger::Ledger &ledger, std::uint64_t id)
+{
+    const auto known = this->places.find(id);
+    if (known != this->places.end()) {
+        const auto &[jobClass, partner, key] = known->second;
+        this->queues[jobClass][partner].erase(key);
+        this->places.erase(known);
+    }
+    const ledger::Job *job = ledger.findJob(id);
+    if (job == nullptr || job->count(wire::TaskState::Queued) == 0) {
+        return;
+    }
+    const Class jobClass = classOf(*job);
+    const QueueKey key = keyOf(*job);
+    this->queues[jobClass][job->record().partner].insert(key);
+    this->places.emplace(id, std::make_tuple(jobClass, job->record().partner, key));
+}
+
+void Scheduler::setReachable(const ledger::Ledger &ledger, const Reachable &isReachable)
+{
+    for (const auto &[name, worker] : ledger.workers()) {
+        const bool now = isReachable(name);
+        const auto [found, isNew] = this->reachable.try_emplace(name, false);
+        if (isNew || found->second != now) {
+            found->second = now;
+            this->updateWorker(ledger, name);
+        }
+    }
+}
+
+std::optional<wire::PlaceTasksT> Scheduler::decide(const ledger::Ledger &ledger, std::int64_t atMicros)
+{
+    if (this->places.empty() || this->index.size() == 0) {
+        return std::nullopt;
+    }
+    Round round{ledger, atMicros, {}, 0, {}, {}, {}};
+    for (const auto &[name, worker] : ledger.workers()) {
+        round.capacity = ledger::plus(round.capacity, worker.registration().capacity);
+    }
+    for (const auto &[jobClass, byPartner] : this->queues) {
+        for (const auto &[partner, queue] : byPartner) {
+            round.used[partner] = ledger.reservedBy(partner);
+        }
+    }
+    for (const Class jobClass : {Class::Urgent, Class::Service, Class::Other}) {
+        this->placeClass(round, jobClass);
+    }
+    if (round.command.groups.empty()) {
+        return std::nullopt;
+    }
+    return std::move(round.command);
+}
+
+void Scheduler::placeClass(Round &round, Class jobClass)
+{
+    struct Cursor {
+        std::string partner;
+        Queue::const_iterator next;
+        Queue::const_iterator end;
+        std::size_t passedOver = 0;
+    };
+    std::vector<Cursor> cursors;
+    for (const auto &[partner, queue] : this->queues[jobClass]) {
+        cursors.push_back({partner, queue.begin(), queue.end(), 0});
+    }
+    while (!round.isFull()) {
+        Cursor *best = nullptr;
+        double bestShare = 0;
+        for (Cursor &cursor : cursors) {
+            const double share = ledger::dominantShare(round.used[cursor.partner], round.capacity);
+            const bool isOpen = cursor.next != cursor.end && cursor.passedOver < mostPassedOver;
+            if (isOpen && (best == nullptr || share < bestShare)) {
+                best = &cursor;
+                bestShare = share;
+            }
+        }
+        if (best == nullptr) {
+            return;
+        }
+        const ledger::Job *job = round.ledger.findJob(std::get<2>(*best->next));
+        ++best->next;
+        if (!this->placeJob(round, *job)) {
+            ++best->passedOver;
+        }
+    }
+}
+
+bool Scheduler::placeJob(Round &round, const ledger::Job &job)
+{
+    const std::size_t before = round.placed;
+    if (round.isKnownTooLarge(job.spec().resources)) {
+        return false;
+    }
+    switch (job.spec().kind) {
+    case wire::JobKind::Service:
+        this->placeSingly(round, job, SpreadingPolicy(round.ledger, job));
+        break;
+    case wire::JobKind::Batch:
+        this->placeSingly(round, job, PackingPolicy());
+        break;
+    case wire::JobKind::Gang:
+        this->placeGang(round, job);
+        break;
+    }
+    return round.placed > before;
+}
+
+template<typename Policy>
+void Scheduler::placeSingly(Round &round, const ledger::Job &job, Policy policy)
+{
+    for (const std::uint32_t task : job.placeable(round.atMicros)) {
+        if (round.isFull()) {
+            return;
+        }
+        const Candidate *chosen = policy.choose(this->index, job.spec().resources);
+        if (chosen == nullptr) {
+            round.tooLarge.push_back(job.spec().resources);
+            return;
+        }
+        auto group = std::make_unique<wire::PlacementGroupT>();
+        group->placements.push_back(toPlacement(job, task, chosen->worker));
+        round.command.groups.push_back(std::move(group));
+        policy.chose(*chosen);
+        this->index.take(chosen->worker, job.spec().resources);
+        round.count(job);
+    }
+}
+
+void Scheduler::placeGang(Round &round, const ledger::Job &job)
+{
+    const std::vector<std::uint32_t> tasks = job.placeable(round.atMicros);
+    auto group = std::make_unique<wire::PlacementGroupT>();
+    for (const std::uint32_t task : tasks) {
+        const Candidate *chosen = this->index.tightest(job.spec().resources);
+        if (chosen == nullptr) {
+            break;
+        }
+        group->placements.push_back(toPlacement(job, task, chosen->worker));
+        this->index.take(chosen->worker, job.spec().resources);
+    }
+    if (tasks.empty() || group->placements.size() < tasks.size()) {
+        for (const std::unique_ptr<wire::PlacementT> &placement : group->placements) {
+            this->index.give(placement->worker, job.spec().resources);
+        }
+        return;
+    }
+    for (std::size_t placed = 0; placed < tasks.size(); ++placed) {
+        round.count(job);
+    }
+    round.command.groups.push_back(std::move(group));
+}
+
+wire::WaitReason Scheduler::explain(const ledger::Ledger &ledger, const ledger::Job &job, std::int64_t atMicros) const
+{
+    if (job.count(wire::TaskState::Stopping) > 0) {
+        return wire::WaitReason::WaitingForStop;
+    }
+    if (job.count(wire::TaskState::Queued) == 0) {
+        return wire::WaitReason::None;
+    }
+    if (ledger.workers().empty()) {
+        return wire::WaitReason::NoWorker;
+    }
+    const bool fitsSomewhere = std::any_of(ledger.workers().begin(), ledger.workers().end(), [&job](const auto &entry) {
+        return ledger::fits(job.spec().resources, entry.second.registration().capacity);
+    });
+    if (!fitsSomewhere) {
+        return wire::WaitReason::LargerThanAnyWorker;
+    }
+    if (job.nextPlaceableAt() > atMicros) {
+        return wire::WaitReason::Backoff;
+    }
+    if (this->index.size() == 0) {
+        return wire::WaitReason::NoWorker;
+    }
+    const bool isGang = job.spec().kind == wire::JobKind::Gang;
+    return isGang && this->index.tightest(job.spec().resources) != nullptr ? wire::WaitReason::WaitingForGang : wire::WaitReason::NoCapacity;
+}
+
+} // namespace paddlepier::scheduling
--- /dev/null
+++ b/paddlepier/settings/tomlreader.cpp
@@ -0,0 +1,144 @@
+// Checked access to one TOML table.
+
+#include "paddlepier/settings/tomlreader.h"
+
+#include "paddlepier/base/error.h"
+
+#include <absl/strings/str_cat.h>
+
+namespace paddlepier::detail
+{
+
+TomlReader::TomlReader(const std::string &fileName, const std::string &tableName, const toml::table &source)
+    : file(fileName)
+    , name(tableName)
+    , values(source)
+{
+}
+
+std::string TomlReader::pathOf(std::string_view key) const
+{
+    return this->name.empty() ? std::string(key) : absl::StrCat(this->name, ".", std::string(key));
+}
+
+void TomlReader::fail(std::string_view key, const std::string &problem) const
+{
+    const toml::node *node = this->values.get(key);
+    const auto line = node != nullptr ? node->source().begin.line : this->values.source().begin.line;
+    throw InvalidSettingsError(absl::StrCat(this->file, ":", line, ": ", this->pathOf(key), ": ", problem));
+}
+
+const toml::node *TomlReader::find(std::string_view key)
+{
+    this->known.emplace(key);
+    return this->values.get(key);
+}
+
+std::string TomlReader::requiredText(std::string_view key)
+{
+    if (this->find(key) == nullptr) {
+        this->fail(key, "is missing");
+    }
+    std::string text = this->optionalText(key, "");
+    if (text.empty()) {
+        this->fail(key, "must not be empty");
+    }
+    return text;
+}
+
+std::string TomlReader::optionalText(std::string_view key, const std::string &fallback)
+{
+    const toml::node *node = this->find(key);
+    if (node == nullptr) {
+        return fallback;
+    }
+    if (!node->is_string()) {
+        this->fail(key, "must be a string");
+    }
+    return node->as_string()->get();
+}
+
+std::uint32_t TomlReader::number(std::string_view key, std::uint32_t fallback, std::uint32_t lowest, std::uint32_t highest)
+{
+    const toml::node *node = this->find(key);
+    if (node == nullptr) {
+        return fallback;
+    }
+    if (!node->is_integer()) {
+        this->fail(key, "must be an integer");
+    }
+    const std::int64_t value = node->as_integer()->get();
+    if (value < static_cast<std::int64_t>(lowest) || value > static_cast<std::int64_t>(highest)) {
+        this->fail(key, absl::StrCat("must be from ", lowest, " to ", highest, ", is ", value));
+    }
+    return static_cast<std::uint32_t>(value);
+}
+
+Duration TomlReader::milliseconds(std::string_view key, Duration fallback, Duration lowest, Duration highest)
+{
+    const auto toNumber = [](Duration duration) { return static_cast<std::uint32_t>(absl::ToInt64Milliseconds(duration)); };
+    return absl::Milliseconds(this->number(key, toNumber(fallback), toNumber(lowest), toNumber(highest)));
+}
+
+std::vector<std::string> TomlReader::requiredTexts(std::string_view key)
+{
+    const toml::node *node = this->find(key);
+    if (node == nullptr || !node->is_array() || node->as_array()->empty()) {
+        this->fail(key, "must be an array of at least one string");
+    }
+    std::vector<std::string> texts;
+    for (const toml::node &element : *node->as_array()) {
+        if (!element.is_string()) {
+            this->fail(key, "must hold strings only");
+        }
+        texts.push_back(element.as_string()->get());
+    }
+    return texts;
+}
+
+void TomlReader::table(std::string_view key, bool required, const std::function<void(TomlReader &)> &read)
+{
+    const toml::node *node = this->find(key);
+    if (node == nullptr) {
+        if (required) {
+            this->fail(key, "table is missing");
+        }
+        return;
+    }
+    if (!node->is_table()) {
+        this->fail(key, "must be a table");
+    }
+    TomlReader reader(this->file, this->pathOf(key), *node->as_table());
+    read(reader);
+    reader.finish();
+}
+
+void TomlReader::tables(std::string_view key, const std::function<void(TomlReader &)> &read)
+{
+    const toml::node *node = this->find(key);
+    if (node == nullptr) {
+        return;
+    }
+    if (!node->is_array()) {
+        this->fail(key, "must be an array of tables");
+    }
+    for (const toml::node &element : *node->as_array()) {
+        if (!element.is_table()) {
+            this->fail(key, "must be an array of tables");
+        }
+        TomlReader reader(this->file, this->pathOf(key), *element.as_table());
+        read(reader);
+        reader.finish();
+    }
+}
+
+void TomlReader::finish() const
+{
+    for (const auto &[key, node] : this->values) {
+        if (!this->known.contains(key.str())) {
+            this->fail(key.str(), "is not a known key");
+        }
+    }
+}
+
+} // namespace paddlepier::detail
