--- /dev/null
+++ b/Makefile
@@ -0,0 +1,39 @@
+# Set-up, build, tests and measurements. `make demo` and `make check` need nothing but Debian and its package registry.
+
+BUILD := build
+JOBS := $(shell nproc)
+
+.PHONY: all setup build demo check lint format bench schema clean
+
+all: build
+
+setup:
+	@scripts/setup.sh
+
+build: setup
+	@cmake -G Ninja -B $(BUILD) -DCMAKE_BUILD_TYPE=RelWithDebInfo > $(BUILD).log 2>&1 || { cat $(BUILD).log; exit 1; }
+	@mv $(BUILD).log $(BUILD)/configure.log
+	@ninja -C $(BUILD)
+
+demo: build
+	$(BUILD)/testing/demo $(BUILD) examples
+
+lint: build
+	@scripts/lint.sh $(BUILD)
+
+# The tests come last, so that the output ends with their summary.
+check: lint
+	@cd $(BUILD) && ctest --output-on-failure --timeout 300
+
+bench: build
+	@scripts/bench.sh $(BUILD)
+
+format:
+	@git ls-files -co --exclude-standard '*.h' '*.cpp' | grep -v _generated | xargs clang-format -i
+
+# Needs flatc, which the build itself doesn't.
+schema:
+	@schema/generate.sh
+
+clean:
+	rm -rf $(BUILD)
--- /dev/null
+++ b/paddlepier/cli/jobfile.cpp
@@ -0,0 +1,80 @@
+// Job files.
+
+#include "paddlepier/cli/jobfile.h"
+
+#include "paddlepier/base/error.h"
+#include "paddlepier/settings/tomlreader.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <array>
+
+namespace paddlepier::cli
+{
+
+namespace
+{
+
+using paddlepier::detail::TomlReader;
+
+constexpr std::uint32_t mostSeconds = 366 * 24 * 3600;
+constexpr std::uint32_t mostMilliProcessors = 1'000'000;
+constexpr std::uint32_t mostMegabytes = 16U << 20U;
+constexpr std::uint32_t mostTasks = 10'000;
+
+wire::JobKind readKind(TomlReader &reader)
+{
+    static constexpr std::array<std::pair<std::string_view, wire::JobKind>, 3> kindNames{{
+        {"service", wire::JobKind::Service},
+        {"batch", wire::JobKind::Batch},
+        {"gang", wire::JobKind::Gang},
+    }};
+    const std::string text = reader.requiredText("kind");
+    for (const auto &[name, kind] : kindNames) {
+        if (name == text) {
+            return kind;
+        }
+    }
+    reader.fail("kind", absl::StrCat("\"", text, "\" is not one of service, batch, gang"));
+}
+
+void readJob(TomlReader &reader, wire::JobSpecT &spec)
+{
+    spec.name = reader.requiredText("name");
+    spec.kind = readKind(reader);
+    spec.tasks = reader.number("tasks", 1, 1, mostTasks);
+    const std::uint32_t processors = reader.number("milliProcessors", 1000, 1, mostMilliProcessors);
+    const std::uint32_t memory = reader.number("memoryMegabytes", 256, 1, mostMegabytes);
+    const std::uint32_t accelerators = reader.number("accelerators", 0, 0, mostTasks);
+    spec.resources = wire::Resources(processors, memory, accelerators);
+    spec.runSeconds = reader.number("runSeconds", 0, 0, mostSeconds);
+    spec.deadlineSeconds = reader.number("deadlineSeconds", 0, 0, mostSeconds);
+    spec.priority = static_cast<std::int32_t>(reader.number("priority", 0, 0, mostTasks));
+    spec.urgent = reader.flag("urgent", false);
+    spec.atMostOnce = reader.flag("atMostOnce", false);
+    spec.maxAttempts = reader.number("maxAttempts", spec.maxAttempts, 1, mostTasks);
+    spec.command = reader.optionalText("command", "");
+}
+
+} // namespace
+
+wire::JobSpecT parseJobFile(std::string_view text, const std::string &name)
+{
+    try {
+        const toml::table table = toml::parse(text, name);
+        TomlReader root(name, "", table);
+        wire::JobSpecT spec;
+        root.table("job", true, [&spec](TomlReader &reader) { readJob(reader, spec); });
+        root.finish();
+        return spec;
+    } catch (const toml::parse_error &error) {
+        throw InvalidSettingsError(absl::StrCat(name, ":", error.source().begin.line, ": syntax: ", std::string(error.description())));
+    }
+}
+
+wire::JobSpecT loadJobFile(const std::string &path)
+{
+    return parseJobFile(paddlepier::detail::readTextFile(path), path);
+}
+
+} // namespace paddlepier::cli
--- a/paddlepier/consensus/replica.h
+++ b/paddlepier/consensus/replica.h
@@ -106,6 +106,9 @@
     void tick(Timestamp now);
     void receive(Timestamp now, const std::string &from, wire::PeerBodyUnion body);
 
+    /** As leader: sends proposed entries to the followers, without waiting for the own disk. */
+    void replicate(Timestamp now);
+
     /** Appends an entry if this replica leads. @return its index, or nothing */
     std::optional<Index> propose(std::string data);
 
--- a/paddlepier/consensus/replication.cpp
+++ b/paddlepier/consensus/replication.cpp
@@ -115,6 +115,13 @@
     return this->lastIndex();
 }
 
+void Replica::replicate(Timestamp now)
+{
+    if (this->role == ReplicaRole::Leader) {
+        this->broadcast(now, false);
+    }
+}
+
 void Replica::broadcast(Timestamp now, bool heartbeat)
 {
     if (heartbeat) {
--- /dev/null
+++ b/paddlepier/http/httpclient.h
@@ -0,0 +1,81 @@
+// HTTP client on libcurl: many transfers on one thread, or one at a time.
+//
+// What a transfer tells about its end is exact where a promise rests on it: `nothingSent` is true only if no byte of the
+// request can have reached the other side, and a body is `whole` only if its stated length or its chunked ending came.
+// A request is never sent a second time behind the caller's back: one that must not be repeated gets a fresh connection,
+// since the library would repeat it if a kept connection turned out to be closed.
+//
+// Example:
+//     TransferPool pool;
+//     pool.start(std::move(outgoing), [](TransferResult result) { ... });   // runs in pool.run()
+//     pool.run(absl::Milliseconds(10));
+//
+// Thread safety: start() and run() on one thread; wake() from any. fetch() may be called from any thread.
+
+#ifndef PADDLEPIER_HTTP_HTTPCLIENT_H
+#define PADDLEPIER_HTTP_HTTPCLIENT_H
+
+#include "paddlepier/base/clock.h"
+#include "paddlepier/http/httpserver.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace paddlepier::http
+{
+
+struct OutgoingRequest {
+    std::string method = "POST";
+    std::string url;
+    Headers headers;
+    std::string body;
+    Duration timeout = absl::Seconds(10);
+    /** False: the request must reach the other side at most once. */
+    bool mayReuseConnection = true;
+};
+
+struct TransferResult {
+    /** The whole answer came. */
+    bool whole = false;
+    /** The request can't have reached the other side. */
+    bool nothingSent = false;
+    std::string problem;
+    Answer answer;
+};
+
+/** Transfers under way; costs O(1) for each event. */
+class TransferPool
+{
+public:
+    using Done = std::function<void(TransferResult)>;
+
+    TransferPool();
+    ~TransferPool();
+
+    TransferPool(const TransferPool &) = delete;
+    TransferPool &operator=(const TransferPool &) = delete;
+
+    /** Begins a transfer; @p done is called from run(). */
+    void start(OutgoingRequest request, Done done);
+
+    /** Does what is due and waits up to @p patience for more; calls the `done` of ended transfers. */
+    void run(Duration patience);
+
+    /** Ends a wait in run(). */
+    void wake();
+
+    /** Bound on connections to one host, kept ones included. */
+    void setConnectionsPerHost(std::uint32_t connections);
+
+private:
+    struct Implementation;
+    std::unique_ptr<Implementation> implementation;
+};
+
+/** One transfer, waited for. */
+TransferResult fetch(const OutgoingRequest &request);
+
+} // namespace paddlepier::http
+
+#endif
--- /dev/null
+++ b/paddlepier/http/httpserver.cpp
@@ -0,0 +1,240 @@
+// HTTP server on libmicrohttpd.
+
+#include "paddlepier/http/httpserver.h"
+
+#include "paddlepier/base/error.h"
+#include "paddlepier/base/log.h"
+
+#include <absl/strings/match.h>
+#include <absl/strings/str_cat.h>
+#include <absl/time/clock.h>
+#include <arpa/inet.h>
+#include <microhttpd.h>
+#include <unistd.h>
+
+#include <cstring>
+
+namespace paddlepier::http
+{
+
+namespace
+{
+
+/** Memory of one connection for its headers; longer ones are refused by the library with 431. */
+constexpr std::size_t headerBytes = 32 * 1024;
+
+MHD_Result collectHeader(void *context, MHD_ValueKind, const char *key, const char *value)
+{
+    static_cast<Headers *>(context)->emplace_back(key, value == nullptr ? "" : value);
+    return MHD_YES;
+}
+
+sockaddr_storage socketAddress(const Endpoint &endpoint)
+{
+    sockaddr_storage storage{};
+    if (endpoint.address.find(':') != std::string::npos) {
+        auto &version6 = reinterpret_cast<sockaddr_in6 &>(storage);
+        version6.sin6_family = AF_INET6;
+        version6.sin6_port = htons(endpoint.port);
+        inet_pton(AF_INET6, endpoint.address.c_str(), &version6.sin6_addr);
+        return storage;
+    }
+    auto &version4 = reinterpret_cast<sockaddr_in &>(storage);
+    version4.sin_family = AF_INET;
+    version4.sin_port = htons(endpoint.port);
+    inet_pton(AF_INET, endpoint.address.c_str(), &version4.sin_addr);
+    return storage;
+}
+
+} // namespace
+
+std::string_view findHeader(const Headers &headers, std::string_view name)
+{
+    for (const auto &[key, value] : headers) {
+        if (absl::EqualsIgnoreCase(key, absl::string_view(name.data(), name.size()))) {
+            return value;
+        }
+    }
+    return {};
+}
+
+std::string_view Request::header(std::string_view name) const
+{
+    return findHeader(this->headers, name);
+}
+
+std::string_view Answer::header(std::string_view name) const
+{
+    return findHeader(this->headers, name);
+}
+
+void Exchange::answer(Answer answer)
+{
+    const absl::MutexLock lock(&this->mutex);
+    if (this->reply) {
+        return;
+    }
+    this->reply = std::move(answer);
+    if (this->suspended) {
+        this->suspended = false;
+        MHD_resume_connection(this->connection);
+    }
+}
+
+/** Bridges from the library's C callbacks. */
+struct HttpServer::Callbacks {
+    static MHD_Result
+    onData(void *self, MHD_Connection *connection, const char *url, const char *method, const char *, const char *data, std::size_t *size, void **context)
+    {
+        return static_cast<MHD_Result>(static_cast<HttpServer *>(self)->onData(connection, url, method, data, size, context));
+    }
+
+    static void *onRequestLine(void *self, const char *target, MHD_Connection *)
+    {
+        auto exchange = std::make_shared<Exchange>();
+        exchange->received.target = target;
+        ++static_cast<HttpServer *>(self)->active;
+        return new std::shared_ptr<Exchange>(std::move(exchange));
+    }
+
+    static void onCompleted(void *self, MHD_Connection *, void **context, MHD_RequestTerminationCode)
+    {
+        if (*context != nullptr) {
+            delete static_cast<std::shared_ptr<Exchange> *>(*context);
+            *context = nullptr;
+            --static_cast<HttpServer *>(self)->active;
+        }
+    }
+
+    static void onLog(void *, const char *format, va_list arguments)
+    {
+        std::array<char, 512> text{};
+        std::vsnprintf(text.data(), text.size(), format, arguments);
+        log::debug("http", "library", {{"text", std::string(text.data())}});
+    }
+};
+
+HttpServer::HttpServer(const Endpoint &endpoint, const LimitSettings &limits, Handler requestHandler)
+    : bounds(limits)
+    , handler(std::move(requestHandler))
+{
+    const sockaddr_storage address = socketAddress(endpoint);
+    const unsigned int ipv6 = endpoint.address.find(':') != std::string::npos ? MHD_USE_IPv6 : 0;
+    const unsigned int flags = MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ITC | MHD_USE_ERROR_LOG | ipv6;
+    this->daemon = MHD_start_daemon(flags,
+                                    endpoint.port,
+                                    nullptr,
+                                    nullptr,
+                                    &Callbacks::onData,
+                                    this,
+                                    MHD_OPTION_EXTERNAL_LOGGER,
+                                    &Callbacks::onLog,
+                                    nullptr,
+                                    MHD_OPTION_SOCK_ADDR,
+                                    &address,
+                                    MHD_OPTION_URI_LOG_CALLBACK,
+                                    &Callbacks::onRequestLine,
+                                    this,
+                                    MHD_OPTION_NOTIFY_COMPLETED,
+                                    &Callbacks::onCompleted,
+                                    this,
+                                    MHD_OPTION_THREAD_POOL_SIZE,
+                                    static_cast<unsigned int>(limits.trafficThreads),
+                                    MHD_OPTION_CONNECTION_LIMIT,
+                                    static_cast<unsigned int>(limits.connections),
+                                    MHD_OPTION_CONNECTION_TIMEOUT,
+                                    static_cast<unsigned int>(absl::ToInt64Seconds(limits.connectionIdle)),
+                                    MHD_OPTION_CONNECTION_MEMORY_LIMIT,
+                                    headerBytes,
+                                    MHD_OPTION_LISTENING_ADDRESS_REUSE,
+                                    1U,
+                                    MHD_OPTION_END);
+    if (this->daemon == nullptr) {
+        throw InvalidSettingsError(absl::StrCat("listen.http: can't listen on ", endpoint.text(), ": ", std::strerror(errno)));
+    }
+}
+
+HttpServer::~HttpServer()
+{
+    this->stop(absl::ZeroDuration());
+}
+
+void HttpServer::stop(Duration patience)
+{
+    if (this->daemon == nullptr) {
+        return;
+    }
+    this->stopping = true;
+    const MHD_socket listener = MHD_quiesce_daemon(this->daemon);
+    if (listener != MHD_INVALID_SOCKET) {
+        ::close(listener);
+    }
+    const Timestamp end = controlNow() + patience;
+    while (this->active > 0 && controlNow() < end) {
+        absl::SleepFor(absl::Milliseconds(5));
+    }
+    MHD_stop_daemon(this->daemon);
+    this->daemon = nullptr;
+}
+
+std::int64_t HttpServer::activeExchanges() const
+{
+    return this->active;
+}
+
+int HttpServer::onData(MHD_Connection *connection, const char *url, const char *method, const char *data, std::size_t *size, void **context)
+{
+    const std::shared_ptr<Exchange> exchange = *static_cast<std::shared_ptr<Exchange> *>(*context);
+    if (!exchange->begun) {
+        exchange->begun = true;
+        exchange->connection = connection;
+        exchange->received.method = method;
+        exchange->received.path = url;
+        MHD_get_connection_values(connection, MHD_HEADER_KIND, &collectHeader, &exchange->received.headers);
+        return MHD_YES;
+    }
+    if (*size > 0) {
+        exchange->tooLarge = exchange->tooLarge || exchange->received.body.size() + *size > this->bounds.bodyBytes;
+        if (!exchange->tooLarge) {
+            exchange->received.body.append(data, *size);
+        }
+        *size = 0;
+        return MHD_YES;
+    }
+    if (!exchange->dispatched) {
+        exchange->dispatched = true;
+        if (exchange->tooLarge) {
+            exchange->answer({413, {{"Content-Type", "application/json"}}, "{\"error\":\"BodyTooLarge\",\"message\":\"the body is over the limit\"}"});
+        } else {
+            this->handler(exchange);
+        }
+        const absl::MutexLock lock(&exchange->mutex);
+        if (!exchange->reply) {
+            exchange->suspended = true;
+            MHD_suspend_connection(connection);
+            return MHD_YES;
+        }
+    }
+    return this->queueAnswer(*exchange);
+}
+
+int HttpServer::queueAnswer(Exchange &exchange)
+{
+    const absl::MutexLock lock(&exchange.mutex);
+    if (!exchange.reply) {
+        return MHD_YES;
+    }
+    const Answer &answer = *exchange.reply;
+    MHD_Response *response = MHD_create_response_from_buffer(answer.body.size(), const_cast<char *>(answer.body.data()), MHD_RESPMEM_MUST_COPY);
+    for (const auto &[name, value] : answer.headers) {
+        MHD_add_response_header(response, name.c_str(), value.c_str());
+    }
+    if (this->stopping) {
+        MHD_add_response_header(response, MHD_HTTP_HEADER_CONNECTION, "close");
+    }
+    const MHD_Result queued = MHD_queue_response(exchange.connection, static_cast<unsigned int>(answer.status), response);
+    MHD_destroy_response(response);
+    return queued;
+}
+
+} // namespace paddlepier::http
--- /dev/null
+++ b/paddlepier/http/httpserver.h
@@ -0,0 +1,120 @@
+// HTTP server of an entry instance, on libmicrohttpd.
+//
+// Each request arrives whole as an Exchange; a handler answers it once, at once or later and from any thread. Bodies,
+// headers, connections and idle times are bounded. A planned stop first refuses new connections and then waits until
+// every exchange has been answered.
+//
+// Example:
+//     HttpServer server(endpoint, limits, [](std::shared_ptr<Exchange> exchange) { exchange->answer({200, {}, "ok"}); });
+//     server.stop(absl::Seconds(10));
+//
+// Thread safety: the handler runs on the server's threads, several at a time; Exchange::answer() may be called from any.
+
+#ifndef PADDLEPIER_HTTP_HTTPSERVER_H
+#define PADDLEPIER_HTTP_HTTPSERVER_H
+
+#include "paddlepier/base/clock.h"
+#include "paddlepier/settings/settings.h"
+
+#include <absl/base/thread_annotations.h>
+#include <absl/synchronization/mutex.h>
+
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+struct MHD_Daemon;
+struct MHD_Connection;
+
+namespace paddlepier::http
+{
+
+using Headers = std::vector<std::pair<std::string, std::string>>;
+
+struct Request {
+    std::string method;
+    std::string path;
+    /** Path and query as they stood in the request line. */
+    std::string target;
+    Headers headers;
+    std::string body;
+
+    /** Value of a header, whatever its case; empty if it's missing. */
+    std::string_view header(std::string_view name) const;
+};
+
+struct Answer {
+    int status = 200;
+    Headers headers;
+    std::string body;
+
+    std::string_view header(std::string_view name) const;
+};
+
+/** Looks a header up, whatever its case. */
+std::string_view findHeader(const Headers &headers, std::string_view name);
+
+/** One request and its answer. */
+class Exchange
+{
+public:
+    const Request &request() const
+    {
+        return this->received;
+    }
+
+    /** Answers the request; every call but the first is ignored. */
+    void answer(Answer answer);
+
+private:
+    friend class HttpServer;
+
+    Request received;
+    bool begun = false;
+    bool tooLarge = false;
+    bool dispatched = false;
+    MHD_Connection *connection = nullptr;
+    absl::Mutex mutex;
+    std::optional<Answer> reply ABSL_GUARDED_BY(mutex);
+    bool suspended ABSL_GUARDED_BY(mutex) = false;
+};
+
+class HttpServer
+{
+public:
+    using Handler = std::function<void(const std::shared_ptr<Exchange> &)>;
+
+    /** @throws InvalidSettingsError if the address can't be listened on */
+    HttpServer(const Endpoint &endpoint, const LimitSettings &limits, Handler requestHandler);
+    ~HttpServer();
+
+    HttpServer(const HttpServer &) = delete;
+    HttpServer &operator=(const HttpServer &) = delete;
+
+    /** Refuses new connections, waits up to @p patience for exchanges under way, then closes. */
+    void stop(Duration patience);
+
+    std::int64_t activeExchanges() const;
+
+    /** For the library's callbacks alone. */
+    struct Callbacks;
+
+private:
+    int onData(MHD_Connection *connection, const char *url, const char *method, const char *data, std::size_t *size, void **context);
+    int queueAnswer(Exchange &exchange);
+
+    const LimitSettings bounds;
+    const Handler handler;
+    std::atomic<std::int64_t> active{0};
+    std::atomic<bool> stopping{false};
+    MHD_Daemon *daemon = nullptr;
+};
+
+} // namespace paddlepier::http
+
+#endif
--- /dev/null
+++ b/paddlepier/instance/callrouter.cpp
@@ -0,0 +1,189 @@
+// Brings a call to the leader of the ledger that it belongs to.
+
+#include "paddlepier/instance/callrouter.h"
+
+#include "paddlepier/base/log.h"
+#include "paddlepier/wire/codec.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <vector>
+
+namespace paddlepier::instance
+{
+
+namespace
+{
+
+/** Wait for an answer before the next replica is asked. */
+constexpr Duration answerPatience = absl::Milliseconds(1000);
+/** Pause after `NotLeader`, while an election may be under way. */
+constexpr Duration electionPause = absl::Milliseconds(50);
+
+} // namespace
+
+CallRouter::CallRouter(const Settings &instanceSettings, Send frameSender, Counters &counters, std::uint64_t firstCallId)
+    : settings(instanceSettings)
+    , send(std::move(frameSender))
+    , sentCalls(counters.counter("calls_sent_total"))
+    , nextId(firstCallId)
+{
+}
+
+void CallRouter::addLocal(const std::string &dataCentre, LedgerService &service)
+{
+    this->locals[dataCentre] = &service;
+}
+
+std::size_t CallRouter::pendingCalls() const
+{
+    return this->pendings.size();
+}
+
+void CallRouter::call(Timestamp now, const std::string &dataCentre, rpc::Method method, const Actor &actor, std::string body, Duration patience, CallDone done)
+{
+    if (this->settings.findLedger(dataCentre) == nullptr) {
+        done(CallResult::failure(ErrorCode::WrongDataCentre, absl::StrCat("no data centre \"", dataCentre, "\"")));
+        return;
+    }
+    const std::uint64_t id = this->nextId++;
+    Pending pending;
+    pending.dataCentre = dataCentre;
+    pending.method = method;
+    pending.actor = actor;
+    pending.body = std::move(body);
+    pending.done = std::move(done);
+    pending.deadline = now + patience;
+    this->pendings.emplace(id, std::move(pending));
+    this->attempt(now, id);
+}
+
+std::string CallRouter::chooseTarget(Pending &pending)
+{
+    const auto leader = this->leaders.find(pending.dataCentre);
+    if (leader != this->leaders.end() && !leader->second.empty()) {
+        return leader->second;
+    }
+    const std::vector<std::string> &replicas = this->settings.findLedger(pending.dataCentre)->replicas;
+    return replicas[pending.replicaIndex++ % replicas.size()];
+}
+
+void CallRouter::attempt(Timestamp now, std::uint64_t id)
+{
+    Pending &pending = this->pendings.at(id);
+    pending.target = this->chooseTarget(pending);
+    pending.nextTry = now + answerPatience;
+    if (pending.target == this->settings.id) {
+        const auto local = this->locals.find(pending.dataCentre);
+        const std::string body = pending.body;
+        const std::string self = this->settings.id;
+        local->second->execute(
+            now, pending.method, pending.actor, body, [this, now, id, self](const CallResult &result) { this->takeResult(now, id, self, result); });
+        return;
+    }
+    this->sentCalls.add();
+    wire::CallRequestT request;
+    request.id = id;
+    request.method = rpc::CallCatalog::instance().info(pending.method).name;
+    request.partner = pending.actor.partner;
+    request.role = pending.actor.role;
+    request.body = wire::toBytes(pending.body);
+    wire::PeerFrameT frame;
+    frame.group = pending.dataCentre;
+    frame.body.Set(std::move(request));
+    this->send(pending.target, std::move(frame));
+}
+
+void CallRouter::receiveRequest(Timestamp now, const std::string &fromInstance, const std::string &group, const wire::CallRequestT &request)
+{
+    const std::uint64_t id = request.id;
+    const auto answer = [this, id, fromInstance, group](const CallResult &result) {
+        wire::CallReplyT reply;
+        reply.id = id;
+        reply.error = result.error;
+        reply.message = result.message;
+        reply.leader = result.leader;
+        reply.body = wire::toBytes(result.body);
+        wire::PeerFrameT frame;
+        frame.group = group;
+        frame.body.Set(std::move(reply));
+        this->send(fromInstance, std::move(frame));
+    };
+    const rpc::CallInfo *call = rpc::CallCatalog::instance().findName(request.method);
+    const auto local = this->locals.find(group);
+    if (call == nullptr) {
+        answer(CallResult::failure(ErrorCode::UnknownRoute, absl::StrCat("no call ", request.method)));
+    } else if (local == this->locals.end()) {
+        answer(CallResult::failure(ErrorCode::NotLeader, absl::StrCat("no replica of ", group, " here")));
+    } else {
+        local->second->execute(now, call->method, {request.partner, request.role}, wire::toString(request.body), answer);
+    }
+}
+
+void CallRouter::receiveReply(Timestamp now, const std::string &fromInstance, const wire::CallReplyT &reply)
+{
+    CallResult result;
+    result.error = reply.error;
+    result.message = reply.message;
+    result.leader = reply.leader;
+    result.body = wire::toString(reply.body);
+    this->takeResult(now, reply.id, fromInstance, result);
+}
+
+void CallRouter::takeResult(Timestamp now, std::uint64_t id, const std::string &fromInstance, const CallResult &result)
+{
+    const auto found = this->pendings.find(id);
+    if (found == this->pendings.end()) {
+        return;
+    }
+    Pending &pending = found->second;
+    if (result.error != ErrorCode::NotLeader) {
+        this->leaders[pending.dataCentre] = fromInstance;
+        this->end(id, result);
+        return;
+    }
+    this->leaders[pending.dataCentre] = result.leader == fromInstance ? "" : result.leader;
+    pending.nextTry = now + (result.leader.empty() ? electionPause : absl::ZeroDuration());
+}
+
+void CallRouter::end(std::uint64_t id, const CallResult &result)
+{
+    const auto found = this->pendings.find(id);
+    const CallDone done = std::move(found->second.done);
+    this->pendings.erase(found);
+    done(result);
+}
+
+void CallRouter::tick(Timestamp now)
+{
+    std::vector<std::uint64_t> due;
+    std::vector<std::uint64_t> over;
+    for (const auto &[id, pending] : this->pendings) {
+        if (now >= pending.deadline) {
+            over.push_back(id);
+        } else if (now >= pending.nextTry) {
+            due.push_back(id);
+        }
+    }
+    for (const std::uint64_t id : over) {
+        const std::string dataCentre = this->pendings.at(id).dataCentre;
+        this->leaders.erase(dataCentre);
+        this->end(id,
+                  CallResult::failure(ErrorCode::DataCentreUnreachable,
+                                      absl::StrCat("no answer from the ledger of ", dataCentre, "; the call may still take effect")));
+    }
+    for (const std::uint64_t id : due) {
+        const auto found = this->pendings.find(id);
+        if (found == this->pendings.end()) {
+            continue;
+        }
+        // No answer: whoever was asked may be gone.
+        const auto leader = this->leaders.find(found->second.dataCentre);
+        if (leader != this->leaders.end() && leader->second == found->second.target) {
+            this->leaders.erase(leader);
+        }
+        this->attempt(now, id);
+    }
+}
+
+} // namespace paddlepier::instance
--- /dev/null
+++ b/paddlepier/instance/diskwriter.h
@@ -0,0 +1,51 @@
+// The thread that writes replicas' logs and snapshots.
+//
+// Jobs are done in the order in which they were given. A failed write ends the process: what is on disk is then not
+// known, and a replica must not go on as if it were.
+//
+// Example:
+//     writer.submit([&store, job] { store.append(...); }, [] { /* on the control thread */ });
+//
+// Thread safety: submit() from the control thread; completions are posted to the mailbox given to the constructor.
+
+#ifndef PADDLEPIER_INSTANCE_DISKWRITER_H
+#define PADDLEPIER_INSTANCE_DISKWRITER_H
+
+#include "paddlepier/base/counters.h"
+#include "paddlepier/base/mailbox.h"
+
+#include <atomic>
+#include <functional>
+#include <thread>
+
+namespace paddlepier::instance
+{
+
+class DiskWriter
+{
+public:
+    DiskWriter(Mailbox &completionMailbox, Counters &counters);
+    ~DiskWriter();
+
+    DiskWriter(const DiskWriter &) = delete;
+    DiskWriter &operator=(const DiskWriter &) = delete;
+
+    /** Runs @p write on the disk thread, then posts @p completed. */
+    void submit(std::function<void()> write, std::function<void()> completed);
+
+    /** Finishes what was submitted, then ends the thread. */
+    void stop();
+
+private:
+    void run();
+
+    Mailbox &completions;
+    Histogram &writeTimes;
+    Mailbox jobs;
+    std::atomic<bool> stopping{false};
+    std::thread thread;
+};
+
+} // namespace paddlepier::instance
+
+#endif
--- /dev/null
+++ b/paddlepier/instance/instance.cpp
@@ -0,0 +1,303 @@
+// One entry instance.
+
+#include "paddlepier/instance/instance.h"
+
+#include "paddlepier/base/log.h"
+#include "paddlepier/wire/codec.h"
+
+#include <absl/strings/match.h>
+#include <absl/strings/str_cat.h>
+#include <absl/strings/strip.h>
+
+#include <algorithm>
+#include <random>
+
+namespace paddlepier::instance
+{
+
+namespace
+{
+
+constexpr std::size_t mailboxLimit = 100'000;
+constexpr Duration tickInterval = absl::Milliseconds(20);
+constexpr Duration callPatience = absl::Seconds(4);
+/** The balancer sees the failing health check before connections are refused. */
+constexpr Duration balancerNotice = absl::Milliseconds(300);
+constexpr Duration stopMargin = absl::Seconds(2);
+
+constexpr const char *jsonType = "application/json";
+constexpr const char *binaryType = "application/x-flatbuffers";
+
+std::uint64_t randomSeed()
+{
+    std::random_device device;
+    return (static_cast<std::uint64_t>(device()) << 32U) | device();
+}
+
+void answerError(http::Exchange &exchange, ErrorCode code, const std::string &message)
+{
+    exchange.answer({httpStatus(code), {{"Content-Type", jsonType}}, rpc::errorJson(code, message)});
+}
+
+bool wantsBinary(const http::Request &request)
+{
+    return request.header("Content-Type") == binaryType;
+}
+
+template<typename Request>
+std::string dataCentreOf(const std::string &body)
+{
+    return wire::unpack<Request>(body).dataCentre;
+}
+
+} // namespace
+
+Instance::Instance(Settings instanceSettings)
+    : settings(std::move(instanceSettings))
+    , mailbox(mailboxLimit)
+{
+    const std::uint64_t seed = randomSeed();
+    const auto sendFrame = [this](const std::string &instance, wire::PeerFrameT frame) {
+        frame.fromInstance = this->settings.id;
+        this->transport->send(instance, frame);
+    };
+    this->disk = std::make_unique<DiskWriter>(this->mailbox, this->counters);
+    this->calls = std::make_unique<CallRouter>(this->settings, sendFrame, this->counters, seed);
+    this->openLedgers(seed);
+    this->transport = std::make_unique<peer::Transport>(this->settings, this->counters, [this](wire::PeerFrameT frame) {
+        auto shared = std::make_shared<wire::PeerFrameT>(std::move(frame));
+        this->mailbox.post([this, shared] { this->receive(std::move(*shared)); });
+    });
+    const auto callLedger = [this](const std::string &dataCentre, rpc::Method method, std::string body, Duration patience, CallDone done) {
+        // A full mailbox is the same as a ledger that can't be reached in time.
+        const bool isTaken = this->mailbox.post([this, dataCentre, method, body = std::move(body), patience, done] {
+            this->calls->call(controlNow(), dataCentre, method, {this->settings.partner, wire::Role::Administrator}, body, patience, done);
+        });
+        if (!isTaken) {
+            done(CallResult::failure(ErrorCode::Overloaded, "too many calls wait"));
+        }
+    };
+    this->quick = std::make_unique<QuickService>(this->settings, this->counters, callLedger, seed);
+    this->server = std::make_unique<http::HttpServer>(
+        this->settings.http, this->settings.limits, [this](const std::shared_ptr<http::Exchange> &exchange) { this->handle(exchange); });
+    log::info("instance", "started", {{"instance", this->settings.id}, {"http", this->settings.http.text()}, {"peer", this->settings.peer.text()}});
+}
+
+Instance::~Instance() = default;
+
+void Instance::openLedgers(std::uint64_t seed)
+{
+    const Timestamp now = controlNow();
+    const auto sendFrame = [this](const std::string &instance, wire::PeerFrameT frame) {
+        frame.fromInstance = this->settings.id;
+        this->transport->send(instance, frame);
+    };
+    for (const LedgerSettings &group : this->settings.ledgers) {
+        if (std::find(group.replicas.begin(), group.replicas.end(), this->settings.id) == group.replicas.end()) {
+            continue;
+        }
+        Hosted &added = this->hosted[group.dataCentre];
+        added.node = std::make_unique<LedgerNode>(this->settings, group, *this->disk, sendFrame, this->counters, now, seed + this->hosted.size());
+        added.service = std::make_unique<LedgerService>(this->settings, *added.node, this->counters);
+        this->calls->addLocal(group.dataCentre, *added.service);
+    }
+}
+
+void Instance::requestStop()
+{
+    this->stopRequested = true;
+}
+
+void Instance::run()
+{
+    while (!this->stopRequested) {
+        this->step(tickInterval);
+    }
+    this->plannedStop();
+}
+
+void Instance::step(Duration patience)
+{
+    for (const Mailbox::Work &work : this->mailbox.take(patience)) {
+        work();
+    }
+    const Timestamp now = controlNow();
+    if (now >= this->nextTick) {
+        this->nextTick = now + tickInterval;
+        this->tickAll(now);
+    }
+    for (auto &[dataCentre, entry] : this->hosted) {
+        entry.service->tick(now);
+        entry.node->flush(now);
+    }
+}
+
+void Instance::tickAll(Timestamp now)
+{
+    for (auto &[dataCentre, entry] : this->hosted) {
+        entry.node->tick(now);
+    }
+    this->calls->tick(now);
+    this->counters.counter("calls_pending").set(static_cast<std::int64_t>(this->calls->pendingCalls()));
+}
+
+void Instance::plannedStop()
+{
+    log::info("instance", "stopping", {{"instance", this->settings.id}});
+    this->leaving = true;
+    const Timestamp noticed = controlNow() + balancerNotice;
+    while (controlNow() < noticed) {
+        this->step(tickInterval);
+    }
+    for (auto &[dataCentre, entry] : this->hosted) {
+        entry.node->handOver(controlNow());
+    }
+    // The server waits for its exchanges on a thread of its own, while this one goes on serving them.
+    std::atomic<bool> closed{false};
+    std::thread closing([this, &closed] {
+        this->server->stop(this->settings.limits.requestDeadline + stopMargin);
+        closed = true;
+    });
+    while (!closed) {
+        this->step(tickInterval);
+    }
+    closing.join();
+    this->quick->stop();
+    this->step(absl::ZeroDuration());
+    this->transport->stop();
+    this->disk->stop();
+    this->mailbox.close();
+    log::info("instance", "stopped", {{"instance", this->settings.id}});
+}
+
+void Instance::receive(wire::PeerFrameT frame)
+{
+    const Timestamp now = controlNow();
+    if (const auto *request = frame.body.AsCallRequest()) {
+        this->calls->receiveRequest(now, frame.fromInstance, frame.group, *request);
+        return;
+    }
+    if (const auto *reply = frame.body.AsCallReply()) {
+        this->calls->receiveReply(now, frame.fromInstance, *reply);
+        return;
+    }
+    const auto found = this->hosted.find(frame.group);
+    if (found == this->hosted.end()) {
+        return;
+    }
+    try {
+        found->second.node->receive(now, std::move(frame));
+    } catch (const Error &error) {
+        log::warning("peer", "frame.malformed", {{"from", frame.fromInstance}, {"error", paddlepier::nameOf(error.code())}, {"message", error.what()}});
+    }
+}
+
+std::optional<Actor> Instance::actorOf(const http::Request &request) const
+{
+    const std::string_view header = request.header("Authorization");
+    constexpr std::string_view scheme = "Bearer ";
+    if (header.substr(0, scheme.size()) != scheme) {
+        return std::nullopt;
+    }
+    const std::string_view token = header.substr(scheme.size());
+    std::optional<Actor> actor;
+    for (const TokenSettings &known : this->settings.tokens) {
+        if (known.token == token) {
+            actor = Actor{known.partner, known.role};
+        }
+    }
+    return actor;
+}
+
+void Instance::handle(const std::shared_ptr<http::Exchange> &exchange)
+{
+    const http::Request &request = exchange->request();
+    if (absl::StartsWith(request.path, absl::string_view(quickPrefix.data(), quickPrefix.size()))) {
+        this->quick->submit(exchange);
+        return;
+    }
+    if (request.path == "/healthz") {
+        const bool isHealthy = !this->leaving;
+        exchange->answer({isHealthy ? 200 : 503, {{"Content-Type", "text/plain"}}, isHealthy ? "ok\n" : "leaving\n"});
+        return;
+    }
+    if (request.path == "/metrics") {
+        exchange->answer({200, {{"Content-Type", "text/plain"}}, this->counters.text()});
+        return;
+    }
+    const rpc::CallInfo *call = rpc::CallCatalog::instance().findRoute(request.path);
+    if (call == nullptr) {
+        answerError(*exchange, ErrorCode::UnknownRoute, absl::StrCat("no route ", request.path));
+    } else if (request.method != "POST") {
+        answerError(*exchange, ErrorCode::MethodNotAllowed, "calls are made with POST");
+    } else {
+        this->handleCall(exchange, *call);
+    }
+}
+
+std::string Instance::targetOf(rpc::Method method, const std::string &body) const
+{
+    std::string asked;
+    switch (method) {
+    case rpc::Method::Submit:
+        asked = dataCentreOf<wire::SubmitRequestT>(body);
+        break;
+    case rpc::Method::List:
+        asked = dataCentreOf<wire::ListRequestT>(body);
+        break;
+    case rpc::Method::Status:
+        asked = dataCentreOf<wire::StatusRequestT>(body);
+        break;
+    case rpc::Method::Drain:
+        asked = dataCentreOf<wire::DrainRequestT>(body);
+        break;
+    case rpc::Method::Explain:
+        asked = parseJobName(wire::unpack<wire::ExplainRequestT>(body).job).dataCentre;
+        break;
+    case rpc::Method::Cancel:
+        asked = parseJobName(wire::unpack<wire::CancelRequestT>(body).job).dataCentre;
+        break;
+    case rpc::Method::Announce:
+    case rpc::Method::DealShares:
+    case rpc::Method::Begin:
+    case rpc::Method::Finish:
+        break;
+    }
+    return asked.empty() ? this->settings.dataCentre : asked;
+}
+
+void Instance::handleCall(const std::shared_ptr<http::Exchange> &exchange, const rpc::CallInfo &call)
+{
+    const http::Request &request = exchange->request();
+    const std::optional<Actor> actor = this->actorOf(request);
+    if (!actor) {
+        answerError(*exchange, ErrorCode::Unauthenticated, "a known token is needed: Authorization: Bearer TOKEN");
+        return;
+    }
+    if (!permits(actor->role, call.role)) {
+        answerError(*exchange, ErrorCode::Forbidden, absl::StrCat(call.name, " needs another role than ", wire::EnumNameRole(actor->role)));
+        return;
+    }
+    try {
+        const bool isBinary = wantsBinary(request);
+        const std::string body = isBinary ? request.body : rpc::CallCatalog::instance().requestFromJson(call, request.body);
+        const std::string dataCentre = this->targetOf(call.method, body);
+        const auto answer = [exchange, &call, isBinary](const CallResult &result) {
+            if (result.error != ErrorCode::None) {
+                answerError(*exchange, result.error, result.message);
+                return;
+            }
+            const std::string reply = isBinary ? result.body : rpc::CallCatalog::instance().replyToJson(call, result.body);
+            exchange->answer({200, {{"Content-Type", isBinary ? binaryType : jsonType}}, reply});
+        };
+        const bool isTaken = this->mailbox.post(
+            [this, dataCentre, &call, actor, body, answer] { this->calls->call(controlNow(), dataCentre, call.method, *actor, body, callPatience, answer); });
+        if (!isTaken) {
+            answerError(*exchange, ErrorCode::Overloaded, "too many calls wait");
+        }
+    } catch (const Error &error) {
+        answerError(*exchange, error.code(), error.what());
+    }
+}
+
+} // namespace paddlepier::instance
--- /dev/null
+++ b/paddlepier/instance/ledgerservice.h
@@ -0,0 +1,92 @@
+// The leader's work on one ledger: calls, leases, placement, shares.
+//
+// Exists beside every LedgerNode; what it keeps besides the ledger is volatile and begins anew with each term in which
+// its node leads. A call that changes something is answered when the change is applied; a call that reads is answered
+// from the leader's state while it holds the leader's lease.
+//
+// Thread safety: none; owned by the control thread.
+
+#ifndef PADDLEPIER_INSTANCE_LEDGERSERVICE_H
+#define PADDLEPIER_INSTANCE_LEDGERSERVICE_H
+
+#include "paddlepier/instance/actor.h"
+#include "paddlepier/instance/ledgernode.h"
+#include "paddlepier/ledger/leasetable.h"
+#include "paddlepier/routing/sharedealer.h"
+#include "paddlepier/rpc/callcatalog.h"
+#include "paddlepier/scheduling/scheduler.h"
+
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace paddlepier::instance
+{
+
+class LedgerService
+{
+public:
+    LedgerService(const Settings &instanceSettings, LedgerNode &ledgerNode, Counters &counters);
+
+    /** Makes a call that came to this replica; @p done is called exactly once, perhaps before this returns. */
+    void execute(Timestamp now, rpc::Method method, const Actor &actor, const std::string &body, const CallDone &done);
+
+    /** Places tasks, expires leases; does nothing unless the node leads. */
+    void tick(Timestamp now);
+
+private:
+    /** What a leader keeps besides the ledger. */
+    struct Term {
+        Term(const Settings &settings, LedgerNode &node, std::map<std::string, std::vector<std::string>> entries);
+
+        std::uint64_t number;
+        ledger::LeaseTable leases;
+        routing::ShareDealer dealer;
+        scheduling::Scheduler scheduler;
+        bool placementUnderWay = false;
+        Timestamp nextExpiry = absl::InfinitePast();
+    };
+
+    Term &ensureTerm();
+    CallResult notLeader() const;
+    void run(Timestamp now, rpc::Method method, const Actor &actor, const std::string &body, const CallDone &done);
+
+    void submit(const Actor &actor, const wire::SubmitRequestT &request, const CallDone &done);
+    void checkSpec(const wire::JobSpecT &spec) const;
+    void list(const Actor &actor, const CallDone &done) const;
+    void explain(const Actor &actor, const wire::ExplainRequestT &request, const CallDone &done);
+    void cancel(const Actor &actor, const wire::CancelRequestT &request, const CallDone &done);
+    void status(Timestamp now, const CallDone &done);
+    void drain(const Actor &actor, const wire::DrainRequestT &request, const CallDone &done);
+    void announce(Timestamp now, const Actor &actor, const wire::AnnounceRequestT &request, const CallDone &done);
+    void dealShares(Timestamp now, const wire::SharesRequestT &request, const CallDone &done);
+    void begin(const wire::BeginRequestT &request, const CallDone &done);
+    void finish(const wire::FinishRequestT &request, const CallDone &done);
+
+    const ledger::Job &visibleJob(const Actor &actor, const std::string &name) const;
+    wire::JobSummaryT summarize(const ledger::Job &job) const;
+    std::string jobName(std::uint64_t id) const;
+    void place(Timestamp now);
+    void proposeAll(std::vector<wire::CommandUnion> commands);
+
+    const Settings &settings;
+    LedgerNode &node;
+    Counter &placements;
+    Histogram &placementDecision;
+    std::unique_ptr<Term> term;
+};
+
+/** `data-centre.number`. */
+std::string formatJobName(const std::string &dataCentre, std::uint64_t id);
+
+struct JobName {
+    std::string dataCentre;
+    std::uint64_t id = 0;
+};
+
+/** @throws InvalidArgumentError if @p name is not a job's name */
+JobName parseJobName(const std::string &name);
+
+} // namespace paddlepier::instance
+
+#endif
--- /dev/null
+++ b/paddlepier/instance/quickservice.cpp
@@ -0,0 +1,439 @@
+// Quick requests of one entry instance.
+
+#include "paddlepier/instance/quickservice.h"
+
+#include "paddlepier/base/log.h"
+#include "paddlepier/instance/quickheaders.h"
+#include "paddlepier/wire/codec.h"
+
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
+#include <xxhash.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace paddlepier::instance
+{
+
+namespace
+{
+
+using routing::AttemptEnd;
+using wire::RequestOutcome;
+
+constexpr Duration pollTime = absl::Milliseconds(20);
+constexpr Duration sharesInterval = absl::Milliseconds(200);
+/** A request for shares without an answer for so long is given up; its late answer is ignored. */
+constexpr Duration sharesPatience = absl::Milliseconds(900);
+/** Recording an answer may outlast the caller's deadline by this. */
+constexpr Duration closePatience = absl::Seconds(2);
+constexpr std::size_t mailboxLimit = 100'000;
+constexpr std::size_t longestKey = 200;
+constexpr int firstFailureStatus = 500;
+
+Counter &outcomeCounter(Counters &counters, RequestOutcome outcome)
+{
+    return counters.counter(absl::StrCat("quick_answers_total{outcome=\"", outcomeName(outcome), "\"}"));
+}
+
+http::Answer errorAnswer(int status, ErrorCode code, const std::string &message)
+{
+    return {status, {{"Content-Type", "application/json"}}, rpc::errorJson(code, message)};
+}
+
+http::Answer notRunAnswer(const std::string &reason, Duration retryAfter)
+{
+    http::Answer answer = errorAnswer(503, ErrorCode::Overloaded, absl::StrCat("not run: ", reason));
+    const double seconds = absl::ToDoubleSeconds(retryAfter);
+    answer.headers.emplace_back("Retry-After", absl::StrCat(static_cast<std::int64_t>(std::ceil(seconds))));
+    answer.headers.emplace_back(retryAfterMillisHeader, absl::StrCat(absl::ToInt64Milliseconds(retryAfter)));
+    return answer;
+}
+
+routing::RouterLimits routerLimits(const Settings &settings)
+{
+    routing::RouterLimits limits;
+    limits.queuedRequests = settings.limits.queuedRequests;
+    return limits;
+}
+
+std::uint64_t digestOf(const http::Request &request)
+{
+    const std::uint64_t target = XXH3_64bits(request.target.data(), request.target.size());
+    return XXH3_64bits_withSeed(request.body.data(), request.body.size(), target);
+}
+
+} // namespace
+
+QuickService::QuickService(const Settings &instanceSettings, Counters &processCounters, LedgerCall ledgerCall, std::uint64_t seed)
+    : settings(instanceSettings)
+    , callLedger(std::move(ledgerCall))
+    , counters(processCounters)
+    , addedTime(processCounters.histogram("quick_request"))
+    , mailbox(mailboxLimit)
+    , router(routerLimits(instanceSettings), seed)
+    , incarnation(seed)
+{
+    std::vector<std::pair<std::string, std::string>> hops;
+    this->homes.push_back(instanceSettings.dataCentre);
+    for (const PeerSettings &peer : instanceSettings.peers) {
+        if (peer.partner != instanceSettings.partner) {
+            continue;
+        }
+        if (peer.dataCentre != instanceSettings.dataCentre) {
+            hops.emplace_back(peer.id, peer.http.text());
+        }
+        if (std::find(this->homes.begin(), this->homes.end(), peer.dataCentre) == this->homes.end()) {
+            this->homes.push_back(peer.dataCentre);
+        }
+    }
+    // Every entry of the partner must find the same home for a key.
+    std::sort(this->homes.begin(), this->homes.end());
+    this->router.setHopTargets(std::move(hops));
+    this->thread = std::thread([this] { this->run(); });
+}
+
+QuickService::~QuickService()
+{
+    this->stop();
+}
+
+void QuickService::post(Mailbox::Work work)
+{
+    this->mailbox.postAlways(std::move(work));
+    this->pool.wake();
+}
+
+void QuickService::submit(const std::shared_ptr<http::Exchange> &exchange)
+{
+    const bool isTaken = this->mailbox.post([this, exchange] { this->accept(exchange); });
+    if (!isTaken) {
+        http::Answer answer = notRunAnswer("too many requests wait", absl::Seconds(1));
+        answer.headers.emplace_back(outcomeHeader, outcomeName(RequestOutcome::NotRun));
+        exchange->answer(std::move(answer));
+        return;
+    }
+    this->pool.wake();
+}
+
+void QuickService::stop()
+{
+    if (this->stopping.exchange(true)) {
+        return;
+    }
+    this->pool.wake();
+    this->thread.join();
+}
+
+void QuickService::run()
+{
+    while (!this->stopping) {
+        for (const Mailbox::Work &work : this->mailbox.take(absl::ZeroDuration())) {
+            work();
+        }
+        const Timestamp now = controlNow();
+        this->router.tick(now);
+        this->renewShares(now);
+        this->pump();
+        this->pool.run(pollTime);
+        this->pump();
+    }
+    this->mailbox.close();
+}
+
+bool QuickService::readHeaders(const http::Request &request, Caller &caller, http::Answer &refusal) const
+{
+    caller.isHop = !request.header(hopHeader).empty();
+    if (caller.isHop && request.header(cellKeyHeader) != this->settings.cellKey) {
+        refusal = errorAnswer(403, ErrorCode::Forbidden, absl::StrCat(hopHeader, " is for entry instances only"));
+        return false;
+    }
+    std::int64_t millis = absl::ToInt64Milliseconds(this->settings.limits.requestDeadline);
+    const std::string deadline(request.header(deadlineHeader));
+    std::int64_t asked = 0;
+    if (!deadline.empty() && (!absl::SimpleAtoi(deadline, &asked) || asked <= 0)) {
+        refusal = errorAnswer(400, ErrorCode::InvalidArgument, absl::StrCat(deadlineHeader, " must be a positive number of milliseconds"));
+        return false;
+    }
+    millis = asked > 0 ? std::min(asked, millis) : millis;
+    caller.deadline = caller.received + absl::Milliseconds(millis);
+    caller.key = std::string(request.header(keyHeader));
+    if (caller.key.size() > longestKey) {
+        refusal = errorAnswer(400, ErrorCode::InvalidArgument, absl::StrCat(keyHeader, " is longer than ", longestKey, " bytes"));
+        return false;
+    }
+    const std::string_view declared = request.header(idempotentHeader);
+    if (!declared.empty() && declared != "true" && declared != "false") {
+        refusal = errorAnswer(400, ErrorCode::InvalidArgument, absl::StrCat(idempotentHeader, " must be true or false"));
+        return false;
+    }
+    caller.isIdempotent = caller.key.empty() && (declared == "true" || (declared.empty() && request.method == "GET"));
+    return true;
+}
+
+void QuickService::accept(const std::shared_ptr<http::Exchange> &exchange)
+{
+    Caller caller;
+    caller.exchange = exchange;
+    caller.received = controlNow();
+    const std::uint64_t id = this->nextRequest++;
+    caller.requestId = absl::StrCat(absl::Hex(this->incarnation, absl::kZeroPad16), "-", id);
+    http::Answer refusal;
+    if (!this->readHeaders(exchange->request(), caller, refusal)) {
+        refusal.headers.emplace_back(outcomeHeader, outcomeName(RequestOutcome::NotRun));
+        exchange->answer(std::move(refusal));
+        return;
+    }
+    const bool needsKey = !caller.key.empty() && !caller.isHop;
+    this->callers.emplace(id, std::move(caller));
+    if (needsKey) {
+        this->openKey(id);
+    } else {
+        this->route(id);
+    }
+}
+
+std::string QuickService::homeOf(const std::string &key) const
+{
+    return this->homes[XXH3_64bits(key.data(), key.size()) % this->homes.size()];
+}
+
+void QuickService::openKey(std::uint64_t id)
+{
+    Caller &caller = this->callers.at(id);
+    caller.digest = digestOf(caller.exchange->request());
+    const Duration remaining = caller.deadline - controlNow();
+    wire::BeginRequestT request;
+    request.partner = this->settings.partner;
+    request.key = caller.key;
+    request.digest = caller.digest;
+    request.requestId = caller.requestId;
+    request.deadlineMillis = static_cast<std::uint64_t>(std::max<std::int64_t>(absl::ToInt64Milliseconds(remaining), 1));
+    this->callLedger(this->homeOf(caller.key), rpc::Method::Begin, wire::pack(request), remaining, [this, id](const CallResult &result) {
+        this->post([this, id, result] { this->keyOpened(id, result); });
+    });
+}
+
+void QuickService::keyOpened(std::uint64_t id, const CallResult &result)
+{
+    Caller &caller = this->callers.at(id);
+    if (result.error != ErrorCode::None) {
+        // Nothing was sent, so "not run" is true. If the key was opened all the same, free it for the caller's next try.
+        this->closeKey(caller, RequestOutcome::NotRun, nullptr, [] {});
+        this->answerCaller(id, RequestOutcome::NotRun, notRunAnswer(absl::StrCat("the key's ledger: ", result.message), absl::Seconds(1)));
+        return;
+    }
+    const auto reply = wire::unpack<wire::BeginReplyT>(result.body);
+    switch (reply.result) {
+    case wire::BeginResult::Accepted:
+        this->route(id);
+        return;
+    case wire::BeginResult::InProgress:
+        this->answerCaller(id, RequestOutcome::InProgress, errorAnswer(409, ErrorCode::Conflict, "a request with this key is in progress"));
+        return;
+    case wire::BeginResult::KeyReused:
+        this->answerCaller(id, RequestOutcome::NotRun, errorAnswer(409, ErrorCode::KeyReused, "the key was used for a different request"));
+        return;
+    case wire::BeginResult::Recorded:
+        break;
+    }
+    if (reply.answer->outcome == RequestOutcome::Unknown) {
+        this->answerCaller(id, RequestOutcome::Unknown, errorAnswer(502, ErrorCode::Timeout, "the end of the request with this key is not known"));
+        return;
+    }
+    http::Answer recorded{reply.answer->status, {{"Content-Type", reply.answer->contentType}}, wire::toString(reply.answer->body)};
+    this->answerCaller(id, reply.answer->outcome, std::move(recorded));
+}
+
+void QuickService::route(std::uint64_t id)
+{
+    const Caller &caller = this->callers.at(id);
+    this->router.submit(controlNow(), {id, caller.deadline, caller.isIdempotent, !caller.isHop});
+}
+
+void QuickService::pump()
+{
+    for (bool busy = true; busy;) {
+        const std::vector<routing::Attempt> attempts = this->router.takeAttempts();
+        const std::vector<routing::Finished> finished = this->router.takeFinished();
+        busy = !attempts.empty() || !finished.empty();
+        for (const routing::Attempt &attempt : attempts) {
+            this->send(attempt);
+        }
+        for (const routing::Finished &result : finished) {
+            this->finish(result);
+        }
+    }
+}
+
+void QuickService::send(const routing::Attempt &attempt)
+{
+    const Caller &caller = this->callers.at(attempt.request);
+    const http::Request &original = caller.exchange->request();
+    http::OutgoingRequest request;
+    request.method = original.method;
+    request.body = original.body;
+    request.timeout = attempt.timeout;
+    request.mayReuseConnection = caller.isIdempotent;
+    const std::string_view contentType = original.header("Content-Type");
+    if (!contentType.empty()) {
+        request.headers.emplace_back("Content-Type", contentType);
+    }
+    request.headers.emplace_back(deadlineHeader, absl::StrCat(absl::ToInt64Milliseconds(attempt.timeout)));
+    if (attempt.isHop) {
+        request.url = absl::StrCat("http://", attempt.address, original.target);
+        request.headers.emplace_back(hopHeader, this->settings.id);
+        request.headers.emplace_back(cellKeyHeader, this->settings.cellKey);
+        request.headers.emplace_back(idempotentHeader, caller.isIdempotent ? "true" : "false");
+    } else {
+        request.url = absl::StrCat("http://", attempt.address, original.target.substr(quickPrefix.size() - 1));
+        request.headers.emplace_back(requestIdHeader, absl::StrCat(caller.requestId, ".", attempt.id));
+        request.headers.emplace_back(validUntilHeader, absl::StrCat(attempt.validUntilWorkerMicros));
+    }
+    this->pool.start(std::move(request), [this, attempt](http::TransferResult result) { this->attemptEnded(attempt, std::move(result)); });
+}
+
+AttemptEnd QuickService::judgeWorker(const Caller &caller, const http::TransferResult &result) const
+{
+    if (!result.whole) {
+        return result.nothingSent ? AttemptEnd::NotSent : AttemptEnd::Broken;
+    }
+    if (!result.answer.header(refusedHeader).empty()) {
+        return AttemptEnd::Refused;
+    }
+    return result.answer.status >= firstFailureStatus ? AttemptEnd::Failed : AttemptEnd::Answered;
+}
+
+AttemptEnd QuickService::judgeHop(const Caller &, const http::TransferResult &result) const
+{
+    if (!result.whole) {
+        return result.nothingSent ? AttemptEnd::NotSent : AttemptEnd::Broken;
+    }
+    const std::string_view outcome = result.answer.header(outcomeHeader);
+    if (outcome == outcomeName(RequestOutcome::Completed)) {
+        return AttemptEnd::Answered;
+    }
+    if (outcome == outcomeName(RequestOutcome::Failed)) {
+        return AttemptEnd::Failed;
+    }
+    return outcome == outcomeName(RequestOutcome::NotRun) ? AttemptEnd::Refused : AttemptEnd::Broken;
+}
+
+void QuickService::attemptEnded(const routing::Attempt &attempt, http::TransferResult result)
+{
+    const auto found = this->callers.find(attempt.request);
+    if (found == this->callers.end()) {
+        return;
+    }
+    Caller &caller = found->second;
+    AttemptEnd end = attempt.isHop ? this->judgeHop(caller, result) : this->judgeWorker(caller, result);
+    // A late answer to an earlier request on the same connection must not pass for this one's.
+    const std::string expected = absl::StrCat(caller.requestId, ".", attempt.id);
+    if (!attempt.isHop && result.whole && result.answer.header(requestIdHeader) != expected) {
+        this->counters.counter("quick_foreign_answers_total").add();
+        log::warning("quick", "answer.foreign", {{"worker", attempt.target}, {"expected", expected}});
+        end = AttemptEnd::Broken;
+    }
+    if (end == AttemptEnd::Answered || end == AttemptEnd::Failed) {
+        caller.answers[attempt.id] = std::move(result.answer);
+    }
+    this->router.ended(controlNow(), attempt.id, end);
+}
+
+void QuickService::finish(const routing::Finished &finished)
+{
+    Caller &caller = this->callers.at(finished.request);
+    http::Answer answer;
+    if (finished.attempt != 0) {
+        const http::Answer &received = caller.answers.at(finished.attempt);
+        answer = {received.status, {{"Content-Type", std::string(received.header("Content-Type"))}}, received.body};
+    } else if (finished.outcome == RequestOutcome::NotRun) {
+        answer = notRunAnswer(nameOf(finished.reason), finished.retryAfter);
+    } else {
+        answer = errorAnswer(502, ErrorCode::Timeout, "the request was sent, but no whole answer came");
+    }
+    const std::uint64_t id = finished.request;
+    const RequestOutcome outcome = finished.outcome;
+    if (caller.key.empty() || caller.isHop) {
+        this->answerCaller(id, outcome, std::move(answer));
+        return;
+    }
+    // The answer is recorded before the caller sees it, so that a duplicate gets the same one.
+    this->closeKey(caller, outcome, &answer, [this, id, outcome, answer] { this->answerCaller(id, outcome, answer); });
+}
+
+void QuickService::closeKey(const Caller &caller, RequestOutcome outcome, const http::Answer *answer, std::function<void()> closed)
+{
+    wire::FinishRequestT request;
+    request.partner = this->settings.partner;
+    request.key = caller.key;
+    request.requestId = caller.requestId;
+    request.answer = std::make_unique<wire::RecordedAnswerT>();
+    request.answer->outcome = outcome;
+    if (answer != nullptr) {
+        request.answer->status = static_cast<std::uint16_t>(answer->status);
+        request.answer->contentType = std::string(answer->header("Content-Type"));
+        request.answer->body = wire::toBytes(answer->body);
+    }
+    this->callLedger(
+        this->homeOf(caller.key), rpc::Method::Finish, wire::pack(request), closePatience, [this, closed](const CallResult &) { this->post(closed); });
+}
+
+void QuickService::answerCaller(std::uint64_t id, RequestOutcome outcome, http::Answer answer)
+{
+    const auto found = this->callers.find(id);
+    if (found == this->callers.end()) {
+        return;
+    }
+    answer.headers.emplace_back(outcomeHeader, outcomeName(outcome));
+    answer.headers.emplace_back(requestIdHeader, found->second.requestId);
+    outcomeCounter(this->counters, outcome).add();
+    this->addedTime.record(controlNow() - found->second.received);
+    found->second.exchange->answer(std::move(answer));
+    this->callers.erase(found);
+}
+
+void QuickService::boundConnections(const wire::SharesReplyT &reply)
+{
+    // The library knows one bound for all hosts, so the smallest share of connections counts.
+    std::uint32_t connections = 0;
+    for (const auto &share : reply.shares) {
+        connections = connections == 0 ? share->connections : std::min(connections, share->connections);
+    }
+    if (connections > 0) {
+        this->pool.setConnectionsPerHost(connections);
+    }
+}
+
+void QuickService::renewShares(Timestamp now)
+{
+    if (now < this->nextShares) {
+        return;
+    }
+    this->nextShares = now + sharesPatience;
+    wire::SharesRequestT request;
+    request.instance = this->settings.id;
+    request.partner = this->settings.partner;
+    request.incarnation = this->incarnation;
+    request.sequence = ++this->shareSequence;
+    request.demand = this->router.demand();
+    for (wire::ShareUseT &use : this->router.uses()) {
+        request.uses.push_back(std::make_unique<wire::ShareUseT>(std::move(use)));
+    }
+    const std::uint64_t sequence = request.sequence;
+    this->callLedger(this->settings.dataCentre, rpc::Method::DealShares, wire::pack(request), sharesPatience, [this, sequence, now](const CallResult &result) {
+        this->post([this, sequence, now, result] {
+            // Only the answer to the newest request may be taken: the leader counts on it.
+            if (sequence != this->shareSequence || result.error != ErrorCode::None) {
+                return;
+            }
+            const auto reply = wire::unpack<wire::SharesReplyT>(result.body);
+            this->boundConnections(reply);
+            this->router.setShares(controlNow(), now, reply);
+            this->nextShares = now + sharesInterval;
+        });
+    });
+}
+
+} // namespace paddlepier::instance
--- a/paddlepier/ledger/requesttable.cpp
+++ b/paddlepier/ledger/requesttable.cpp
@@ -23,6 +23,10 @@
     const std::string name = recordKey(request.partner, request.key);
     const auto found = this->records.find(name);
     if (found != this->records.end()) {
+        // The same attempt asks again after a lost reply; it has sent nothing before it was accepted.
+        if (found->second.requestId == request.requestId && !found->second.answer) {
+            return OpenOutcome::Accepted;
+        }
         return found->second.digest == request.digest ? OpenOutcome::Known : OpenOutcome::KeyReused;
     }
     if (this->records.size() >= mostRequests) {
--- /dev/null
+++ b/paddlepier/peer/transport.cpp
@@ -0,0 +1,479 @@
+// Frames between entry instances over TCP.
+
+#include "paddlepier/peer/transport.h"
+
+#include "paddlepier/base/error.h"
+#include "paddlepier/base/log.h"
+#include "paddlepier/wire/codec.h"
+
+#include <absl/base/thread_annotations.h>
+#include <absl/container/flat_hash_map.h>
+#include <absl/strings/str_cat.h>
+#include <absl/synchronization/mutex.h>
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/epoll.h>
+#include <sys/eventfd.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <atomic>
+#include <cerrno>
+#include <cstring>
+#include <thread>
+
+namespace paddlepier::peer
+{
+
+namespace
+{
+
+constexpr std::size_t lengthBytes = sizeof(std::uint32_t);
+constexpr int pollMillis = 50;
+constexpr Duration reconnectPause = absl::Milliseconds(200);
+
+/** Longest time that an incoming connection may take to say Hello. */
+constexpr Duration helloPatience = absl::Seconds(5);
+
+struct SocketAddress {
+    sockaddr_storage storage{};
+    socklen_t size = 0;
+};
+
+SocketAddress toSocketAddress(const Endpoint &endpoint)
+{
+    SocketAddress address;
+    if (endpoint.address.find(':') != std::string::npos) {
+        auto &version6 = reinterpret_cast<sockaddr_in6 &>(address.storage);
+        version6.sin6_family = AF_INET6;
+        version6.sin6_port = htons(endpoint.port);
+        inet_pton(AF_INET6, endpoint.address.c_str(), &version6.sin6_addr);
+        address.size = sizeof(sockaddr_in6);
+        return address;
+    }
+    auto &version4 = reinterpret_cast<sockaddr_in &>(address.storage);
+    version4.sin_family = AF_INET;
+    version4.sin_port = htons(endpoint.port);
+    inet_pton(AF_INET, endpoint.address.c_str(), &version4.sin_addr);
+    address.size = sizeof(sockaddr_in);
+    return address;
+}
+
+int openSocket(const Endpoint &endpoint)
+{
+    const int family = endpoint.address.find(':') != std::string::npos ? AF_INET6 : AF_INET;
+    return ::socket(family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+}
+
+std::string toFrameBytes(const wire::PeerFrameT &frame)
+{
+    const std::string body = wire::pack(frame);
+    const std::uint32_t length = htonl(static_cast<std::uint32_t>(body.size()));
+    std::string bytes(reinterpret_cast<const char *>(&length), lengthBytes);
+    bytes += body;
+    return bytes;
+}
+
+/** Compares in time that doesn't depend on where the two differ. */
+bool isSameKey(const std::string &left, const std::string &right)
+{
+    unsigned char difference = left.size() == right.size() ? 0 : 1;
+    for (std::size_t index = 0; index < std::min(left.size(), right.size()); ++index) {
+        difference |= static_cast<unsigned char>(left[index] ^ right[index]);
+    }
+    return difference == 0;
+}
+
+} // namespace
+
+class Transport::Implementation
+{
+public:
+    Implementation(const Settings &instanceSettings, Counters &counters, Receiver frameReceiver);
+    ~Implementation();
+
+    void send(const std::string &instance, const wire::PeerFrameT &frame);
+    void stop();
+
+private:
+    struct Outgoing {
+        std::string name;
+        Endpoint endpoint;
+        int socket = -1;
+        bool isConnected = false;
+        Timestamp nextTry = absl::InfinitePast();
+        std::string buffer; // of the transport's thread
+        std::string waiting; // handed over by send()
+    };
+
+    struct Incoming {
+        std::string buffer;
+        std::string instance;
+        bool isTrusted = false;
+        Timestamp openedAt;
+    };
+
+    void listen();
+    void run();
+    void serveOutgoing(Outgoing &outgoing);
+    void connect(Outgoing &outgoing);
+    void closeOutgoing(Outgoing &outgoing);
+    void flush(Outgoing &outgoing);
+    void accept();
+    void readIncoming(int socket);
+    void takeFrames(int socket, Incoming &incoming);
+    void greet(Incoming &incoming, const wire::PeerFrameT &frame);
+    void closeIncoming(int socket);
+    void dropSilent();
+
+    const Settings settings;
+    const Receiver receiver;
+    Counter &sentFrames;
+    Counter &sentBytes;
+    Counter &receivedFrames;
+    Counter &receivedBytes;
+    Counter &droppedFrames;
+    Counter &refusedConnections;
+    int epoll = -1;
+    int wakeup = -1;
+    int listener = -1;
+    std::atomic<bool> stopping{false};
+    absl::Mutex mutex;
+    // The map itself never changes after construction; `waiting` in its values is guarded by `mutex`.
+    absl::flat_hash_map<std::string, std::unique_ptr<Outgoing>> outgoing;
+    absl::flat_hash_map<int, Incoming> incoming;
+    std::thread thread;
+};
+
+Transport::Implementation::Implementation(const Settings &instanceSettings, Counters &counters, Receiver frameReceiver)
+    : settings(instanceSettings)
+    , receiver(std::move(frameReceiver))
+    , sentFrames(counters.counter("peer_sent_frames_total"))
+    , sentBytes(counters.counter("peer_sent_bytes_total"))
+    , receivedFrames(counters.counter("peer_received_frames_total"))
+    , receivedBytes(counters.counter("peer_received_bytes_total"))
+    , droppedFrames(counters.counter("peer_dropped_frames_total"))
+    , refusedConnections(counters.counter("peer_refused_connections_total"))
+    , epoll(::epoll_create1(EPOLL_CLOEXEC))
+    , wakeup(::eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC))
+{
+    for (const PeerSettings &peer : this->settings.peers) {
+        auto connection = std::make_unique<Outgoing>();
+        connection->name = peer.id;
+        connection->endpoint = peer.peer;
+        this->outgoing.emplace(peer.id, std::move(connection));
+    }
+    this->listen();
+    this->thread = std::thread([this] { this->run(); });
+}
+
+Transport::Implementation::~Implementation()
+{
+    this->stop();
+    ::close(this->epoll);
+    ::close(this->wakeup);
+}
+
+void Transport::Implementation::listen()
+{
+    this->listener = openSocket(this->settings.peer);
+    const int on = 1;
+    ::setsockopt(this->listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+    const SocketAddress address = toSocketAddress(this->settings.peer);
+    const bool isBound = ::bind(this->listener, reinterpret_cast<const sockaddr *>(&address.storage), address.size) == 0;
+    if (!isBound || ::listen(this->listener, SOMAXCONN) != 0) {
+        throw InvalidSettingsError(absl::StrCat("listen.peer: can't listen on ", this->settings.peer.text(), ": ", std::strerror(errno)));
+    }
+    for (const int descriptor : {this->listener, this->wakeup}) {
+        epoll_event event{};
+        event.events = EPOLLIN;
+        event.data.fd = descriptor;
+        ::epoll_ctl(this->epoll, EPOLL_CTL_ADD, descriptor, &event);
+    }
+}
+
+void Transport::Implementation::send(const std::string &instance, const wire::PeerFrameT &frame)
+{
+    const auto found = this->outgoing.find(instance);
+    if (found == this->outgoing.end()) {
+        this->droppedFrames.add();
+        return;
+    }
+    const std::string bytes = toFrameBytes(frame);
+    if (bytes.size() > mostFrameBytes) {
+        this->droppedFrames.add();
+        log::error("peer", "frame.too-large", {{"to", instance}, {"bytes", bytes.size()}});
+        return;
+    }
+    {
+        const absl::MutexLock lock(&this->mutex);
+        std::string &waiting = found->second->waiting;
+        if (waiting.size() + bytes.size() > mostQueuedBytes) {
+            this->droppedFrames.add();
+            return;
+        }
+        waiting += bytes;
+    }
+    this->sentFrames.add();
+    this->sentBytes.add(static_cast<std::int64_t>(bytes.size()));
+    const std::uint64_t one = 1;
+    [[maybe_unused]] const ssize_t written = ::write(this->wakeup, &one, sizeof(one));
+}
+
+void Transport::Implementation::stop()
+{
+    if (this->stopping.exchange(true)) {
+        return;
+    }
+    const std::uint64_t one = 1;
+    [[maybe_unused]] const ssize_t written = ::write(this->wakeup, &one, sizeof(one));
+    this->thread.join();
+    ::close(this->listener);
+    for (auto &[name, connection] : this->outgoing) {
+        this->closeOutgoing(*connection);
+    }
+    while (!this->incoming.empty()) {
+        this->closeIncoming(this->incoming.begin()->first);
+    }
+}
+
+void Transport::Implementation::run()
+{
+    std::array<epoll_event, 64> events{};
+    while (!this->stopping) {
+        const int count = ::epoll_wait(this->epoll, events.data(), static_cast<int>(events.size()), pollMillis);
+        for (int index = 0; index < count; ++index) {
+            const int descriptor = events[static_cast<std::size_t>(index)].data.fd;
+            if (descriptor == this->listener) {
+                this->accept();
+            } else if (descriptor == this->wakeup) {
+                std::uint64_t value = 0;
+                [[maybe_unused]] const ssize_t size = ::read(this->wakeup, &value, sizeof(value));
+            } else if (this->incoming.contains(descriptor)) {
+                this->readIncoming(descriptor);
+            }
+        }
+        for (auto &[name, connection] : this->outgoing) {
+            this->serveOutgoing(*connection);
+        }
+        this->dropSilent();
+    }
+}
+
+void Transport::Implementation::serveOutgoing(Outgoing &connection)
+{
+    if (connection.socket < 0) {
+        if (controlNow() >= connection.nextTry) {
+            this->connect(connection);
+        }
+        return;
+    }
+    if (!connection.isConnected) {
+        int problem = 0;
+        socklen_t size = sizeof(problem);
+        ::getsockopt(connection.socket, SOL_SOCKET, SO_ERROR, &problem, &size);
+        sockaddr_storage other{};
+        socklen_t otherSize = sizeof(other);
+        if (problem != 0) {
+            this->closeOutgoing(connection);
+            return;
+        }
+        connection.isConnected = ::getpeername(connection.socket, reinterpret_cast<sockaddr *>(&other), &otherSize) == 0;
+    }
+    if (connection.isConnected) {
+        this->flush(connection);
+    }
+}
+
+void Transport::Implementation::connect(Outgoing &connection)
+{
+    connection.socket = openSocket(connection.endpoint);
+    const int on = 1;
+    ::setsockopt(connection.socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+    const SocketAddress address = toSocketAddress(connection.endpoint);
+    const int result = ::connect(connection.socket, reinterpret_cast<const sockaddr *>(&address.storage), address.size);
+    if (result != 0 && errno != EINPROGRESS) {
+        this->closeOutgoing(connection);
+        return;
+    }
+    epoll_event event{};
+    event.events = EPOLLOUT | EPOLLET;
+    event.data.fd = connection.socket;
+    ::epoll_ctl(this->epoll, EPOLL_CTL_ADD, connection.socket, &event);
+    wire::PeerFrameT hello;
+    wire::HelloT greeting;
+    greeting.version = protocolVersion;
+    greeting.key = this->settings.cellKey;
+    greeting.instance = this->settings.id;
+    hello.fromInstance = this->settings.id;
+    hello.body.Set(std::move(greeting));
+    connection.buffer = toFrameBytes(hello);
+}
+
+void Transport::Implementation::closeOutgoing(Outgoing &connection)
+{
+    if (connection.socket >= 0) {
+        ::close(connection.socket);
+    }
+    connection.socket = -1;
+    connection.isConnected = false;
+    connection.nextTry = controlNow() + reconnectPause;
+    connection.buffer.clear();
+    // What waited is old by the time the peer is back; the protocols above send anew.
+    const absl::MutexLock lock(&this->mutex);
+    connection.waiting.clear();
+}
+
+void Transport::Implementation::flush(Outgoing &connection)
+{
+    {
+        const absl::MutexLock lock(&this->mutex);
+        connection.buffer += connection.waiting;
+        connection.waiting.clear();
+    }
+    std::size_t sent = 0;
+    while (sent < connection.buffer.size()) {
+        const ssize_t count = ::send(connection.socket, connection.buffer.data() + sent, connection.buffer.size() - sent, MSG_NOSIGNAL);
+        if (count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) {
+            break;
+        }
+        if (count <= 0) {
+            this->closeOutgoing(connection);
+            return;
+        }
+        sent += static_cast<std::size_t>(count);
+    }
+    connection.buffer.erase(0, sent);
+    if (connection.buffer.size() > mostQueuedBytes) {
+        this->closeOutgoing(connection);
+    }
+}
+
+void Transport::Implementation::accept()
+{
+    while (true) {
+        const int socket = ::accept4(this->listener, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+        if (socket < 0) {
+            return;
+        }
+        // A peer has one connection; twice that leaves room for ones that a restart left half open.
+        if (this->incoming.size() >= 2 * this->settings.peers.size() + 8) {
+            this->refusedConnections.add();
+            ::close(socket);
+            continue;
+        }
+        epoll_event event{};
+        event.events = EPOLLIN;
+        event.data.fd = socket;
+        ::epoll_ctl(this->epoll, EPOLL_CTL_ADD, socket, &event);
+        this->incoming[socket].openedAt = controlNow();
+    }
+}
+
+void Transport::Implementation::closeIncoming(int socket)
+{
+    ::close(socket);
+    this->incoming.erase(socket);
+}
+
+void Transport::Implementation::dropSilent()
+{
+    for (auto connection = this->incoming.begin(); connection != this->incoming.end();) {
+        const auto current = connection++;
+        if (!current->second.isTrusted && controlNow() - current->second.openedAt > helloPatience) {
+            this->refusedConnections.add();
+            this->closeIncoming(current->first);
+        }
+    }
+}
+
+void Transport::Implementation::readIncoming(int socket)
+{
+    Incoming &connection = this->incoming.at(socket);
+    std::array<char, 64 * 1024> chunk{};
+    const ssize_t count = ::recv(socket, chunk.data(), chunk.size(), 0);
+    if (count < 0 && (errno == EAGAIN || errno == EINTR)) {
+        return;
+    }
+    if (count <= 0) {
+        this->closeIncoming(socket);
+        return;
+    }
+    this->receivedBytes.add(count);
+    connection.buffer.append(chunk.data(), static_cast<std::size_t>(count));
+    try {
+        this->takeFrames(socket, connection);
+    } catch (const Error &error) {
+        this->refusedConnections.add();
+        log::warning("peer", "connection.refused", {{"error", paddlepier::nameOf(error.code())}, {"message", error.what()}});
+        this->closeIncoming(socket);
+    }
+}
+
+void Transport::Implementation::takeFrames(int socket, Incoming &connection)
+{
+    std::size_t offset = 0;
+    while (connection.buffer.size() - offset >= lengthBytes) {
+        std::uint32_t length = 0;
+        std::memcpy(&length, connection.buffer.data() + offset, lengthBytes);
+        length = ntohl(length);
+        if (length > mostFrameBytes) {
+            throw FrameTooLargeError(absl::StrCat("a frame of ", length, " bytes"));
+        }
+        if (connection.buffer.size() - offset - lengthBytes < length) {
+            break;
+        }
+        const std::string body = connection.buffer.substr(offset + lengthBytes, length);
+        offset += lengthBytes + length;
+        auto frame = wire::unpack<wire::PeerFrameT>(body);
+        if (!connection.isTrusted) {
+            this->greet(connection, frame);
+            continue;
+        }
+        this->receivedFrames.add();
+        frame.fromInstance = connection.instance;
+        this->receiver(std::move(frame));
+    }
+    connection.buffer.erase(0, offset);
+}
+
+void Transport::Implementation::greet(Incoming &connection, const wire::PeerFrameT &frame)
+{
+    const auto *hello = frame.body.AsHello();
+    if (hello == nullptr) {
+        throw PeerRefusedError("a frame before Hello");
+    }
+    if (hello->version != protocolVersion) {
+        throw PeerRefusedError(absl::StrCat("protocol version ", hello->version, ", here ", protocolVersion));
+    }
+    if (!isSameKey(hello->key, this->settings.cellKey)) {
+        throw PeerRefusedError("wrong cell key");
+    }
+    if (this->settings.findPeer(hello->instance) == nullptr) {
+        throw PeerRefusedError(absl::StrCat("unknown instance ", hello->instance));
+    }
+    connection.instance = hello->instance;
+    connection.isTrusted = true;
+}
+
+Transport::Transport(const Settings &settings, Counters &counters, Receiver receiver)
+    : implementation(std::make_unique<Implementation>(settings, counters, std::move(receiver)))
+{
+}
+
+Transport::~Transport() = default;
+
+void Transport::send(const std::string &instance, const wire::PeerFrameT &frame)
+{
+    this->implementation->send(instance, frame);
+}
+
+void Transport::stop()
+{
+    this->implementation->stop();
+}
+
+} // namespace paddlepier::peer
--- /dev/null
+++ b/paddlepier/routing/quickrouter.cpp
@@ -0,0 +1,427 @@
+// Routing of quick requests.
+
+#include "paddlepier/routing/quickrouter.h"
+
+#include <absl/algorithm/container.h>
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+
+namespace paddlepier::routing
+{
+
+namespace
+{
+
+using wire::RequestOutcome;
+
+/** Added to a deadline before a silent worker's slot is used again: network delay and timer granularity. */
+constexpr Duration stopMargin = absl::Milliseconds(100);
+constexpr Duration shortestEjection = absl::Seconds(1);
+constexpr std::uint32_t longestEjectionExponent = 5;
+constexpr Duration hopAvoidance = absl::Milliseconds(200);
+constexpr Duration shortestRetryAfter = absl::Milliseconds(100);
+constexpr double mostRetryTokens = 10;
+constexpr double smoothing = 0.05;
+
+} // namespace
+
+const char *nameOf(GiveUpReason reason)
+{
+    static constexpr std::array<const char *, 6> names{"none", "no-share", "queue-full", "deadline-too-short", "deadline-passed", "worker-failed"};
+    return names[static_cast<std::size_t>(reason)];
+}
+
+QuickRouter::QuickRouter(RouterLimits routerLimits, std::uint64_t seed, RouterGuards routerGuards)
+    : limits(routerLimits)
+    , guards(routerGuards)
+    , random(seed)
+{
+}
+
+void QuickRouter::submit(Timestamp now, const QuickRequest &request)
+{
+    this->retryTokens = std::min(this->retryTokens + this->limits.retryBudget, mostRetryTokens);
+    Pending &pending = this->pendings[request.id];
+    pending.request = request;
+    this->dispatch(now, request.id);
+}
+
+void QuickRouter::dispatch(Timestamp now, std::uint64_t id)
+{
+    Pending &pending = this->pendings.at(id);
+    if (now >= pending.request.deadline) {
+        this->giveUp(now, id, GiveUpReason::DeadlinePassed);
+        return;
+    }
+    // Those that wait already go first.
+    const bool mayStart = this->queue.empty() || this->queue.begin()->first >= pending.request.deadline;
+    if (mayStart && this->sendToWorker(now, pending)) {
+        return;
+    }
+    if (this->sendHop(now, pending)) {
+        return;
+    }
+    this->enqueueOrGiveUp(now, pending);
+}
+
+void QuickRouter::enqueueOrGiveUp(Timestamp now, Pending &pending)
+{
+    const std::uint64_t id = pending.request.id;
+    const bool hasShare = absl::c_any_of(this->backends, [now](const auto &entry) { return entry.second.cap > 0 && now < entry.second.leaseEnd; });
+    if (!hasShare) {
+        this->giveUp(now, id, GiveUpReason::NoShare);
+    } else if (this->queue.size() >= this->limits.queuedRequests) {
+        this->giveUp(now, id, GiveUpReason::QueueFull);
+    } else if (now + this->expectedWait(now) >= pending.request.deadline) {
+        this->giveUp(now, id, GiveUpReason::DeadlineTooShort);
+    } else {
+        this->queue.emplace(pending.request.deadline, id);
+    }
+}
+
+bool QuickRouter::hasRoom(Timestamp now, const Backend &backend) const
+{
+    if (!this->guards.respectShare) {
+        return true;
+    }
+    return backend.inUse < backend.cap && now < backend.leaseEnd;
+}
+
+std::size_t QuickRouter::ejectedCount(Timestamp now) const
+{
+    return static_cast<std::size_t>(absl::c_count_if(this->backends, [now](const auto &entry) { return now < entry.second.ejectedUntil; }));
+}
+
+std::string QuickRouter::choose(Timestamp now, const std::string &avoid)
+{
+    const auto isUsable = [&](const std::string &name) {
+        const Backend &backend = this->backends.at(name);
+        return name != avoid && this->hasRoom(now, backend) && now >= backend.ejectedUntil;
+    };
+    if (this->names.empty()) {
+        return "";
+    }
+    std::uniform_int_distribution<std::size_t> any(0, this->names.size() - 1);
+    const std::string &first = this->names[any(this->random)];
+    const std::string &second = this->names[any(this->random)];
+    if (isUsable(first) && isUsable(second)) {
+        const auto load = [this](const std::string &name) {
+            const Backend &backend = this->backends.at(name);
+            return static_cast<double>(backend.inUse) / backend.cap;
+        };
+        return load(first) <= load(second) ? first : second;
+    }
+    if (isUsable(first)) {
+        return first;
+    }
+    if (isUsable(second)) {
+        return second;
+    }
+    const std::size_t start = any(this->random);
+    for (std::size_t step = 0; step < this->names.size(); ++step) {
+        const std::string &name = this->names[(start + step) % this->names.size()];
+        if (isUsable(name)) {
+            return name;
+        }
+    }
+    // Better the worker that failed this request before, or an ejected one, than none.
+    for (const std::string &name : this->names) {
+        if (this->hasRoom(now, this->backends.at(name)) && name == avoid) {
+            return name;
+        }
+    }
+    return "";
+}
+
+bool QuickRouter::sendToWorker(Timestamp now, Pending &pending)
+{
+    const std::string name = this->choose(now, pending.lastTarget);
+    if (name.empty()) {
+        return false;
+    }
+    Backend &backend = this->backends.at(name);
+    ++backend.inUse;
+    Attempt attempt;
+    attempt.target = name;
+    attempt.address = backend.address;
+    attempt.validUntilWorkerMicros = backend.validUntilWorkerMicros;
+    attempt.connections = backend.connections;
+    this->send(now, pending, std::move(attempt));
+    return true;
+}
+
+bool QuickRouter::sendHop(Timestamp now, Pending &pending)
+{
+    if (!pending.request.mayHop || pending.hopped || this->hopTargets.empty() || this->hopFlights >= this->limits.hopsInFlight) {
+        return false;
+    }
+    std::uniform_int_distribution<std::size_t> any(0, this->hopTargets.size() - 1);
+    const std::size_t start = any(this->random);
+    for (std::size_t step = 0; step < this->hopTargets.size(); ++step) {
+        const HopTarget &target = this->hopTargets[(start + step) % this->hopTargets.size()];
+        if (now < target.avoidUntil) {
+            continue;
+        }
+        pending.hopped = true;
+        ++this->hopFlights;
+        Attempt attempt;
+        attempt.target = target.name;
+        attempt.address = target.address;
+        attempt.isHop = true;
+        this->send(now, pending, std::move(attempt));
+        return true;
+    }
+    return false;
+}
+
+void QuickRouter::send(Timestamp now, Pending &pending, Attempt attempt)
+{
+    ++pending.attempts;
+    pending.lastTarget = attempt.target;
+    attempt.id = this->nextAttempt++;
+    attempt.request = pending.request.id;
+    const Duration remaining = pending.request.deadline - now;
+    // A first attempt that hangs must leave an idempotent request time for a second one.
+    const bool leavesTime = pending.request.isIdempotent && pending.attempts == 1 && !attempt.isHop;
+    attempt.timeout = leavesTime ? remaining / 2 : remaining;
+    Flight flight;
+    flight.request = pending.request.id;
+    flight.target = attempt.target;
+    flight.isHop = attempt.isHop;
+    flight.started = now;
+    flight.deadline = now + attempt.timeout;
+    this->flights.emplace(attempt.id, std::move(flight));
+    this->attempts.push_back(std::move(attempt));
+}
+
+void QuickRouter::ended(Timestamp now, std::uint64_t attempt, AttemptEnd end)
+{
+    const auto found = this->flights.find(attempt);
+    if (found == this->flights.end()) {
+        return;
+    }
+    const Flight flight = std::move(found->second);
+    this->flights.erase(found);
+    this->releaseSlot(now, flight, end);
+    Pending &pending = this->pendings.at(flight.request);
+    if (end == AttemptEnd::Answered || end == AttemptEnd::Failed) {
+        this->finish(flight.request, end == AttemptEnd::Answered ? RequestOutcome::Completed : RequestOutcome::Failed, attempt, GiveUpReason::None);
+    } else {
+        pending.maybeRun = pending.maybeRun || end == AttemptEnd::Broken;
+        if (this->mayRetry(pending, end, now)) {
+            this->dispatch(now, flight.request);
+        } else {
+            this->giveUp(now, flight.request, GiveUpReason::WorkerFailed);
+        }
+    }
+    this->dispatchQueue(now);
+}
+
+void QuickRouter::releaseSlot(Timestamp now, const Flight &flight, AttemptEnd end)
+{
+    if (flight.isHop) {
+        --this->hopFlights;
+        if (end == AttemptEnd::NotSent || end == AttemptEnd::Refused) {
+            const auto target = absl::c_find_if(this->hopTargets, [&flight](const HopTarget &hop) { return hop.name == flight.target; });
+            if (target != this->hopTargets.end()) {
+                target->avoidUntil = now + hopAvoidance;
+            }
+        }
+        return;
+    }
+    const auto found = this->backends.find(flight.target);
+    if (found == this->backends.end()) {
+        return;
+    }
+    if (end == AttemptEnd::Broken && this->guards.holdSlotOfBroken) {
+        this->heldSlots.emplace(flight.deadline + stopMargin, this->nextAttempt++, flight.target);
+    } else {
+        --found->second.inUse;
+    }
+    if (end == AttemptEnd::Answered || end == AttemptEnd::Failed) {
+        this->meanServiceSeconds += smoothing * (absl::ToDoubleSeconds(now - flight.started) - this->meanServiceSeconds);
+    }
+    this->noteResult(now, found->second, end);
+}
+
+void QuickRouter::noteResult(Timestamp now, Backend &backend, AttemptEnd end)
+{
+    if (end == AttemptEnd::Answered) {
+        backend.failures = 0;
+        return;
+    }
+    if (end == AttemptEnd::Refused) {
+        return;
+    }
+    ++backend.failures;
+    const auto mostEjected = static_cast<std::size_t>(this->limits.ejectedPart * static_cast<double>(this->backends.size()));
+    if (backend.failures < this->limits.failuresToEject || this->ejectedCount(now) >= mostEjected) {
+        return;
+    }
+    const std::uint32_t exponent = std::min(backend.failures - this->limits.failuresToEject, longestEjectionExponent);
+    backend.ejectedUntil = now + shortestEjection * (1 << exponent);
+}
+
+bool QuickRouter::mayRetry(const Pending &pending, AttemptEnd end, Timestamp now)
+{
+    if (pending.attempts >= this->limits.attempts || now >= pending.request.deadline) {
+        return false;
+    }
+    if (end == AttemptEnd::NotSent || end == AttemptEnd::Refused) {
+        return !pending.maybeRun || pending.request.isIdempotent;
+    }
+    const bool mayRepeat = pending.request.isIdempotent || !this->guards.repeatOnlyIdempotent;
+    if (!mayRepeat || this->retryTokens < 1) {
+        return false;
+    }
+    this->retryTokens -= 1;
+    return true;
+}
+
+void QuickRouter::finish(std::uint64_t id, RequestOutcome outcome, std::uint64_t attempt, GiveUpReason reason)
+{
+    Finished result;
+    result.request = id;
+    result.outcome = outcome;
+    result.attempt = attempt;
+    result.reason = reason;
+    this->finished.push_back(result);
+    this->pendings.erase(id);
+}
+
+void QuickRouter::giveUp(Timestamp now, std::uint64_t id, GiveUpReason reason)
+{
+    const bool maybeRun = this->pendings.at(id).maybeRun;
+    this->finish(id, maybeRun ? RequestOutcome::Unknown : RequestOutcome::NotRun, 0, reason);
+    this->finished.back().retryAfter = this->retryAfter(now);
+}
+
+Duration QuickRouter::expectedWait(Timestamp now) const
+{
+    std::uint32_t slots = 0;
+    for (const auto &[name, backend] : this->backends) {
+        slots += now < backend.leaseEnd ? backend.cap : 0;
+    }
+    if (slots == 0) {
+        return absl::InfiniteDuration();
+    }
+    const double drainRate = slots / std::max(this->meanServiceSeconds, 1e-6);
+    return absl::Seconds(static_cast<double>(this->queue.size() + 1) / drainRate);
+}
+
+Duration QuickRouter::retryAfter(Timestamp now)
+{
+    const Duration wait = std::min(std::max(this->expectedWait(now), shortestRetryAfter), absl::Seconds(10));
+    std::uniform_real_distribution<double> jitter(1.0, 1.5);
+    return wait * jitter(this->random);
+}
+
+void QuickRouter::tick(Timestamp now)
+{
+    while (!this->heldSlots.empty() && std::get<0>(*this->heldSlots.begin()) <= now) {
+        const auto backend = this->backends.find(std::get<2>(*this->heldSlots.begin()));
+        if (backend != this->backends.end()) {
+            --backend->second.inUse;
+        }
+        this->heldSlots.erase(this->heldSlots.begin());
+    }
+    while (!this->queue.empty() && this->queue.begin()->first <= now) {
+        const std::uint64_t id = this->queue.begin()->second;
+        this->queue.erase(this->queue.begin());
+        this->giveUp(now, id, GiveUpReason::DeadlinePassed);
+    }
+    this->dispatchQueue(now);
+}
+
+void QuickRouter::dispatchQueue(Timestamp now)
+{
+    while (!this->queue.empty()) {
+        const auto first = *this->queue.begin();
+        if (first.first > now && !this->sendToWorker(now, this->pendings.at(first.second))) {
+            return;
+        }
+        this->queue.erase(first);
+        if (first.first <= now) {
+            this->giveUp(now, first.second, GiveUpReason::DeadlinePassed);
+        }
+    }
+}
+
+void QuickRouter::setShares(Timestamp now, Timestamp sentAt, const wire::SharesReplyT &reply)
+{
+    for (auto &[name, backend] : this->backends) {
+        backend.cap = 0;
+    }
+    for (const auto &share : reply.shares) {
+        const auto [found, isNew] = this->backends.try_emplace(share->worker);
+        Backend &backend = found->second;
+        backend.address = share->address;
+        backend.cap = share->slots;
+        backend.connections = share->connections;
+        backend.leaseEnd = sentAt + absl::Milliseconds(reply.leaseMillis);
+        backend.validUntilWorkerMicros = share->validUntilWorkerMicros;
+        if (isNew) {
+            this->names.push_back(share->worker);
+        }
+    }
+    // Workers without share or use are forgotten, or the table would grow with every worker that ever was.
+    std::erase_if(this->names, [this](const std::string &name) {
+        const Backend &backend = this->backends.at(name);
+        const bool isUnused = backend.cap == 0 && backend.inUse == 0;
+        if (isUnused) {
+            this->backends.erase(name);
+        }
+        return isUnused;
+    });
+    this->dispatchQueue(now);
+}
+
+void QuickRouter::setHopTargets(std::vector<std::pair<std::string, std::string>> targets)
+{
+    this->hopTargets.clear();
+    for (auto &[name, address] : targets) {
+        this->hopTargets.push_back({std::move(name), std::move(address)});
+    }
+}
+
+std::vector<Attempt> QuickRouter::takeAttempts()
+{
+    return std::exchange(this->attempts, {});
+}
+
+std::vector<Finished> QuickRouter::takeFinished()
+{
+    return std::exchange(this->finished, {});
+}
+
+std::vector<wire::ShareUseT> QuickRouter::uses() const
+{
+    std::vector<wire::ShareUseT> list;
+    for (const auto &[name, backend] : this->backends) {
+        wire::ShareUseT use;
+        use.worker = name;
+        use.cap = backend.cap;
+        use.inUse = backend.inUse;
+        list.push_back(std::move(use));
+    }
+    return list;
+}
+
+std::uint32_t QuickRouter::demand() const
+{
+    return static_cast<std::uint32_t>(this->pendings.size());
+}
+
+std::size_t QuickRouter::queued() const
+{
+    return this->queue.size();
+}
+
+std::size_t QuickRouter::inFlight() const
+{
+    return this->flights.size();
+}
+
+} // namespace paddlepier::routing
--- a/paddlepier/scheduling/scheduler.cpp
+++ b/paddlepier/scheduling/scheduler.cpp
@@ -73,6 +73,16 @@
     return {-static_cast<std::int64_t>(job.spec().priority), deadline, job.id()};
 }
 
+void Scheduler::rebuild(ledger::Ledger &ledger)
+{
+    *this = Scheduler();
+    ledger.takeChangedWorkers();
+    ledger.takeChangedJobs();
+    for (const std::uint64_t id : ledger.queuedJobs()) {
+        this->updateJob(ledger, id);
+    }
+}
+
 void Scheduler::refresh(ledger::Ledger &ledger)
 {
     for (const std::string &name : ledger.takeChangedWorkers()) {
--- a/paddlepier/scheduling/scheduler.h
+++ b/paddlepier/scheduling/scheduler.h
@@ -46,6 +46,9 @@
 public:
     using Reachable = std::function<bool(const std::string &)>;
 
+    /** Takes over the whole ledger; no worker counts as reachable yet. */
+    void rebuild(ledger::Ledger &ledger);
+
     /** Takes over what changed in the ledger. */
     void refresh(ledger::Ledger &ledger);
 
--- a/paddlepier/settings/settings.cpp
+++ b/paddlepier/settings/settings.cpp
@@ -11,8 +11,6 @@
 
 #include <algorithm>
 #include <array>
-#include <fstream>
-#include <sstream>
 
 namespace paddlepier
 {
@@ -277,13 +275,7 @@
 
 Settings loadSettings(const std::string &path)
 {
-    std::ifstream stream(path, std::ios::binary);
-    if (!stream) {
-        throw InvalidSettingsError(absl::StrCat(path, ":0: file: can't be read"));
-    }
-    std::ostringstream text;
-    text << stream.rdbuf();
-    return parseSettings(text.str(), path);
+    return parseSettings(detail::readTextFile(path), path);
 }
 
 } // namespace paddlepier
--- a/paddlepier/settings/tomlreader.cpp
+++ b/paddlepier/settings/tomlreader.cpp
@@ -6,6 +6,9 @@
 
 #include <absl/strings/str_cat.h>
 
+#include <fstream>
+#include <sstream>
+
 namespace paddlepier::detail
 {
 
@@ -58,6 +61,18 @@
     return node->as_string()->get();
 }
 
+bool TomlReader::flag(std::string_view key, bool fallback)
+{
+    const toml::node *node = this->find(key);
+    if (node == nullptr) {
+        return fallback;
+    }
+    if (!node->is_boolean()) {
+        this->fail(key, "must be true or false");
+    }
+    return node->as_boolean()->get();
+}
+
 std::uint32_t TomlReader::number(std::string_view key, std::uint32_t fallback, std::uint32_t lowest, std::uint32_t highest)
 {
     const toml::node *node = this->find(key);
@@ -141,4 +156,14 @@
     }
 }
 
+std::string readTextFile(const std::string &path)
+{
+    std::ifstream stream(path, std::ios::binary);
+    std::ostringstream text;
+    if (!stream || !(text << stream.rdbuf())) {
+        throw InvalidSettingsError(absl::StrCat(path, ":0: file: can't be read or is empty"));
+    }
+    return text.str();
+}
+
 } // namespace paddlepier::detail
--- a/paddlepier/settings/tomlreader.h
+++ b/paddlepier/settings/tomlreader.h
@@ -30,6 +30,7 @@
     /** A non-empty string. */
     std::string requiredText(std::string_view key);
     std::string optionalText(std::string_view key, const std::string &fallback);
+    bool flag(std::string_view key, bool fallback);
     std::uint32_t number(std::string_view key, std::uint32_t fallback, std::uint32_t lowest, std::uint32_t highest);
     /** An integer number of milliseconds. */
     Duration milliseconds(std::string_view key, Duration fallback, Duration lowest, Duration highest);
@@ -55,6 +56,9 @@
     std::set<std::string, std::less<>> known;
 };
 
+/** The whole file. @throws InvalidSettingsError if it can't be read */
+std::string readTextFile(const std::string &path);
+
 } // namespace paddlepier::detail
 
 #endif
--- a/paddlepier/wire/api_generated.h
+++ b/paddlepier/wire/api_generated.h
@@ -5685,6 +5685,48 @@
       _message);
 }
 
+inline const paddlepier::wire::ErrorReply *GetErrorReply(const void *buf) {
+  return flatbuffers::GetRoot<paddlepier::wire::ErrorReply>(buf);
+}
+
+inline const paddlepier::wire::ErrorReply *GetSizePrefixedErrorReply(const void *buf) {
+  return flatbuffers::GetSizePrefixedRoot<paddlepier::wire::ErrorReply>(buf);
+}
+
+inline bool VerifyErrorReplyBuffer(
+    flatbuffers::Verifier &verifier) {
+  return verifier.VerifyBuffer<paddlepier::wire::ErrorReply>(nullptr);
+}
+
+inline bool VerifySizePrefixedErrorReplyBuffer(
+    flatbuffers::Verifier &verifier) {
+  return verifier.VerifySizePrefixedBuffer<paddlepier::wire::ErrorReply>(nullptr);
+}
+
+inline void FinishErrorReplyBuffer(
+    flatbuffers::FlatBufferBuilder &fbb,
+    flatbuffers::Offset<paddlepier::wire::ErrorReply> root) {
+  fbb.Finish(root);
+}
+
+inline void FinishSizePrefixedErrorReplyBuffer(
+    flatbuffers::FlatBufferBuilder &fbb,
+    flatbuffers::Offset<paddlepier::wire::ErrorReply> root) {
+  fbb.FinishSizePrefixed(root);
+}
+
+inline std::unique_ptr<paddlepier::wire::ErrorReplyT> UnPackErrorReply(
+    const void *buf,
+    const flatbuffers::resolver_function_t *res = nullptr) {
+  return std::unique_ptr<paddlepier::wire::ErrorReplyT>(GetErrorReply(buf)->UnPack(res));
+}
+
+inline std::unique_ptr<paddlepier::wire::ErrorReplyT> UnPackSizePrefixedErrorReply(
+    const void *buf,
+    const flatbuffers::resolver_function_t *res = nullptr) {
+  return std::unique_ptr<paddlepier::wire::ErrorReplyT>(GetSizePrefixedErrorReply(buf)->UnPack(res));
+}
+
 }  // namespace wire
 }  // namespace paddlepier
 
--- /dev/null
+++ b/testing/harness.h
@@ -0,0 +1,143 @@
+// A cell of real processes on loopback, for end-to-end tests and the demo.
+//
+// Starts entry instances and stand-in workers, each as a process of its own, with settings and logs in a temporary
+// folder. Everything is ended with the Cell, by pid.
+//
+// Thread safety: none.
+
+#ifndef PADDLEPIER_TESTING_HARNESS_H
+#define PADDLEPIER_TESTING_HARNESS_H
+
+#include "paddlepier/base/clock.h"
+#include "paddlepier/http/httpclient.h"
+#include "paddlepier/rpc/callcatalog.h"
+#include "paddlepier/settings/settings.h"
+#include "paddlepier/wire/codec.h"
+#include "testing/checker.h"
+
+#include <sys/types.h>
+
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace paddlepier::testing
+{
+
+/** Asks @p condition every 20 ms; false if it doesn't hold within @p limit. */
+bool waitUntil(const std::function<bool()> &condition, Duration limit = absl::Seconds(30));
+
+/** A free port on loopback. */
+std::uint16_t freePort();
+
+class Process
+{
+public:
+    Process(const std::vector<std::string> &words, const std::string &outputPath);
+    ~Process();
+
+    Process(const Process &) = delete;
+    Process &operator=(const Process &) = delete;
+
+    void signal(int number) const;
+    /** Waits for the end. @return exit status, or 128 and the signal */
+    int wait();
+    pid_t pid() const;
+
+private:
+    pid_t child = -1;
+    bool ended = false;
+    int status = 0;
+};
+
+struct EntrySpec {
+    std::string id;
+    std::string partner;
+    std::string dataCentre;
+};
+
+struct LedgerSpec {
+    std::string dataCentre;
+    std::vector<std::string> replicas;
+};
+
+struct WorkerSpec {
+    std::string name;
+    std::string partner;
+    std::string dataCentre;
+    std::string rack = "r1";
+    wire::Resources capacity{16000, 32768, 0};
+    std::string fault = "none";
+    std::int64_t drainAfterMillis = -1;
+};
+
+class Cell
+{
+public:
+    /** @param programs folder with the built programs; @param timing lines of the [timing] and [limits] tables */
+    Cell(std::string programs, std::vector<EntrySpec> entries, std::vector<LedgerSpec> ledgers, std::string extraSettings = "");
+    ~Cell();
+
+    Cell(const Cell &) = delete;
+    Cell &operator=(const Cell &) = delete;
+
+    void startEntry(const std::string &id);
+    void startAll();
+    void startWorker(const WorkerSpec &spec);
+    /** Ends a process with SIGKILL. */
+    void killEntry(const std::string &id);
+    void killWorker(const std::string &name);
+    void signalEntry(const std::string &id, int number);
+    int waitEntry(const std::string &id);
+    /** Deletes an entry's data folder, as a lost disk would. */
+    void loseDisk(const std::string &id);
+
+    std::string httpOf(const std::string &id) const;
+    std::vector<std::string> httpOfDataCentre(const std::string &dataCentre) const;
+    std::string settingsPath(const std::string &id) const;
+    std::string outputPath(const std::string &name) const;
+    const std::string &folder() const;
+    pid_t pidOf(const std::string &id) const;
+
+    /** A raw call; the answer's status is 0 if none came. */
+    http::Answer
+    post(const std::string &id, const std::string &path, const std::string &body, const std::string &token, const std::string &type = "application/json") const;
+
+    /** A call with the operator's token of @p partner. @throws Error as answered */
+    template<typename Reply, typename Request>
+    Reply call(const std::string &id, rpc::Method method, const Request &request, const std::string &partner) const
+    {
+        return wire::unpack<Reply>(this->callBytes(id, method, wire::pack(request), operatorToken(partner)));
+    }
+
+    std::string submit(const std::string &id, const std::string &partner, const wire::JobSpecT &spec, const std::string &submissionId) const;
+    wire::ExplainReplyT explain(const std::string &id, const std::string &partner, const std::string &job) const;
+    bool
+    waitForState(const std::string &id, const std::string &partner, const std::string &job, wire::TaskState state, Duration limit = absl::Seconds(40)) const;
+    /** Waits until the ledger behind @p id has a leader and @p workers reachable workers. */
+    bool waitReady(const std::string &id, std::size_t workers) const;
+
+    CheckReport check(const std::vector<std::string> &notRunIds) const;
+
+    static std::string operatorToken(const std::string &partner);
+    static std::string viewerToken(const std::string &partner);
+    static std::string workerToken(const std::string &partner);
+
+private:
+    std::string callBytes(const std::string &id, rpc::Method method, const std::string &request, const std::string &token) const;
+    void writeSettings(const EntrySpec &entry) const;
+
+    const std::string programFolder;
+    const std::vector<EntrySpec> entrySpecs;
+    const std::vector<LedgerSpec> ledgerSpecs;
+    const std::string extra;
+    std::string temporary;
+    std::map<std::string, std::pair<std::uint16_t, std::uint16_t>> ports;
+    std::map<std::string, std::unique_ptr<Process>> processes;
+    std::vector<WorkerLog> logs;
+};
+
+} // namespace paddlepier::testing
+
+#endif
--- /dev/null
+++ b/testing/worker.cpp
@@ -0,0 +1,347 @@
+// Stand-in of a backend server.
+
+#include "testing/worker.h"
+
+#include "paddlepier/http/httpclient.h"
+#include "paddlepier/instance/quickheaders.h"
+#include "paddlepier/wire/codec.h"
+
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_split.h>
+#include <absl/time/clock.h>
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <array>
+
+namespace paddlepier::testing
+{
+
+namespace
+{
+
+constexpr Duration announceTimeout = absl::Seconds(2);
+constexpr Duration retryPause = absl::Milliseconds(200);
+constexpr Duration stallTime = absl::Seconds(30);
+
+/** Milliseconds after `name=` in a query or command; @p fallback if it's missing. */
+std::int64_t numberIn(const std::string &text, const std::string &name, std::int64_t fallback)
+{
+    const std::size_t at = text.find(name + "=");
+    std::int64_t value = 0;
+    if (at == std::string::npos) {
+        return fallback;
+    }
+    const std::string digits = text.substr(at + name.size() + 1);
+    const bool isRead = absl::SimpleAtoi(digits.substr(0, digits.find_first_not_of("0123456789")), &value);
+    return isRead ? value : fallback;
+}
+
+wire::TaskLease toLease(const std::pair<std::uint64_t, std::uint32_t> &key, std::uint64_t epoch)
+{
+    return {key.first, key.second, epoch};
+}
+
+} // namespace
+
+Fault faultFromName(const std::string &name)
+{
+    static constexpr std::array<std::pair<std::string_view, Fault>, 6> faultNames{{
+        {"none", Fault::None},
+        {"truncate", Fault::Truncate},
+        {"wrong-id", Fault::WrongId},
+        {"stall", Fault::Stall},
+        {"fail", Fault::FailEverything},
+        {"doubled", Fault::Doubled},
+    }};
+    for (const auto &[known, fault] : faultNames) {
+        if (known == name) {
+            return fault;
+        }
+    }
+    throw InvalidArgumentError(absl::StrCat("no fault \"", name, "\""));
+}
+
+std::int64_t monotonicMicros()
+{
+    return absl::ToUnixMicros(controlNow());
+}
+
+StandinWorker::StandinWorker(WorkerOptions workerOptions)
+    : options(std::move(workerOptions))
+    , log(this->options.logPath, std::ios::app)
+    , sequence(static_cast<std::uint64_t>(wallMicros()))
+{
+    const bool isRaw = this->options.fault == Fault::Truncate || this->options.fault == Fault::Doubled;
+    if (isRaw) {
+        this->serving = std::thread([this] { this->serveRaw(); });
+    } else {
+        LimitSettings limits;
+        limits.trafficThreads = 1;
+        this->server = std::make_unique<http::HttpServer>(
+            this->options.address, limits, [this](const std::shared_ptr<http::Exchange> &exchange) { this->serve(exchange); });
+        this->serving = std::thread([this] {
+            while (!this->stopping) {
+                this->answerDue();
+                absl::SleepFor(absl::Milliseconds(1));
+            }
+        });
+    }
+    this->announcer = std::thread([this] { this->run(); });
+}
+
+StandinWorker::~StandinWorker()
+{
+    this->stopping = true;
+    this->announcer.join();
+    this->serving.join();
+}
+
+void StandinWorker::drain()
+{
+    if (!this->draining.exchange(true)) {
+        this->write("drain");
+    }
+}
+
+void StandinWorker::write(const std::string &line)
+{
+    const absl::MutexLock lock(&this->mutex);
+    this->log << monotonicMicros() << " " << line << "\n" << std::flush;
+}
+
+void StandinWorker::run()
+{
+    const Timestamp start = controlNow();
+    Timestamp next = start;
+    while (!this->stopping) {
+        const Timestamp now = controlNow();
+        if (now - start >= this->options.drainAfter) {
+            this->drain();
+        }
+        this->endDueTasks();
+        if (now >= next) {
+            this->announce();
+            next = now + this->interval;
+        }
+        absl::SleepFor(absl::Milliseconds(5));
+    }
+}
+
+wire::AnnounceRequestT StandinWorker::describe()
+{
+    wire::AnnounceRequestT request;
+    request.worker = this->options.name;
+    request.partner = this->options.partner;
+    request.dataCentre = this->options.dataCentre;
+    request.rack = this->options.rack;
+    request.address = this->options.address.text();
+    request.sequence = ++this->sequence;
+    request.clockMicros = monotonicMicros();
+    request.capacity = this->options.capacity;
+    request.slots = this->options.slots;
+    request.connections = this->options.connections;
+    request.draining = this->draining;
+    request.term = this->term;
+    request.replySequence = this->replySequence;
+    const absl::MutexLock lock(&this->mutex);
+    for (const auto &[key, task] : this->running) {
+        request.running.push_back(toLease(key, task.epoch));
+    }
+    for (const wire::FinishedAttemptT &attempt : this->finished) {
+        request.finished.push_back(std::make_unique<wire::FinishedAttemptT>(attempt));
+    }
+    return request;
+}
+
+void StandinWorker::announce()
+{
+    const wire::AnnounceRequestT request = this->describe();
+    http::OutgoingRequest outgoing;
+    outgoing.url = absl::StrCat("http://", this->options.entries[this->nextEntry % this->options.entries.size()], "/v1/WorkerService/Announce");
+    outgoing.headers = {{"Content-Type", "application/x-flatbuffers"}, {"Authorization", absl::StrCat("Bearer ", this->options.token)}};
+    outgoing.body = wire::pack(request);
+    outgoing.timeout = announceTimeout;
+    const http::TransferResult result = http::fetch(outgoing);
+    if (!result.whole || result.answer.status != 200) {
+        ++this->nextEntry;
+        this->interval = retryPause;
+        return;
+    }
+    const auto reply = wire::unpack<wire::AnnounceReplyT>(result.answer.body);
+    if (reply.term >= this->term && reply.sequence == this->sequence) {
+        this->interval = absl::Milliseconds(reply.nextAnnounceMillis);
+        this->takeReply(reply, request.clockMicros);
+    }
+}
+
+void StandinWorker::takeReply(const wire::AnnounceReplyT &reply, std::int64_t sentClock)
+{
+    this->term = reply.term;
+    this->replySequence = reply.sequence;
+    this->leaseEndClock = sentClock + static_cast<std::int64_t>(reply.leaseMillis) * 1000;
+    std::map<TaskKey, std::uint64_t> kept;
+    for (const wire::TaskLease &lease : reply.renewed) {
+        kept[{lease.job(), lease.index()}] = lease.epoch();
+    }
+    std::vector<TaskKey> stopped;
+    {
+        const absl::MutexLock lock(&this->mutex);
+        for (const auto &[key, task] : this->running) {
+            const auto found = kept.find(key);
+            if (found == kept.end() || found->second != task.epoch) {
+                stopped.push_back(key);
+            }
+        }
+        std::erase_if(this->finished, [&reply](const wire::FinishedAttemptT &attempt) {
+            return std::any_of(
+                reply.recorded.begin(), reply.recorded.end(), [&attempt](const wire::TaskLease &lease) { return lease.epoch() == attempt.lease.epoch(); });
+        });
+    }
+    for (const TaskKey &key : stopped) {
+        this->stopTask(key);
+    }
+    for (const auto &assignment : reply.started) {
+        this->startTask(*assignment);
+    }
+}
+
+void StandinWorker::startTask(const wire::AssignmentT &assignment)
+{
+    const wire::TaskLease &lease = assignment.lease;
+    const TaskKey key{lease.job(), lease.index()};
+    const bool fails = this->options.fault == Fault::FailEverything || absl::StrContains(assignment.command, "fail");
+    const std::int64_t millis = numberIn(assignment.command, "millis", static_cast<std::int64_t>(assignment.runSeconds) * 1000);
+    Task task;
+    task.epoch = lease.epoch();
+    task.outcome = fails ? wire::AttemptOutcome::Failed : wire::AttemptOutcome::Succeeded;
+    const bool isEndless = assignment.kind == wire::JobKind::Service && !fails;
+    task.end = isEndless ? absl::InfiniteFuture() : controlNow() + absl::Milliseconds(millis);
+    {
+        const absl::MutexLock lock(&this->mutex);
+        if (!this->running.emplace(key, task).second) {
+            return;
+        }
+    }
+    const wire::Resources &need = assignment.resources;
+    this->write(absl::StrCat(
+        "task-start ", key.first, " ", key.second, " ", task.epoch, " ", need.milliProcessors(), " ", need.memoryMegabytes(), " ", need.accelerators()));
+}
+
+void StandinWorker::stopTask(const TaskKey &key)
+{
+    std::uint64_t epoch = 0;
+    {
+        const absl::MutexLock lock(&this->mutex);
+        epoch = this->running.at(key).epoch;
+        this->running.erase(key);
+    }
+    this->write(absl::StrCat("task-end ", key.first, " ", key.second, " ", epoch));
+}
+
+void StandinWorker::endDueTasks()
+{
+    const bool isLeaseOver = monotonicMicros() >= this->leaseEndClock;
+    const Timestamp now = controlNow();
+    std::vector<std::pair<TaskKey, Task>> ended;
+    {
+        const absl::MutexLock lock(&this->mutex);
+        for (const auto &[key, task] : this->running) {
+            if (isLeaseOver || task.end <= now) {
+                ended.emplace_back(key, task);
+            }
+        }
+    }
+    for (const auto &[key, task] : ended) {
+        this->stopTask(key);
+        if (task.end <= now) {
+            wire::FinishedAttemptT attempt;
+            attempt.lease = toLease(key, task.epoch);
+            attempt.outcome = task.outcome;
+            const absl::MutexLock lock(&this->mutex);
+            this->finished.push_back(std::move(attempt));
+        }
+    }
+}
+
+void StandinWorker::serve(const std::shared_ptr<http::Exchange> &exchange)
+{
+    const http::Request &request = exchange->request();
+    const std::string requestId(request.header(instance::requestIdHeader));
+    std::int64_t validUntil = 0;
+    const bool isFenced = absl::SimpleAtoi(std::string(request.header(instance::validUntilHeader)), &validUntil);
+    if (isFenced && monotonicMicros() > validUntil) {
+        exchange->answer({503, {{instance::requestIdHeader, requestId}, {instance::refusedHeader, "share-expired"}}, ""});
+        return;
+    }
+    std::uint32_t busyNow = 0;
+    {
+        const absl::MutexLock lock(&this->mutex);
+        busyNow = ++this->busy;
+    }
+    const std::int64_t key = numberIn(request.target, "key", 0);
+    this->write(absl::StrCat("request ", requestId, " ", key, " ", busyNow));
+    Delayed answer;
+    const bool stalls = this->options.fault == Fault::Stall;
+    answer.due = controlNow() + (stalls ? stallTime : absl::Milliseconds(numberIn(request.target, "delay", 0)));
+    answer.exchange = exchange;
+    const std::string sentId = this->options.fault == Fault::WrongId ? "someone-elses" : requestId;
+    const int status = this->options.fault == Fault::FailEverything ? 500 : 200;
+    answer.answer = {
+        status, {{"Content-Type", "text/plain"}, {instance::requestIdHeader, sentId}}, absl::StrCat("answer to ", request.target, " ", request.body)};
+    const absl::MutexLock lock(&this->mutex);
+    this->delayed.push(std::move(answer));
+}
+
+void StandinWorker::answerDue()
+{
+    const Timestamp now = controlNow();
+    const absl::MutexLock lock(&this->mutex);
+    while (!this->delayed.empty() && this->delayed.top().due <= now) {
+        const Delayed answer = this->delayed.top();
+        this->delayed.pop();
+        --this->busy;
+        answer.exchange->answer(answer.answer);
+    }
+}
+
+void StandinWorker::serveRaw()
+{
+    this->rawListener = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    const int on = 1;
+    ::setsockopt(this->rawListener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(this->options.address.port);
+    inet_pton(AF_INET, this->options.address.address.c_str(), &address.sin_addr);
+    ::bind(this->rawListener, reinterpret_cast<const sockaddr *>(&address), sizeof(address));
+    ::listen(this->rawListener, SOMAXCONN);
+    while (!this->stopping) {
+        pollfd waiting{this->rawListener, POLLIN, 0};
+        if (::poll(&waiting, 1, 20) <= 0) {
+            continue;
+        }
+        const int connection = ::accept(this->rawListener, nullptr, nullptr);
+        std::array<char, 8192> buffer{};
+        const ssize_t count = ::recv(connection, buffer.data(), buffer.size() - 1, 0);
+        const std::string text(buffer.data(), count > 0 ? static_cast<std::size_t>(count) : 0);
+        const std::string name = absl::StrCat(instance::requestIdHeader, ": ");
+        const std::size_t at = text.find(name);
+        const std::string id = at == std::string::npos ? "" : text.substr(at + name.size(), text.find("\r\n", at) - at - name.size());
+        this->write(absl::StrCat("request ", id, " 0 1"));
+        const bool truncates = this->options.fault == Fault::Truncate;
+        const std::string head =
+            absl::StrCat("HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n", name, id, "\r\nContent-Length: ", truncates ? 100 : 5, "\r\n\r\nwhole");
+        const std::string bytes = truncates ? head : head + head;
+        ::send(connection, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+        ::close(connection);
+    }
+    ::close(this->rawListener);
+}
+
+} // namespace paddlepier::testing
