--- a/paddlepier/consensus/replica.cpp
+++ b/paddlepier/consensus/replica.cpp
@@ -267,11 +267,13 @@
     if (this->role != ReplicaRole::Leader) {
         return false;
     }
+    // In the order of the membership, so that the choice doesn't hang on the order of a hash table.
     const std::string *best = nullptr;
-    for (const auto &[member, progress] : this->progresses) {
-        const bool isAlive = now - progress.lastReply < this->settings.election;
-        if (isAlive && this->isVoter(member) && (best == nullptr || progress.match > this->progresses[*best].match)) {
-            best = &member;
+    for (const std::string &voter : this->members.voters) {
+        const auto found = this->progresses.find(voter);
+        const bool isAlive = found != this->progresses.end() && now - found->second.lastReply < this->settings.election;
+        if (isAlive && (best == nullptr || found->second.match > this->progresses.at(*best).match)) {
+            best = &voter;
         }
     }
     if (best == nullptr) {
--- a/paddlepier/instance/ledgernode.cpp
+++ b/paddlepier/instance/ledgernode.cpp
@@ -93,8 +93,10 @@
 
 bool LedgerNode::isServing(Timestamp at) const
 {
-    // While a new group still has few voters, losing one disk could lose what it accepted.
-    const bool isFormed = this->core->membership().voters.size() * 2 > this->groupSettings.replicas.size();
+    // A new group accepts nothing before all its replicas vote: until then one lost instance would stop it, and one lost
+    // disk could lose what it accepted. Later on it serves through repairs.
+    const bool hasServed = this->ledgerState.lastAppliedMicros() > 0;
+    const bool isFormed = hasServed || this->core->membership().voters.size() >= this->groupSettings.replicas.size();
     return isFormed && this->core->isCaughtUpLeader() && this->core->hasLeaderLease(at);
 }
 
--- a/paddlepier/instance/quickservice.cpp
+++ b/paddlepier/instance/quickservice.cpp
@@ -55,6 +55,7 @@
 {
     routing::RouterLimits limits;
     limits.queuedRequests = settings.limits.queuedRequests;
+    limits.longestRequest = settings.limits.requestDeadline;
     return limits;
 }
 
@@ -280,7 +281,7 @@
     if (!contentType.empty()) {
         request.headers.emplace_back("Content-Type", contentType);
     }
-    request.headers.emplace_back(deadlineHeader, absl::StrCat(absl::ToInt64Milliseconds(attempt.timeout)));
+    request.headers.emplace_back(deadlineHeader, absl::StrCat(absl::ToInt64Milliseconds(attempt.deadline)));
     if (attempt.isHop) {
         request.url = absl::StrCat("http://", attempt.address, original.target);
         request.headers.emplace_back(hopHeader, this->settings.id);
--- a/paddlepier/ledger/job.cpp
+++ b/paddlepier/ledger/job.cpp
@@ -51,9 +51,6 @@
     for (const wire::TaskRecordT &task : this->taskList) {
         ++this->counts[static_cast<std::size_t>(task.state)];
     }
-    // A gang that was being stopped goes on being stopped: some tasks active, some queued or ended.
-    const std::uint32_t active = this->count(TaskState::Placed) + this->count(TaskState::Running) + this->count(TaskState::Stopping);
-    this->gangRestarting = this->data.spec->kind == JobKind::Gang && active > 0 && this->count(TaskState::Queued) > 0;
 }
 
 std::uint64_t Job::id() const
@@ -213,9 +210,9 @@
     std::vector<Released> released{{{this->id(), index}, task.worker}};
     this->endTask(task, end, atMicros);
     if (this->spec().kind == JobKind::Gang && task.state != TaskState::Succeeded && task.state != TaskState::Cancelled) {
-        this->gangRestarting = true;
+        this->data.gangRestarting = true;
     }
-    if (this->gangRestarting) {
+    if (this->data.gangRestarting) {
         this->restartGang(atMicros);
     }
     this->noteEnd(atMicros);
@@ -240,7 +237,7 @@
     if (anyActive) {
         return;
     }
-    this->gangRestarting = false;
+    this->data.gangRestarting = false;
     const bool mayRestart = !anyLost && !anyCancelled && !this->spec().atMostOnce && attempts < this->spec().maxAttempts;
     for (wire::TaskRecordT &task : this->taskList) {
         task.attempts = attempts;
--- a/paddlepier/ledger/job.h
+++ b/paddlepier/ledger/job.h
@@ -84,7 +84,6 @@
     // Invariant: one element for each index; `counts` holds their number by state.
     std::vector<wire::TaskRecordT> taskList;
     std::uint32_t counts[static_cast<std::size_t>(wire::TaskState::MAX) + 1] = {};
-    bool gangRestarting = false;
 
     void setState(wire::TaskRecordT &task, wire::TaskState state);
 };
--- a/paddlepier/routing/quickrouter.cpp
+++ b/paddlepier/routing/quickrouter.cpp
@@ -185,13 +185,14 @@
     const Duration remaining = pending.request.deadline - now;
     // A first attempt that hangs must leave an idempotent request time for a second one.
     const bool leavesTime = pending.request.isIdempotent && pending.attempts == 1 && !attempt.isHop;
-    attempt.timeout = leavesTime ? remaining / 2 : remaining;
+    attempt.deadline = leavesTime ? remaining / 2 : remaining;
+    attempt.timeout = attempt.isHop ? attempt.deadline : this->limits.longestRequest;
     Flight flight;
     flight.request = pending.request.id;
     flight.target = attempt.target;
     flight.isHop = attempt.isHop;
     flight.started = now;
-    flight.deadline = now + attempt.timeout;
+    flight.deadline = now + attempt.deadline;
     this->flights.emplace(attempt.id, std::move(flight));
     this->attempts.push_back(std::move(attempt));
 }
@@ -205,18 +206,37 @@
     const Flight flight = std::move(found->second);
     this->flights.erase(found);
     this->releaseSlot(now, flight, end);
-    Pending &pending = this->pendings.at(flight.request);
-    if (end == AttemptEnd::Answered || end == AttemptEnd::Failed) {
+    if (!flight.isAbandoned && (end == AttemptEnd::Answered || end == AttemptEnd::Failed)) {
         this->finish(flight.request, end == AttemptEnd::Answered ? RequestOutcome::Completed : RequestOutcome::Failed, attempt, GiveUpReason::None);
+    } else if (!flight.isAbandoned) {
+        this->attemptFailed(now, flight.request, end);
+    }
+    this->dispatchQueue(now);
+}
+
+void QuickRouter::attemptFailed(Timestamp now, std::uint64_t request, AttemptEnd end)
+{
+    Pending &pending = this->pendings.at(request);
+    pending.maybeRun = pending.maybeRun || end == AttemptEnd::Broken;
+    if (this->mayRetry(pending, end, now)) {
+        this->dispatch(now, request);
     } else {
-        pending.maybeRun = pending.maybeRun || end == AttemptEnd::Broken;
-        if (this->mayRetry(pending, end, now)) {
-            this->dispatch(now, flight.request);
-        } else {
-            this->giveUp(now, flight.request, GiveUpReason::WorkerFailed);
+        this->giveUp(now, request, GiveUpReason::WorkerFailed);
+    }
+}
+
+void QuickRouter::abandonLate(Timestamp now)
+{
+    std::vector<std::uint64_t> late;
+    for (auto &[id, flight] : this->flights) {
+        if (!flight.isAbandoned && now >= flight.deadline) {
+            flight.isAbandoned = true;
+            late.push_back(flight.request);
         }
     }
-    this->dispatchQueue(now);
+    for (const std::uint64_t request : late) {
+        this->attemptFailed(now, request, AttemptEnd::Broken);
+    }
 }
 
 void QuickRouter::releaseSlot(Timestamp now, const Flight &flight, AttemptEnd end)
@@ -236,7 +256,7 @@
         return;
     }
     if (end == AttemptEnd::Broken && this->guards.holdSlotOfBroken) {
-        this->heldSlots.emplace(flight.deadline + stopMargin, this->nextAttempt++, flight.target);
+        this->heldSlots.emplace(flight.started + this->limits.longestRequest + stopMargin, this->nextAttempt++, flight.target);
     } else {
         --found->second.inUse;
     }
@@ -332,6 +352,7 @@
         this->queue.erase(this->queue.begin());
         this->giveUp(now, id, GiveUpReason::DeadlinePassed);
     }
+    this->abandonLate(now);
     this->dispatchQueue(now);
 }
 
--- a/paddlepier/routing/quickrouter.h
+++ b/paddlepier/routing/quickrouter.h
@@ -6,8 +6,8 @@
 // time to come back.
 //
 // Guarantees:
-//  - never more attempts on a worker than this entry's share, nor any after the share's lease; an attempt that ended
-//    without a whole answer counts until the worker must have stopped working on it;
+//  - never more attempts on a worker than this entry's share, nor any after the share's lease; an attempt counts until its
+//    whole answer came, or until the longest time that a worker may take, also when the caller has been answered long ago;
 //  - `NotRun` is said only if no attempt was sent, or every one that was sent was refused by its worker;
 //  - a request that isn't idempotent is never sent again after it may have reached a worker;
 //  - every submitted request is finished exactly once.
@@ -52,6 +52,9 @@
     std::uint64_t request = 0;
     std::string target;
     std::string address;
+    /** Told to the receiver: after this its answer is of no use. */
+    Duration deadline;
+    /** How long to wait for the receiver's answer, so that its slot is counted for as long as it may be in use. */
     Duration timeout;
     bool isHop = false;
     std::int64_t validUntilWorkerMicros = 0;
@@ -93,6 +96,8 @@
     double retryBudget = 0.1;
     std::size_t hopsInFlight = 64;
     std::uint32_t failuresToEject = 3;
+    /** The longest that a worker may take for a request, whatever its caller's deadline. */
+    Duration longestRequest = absl::Seconds(10);
     /** Largest part of the workers that may be ejected at a time. */
     double ejectedPart = 0.34;
 };
@@ -156,6 +161,8 @@
         bool isHop = false;
         Timestamp started;
         Timestamp deadline;
+        /** Nobody waits for it any more; only its slot counts. */
+        bool isAbandoned = false;
     };
 
     struct HopTarget {
@@ -166,6 +173,8 @@
 
     void dispatch(Timestamp now, std::uint64_t id);
     void dispatchQueue(Timestamp now);
+    void abandonLate(Timestamp now);
+    void attemptFailed(Timestamp now, std::uint64_t request, AttemptEnd end);
     bool sendToWorker(Timestamp now, Pending &pending);
     bool sendHop(Timestamp now, Pending &pending);
     void send(Timestamp now, Pending &pending, Attempt attempt);
--- a/paddlepier/wire/ledger_generated.h
+++ b/paddlepier/wire/ledger_generated.h
@@ -2015,6 +2015,7 @@
   int64_t submittedAtMicros = 0;
   int64_t firstStartAtMicros = 0;
   int64_t endedAtMicros = 0;
+  bool gangRestarting = false;
   std::vector<std::unique_ptr<paddlepier::wire::TaskRecordT>> tasks{};
   JobRecordT() = default;
   JobRecordT(const JobRecordT &o);
@@ -2037,7 +2038,8 @@
     VT_SUBMITTEDATMICROS = 12,
     VT_FIRSTSTARTATMICROS = 14,
     VT_ENDEDATMICROS = 16,
-    VT_TASKS = 18
+    VT_GANGRESTARTING = 18,
+    VT_TASKS = 20
   };
   uint64_t id() const {
     return GetField<uint64_t>(VT_ID, 0);
@@ -2060,6 +2062,10 @@
   int64_t endedAtMicros() const {
     return GetField<int64_t>(VT_ENDEDATMICROS, 0);
   }
+  /// A task of the gang has ended otherwise than well: the others are stopped, then all are queued again.
+  bool gangRestarting() const {
+    return GetField<uint8_t>(VT_GANGRESTARTING, 0) != 0;
+  }
   const flatbuffers::Vector<flatbuffers::Offset<paddlepier::wire::TaskRecord>> *tasks() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<paddlepier::wire::TaskRecord>> *>(VT_TASKS);
   }
@@ -2075,6 +2081,7 @@
            VerifyField<int64_t>(verifier, VT_SUBMITTEDATMICROS, 8) &&
            VerifyField<int64_t>(verifier, VT_FIRSTSTARTATMICROS, 8) &&
            VerifyField<int64_t>(verifier, VT_ENDEDATMICROS, 8) &&
+           VerifyField<uint8_t>(verifier, VT_GANGRESTARTING, 1) &&
            VerifyOffset(verifier, VT_TASKS) &&
            verifier.VerifyVector(tasks()) &&
            verifier.VerifyVectorOfTables(tasks()) &&
@@ -2110,6 +2117,9 @@
   void add_endedAtMicros(int64_t endedAtMicros) {
     fbb_.AddElement<int64_t>(JobRecord::VT_ENDEDATMICROS, endedAtMicros, 0);
   }
+  void add_gangRestarting(bool gangRestarting) {
+    fbb_.AddElement<uint8_t>(JobRecord::VT_GANGRESTARTING, static_cast<uint8_t>(gangRestarting), 0);
+  }
   void add_tasks(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<paddlepier::wire::TaskRecord>>> tasks) {
     fbb_.AddOffset(JobRecord::VT_TASKS, tasks);
   }
@@ -2133,6 +2143,7 @@
     int64_t submittedAtMicros = 0,
     int64_t firstStartAtMicros = 0,
     int64_t endedAtMicros = 0,
+    bool gangRestarting = false,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<paddlepier::wire::TaskRecord>>> tasks = 0) {
   JobRecordBuilder builder_(_fbb);
   builder_.add_endedAtMicros(endedAtMicros);
@@ -2143,6 +2154,7 @@
   builder_.add_spec(spec);
   builder_.add_submissionId(submissionId);
   builder_.add_partner(partner);
+  builder_.add_gangRestarting(gangRestarting);
   return builder_.Finish();
 }
 
@@ -2160,6 +2172,7 @@
     int64_t submittedAtMicros = 0,
     int64_t firstStartAtMicros = 0,
     int64_t endedAtMicros = 0,
+    bool gangRestarting = false,
     const std::vector<flatbuffers::Offset<paddlepier::wire::TaskRecord>> *tasks = nullptr) {
   auto partner__ = partner ? _fbb.CreateString(partner) : 0;
   auto submissionId__ = submissionId ? _fbb.CreateString(submissionId) : 0;
@@ -2173,6 +2186,7 @@
       submittedAtMicros,
       firstStartAtMicros,
       endedAtMicros,
+      gangRestarting,
       tasks__);
 }
 
@@ -3052,7 +3066,8 @@
         spec((o.spec) ? new paddlepier::wire::JobSpecT(*o.spec) : nullptr),
         submittedAtMicros(o.submittedAtMicros),
         firstStartAtMicros(o.firstStartAtMicros),
-        endedAtMicros(o.endedAtMicros) {
+        endedAtMicros(o.endedAtMicros),
+        gangRestarting(o.gangRestarting) {
   tasks.reserve(o.tasks.size());
   for (const auto &tasks_ : o.tasks) { tasks.emplace_back((tasks_) ? new paddlepier::wire::TaskRecordT(*tasks_) : nullptr); }
 }
@@ -3065,6 +3080,7 @@
   std::swap(submittedAtMicros, o.submittedAtMicros);
   std::swap(firstStartAtMicros, o.firstStartAtMicros);
   std::swap(endedAtMicros, o.endedAtMicros);
+  std::swap(gangRestarting, o.gangRestarting);
   std::swap(tasks, o.tasks);
   return *this;
 }
@@ -3085,6 +3101,7 @@
   { auto _e = submittedAtMicros(); _o->submittedAtMicros = _e; }
   { auto _e = firstStartAtMicros(); _o->firstStartAtMicros = _e; }
   { auto _e = endedAtMicros(); _o->endedAtMicros = _e; }
+  { auto _e = gangRestarting(); _o->gangRestarting = _e; }
   { auto _e = tasks(); if (_e) { _o->tasks.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->tasks[_i] = std::unique_ptr<paddlepier::wire::TaskRecordT>(_e->Get(_i)->UnPack(_resolver)); } } }
 }
 
@@ -3103,6 +3120,7 @@
   auto _submittedAtMicros = _o->submittedAtMicros;
   auto _firstStartAtMicros = _o->firstStartAtMicros;
   auto _endedAtMicros = _o->endedAtMicros;
+  auto _gangRestarting = _o->gangRestarting;
   auto _tasks = _o->tasks.size() ? _fbb.CreateVector<flatbuffers::Offset<paddlepier::wire::TaskRecord>> (_o->tasks.size(), [](size_t i, _VectorArgs *__va) { return CreateTaskRecord(*__va->__fbb, __va->__o->tasks[i].get(), __va->__rehasher); }, &_va ) : 0;
   return paddlepier::wire::CreateJobRecord(
       _fbb,
@@ -3113,6 +3131,7 @@
       _submittedAtMicros,
       _firstStartAtMicros,
       _endedAtMicros,
+      _gangRestarting,
       _tasks);
 }
 
