--- a/paddlepier/cli/commands.cpp
+++ b/paddlepier/cli/commands.cpp
@@ -9,6 +9,8 @@
 #include "paddlepier/cli/serve.h"
 #include "paddlepier/cli/tables.h"
 #include "paddlepier/instance/ledgerservice.h"
+#include "paddlepier/settings/configuration.h"
+#include "paddlepier/settings/tomlreader.h"
 
 #include <absl/strings/str_cat.h>
 #include <tclap/CmdLine.h>
@@ -121,15 +123,22 @@
     return ExitStatus::Done;
 }
 
+ExitStatus runConfigStatus(const std::vector<std::string> &words);
+
 ExitStatus runConfig(const std::vector<std::string> &words)
 {
+    if (words.size() > 1 && words[1] == "status") {
+        std::vector<std::string> rest = words;
+        rest.erase(rest.begin() + 1);
+        return runConfigStatus(rest);
+    }
     CommandLine line("Checks a settings file without starting anything.", "paddlepier config check instance.toml");
     TCLAP::UnlabeledValueArg<std::string> action("action", "check", true, "", "check", line.arguments());
     TCLAP::UnlabeledValueArg<std::string> file("file", "settings file", true, "", "file", line.arguments());
     TCLAP::SwitchArg json("j", "json", "print the result as JSON", line.arguments());
     line.parse(words);
     if (action.getValue() != "check") {
-        throw UsageError(absl::StrCat("config ", action.getValue(), ": the only action is check"));
+        throw UsageError(absl::StrCat("config ", action.getValue(), ": the actions are check and status"));
     }
     const Settings settings = loadSettings(file.getValue());
     if (json.getValue()) {
@@ -140,6 +149,64 @@
     return ExitStatus::Done;
 }
 
+wire::ConfigurationStatusReplyT fetchStatus(const ClientArguments &client)
+{
+    return client.client().call<wire::ConfigurationStatusReplyT>(rpc::Method::ShowStatus, wire::ConfigurationStatusRequestT());
+}
+
+ExitStatus runPlan(const std::vector<std::string> &words)
+{
+    CommandLine line("Shows what applying a configuration file would change.", "paddlepier plan cell.toml");
+    const ClientArguments client(line.arguments());
+    TCLAP::UnlabeledValueArg<std::string> file("file", "configuration file", true, "", "file", line.arguments());
+    line.parse(words);
+    const DeploymentConfiguration wanted = parseConfiguration(detail::readTextFile(file.getValue()), file.getValue());
+    const wire::ConfigurationStatusReplyT status = fetchStatus(client);
+    const DeploymentConfiguration current = parseConfiguration(status.configuration->text, "accepted configuration");
+    const std::vector<std::string> changes = describeChanges(current, wanted);
+    if (client.wantsJson()) {
+        std::string list;
+        for (const std::string &change : changes) {
+            absl::StrAppend(&list, list.empty() ? "" : ",", log::jsonString(change));
+        }
+        std::cout << "{\"version\":" << status.configuration->version << ",\"changes\":[" << list << "]}\n";
+        return ExitStatus::Done;
+    }
+    std::cout << "against version " << status.configuration->version << ": " << changes.size() << " changes\n";
+    for (const std::string &change : changes) {
+        std::cout << "  " << change << "\n";
+    }
+    return ExitStatus::Done;
+}
+
+ExitStatus runApply(const std::vector<std::string> &words)
+{
+    CommandLine line("Applies a configuration file; applying it twice changes nothing.", "paddlepier apply cell.toml --expected-version 4 --revision 9f2c1e");
+    const ClientArguments client(line.arguments());
+    TCLAP::UnlabeledValueArg<std::string> file("file", "configuration file", true, "", "file", line.arguments());
+    TCLAP::ValueArg<std::uint64_t> expected("e", "expected-version", "version that the change was made against; see plan", true, 0, "number", line.arguments());
+    TCLAP::ValueArg<std::string> revision("r", "revision", "where the file comes from, such as a commit", true, "", "text", line.arguments());
+    line.parse(words);
+    wire::ChangeRequestT request;
+    request.text = detail::readTextFile(file.getValue());
+    request.revision = revision.getValue();
+    request.expectedVersion = expected.getValue();
+    parseConfiguration(request.text, file.getValue());
+    return callAndPrint<wire::ChangeReplyT>(client, rpc::Method::Change, request, [](const wire::ChangeReplyT &reply) {
+        std::cout << "version " << reply.version << (reply.unchanged ? " was in force already" : " accepted") << "\n";
+    });
+}
+
+ExitStatus runConfigStatus(const std::vector<std::string> &words)
+{
+    CommandLine line("Shows the accepted configuration and which instances have it in force.", "paddlepier config status");
+    const ClientArguments client(line.arguments());
+    line.parse(words);
+    const wire::ConfigurationStatusRequestT request;
+    return callAndPrint<wire::ConfigurationStatusReplyT>(
+        client, rpc::Method::ShowStatus, request, [](const wire::ConfigurationStatusReplyT &reply) { printConfiguration(std::cout, reply); });
+}
+
 ExitStatus runSubmit(const std::vector<std::string> &words)
 {
     CommandLine line("Submits a job from a job file.", "paddlepier submit --file profile-rebuild.toml --data-centre atlanta-1");
@@ -254,9 +321,11 @@
     ExitStatus (*run)(const std::vector<std::string> &);
 };
 
-constexpr std::array<Command, 9> commandTable{{
+constexpr std::array<Command, 11> commandTable{{
     {"serve", "run one entry instance", &runServe},
-    {"config", "check a settings file", &runConfig},
+    {"config", "check a settings file, or show the configuration's status", &runConfig},
+    {"plan", "show what a configuration file would change", &runPlan},
+    {"apply", "apply a configuration file", &runApply},
     {"submit", "submit a job from a file", &runSubmit},
     {"list", "list the jobs of a data centre", &runList},
     {"status", "show leaders, workers and tasks", &runStatus},
--- a/paddlepier/cli/tables.cpp
+++ b/paddlepier/cli/tables.cpp
@@ -87,6 +87,17 @@
     printTable(out, rows);
 }
 
+void printConfiguration(std::ostream &out, const wire::ConfigurationStatusReplyT &reply)
+{
+    out << "accepted: version " << reply.configuration->version << ", revision " << reply.configuration->revision << "\n";
+    std::vector<std::vector<std::string>> rows{{"INSTANCE", "IN FORCE", "STATE"}};
+    for (const auto &instance : reply.instances) {
+        const bool isCurrent = instance->version == reply.configuration->version;
+        rows.push_back({instance->instance, absl::StrCat(instance->version), !instance->isReachable ? "out of reach" : isCurrent ? "current" : "behind"});
+    }
+    printTable(out, rows);
+}
+
 void printExplanation(std::ostream &out, const wire::ExplainReplyT &reply)
 {
     const wire::JobSummaryT &job = *reply.summary;
--- a/paddlepier/cli/tables.h
+++ b/paddlepier/cli/tables.h
@@ -19,6 +19,7 @@
 
 void printStatus(std::ostream &out, const wire::StatusReplyT &reply);
 void printJobs(std::ostream &out, const wire::ListReplyT &reply);
+void printConfiguration(std::ostream &out, const wire::ConfigurationStatusReplyT &reply);
 void printExplanation(std::ostream &out, const wire::ExplainReplyT &reply);
 
 } // namespace paddlepier::cli
--- a/paddlepier/instance/instance.cpp
+++ b/paddlepier/instance/instance.cpp
@@ -20,6 +20,8 @@
 
 constexpr std::size_t mailboxLimit = 100'000;
 constexpr Duration tickInterval = absl::Milliseconds(50);
+constexpr Duration fetchInterval = absl::Milliseconds(500);
+constexpr Duration fetchPatience = absl::Milliseconds(1500);
 constexpr Duration callPatience = absl::Seconds(4);
 /** The balancer sees the failing health check before connections are refused. */
 constexpr Duration balancerNotice = absl::Milliseconds(300);
@@ -78,6 +80,8 @@
         }
     };
     this->quick = std::make_unique<QuickService>(this->settings, this->counters, callLedger, seed);
+    this->configuration = std::make_unique<ConfigurationKeeper>(this->settings.dataFolder,
+                                                                [this](const DeploymentConfiguration &deployment) { this->configurationChanged(deployment); });
     this->server = std::make_unique<http::HttpServer>(
         this->settings.http, this->settings.limits, [this](const std::shared_ptr<http::Exchange> &exchange) { this->handle(exchange); });
     log::info("instance", "started", {{"instance", this->settings.id}, {"http", this->settings.http.text()}, {"peer", this->settings.peer.text()}});
@@ -138,6 +142,11 @@
         entry.node->tick(now);
     }
     this->calls->tick(now);
+    if (now >= this->nextFetch && this->settings.findLedger(deploymentLedger) != nullptr) {
+        this->nextFetch = now + fetchInterval;
+        this->fetchConfiguration(now);
+        this->gossipConfiguration();
+    }
     this->counters.counter("calls_pending").set(static_cast<std::int64_t>(this->calls->pendingCalls()));
 }
 
@@ -181,6 +190,10 @@
         this->calls->receiveReply(now, frame.fromInstance, *reply);
         return;
     }
+    if (const auto *offer = frame.body.AsConfigurationOffer()) {
+        this->receiveOffer(frame.fromInstance, *offer);
+        return;
+    }
     const auto found = this->hosted.find(frame.group);
     if (found == this->hosted.end()) {
         return;
@@ -192,6 +205,67 @@
     }
 }
 
+void Instance::configurationChanged(const DeploymentConfiguration &deployment)
+{
+    this->quick->setConfiguration(deployment);
+    for (auto &[dataCentre, entry] : this->hosted) {
+        entry.service->setConfiguration(deployment);
+    }
+}
+
+void Instance::fetchConfiguration(Timestamp now)
+{
+    wire::FetchRequestT request;
+    request.instance = this->settings.id;
+    request.knownVersion = this->configuration->inForce().version;
+    const Actor self{this->settings.partner, wire::Role::Administrator};
+    this->calls->call(now, std::string(deploymentLedger), rpc::Method::Fetch, self, wire::pack(request), fetchPatience, [this](const CallResult &result) {
+        if (result.error != ErrorCode::None) {
+            return;
+        }
+        const auto reply = wire::unpack<wire::FetchReplyT>(result.body);
+        if (reply.configuration && this->configuration->offer(*reply.configuration)) {
+            this->nextFetch = absl::InfinitePast(); // Tell the ledger at once what is in force here.
+        }
+    });
+}
+
+void Instance::gossipConfiguration()
+{
+    if (!this->settings.peers.empty() && this->configuration->inForce().version > 0) {
+        this->offerConfiguration(this->settings.peers[this->nextGossip++ % this->settings.peers.size()].id, false);
+    }
+}
+
+void Instance::offerConfiguration(const std::string &instance, bool withText)
+{
+    const wire::ConfigurationT &current = this->configuration->inForce();
+    wire::ConfigurationOfferT offer;
+    offer.version = current.version;
+    offer.revision = withText ? current.revision : "";
+    offer.text = withText ? current.text : "";
+    wire::PeerFrameT frame;
+    frame.fromInstance = this->settings.id;
+    frame.body.Set(std::move(offer));
+    this->transport->send(instance, frame);
+}
+
+void Instance::receiveOffer(const std::string &fromInstance, const wire::ConfigurationOfferT &offer)
+{
+    const std::uint64_t own = this->configuration->inForce().version;
+    if (offer.version < own) {
+        this->offerConfiguration(fromInstance, true);
+    } else if (offer.version > own && offer.revision.empty() && offer.text.empty()) {
+        this->offerConfiguration(fromInstance, false); // The answer to a smaller version is the whole one.
+    } else if (offer.version > own) {
+        wire::ConfigurationT received;
+        received.version = offer.version;
+        received.revision = offer.revision;
+        received.text = offer.text;
+        this->configuration->offer(received);
+    }
+}
+
 std::optional<Actor> Instance::actorOf(const http::Request &request) const
 {
     const std::string_view header = request.header("Authorization");
@@ -257,6 +331,11 @@
     case rpc::Method::Cancel:
         asked = parseJobName(wire::unpack<wire::CancelRequestT>(body).job).dataCentre;
         break;
+    case rpc::Method::Change:
+    case rpc::Method::ShowStatus:
+    case rpc::Method::Fetch:
+        asked = std::string(deploymentLedger);
+        break;
     case rpc::Method::Announce:
     case rpc::Method::DealShares:
     case rpc::Method::Begin:
--- a/paddlepier/instance/instance.h
+++ b/paddlepier/instance/instance.h
@@ -16,6 +16,7 @@
 #include "paddlepier/base/mailbox.h"
 #include "paddlepier/http/httpserver.h"
 #include "paddlepier/instance/callrouter.h"
+#include "paddlepier/instance/configurationkeeper.h"
 #include "paddlepier/instance/diskwriter.h"
 #include "paddlepier/instance/ledgernode.h"
 #include "paddlepier/instance/ledgerservice.h"
@@ -63,6 +64,11 @@
     void step(Duration patience);
     void tickAll(Timestamp now);
     void plannedStop();
+    void configurationChanged(const DeploymentConfiguration &deployment);
+    void fetchConfiguration(Timestamp now);
+    void gossipConfiguration();
+    void receiveOffer(const std::string &fromInstance, const wire::ConfigurationOfferT &offer);
+    void offerConfiguration(const std::string &instance, bool withText);
 
     const Settings settings;
     Counters counters;
@@ -78,6 +84,9 @@
     std::unique_ptr<peer::Transport> transport;
     std::unique_ptr<QuickService> quick;
     std::unique_ptr<http::HttpServer> server;
+    std::unique_ptr<ConfigurationKeeper> configuration;
+    Timestamp nextFetch = absl::InfinitePast();
+    std::size_t nextGossip = 0;
 };
 
 } // namespace paddlepier::instance
--- a/paddlepier/instance/ledgerservice.cpp
+++ b/paddlepier/instance/ledgerservice.cpp
@@ -19,6 +19,8 @@
 using rpc::Method;
 using wire::TaskState;
 
+/** An instance that hasn't asked for the configuration for so long counts as out of reach. */
+constexpr Duration configurationSilence = absl::Seconds(3);
 constexpr Duration expiryInterval = absl::Milliseconds(100);
 constexpr std::size_t longestName = 200;
 constexpr std::size_t longestCommand = 16384;
@@ -50,6 +52,8 @@
         return "no reachable worker takes new tasks";
     case wire::WaitReason::NoCapacity:
         return "no reachable worker has enough free processors, memory and accelerators";
+    case wire::WaitReason::OverQuota:
+        return "the partner's tasks would take more than its quota";
     case wire::WaitReason::WaitingForGang:
         return "there is room for some tasks, but not for all of the gang at once";
     case wire::WaitReason::WaitingForLease:
@@ -115,6 +119,7 @@
             }
         }
         this->term = std::make_unique<Term>(this->settings, this->node, std::move(entries));
+        this->term->scheduler.setQuotas(this->quotas);
     }
     return *this->term;
 }
@@ -177,6 +182,15 @@
     case Method::Finish:
         this->finish(wire::unpack<wire::FinishRequestT>(body), done);
         return;
+    case Method::Change:
+        this->changeConfiguration(wire::unpack<wire::ChangeRequestT>(body), done);
+        return;
+    case Method::Fetch:
+        this->fetchConfiguration(now, wire::unpack<wire::FetchRequestT>(body), done);
+        return;
+    case Method::ShowStatus:
+        this->showConfiguration(now, done);
+        return;
     }
 }
 
@@ -459,6 +473,73 @@
     });
 }
 
+void LedgerService::setConfiguration(const DeploymentConfiguration &deployment)
+{
+    this->quotas.clear();
+    for (const auto &[partner, percent] : deployment.quotaPercent) {
+        this->quotas[partner] = percent / 100.0;
+    }
+    if (this->term != nullptr) {
+        this->term->scheduler.setQuotas(this->quotas);
+    }
+}
+
+void LedgerService::changeConfiguration(const wire::ChangeRequestT &request, const CallDone &done)
+{
+    if (request.revision.empty() || request.revision.size() > longestName) {
+        throw InvalidArgumentError(absl::StrCat("revision must have 1 to ", longestName, " bytes"));
+    }
+    parseConfiguration(request.text, "configuration");
+    wire::ChangeConfigurationT command;
+    command.expectedVersion = request.expectedVersion;
+    command.revision = request.revision;
+    command.text = request.text;
+    this->node.propose(toCommand(std::move(command)), [done](const ledger::Applied &applied) {
+        if (applied.error != ErrorCode::None) {
+            done(CallResult::failure(applied.error, applied.message));
+            return;
+        }
+        wire::ChangeReplyT reply;
+        reply.version = applied.version;
+        reply.unchanged = applied.alreadyKnown;
+        succeed(done, reply);
+    });
+}
+
+void LedgerService::fetchConfiguration(Timestamp now, const wire::FetchRequestT &request, const CallDone &done)
+{
+    this->ensureTerm().versions[request.instance] = {request.knownVersion, now};
+    wire::FetchReplyT reply;
+    if (this->node.state().configuration().version > request.knownVersion) {
+        reply.configuration = std::make_unique<wire::ConfigurationT>(this->node.state().configuration());
+    }
+    succeed(done, reply);
+}
+
+void LedgerService::showConfiguration(Timestamp now, const CallDone &done)
+{
+    const auto &versions = this->ensureTerm().versions;
+    std::vector<std::string> instances{this->settings.id};
+    for (const PeerSettings &peer : this->settings.peers) {
+        instances.push_back(peer.id);
+    }
+    wire::ConfigurationStatusReplyT reply;
+    reply.configuration = std::make_unique<wire::ConfigurationT>(this->node.state().configuration());
+    for (const std::string &instance : instances) {
+        const auto found = versions.find(instance);
+        auto entry = std::make_unique<wire::InstanceConfigurationT>();
+        entry->instance = instance;
+        if (found != versions.end()) {
+            const Duration silence = now - found->second.second;
+            entry->version = found->second.first;
+            entry->silentMillis = static_cast<std::uint64_t>(absl::ToInt64Milliseconds(silence));
+            entry->isReachable = silence < configurationSilence;
+        }
+        reply.instances.push_back(std::move(entry));
+    }
+    succeed(done, reply);
+}
+
 void LedgerService::proposeAll(std::vector<wire::CommandUnion> commands)
 {
     for (wire::CommandUnion &command : commands) {
--- a/paddlepier/instance/ledgerservice.h
+++ b/paddlepier/instance/ledgerservice.h
@@ -15,6 +15,7 @@
 #include "paddlepier/routing/sharedealer.h"
 #include "paddlepier/rpc/callcatalog.h"
 #include "paddlepier/scheduling/scheduler.h"
+#include "paddlepier/settings/configuration.h"
 
 #include <memory>
 #include <optional>
@@ -31,6 +32,9 @@
     /** Makes a call that came to this replica; @p done is called exactly once, perhaps before this returns. */
     void execute(Timestamp now, rpc::Method method, const Actor &actor, const std::string &body, const CallDone &done);
 
+    /** Puts the configuration in force at this instance into force for placement. */
+    void setConfiguration(const DeploymentConfiguration &deployment);
+
     /** Instance that leads the ledger, as far as this replica knows; empty while there is none. */
     std::string leaderInstance() const;
 
@@ -50,6 +54,8 @@
         /** Workers that an earlier leader may have dealt shares of. */
         absl::flat_hash_set<std::string> inherited;
         Timestamp nextExpiry = absl::InfinitePast();
+        /** Versions in force by instance, as last heard. */
+        std::map<std::string, std::pair<std::uint64_t, Timestamp>> versions;
     };
 
     Term &ensureTerm();
@@ -67,6 +73,9 @@
     void dealShares(Timestamp now, const wire::SharesRequestT &request, const CallDone &done);
     void begin(const wire::BeginRequestT &request, const CallDone &done);
     void finish(const wire::FinishRequestT &request, const CallDone &done);
+    void changeConfiguration(const wire::ChangeRequestT &request, const CallDone &done);
+    void fetchConfiguration(Timestamp now, const wire::FetchRequestT &request, const CallDone &done);
+    void showConfiguration(Timestamp now, const CallDone &done);
 
     const ledger::Job &visibleJob(const Actor &actor, const std::string &name) const;
     wire::JobSummaryT summarize(const ledger::Job &job) const;
@@ -78,6 +87,7 @@
     LedgerNode &node;
     Counter &placements;
     Histogram &placementDecision;
+    std::map<std::string, double> quotas;
     std::unique_ptr<Term> term;
 };
 
--- a/paddlepier/instance/quickservice.cpp
+++ b/paddlepier/instance/quickservice.cpp
@@ -122,6 +122,14 @@
     this->pool.wake();
 }
 
+void QuickService::setConfiguration(const DeploymentConfiguration &deployment)
+{
+    this->post([this, deployment] {
+        const std::uint32_t queued = deployment.queuedRequests == 0 ? this->settings.limits.queuedRequests : deployment.queuedRequests;
+        this->router.setLimits(queued, deployment.retryBudgetPercent / 100.0);
+    });
+}
+
 void QuickService::stop()
 {
     if (this->stopping.exchange(true)) {
--- a/paddlepier/instance/quickservice.h
+++ b/paddlepier/instance/quickservice.h
@@ -17,6 +17,7 @@
 #include "paddlepier/instance/actor.h"
 #include "paddlepier/routing/quickrouter.h"
 #include "paddlepier/rpc/callcatalog.h"
+#include "paddlepier/settings/configuration.h"
 #include "paddlepier/settings/settings.h"
 
 #include <absl/container/flat_hash_map.h>
@@ -47,6 +48,9 @@
     /** Takes a request; it is answered later, by its deadline. */
     void submit(const std::shared_ptr<http::Exchange> &exchange);
 
+    /** Puts a configuration into force. */
+    void setConfiguration(const DeploymentConfiguration &deployment);
+
     /** Answers what is left, then ends the thread. */
     void stop();
 
--- a/paddlepier/ledger/ledger.cpp
+++ b/paddlepier/ledger/ledger.cpp
@@ -89,6 +89,8 @@
         const bool closed = this->requests.close(*command.AsCloseRequest());
         return closed ? Applied() : refuse(ErrorCode::Conflict, "the key is held by another attempt");
     }
+    case wire::Command::ChangeConfiguration:
+        return this->changeConfiguration(*command.AsChangeConfiguration());
     case wire::Command::NONE:
         break;
     }
@@ -218,6 +220,28 @@
     return applied;
 }
 
+Applied Ledger::changeConfiguration(const wire::ChangeConfigurationT &command)
+{
+    wire::ConfigurationT &current = this->currentConfiguration;
+    Applied applied;
+    if (command.text == current.text && command.revision == current.revision) {
+        applied.alreadyKnown = true;
+        applied.version = current.version;
+        return applied;
+    }
+    if (command.expectedVersion != current.version) {
+        return refuse(
+            ErrorCode::Conflict,
+            absl::StrCat(
+                "the change was made against version ", command.expectedVersion, ", but version ", current.version, " (", current.revision, ") is accepted"));
+    }
+    ++current.version;
+    current.revision = command.revision;
+    current.text = command.text;
+    applied.version = current.version;
+    return applied;
+}
+
 bool Ledger::reserveFor(const wire::PlacementT &placement)
 {
     const auto job = this->jobById.find(placement.job);
@@ -360,6 +384,7 @@
         packed.jobs.push_back(std::make_unique<wire::JobRecordT>(job.pack()));
     }
     packed.requests = this->requests.pack();
+    packed.configuration = std::make_unique<wire::ConfigurationT>(this->currentConfiguration);
     return wire::pack(packed);
 }
 
@@ -403,6 +428,9 @@
         this->endedJobs.push_back(id);
     }
     this->requests.restore(packed.requests);
+    if (packed.configuration) {
+        this->currentConfiguration = *packed.configuration;
+    }
 }
 
 const Worker *Ledger::findWorker(std::string_view name) const
@@ -444,6 +472,11 @@
     return found == this->reservedByPartner.end() ? none : found->second;
 }
 
+const wire::ConfigurationT &Ledger::configuration() const
+{
+    return this->currentConfiguration;
+}
+
 Totals Ledger::totals() const
 {
     return this->sums;
--- a/paddlepier/ledger/ledger.h
+++ b/paddlepier/ledger/ledger.h
@@ -46,6 +46,8 @@
     std::uint64_t job = 0;
     bool alreadyKnown = false;
     std::uint32_t placed = 0;
+    /** Version of the configuration after the command. */
+    std::uint64_t version = 0;
     wire::BeginResult begin = wire::BeginResult::Accepted;
 };
 
@@ -85,6 +87,8 @@
     Totals totals() const;
     /** Epoch of the next placement. */
     std::uint64_t upcomingEpoch() const;
+    /** The newest accepted configuration; version 0 before the first. */
+    const wire::ConfigurationT &configuration() const;
     /** Time of the newest applied entry, microseconds since 1970. */
     std::int64_t lastAppliedMicros() const;
 
@@ -101,6 +105,7 @@
     Applied cancelJob(const wire::CancelJobT &command);
     Applied placeTasks(const wire::PlaceTasksT &command);
     Applied reportTasks(const wire::ReportTasksT &command);
+    Applied changeConfiguration(const wire::ChangeConfigurationT &command);
     Applied expireLeases(const wire::ExpireLeasesT &command);
 
     bool placeGroup(const wire::PlacementGroupT &group);
@@ -119,6 +124,7 @@
     std::map<std::uint64_t, Job> jobById;
     absl::flat_hash_map<std::string, std::uint64_t> jobBySubmission;
     RequestTable requests;
+    wire::ConfigurationT currentConfiguration;
     std::uint64_t nextJob = 1;
     std::uint64_t nextEpoch = 1;
     std::int64_t appliedMicros = 0;
--- a/paddlepier/routing/quickrouter.cpp
+++ b/paddlepier/routing/quickrouter.cpp
@@ -372,6 +372,12 @@
     }
 }
 
+void QuickRouter::setLimits(std::size_t queuedRequests, double retryBudget)
+{
+    this->limits.queuedRequests = queuedRequests;
+    this->limits.retryBudget = retryBudget;
+}
+
 void QuickRouter::setShares(Timestamp now, Timestamp sentAt, const wire::SharesReplyT &reply)
 {
     for (auto &[name, backend] : this->backends) {
--- a/paddlepier/routing/quickrouter.h
+++ b/paddlepier/routing/quickrouter.h
@@ -121,6 +121,9 @@
     void ended(Timestamp now, std::uint64_t attempt, AttemptEnd end);
     void tick(Timestamp now);
 
+    /** Changes the bounds that the configuration sets. */
+    void setLimits(std::size_t queuedRequests, double retryBudget);
+
     /** Takes over the answer to a request for shares that was sent at @p sentAt. */
     void setShares(Timestamp now, Timestamp sentAt, const wire::SharesReplyT &reply);
 
@@ -196,7 +199,7 @@
     Duration expectedWait(Timestamp now) const;
     Duration retryAfter(Timestamp now);
 
-    const RouterLimits limits;
+    RouterLimits limits;
     const RouterGuards guards;
     std::mt19937_64 random;
     absl::flat_hash_map<std::string, Backend> backends;
--- a/paddlepier/rpc/callcatalog.cpp
+++ b/paddlepier/rpc/callcatalog.cpp
@@ -29,7 +29,7 @@
     wire::Role role;
 };
 
-constexpr std::array<MethodRow, 10> methodTable{{
+constexpr std::array<MethodRow, 13> methodTable{{
     {"JobService/Submit", Method::Submit, true, wire::Role::Operator},
     {"JobService/List", Method::List, true, wire::Role::Viewer},
     {"JobService/Explain", Method::Explain, true, wire::Role::Viewer},
@@ -37,9 +37,12 @@
     {"OperatorService/Status", Method::Status, true, wire::Role::Viewer},
     {"OperatorService/Drain", Method::Drain, true, wire::Role::Operator},
     {"WorkerService/Announce", Method::Announce, true, wire::Role::Worker},
+    {"ConfigurationService/Change", Method::Change, true, wire::Role::Administrator},
+    {"ConfigurationService/ShowStatus", Method::ShowStatus, true, wire::Role::Viewer},
     {"InstanceService/DealShares", Method::DealShares, false, wire::Role::None},
     {"InstanceService/Begin", Method::Begin, false, wire::Role::None},
     {"InstanceService/Finish", Method::Finish, false, wire::Role::None},
+    {"InstanceService/Fetch", Method::Fetch, false, wire::Role::None},
 }};
 
 std::unique_ptr<flatbuffers::Parser> makeParser()
--- a/paddlepier/rpc/callcatalog.h
+++ b/paddlepier/rpc/callcatalog.h
@@ -23,7 +23,7 @@
 {
 
 /** Every call of the schema. */
-enum class Method { Submit, List, Explain, Cancel, Status, Drain, Announce, DealShares, Begin, Finish };
+enum class Method { Submit, List, Explain, Cancel, Status, Drain, Announce, Change, ShowStatus, DealShares, Begin, Finish, Fetch };
 
 struct CallInfo {
     Method method;
--- a/paddlepier/scheduling/scheduler.cpp
+++ b/paddlepier/scheduling/scheduler.cpp
@@ -18,6 +18,15 @@
 static_assert(PlacementPolicy<PackingPolicy>);
 static_assert(PlacementPolicy<SpreadingPolicy>);
 
+Resources capacityOf(const ledger::Ledger &ledger)
+{
+    Resources sum;
+    for (const auto &[name, worker] : ledger.workers()) {
+        sum = ledger::plus(sum, worker.registration().capacity);
+    }
+    return sum;
+}
+
 std::unique_ptr<wire::PlacementT> toPlacement(const ledger::Job &job, std::uint32_t index, const std::string &worker)
 {
     auto placement = std::make_unique<wire::PlacementT>();
@@ -75,7 +84,9 @@
 
 void Scheduler::rebuild(ledger::Ledger &ledger)
 {
+    std::map<std::string, double> kept = std::move(this->quotas);
     *this = Scheduler();
+    this->quotas = std::move(kept);
     ledger.takeChangedWorkers();
     ledger.takeChangedJobs();
     for (const std::uint64_t id : ledger.queuedJobs()) {
@@ -83,6 +94,26 @@
     }
 }
 
+void Scheduler::setQuotas(std::map<std::string, double> quotaByPartner)
+{
+    this->quotas = std::move(quotaByPartner);
+}
+
+bool Scheduler::isOverQuota(const ledger::Job &job, const Resources &used, const Resources &capacity) const
+{
+    const auto quota = this->quotas.find(job.record().partner);
+    if (quota == this->quotas.end()) {
+        return false;
+    }
+    // A gang counts whole, since it is placed whole.
+    const std::size_t tasks = job.spec().kind == wire::JobKind::Gang ? job.tasks().size() : 1;
+    Resources after = used;
+    for (std::size_t task = 0; task < tasks; ++task) {
+        after = ledger::plus(after, job.spec().resources);
+    }
+    return ledger::dominantShare(after, capacity) > quota->second;
+}
+
 void Scheduler::refresh(ledger::Ledger &ledger)
 {
     for (const std::string &name : ledger.takeChangedWorkers()) {
@@ -140,9 +171,7 @@
         return std::nullopt;
     }
     Round round{ledger, atMicros, {}, 0, {}, {}, {}};
-    for (const auto &[name, worker] : ledger.workers()) {
-        round.capacity = ledger::plus(round.capacity, worker.registration().capacity);
-    }
+    round.capacity = capacityOf(ledger);
     for (const auto &[jobClass, byPartner] : this->queues) {
         for (const auto &[partner, queue] : byPartner) {
             round.used[partner] = ledger.reservedBy(partner);
@@ -194,7 +223,7 @@
 bool Scheduler::placeJob(Round &round, const ledger::Job &job)
 {
     const std::size_t before = round.placed;
-    if (round.isKnownTooLarge(job.spec().resources)) {
+    if (round.isKnownTooLarge(job.spec().resources) || this->isOverQuota(job, round.used[job.record().partner], round.capacity)) {
         return false;
     }
     switch (job.spec().kind) {
@@ -215,7 +244,7 @@
 void Scheduler::placeSingly(Round &round, const ledger::Job &job, Policy policy)
 {
     for (const std::uint32_t task : job.placeable(round.atMicros)) {
-        if (round.isFull()) {
+        if (round.isFull() || this->isOverQuota(job, round.used[job.record().partner], round.capacity)) {
             return;
         }
         const Candidate *chosen = policy.choose(this->index, job.spec().resources);
@@ -279,6 +308,9 @@
     if (this->index.size() == 0) {
         return wire::WaitReason::NoWorker;
     }
+    if (this->isOverQuota(job, ledger.reservedBy(job.record().partner), capacityOf(ledger))) {
+        return wire::WaitReason::OverQuota;
+    }
     const bool isGang = job.spec().kind == wire::JobKind::Gang;
     return isGang && this->index.tightest(job.spec().resources) != nullptr ? wire::WaitReason::WaitingForGang : wire::WaitReason::NoCapacity;
 }
--- a/paddlepier/scheduling/scheduler.h
+++ b/paddlepier/scheduling/scheduler.h
@@ -55,6 +55,9 @@
     /** Sets which workers may get new tasks; call it when reachability may have changed. */
     void setReachable(const ledger::Ledger &ledger, const Reachable &isReachable);
 
+    /** Largest dominant share of each partner, 0 to 1; a partner without one may take everything. */
+    void setQuotas(std::map<std::string, double> quotaByPartner);
+
     /** The next placements; nothing if none can be made now. @p atMicros is wall time, for backoffs. */
     std::optional<wire::PlaceTasksT> decide(const ledger::Ledger &ledger, std::int64_t atMicros);
 
@@ -79,6 +82,9 @@
     static Class classOf(const ledger::Job &job);
     static QueueKey keyOf(const ledger::Job &job);
 
+    bool isOverQuota(const ledger::Job &job, const Resources &used, const Resources &capacity) const;
+
+    std::map<std::string, double> quotas;
     PlacementIndex index;
     absl::flat_hash_map<std::string, bool> reachable;
     // Invariant: holds exactly the jobs with queued tasks, as of the last refresh().
--- a/paddlepier/settings/settings.cpp
+++ b/paddlepier/settings/settings.cpp
@@ -257,7 +257,9 @@
 {
     std::vector<std::string> names;
     for (const LedgerSettings &ledger : this->ledgers) {
-        names.push_back(ledger.dataCentre);
+        if (ledger.dataCentre != deploymentLedger) {
+            names.push_back(ledger.dataCentre);
+        }
     }
     return names;
 }
--- a/paddlepier/settings/settings.h
+++ b/paddlepier/settings/settings.h
@@ -60,6 +60,9 @@
     wire::Role role = wire::Role::None;
 };
 
+/** Name of the ledger that holds the deployment's configuration; it has no workers. */
+constexpr std::string_view deploymentLedger = "deployment";
+
 /** Bounds on what one instance holds at a time. */
 struct LimitSettings {
     std::uint32_t trafficThreads = 2;
@@ -104,7 +107,7 @@
     /** Entry instances of one partner in this data centre, this one included. */
     std::vector<std::string> entriesOf(std::string_view entryPartner) const;
 
-    /** Data centres that have a ledger, in the order of the settings. */
+    /** Data centres that have a ledger, in the order of the settings; the deployment's ledger is not among them. */
     std::vector<std::string> dataCentres() const;
 };
 
--- a/paddlepier/settings/tomlreader.cpp
+++ b/paddlepier/settings/tomlreader.cpp
@@ -147,6 +147,15 @@
     }
 }
 
+std::vector<std::string> TomlReader::keys() const
+{
+    std::vector<std::string> names;
+    for (const auto &[key, node] : this->values) {
+        names.emplace_back(key.str());
+    }
+    return names;
+}
+
 void TomlReader::finish() const
 {
     for (const auto &[key, node] : this->values) {
--- a/paddlepier/settings/tomlreader.h
+++ b/paddlepier/settings/tomlreader.h
@@ -41,6 +41,9 @@
     /** Reads each element of an array of tables. */
     void tables(std::string_view key, const std::function<void(TomlReader &)> &read);
 
+    /** All keys of the table, for tables whose keys are names. */
+    std::vector<std::string> keys() const;
+
     /** Refuses every key that was not asked for. */
     void finish() const;
 
--- a/paddlepier/wire/api_generated.h
+++ b/paddlepier/wire/api_generated.h
@@ -136,6 +136,38 @@
 struct FinishReplyBuilder;
 struct FinishReplyT;
 
+struct Configuration;
+struct ConfigurationBuilder;
+struct ConfigurationT;
+
+struct ChangeRequest;
+struct ChangeRequestBuilder;
+struct ChangeRequestT;
+
+struct ChangeReply;
+struct ChangeReplyBuilder;
+struct ChangeReplyT;
+
+struct FetchRequest;
+struct FetchRequestBuilder;
+struct FetchRequestT;
+
+struct FetchReply;
+struct FetchReplyBuilder;
+struct FetchReplyT;
+
+struct InstanceConfiguration;
+struct InstanceConfigurationBuilder;
+struct InstanceConfigurationT;
+
+struct ConfigurationStatusRequest;
+struct ConfigurationStatusRequestBuilder;
+struct ConfigurationStatusRequestT;
+
+struct ConfigurationStatusReply;
+struct ConfigurationStatusReplyBuilder;
+struct ConfigurationStatusReplyT;
+
 struct ErrorReply;
 struct ErrorReplyBuilder;
 struct ErrorReplyT;
@@ -382,21 +414,23 @@
   Backoff = 1,
   NoWorker = 2,
   NoCapacity = 3,
-  WaitingForGang = 4,
-  WaitingForLease = 5,
-  WaitingForStop = 6,
-  LargerThanAnyWorker = 7,
-  NoLeader = 8,
+  OverQuota = 4,
+  WaitingForGang = 5,
+  WaitingForLease = 6,
+  WaitingForStop = 7,
+  LargerThanAnyWorker = 8,
+  NoLeader = 9,
   MIN = None,
   MAX = NoLeader
 };
 
-inline const WaitReason (&EnumValuesWaitReason())[9] {
+inline const WaitReason (&EnumValuesWaitReason())[10] {
   static const WaitReason values[] = {
     WaitReason::None,
     WaitReason::Backoff,
     WaitReason::NoWorker,
     WaitReason::NoCapacity,
+    WaitReason::OverQuota,
     WaitReason::WaitingForGang,
     WaitReason::WaitingForLease,
     WaitReason::WaitingForStop,
@@ -407,11 +441,12 @@
 }
 
 inline const char * const *EnumNamesWaitReason() {
-  static const char * const names[10] = {
+  static const char * const names[11] = {
     "None",
     "Backoff",
     "NoWorker",
     "NoCapacity",
+    "OverQuota",
     "WaitingForGang",
     "WaitingForLease",
     "WaitingForStop",
@@ -4352,6 +4387,706 @@
 
 flatbuffers::Offset<FinishReply> CreateFinishReply(flatbuffers::FlatBufferBuilder &_fbb, const FinishReplyT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct ConfigurationT : public flatbuffers::NativeTable {
+  typedef Configuration TableType;
+  static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
+    return "paddlepier.wire.ConfigurationT";
+  }
+  uint64_t version = 0;
+  std::string revision{};
+  std::string text{};
+};
+
+/// One accepted version of the deployment's configuration.
+struct Configuration FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef ConfigurationT NativeTableType;
+  typedef ConfigurationBuilder Builder;
+  struct Traits;
+  static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
+    return "paddlepier.wire.Configuration";
+  }
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_VERSION = 4,
+    VT_REVISION = 6,
+    VT_TEXT = 8
+  };
+  /// Grows by one with each accepted change; 0 before the first.
+  uint64_t version() const {
+    return GetField<uint64_t>(VT_VERSION, 0);
+  }
+  /// Where the text comes from, such as a commit of the operators' version control.
+  const flatbuffers::String *revision() const {
+    return GetPointer<const flatbuffers::String *>(VT_REVISION);
+  }
+  /// TOML; see docs/OPERATIONS.md.
+  const flatbuffers::String *text() const {
+    return GetPointer<const flatbuffers::String *>(VT_TEXT);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_VERSION, 8) &&
+           VerifyOffset(verifier, VT_REVISION) &&
+           verifier.VerifyString(revision()) &&
+           VerifyOffset(verifier, VT_TEXT) &&
+           verifier.VerifyString(text()) &&
+           verifier.EndTable();
+  }
+  ConfigurationT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(ConfigurationT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<Configuration> Pack(flatbuffers::FlatBufferBuilder &_fbb, const ConfigurationT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct ConfigurationBuilder {
+  typedef Configuration Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_version(uint64_t version) {
+    fbb_.AddElement<uint64_t>(Configuration::VT_VERSION, version, 0);
+  }
+  void add_revision(flatbuffers::Offset<flatbuffers::String> revision) {
+    fbb_.AddOffset(Configuration::VT_REVISION, revision);
+  }
+  void add_text(flatbuffers::Offset<flatbuffers::String> text) {
+    fbb_.AddOffset(Configuration::VT_TEXT, text);
+  }
+  explicit ConfigurationBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<Configuration> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<Configuration>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<Configuration> CreateConfiguration(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t version = 0,
+    flatbuffers::Offset<flatbuffers::String> revision = 0,
+    flatbuffers::Offset<flatbuffers::String> text = 0) {
+  ConfigurationBuilder builder_(_fbb);
+  builder_.add_version(version);
+  builder_.add_text(text);
+  builder_.add_revision(revision);
+  return builder_.Finish();
+}
+
+struct Configuration::Traits {
+  using type = Configuration;
+  static auto constexpr Create = CreateConfiguration;
+};
+
+inline flatbuffers::Offset<Configuration> CreateConfigurationDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t version = 0,
+    const char *revision = nullptr,
+    const char *text = nullptr) {
+  auto revision__ = revision ? _fbb.CreateString(revision) : 0;
+  auto text__ = text ? _fbb.CreateString(text) : 0;
+  return paddlepier::wire::CreateConfiguration(
+      _fbb,
+      version,
+      revision__,
+      text__);
+}
+
+flatbuffers::Offset<Configuration> CreateConfiguration(flatbuffers::FlatBufferBuilder &_fbb, const ConfigurationT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct ChangeRequestT : public flatbuffers::NativeTable {
+  typedef ChangeRequest TableType;
+  static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
+    return "paddlepier.wire.ChangeRequestT";
+  }
+  uint64_t expectedVersion = 0;
+  std::string revision{};
+  std::string text{};
+};
+
+struct ChangeRequest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef ChangeRequestT NativeTableType;
+  typedef ChangeRequestBuilder Builder;
+  struct Traits;
+  static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
+    return "paddlepier.wire.ChangeRequest";
+  }
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_EXPECTEDVERSION = 4,
+    VT_REVISION = 6,
+    VT_TEXT = 8
+  };
+  /// The version that this change was made against.
+  uint64_t expectedVersion() const {
+    return GetField<uint64_t>(VT_EXPECTEDVERSION, 0);
+  }
+  const flatbuffers::String *revision() const {
+    return GetPointer<const flatbuffers::String *>(VT_REVISION);
+  }
+  const flatbuffers::String *text() const {
+    return GetPointer<const flatbuffers::String *>(VT_TEXT);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_EXPECTEDVERSION, 8) &&
+           VerifyOffsetRequired(verifier, VT_REVISION) &&
+           verifier.VerifyString(revision()) &&
+           VerifyOffsetRequired(verifier, VT_TEXT) &&
+           verifier.VerifyString(text()) &&
+           verifier.EndTable();
+  }
+  ChangeRequestT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(ChangeRequestT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<ChangeRequest> Pack(flatbuffers::FlatBufferBuilder &_fbb, const ChangeRequestT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct ChangeRequestBuilder {
+  typedef ChangeRequest Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_expectedVersion(uint64_t expectedVersion) {
+    fbb_.AddElement<uint64_t>(ChangeRequest::VT_EXPECTEDVERSION, expectedVersion, 0);
+  }
+  void add_revision(flatbuffers::Offset<flatbuffers::String> revision) {
+    fbb_.AddOffset(ChangeRequest::VT_REVISION, revision);
+  }
+  void add_text(flatbuffers::Offset<flatbuffers::String> text) {
+    fbb_.AddOffset(ChangeRequest::VT_TEXT, text);
+  }
+  explicit ChangeRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<ChangeRequest> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<ChangeRequest>(end);
+    fbb_.Required(o, ChangeRequest::VT_REVISION);
+    fbb_.Required(o, ChangeRequest::VT_TEXT);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<ChangeRequest> CreateChangeRequest(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t expectedVersion = 0,
+    flatbuffers::Offset<flatbuffers::String> revision = 0,
+    flatbuffers::Offset<flatbuffers::String> text = 0) {
+  ChangeRequestBuilder builder_(_fbb);
+  builder_.add_expectedVersion(expectedVersion);
+  builder_.add_text(text);
+  builder_.add_revision(revision);
+  return builder_.Finish();
+}
+
+struct ChangeRequest::Traits {
+  using type = ChangeRequest;
+  static auto constexpr Create = CreateChangeRequest;
+};
+
+inline flatbuffers::Offset<ChangeRequest> CreateChangeRequestDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t expectedVersion = 0,
+    const char *revision = nullptr,
+    const char *text = nullptr) {
+  auto revision__ = revision ? _fbb.CreateString(revision) : 0;
+  auto text__ = text ? _fbb.CreateString(text) : 0;
+  return paddlepier::wire::CreateChangeRequest(
+      _fbb,
+      expectedVersion,
+      revision__,
+      text__);
+}
+
+flatbuffers::Offset<ChangeRequest> CreateChangeRequest(flatbuffers::FlatBufferBuilder &_fbb, const ChangeRequestT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct ChangeReplyT : public flatbuffers::NativeTable {
+  typedef ChangeReply TableType;
+  static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
+    return "paddlepier.wire.ChangeReplyT";
+  }
+  uint64_t version = 0;
+  bool unchanged = false;
+};
+
+struct ChangeReply FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef ChangeReplyT NativeTableType;
+  typedef ChangeReplyBuilder Builder;
+  struct Traits;
+  static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
+    return "paddlepier.wire.ChangeReply";
+  }
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_VERSION = 4,
+    VT_UNCHANGED = 6
+  };
+  uint64_t version() const {
+    return GetField<uint64_t>(VT_VERSION, 0);
+  }
+  bool unchanged() const {
+    return GetField<uint8_t>(VT_UNCHANGED, 0) != 0;
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_VERSION, 8) &&
+           VerifyField<uint8_t>(verifier, VT_UNCHANGED, 1) &&
+           verifier.EndTable();
+  }
+  ChangeReplyT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(ChangeReplyT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<ChangeReply> Pack(flatbuffers::FlatBufferBuilder &_fbb, const ChangeReplyT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct ChangeReplyBuilder {
+  typedef ChangeReply Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_version(uint64_t version) {
+    fbb_.AddElement<uint64_t>(ChangeReply::VT_VERSION, version, 0);
+  }
+  void add_unchanged(bool unchanged) {
+    fbb_.AddElement<uint8_t>(ChangeReply::VT_UNCHANGED, static_cast<uint8_t>(unchanged), 0);
+  }
+  explicit ChangeReplyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<ChangeReply> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<ChangeReply>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<ChangeReply> CreateChangeReply(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t version = 0,
+    bool unchanged = false) {
+  ChangeReplyBuilder builder_(_fbb);
+  builder_.add_version(version);
+  builder_.add_unchanged(unchanged);
+  return builder_.Finish();
+}
+
+struct ChangeReply::Traits {
+  using type = ChangeReply;
+  static auto constexpr Create = CreateChangeReply;
+};
+
+flatbuffers::Offset<ChangeReply> CreateChangeReply(flatbuffers::FlatBufferBuilder &_fbb, const ChangeReplyT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct FetchRequestT : public flatbuffers::NativeTable {
+  typedef FetchRequest TableType;
+  static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
+    return "paddlepier.wire.FetchRequestT";
+  }
+  std::string instance{};
+  uint64_t knownVersion = 0;
+};
+
+struct FetchRequest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef FetchRequestT NativeTableType;
+  typedef FetchRequestBuilder Builder;
+  struct Traits;
+  static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
+    return "paddlepier.wire.FetchRequest";
+  }
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_INSTANCE = 4,
+    VT_KNOWNVERSION = 6
+  };
+  const flatbuffers::String *instance() const {
+    return GetPointer<const flatbuffers::String *>(VT_INSTANCE);
+  }
+  uint64_t knownVersion() const {
+    return GetField<uint64_t>(VT_KNOWNVERSION, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_INSTANCE) &&
+           verifier.VerifyString(instance()) &&
+           VerifyField<uint64_t>(verifier, VT_KNOWNVERSION, 8) &&
+           verifier.EndTable();
+  }
+  FetchRequestT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(FetchRequestT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<FetchRequest> Pack(flatbuffers::FlatBufferBuilder &_fbb, const FetchRequestT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct FetchRequestBuilder {
+  typedef FetchRequest Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_instance(flatbuffers::Offset<flatbuffers::String> instance) {
+    fbb_.AddOffset(FetchRequest::VT_INSTANCE, instance);
+  }
+  void add_knownVersion(uint64_t knownVersion) {
+    fbb_.AddElement<uint64_t>(FetchRequest::VT_KNOWNVERSION, knownVersion, 0);
+  }
+  explicit FetchRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<FetchRequest> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<FetchRequest>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<FetchRequest> CreateFetchRequest(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> instance = 0,
+    uint64_t knownVersion = 0) {
+  FetchRequestBuilder builder_(_fbb);
+  builder_.add_knownVersion(knownVersion);
+  builder_.add_instance(instance);
+  return builder_.Finish();
+}
+
+struct FetchRequest::Traits {
+  using type = FetchRequest;
+  static auto constexpr Create = CreateFetchRequest;
+};
+
+inline flatbuffers::Offset<FetchRequest> CreateFetchRequestDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *instance = nullptr,
+    uint64_t knownVersion = 0) {
+  auto instance__ = instance ? _fbb.CreateString(instance) : 0;
+  return paddlepier::wire::CreateFetchRequest(
+      _fbb,
+      instance__,
+      knownVersion);
+}
+
+flatbuffers::Offset<FetchRequest> CreateFetchRequest(flatbuffers::FlatBufferBuilder &_fbb, const FetchRequestT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct FetchReplyT : public flatbuffers::NativeTable {
+  typedef FetchReply TableType;
+  static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
+    return "paddlepier.wire.FetchReplyT";
+  }
+  std::unique_ptr<paddlepier::wire::ConfigurationT> configuration{};
+  FetchReplyT() = default;
+  FetchReplyT(const FetchReplyT &o);
+  FetchReplyT(FetchReplyT&&) FLATBUFFERS_NOEXCEPT = default;
+  FetchReplyT &operator=(FetchReplyT o) FLATBUFFERS_NOEXCEPT;
+};
+
+/// Without a configuration if the known one is current.
+struct FetchReply FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef FetchReplyT NativeTableType;
+  typedef FetchReplyBuilder Builder;
+  struct Traits;
+  static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
+    return "paddlepier.wire.FetchReply";
+  }
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_CONFIGURATION = 4
+  };
+  const paddlepier::wire::Configuration *configuration() const {
+    return GetPointer<const paddlepier::wire::Configuration *>(VT_CONFIGURATION);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_CONFIGURATION) &&
+           verifier.VerifyTable(configuration()) &&
+           verifier.EndTable();
+  }
+  FetchReplyT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(FetchReplyT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<FetchReply> Pack(flatbuffers::FlatBufferBuilder &_fbb, const FetchReplyT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct FetchReplyBuilder {
+  typedef FetchReply Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_configuration(flatbuffers::Offset<paddlepier::wire::Configuration> configuration) {
+    fbb_.AddOffset(FetchReply::VT_CONFIGURATION, configuration);
+  }
+  explicit FetchReplyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<FetchReply> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<FetchReply>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<FetchReply> CreateFetchReply(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<paddlepier::wire::Configuration> configuration = 0) {
+  FetchReplyBuilder builder_(_fbb);
+  builder_.add_configuration(configuration);
+  return builder_.Finish();
+}
+
+struct FetchReply::Traits {
+  using type = FetchReply;
+  static auto constexpr Create = CreateFetchReply;
+};
+
+flatbuffers::Offset<FetchReply> CreateFetchReply(flatbuffers::FlatBufferBuilder &_fbb, const FetchReplyT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct InstanceConfigurationT : public flatbuffers::NativeTable {
+  typedef InstanceConfiguration TableType;
+  static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
+    return "paddlepier.wire.InstanceConfigurationT";
+  }
+  std::string instance{};
+  uint64_t version = 0;
+  bool isReachable = false;
+  uint64_t silentMillis = 0;
+};
+
+struct InstanceConfiguration FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef InstanceConfigurationT NativeTableType;
+  typedef InstanceConfigurationBuilder Builder;
+  struct Traits;
+  static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
+    return "paddlepier.wire.InstanceConfiguration";
+  }
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_INSTANCE = 4,
+    VT_VERSION = 6,
+    VT_ISREACHABLE = 8,
+    VT_SILENTMILLIS = 10
+  };
+  const flatbuffers::String *instance() const {
+    return GetPointer<const flatbuffers::String *>(VT_INSTANCE);
+  }
+  uint64_t version() const {
+    return GetField<uint64_t>(VT_VERSION, 0);
+  }
+  bool isReachable() const {
+    return GetField<uint8_t>(VT_ISREACHABLE, 0) != 0;
+  }
+  uint64_t silentMillis() const {
+    return GetField<uint64_t>(VT_SILENTMILLIS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_INSTANCE) &&
+           verifier.VerifyString(instance()) &&
+           VerifyField<uint64_t>(verifier, VT_VERSION, 8) &&
+           VerifyField<uint8_t>(verifier, VT_ISREACHABLE, 1) &&
+           VerifyField<uint64_t>(verifier, VT_SILENTMILLIS, 8) &&
+           verifier.EndTable();
+  }
+  InstanceConfigurationT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(InstanceConfigurationT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<InstanceConfiguration> Pack(flatbuffers::FlatBufferBuilder &_fbb, const InstanceConfigurationT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct InstanceConfigurationBuilder {
+  typedef InstanceConfiguration Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_instance(flatbuffers::Offset<flatbuffers::String> instance) {
+    fbb_.AddOffset(InstanceConfiguration::VT_INSTANCE, instance);
+  }
+  void add_version(uint64_t version) {
+    fbb_.AddElement<uint64_t>(InstanceConfiguration::VT_VERSION, version, 0);
+  }
+  void add_isReachable(bool isReachable) {
+    fbb_.AddElement<uint8_t>(InstanceConfiguration::VT_ISREACHABLE, static_cast<uint8_t>(isReachable), 0);
+  }
+  void add_silentMillis(uint64_t silentMillis) {
+    fbb_.AddElement<uint64_t>(InstanceConfiguration::VT_SILENTMILLIS, silentMillis, 0);
+  }
+  explicit InstanceConfigurationBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<InstanceConfiguration> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<InstanceConfiguration>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<InstanceConfiguration> CreateInstanceConfiguration(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> instance = 0,
+    uint64_t version = 0,
+    bool isReachable = false,
+    uint64_t silentMillis = 0) {
+  InstanceConfigurationBuilder builder_(_fbb);
+  builder_.add_silentMillis(silentMillis);
+  builder_.add_version(version);
+  builder_.add_instance(instance);
+  builder_.add_isReachable(isReachable);
+  return builder_.Finish();
+}
+
+struct InstanceConfiguration::Traits {
+  using type = InstanceConfiguration;
+  static auto constexpr Create = CreateInstanceConfiguration;
+};
+
+inline flatbuffers::Offset<InstanceConfiguration> CreateInstanceConfigurationDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *instance = nullptr,
+    uint64_t version = 0,
+    bool isReachable = false,
+    uint64_t silentMillis = 0) {
+  auto instance__ = instance ? _fbb.CreateString(instance) : 0;
+  return paddlepier::wire::CreateInstanceConfiguration(
+      _fbb,
+      instance__,
+      version,
+      isReachable,
+      silentMillis);
+}
+
+flatbuffers::Offset<InstanceConfiguration> CreateInstanceConfiguration(flatbuffers::FlatBufferBuilder &_fbb, const InstanceConfigurationT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct ConfigurationStatusRequestT : public flatbuffers::NativeTable {
+  typedef ConfigurationStatusRequest TableType;
+  static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
+    return "paddlepier.wire.ConfigurationStatusRequestT";
+  }
+};
+
+struct ConfigurationStatusRequest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef ConfigurationStatusRequestT NativeTableType;
+  typedef ConfigurationStatusRequestBuilder Builder;
+  struct Traits;
+  static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
+    return "paddlepier.wire.ConfigurationStatusRequest";
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           verifier.EndTable();
+  }
+  ConfigurationStatusRequestT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(ConfigurationStatusRequestT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<ConfigurationStatusRequest> Pack(flatbuffers::FlatBufferBuilder &_fbb, const ConfigurationStatusRequestT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct ConfigurationStatusRequestBuilder {
+  typedef ConfigurationStatusRequest Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  explicit ConfigurationStatusRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<ConfigurationStatusRequest> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<ConfigurationStatusRequest>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<ConfigurationStatusRequest> CreateConfigurationStatusRequest(
+    flatbuffers::FlatBufferBuilder &_fbb) {
+  ConfigurationStatusRequestBuilder builder_(_fbb);
+  return builder_.Finish();
+}
+
+struct ConfigurationStatusRequest::Traits {
+  using type = ConfigurationStatusRequest;
+  static auto constexpr Create = CreateConfigurationStatusRequest;
+};
+
+flatbuffers::Offset<ConfigurationStatusRequest> CreateConfigurationStatusRequest(flatbuffers::FlatBufferBuilder &_fbb, const ConfigurationStatusRequestT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct ConfigurationStatusReplyT : public flatbuffers::NativeTable {
+  typedef ConfigurationStatusReply TableType;
+  static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
+    return "paddlepier.wire.ConfigurationStatusReplyT";
+  }
+  std::unique_ptr<paddlepier::wire::ConfigurationT> configuration{};
+  std::vector<std::unique_ptr<paddlepier::wire::InstanceConfigurationT>> instances{};
+  ConfigurationStatusReplyT() = default;
+  ConfigurationStatusReplyT(const ConfigurationStatusReplyT &o);
+  ConfigurationStatusReplyT(ConfigurationStatusReplyT&&) FLATBUFFERS_NOEXCEPT = default;
+  ConfigurationStatusReplyT &operator=(ConfigurationStatusReplyT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct ConfigurationStatusReply FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef ConfigurationStatusReplyT NativeTableType;
+  typedef ConfigurationStatusReplyBuilder Builder;
+  struct Traits;
+  static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
+    return "paddlepier.wire.ConfigurationStatusReply";
+  }
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_CONFIGURATION = 4,
+    VT_INSTANCES = 6
+  };
+  const paddlepier::wire::Configuration *configuration() const {
+    return GetPointer<const paddlepier::wire::Configuration *>(VT_CONFIGURATION);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<paddlepier::wire::InstanceConfiguration>> *instances() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<paddlepier::wire::InstanceConfiguration>> *>(VT_INSTANCES);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_CONFIGURATION) &&
+           verifier.VerifyTable(configuration()) &&
+           VerifyOffset(verifier, VT_INSTANCES) &&
+           verifier.VerifyVector(instances()) &&
+           verifier.VerifyVectorOfTables(instances()) &&
+           verifier.EndTable();
+  }
+  ConfigurationStatusReplyT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(ConfigurationStatusReplyT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<ConfigurationStatusReply> Pack(flatbuffers::FlatBufferBuilder &_fbb, const ConfigurationStatusReplyT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct ConfigurationStatusReplyBuilder {
+  typedef ConfigurationStatusReply Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_configuration(flatbuffers::Offset<paddlepier::wire::Configuration> configuration) {
+    fbb_.AddOffset(ConfigurationStatusReply::VT_CONFIGURATION, configuration);
+  }
+  void add_instances(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<paddlepier::wire::InstanceConfiguration>>> instances) {
+    fbb_.AddOffset(ConfigurationStatusReply::VT_INSTANCES, instances);
+  }
+  explicit ConfigurationStatusReplyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<ConfigurationStatusReply> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<ConfigurationStatusReply>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<ConfigurationStatusReply> CreateConfigurationStatusReply(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<paddlepier::wire::Configuration> configuration = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<paddlepier::wire::InstanceConfiguration>>> instances = 0) {
+  ConfigurationStatusReplyBuilder builder_(_fbb);
+  builder_.add_instances(instances);
+  builder_.add_configuration(configuration);
+  return builder_.Finish();
+}
+
+struct ConfigurationStatusReply::Traits {
+  using type = ConfigurationStatusReply;
+  static auto constexpr Create = CreateConfigurationStatusReply;
+};
+
+inline flatbuffers::Offset<ConfigurationStatusReply> CreateConfigurationStatusReplyDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<paddlepier::wire::Configuration> configuration = 0,
+    const std::vector<flatbuffers::Offset<paddlepier::wire::InstanceConfiguration>> *instances = nullptr) {
+  auto instances__ = instances ? _fbb.CreateVector<flatbuffers::Offset<paddlepier::wire::InstanceConfiguration>>(*instances) : 0;
+  return paddlepier::wire::CreateConfigurationStatusReply(
+      _fbb,
+      configuration,
+      instances__);
+}
+
+flatbuffers::Offset<ConfigurationStatusReply> CreateConfigurationStatusReply(flatbuffers::FlatBufferBuilder &_fbb, const ConfigurationStatusReplyT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct ErrorReplyT : public flatbuffers::NativeTable {
   typedef ErrorReply TableType;
   static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
@@ -5733,6 +6468,262 @@
       _recorded);
 }
 
+inline ConfigurationT *Configuration::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<ConfigurationT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void Configuration::UnPackTo(ConfigurationT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = version(); _o->version = _e; }
+  { auto _e = revision(); if (_e) _o->revision = _e->str(); }
+  { auto _e = text(); if (_e) _o->text = _e->str(); }
+}
+
+inline flatbuffers::Offset<Configuration> Configuration::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ConfigurationT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateConfiguration(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<Configuration> CreateConfiguration(flatbuffers::FlatBufferBuilder &_fbb, const ConfigurationT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const ConfigurationT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _version = _o->version;
+  auto _revision = _o->revision.empty() ? 0 : _fbb.CreateString(_o->revision);
+  auto _text = _o->text.empty() ? 0 : _fbb.CreateString(_o->text);
+  return paddlepier::wire::CreateConfiguration(
+      _fbb,
+      _version,
+      _revision,
+      _text);
+}
+
+inline ChangeRequestT *ChangeRequest::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<ChangeRequestT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void ChangeRequest::UnPackTo(ChangeRequestT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = expectedVersion(); _o->expectedVersion = _e; }
+  { auto _e = revision(); if (_e) _o->revision = _e->str(); }
+  { auto _e = text(); if (_e) _o->text = _e->str(); }
+}
+
+inline flatbuffers::Offset<ChangeRequest> ChangeRequest::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ChangeRequestT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateChangeRequest(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<ChangeRequest> CreateChangeRequest(flatbuffers::FlatBufferBuilder &_fbb, const ChangeRequestT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const ChangeRequestT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _expectedVersion = _o->expectedVersion;
+  auto _revision = _fbb.CreateString(_o->revision);
+  auto _text = _fbb.CreateString(_o->text);
+  return paddlepier::wire::CreateChangeRequest(
+      _fbb,
+      _expectedVersion,
+      _revision,
+      _text);
+}
+
+inline ChangeReplyT *ChangeReply::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<ChangeReplyT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void ChangeReply::UnPackTo(ChangeReplyT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = version(); _o->version = _e; }
+  { auto _e = unchanged(); _o->unchanged = _e; }
+}
+
+inline flatbuffers::Offset<ChangeReply> ChangeReply::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ChangeReplyT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateChangeReply(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<ChangeReply> CreateChangeReply(flatbuffers::FlatBufferBuilder &_fbb, const ChangeReplyT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const ChangeReplyT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _version = _o->version;
+  auto _unchanged = _o->unchanged;
+  return paddlepier::wire::CreateChangeReply(
+      _fbb,
+      _version,
+      _unchanged);
+}
+
+inline FetchRequestT *FetchRequest::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<FetchRequestT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void FetchRequest::UnPackTo(FetchRequestT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = instance(); if (_e) _o->instance = _e->str(); }
+  { auto _e = knownVersion(); _o->knownVersion = _e; }
+}
+
+inline flatbuffers::Offset<FetchRequest> FetchRequest::Pack(flatbuffers::FlatBufferBuilder &_fbb, const FetchRequestT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateFetchRequest(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<FetchRequest> CreateFetchRequest(flatbuffers::FlatBufferBuilder &_fbb, const FetchRequestT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const FetchRequestT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _instance = _o->instance.empty() ? 0 : _fbb.CreateString(_o->instance);
+  auto _knownVersion = _o->knownVersion;
+  return paddlepier::wire::CreateFetchRequest(
+      _fbb,
+      _instance,
+      _knownVersion);
+}
+
+inline FetchReplyT::FetchReplyT(const FetchReplyT &o)
+      : configuration((o.configuration) ? new paddlepier::wire::ConfigurationT(*o.configuration) : nullptr) {
+}
+
+inline FetchReplyT &FetchReplyT::operator=(FetchReplyT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(configuration, o.configuration);
+  return *this;
+}
+
+inline FetchReplyT *FetchReply::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<FetchReplyT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void FetchReply::UnPackTo(FetchReplyT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = configuration(); if (_e) _o->configuration = std::unique_ptr<paddlepier::wire::ConfigurationT>(_e->UnPack(_resolver)); }
+}
+
+inline flatbuffers::Offset<FetchReply> FetchReply::Pack(flatbuffers::FlatBufferBuilder &_fbb, const FetchReplyT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateFetchReply(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<FetchReply> CreateFetchReply(flatbuffers::FlatBufferBuilder &_fbb, const FetchReplyT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const FetchReplyT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _configuration = _o->configuration ? CreateConfiguration(_fbb, _o->configuration.get(), _rehasher) : 0;
+  return paddlepier::wire::CreateFetchReply(
+      _fbb,
+      _configuration);
+}
+
+inline InstanceConfigurationT *InstanceConfiguration::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<InstanceConfigurationT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void InstanceConfiguration::UnPackTo(InstanceConfigurationT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = instance(); if (_e) _o->instance = _e->str(); }
+  { auto _e = version(); _o->version = _e; }
+  { auto _e = isReachable(); _o->isReachable = _e; }
+  { auto _e = silentMillis(); _o->silentMillis = _e; }
+}
+
+inline flatbuffers::Offset<InstanceConfiguration> InstanceConfiguration::Pack(flatbuffers::FlatBufferBuilder &_fbb, const InstanceConfigurationT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateInstanceConfiguration(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<InstanceConfiguration> CreateInstanceConfiguration(flatbuffers::FlatBufferBuilder &_fbb, const InstanceConfigurationT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const InstanceConfigurationT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _instance = _o->instance.empty() ? 0 : _fbb.CreateString(_o->instance);
+  auto _version = _o->version;
+  auto _isReachable = _o->isReachable;
+  auto _silentMillis = _o->silentMillis;
+  return paddlepier::wire::CreateInstanceConfiguration(
+      _fbb,
+      _instance,
+      _version,
+      _isReachable,
+      _silentMillis);
+}
+
+inline ConfigurationStatusRequestT *ConfigurationStatusRequest::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<ConfigurationStatusRequestT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void ConfigurationStatusRequest::UnPackTo(ConfigurationStatusRequestT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+}
+
+inline flatbuffers::Offset<ConfigurationStatusRequest> ConfigurationStatusRequest::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ConfigurationStatusRequestT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateConfigurationStatusRequest(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<ConfigurationStatusRequest> CreateConfigurationStatusRequest(flatbuffers::FlatBufferBuilder &_fbb, const ConfigurationStatusRequestT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const ConfigurationStatusRequestT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  return paddlepier::wire::CreateConfigurationStatusRequest(
+      _fbb);
+}
+
+inline ConfigurationStatusReplyT::ConfigurationStatusReplyT(const ConfigurationStatusReplyT &o)
+      : configuration((o.configuration) ? new paddlepier::wire::ConfigurationT(*o.configuration) : nullptr) {
+  instances.reserve(o.instances.size());
+  for (const auto &instances_ : o.instances) { instances.emplace_back((instances_) ? new paddlepier::wire::InstanceConfigurationT(*instances_) : nullptr); }
+}
+
+inline ConfigurationStatusReplyT &ConfigurationStatusReplyT::operator=(ConfigurationStatusReplyT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(configuration, o.configuration);
+  std::swap(instances, o.instances);
+  return *this;
+}
+
+inline ConfigurationStatusReplyT *ConfigurationStatusReply::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<ConfigurationStatusReplyT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void ConfigurationStatusReply::UnPackTo(ConfigurationStatusReplyT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = configuration(); if (_e) _o->configuration = std::unique_ptr<paddlepier::wire::ConfigurationT>(_e->UnPack(_resolver)); }
+  { auto _e = instances(); if (_e) { _o->instances.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->instances[_i] = std::unique_ptr<paddlepier::wire::InstanceConfigurationT>(_e->Get(_i)->UnPack(_resolver)); } } }
+}
+
+inline flatbuffers::Offset<ConfigurationStatusReply> ConfigurationStatusReply::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ConfigurationStatusReplyT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateConfigurationStatusReply(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<ConfigurationStatusReply> CreateConfigurationStatusReply(flatbuffers::FlatBufferBuilder &_fbb, const ConfigurationStatusReplyT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const ConfigurationStatusReplyT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _configuration = _o->configuration ? CreateConfiguration(_fbb, _o->configuration.get(), _rehasher) : 0;
+  auto _instances = _o->instances.size() ? _fbb.CreateVector<flatbuffers::Offset<paddlepier::wire::InstanceConfiguration>> (_o->instances.size(), [](size_t i, _VectorArgs *__va) { return CreateInstanceConfiguration(*__va->__fbb, __va->__o->instances[i].get(), __va->__rehasher); }, &_va ) : 0;
+  return paddlepier::wire::CreateConfigurationStatusReply(
+      _fbb,
+      _configuration,
+      _instances);
+}
+
 inline ErrorReplyT *ErrorReply::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::make_unique<ErrorReplyT>();
   UnPackTo(_o.get(), _resolver);
--- a/paddlepier/wire/ledger_generated.h
+++ b/paddlepier/wire/ledger_generated.h
@@ -66,6 +66,10 @@
 struct CloseRequestBuilder;
 struct CloseRequestT;
 
+struct ChangeConfiguration;
+struct ChangeConfigurationBuilder;
+struct ChangeConfigurationT;
+
 struct LedgerEntry;
 struct LedgerEntryBuilder;
 struct LedgerEntryT;
@@ -102,11 +106,12 @@
   ExpireLeases = 8,
   OpenRequest = 9,
   CloseRequest = 10,
+  ChangeConfiguration = 11,
   MIN = NONE,
-  MAX = CloseRequest
+  MAX = ChangeConfiguration
 };
 
-inline const Command (&EnumValuesCommand())[11] {
+inline const Command (&EnumValuesCommand())[12] {
   static const Command values[] = {
     Command::NONE,
     Command::RegisterWorker,
@@ -118,13 +123,14 @@
     Command::ReportTasks,
     Command::ExpireLeases,
     Command::OpenRequest,
-    Command::CloseRequest
+    Command::CloseRequest,
+    Command::ChangeConfiguration
   };
   return values;
 }
 
 inline const char * const *EnumNamesCommand() {
-  static const char * const names[12] = {
+  static const char * const names[13] = {
     "NONE",
     "RegisterWorker",
     "RemoveWorker",
@@ -136,13 +142,14 @@
     "ExpireLeases",
     "OpenRequest",
     "CloseRequest",
+    "ChangeConfiguration",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameCommand(Command e) {
-  if (flatbuffers::IsOutRange(e, Command::NONE, Command::CloseRequest)) return "";
+  if (flatbuffers::IsOutRange(e, Command::NONE, Command::ChangeConfiguration)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesCommand()[index];
 }
@@ -191,6 +198,10 @@
   static const Command enum_value = Command::CloseRequest;
 };
 
+template<> struct CommandTraits<paddlepier::wire::ChangeConfiguration> {
+  static const Command enum_value = Command::ChangeConfiguration;
+};
+
 template<typename T> struct CommandUnionTraits {
   static const Command enum_value = Command::NONE;
 };
@@ -235,6 +246,10 @@
   static const Command enum_value = Command::CloseRequest;
 };
 
+template<> struct CommandUnionTraits<paddlepier::wire::ChangeConfigurationT> {
+  static const Command enum_value = Command::ChangeConfiguration;
+};
+
 struct CommandUnion {
   Command type;
   void *value;
@@ -345,6 +360,14 @@
     return type == Command::CloseRequest ?
       reinterpret_cast<const paddlepier::wire::CloseRequestT *>(value) : nullptr;
   }
+  paddlepier::wire::ChangeConfigurationT *AsChangeConfiguration() {
+    return type == Command::ChangeConfiguration ?
+      reinterpret_cast<paddlepier::wire::ChangeConfigurationT *>(value) : nullptr;
+  }
+  const paddlepier::wire::ChangeConfigurationT *AsChangeConfiguration() const {
+    return type == Command::ChangeConfiguration ?
+      reinterpret_cast<const paddlepier::wire::ChangeConfigurationT *>(value) : nullptr;
+  }
 };
 
 bool VerifyCommand(flatbuffers::Verifier &verifier, const void *obj, Command type);
@@ -1612,6 +1635,108 @@
 
 flatbuffers::Offset<CloseRequest> CreateCloseRequest(flatbuffers::FlatBufferBuilder &_fbb, const CloseRequestT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct ChangeConfigurationT : public flatbuffers::NativeTable {
+  typedef ChangeConfiguration TableType;
+  static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
+    return "paddlepier.wire.ChangeConfigurationT";
+  }
+  uint64_t expectedVersion = 0;
+  std::string revision{};
+  std::string text{};
+};
+
+struct ChangeConfiguration FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef ChangeConfigurationT NativeTableType;
+  typedef ChangeConfigurationBuilder Builder;
+  struct Traits;
+  static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
+    return "paddlepier.wire.ChangeConfiguration";
+  }
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_EXPECTEDVERSION = 4,
+    VT_REVISION = 6,
+    VT_TEXT = 8
+  };
+  uint64_t expectedVersion() const {
+    return GetField<uint64_t>(VT_EXPECTEDVERSION, 0);
+  }
+  const flatbuffers::String *revision() const {
+    return GetPointer<const flatbuffers::String *>(VT_REVISION);
+  }
+  const flatbuffers::String *text() const {
+    return GetPointer<const flatbuffers::String *>(VT_TEXT);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_EXPECTEDVERSION, 8) &&
+           VerifyOffset(verifier, VT_REVISION) &&
+           verifier.VerifyString(revision()) &&
+           VerifyOffset(verifier, VT_TEXT) &&
+           verifier.VerifyString(text()) &&
+           verifier.EndTable();
+  }
+  ChangeConfigurationT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(ChangeConfigurationT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<ChangeConfiguration> Pack(flatbuffers::FlatBufferBuilder &_fbb, const ChangeConfigurationT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct ChangeConfigurationBuilder {
+  typedef ChangeConfiguration Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_expectedVersion(uint64_t expectedVersion) {
+    fbb_.AddElement<uint64_t>(ChangeConfiguration::VT_EXPECTEDVERSION, expectedVersion, 0);
+  }
+  void add_revision(flatbuffers::Offset<flatbuffers::String> revision) {
+    fbb_.AddOffset(ChangeConfiguration::VT_REVISION, revision);
+  }
+  void add_text(flatbuffers::Offset<flatbuffers::String> text) {
+    fbb_.AddOffset(ChangeConfiguration::VT_TEXT, text);
+  }
+  explicit ChangeConfigurationBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<ChangeConfiguration> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<ChangeConfiguration>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<ChangeConfiguration> CreateChangeConfiguration(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t expectedVersion = 0,
+    flatbuffers::Offset<flatbuffers::String> revision = 0,
+    flatbuffers::Offset<flatbuffers::String> text = 0) {
+  ChangeConfigurationBuilder builder_(_fbb);
+  builder_.add_expectedVersion(expectedVersion);
+  builder_.add_text(text);
+  builder_.add_revision(revision);
+  return builder_.Finish();
+}
+
+struct ChangeConfiguration::Traits {
+  using type = ChangeConfiguration;
+  static auto constexpr Create = CreateChangeConfiguration;
+};
+
+inline flatbuffers::Offset<ChangeConfiguration> CreateChangeConfigurationDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t expectedVersion = 0,
+    const char *revision = nullptr,
+    const char *text = nullptr) {
+  auto revision__ = revision ? _fbb.CreateString(revision) : 0;
+  auto text__ = text ? _fbb.CreateString(text) : 0;
+  return paddlepier::wire::CreateChangeConfiguration(
+      _fbb,
+      expectedVersion,
+      revision__,
+      text__);
+}
+
+flatbuffers::Offset<ChangeConfiguration> CreateChangeConfiguration(flatbuffers::FlatBufferBuilder &_fbb, const ChangeConfigurationT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct LedgerEntryT : public flatbuffers::NativeTable {
   typedef LedgerEntry TableType;
   static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
@@ -1674,6 +1799,9 @@
   const paddlepier::wire::CloseRequest *command_as_CloseRequest() const {
     return command_type() == paddlepier::wire::Command::CloseRequest ? static_cast<const paddlepier::wire::CloseRequest *>(command()) : nullptr;
   }
+  const paddlepier::wire::ChangeConfiguration *command_as_ChangeConfiguration() const {
+    return command_type() == paddlepier::wire::Command::ChangeConfiguration ? static_cast<const paddlepier::wire::ChangeConfiguration *>(command()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<int64_t>(verifier, VT_ATMICROS, 8) &&
@@ -1727,6 +1855,10 @@
   return command_as_CloseRequest();
 }
 
+template<> inline const paddlepier::wire::ChangeConfiguration *LedgerEntry::command_as<paddlepier::wire::ChangeConfiguration>() const {
+  return command_as_ChangeConfiguration();
+}
+
 struct LedgerEntryBuilder {
   typedef LedgerEntry Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -2351,6 +2483,7 @@
   std::vector<std::unique_ptr<paddlepier::wire::WorkerRecordT>> workers{};
   std::vector<std::unique_ptr<paddlepier::wire::JobRecordT>> jobs{};
   std::vector<std::unique_ptr<paddlepier::wire::RequestRecordT>> requests{};
+  std::unique_ptr<paddlepier::wire::ConfigurationT> configuration{};
   LedgerSnapshotT() = default;
   LedgerSnapshotT(const LedgerSnapshotT &o);
   LedgerSnapshotT(LedgerSnapshotT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -2370,7 +2503,8 @@
     VT_NEXTEPOCH = 8,
     VT_WORKERS = 10,
     VT_JOBS = 12,
-    VT_REQUESTS = 14
+    VT_REQUESTS = 14,
+    VT_CONFIGURATION = 16
   };
   int64_t atMicros() const {
     return GetField<int64_t>(VT_ATMICROS, 0);
@@ -2390,6 +2524,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<paddlepier::wire::RequestRecord>> *requests() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<paddlepier::wire::RequestRecord>> *>(VT_REQUESTS);
   }
+  const paddlepier::wire::Configuration *configuration() const {
+    return GetPointer<const paddlepier::wire::Configuration *>(VT_CONFIGURATION);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<int64_t>(verifier, VT_ATMICROS, 8) &&
@@ -2404,6 +2541,8 @@
            VerifyOffset(verifier, VT_REQUESTS) &&
            verifier.VerifyVector(requests()) &&
            verifier.VerifyVectorOfTables(requests()) &&
+           VerifyOffset(verifier, VT_CONFIGURATION) &&
+           verifier.VerifyTable(configuration()) &&
            verifier.EndTable();
   }
   LedgerSnapshotT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2433,6 +2572,9 @@
   void add_requests(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<paddlepier::wire::RequestRecord>>> requests) {
     fbb_.AddOffset(LedgerSnapshot::VT_REQUESTS, requests);
   }
+  void add_configuration(flatbuffers::Offset<paddlepier::wire::Configuration> configuration) {
+    fbb_.AddOffset(LedgerSnapshot::VT_CONFIGURATION, configuration);
+  }
   explicit LedgerSnapshotBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2451,11 +2593,13 @@
     uint64_t nextEpoch = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<paddlepier::wire::WorkerRecord>>> workers = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<paddlepier::wire::JobRecord>>> jobs = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<paddlepier::wire::RequestRecord>>> requests = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<paddlepier::wire::RequestRecord>>> requests = 0,
+    flatbuffers::Offset<paddlepier::wire::Configuration> configuration = 0) {
   LedgerSnapshotBuilder builder_(_fbb);
   builder_.add_nextEpoch(nextEpoch);
   builder_.add_nextJob(nextJob);
   builder_.add_atMicros(atMicros);
+  builder_.add_configuration(configuration);
   builder_.add_requests(requests);
   builder_.add_jobs(jobs);
   builder_.add_workers(workers);
@@ -2474,7 +2618,8 @@
     uint64_t nextEpoch = 0,
     const std::vector<flatbuffers::Offset<paddlepier::wire::WorkerRecord>> *workers = nullptr,
     const std::vector<flatbuffers::Offset<paddlepier::wire::JobRecord>> *jobs = nullptr,
-    const std::vector<flatbuffers::Offset<paddlepier::wire::RequestRecord>> *requests = nullptr) {
+    const std::vector<flatbuffers::Offset<paddlepier::wire::RequestRecord>> *requests = nullptr,
+    flatbuffers::Offset<paddlepier::wire::Configuration> configuration = 0) {
   auto workers__ = workers ? _fbb.CreateVector<flatbuffers::Offset<paddlepier::wire::WorkerRecord>>(*workers) : 0;
   auto jobs__ = jobs ? _fbb.CreateVector<flatbuffers::Offset<paddlepier::wire::JobRecord>>(*jobs) : 0;
   auto requests__ = requests ? _fbb.CreateVector<flatbuffers::Offset<paddlepier::wire::RequestRecord>>(*requests) : 0;
@@ -2485,7 +2630,8 @@
       nextEpoch,
       workers__,
       jobs__,
-      requests__);
+      requests__,
+      configuration);
 }
 
 flatbuffers::Offset<LedgerSnapshot> CreateLedgerSnapshot(flatbuffers::FlatBufferBuilder &_fbb, const LedgerSnapshotT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -2943,6 +3089,38 @@
       _answer);
 }
 
+inline ChangeConfigurationT *ChangeConfiguration::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<ChangeConfigurationT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void ChangeConfiguration::UnPackTo(ChangeConfigurationT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = expectedVersion(); _o->expectedVersion = _e; }
+  { auto _e = revision(); if (_e) _o->revision = _e->str(); }
+  { auto _e = text(); if (_e) _o->text = _e->str(); }
+}
+
+inline flatbuffers::Offset<ChangeConfiguration> ChangeConfiguration::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ChangeConfigurationT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateChangeConfiguration(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<ChangeConfiguration> CreateChangeConfiguration(flatbuffers::FlatBufferBuilder &_fbb, const ChangeConfigurationT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const ChangeConfigurationT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _expectedVersion = _o->expectedVersion;
+  auto _revision = _o->revision.empty() ? 0 : _fbb.CreateString(_o->revision);
+  auto _text = _o->text.empty() ? 0 : _fbb.CreateString(_o->text);
+  return paddlepier::wire::CreateChangeConfiguration(
+      _fbb,
+      _expectedVersion,
+      _revision,
+      _text);
+}
+
 inline LedgerEntryT *LedgerEntry::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::make_unique<LedgerEntryT>();
   UnPackTo(_o.get(), _resolver);
@@ -3198,7 +3376,8 @@
 inline LedgerSnapshotT::LedgerSnapshotT(const LedgerSnapshotT &o)
       : atMicros(o.atMicros),
         nextJob(o.nextJob),
-        nextEpoch(o.nextEpoch) {
+        nextEpoch(o.nextEpoch),
+        configuration((o.configuration) ? new paddlepier::wire::ConfigurationT(*o.configuration) : nullptr) {
   workers.reserve(o.workers.size());
   for (const auto &workers_ : o.workers) { workers.emplace_back((workers_) ? new paddlepier::wire::WorkerRecordT(*workers_) : nullptr); }
   jobs.reserve(o.jobs.size());
@@ -3214,6 +3393,7 @@
   std::swap(workers, o.workers);
   std::swap(jobs, o.jobs);
   std::swap(requests, o.requests);
+  std::swap(configuration, o.configuration);
   return *this;
 }
 
@@ -3232,6 +3412,7 @@
   { auto _e = workers(); if (_e) { _o->workers.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->workers[_i] = std::unique_ptr<paddlepier::wire::WorkerRecordT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = jobs(); if (_e) { _o->jobs.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->jobs[_i] = std::unique_ptr<paddlepier::wire::JobRecordT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = requests(); if (_e) { _o->requests.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->requests[_i] = std::unique_ptr<paddlepier::wire::RequestRecordT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = configuration(); if (_e) _o->configuration = std::unique_ptr<paddlepier::wire::ConfigurationT>(_e->UnPack(_resolver)); }
 }
 
 inline flatbuffers::Offset<LedgerSnapshot> LedgerSnapshot::Pack(flatbuffers::FlatBufferBuilder &_fbb, const LedgerSnapshotT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -3248,6 +3429,7 @@
   auto _workers = _o->workers.size() ? _fbb.CreateVector<flatbuffers::Offset<paddlepier::wire::WorkerRecord>> (_o->workers.size(), [](size_t i, _VectorArgs *__va) { return CreateWorkerRecord(*__va->__fbb, __va->__o->workers[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _jobs = _o->jobs.size() ? _fbb.CreateVector<flatbuffers::Offset<paddlepier::wire::JobRecord>> (_o->jobs.size(), [](size_t i, _VectorArgs *__va) { return CreateJobRecord(*__va->__fbb, __va->__o->jobs[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _requests = _o->requests.size() ? _fbb.CreateVector<flatbuffers::Offset<paddlepier::wire::RequestRecord>> (_o->requests.size(), [](size_t i, _VectorArgs *__va) { return CreateRequestRecord(*__va->__fbb, __va->__o->requests[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _configuration = _o->configuration ? CreateConfiguration(_fbb, _o->configuration.get(), _rehasher) : 0;
   return paddlepier::wire::CreateLedgerSnapshot(
       _fbb,
       _atMicros,
@@ -3255,7 +3437,8 @@
       _nextEpoch,
       _workers,
       _jobs,
-      _requests);
+      _requests,
+      _configuration);
 }
 
 inline bool VerifyCommand(flatbuffers::Verifier &verifier, const void *obj, Command type) {
@@ -3303,6 +3486,10 @@
       auto ptr = reinterpret_cast<const paddlepier::wire::CloseRequest *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Command::ChangeConfiguration: {
+      auto ptr = reinterpret_cast<const paddlepier::wire::ChangeConfiguration *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
@@ -3362,6 +3549,10 @@
       auto ptr = reinterpret_cast<const paddlepier::wire::CloseRequest *>(obj);
       return ptr->UnPack(resolver);
     }
+    case Command::ChangeConfiguration: {
+      auto ptr = reinterpret_cast<const paddlepier::wire::ChangeConfiguration *>(obj);
+      return ptr->UnPack(resolver);
+    }
     default: return nullptr;
   }
 }
@@ -3409,6 +3600,10 @@
       auto ptr = reinterpret_cast<const paddlepier::wire::CloseRequestT *>(value);
       return CreateCloseRequest(_fbb, ptr, _rehasher).Union();
     }
+    case Command::ChangeConfiguration: {
+      auto ptr = reinterpret_cast<const paddlepier::wire::ChangeConfigurationT *>(value);
+      return CreateChangeConfiguration(_fbb, ptr, _rehasher).Union();
+    }
     default: return 0;
   }
 }
@@ -3455,6 +3650,10 @@
       value = new paddlepier::wire::CloseRequestT(*reinterpret_cast<paddlepier::wire::CloseRequestT *>(u.value));
       break;
     }
+    case Command::ChangeConfiguration: {
+      value = new paddlepier::wire::ChangeConfigurationT(*reinterpret_cast<paddlepier::wire::ChangeConfigurationT *>(u.value));
+      break;
+    }
     default:
       break;
   }
@@ -3512,6 +3711,11 @@
       delete ptr;
       break;
     }
+    case Command::ChangeConfiguration: {
+      auto ptr = reinterpret_cast<paddlepier::wire::ChangeConfigurationT *>(value);
+      delete ptr;
+      break;
+    }
     default: break;
   }
   value = nullptr;
--- a/paddlepier/wire/peer_generated.h
+++ b/paddlepier/wire/peer_generated.h
@@ -74,6 +74,10 @@
 struct JoinReplyBuilder;
 struct JoinReplyT;
 
+struct ConfigurationOffer;
+struct ConfigurationOfferBuilder;
+struct ConfigurationOfferT;
+
 struct CallRequest;
 struct CallRequestBuilder;
 struct CallRequestT;
@@ -240,11 +244,12 @@
   JoinReply = 9,
   CallRequest = 10,
   CallReply = 11,
+  ConfigurationOffer = 12,
   MIN = NONE,
-  MAX = CallReply
+  MAX = ConfigurationOffer
 };
 
-inline const PeerBody (&EnumValuesPeerBody())[12] {
+inline const PeerBody (&EnumValuesPeerBody())[13] {
   static const PeerBody values[] = {
     PeerBody::NONE,
     PeerBody::Hello,
@@ -257,13 +262,14 @@
     PeerBody::JoinRequest,
     PeerBody::JoinReply,
     PeerBody::CallRequest,
-    PeerBody::CallReply
+    PeerBody::CallReply,
+    PeerBody::ConfigurationOffer
   };
   return values;
 }
 
 inline const char * const *EnumNamesPeerBody() {
-  static const char * const names[13] = {
+  static const char * const names[14] = {
     "NONE",
     "Hello",
     "VoteRequest",
@@ -276,13 +282,14 @@
     "JoinReply",
     "CallRequest",
     "CallReply",
+    "ConfigurationOffer",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNamePeerBody(PeerBody e) {
-  if (flatbuffers::IsOutRange(e, PeerBody::NONE, PeerBody::CallReply)) return "";
+  if (flatbuffers::IsOutRange(e, PeerBody::NONE, PeerBody::ConfigurationOffer)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesPeerBody()[index];
 }
@@ -335,6 +342,10 @@
   static const PeerBody enum_value = PeerBody::CallReply;
 };
 
+template<> struct PeerBodyTraits<paddlepier::wire::ConfigurationOffer> {
+  static const PeerBody enum_value = PeerBody::ConfigurationOffer;
+};
+
 template<typename T> struct PeerBodyUnionTraits {
   static const PeerBody enum_value = PeerBody::NONE;
 };
@@ -383,6 +394,10 @@
   static const PeerBody enum_value = PeerBody::CallReply;
 };
 
+template<> struct PeerBodyUnionTraits<paddlepier::wire::ConfigurationOfferT> {
+  static const PeerBody enum_value = PeerBody::ConfigurationOffer;
+};
+
 struct PeerBodyUnion {
   PeerBody type;
   void *value;
@@ -501,6 +516,14 @@
     return type == PeerBody::CallReply ?
       reinterpret_cast<const paddlepier::wire::CallReplyT *>(value) : nullptr;
   }
+  paddlepier::wire::ConfigurationOfferT *AsConfigurationOffer() {
+    return type == PeerBody::ConfigurationOffer ?
+      reinterpret_cast<paddlepier::wire::ConfigurationOfferT *>(value) : nullptr;
+  }
+  const paddlepier::wire::ConfigurationOfferT *AsConfigurationOffer() const {
+    return type == PeerBody::ConfigurationOffer ?
+      reinterpret_cast<const paddlepier::wire::ConfigurationOfferT *>(value) : nullptr;
+  }
 };
 
 bool VerifyPeerBody(flatbuffers::Verifier &verifier, const void *obj, PeerBody type);
@@ -1987,6 +2010,109 @@
 
 flatbuffers::Offset<JoinReply> CreateJoinReply(flatbuffers::FlatBufferBuilder &_fbb, const JoinReplyT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct ConfigurationOfferT : public flatbuffers::NativeTable {
+  typedef ConfigurationOffer TableType;
+  static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
+    return "paddlepier.wire.ConfigurationOfferT";
+  }
+  uint64_t version = 0;
+  std::string revision{};
+  std::string text{};
+};
+
+/// The newest configuration that the sender has in force; without text if the receiver only needs the version.
+struct ConfigurationOffer FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef ConfigurationOfferT NativeTableType;
+  typedef ConfigurationOfferBuilder Builder;
+  struct Traits;
+  static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
+    return "paddlepier.wire.ConfigurationOffer";
+  }
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_VERSION = 4,
+    VT_REVISION = 6,
+    VT_TEXT = 8
+  };
+  uint64_t version() const {
+    return GetField<uint64_t>(VT_VERSION, 0);
+  }
+  const flatbuffers::String *revision() const {
+    return GetPointer<const flatbuffers::String *>(VT_REVISION);
+  }
+  const flatbuffers::String *text() const {
+    return GetPointer<const flatbuffers::String *>(VT_TEXT);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_VERSION, 8) &&
+           VerifyOffset(verifier, VT_REVISION) &&
+           verifier.VerifyString(revision()) &&
+           VerifyOffset(verifier, VT_TEXT) &&
+           verifier.VerifyString(text()) &&
+           verifier.EndTable();
+  }
+  ConfigurationOfferT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(ConfigurationOfferT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<ConfigurationOffer> Pack(flatbuffers::FlatBufferBuilder &_fbb, const ConfigurationOfferT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct ConfigurationOfferBuilder {
+  typedef ConfigurationOffer Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_version(uint64_t version) {
+    fbb_.AddElement<uint64_t>(ConfigurationOffer::VT_VERSION, version, 0);
+  }
+  void add_revision(flatbuffers::Offset<flatbuffers::String> revision) {
+    fbb_.AddOffset(ConfigurationOffer::VT_REVISION, revision);
+  }
+  void add_text(flatbuffers::Offset<flatbuffers::String> text) {
+    fbb_.AddOffset(ConfigurationOffer::VT_TEXT, text);
+  }
+  explicit ConfigurationOfferBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<ConfigurationOffer> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<ConfigurationOffer>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<ConfigurationOffer> CreateConfigurationOffer(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t version = 0,
+    flatbuffers::Offset<flatbuffers::String> revision = 0,
+    flatbuffers::Offset<flatbuffers::String> text = 0) {
+  ConfigurationOfferBuilder builder_(_fbb);
+  builder_.add_version(version);
+  builder_.add_text(text);
+  builder_.add_revision(revision);
+  return builder_.Finish();
+}
+
+struct ConfigurationOffer::Traits {
+  using type = ConfigurationOffer;
+  static auto constexpr Create = CreateConfigurationOffer;
+};
+
+inline flatbuffers::Offset<ConfigurationOffer> CreateConfigurationOfferDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t version = 0,
+    const char *revision = nullptr,
+    const char *text = nullptr) {
+  auto revision__ = revision ? _fbb.CreateString(revision) : 0;
+  auto text__ = text ? _fbb.CreateString(text) : 0;
+  return paddlepier::wire::CreateConfigurationOffer(
+      _fbb,
+      version,
+      revision__,
+      text__);
+}
+
+flatbuffers::Offset<ConfigurationOffer> CreateConfigurationOffer(flatbuffers::FlatBufferBuilder &_fbb, const ConfigurationOfferT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct CallRequestT : public flatbuffers::NativeTable {
   typedef CallRequest TableType;
   static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
@@ -2327,6 +2453,9 @@
   const paddlepier::wire::CallReply *body_as_CallReply() const {
     return body_type() == paddlepier::wire::PeerBody::CallReply ? static_cast<const paddlepier::wire::CallReply *>(body()) : nullptr;
   }
+  const paddlepier::wire::ConfigurationOffer *body_as_ConfigurationOffer() const {
+    return body_type() == paddlepier::wire::PeerBody::ConfigurationOffer ? static_cast<const paddlepier::wire::ConfigurationOffer *>(body()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_GROUP) &&
@@ -2391,6 +2520,10 @@
   return body_as_CallReply();
 }
 
+template<> inline const paddlepier::wire::ConfigurationOffer *PeerFrame::body_as<paddlepier::wire::ConfigurationOffer>() const {
+  return body_as_ConfigurationOffer();
+}
+
 struct PeerFrameBuilder {
   typedef PeerFrame Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -2983,6 +3116,38 @@
       _formed);
 }
 
+inline ConfigurationOfferT *ConfigurationOffer::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<ConfigurationOfferT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void ConfigurationOffer::UnPackTo(ConfigurationOfferT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = version(); _o->version = _e; }
+  { auto _e = revision(); if (_e) _o->revision = _e->str(); }
+  { auto _e = text(); if (_e) _o->text = _e->str(); }
+}
+
+inline flatbuffers::Offset<ConfigurationOffer> ConfigurationOffer::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ConfigurationOfferT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateConfigurationOffer(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<ConfigurationOffer> CreateConfigurationOffer(flatbuffers::FlatBufferBuilder &_fbb, const ConfigurationOfferT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const ConfigurationOfferT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _version = _o->version;
+  auto _revision = _o->revision.empty() ? 0 : _fbb.CreateString(_o->revision);
+  auto _text = _o->text.empty() ? 0 : _fbb.CreateString(_o->text);
+  return paddlepier::wire::CreateConfigurationOffer(
+      _fbb,
+      _version,
+      _revision,
+      _text);
+}
+
 inline CallRequestT *CallRequest::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::make_unique<CallRequestT>();
   UnPackTo(_o.get(), _resolver);
@@ -3241,6 +3406,10 @@
       auto ptr = reinterpret_cast<const paddlepier::wire::CallReply *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case PeerBody::ConfigurationOffer: {
+      auto ptr = reinterpret_cast<const paddlepier::wire::ConfigurationOffer *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
@@ -3304,6 +3473,10 @@
       auto ptr = reinterpret_cast<const paddlepier::wire::CallReply *>(obj);
       return ptr->UnPack(resolver);
     }
+    case PeerBody::ConfigurationOffer: {
+      auto ptr = reinterpret_cast<const paddlepier::wire::ConfigurationOffer *>(obj);
+      return ptr->UnPack(resolver);
+    }
     default: return nullptr;
   }
 }
@@ -3355,6 +3528,10 @@
       auto ptr = reinterpret_cast<const paddlepier::wire::CallReplyT *>(value);
       return CreateCallReply(_fbb, ptr, _rehasher).Union();
     }
+    case PeerBody::ConfigurationOffer: {
+      auto ptr = reinterpret_cast<const paddlepier::wire::ConfigurationOfferT *>(value);
+      return CreateConfigurationOffer(_fbb, ptr, _rehasher).Union();
+    }
     default: return 0;
   }
 }
@@ -3405,6 +3582,10 @@
       value = new paddlepier::wire::CallReplyT(*reinterpret_cast<paddlepier::wire::CallReplyT *>(u.value));
       break;
     }
+    case PeerBody::ConfigurationOffer: {
+      value = new paddlepier::wire::ConfigurationOfferT(*reinterpret_cast<paddlepier::wire::ConfigurationOfferT *>(u.value));
+      break;
+    }
     default:
       break;
   }
@@ -3467,6 +3648,11 @@
       delete ptr;
       break;
     }
+    case PeerBody::ConfigurationOffer: {
+      auto ptr = reinterpret_cast<paddlepier::wire::ConfigurationOfferT *>(value);
+      delete ptr;
+      break;
+    }
     default: break;
   }
   value = nullptr;
--- a/testing/harness.cpp
+++ b/testing/harness.cpp
@@ -171,6 +171,7 @@
     for (const LedgerSpec &ledger : this->ledgerSpecs) {
         file << "[[ledgers]]\ndataCentre = \"" << ledger.dataCentre << "\"\nreplicas = [\"" << absl::StrJoin(ledger.replicas, "\", \"") << "\"]\n";
     }
+    file << "[[tokens]]\ntoken = \"" << administratorToken() << "\"\npartner = \"" << entry.partner << "\"\nrole = \"administrator\"\n";
     for (const std::string &partner : partners) {
         file << "[[tokens]]\ntoken = \"" << operatorToken(partner) << "\"\npartner = \"" << partner << "\"\nrole = \"operator\"\n";
         file << "[[tokens]]\ntoken = \"" << viewerToken(partner) << "\"\npartner = \"" << partner << "\"\nrole = \"viewer\"\n";
@@ -314,6 +315,26 @@
     return answer.body;
 }
 
+std::string Cell::administratorToken()
+{
+    return "administrator-of-the-cell";
+}
+
+wire::ChangeReplyT Cell::change(const std::string &id, std::uint64_t expectedVersion, const std::string &text, const std::string &revision) const
+{
+    wire::ChangeRequestT request;
+    request.expectedVersion = expectedVersion;
+    request.text = text;
+    request.revision = revision;
+    return wire::unpack<wire::ChangeReplyT>(this->callBytes(id, rpc::Method::Change, wire::pack(request), administratorToken()));
+}
+
+wire::ConfigurationStatusReplyT Cell::configuration(const std::string &id) const
+{
+    const std::string request = wire::pack(wire::ConfigurationStatusRequestT());
+    return wire::unpack<wire::ConfigurationStatusReplyT>(this->callBytes(id, rpc::Method::ShowStatus, request, administratorToken()));
+}
+
 std::string Cell::submit(const std::string &id, const std::string &partner, const wire::JobSpecT &spec, const std::string &submissionId) const
 {
     wire::SubmitRequestT request;
--- a/testing/harness.h
+++ b/testing/harness.h
@@ -123,6 +123,11 @@
     static std::string operatorToken(const std::string &partner);
     static std::string viewerToken(const std::string &partner);
     static std::string workerToken(const std::string &partner);
+    static std::string administratorToken();
+
+    /** Changes the configuration. @throws Error as answered */
+    wire::ChangeReplyT change(const std::string &id, std::uint64_t expectedVersion, const std::string &text, const std::string &revision) const;
+    wire::ConfigurationStatusReplyT configuration(const std::string &id) const;
 
 private:
     std::string callBytes(const std::string &id, rpc::Method method, const std::string &request, const std::string &token) const;
