Start tasks within milliseconds of their placement

Cause: jobs waited 1.5 s (p50) from submission to the first reported start: a worker heard of a placement at its next announcement, and told of the start at the one after. Ruled out: placement and commit, 3 to 17 ms together; a shorter interval, which costs announcements all the time. Change: the leader may hold a reply back until it has something to tell, at most a second; a worker with news gives a held announcement up. The reply is made anew from the state at that time, under the same fences; the fuzzing of the cell holds replies too. The end-to-end test of quick requests now waits until each of its three entries has shares.

--- a/paddlepier/instance/callrouter.cpp
+++ b/paddlepier/instance/callrouter.cpp
@@ -77,7 +77,7 @@
 {
     Pending &pending = this->pendings.at(id);
     pending.target = this->chooseTarget(pending);
-    pending.nextTry = now + answerPatience;
+    pending.nextTry = now + (pending.method == rpc::Method::Announce ? this->settings.timing.announceInterval + answerPatience : answerPatience);
     if (pending.target == this->settings.id) {
         const auto local = this->locals.find(pending.dataCentre);
         const std::string body = pending.body;
--- a/paddlepier/instance/ledgerservice.cpp
+++ b/paddlepier/instance/ledgerservice.cpp
@@ -41,6 +41,12 @@
     done(CallResult::success(wire::pack(reply)));
 }
 
+/** True if a worker has something to do on this reply. */
+bool hasNews(const wire::AnnounceRequestT &request, const wire::AnnounceReplyT &reply)
+{
+    return !reply.started.empty() || !reply.recorded.empty() || reply.renewed.size() != request.running.size() || !request.finished.empty();
+}
+
 std::string reasonText(wire::WaitReason reason)
 {
     switch (reason) {
@@ -403,11 +409,58 @@
     if (!request.address.empty() && !Endpoint::parse(request.address)) {
         throw InvalidArgumentError(absl::StrCat("address \"", request.address, "\" is not a numeric IP address with a port"));
     }
-    ledger::AnnouncementResult result = this->ensureTerm().leases.announce(now, request, this->node.state());
+    Term &current = this->ensureTerm();
+    ledger::AnnouncementResult result = current.leases.announce(now, request, this->node.state());
     this->proposeAll(std::move(result.commands));
+    const auto older = current.held.find(request.worker);
+    if (older != current.held.end()) {
+        // The worker has given its earlier announcement up, or it wouldn't send another one.
+        older->second.done(CallResult::failure(ErrorCode::StaleAnnouncement, "a later announcement came"));
+        current.held.erase(older);
+    }
+    if (request.waitMillis > 0 && !hasNews(request, result.reply)) {
+        const Duration wait = std::min(absl::Milliseconds(request.waitMillis), this->settings.timing.announceInterval);
+        current.held[request.worker] = {request, done, now + wait};
+        return;
+    }
     succeed(done, result.reply);
 }
 
+void LedgerService::answerHeldOf(const std::string &worker)
+{
+    Term &current = *this->term;
+    const auto found = current.held.find(worker);
+    if (found == current.held.end()) {
+        return;
+    }
+    const std::optional<wire::AnnounceReplyT> reply = current.leases.replyNow(found->second.request, this->node.state());
+    if (reply && hasNews(found->second.request, *reply)) {
+        succeed(found->second.done, *reply);
+        current.held.erase(found);
+    }
+}
+
+void LedgerService::answerHeld(Timestamp now, const std::vector<std::string> &changedWorkers)
+{
+    for (const std::string &worker : changedWorkers) {
+        this->answerHeldOf(worker);
+    }
+    std::map<std::string, HeldAnnouncement> &held = this->term->held;
+    for (auto entry = held.begin(); entry != held.end();) {
+        if (now < entry->second.until) {
+            ++entry;
+            continue;
+        }
+        const std::optional<wire::AnnounceReplyT> reply = this->term->leases.replyNow(entry->second.request, this->node.state());
+        if (reply) {
+            succeed(entry->second.done, *reply);
+        } else {
+            entry->second.done(CallResult::failure(ErrorCode::StaleAnnouncement, "a later announcement came"));
+        }
+        entry = held.erase(entry);
+    }
+}
+
 void LedgerService::dealShares(Timestamp now, const wire::SharesRequestT &request, const CallDone &done)
 {
     Term &current = this->ensureTerm();
@@ -568,7 +621,7 @@
 void LedgerService::place(Timestamp now)
 {
     Term &current = *this->term;
-    current.scheduler.refresh(this->node.state());
+    this->answerHeld(now, current.scheduler.refresh(this->node.state()));
     if (current.placementUnderWay) {
         return;
     }
--- a/paddlepier/instance/ledgerservice.h
+++ b/paddlepier/instance/ledgerservice.h
@@ -42,6 +42,13 @@
     void tick(Timestamp now);
 
 private:
+    /** An announcement whose reply waits for something to tell. */
+    struct HeldAnnouncement {
+        wire::AnnounceRequestT request;
+        CallDone done;
+        Timestamp until;
+    };
+
     /** What a leader keeps besides the ledger. */
     struct Term {
         Term(const Settings &settings, LedgerNode &node, std::map<std::string, std::vector<std::string>> entries);
@@ -54,6 +61,7 @@
         /** Workers that an earlier leader may have dealt shares of. */
         absl::flat_hash_set<std::string> inherited;
         Timestamp nextExpiry = absl::InfinitePast();
+        std::map<std::string, HeldAnnouncement> held;
         /** Versions in force by instance, as last heard. */
         std::map<std::string, std::pair<std::uint64_t, Timestamp>> versions;
     };
@@ -81,6 +89,8 @@
     wire::JobSummaryT summarize(const ledger::Job &job) const;
     std::string jobName(std::uint64_t id) const;
     void place(Timestamp now);
+    void answerHeld(Timestamp now, const std::vector<std::string> &changedWorkers);
+    void answerHeldOf(const std::string &worker);
     void proposeAll(std::vector<wire::CommandUnion> commands);
 
     const Settings &settings;
--- a/paddlepier/ledger/leasetable.cpp
+++ b/paddlepier/ledger/leasetable.cpp
@@ -20,6 +20,9 @@
 /** Added to a lease on the leader's clock, for the granularity of timers. */
 constexpr Duration timerMargin = absl::Milliseconds(50);
 
+/** A worker whose announcement may be held back needs no pause but for a burst of events. */
+constexpr Duration pauseAfterHeldReply = absl::Milliseconds(20);
+
 /** A worker without tasks is forgotten after this many lease times of silence. */
 constexpr int forgetAfterLeases = 6;
 
@@ -97,6 +100,29 @@
     return this->ownTerm;
 }
 
+wire::AnnounceReplyT LeaseTable::emptyReply(const wire::AnnounceRequestT &request) const
+{
+    wire::AnnounceReplyT reply;
+    reply.sequence = request.sequence;
+    reply.term = this->ownTerm;
+    reply.leaseMillis = static_cast<std::uint32_t>(absl::ToInt64Milliseconds(this->timing.taskLease));
+    const Duration next = request.waitMillis > 0 ? pauseAfterHeldReply : this->timing.announceInterval;
+    reply.nextAnnounceMillis = static_cast<std::uint32_t>(absl::ToInt64Milliseconds(next));
+    return reply;
+}
+
+std::optional<wire::AnnounceReplyT> LeaseTable::replyNow(const wire::AnnounceRequestT &request, const Ledger &ledger)
+{
+    const auto contact = this->contacts.find(request.worker);
+    const Worker *worker = ledger.findWorker(request.worker);
+    if (contact == this->contacts.end() || contact->second.sequence != request.sequence || worker == nullptr) {
+        return std::nullopt;
+    }
+    wire::AnnounceReplyT reply = this->emptyReply(request);
+    this->grant(*worker, request, ledger, contact->second, reply);
+    return reply;
+}
+
 AnnouncementResult LeaseTable::announce(Timestamp now, const wire::AnnounceRequestT &request, const Ledger &ledger)
 {
     Contact &contact = this->contacts[request.worker];
@@ -110,10 +136,7 @@
     contact.expiryProposed = false;
 
     AnnouncementResult result;
-    result.reply.sequence = request.sequence;
-    result.reply.term = this->ownTerm;
-    result.reply.leaseMillis = static_cast<std::uint32_t>(absl::ToInt64Milliseconds(this->timing.taskLease));
-    result.reply.nextAnnounceMillis = static_cast<std::uint32_t>(absl::ToInt64Milliseconds(this->timing.announceInterval));
+    result.reply = this->emptyReply(request);
     const wire::RegisterWorkerT registration = registrationOf(request);
     const Worker *known = ledger.findWorker(request.worker);
     if (known == nullptr || differs(known->registration(), registration)) {
--- a/paddlepier/ledger/leasetable.h
+++ b/paddlepier/ledger/leasetable.h
@@ -70,6 +70,9 @@
      */
     AnnouncementResult announce(Timestamp now, const wire::AnnounceRequestT &request, const Ledger &ledger);
 
+    /** The reply to the newest announcement as it would be now; nothing if @p request isn't the newest any more. */
+    std::optional<wire::AnnounceReplyT> replyNow(const wire::AnnounceRequestT &request, const Ledger &ledger);
+
     /** Commands for workers whose leases have run out, each given once, and for workers gone for long. */
     std::vector<wire::CommandUnion> expire(Timestamp now, const Ledger &ledger);
 
@@ -102,6 +105,7 @@
     };
 
     Duration leaseHere() const;
+    wire::AnnounceReplyT emptyReply(const wire::AnnounceRequestT &request) const;
     void reportFinished(const wire::AnnounceRequestT &request, const Ledger &ledger, AnnouncementResult &result, wire::ReportTasksT &report) const;
     void compareTasks(const wire::AnnounceRequestT &request, const Ledger &ledger, const Contact &contact, wire::ReportTasksT &report) const;
     bool wasNeverOffered(const wire::TaskRecordT &task, const Contact &contact) const;
--- a/paddlepier/ledger/ledger.cpp
+++ b/paddlepier/ledger/ledger.cpp
@@ -170,6 +170,7 @@
     if (!worker.isDraining()) {
         return;
     }
+    this->noteWorker(worker.name());
     for (const TaskId &task : worker.tasks()) {
         Job &job = this->jobById.at(task.job);
         if (job.spec().kind == wire::JobKind::Service) {
@@ -217,6 +218,11 @@
     applied.alreadyKnown = found->second.hasEnded();
     const std::int64_t at = this->appliedMicros;
     this->changeJob(found->second, [at](Job &job) { job.cancel(at); });
+    for (const wire::TaskRecordT &task : found->second.tasks()) {
+        if (isActive(task.state)) {
+            this->noteWorker(task.worker);
+        }
+    }
     return applied;
 }
 
--- a/paddlepier/scheduling/cell_test.cpp
+++ b/paddlepier/scheduling/cell_test.cpp
@@ -123,6 +123,7 @@
         }
         this->proposals.clear();
         this->placementUnderWay = false;
+        this->held.clear();
         this->leases = std::make_unique<ledger::LeaseTable>(this->timing, this->term, this->state.upcomingEpoch(), this->now, this->guards);
         this->scheduler.rebuild(this->state);
         if (this->chance(3) == 0) {
@@ -236,6 +237,7 @@
             this->now += stepTime;
             this->applyProposals();
             this->takeAnnouncements();
+            this->answerHeld();
             this->lead();
             for (std::size_t index = 0; index < this->workers.size(); ++index) {
                 this->work(index);
@@ -269,7 +271,10 @@
                     this->proposals.push_back({this->now + this->commitDelay(), std::move(command), false});
                     this->orderProposals();
                 }
-                if (this->chance(6) > 0) {
+                if (this->chance(3) == 0) {
+                    // Held back, and answered from a later state.
+                    this->held.push_back({this->now + absl::Milliseconds(20 * this->chance(15)), announcement.worker, announcement.request});
+                } else if (this->chance(6) > 0) {
                     this->replies.push_back({this->now + this->delay(), announcement.worker, announcement.request.clockMicros, std::move(result.reply)});
                 }
             } catch (const StaleAnnouncementError &) {
@@ -278,6 +283,22 @@
         }
     }
 
+    void answerHeld()
+    {
+        for (std::size_t index = 0; index < this->held.size();) {
+            if (this->held[index].due > this->now) {
+                ++index;
+                continue;
+            }
+            const Announcement announcement = std::move(this->held[index]);
+            this->held.erase(this->held.begin() + static_cast<std::ptrdiff_t>(index));
+            std::optional<wire::AnnounceReplyT> reply = this->leases->replyNow(announcement.request, this->state);
+            if (reply) {
+                this->replies.push_back({this->now + this->delay(), announcement.worker, announcement.request.clockMicros, std::move(*reply)});
+            }
+        }
+    }
+
     void orderProposals()
     {
         Proposal &last = this->proposals.back();
@@ -482,6 +503,7 @@
     bool placementUnderWay = false;
     std::vector<FakeWorker> workers;
     std::vector<Announcement> announcements;
+    std::vector<Announcement> held;
     std::vector<Reply> replies;
     std::map<TaskKey, std::size_t> starts;
     std::uint64_t nextSubmission = 1;
--- a/paddlepier/scheduling/scheduler.cpp
+++ b/paddlepier/scheduling/scheduler.cpp
@@ -114,14 +114,16 @@
     return ledger::dominantShare(after, capacity) > quota->second;
 }
 
-void Scheduler::refresh(ledger::Ledger &ledger)
+std::vector<std::string> Scheduler::refresh(ledger::Ledger &ledger)
 {
-    for (const std::string &name : ledger.takeChangedWorkers()) {
+    std::vector<std::string> workers = ledger.takeChangedWorkers();
+    for (const std::string &name : workers) {
         this->updateWorker(ledger, name);
     }
     for (const std::uint64_t id : ledger.takeChangedJobs()) {
         this->updateJob(ledger, id);
     }
+    return workers;
 }
 
 void Scheduler::updateWorker(const ledger::Ledger &ledger, const std::string &name)
--- a/paddlepier/scheduling/scheduler.h
+++ b/paddlepier/scheduling/scheduler.h
@@ -49,8 +49,8 @@
     /** Takes over the whole ledger; no worker counts as reachable yet. */
     void rebuild(ledger::Ledger &ledger);
 
-    /** Takes over what changed in the ledger. */
-    void refresh(ledger::Ledger &ledger);
+    /** Takes over what changed in the ledger. @return the workers that changed */
+    std::vector<std::string> refresh(ledger::Ledger &ledger);
 
     /** Sets which workers may get new tasks; call it when reachability may have changed. */
     void setReachable(const ledger::Ledger &ledger, const Reachable &isReachable);
--- a/paddlepier/wire/api_generated.h
+++ b/paddlepier/wire/api_generated.h
@@ -2754,6 +2754,7 @@
   bool draining = false;
   uint64_t term = 0;
   uint64_t replySequence = 0;
+  uint32_t waitMillis = 0;
   std::vector<paddlepier::wire::TaskLease> running{};
   std::vector<std::unique_ptr<paddlepier::wire::FinishedAttemptT>> finished{};
   paddlepier::wire::Resources usage{};
@@ -2785,9 +2786,10 @@
     VT_DRAINING = 24,
     VT_TERM = 26,
     VT_REPLYSEQUENCE = 28,
-    VT_RUNNING = 30,
-    VT_FINISHED = 32,
-    VT_USAGE = 34
+    VT_WAITMILLIS = 30,
+    VT_RUNNING = 32,
+    VT_FINISHED = 34,
+    VT_USAGE = 36
   };
   const flatbuffers::String *worker() const {
     return GetPointer<const flatbuffers::String *>(VT_WORKER);
@@ -2833,6 +2835,10 @@
   uint64_t replySequence() const {
     return GetField<uint64_t>(VT_REPLYSEQUENCE, 0);
   }
+  /// The reply may be held back for so long while there is nothing to tell; 0 for an answer at once.
+  uint32_t waitMillis() const {
+    return GetField<uint32_t>(VT_WAITMILLIS, 0);
+  }
   const flatbuffers::Vector<const paddlepier::wire::TaskLease *> *running() const {
     return GetPointer<const flatbuffers::Vector<const paddlepier::wire::TaskLease *> *>(VT_RUNNING);
   }
@@ -2862,6 +2868,7 @@
            VerifyField<uint8_t>(verifier, VT_DRAINING, 1) &&
            VerifyField<uint64_t>(verifier, VT_TERM, 8) &&
            VerifyField<uint64_t>(verifier, VT_REPLYSEQUENCE, 8) &&
+           VerifyField<uint32_t>(verifier, VT_WAITMILLIS, 4) &&
            VerifyOffset(verifier, VT_RUNNING) &&
            verifier.VerifyVector(running()) &&
            VerifyOffset(verifier, VT_FINISHED) &&
@@ -2918,6 +2925,9 @@
   void add_replySequence(uint64_t replySequence) {
     fbb_.AddElement<uint64_t>(AnnounceRequest::VT_REPLYSEQUENCE, replySequence, 0);
   }
+  void add_waitMillis(uint32_t waitMillis) {
+    fbb_.AddElement<uint32_t>(AnnounceRequest::VT_WAITMILLIS, waitMillis, 0);
+  }
   void add_running(flatbuffers::Offset<flatbuffers::Vector<const paddlepier::wire::TaskLease *>> running) {
     fbb_.AddOffset(AnnounceRequest::VT_RUNNING, running);
   }
@@ -2956,6 +2966,7 @@
     bool draining = false,
     uint64_t term = 0,
     uint64_t replySequence = 0,
+    uint32_t waitMillis = 0,
     flatbuffers::Offset<flatbuffers::Vector<const paddlepier::wire::TaskLease *>> running = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<paddlepier::wire::FinishedAttempt>>> finished = 0,
     const paddlepier::wire::Resources *usage = nullptr) {
@@ -2967,6 +2978,7 @@
   builder_.add_usage(usage);
   builder_.add_finished(finished);
   builder_.add_running(running);
+  builder_.add_waitMillis(waitMillis);
   builder_.add_connections(connections);
   builder_.add_slots(slots);
   builder_.add_capacity(capacity);
@@ -2999,6 +3011,7 @@
     bool draining = false,
     uint64_t term = 0,
     uint64_t replySequence = 0,
+    uint32_t waitMillis = 0,
     const std::vector<paddlepier::wire::TaskLease> *running = nullptr,
     const std::vector<flatbuffers::Offset<paddlepier::wire::FinishedAttempt>> *finished = nullptr,
     const paddlepier::wire::Resources *usage = nullptr) {
@@ -3024,6 +3037,7 @@
       draining,
       term,
       replySequence,
+      waitMillis,
       running__,
       finished__,
       usage);
@@ -5883,6 +5897,7 @@
         draining(o.draining),
         term(o.term),
         replySequence(o.replySequence),
+        waitMillis(o.waitMillis),
         running(o.running),
         usage(o.usage) {
   finished.reserve(o.finished.size());
@@ -5903,6 +5918,7 @@
   std::swap(draining, o.draining);
   std::swap(term, o.term);
   std::swap(replySequence, o.replySequence);
+  std::swap(waitMillis, o.waitMillis);
   std::swap(running, o.running);
   std::swap(finished, o.finished);
   std::swap(usage, o.usage);
@@ -5931,6 +5947,7 @@
   { auto _e = draining(); _o->draining = _e; }
   { auto _e = term(); _o->term = _e; }
   { auto _e = replySequence(); _o->replySequence = _e; }
+  { auto _e = waitMillis(); _o->waitMillis = _e; }
   { auto _e = running(); if (_e) { _o->running.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->running[_i] = *_e->Get(_i); } } }
   { auto _e = finished(); if (_e) { _o->finished.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->finished[_i] = std::unique_ptr<paddlepier::wire::FinishedAttemptT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = usage(); if (_e) _o->usage = *_e; }
@@ -5957,6 +5974,7 @@
   auto _draining = _o->draining;
   auto _term = _o->term;
   auto _replySequence = _o->replySequence;
+  auto _waitMillis = _o->waitMillis;
   auto _running = _o->running.size() ? _fbb.CreateVectorOfStructs(_o->running) : 0;
   auto _finished = _o->finished.size() ? _fbb.CreateVector<flatbuffers::Offset<paddlepier::wire::FinishedAttempt>> (_o->finished.size(), [](size_t i, _VectorArgs *__va) { return CreateFinishedAttempt(*__va->__fbb, __va->__o->finished[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _usage = &_o->usage;
@@ -5975,6 +5993,7 @@
       _draining,
       _term,
       _replySequence,
+      _waitMillis,
       _running,
       _finished,
       _usage);
--- a/testing/endtoend_test.cpp
+++ b/testing/endtoend_test.cpp
@@ -164,8 +164,9 @@
 TEST_CASE_METHOD(CellFixture, "quick_throughAnyEntry_givesOwnWholeAnswer", "[e2e]")
 {
     this->startDataCentre(3);
-    REQUIRE(this->waitServing("a1"));
-    REQUIRE(this->waitServing("a3"));
+    for (const char *id : {"a1", "a2", "a3"}) {
+        REQUIRE(this->waitServing(id)); // An entry that was just started has no shares yet.
+    }
     const CallerResult result = this->send({"a1", "a2", "a3"}, 600, "/v1/quick/reading?hydrant={n}&delay=2", {}, 12);
     REQUIRE(result.count("completed") == 600);
     REQUIRE(result.wrongAnswers == 0);
--- a/testing/worker.cpp
+++ b/testing/worker.cpp
@@ -2,7 +2,6 @@
 
 #include "testing/worker.h"
 
-#include "paddlepier/http/httpclient.h"
 #include "paddlepier/instance/quickheaders.h"
 #include "paddlepier/wire/codec.h"
 
@@ -26,6 +25,7 @@
 {
 
 constexpr Duration announceTimeout = absl::Seconds(2);
+constexpr std::uint32_t waitMillis = 1000;
 constexpr Duration retryPause = absl::Milliseconds(200);
 constexpr Duration stallTime = absl::Seconds(30);
 
@@ -118,18 +118,20 @@
 void StandinWorker::run()
 {
     const Timestamp start = controlNow();
-    Timestamp next = start;
     while (!this->stopping) {
         const Timestamp now = controlNow();
-        if (now - start >= this->options.drainAfter) {
+        if (now - start >= this->options.drainAfter && !this->draining) {
             this->drain();
+            this->hasNews = true;
         }
         this->endDueTasks();
-        if (now >= next) {
+        const bool isLate = this->underWay && now >= this->giveUpAt;
+        const bool isDue = !this->underWay && now >= this->nextAnnouncement;
+        if (isLate || isDue || (this->hasNews && now >= this->nextAnnouncement)) {
+            this->nextEntry += isLate ? 1 : 0;
             this->announce();
-            next = now + this->interval;
         }
-        absl::SleepFor(absl::Milliseconds(5));
+        this->pool.run(absl::Milliseconds(5));
     }
 }
 
@@ -149,6 +151,7 @@
     request.draining = this->draining;
     request.term = this->term;
     request.replySequence = this->replySequence;
+    request.waitMillis = waitMillis;
     const absl::MutexLock lock(&this->mutex);
     for (const auto &[key, task] : this->running) {
         request.running.push_back(toLease(key, task.epoch));
@@ -162,21 +165,35 @@
 void StandinWorker::announce()
 {
     const wire::AnnounceRequestT request = this->describe();
+    this->hasNews = false;
+    this->underWay = true;
+    this->giveUpAt = controlNow() + announceTimeout;
+    this->nextAnnouncement = controlNow() + absl::Milliseconds(20);
     http::OutgoingRequest outgoing;
     outgoing.url = absl::StrCat("http://", this->options.entries[this->nextEntry % this->options.entries.size()], "/v1/WorkerService/Announce");
     outgoing.headers = {{"Content-Type", "application/x-flatbuffers"}, {"Authorization", absl::StrCat("Bearer ", this->options.token)}};
     outgoing.body = wire::pack(request);
     outgoing.timeout = announceTimeout;
-    const http::TransferResult result = http::fetch(outgoing);
+    const std::uint64_t announced = request.sequence;
+    const std::int64_t sentClock = request.clockMicros;
+    this->pool.start(std::move(outgoing), [this, announced, sentClock](const http::TransferResult &result) { this->takeAnswer(announced, sentClock, result); });
+}
+
+void StandinWorker::takeAnswer(std::uint64_t announced, std::int64_t sentClock, const http::TransferResult &result)
+{
+    if (announced != this->sequence) {
+        return; // Given up: a later announcement is under way.
+    }
+    this->underWay = false;
     if (!result.whole || result.answer.status != 200) {
         ++this->nextEntry;
-        this->interval = retryPause;
+        this->nextAnnouncement = controlNow() + retryPause;
         return;
     }
     const auto reply = wire::unpack<wire::AnnounceReplyT>(result.answer.body);
     if (reply.term >= this->term && reply.sequence == this->sequence) {
-        this->interval = absl::Milliseconds(reply.nextAnnounceMillis);
-        this->takeReply(reply, request.clockMicros);
+        this->nextAnnouncement = controlNow() + absl::Milliseconds(reply.nextAnnounceMillis);
+        this->takeReply(reply, sentClock);
     }
 }
 
@@ -205,6 +222,7 @@
     }
     for (const TaskKey &key : stopped) {
         this->stopTask(key);
+        this->hasNews = true;
     }
     for (const auto &assignment : reply.started) {
         this->startTask(*assignment);
@@ -227,6 +245,7 @@
         if (!this->running.emplace(key, task).second) {
             return;
         }
+        this->hasNews = true;
     }
     const wire::Resources &need = assignment.resources;
     this->write(absl::StrCat(
@@ -259,6 +278,7 @@
     }
     for (const auto &[key, task] : ended) {
         this->stopTask(key);
+        this->hasNews = true;
         if (task.end <= now) {
             wire::FinishedAttemptT attempt;
             attempt.lease = toLease(key, task.epoch);
--- a/testing/worker.h
+++ b/testing/worker.h
@@ -14,6 +14,7 @@
 #ifndef PADDLEPIER_TESTING_WORKER_H
 #define PADDLEPIER_TESTING_WORKER_H
 
+#include "paddlepier/http/httpclient.h"
 #include "paddlepier/http/httpserver.h"
 #include "paddlepier/settings/settings.h"
 
@@ -87,6 +88,7 @@
 
     void run();
     void announce();
+    void takeAnswer(std::uint64_t announced, std::int64_t sentClock, const http::TransferResult &result);
     wire::AnnounceRequestT describe();
     void takeReply(const wire::AnnounceReplyT &reply, std::int64_t sentClock);
     void endDueTasks();
@@ -109,7 +111,12 @@
     std::uint64_t replySequence = 0;
     std::int64_t leaseEndClock = 0;
     std::size_t nextEntry = 0;
-    Duration interval = absl::Milliseconds(200);
+    http::TransferPool pool;
+    Timestamp nextAnnouncement = absl::InfinitePast();
+    Timestamp giveUpAt = absl::InfinitePast();
+    bool underWay = false;
+    /** A task has started or ended since the last announcement. */
+    bool hasNews = false;
     std::atomic<bool> draining{false};
     std::atomic<bool> stopping{false};
     int rawListener = -1;
