Change the placement index without allocating

Ruled out: the search itself; most of the time went into erasing and inserting tree nodes, twice a decision. Change: the node is moved instead, and amounts are compared without building tuples.

--- a/paddlepier/peer/transport.cpp
+++ b/paddlepier/peer/transport.cpp
@@ -33,6 +33,7 @@
 
 constexpr std::size_t lengthBytes = sizeof(std::uint32_t);
 constexpr int pollMillis = 200;
+constexpr std::size_t readBytes = 65536;
 constexpr Duration reconnectPause = absl::Milliseconds(200);
 
 /** Longest time that an incoming connection may take to say Hello. */
@@ -393,7 +394,7 @@
 void Transport::Implementation::readIncoming(int socket)
 {
     Incoming &connection = this->incoming.at(socket);
-    std::array<char, 64 * 1024> chunk{};
+    std::array<char, readBytes> chunk{};
     const ssize_t count = ::recv(socket, chunk.data(), chunk.size(), 0);
     if (count < 0 && (errno == EAGAIN || errno == EINTR)) {
         return;
--- a/paddlepier/scheduling/placementindex.cpp
+++ b/paddlepier/scheduling/placementindex.cpp
@@ -7,9 +7,14 @@
 
 bool PlacementIndex::KeyOrder::operator()(const Key &left, const Key &right) const
 {
-    const auto amounts = [](const Key &key) { return std::make_tuple(std::get<0>(key), std::get<1>(key), std::get<2>(key)); };
-    if (amounts(left) != amounts(right)) {
-        return amounts(left) < amounts(right);
+    if (std::get<0>(left) != std::get<0>(right)) {
+        return std::get<0>(left) < std::get<0>(right);
+    }
+    if (std::get<1>(left) != std::get<1>(right)) {
+        return std::get<1>(left) < std::get<1>(right);
+    }
+    if (std::get<2>(left) != std::get<2>(right)) {
+        return std::get<2>(left) < std::get<2>(right);
     }
     const Candidate *leftCandidate = std::get<3>(left);
     const Candidate *rightCandidate = std::get<3>(right);
@@ -44,9 +49,11 @@
 void PlacementIndex::change(const std::string &worker, const Resources &free)
 {
     Candidate &candidate = *this->byName.at(worker);
-    this->orderOf(candidate).erase(keyOf(candidate));
+    // The tree's node moves to its new place, so that a change allocates nothing.
+    auto node = this->orderOf(candidate).extract(keyOf(candidate));
     candidate.free = free;
-    this->orderOf(candidate).insert(keyOf(candidate));
+    node.value() = keyOf(candidate);
+    this->orderOf(candidate).insert(std::move(node));
 }
 
 void PlacementIndex::remove(const std::string &worker)
