--- a/paddlepier/http/httpserver.cpp
+++ b/paddlepier/http/httpserver.cpp
@@ -4,11 +4,11 @@
 
 #include "paddlepier/base/error.h"
 #include "paddlepier/base/log.h"
+#include "paddlepier/settings/socketaddress.h"
 
 #include <absl/strings/match.h>
 #include <absl/strings/str_cat.h>
 #include <absl/time/clock.h>
-#include <arpa/inet.h>
 #include <microhttpd.h>
 #include <unistd.h>
 
@@ -29,23 +29,6 @@
     return MHD_YES;
 }
 
-sockaddr_storage socketAddress(const Endpoint &endpoint)
-{
-    sockaddr_storage storage{};
-    if (endpoint.address.find(':') != std::string::npos) {
-        auto &version6 = reinterpret_cast<sockaddr_in6 &>(storage);
-        version6.sin6_family = AF_INET6;
-        version6.sin6_port = htons(endpoint.port);
-        inet_pton(AF_INET6, endpoint.address.c_str(), &version6.sin6_addr);
-        return storage;
-    }
-    auto &version4 = reinterpret_cast<sockaddr_in &>(storage);
-    version4.sin_family = AF_INET;
-    version4.sin_port = htons(endpoint.port);
-    inet_pton(AF_INET, endpoint.address.c_str(), &version4.sin_addr);
-    return storage;
-}
-
 } // namespace
 
 std::string_view findHeader(const Headers &headers, std::string_view name)
@@ -118,8 +101,8 @@
     : bounds(limits)
     , handler(std::move(requestHandler))
 {
-    const sockaddr_storage address = socketAddress(endpoint);
-    const unsigned int ipv6 = endpoint.address.find(':') != std::string::npos ? MHD_USE_IPv6 : 0;
+    const SocketAddress address = toSocketAddress(endpoint);
+    const unsigned int ipv6 = address.isVersion6() ? MHD_USE_IPv6 : 0;
     const unsigned int flags = MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ITC | MHD_USE_ERROR_LOG | ipv6;
     this->daemon = MHD_start_daemon(flags,
                                     endpoint.port,
@@ -131,7 +114,7 @@
                                     &Callbacks::onLog,
                                     nullptr,
                                     MHD_OPTION_SOCK_ADDR,
-                                    &address,
+                                    address.pointer(),
                                     MHD_OPTION_URI_LOG_CALLBACK,
                                     &Callbacks::onRequestLine,
                                     this,
--- a/paddlepier/instance/instance.cpp
+++ b/paddlepier/instance/instance.cpp
@@ -291,8 +291,9 @@
         return;
     }
     if (request.path == "/healthz") {
-        const bool isHealthy = !this->leaving;
-        exchange->answer({isHealthy ? 200 : 503, {{"Content-Type", "text/plain"}}, isHealthy ? "ok\n" : "leaving\n"});
+        const char *state = this->leaving ? "leaving\n" : this->quick->isReady() ? "ok\n" : "starting\n";
+        const bool isHealthy = !this->leaving && this->quick->isReady();
+        exchange->answer({isHealthy ? 200 : 503, {{"Content-Type", "text/plain"}}, state});
         return;
     }
     if (request.path == "/metrics") {
--- /dev/null
+++ b/paddlepier/instance/ledgercalls.cpp
@@ -0,0 +1,389 @@
+// Calls that the leader of a ledger answers. The leader's other work is in ledgerservice.cpp.
+
+#include "paddlepier/instance/ledgerservice.h"
+
+#include "paddlepier/instance/ledgerreplies.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+
+namespace paddlepier::instance
+{
+
+namespace
+{
+
+using wire::TaskState;
+
+/** An instance that hasn't asked for the configuration for so long counts as out of reach. */
+constexpr Duration configurationSilence = absl::Seconds(3);
+constexpr std::size_t longestName = 200;
+constexpr std::size_t longestCommand = 16384;
+constexpr std::int64_t microsPerSecond = 1'000'000;
+constexpr std::uint64_t mostProcessors = 1'000'000;
+
+std::string reasonText(wire::WaitReason reason)
+{
+    switch (reason) {
+    case wire::WaitReason::None:
+        return "not waiting";
+    case wire::WaitReason::Backoff:
+        return "an attempt failed; the next one starts after a backoff";
+    case wire::WaitReason::NoWorker:
+        return "no reachable worker takes new tasks";
+    case wire::WaitReason::NoCapacity:
+        return "no reachable worker has enough free processors, memory and accelerators";
+    case wire::WaitReason::OverQuota:
+        return "the partner's tasks would take more than its quota";
+    case wire::WaitReason::WaitingForGang:
+        return "there is room for some tasks, but not for all of the gang at once";
+    case wire::WaitReason::WaitingForLease:
+        return "the lease of an earlier attempt has not run out";
+    case wire::WaitReason::WaitingForStop:
+        return "a worker has not yet confirmed that a task stopped";
+    case wire::WaitReason::LargerThanAnyWorker:
+        return "a task is larger than every known worker";
+    case wire::WaitReason::NoLeader:
+        return "the data centre's ledger has no leader";
+    }
+    return "";
+}
+
+} // namespace
+
+std::string LedgerService::jobName(std::uint64_t id) const
+{
+    return formatJobName(this->node.dataCentre(), id);
+}
+
+void LedgerService::checkSpec(const wire::JobSpecT &spec) const
+{
+    if (spec.name.empty() || spec.name.size() > longestName) {
+        throw InvalidArgumentError(absl::StrCat("spec.name must have 1 to ", longestName, " bytes"));
+    }
+    if (spec.command.size() > longestCommand) {
+        throw InvalidArgumentError(absl::StrCat("spec.command must have at most ", longestCommand, " bytes"));
+    }
+    if (spec.tasks == 0 || spec.tasks > ledger::mostTasksPerJob) {
+        throw InvalidArgumentError(absl::StrCat("spec.tasks must be from 1 to ", ledger::mostTasksPerJob));
+    }
+    if (spec.resources.milliProcessors() == 0 || spec.resources.milliProcessors() > mostProcessors) {
+        throw InvalidArgumentError(absl::StrCat("spec.resources.milliProcessors must be from 1 to ", mostProcessors));
+    }
+    if (spec.maxAttempts == 0) {
+        throw InvalidArgumentError("spec.maxAttempts must be at least 1");
+    }
+    if (spec.kind == wire::JobKind::Service && spec.atMostOnce) {
+        throw InvalidArgumentError("spec.atMostOnce can't be kept for a service, which is started again whenever it ends");
+    }
+    const auto &workers = this->node.state().workers();
+    const bool fits = workers.empty() || std::any_of(workers.begin(), workers.end(), [&spec](const auto &entry) {
+                          return ledger::fits(spec.resources, entry.second.registration().capacity);
+                      });
+    if (!fits) {
+        throw InfeasibleError(absl::StrCat("a task of \"", spec.name, "\" is larger than each of the ", workers.size(), " known workers"));
+    }
+}
+
+void LedgerService::submit(const Actor &actor, const wire::SubmitRequestT &request, const CallDone &done)
+{
+    this->checkSpec(*request.spec);
+    if (request.submissionId.empty() || request.submissionId.size() > longestName) {
+        throw InvalidArgumentError(absl::StrCat("submissionId must have 1 to ", longestName, " bytes"));
+    }
+    wire::SubmitJobT command;
+    command.partner = actor.partner;
+    command.submissionId = request.submissionId;
+    command.spec = std::make_unique<wire::JobSpecT>(*request.spec);
+    this->proposeFor(toCommand(std::move(command)), done, [this, done](const ledger::Applied &applied) {
+        wire::SubmitReplyT reply;
+        reply.job = this->jobName(applied.job);
+        reply.alreadyKnown = applied.alreadyKnown;
+        succeed(done, reply);
+    });
+}
+
+wire::JobSummaryT LedgerService::summarize(const ledger::Job &job) const
+{
+    wire::JobSummaryT summary;
+    summary.job = this->jobName(job.id());
+    summary.partner = job.record().partner;
+    summary.name = job.spec().name;
+    summary.kind = job.spec().kind;
+    summary.state = job.state();
+    summary.tasks = static_cast<std::uint32_t>(job.tasks().size());
+    summary.queued = job.count(TaskState::Queued);
+    summary.placed = job.count(TaskState::Placed);
+    summary.running = job.count(TaskState::Running);
+    summary.succeeded = job.count(TaskState::Succeeded);
+    summary.failed = job.count(TaskState::Failed) + job.count(TaskState::Lost);
+    summary.submittedAtMicros = job.record().submittedAtMicros;
+    summary.firstStartAtMicros = job.record().firstStartAtMicros;
+    summary.endedAtMicros = job.record().endedAtMicros;
+    const std::int64_t deadline = summary.submittedAtMicros + static_cast<std::int64_t>(job.spec().deadlineSeconds) * microsPerSecond;
+    const std::int64_t end = summary.endedAtMicros != 0 ? summary.endedAtMicros : wallMicros();
+    summary.overdue = job.spec().deadlineSeconds != 0 && end > deadline;
+    return summary;
+}
+
+void LedgerService::list(const Actor &actor, const CallDone &done) const
+{
+    wire::ListReplyT reply;
+    reply.dataCentre = this->node.dataCentre();
+    for (const auto &[id, job] : this->node.state().jobs()) {
+        if (actor.mayActFor(job.record().partner)) {
+            reply.jobs.push_back(std::make_unique<wire::JobSummaryT>(this->summarize(job)));
+        }
+    }
+    succeed(done, reply);
+}
+
+const ledger::Job &LedgerService::visibleJob(const Actor &actor, const std::string &name) const
+{
+    const ledger::Job *job = this->node.state().findJob(parseJobName(name).id);
+    // Another partner's job is not told from a missing one.
+    if (job == nullptr || !actor.mayActFor(job->record().partner)) {
+        throw UnknownJobError(absl::StrCat("no job ", name));
+    }
+    return *job;
+}
+
+void LedgerService::explain(const Actor &actor, const wire::ExplainRequestT &request, const CallDone &done)
+{
+    const ledger::Job &job = this->visibleJob(actor, request.job);
+    wire::ExplainReplyT reply;
+    reply.summary = std::make_unique<wire::JobSummaryT>(this->summarize(job));
+    reply.reason = this->ensureTerm().scheduler.explain(this->node.state(), job, wallMicros());
+    reply.reasonText = reasonText(reply.reason);
+    for (const wire::TaskRecordT &task : job.tasks()) {
+        auto detail = std::make_unique<wire::TaskDetailT>();
+        detail->index = task.index;
+        detail->state = task.state;
+        detail->worker = task.worker;
+        detail->epoch = task.epoch;
+        detail->attempts = task.attempts;
+        detail->reason = task.state == TaskState::Queued ? reply.reason : wire::WaitReason::None;
+        reply.tasks.push_back(std::move(detail));
+    }
+    succeed(done, reply);
+}
+
+void LedgerService::cancel(const Actor &actor, const wire::CancelRequestT &request, const CallDone &done)
+{
+    wire::CancelJobT command;
+    command.job = this->visibleJob(actor, request.job).id();
+    this->proposeFor(toCommand(command), done, [this, done](const ledger::Applied &applied) {
+        wire::CancelReplyT reply;
+        reply.job = this->jobName(applied.job);
+        reply.alreadyEnded = applied.alreadyKnown;
+        succeed(done, reply);
+    });
+}
+
+void LedgerService::status(Timestamp now, const CallDone &done)
+{
+    const ledger::Ledger &state = this->node.state();
+    const ledger::LeaseTable &leases = this->ensureTerm().leases;
+    wire::StatusReplyT reply;
+    reply.dataCentre = this->node.dataCentre();
+    reply.leader = this->settings.id;
+    reply.term = this->node.replica().currentTerm();
+    reply.committedIndex = this->node.replica().commitIndex();
+    reply.queuedTasks = state.totals().queuedTasks;
+    reply.runningTasks = state.totals().activeTasks;
+    reply.lostJobs = state.totals().lostJobs;
+    reply.jobs = state.jobs().size();
+    reply.dataCentres = this->settings.dataCentres();
+    for (const auto &[id, job] : state.jobs()) {
+        reply.overdueJobs += !job.hasEnded() && this->summarize(job).overdue ? 1 : 0;
+    }
+    for (const auto &[name, worker] : state.workers()) {
+        auto summary = std::make_unique<wire::WorkerSummaryT>();
+        summary->worker = name;
+        summary->partner = worker.registration().partner;
+        summary->rack = worker.registration().rack;
+        summary->capacity = worker.registration().capacity;
+        summary->reserved = worker.reserved();
+        summary->tasks = static_cast<std::uint32_t>(worker.tasks().size());
+        summary->draining = worker.isDraining();
+        summary->reachable = leases.isReachable(now, name);
+        const Duration silence = leases.silence(now, name);
+        summary->silentMillis = silence == absl::InfiniteDuration() ? 0 : static_cast<std::uint64_t>(absl::ToInt64Milliseconds(silence));
+        reply.workers.push_back(std::move(summary));
+    }
+    succeed(done, reply);
+}
+
+void LedgerService::drain(const Actor &actor, const wire::DrainRequestT &request, const CallDone &done)
+{
+    const ledger::Worker *worker = this->node.state().findWorker(request.worker);
+    if (worker == nullptr) {
+        throw UnknownWorkerError(absl::StrCat("no worker ", request.worker, " in ", this->node.dataCentre()));
+    }
+    if (!actor.mayActFor(worker->registration().partner)) {
+        throw ForbiddenError(absl::StrCat(request.worker, " belongs to another partner"));
+    }
+    wire::DrainWorkerT command;
+    command.worker = request.worker;
+    command.draining = !request.undo;
+    this->proposeFor(toCommand(std::move(command)), done, [request, done](const ledger::Applied &applied) {
+        wire::DrainReplyT reply;
+        reply.worker = request.worker;
+        reply.draining = !request.undo;
+        succeed(done, reply);
+    });
+}
+
+void LedgerService::announce(Timestamp now, const Actor &actor, const wire::AnnounceRequestT &request, const CallDone &done)
+{
+    if (request.dataCentre != this->node.dataCentre()) {
+        throw WrongDataCentreError(absl::StrCat("this is ", this->node.dataCentre(), ", not ", request.dataCentre));
+    }
+    if (!actor.mayActFor(request.partner)) {
+        throw ForbiddenError(absl::StrCat("the token is not ", request.partner, "'s"));
+    }
+    if (request.worker.empty() || request.worker.size() > longestName) {
+        throw InvalidArgumentError(absl::StrCat("worker must have 1 to ", longestName, " bytes"));
+    }
+    if (!request.address.empty() && !Endpoint::parse(request.address)) {
+        throw InvalidArgumentError(absl::StrCat("address \"", request.address, "\" is not a numeric IP address with a port"));
+    }
+    Term &current = this->ensureTerm();
+    ledger::AnnouncementResult result = current.leases.announce(now, request, this->node.state());
+    this->proposeAll(std::move(result.commands));
+    const auto older = current.held.find(request.worker);
+    if (older != current.held.end()) {
+        // The worker has given its earlier announcement up, or it wouldn't send another one.
+        older->second.done(CallResult::failure(ErrorCode::StaleAnnouncement, "a later announcement came"));
+        current.held.erase(older);
+    }
+    if (request.waitMillis > 0 && !hasNews(request, result.reply)) {
+        const Duration wait = std::min(absl::Milliseconds(request.waitMillis), this->settings.timing.announceInterval);
+        current.held[request.worker] = {request, done, now + wait};
+        return;
+    }
+    succeed(done, result.reply);
+}
+
+void LedgerService::dealShares(Timestamp now, const wire::SharesRequestT &request, const CallDone &done)
+{
+    Term &current = this->ensureTerm();
+    std::vector<routing::ServingWorker> serving;
+    for (const auto &[name, worker] : this->node.state().workers()) {
+        const wire::RegisterWorkerT &facts = worker.registration();
+        const std::optional<std::int64_t> clock = current.leases.workerClock(now, name);
+        const bool isUsable = !facts.address.empty() && facts.partner == request.partner && !worker.isDraining() && current.leases.isReachable(now, name);
+        if (isUsable && clock) {
+            serving.push_back({name, facts.address, facts.slots, facts.connections, *clock, !current.inherited.contains(name)});
+        }
+    }
+    succeed(done, current.dealer.deal(now, request, serving));
+}
+
+void LedgerService::begin(const wire::BeginRequestT &request, const CallDone &done)
+{
+    wire::OpenRequestT command;
+    command.partner = request.partner;
+    command.key = request.key;
+    command.digest = request.digest;
+    command.requestId = request.requestId;
+    command.deadlineMicros = wallMicros() + static_cast<std::int64_t>(request.deadlineMillis) * 1000;
+    this->proposeFor(toCommand(std::move(command)), done, [this, request, done](const ledger::Applied &applied) {
+        wire::BeginReplyT reply;
+        reply.result = applied.begin;
+        const wire::RequestRecordT *record = this->node.state().findRequest(request.partner, request.key);
+        if (reply.result == wire::BeginResult::InProgress && record != nullptr) {
+            const bool isOver = record->deadlineMicros < wallMicros();
+            if (record->answer) {
+                reply.result = wire::BeginResult::Recorded;
+                reply.answer = std::make_unique<wire::RecordedAnswerT>(*record->answer);
+            } else if (isOver) {
+                // Whoever opened the key never closed it: the request may have been run.
+                reply.result = wire::BeginResult::Recorded;
+                reply.answer = std::make_unique<wire::RecordedAnswerT>();
+                reply.answer->outcome = wire::RequestOutcome::Unknown;
+            }
+        }
+        succeed(done, reply);
+    });
+}
+
+void LedgerService::finish(const wire::FinishRequestT &request, const CallDone &done)
+{
+    wire::CloseRequestT command;
+    command.partner = request.partner;
+    command.key = request.key;
+    command.requestId = request.requestId;
+    command.answer = std::make_unique<wire::RecordedAnswerT>(*request.answer);
+    this->proposeFor(toCommand(std::move(command)), done, [done](const ledger::Applied &applied) {
+        wire::FinishReplyT reply;
+        reply.recorded = true;
+        succeed(done, reply);
+    });
+}
+
+void LedgerService::setConfiguration(const DeploymentConfiguration &deployment)
+{
+    this->quotas.clear();
+    for (const auto &[partner, percent] : deployment.quotaPercent) {
+        this->quotas[partner] = percent / 100.0;
+    }
+    if (this->term != nullptr) {
+        this->term->scheduler.setQuotas(this->quotas);
+    }
+}
+
+void LedgerService::changeConfiguration(const wire::ChangeRequestT &request, const CallDone &done)
+{
+    if (request.revision.empty() || request.revision.size() > longestName) {
+        throw InvalidArgumentError(absl::StrCat("revision must have 1 to ", longestName, " bytes"));
+    }
+    parseConfiguration(request.text, "configuration");
+    wire::ChangeConfigurationT command;
+    command.expectedVersion = request.expectedVersion;
+    command.revision = request.revision;
+    command.text = request.text;
+    this->proposeFor(toCommand(std::move(command)), done, [done](const ledger::Applied &applied) {
+        wire::ChangeReplyT reply;
+        reply.version = applied.version;
+        reply.unchanged = applied.alreadyKnown;
+        succeed(done, reply);
+    });
+}
+
+void LedgerService::fetchConfiguration(Timestamp now, const wire::FetchRequestT &request, const CallDone &done)
+{
+    this->ensureTerm().versions[request.instance] = {request.knownVersion, now};
+    wire::FetchReplyT reply;
+    if (this->node.state().configuration().version > request.knownVersion) {
+        reply.configuration = std::make_unique<wire::ConfigurationT>(this->node.state().configuration());
+    }
+    succeed(done, reply);
+}
+
+void LedgerService::showConfiguration(Timestamp now, const CallDone &done)
+{
+    const auto &versions = this->ensureTerm().versions;
+    std::vector<std::string> instances{this->settings.id};
+    for (const PeerSettings &peer : this->settings.peers) {
+        instances.push_back(peer.id);
+    }
+    wire::ConfigurationStatusReplyT reply;
+    reply.configuration = std::make_unique<wire::ConfigurationT>(this->node.state().configuration());
+    for (const std::string &instance : instances) {
+        const auto found = versions.find(instance);
+        auto entry = std::make_unique<wire::InstanceConfigurationT>();
+        entry->instance = instance;
+        if (found != versions.end()) {
+            const Duration silence = now - found->second.second;
+            entry->version = found->second.first;
+            entry->silentMillis = static_cast<std::uint64_t>(absl::ToInt64Milliseconds(silence));
+            entry->isReachable = silence < configurationSilence;
+        }
+        reply.instances.push_back(std::move(entry));
+    }
+    succeed(done, reply);
+}
+
+} // namespace paddlepier::instance
--- a/paddlepier/instance/ledgerservice.h
+++ b/paddlepier/instance/ledgerservice.h
@@ -91,6 +91,8 @@
     void place(Timestamp now);
     void answerHeld(Timestamp now, const std::vector<std::string> &changedWorkers);
     void answerHeldOf(const std::string &worker);
+    /** Proposes the command of a call; @p done gets its failure, @p succeeded everything else. */
+    void proposeFor(wire::CommandUnion command, const CallDone &done, std::function<void(const ledger::Applied &)> succeeded);
     void proposeAll(std::vector<wire::CommandUnion> commands);
 
     const Settings &settings;
--- a/paddlepier/instance/quickservice.cpp
+++ b/paddlepier/instance/quickservice.cpp
@@ -25,11 +25,14 @@
 constexpr Duration busyPollTime = absl::Milliseconds(20);
 constexpr Duration quietPollTime = absl::Milliseconds(100);
 constexpr Duration busySharesInterval = absl::Milliseconds(200);
+constexpr Duration failedSharesPause = absl::Milliseconds(100);
 constexpr Duration quietSharesInterval = absl::Milliseconds(500);
 /** A request for shares without an answer for so long is given up; its late answer is ignored. */
 constexpr Duration sharesPatience = absl::Milliseconds(900);
 /** Recording an answer may outlast the caller's deadline by this. */
 constexpr Duration closePatience = absl::Seconds(2);
+/** An instance whose ledger has no leader serves by hops, hence isn't kept from the balancer for longer. */
+constexpr Duration longestStart = absl::Seconds(5);
 constexpr std::size_t mailboxLimit = 100'000;
 constexpr std::size_t longestKey = 200;
 constexpr int firstFailureStatus = 500;
@@ -104,6 +107,11 @@
     this->stop();
 }
 
+bool QuickService::isReady() const
+{
+    return this->hasAsked || controlNow() - this->startedAt > longestStart;
+}
+
 void QuickService::post(Mailbox::Work work)
 {
     this->mailbox.postAlways(std::move(work));
@@ -444,13 +452,13 @@
             if (sequence != this->shareSequence) {
                 return;
             }
-            if (result.error == ErrorCode::Conflict) {
-                this->shareAnswered = 0;
-                this->nextShares = controlNow();
-            }
             if (result.error != ErrorCode::None) {
+                // A new leader doesn't know the base; without one, the shares at hand soon end.
+                this->shareAnswered = result.error == ErrorCode::Conflict ? 0 : this->shareAnswered;
+                this->nextShares = controlNow() + (result.error == ErrorCode::Conflict ? absl::ZeroDuration() : failedSharesPause);
                 return;
             }
+            this->hasAsked = true;
             const auto reply = wire::unpack<wire::SharesReplyT>(result.body);
             this->shareAnswered = sequence;
             this->boundConnections(reply);
--- a/paddlepier/instance/quickservice.h
+++ b/paddlepier/instance/quickservice.h
@@ -48,6 +48,9 @@
     /** Takes a request; it is answered later, by its deadline. */
     void submit(const std::shared_ptr<http::Exchange> &exchange);
 
+    /** False in the first moments of the process, while it has no shares yet. Any thread may ask. */
+    bool isReady() const;
+
     /** Puts a configuration into force. */
     void setConfiguration(const DeploymentConfiguration &deployment);
 
@@ -103,6 +106,7 @@
     /** Sequence of the newest answer taken. */
     std::uint64_t shareAnswered = 0;
     Timestamp nextShares = absl::InfinitePast();
+    std::atomic<bool> hasAsked{false};
     std::atomic<bool> stopping{false};
     std::thread thread;
 };
--- a/paddlepier/peer/transport.cpp
+++ b/paddlepier/peer/transport.cpp
@@ -4,6 +4,7 @@
 
 #include "paddlepier/base/error.h"
 #include "paddlepier/base/log.h"
+#include "paddlepier/settings/socketaddress.h"
 #include "paddlepier/wire/codec.h"
 
 #include <absl/base/thread_annotations.h>
@@ -39,34 +40,9 @@
 /** Longest time that an incoming connection may take to say Hello. */
 constexpr Duration helloPatience = absl::Seconds(5);
 
-struct SocketAddress {
-    sockaddr_storage storage{};
-    socklen_t size = 0;
-};
-
-SocketAddress toSocketAddress(const Endpoint &endpoint)
-{
-    SocketAddress address;
-    if (endpoint.address.find(':') != std::string::npos) {
-        auto &version6 = reinterpret_cast<sockaddr_in6 &>(address.storage);
-        version6.sin6_family = AF_INET6;
-        version6.sin6_port = htons(endpoint.port);
-        inet_pton(AF_INET6, endpoint.address.c_str(), &version6.sin6_addr);
-        address.size = sizeof(sockaddr_in6);
-        return address;
-    }
-    auto &version4 = reinterpret_cast<sockaddr_in &>(address.storage);
-    version4.sin_family = AF_INET;
-    version4.sin_port = htons(endpoint.port);
-    inet_pton(AF_INET, endpoint.address.c_str(), &version4.sin_addr);
-    address.size = sizeof(sockaddr_in);
-    return address;
-}
-
 int openSocket(const Endpoint &endpoint)
 {
-    const int family = endpoint.address.find(':') != std::string::npos ? AF_INET6 : AF_INET;
-    return ::socket(family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    return ::socket(toSocketAddress(endpoint).storage.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
 }
 
 std::string toFrameBytes(const wire::PeerFrameT &frame)
@@ -184,7 +160,7 @@
     const int on = 1;
     ::setsockopt(this->listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
     const SocketAddress address = toSocketAddress(this->settings.peer);
-    const bool isBound = ::bind(this->listener, reinterpret_cast<const sockaddr *>(&address.storage), address.size) == 0;
+    const bool isBound = ::bind(this->listener, address.pointer(), address.size) == 0;
     if (!isBound || ::listen(this->listener, SOMAXCONN) != 0) {
         throw InvalidSettingsError(absl::StrCat("listen.peer: can't listen on ", this->settings.peer.text(), ": ", std::strerror(errno)));
     }
@@ -295,7 +271,7 @@
     const int on = 1;
     ::setsockopt(connection.socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
     const SocketAddress address = toSocketAddress(connection.endpoint);
-    const int result = ::connect(connection.socket, reinterpret_cast<const sockaddr *>(&address.storage), address.size);
+    const int result = ::connect(connection.socket, address.pointer(), address.size);
     if (result != 0 && errno != EINPROGRESS) {
         this->closeOutgoing(connection);
         return;
