Cut real processes off from each other, and tell a foreign answer by its content

Cause: cuts had been tried in the fuzzing only, and the test of broken backend servers counted outcomes: a foreign answer with the right body would have passed. Change: a forwarder between every two instances that a test can cut; two tests (a leader that is cut off; a whole data centre that is cut off, serves on, and follows the configuration afterwards).

--- a/testing/endtoend_test.cpp
+++ b/testing/endtoend_test.cpp
@@ -55,7 +55,8 @@
         : cell(programFolder(),
                {{"a1", "north", "dc-1"}, {"a2", "north", "dc-1"}, {"a3", "north", "dc-1"}, {"b1", "north", "dc-2"}, {"s1", "south", "dc-1"}},
                {{"dc-1", {"a1", "a2", "a3"}}, {"dc-2", {"b1"}}, {"deployment", {"a1", "a2", "b1"}}},
-               shortTimes)
+               shortTimes,
+               true)
     {
     }
 
@@ -181,14 +182,11 @@
     this->startWorker("doubled", "doubled");
     REQUIRE(this->cell.waitReady("a1", 5));
     REQUIRE(this->waitServing("a1"));
-    CallerOptions options;
-    options.servers = {this->cell.httpOf("a1"), this->cell.httpOf("a2")};
-    options.requests = 300;
-    options.checkAnswer = false;
-    const CallerResult idempotent = callAll(options);
+    const CallerResult idempotent = this->send({"a1", "a2"}, 300, "/v1/quick/reading?hydrant={n}");
     REQUIRE(idempotent.count("completed") > 200);
-    // The doubled answer is whole and the request's own; the others must never be seen.
+    REQUIRE(idempotent.wrongAnswers == 0);
     const CallerResult checked = this->send({"a3"}, 300, "/v1/quick/reading?hydrant={n}", {{"Paddlepier-Idempotent", "false"}});
+    REQUIRE(checked.wrongAnswers == 0);
     REQUIRE(checked.count("unknown") > 0);
     REQUIRE(checked.count("completed") + checked.count("unknown") + checked.count("not-run") == 300);
     this->requirePromises();
@@ -311,6 +309,60 @@
     this->requirePromises();
 }
 
+TEST_CASE_METHOD(CellFixture, "jobs_leaderCutOff_neverRunTwiceAndGoOn", "[e2e][proof]")
+{
+    this->startDataCentre(3);
+    const std::string first = this->leader();
+    const std::string other = first == "a1" ? "a2" : "a1";
+    const std::string job = this->cell.submit(other, "north", batchSpec(120, "millis=300"), "cut");
+    this->cell.cutOff(first, true);
+    REQUIRE(this->cell.waitForState(other, "north", job, wire::TaskState::Succeeded));
+    // The one that is cut off neither answers from its old state nor takes anything.
+    REQUIRE_THROWS_AS(this->cell.submit(first, "north", batchSpec(1, ""), "refused"), Error);
+    this->cell.cutOff(first, false);
+    REQUIRE(this->cell.waitForState(first, "north", job, wire::TaskState::Succeeded));
+    this->requirePromises();
+}
+
+TEST_CASE_METHOD(CellFixture, "dataCentre_cutOff_servesWhatItCanAndFollowsAfterwards", "[e2e][proof]")
+{
+    this->cell.startAll();
+    this->startWorker("w0");
+    this->startWorker("far", "none", "dc-2");
+    REQUIRE(this->cell.waitReady("a1", 1));
+    REQUIRE(this->cell.waitReady("b1", 1));
+    REQUIRE(this->waitServing("b1"));
+    REQUIRE(waitUntil([this] {
+        try {
+            return this->cell.change("b1", 0, "[quick]\nqueuedRequests = 100\n", "first").version == 1;
+        } catch (const Error &) {
+            return false;
+        }
+    }));
+    this->cell.cutOff("b1", true);
+    REQUIRE(this->send({"b1"}, 50, "/v1/quick/reading?hydrant={n}").count("completed") == 50);
+    const std::string job = this->cell.submit("b1", "north", batchSpec(3, "millis=50"), "alone");
+    REQUIRE(this->cell.waitForState("b1", "north", job, wire::TaskState::Succeeded));
+    REQUIRE_THROWS_AS(this->cell.change("b1", 1, "[quick]\nqueuedRequests = 300\n", "cut-off"), Error);
+    REQUIRE(waitUntil([this] {
+        try {
+            return this->cell.change("a1", 1, "[quick]\nqueuedRequests = 200\n", "second").version == 2;
+        } catch (const Error &) {
+            return false;
+        }
+    }));
+    this->cell.cutOff("b1", false);
+    REQUIRE(waitUntil([this] {
+        try {
+            const auto status = this->cell.configuration("a1");
+            return std::all_of(status.instances.begin(), status.instances.end(), [](const auto &entry) { return entry->isReachable && entry->version == 2; });
+        } catch (const Error &) {
+            return false;
+        }
+    }));
+    this->requirePromises();
+}
+
 TEST_CASE_METHOD(CellFixture, "ledger_diskLostTwice_losesNoJob", "[e2e][proof]")
 {
     this->startDataCentre(2);
--- /dev/null
+++ b/testing/forwarder.h
@@ -0,0 +1,45 @@
+// A TCP forwarder on loopback that a test can cut.
+//
+// While it is cut, connections through it are closed and new ones are closed at once.
+// Thread safety: setCut() from any thread; the forwarding runs on a thread of its own.
+
+#ifndef PADDLEPIER_TESTING_FORWARDER_H
+#define PADDLEPIER_TESTING_FORWARDER_H
+
+#include <atomic>
+#include <cstdint>
+#include <map>
+#include <thread>
+
+namespace paddlepier::testing
+{
+
+class Forwarder
+{
+public:
+    /** Listens on @p port and forwards to @p target, both on 127.0.0.1. */
+    Forwarder(std::uint16_t port, std::uint16_t target);
+    ~Forwarder();
+
+    Forwarder(const Forwarder &) = delete;
+    Forwarder &operator=(const Forwarder &) = delete;
+
+    void setCut(bool isCut);
+
+private:
+    void run();
+    void accept();
+    void pass(int from);
+    void closePair(int socket);
+
+    const std::uint16_t targetPort;
+    int listener = -1;
+    std::map<int, int> others;
+    std::atomic<bool> cut{false};
+    std::atomic<bool> stopping{false};
+    std::thread thread;
+};
+
+} // namespace paddlepier::testing
+
+#endif
--- a/testing/harness.cpp
+++ b/testing/harness.cpp
@@ -116,7 +116,7 @@
     return this->child;
 }
 
-Cell::Cell(std::string programs, std::vector<EntrySpec> entries, std::vector<LedgerSpec> ledgers, std::string extraSettings)
+Cell::Cell(std::string programs, std::vector<EntrySpec> entries, std::vector<LedgerSpec> ledgers, std::string extraSettings, bool withForwarders)
     : programFolder(std::move(programs))
     , entrySpecs(std::move(entries))
     , ledgerSpecs(std::move(ledgers))
@@ -127,6 +127,16 @@
     for (const EntrySpec &entry : this->entrySpecs) {
         this->ports[entry.id] = {freePort(), freePort()};
     }
+    for (const EntrySpec &from : this->entrySpecs) {
+        for (const EntrySpec &to : this->entrySpecs) {
+            if (withForwarders && from.id != to.id) {
+                Link link{from.id, to.id, freePort(), freePort(), nullptr, nullptr};
+                link.httpForwarder = std::make_unique<Forwarder>(link.http, this->ports.at(to.id).first);
+                link.peerForwarder = std::make_unique<Forwarder>(link.peer, this->ports.at(to.id).second);
+                this->links.push_back(std::move(link));
+            }
+        }
+    }
     for (const EntrySpec &entry : this->entrySpecs) {
         this->writeSettings(entry);
     }
@@ -138,6 +148,26 @@
     std::filesystem::remove_all(this->temporary);
 }
 
+std::pair<std::uint16_t, std::uint16_t> Cell::portsSeenFrom(const std::string &from, const std::string &to) const
+{
+    for (const Link &link : this->links) {
+        if (link.from == from && link.to == to) {
+            return {link.http, link.peer};
+        }
+    }
+    return this->ports.at(to);
+}
+
+void Cell::cutOff(const std::string &id, bool isCut)
+{
+    for (Link &link : this->links) {
+        if (link.from == id || link.to == id) {
+            link.httpForwarder->setCut(isCut);
+            link.peerForwarder->setCut(isCut);
+        }
+    }
+}
+
 std::string Cell::operatorToken(const std::string &partner)
 {
     return absl::StrCat("operator-of-", partner);
@@ -165,7 +195,8 @@
         partners.insert(other.partner);
         if (other.id != entry.id) {
             file << "[[peers]]\nid = \"" << other.id << "\"\npartner = \"" << other.partner << "\"\ndataCentre = \"" << other.dataCentre << "\"\nhttp = \""
-                 << loopback(this->ports.at(other.id).first) << "\"\npeer = \"" << loopback(this->ports.at(other.id).second) << "\"\n";
+                 << loopback(this->portsSeenFrom(entry.id, other.id).first) << "\"\npeer = \"" << loopback(this->portsSeenFrom(entry.id, other.id).second)
+                 << "\"\n";
         }
     }
     for (const LedgerSpec &ledger : this->ledgerSpecs) {
--- a/testing/harness.h
+++ b/testing/harness.h
@@ -14,6 +14,7 @@
 #include "paddlepier/settings/settings.h"
 #include "paddlepier/wire/codec.h"
 #include "testing/checker.h"
+#include "testing/forwarder.h"
 
 #include <sys/types.h>
 
@@ -76,7 +77,7 @@
 {
 public:
     /** @param programs folder with the built programs; @param timing lines of the [timing] and [limits] tables */
-    Cell(std::string programs, std::vector<EntrySpec> entries, std::vector<LedgerSpec> ledgers, std::string extraSettings = "");
+    Cell(std::string programs, std::vector<EntrySpec> entries, std::vector<LedgerSpec> ledgers, std::string extraSettings = "", bool withForwarders = false);
     ~Cell();
 
     Cell(const Cell &) = delete;
@@ -88,6 +89,8 @@
     /** Ends a process with SIGKILL. */
     void killEntry(const std::string &id);
     void killWorker(const std::string &name);
+    /** Cuts an entry off from all others, peers and hops, or heals the cut; needs forwarders. */
+    void cutOff(const std::string &id, bool isCut);
     void signalEntry(const std::string &id, int number);
     int waitEntry(const std::string &id);
     /** Deletes an entry's data folder, as a lost disk would. */
@@ -139,6 +142,18 @@
     const std::string extra;
     std::string temporary;
     std::map<std::string, std::pair<std::uint16_t, std::uint16_t>> ports;
+    struct Link {
+        std::string from;
+        std::string to;
+        std::uint16_t http = 0;
+        std::uint16_t peer = 0;
+        std::unique_ptr<Forwarder> httpForwarder;
+        std::unique_ptr<Forwarder> peerForwarder;
+    };
+
+    std::pair<std::uint16_t, std::uint16_t> portsSeenFrom(const std::string &from, const std::string &to) const;
+
+    std::vector<Link> links;
     std::map<std::string, std::unique_ptr<Process>> processes;
     std::vector<WorkerLog> logs;
 };
