--- a/testing/worker.cpp
+++ b/testing/worker.cpp
@@ -312,8 +312,9 @@
     answer.exchange = exchange;
     const std::string sentId = this->options.fault == Fault::WrongId ? "someone-elses" : requestId;
     const int status = this->options.fault == Fault::FailEverything ? 500 : 200;
-    answer.answer = {
-        status, {{"Content-Type", "text/plain"}, {instance::requestIdHeader, sentId}}, absl::StrCat("answer to ", request.target, " ", request.body)};
+    const std::string target = this->options.fault == Fault::WrongId ? "/someone-elses" : request.target;
+    const std::string body = absl::StrCat("answer to ", target, " ", request.body);
+    answer.answer = {status, {{"Content-Type", "text/plain"}, {instance::requestIdHeader, sentId}}, body};
     const absl::MutexLock lock(&this->mutex);
     this->delayed.push(std::move(answer));
 }
@@ -356,8 +357,10 @@
         const std::string id = at == std::string::npos ? "" : text.substr(at + name.size(), text.find("\r\n", at) - at - name.size());
         this->write(absl::StrCat("request ", id, " 0 1"));
         const bool truncates = this->options.fault == Fault::Truncate;
-        const std::string head =
-            absl::StrCat("HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n", name, id, "\r\nContent-Length: ", truncates ? 100 : 5, "\r\n\r\nwhole");
+        const std::size_t targetAt = text.find(' ') + 1;
+        const std::string body = absl::StrCat("answer to ", text.substr(targetAt, text.find(' ', targetAt) - targetAt), " ");
+        const std::size_t length = body.size() + (truncates ? 100 : 0);
+        const std::string head = absl::StrCat("HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n", name, id, "\r\nContent-Length: ", length, "\r\n\r\n", body);
         const std::string bytes = truncates ? head : head + head;
         ::send(connection, bytes.data(), bytes.size(), MSG_NOSIGNAL);
         ::close(connection);
