--- a/paddlepier/instance/instance.cpp
+++ b/paddlepier/instance/instance.cpp
@@ -207,6 +207,7 @@
 
 void Instance::configurationChanged(const DeploymentConfiguration &deployment)
 {
+    this->counters.counter("configuration_changes_total").add();
     this->quick->setConfiguration(deployment);
     for (auto &[dataCentre, entry] : this->hosted) {
         entry.service->setConfiguration(deployment);
--- a/testing/measure.cpp
+++ b/testing/measure.cpp
@@ -40,7 +40,9 @@
 {
 public:
     Bench(const std::string &programs, int workerCount)
-        : cell(programs, {{"a1", partner, "dc-1"}, {"a2", partner, "dc-1"}, {"a3", partner, "dc-1"}}, {{"dc-1", {"a1", "a2", "a3"}}})
+        : cell(programs,
+               {{"a1", partner, "dc-1"}, {"a2", partner, "dc-1"}, {"a3", partner, "dc-1"}},
+               {{"dc-1", {"a1", "a2", "a3"}}, {"deployment", {"a1", "a2", "a3"}}})
     {
         this->cell.startAll();
         for (int number = 0; number < workerCount; ++number) {
@@ -231,12 +233,41 @@
     std::cout << "from kill -9 of the leader to the next answered call: median of 7 " << gaps[3] << " ms, longest " << gaps[6] << " ms\n";
 }
 
+void measureConfiguration(const std::string &programs)
+{
+    const Bench bench(programs, 2);
+    if (!waitUntil([&bench] {
+            try {
+                return bench.cell.configuration("a1").configuration != nullptr;
+            } catch (const Error &) {
+                return false;
+            }
+        })) {
+        throw InternalError("the deployment's ledger has no leader");
+    }
+    constexpr std::uint64_t changes = 30;
+    std::vector<double> times;
+    for (std::uint64_t version = 0; version < changes; ++version) {
+        bench.cell.change("a1", version, absl::StrCat("[quick]\nqueuedRequests = ", 100 + version, "\n"), absl::StrCat("r", version));
+        const Timestamp accepted = controlNow();
+        waitUntil([&bench, version] {
+            return std::all_of(entryIds.begin(), entryIds.end(), [&](const std::string &id) {
+                return bench.metric(id, "configuration_changes_total") > static_cast<double>(version);
+            });
+        });
+        times.push_back(absl::ToDoubleMilliseconds(controlNow() - accepted));
+    }
+    std::sort(times.begin(), times.end());
+    std::cout << "configuration, from acceptance to in force in all three instances: p50 " << times[times.size() / 2] << " ms, longest of " << changes << " "
+              << times.back() << " ms\n";
+}
+
 } // namespace
 
 int main(int count, char **words)
 {
     if (count < 2) {
-        std::cerr << "usage: measure PROGRAM-FOLDER [quick] [starts] [failover] [idle]\n";
+        std::cerr << "usage: measure PROGRAM-FOLDER [quick] [starts] [failover] [configuration] [idle]\n";
         return 2;
     }
     log::initialize(log::Level::Error);
@@ -254,6 +285,9 @@
         if (isWanted("failover")) {
             measureFailover(programs);
         }
+        if (isWanted("configuration")) {
+            measureConfiguration(programs);
+        }
         if (isWanted("idle")) {
             measureIdle(programs);
         }
