--- a/paddlepier/cli/commands.cpp
+++ b/paddlepier/cli/commands.cpp
@@ -54,7 +54,7 @@
 
     void parse(std::vector<std::string> words)
     {
-        words[0] = "paddlepier";
+        words[0] = absl::StrCat("paddlepier ", words[0]);
         this->parser.parse(words);
     }
 
