--- a/paddlepier/consensus/replica.h
+++ b/paddlepier/consensus/replica.h
@@ -183,6 +183,7 @@
     void sendAppend(Timestamp now, const std::string &to, Progress &progress, bool heartbeat);
     void sendOneAppend(Timestamp now, const std::string &to, Progress &progress);
     void sendSnapshotChunk(Timestamp now, const std::string &to, Progress &progress);
+    const std::string &snapshotBytes();
     void advanceCommit();
     void commitTo(Index index);
     void appendOwn(wire::EntryKind kind, const std::string &data);
@@ -227,6 +228,9 @@
     absl::flat_hash_map<std::string, bool> votes;
     absl::flat_hash_map<std::string, Progress> progresses;
 
+    /** Bytes of `snapshot` as they are sent in chunks; packed once for each snapshot. */
+    std::string packedSnapshot;
+    Index packedSnapshotIndex = 0;
     std::string incomingSnapshot;
     Index incomingSnapshotIndex = 0;
 
--- a/paddlepier/consensus/replication.cpp
+++ b/paddlepier/consensus/replication.cpp
@@ -181,13 +181,22 @@
     this->sendNow(to, std::move(request));
 }
 
+const std::string &Replica::snapshotBytes()
+{
+    if (this->packedSnapshotIndex != this->snapshot->index) {
+        this->packedSnapshot = wire::pack(*this->snapshot);
+        this->packedSnapshotIndex = this->snapshot->index;
+    }
+    return this->packedSnapshot;
+}
+
 void Replica::sendSnapshotChunk(Timestamp now, const std::string &to, Progress &progress)
 {
     if (progress.snapshotIndex != this->snapshot->index) {
         progress.snapshotIndex = this->snapshot->index;
         progress.snapshotOffset = 0;
     }
-    const std::string whole = wire::pack(*this->snapshot);
+    const std::string &whole = this->snapshotBytes();
     wire::SnapshotChunkT chunk;
     chunk.term = this->hardState.term;
     chunk.index = this->snapshot->index;
@@ -369,7 +378,7 @@
         return;
     }
     progress.snapshotOffset = reply.nextOffset;
-    const bool isComplete = this->snapshot->index == reply.index && reply.nextOffset >= wire::pack(*this->snapshot).size();
+    const bool isComplete = this->snapshot->index == reply.index && reply.nextOffset >= this->snapshotBytes().size();
     if (isComplete) {
         progress.match = std::max(progress.match, reply.index);
         progress.next = progress.match + 1;
--- a/paddlepier/instance/instance.cpp
+++ b/paddlepier/instance/instance.cpp
@@ -59,10 +59,7 @@
     , mailbox(mailboxLimit)
 {
     const std::uint64_t seed = randomSeed();
-    const auto sendFrame = [this](const std::string &instance, wire::PeerFrameT frame) {
-        frame.fromInstance = this->settings.id;
-        this->transport->send(instance, frame);
-    };
+    const auto sendFrame = [this](const std::string &instance, wire::PeerFrameT frame) { this->sendFrame(instance, std::move(frame)); };
     this->disk = std::make_unique<DiskWriter>(this->mailbox, this->counters);
     this->calls = std::make_unique<CallRouter>(this->settings, sendFrame, this->counters, seed);
     this->openLedgers(seed);
@@ -89,13 +86,16 @@
 
 Instance::~Instance() = default;
 
+void Instance::sendFrame(const std::string &instance, wire::PeerFrameT frame)
+{
+    frame.fromInstance = this->settings.id;
+    this->transport->send(instance, frame);
+}
+
 void Instance::openLedgers(std::uint64_t seed)
 {
     const Timestamp now = controlNow();
-    const auto sendFrame = [this](const std::string &instance, wire::PeerFrameT frame) {
-        frame.fromInstance = this->settings.id;
-        this->transport->send(instance, frame);
-    };
+    const auto sendFrame = [this](const std::string &instance, wire::PeerFrameT frame) { this->sendFrame(instance, std::move(frame)); };
     for (const LedgerSettings &group : this->settings.ledgers) {
         if (std::find(group.replicas.begin(), group.replicas.end(), this->settings.id) == group.replicas.end()) {
             continue;
@@ -246,9 +246,8 @@
     offer.revision = withText ? current.revision : "";
     offer.text = withText ? current.text : "";
     wire::PeerFrameT frame;
-    frame.fromInstance = this->settings.id;
     frame.body.Set(std::move(offer));
-    this->transport->send(instance, frame);
+    this->sendFrame(instance, std::move(frame));
 }
 
 void Instance::receiveOffer(const std::string &fromInstance, const wire::ConfigurationOfferT &offer)
--- a/paddlepier/instance/instance.h
+++ b/paddlepier/instance/instance.h
@@ -55,6 +55,8 @@
         std::unique_ptr<LedgerService> service;
     };
 
+    /** Sends a frame in this instance's name. */
+    void sendFrame(const std::string &instance, wire::PeerFrameT frame);
     void openLedgers(std::uint64_t seed);
     void handle(const std::shared_ptr<http::Exchange> &exchange);
     void handleCall(const std::shared_ptr<http::Exchange> &exchange, const rpc::CallInfo &call);
