--- a/paddlepier/cli/commands.cpp
+++ b/paddlepier/cli/commands.cpp
@@ -315,13 +315,7 @@
     return ExitStatus::Done;
 }
 
-struct Command {
-    const char *name;
-    const char *summary;
-    ExitStatus (*run)(const std::vector<std::string> &);
-};
-
-constexpr std::array<Command, 11> commandTable{{
+constexpr std::array<Command, 11> ownCommands{{
     {"serve", "run one entry instance", &runServe},
     {"config", "check a settings file, or show the configuration's status", &runConfig},
     {"plan", "show what a configuration file would change", &runPlan},
@@ -335,10 +329,10 @@
     {"version", "print the version", &runVersion},
 }};
 
-void printUsage(std::ostream &out)
+void printUsage(std::ostream &out, const std::vector<Command> &commands)
 {
     out << "usage: paddlepier COMMAND [arguments]; paddlepier COMMAND --help tells more\n\n";
-    for (const Command &command : commandTable) {
+    for (const Command &command : commands) {
         out << "  " << command.name << std::string(10 - std::string(command.name).size(), ' ') << command.summary << "\n";
     }
     out << "\nexit status: 0 done, 1 refused, 2 wrong arguments or settings, 3 unreachable, 5 data folder\n";
@@ -364,14 +358,16 @@
     }
 }
 
-ExitStatus dispatch(const std::vector<std::string> &arguments)
+ExitStatus dispatch(const std::vector<std::string> &arguments, const std::vector<Command> &others)
 {
+    std::vector<Command> commands(ownCommands.begin(), ownCommands.end());
+    commands.insert(commands.end(), others.begin(), others.end());
     const std::string name = arguments.size() > 1 ? arguments[1] : "";
     if (name == "--help" || name == "-h" || name == "help") {
-        printUsage(std::cout);
+        printUsage(std::cout, commands);
         return ExitStatus::Done;
     }
-    for (const Command &command : commandTable) {
+    for (const Command &command : commands) {
         if (name == command.name) {
             return command.run({arguments.begin() + 1, arguments.end()});
         }
@@ -388,10 +384,10 @@
 
 } // namespace
 
-ExitStatus runCommand(const std::vector<std::string> &arguments)
+ExitStatus runCommand(const std::vector<std::string> &arguments, const std::vector<Command> &others)
 {
     try {
-        return dispatch(arguments);
+        return dispatch(arguments, others);
     } catch (const Error &error) {
         return fail(error.code(), error.what());
     } catch (const TCLAP::ExitException &exit) {
--- a/paddlepier/cli/commands.h
+++ b/paddlepier/cli/commands.h
@@ -22,8 +22,18 @@
 
 enum class ExitStatus { Done = 0, Refused = 1, Usage = 2, Unreachable = 3, Storage = 5 };
 
-/** @param arguments the program's name, the subcommand and its arguments */
-ExitStatus runCommand(const std::vector<std::string> &arguments);
+/** A subcommand; run() gets the words after the program's name. */
+struct Command {
+    const char *name;
+    const char *summary;
+    ExitStatus (*run)(const std::vector<std::string> &);
+};
+
+/**
+ * @param arguments the program's name, the subcommand and its arguments
+ * @param others subcommands that this library doesn't bring itself
+ */
+ExitStatus runCommand(const std::vector<std::string> &arguments, const std::vector<Command> &others = {});
 
 } // namespace paddlepier::cli
 
--- /dev/null
+++ b/paddlepier/cluster/advicecallers.h
@@ -0,0 +1,44 @@
+// Shares questions to the policy service out over the instances that can ask it.
+//
+// The service takes one call at a time from each caller, so that a question waits behind the earlier ones of the same
+// caller. Long questions are kept off some of the callers, so that short ones need not wait behind them.
+//
+// Thread safety: none; owned by the control thread. choose() is O(callers).
+
+#ifndef PADDLEPIER_CLUSTER_ADVICECALLERS_H
+#define PADDLEPIER_CLUSTER_ADVICECALLERS_H
+
+#include "paddlepier/base/clock.h"
+
+#include <map>
+#include <string>
+
+namespace paddlepier::cluster
+{
+
+class AdviceCallers
+{
+public:
+    /** An instance has shown that it is there. */
+    void noteAlive(Timestamp now, const std::string &instance);
+    /** Caller on which a question of this cost ends first; its time is taken there. */
+    std::string choose(Timestamp now, Duration cost);
+    /** A question has ended, early or late: corrects the caller's expected time. */
+    void noteEnd(Timestamp now, const std::string &instance, Duration cost);
+    /** A question wasn't answered: the caller gets no others for a while. */
+    void noteFailure(Timestamp now, const std::string &instance);
+
+private:
+    struct Caller {
+        Timestamp aliveAt;
+        Timestamp busyUntil = absl::InfinitePast();
+        Timestamp avoidedUntil = absl::InfinitePast();
+        int underWay = 0;
+    };
+
+    std::map<std::string, Caller> callers;
+};
+
+} // namespace paddlepier::cluster
+
+#endif
--- /dev/null
+++ b/paddlepier/cluster/coreprocess.cpp
@@ -0,0 +1,209 @@
+// Process on a core machine.
+
+#include "paddlepier/cluster/coreprocess.h"
+
+#include "paddlepier/base/log.h"
+#include "paddlepier/wire/codec.h"
+
+#include <absl/strings/str_cat.h>
+
+namespace paddlepier::cluster
+{
+
+namespace
+{
+
+constexpr Duration tickInterval = absl::Milliseconds(20);
+
+/** A question to the policy service through another instance is given up after its cost and this. */
+constexpr Duration advicePatience = absl::Milliseconds(1800);
+
+/** A voter that has been silent for this long may be replaced: longer than a process takes to restart. */
+constexpr Duration voterSilence = absl::Milliseconds(2500);
+
+/** Longest wait of a planned stop for another leader and for calls under way. */
+constexpr Duration stopPatience = absl::Seconds(2);
+
+replication::GroupOptions groupOptions(const MemberOptions &member, const CoreOptions &core)
+{
+    replication::GroupOptions options;
+    options.name = "workload";
+    options.folder = absl::StrCat(member.settings.dataFolder, "/workload");
+    options.instance = member.settings.id;
+    options.founders = member.seeds;
+    options.mayForm = core.mayForm;
+    options.acceptsNewInstances = true;
+    options.admission.mostVoters = core.voters;
+    options.admission.silence = voterSilence;
+    options.heartbeat = member.settings.timing.heartbeat;
+    options.election = member.settings.timing.election;
+    options.driftPerMille = member.settings.timing.driftPerMille;
+    return options;
+}
+
+} // namespace
+
+CoreProcess::CoreProcess(MemberOptions memberOptions, CoreOptions options, WorkerPort workerPort, AdvicePort advicePort)
+    : MemberProcess(std::move(memberOptions), std::move(advicePort))
+    , coreOptions(options)
+    , workers(std::move(workerPort))
+    , nextQuestion(randomSeed())
+{
+    const auto send = [this](const std::string &instance, wire::PeerFrameT frame) { this->sendFrame(instance, std::move(frame)); };
+    this->disk = std::make_unique<replication::DiskWriter>(this->mailbox, this->counters);
+    this->node = std::make_unique<WorkloadNode>(groupOptions(this->options, this->coreOptions), *this->disk, send, this->counters, controlNow(), randomSeed());
+}
+
+CoreProcess::~CoreProcess()
+{
+    this->stopTransport();
+    this->disk->stop();
+}
+
+void CoreProcess::updateService(Timestamp now)
+{
+    const bool leads = this->node->replica().isLeader() && this->node->replica().isCaughtUpLeader();
+    const consensus::Term term = this->node->replica().currentTerm();
+    if (this->service && (!leads || this->serviceTerm != term)) {
+        log::info("cluster", "service.stopped", {{"term", this->serviceTerm}});
+        this->service.reset();
+    }
+    if (leads && !this->service && this->node->isServing(now)) {
+        this->serviceTerm = term;
+        this->service = std::make_unique<WorkService>(
+            *this->node,
+            this->coreOptions.dispatch,
+            this->workers,
+            [this](const std::string &instance, const work::AdviceCallT &call, std::function<void(execution::AdviceAnswer)> done) {
+                this->askThrough(instance, call, std::move(done));
+            },
+            [this](std::function<void()> work) { this->post(std::move(work)); },
+            this->callers,
+            this->counters,
+            now);
+        log::info("cluster",
+                  "service.started",
+                  {{"term", term}, {"workers", this->node->state().workers().size()}, {"jobs", this->node->state().activeJobs().size()}});
+    }
+}
+
+void CoreProcess::advance(Timestamp now)
+{
+    if (now >= this->nextTick) {
+        this->nextTick = now + tickInterval;
+        this->node->tick(now);
+        for (auto question = this->asked.begin(); question != this->asked.end();) {
+            if (question->second.deadline > now) {
+                ++question;
+                continue;
+            }
+            const auto done = std::move(question->second.done);
+            question = this->asked.erase(question);
+            done({});
+        }
+    }
+    this->updateService(now);
+    // Without the lease another leader may be at work: nothing is ordered until it is certain again.
+    if (this->service && this->node->isServing(now)) {
+        this->callers.noteAlive(now, this->options.settings.id);
+        this->service->step(now);
+    }
+    this->node->flush(now);
+    this->ready = true;
+}
+
+void CoreProcess::receiveFrame(wire::PeerFrameT frame)
+{
+    for (const std::string &instance : this->node->knownInstances()) {
+        this->leader->addCore(instance);
+    }
+    this->node->receive(controlNow(), std::move(frame));
+}
+
+void CoreProcess::handleAsLeader(Timestamp now, const std::string &fromInstance, WorkMethod method, const std::string &body, const CallDone &done)
+{
+    if (!this->service || !this->node->isServing(now)) {
+        CallResult result;
+        result.error = ErrorCode::NotLeader;
+        done(result);
+        return;
+    }
+    this->service->handle(now, fromInstance, method, body, done);
+}
+
+void CoreProcess::receiveCall(const std::string &fromInstance, const wire::CallRequestT &request)
+{
+    const std::optional<WorkMethod> method = workMethodFromName(request.method);
+    if (!method) {
+        throw UnknownRouteError(absl::StrCat("no call ", request.method));
+    }
+    if (*method == WorkMethod::Advise) {
+        this->adviseFor(fromInstance, request);
+        return;
+    }
+    this->handleAsLeader(controlNow(), fromInstance, *method, wire::toString(request.body), [this, fromInstance, id = request.id](const CallResult &result) {
+        this->reply(fromInstance, id, result, this->node->leaderInstance());
+    });
+}
+
+void CoreProcess::callLeader(Timestamp now, WorkMethod method, std::string body, Duration patience, CallDone done)
+{
+    if (this->service && this->node->isServing(now)) {
+        try {
+            this->service->handle(now, this->options.settings.id, method, body, done);
+        } catch (const Error &error) {
+            log::warning("cluster", "call.refused", {{"error", paddlepier::nameOf(error.code())}, {"message", error.what()}});
+        }
+        return;
+    }
+    this->leader->call(now, method, std::move(body), patience, std::move(done));
+}
+
+void CoreProcess::askThrough(const std::string &instance, const work::AdviceCallT &call, std::function<void(execution::AdviceAnswer)> done)
+{
+    if (instance == this->options.settings.id) {
+        this->advice.ask(call, [this, done = std::move(done)](const execution::AdviceAnswer &received) { this->post([done, received] { done(received); }); });
+        return;
+    }
+    const std::uint64_t id = this->nextQuestion++;
+    this->asked[id] = {std::move(done), controlNow() + advicePatience};
+    wire::CallRequestT request;
+    request.id = id;
+    request.method = nameOf(WorkMethod::Advise);
+    request.body = wire::toBytes(wire::pack(call));
+    wire::PeerFrameT frame;
+    frame.body.Set(std::move(request));
+    this->sendFrame(instance, std::move(frame));
+}
+
+void CoreProcess::receiveReply(const std::string &fromInstance, const wire::CallReplyT &reply)
+{
+    const auto found = this->asked.find(reply.id);
+    if (found == this->asked.end()) {
+        MemberProcess::receiveReply(fromInstance, reply);
+        return;
+    }
+    execution::AdviceAnswer answer;
+    answer.isAnswered = reply.error == ErrorCode::None;
+    if (answer.isAnswered) {
+        for (const auto &ticket : wire::unpack<work::AdviceReplyT>(reply.body).good) {
+            answer.good.push_back(*ticket);
+        }
+    }
+    const auto done = std::move(found->second.done);
+    this->asked.erase(found);
+    done(answer);
+}
+
+void CoreProcess::stopAsPlanned()
+{
+    const Timestamp end = controlNow() + stopPatience;
+    this->node->handOver(controlNow());
+    const auto isOver = [this] { return !this->node->replica().isLeader() && !this->node->replica().leader().empty() && this->leader->pendingCalls() == 0; };
+    while (controlNow() < end && !isOver()) {
+        this->step(tickInterval);
+    }
+    log::info("cluster", "stopped", {{"instance", this->options.settings.id}, {"calls", this->leader->pendingCalls()}});
+}
+
+} // namespace paddlepier::cluster
--- /dev/null
+++ b/paddlepier/cluster/coreprocess.h
@@ -0,0 +1,66 @@
+// Process on a core machine: a replica of the workload ledger, and the leader's work while it leads.
+//
+// Thread safety: as MemberProcess.
+
+#ifndef PADDLEPIER_CLUSTER_COREPROCESS_H
+#define PADDLEPIER_CLUSTER_COREPROCESS_H
+
+#include "paddlepier/cluster/memberprocess.h"
+#include "paddlepier/cluster/workservice.h"
+#include "paddlepier/replication/diskwriter.h"
+
+#include <map>
+#include <memory>
+#include <string>
+
+namespace paddlepier::cluster
+{
+
+struct CoreOptions {
+    execution::DispatchOptions dispatch;
+    /** The deployment starts for the first time: the replicas on the seeds form the group. */
+    bool mayForm = false;
+    /** Votes: twice the lost disks that must be borne, and one. */
+    std::size_t voters = 3;
+};
+
+class CoreProcess : public MemberProcess
+{
+public:
+    /** Opens the data folder. @throws any Error that makes the process unable to start */
+    CoreProcess(MemberOptions memberOptions, CoreOptions coreOptions, WorkerPort workerPort, AdvicePort advicePort);
+    ~CoreProcess() override;
+
+protected:
+    void advance(Timestamp now) override;
+    void receiveCall(const std::string &fromInstance, const wire::CallRequestT &request) override;
+    void receiveReply(const std::string &fromInstance, const wire::CallReplyT &answer) override;
+    void receiveFrame(wire::PeerFrameT frame) override;
+    void callLeader(Timestamp now, WorkMethod method, std::string body, Duration patience, CallDone done) override;
+    void stopAsPlanned() override;
+
+private:
+    void updateService(Timestamp now);
+    void handleAsLeader(Timestamp now, const std::string &fromInstance, WorkMethod method, const std::string &body, const CallDone &done);
+    void askThrough(const std::string &instance, const work::AdviceCallT &call, std::function<void(execution::AdviceAnswer)> done);
+
+    struct Asked {
+        std::function<void(execution::AdviceAnswer)> done;
+        Timestamp deadline;
+    };
+
+    const CoreOptions coreOptions;
+    const WorkerPort workers;
+    std::unique_ptr<replication::DiskWriter> disk;
+    std::unique_ptr<WorkloadNode> node;
+    std::unique_ptr<WorkService> service;
+    consensus::Term serviceTerm = 0;
+    AdviceCallers callers;
+    std::map<std::uint64_t, Asked> asked;
+    std::uint64_t nextQuestion;
+    Timestamp nextTick = absl::InfinitePast();
+};
+
+} // namespace paddlepier::cluster
+
+#endif
--- /dev/null
+++ b/paddlepier/cluster/entryprocess.h
@@ -0,0 +1,36 @@
+// Process on an entry machine: forwards callers' requests to the leader and asks the policy service for it.
+//
+// It has no disk and keeps no configuration: the leader knows the queues, so that every instance goes by the newest one.
+//
+// Thread safety: as MemberProcess.
+
+#ifndef PADDLEPIER_CLUSTER_ENTRYPROCESS_H
+#define PADDLEPIER_CLUSTER_ENTRYPROCESS_H
+
+#include "paddlepier/cluster/memberprocess.h"
+
+namespace paddlepier::cluster
+{
+
+class EntryProcess : public MemberProcess
+{
+public:
+    EntryProcess(MemberOptions memberOptions, AdvicePort advicePort);
+    ~EntryProcess() override;
+
+protected:
+    void advance(Timestamp now) override;
+    void receiveCall(const std::string &fromInstance, const wire::CallRequestT &request) override;
+    void receiveFrame(wire::PeerFrameT frame) override;
+    void stopAsPlanned() override;
+
+private:
+    void showPresence(Timestamp now);
+
+    Timestamp nextPresence = absl::InfinitePast();
+    bool presenceUnderWay = false;
+};
+
+} // namespace paddlepier::cluster
+
+#endif
--- /dev/null
+++ b/paddlepier/cluster/memberprocess.cpp
@@ -0,0 +1,178 @@
+// What the processes of the cluster have in common.
+
+#include "paddlepier/cluster/memberprocess.h"
+
+#include "paddlepier/base/log.h"
+#include "paddlepier/wire/codec.h"
+
+#include <random>
+
+namespace paddlepier::cluster
+{
+
+namespace
+{
+
+/** Events that may wait for the control thread; far beyond what a second brings. */
+constexpr std::size_t mailboxLimit = 20'000;
+
+} // namespace
+
+std::uint64_t randomSeed()
+{
+    std::random_device device;
+    return (std::uint64_t{device()} << 32U) | device();
+}
+
+MemberProcess::MemberProcess(MemberOptions memberOptions, AdvicePort advicePort)
+    : options(std::move(memberOptions))
+    , advice(std::move(advicePort))
+    , mailbox(mailboxLimit)
+{
+    const auto send = [this](const std::string &instance, wire::PeerFrameT frame) { this->sendFrame(instance, std::move(frame)); };
+    this->leader = std::make_unique<LeaderClient>(send, randomSeed());
+    for (const std::string &seed : this->options.seeds) {
+        this->leader->addCore(seed);
+    }
+    this->transport = std::make_unique<peer::Transport>(this->options.settings, this->counters, [this](wire::PeerFrameT frame) {
+        auto shared = std::make_shared<wire::PeerFrameT>(std::move(frame));
+        this->post([this, shared] { this->receive(std::move(*shared)); });
+    });
+}
+
+MemberProcess::~MemberProcess() = default;
+
+void MemberProcess::stopTransport()
+{
+    this->transport->stop();
+}
+
+void MemberProcess::post(std::function<void()> work)
+{
+    if (!this->mailbox.post(std::move(work))) {
+        this->counters.counter("events_dropped_total").add();
+    }
+}
+
+void MemberProcess::sendFrame(const std::string &instance, wire::PeerFrameT frame)
+{
+    frame.fromInstance = this->options.settings.id;
+    this->transport->send(instance, frame);
+}
+
+void MemberProcess::receive(wire::PeerFrameT frame)
+{
+    try {
+        if (const auto *request = frame.body.AsCallRequest()) {
+            this->receiveCall(frame.fromInstance, *request);
+        } else if (const auto *answer = frame.body.AsCallReply()) {
+            this->receiveReply(frame.fromInstance, *answer);
+        } else {
+            this->receiveFrame(std::move(frame));
+        }
+    } catch (const Error &error) {
+        log::warning("cluster", "frame.refused", {{"error", paddlepier::nameOf(error.code())}, {"message", error.what()}});
+    }
+}
+
+void MemberProcess::receiveReply(const std::string &fromInstance, const wire::CallReplyT &answer)
+{
+    this->leader->receiveReply(controlNow(), fromInstance, answer);
+}
+
+void MemberProcess::reply(const std::string &instance, std::uint64_t id, const CallResult &result, const std::string &leaderHint)
+{
+    wire::CallReplyT answer;
+    answer.id = id;
+    answer.error = result.error;
+    answer.leader = leaderHint;
+    if (result.error == ErrorCode::None) {
+        answer.body = wire::toBytes(wire::pack(result.reply));
+    }
+    wire::PeerFrameT frame;
+    frame.body.Set(std::move(answer));
+    this->sendFrame(instance, std::move(frame));
+}
+
+void MemberProcess::adviseFor(const std::string &instance, const wire::CallRequestT &request)
+{
+    const auto question = wire::unpack<work::AdviceCallT>(request.body);
+    this->advice.ask(question, [this, instance, id = request.id](const execution::AdviceAnswer &received) {
+        this->post([this, instance, id, received] {
+            work::AdviceReplyT reply;
+            for (const work::AdviceTicketT &ticket : received.good) {
+                reply.good.push_back(std::make_unique<work::AdviceTicketT>(ticket));
+            }
+            wire::CallReplyT answer;
+            answer.id = id;
+            answer.error = received.isAnswered ? ErrorCode::None : ErrorCode::Timeout;
+            answer.body = wire::toBytes(wire::pack(reply));
+            wire::PeerFrameT frame;
+            frame.body.Set(std::move(answer));
+            this->sendFrame(instance, std::move(frame));
+        });
+    });
+}
+
+void MemberProcess::call(WorkMethod method, std::string body, Duration patience, CallDone done)
+{
+    this->post([this, method, body = std::move(body), patience, done = std::move(done)]() mutable {
+        this->callLeader(controlNow(), method, std::move(body), patience, std::move(done));
+    });
+}
+
+void MemberProcess::callLeader(Timestamp now, WorkMethod method, std::string body, Duration patience, CallDone done)
+{
+    this->leader->call(now, method, std::move(body), patience, std::move(done));
+}
+
+void MemberProcess::addSeeds(std::vector<std::string> seeds)
+{
+    this->post([this, seeds = std::move(seeds)] {
+        for (const std::string &seed : seeds) {
+            this->leader->addCore(seed);
+        }
+    });
+}
+
+bool MemberProcess::isReady() const
+{
+    return this->ready && !this->stopRequested;
+}
+
+bool MemberProcess::isStopping() const
+{
+    return this->stopRequested;
+}
+
+Counters &MemberProcess::processCounters()
+{
+    return this->counters;
+}
+
+void MemberProcess::requestStop()
+{
+    this->stopRequested = true;
+}
+
+void MemberProcess::run()
+{
+    constexpr Duration tickInterval = absl::Milliseconds(20);
+    while (!this->stopRequested) {
+        this->step(tickInterval);
+    }
+    log::info("cluster", "stopping", {{"instance", this->options.settings.id}});
+    this->stopAsPlanned();
+}
+
+void MemberProcess::step(Duration patience)
+{
+    for (const Mailbox::Work &work : this->mailbox.take(patience)) {
+        work();
+    }
+    const Timestamp now = controlNow();
+    this->leader->tick(now);
+    this->advance(now);
+}
+
+} // namespace paddlepier::cluster
--- /dev/null
+++ b/paddlepier/cluster/workcalls.h
@@ -0,0 +1,35 @@
+// Calls between instances about the workload, and what comes of them.
+//
+// Thread safety: plain values.
+
+#ifndef PADDLEPIER_CLUSTER_WORKCALLS_H
+#define PADDLEPIER_CLUSTER_WORKCALLS_H
+
+#include "paddlepier/base/error.h"
+#include "paddlepier/wire/workload_generated.h"
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace paddlepier::cluster
+{
+
+enum class WorkMethod { Job, Announce, Withdraw, Configure, ReadConfiguration, Presence, Advise };
+
+const char *nameOf(WorkMethod method);
+std::optional<WorkMethod> workMethodFromName(std::string_view name);
+
+/** End of a call to the leader. */
+struct CallResult {
+    /** None, or why no leader answered: NotLeader (certainly not taken) or Timeout (may have been taken, or may be yet). */
+    ErrorCode error = ErrorCode::None;
+    work::WorkReplyT reply;
+};
+
+using CallDone = std::function<void(const CallResult &)>;
+
+} // namespace paddlepier::cluster
+
+#endif
--- /dev/null
+++ b/paddlepier/cluster/workservice.cpp
@@ -0,0 +1,369 @@
+// The leader's answers to calls, for one term.
+
+#include "paddlepier/cluster/workservice.h"
+
+#include "paddlepier/base/log.h"
+#include "paddlepier/wire/codec.h"
+
+#include <absl/strings/ascii.h>
+
+#include <algorithm>
+
+namespace paddlepier::cluster
+{
+
+namespace
+{
+
+constexpr std::size_t jobIdDigits = 16;
+
+/** When a refused caller should come back: about an election. */
+constexpr std::uint32_t retryAfterMillis = 1000;
+
+bool isJobId(const std::string &text)
+{
+    return text.size() == jobIdDigits
+           && std::all_of(text.begin(), text.end(), [](char digit) { return absl::ascii_isxdigit(static_cast<unsigned char>(digit)); });
+}
+
+CallResult answer(work::CallOutcome outcome, const std::string &message = "")
+{
+    CallResult result;
+    result.reply.outcome = outcome;
+    result.reply.message = message;
+    if (outcome == work::CallOutcome::Unavailable) {
+        result.reply.retryAfterMillis = retryAfterMillis;
+    }
+    return result;
+}
+
+template<typename Table>
+work::CommandUnion toCommand(Table table)
+{
+    work::CommandUnion command;
+    command.Set(std::move(table));
+    return command;
+}
+
+bool isSameDemand(const work::Demand &left, const work::Demand &right)
+{
+    return left.milliProcessors() == right.milliProcessors() && left.memoryMegabytes() == right.memoryMegabytes()
+           && left.accelerators() == right.accelerators();
+}
+
+bool isSameRegistration(const work::RegisterWorkerT &left, const work::RegisterWorkerT &right)
+{
+    return left.address == right.address && left.service == right.service && left.machine == right.machine && left.labels == right.labels
+           && left.isDraining == right.isDraining && isSameDemand(*left.capacity, *right.capacity);
+}
+
+} // namespace
+
+WorkService::WorkService(WorkloadNode &workloadNode,
+                         const execution::DispatchOptions &options,
+                         WorkerPort workerPort,
+                         AskThrough askThrough,
+                         Post post,
+                         AdviceCallers &adviceCallers,
+                         Counters &processCounters,
+                         Timestamp now)
+    : node(workloadNode)
+    , workers(std::move(workerPort))
+    , askThroughInstance(std::move(askThrough))
+    , postToControl(std::move(post))
+    , callers(adviceCallers)
+    , submittedJobs(processCounters.counter("jobs_submitted_total"))
+    , workerCalls(processCounters.counter("worker_calls_total"))
+    , adviceCalls(processCounters.counter("advice_calls_total"))
+    , workerCallTimes(processCounters.histogram("worker_call"))
+    , dispatcher(workloadNode.state(), options, workloadNode.replica().currentTerm(), now)
+    , isAlive(std::make_shared<bool>(true))
+{
+}
+
+WorkService::~WorkService()
+{
+    *this->isAlive = false;
+}
+
+void WorkService::propose(work::CommandUnion command, WorkloadNode::Completed completed)
+{
+    work::EntryT entry;
+    entry.atMillis = std::max(wallMicros() / 1000, this->node.state().appliedAtMillis());
+    entry.command = std::move(command);
+    this->node.proposeBytes(wire::pack(entry), std::move(completed));
+}
+
+void WorkService::proposeFor(work::CommandUnion command, work::WorkReplyT reply, const CallDone &done)
+{
+    this->propose(std::move(command), [this, alive = this->isAlive, reply = std::move(reply), done](const workload::Outcome &outcome) {
+        if (*alive) {
+            this->dispatcher.noteChange();
+        }
+        CallResult result;
+        result.reply = reply;
+        switch (outcome.error) {
+        case ErrorCode::None:
+            break;
+        case ErrorCode::NotLeader:
+        case ErrorCode::Timeout:
+            result.error = outcome.error;
+            break;
+        case ErrorCode::UnknownRoute:
+            result = answer(work::CallOutcome::UnknownQueue, outcome.message);
+            break;
+        case ErrorCode::UnknownJob:
+            result = answer(work::CallOutcome::UnknownJob, outcome.message);
+            break;
+        default:
+            result = answer(work::CallOutcome::Refused, outcome.message);
+        }
+        done(result);
+    });
+}
+
+void WorkService::handle(Timestamp now, const std::string &fromInstance, WorkMethod method, const std::string &body, const CallDone &done)
+{
+    switch (method) {
+    case WorkMethod::Job:
+        return this->handleJob(wire::unpack<work::JobCallT>(body), done);
+    case WorkMethod::Announce:
+        return this->announce(now, wire::unpack<work::AnnounceCallT>(body), done);
+    case WorkMethod::Withdraw:
+        return this->withdraw(wire::unpack<work::WithdrawCallT>(body), done);
+    case WorkMethod::Configure:
+        return this->configure(wire::unpack<work::ConfigureCallT>(body), done);
+    case WorkMethod::ReadConfiguration:
+        return this->readConfiguration(done);
+    case WorkMethod::Presence:
+        return this->presence(now, fromInstance, done);
+    case WorkMethod::Advise:
+        break;
+    }
+    done(answer(work::CallOutcome::Invalid, "not a call to a leader"));
+}
+
+void WorkService::handleJob(const work::JobCallT &call, const CallDone &done)
+{
+    if (this->node.state().configuration().version == 0) {
+        done(answer(work::CallOutcome::Unavailable, "no configuration yet"));
+        return;
+    }
+    const work::QueueSpecT *queue = this->node.state().findQueue(call.host, call.path);
+    if (queue == nullptr) {
+        done(answer(work::CallOutcome::UnknownQueue, "no queue has this host and path"));
+        return;
+    }
+    const std::string id = call.path.substr(queue->pathPrefix.size());
+    if (id.empty() && call.action == work::JobAction::Show) {
+        CallResult result = answer(work::CallOutcome::Accepted);
+        result.reply.waitingJobs = this->node.state().waitingJobs(queue->name);
+        done(result);
+        return;
+    }
+    if (!isJobId(id)) {
+        done(answer(work::CallOutcome::Invalid, "a job's id has 16 hexadecimal digits"));
+        return;
+    }
+    switch (call.action) {
+    case work::JobAction::Submit:
+        return this->submit(*queue, id, call, done);
+    case work::JobAction::Show:
+        return this->show(*queue, id, done);
+    case work::JobAction::Cancel:
+        return this->cancel(id, done);
+    }
+}
+
+void WorkService::submit(const work::QueueSpecT &queue, const std::string &id, const work::JobCallT &call, const CallDone &done)
+{
+    if (this->node.state().findJob(id) != nullptr) {
+        done(answer(work::CallOutcome::Accepted));
+        return;
+    }
+    const std::string problem = call.spec ? workload::problemOf(*call.spec) : "no job";
+    if (!problem.empty()) {
+        log::info("jobs", "job.invalid", {{"job", id}, {"queue", queue.name}, {"problem", problem}});
+        done(answer(work::CallOutcome::Invalid, problem));
+        return;
+    }
+    log::info("jobs",
+              "job.submitted",
+              {{"job", id}, {"queue", queue.name}, {"steps", call.spec->steps.size()}, {"configuration", this->node.state().configuration().version}});
+    this->submittedJobs.add();
+    work::SubmitJobT command;
+    command.id = id;
+    command.queue = queue.name;
+    command.spec = std::make_unique<work::JobSpecT>(*call.spec);
+    this->proposeFor(toCommand(std::move(command)), answer(work::CallOutcome::Accepted).reply, done);
+}
+
+void WorkService::show(const work::QueueSpecT &queue, const std::string &id, const CallDone &done)
+{
+    const workload::Job *job = this->node.state().findJob(id);
+    if (job == nullptr || job->queue().name != queue.name) {
+        done(answer(work::CallOutcome::UnknownJob, "no such job"));
+        return;
+    }
+    CallResult result = answer(work::CallOutcome::Accepted);
+    result.reply.state = job->state();
+    done(result);
+}
+
+void WorkService::cancel(const std::string &id, const CallDone &done)
+{
+    if (this->node.state().findJob(id) == nullptr) {
+        done(answer(work::CallOutcome::UnknownJob, "no such job"));
+        return;
+    }
+    log::info("jobs", "job.cancelled", {{"job", id}});
+    work::CancelJobT command;
+    command.id = id;
+    this->proposeFor(toCommand(std::move(command)), answer(work::CallOutcome::Accepted).reply, done);
+}
+
+void WorkService::removeEarlierLives(const work::RegisterWorkerT &registration)
+{
+    for (const auto &[id, worker] : this->node.state().workers()) {
+        const bool isSameMachine = !registration.machine.empty() && worker.registration.machine == registration.machine;
+        if (id == registration.id || (!isSameMachine && worker.registration.address != registration.address)) {
+            continue;
+        }
+        log::info("workers", "worker.replaced", {{"worker", id}, {"by", registration.id}, {"runs", worker.runs.size()}});
+        work::RemoveWorkerT command;
+        command.id = id;
+        this->propose(toCommand(std::move(command)), [](const workload::Outcome &) {});
+    }
+}
+
+void WorkService::announce(Timestamp now, const work::AnnounceCallT &call, const CallDone &done)
+{
+    const work::RegisterWorkerT &registration = *call.registration;
+    const workload::Worker *known = this->node.state().findWorker(registration.id);
+    if (known != nullptr && this->dispatcher.isStaleAnnouncement(registration.id, call.sequence)) {
+        done(answer(work::CallOutcome::Accepted));
+        return;
+    }
+    const Duration drainRemaining = registration.isDraining ? absl::Milliseconds(call.drainRemainingMillis) : absl::InfiniteDuration();
+    this->dispatcher.noteAnnouncement(now, registration.id, call.sequence, drainRemaining);
+    if (known != nullptr && (isSameRegistration(known->registration, registration) || (known->registration.isDraining && !registration.isDraining))) {
+        done(answer(work::CallOutcome::Accepted));
+        return;
+    }
+    log::info("workers",
+              known == nullptr ? "worker.joined" : "worker.changed",
+              {{"worker", registration.id},
+               {"address", registration.address},
+               {"service", registration.service},
+               {"draining", registration.isDraining},
+               {"drainRemainingMillis", call.drainRemainingMillis},
+               {"sequence", call.sequence}});
+    this->removeEarlierLives(registration);
+    this->proposeFor(toCommand(registration), answer(work::CallOutcome::Accepted).reply, done);
+}
+
+void WorkService::withdraw(const work::WithdrawCallT &call, const CallDone &done)
+{
+    log::info("workers", "worker.left", {{"worker", call.id}});
+    work::RemoveWorkerT command;
+    command.id = call.id;
+    this->proposeFor(toCommand(std::move(command)), answer(work::CallOutcome::Accepted).reply, done);
+}
+
+void WorkService::configure(work::ConfigureCallT call, const CallDone &done)
+{
+    const work::ChangeConfigurationT &held = this->node.state().configuration();
+    const bool isNewer = call.change->version > held.version;
+    log::info("configuration",
+              isNewer ? "configuration.proposed" : "configuration.kept",
+              {{"version", call.change->version}, {"held", held.version}, {"sameText", call.change->text == held.text}});
+    if (!isNewer) {
+        done(answer(work::CallOutcome::Accepted));
+        return;
+    }
+    this->proposeFor(toCommand(std::move(*call.change)), answer(work::CallOutcome::Accepted).reply, done);
+}
+
+void WorkService::readConfiguration(const CallDone &done)
+{
+    if (this->node.state().configuration().version == 0) {
+        done(answer(work::CallOutcome::Unavailable, "no configuration yet"));
+        return;
+    }
+    CallResult result = answer(work::CallOutcome::Accepted);
+    result.reply.configuration = std::make_unique<work::ChangeConfigurationT>();
+    result.reply.configuration->version = this->node.state().configuration().version;
+    result.reply.configuration->text = this->node.state().configuration().text;
+    done(result);
+}
+
+void WorkService::presence(Timestamp now, const std::string &fromInstance, const CallDone &done)
+{
+    this->callers.noteAlive(now, fromInstance);
+    CallResult result = answer(work::CallOutcome::Accepted);
+    for (const std::string &instance : this->node.knownInstances()) {
+        result.reply.coreInstances.push_back(instance);
+    }
+    done(result);
+}
+
+void WorkService::ask(Timestamp now, const execution::AdviceQuestion &question)
+{
+    const std::string caller = this->callers.choose(now, question.cost);
+    if (caller.empty()) {
+        this->dispatcher.takeAdvice(now, question.id, {});
+        return;
+    }
+    work::AdviceCallT call;
+    call.step = question.step.text();
+    call.workers = question.workers;
+    this->adviceCalls.add();
+    this->askThroughInstance(caller, call, [this, alive = this->isAlive, caller, now, question](const execution::AdviceAnswer &received) {
+        if (!*alive) {
+            return;
+        }
+        const Timestamp answeredAt = controlNow();
+        log::info("advice",
+                  received.isAnswered ? "advice.answered" : "advice.failed",
+                  {{"step", question.step.text()},
+                   {"caller", caller},
+                   {"asked", question.workers.size()},
+                   {"permitted", received.good.size()},
+                   {"millis", absl::ToInt64Milliseconds(answeredAt - now)},
+                   {"expectedMillis", absl::ToInt64Milliseconds(question.cost)}});
+        this->callers.noteEnd(answeredAt, caller, question.cost);
+        if (!received.isAnswered) {
+            this->callers.noteFailure(answeredAt, caller);
+        }
+        this->dispatcher.takeAdvice(answeredAt, question.id, received);
+    });
+}
+
+void WorkService::step(Timestamp now)
+{
+    execution::DispatchEffects effects = this->dispatcher.step(now, wallMicros() / 1000);
+    for (execution::Proposal &proposal : effects.proposals) {
+        this->propose(std::move(proposal.command), [this, alive = this->isAlive, id = proposal.id](const workload::Outcome &outcome) {
+            if (*alive) {
+                this->dispatcher.takeOutcome(controlNow(), id, outcome);
+            }
+        });
+    }
+    for (const execution::WorkerCall &call : effects.calls) {
+        this->workerCalls.add();
+        this->workers.call(call, [this, alive = this->isAlive, post = this->postToControl, id = call.id, now](const execution::WorkerAnswer &received) {
+            post([this, alive, id, now, received] {
+                if (*alive) {
+                    const Timestamp answeredAt = controlNow();
+                    this->workerCallTimes.record(answeredAt - now);
+                    this->dispatcher.takeAnswer(answeredAt, id, received);
+                }
+            });
+        });
+    }
+    for (const execution::AdviceQuestion &question : effects.questions) {
+        this->ask(now, question);
+    }
+}
+
+} // namespace paddlepier::cluster
--- /dev/null
+++ b/paddlepier/cluster/workservice.h
@@ -0,0 +1,87 @@
+// The leader's answers to calls, for one term.
+//
+// Exists while its replica leads. A call is answered only while the replica is sure that it still leads; whatever changes
+// something is answered after it was committed.
+//
+// Thread safety: none; owned by the control thread.
+
+#ifndef PADDLEPIER_CLUSTER_WORKSERVICE_H
+#define PADDLEPIER_CLUSTER_WORKSERVICE_H
+
+#include "paddlepier/base/counters.h"
+#include "paddlepier/cluster/advicecallers.h"
+#include "paddlepier/cluster/ports.h"
+#include "paddlepier/cluster/workcalls.h"
+#include "paddlepier/execution/dispatcher.h"
+#include "paddlepier/replication/replicanode.h"
+#include "paddlepier/workload/workload.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace paddlepier::cluster
+{
+
+using WorkloadNode = replication::ReplicaNode<workload::Workload>;
+
+/** Runs work on the control thread, from any thread. */
+using Post = std::function<void(std::function<void()>)>;
+
+/** Asks through another instance. */
+using AskThrough = std::function<void(const std::string &instance, const work::AdviceCallT &call, std::function<void(execution::AdviceAnswer)> done)>;
+
+class WorkService
+{
+public:
+    WorkService(WorkloadNode &workloadNode,
+                const execution::DispatchOptions &options,
+                WorkerPort workerPort,
+                AskThrough askThrough,
+                Post post,
+                AdviceCallers &adviceCallers,
+                Counters &processCounters,
+                Timestamp now);
+    ~WorkService();
+
+    WorkService(const WorkService &) = delete;
+    WorkService &operator=(const WorkService &) = delete;
+
+    void handle(Timestamp now, const std::string &fromInstance, WorkMethod method, const std::string &body, const CallDone &done);
+    /** Carries the dispatcher's effects out; call it after every batch of events. */
+    void step(Timestamp now);
+
+private:
+    void handleJob(const work::JobCallT &call, const CallDone &done);
+    void submit(const work::QueueSpecT &queue, const std::string &id, const work::JobCallT &call, const CallDone &done);
+    void show(const work::QueueSpecT &queue, const std::string &id, const CallDone &done);
+    void cancel(const std::string &id, const CallDone &done);
+    void announce(Timestamp now, const work::AnnounceCallT &call, const CallDone &done);
+    void removeEarlierLives(const work::RegisterWorkerT &registration);
+    void withdraw(const work::WithdrawCallT &call, const CallDone &done);
+    void configure(work::ConfigureCallT call, const CallDone &done);
+    void readConfiguration(const CallDone &done);
+    void presence(Timestamp now, const std::string &fromInstance, const CallDone &done);
+    void ask(Timestamp now, const execution::AdviceQuestion &question);
+
+    void propose(work::CommandUnion command, WorkloadNode::Completed completed);
+    /** Answers @p reply once the command is committed, and a failure as what it is. */
+    void proposeFor(work::CommandUnion command, work::WorkReplyT reply, const CallDone &done);
+
+    WorkloadNode &node;
+    const WorkerPort workers;
+    const AskThrough askThroughInstance;
+    const Post postToControl;
+    AdviceCallers &callers;
+    Counter &submittedJobs;
+    Counter &workerCalls;
+    Counter &adviceCalls;
+    Histogram &workerCallTimes;
+    execution::Dispatcher dispatcher;
+    /** Lets callbacks find out that the term is over. */
+    std::shared_ptr<bool> isAlive;
+};
+
+} // namespace paddlepier::cluster
+
+#endif
--- a/paddlepier/consensus/admission.cpp
+++ b/paddlepier/consensus/admission.cpp
@@ -43,7 +43,13 @@
 }
 
 Admission::Admission(Observer stepObserver)
+    : Admission(std::move(stepObserver), Limits{})
+{
+}
+
+Admission::Admission(Observer stepObserver, Limits admissionLimits)
     : observer(std::move(stepObserver))
+    , limits(admissionLimits)
 {
 }
 
@@ -52,17 +58,17 @@
     this->waiting[instance] = replica;
 }
 
-void Admission::advance(Replica &replica)
+void Admission::advance(Replica &replica, Timestamp now)
 {
     for (auto entry = this->waiting.begin(); entry != this->waiting.end();) {
         if (!replica.isCaughtUpLeader() || replica.hasPendingMembership()) {
             return;
         }
-        entry = this->admit(replica, entry->first, entry->second) ? this->waiting.erase(entry) : std::next(entry);
+        entry = this->admit(replica, entry->first, entry->second, now) ? this->waiting.erase(entry) : std::next(entry);
     }
 }
 
-bool Admission::admit(Replica &replica, const std::string &instance, const std::string &newcomer) const
+bool Admission::admit(Replica &replica, const std::string &instance, const std::string &newcomer, Timestamp now) const
 {
     wire::MembershipT next = replica.membership();
     if (holdsName(next.voters, newcomer)) {
@@ -79,13 +85,16 @@
     if (replica.matchOf(newcomer) < replica.commitIndex()) {
         return false;
     }
-    const std::string older = olderReplica(next.voters, instance, newcomer);
-    if (!older.empty()) {
-        eraseName(next.voters, older);
-        this->observer(Step::Removed, older);
+    const std::string gone = this->replaceable(replica, instance, newcomer, now);
+    if (!gone.empty()) {
+        eraseName(next.voters, gone);
+        this->observer(Step::Removed, gone);
         replica.proposeMembership(next);
         return false;
     }
+    if (next.voters.size() >= this->limits.mostVoters) {
+        return false;
+    }
     eraseName(next.learners, newcomer);
     next.voters.push_back(newcomer);
     this->observer(Step::Votes, newcomer);
@@ -93,4 +102,16 @@
     return false;
 }
 
+std::string Admission::replaceable(const Replica &replica, const std::string &instance, const std::string &newcomer, Timestamp now) const
+{
+    const std::vector<std::string> &voters = replica.membership().voters;
+    const std::string older = olderReplica(voters, instance, newcomer);
+    if (!older.empty() || voters.size() < this->limits.mostVoters) {
+        return older;
+    }
+    const auto isSilent = [&](const std::string &voter) { return now - replica.lastReplyOf(voter, now) > this->limits.silence; };
+    const auto found = std::find_if(voters.begin(), voters.end(), isSilent);
+    return found == voters.end() ? "" : *found;
+}
+
 } // namespace paddlepier::consensus
--- a/paddlepier/consensus/admission.h
+++ b/paddlepier/consensus/admission.h
@@ -2,11 +2,12 @@
 //
 // A replica asks to be admitted under its own identity and its instance's name. It becomes a learner first; when it holds
 // the whole committed log durably, an older replica of the same instance is removed, and then the newcomer votes. One
-// replica changes at a time, so that any two majorities that follow each other overlap.
+// replica changes at a time, so that any two majorities that follow each other overlap. Where the number of voters is
+// bounded, a newcomer beyond it stays a learner until a voter has been silent for long, and then takes its place.
 //
 // Example:
 //     admission.request("atlanta-1-a", "atlanta-1-a/9f...");
-//     admission.advance(replica);              // as leader, from time to time
+//     admission.advance(replica, now);         // as leader, from time to time
 //
 // Thread safety: none; owned by the control thread. advance() is O(replicas).
 
@@ -16,6 +17,7 @@
 #include "paddlepier/consensus/replica.h"
 
 #include <functional>
+#include <limits>
 #include <map>
 #include <string>
 
@@ -32,18 +34,28 @@
     enum class Step { Learns, Removed, Votes };
     using Observer = std::function<void(Step step, const std::string &replica)>;
 
+    /** How many voters there may be, and when one counts as gone. */
+    struct Limits {
+        std::size_t mostVoters = std::numeric_limits<std::size_t>::max();
+        Duration silence = absl::InfiniteDuration();
+    };
+
     explicit Admission(Observer stepObserver);
+    Admission(Observer stepObserver, Limits admissionLimits);
 
     void request(const std::string &instance, const std::string &replica);
 
     /** Takes the next step that is safe now; does nothing unless @p replica leads. */
-    void advance(Replica &replica);
+    void advance(Replica &replica, Timestamp now);
 
 private:
     /** @return true if the newcomer votes already */
-    bool admit(Replica &replica, const std::string &instance, const std::string &newcomer) const;
+    bool admit(Replica &replica, const std::string &instance, const std::string &newcomer, Timestamp now) const;
+    /** A voter that is over: an older replica of the same instance, or one that has been silent; empty if there is none. */
+    std::string replaceable(const Replica &replica, const std::string &instance, const std::string &newcomer, Timestamp now) const;
 
     const Observer observer;
+    const Limits limits;
     std::map<std::string, std::string> waiting;
 };
 
--- a/paddlepier/consensus/fakegroup_test.cpp
+++ b/paddlepier/consensus/fakegroup_test.cpp
@@ -235,7 +235,7 @@
                 leader.admission->request(absl::StrCat("m", index), member.identity);
             }
         }
-        member.admission->advance(*member.replica);
+        member.admission->advance(*member.replica, this->clockOf(member));
         this->processMember(index);
     }
 }
--- a/paddlepier/consensus/replica.h
+++ b/paddlepier/consensus/replica.h
@@ -144,6 +144,8 @@
     bool hasPendingMembership() const;
     /** As leader: the index up to which @p replica is known to be durable. */
     Index matchOf(const std::string &replica) const;
+    /** As leader: when @p replica last answered, or when this replica became leader if it hasn't since; @p now for itself. */
+    Timestamp lastReplyOf(const std::string &replica, Timestamp now) const;
     const std::shared_ptr<const wire::SnapshotHeaderT> &currentSnapshot() const;
 
 private:
--- a/paddlepier/consensus/replication.cpp
+++ b/paddlepier/consensus/replication.cpp
@@ -91,6 +91,12 @@
     return found == this->progresses.end() ? 0 : found->second.match;
 }
 
+Timestamp Replica::lastReplyOf(const std::string &replica, Timestamp now) const
+{
+    const auto found = this->progresses.find(replica);
+    return found == this->progresses.end() ? now : found->second.lastReply;
+}
+
 void Replica::appendOwn(wire::EntryKind kind, const std::string &data)
 {
     wire::LogRecordT entry;
--- /dev/null
+++ b/paddlepier/execution/dispatcher.cpp
@@ -0,0 +1,473 @@
+// Carries the ledger's placements out on the workers: polls, workers' lives and what is proposed.
+
+#include "paddlepier/execution/dispatcher.h"
+
+#include "paddlepier/base/log.h"
+
+#include <algorithm>
+#include <array>
+#include <set>
+
+namespace paddlepier::execution
+{
+
+namespace
+{
+
+/** How long a worker may hold a poll back while nothing ends; bounds how late a silent worker is noticed. */
+constexpr Duration pollWait = absl::Milliseconds(1000);
+constexpr Duration pollTimeout = absl::Milliseconds(1600);
+constexpr Duration firstPollTimeout = absl::Milliseconds(700);
+
+/** Least pause between two plans, so that what comes at nearly the same time is decided together. */
+constexpr Duration planPause = absl::Milliseconds(3);
+
+/** A plan is made at least this often, for what only time changes: due occurrences, tickets, waiting periods. */
+constexpr Duration planInterval = absl::Milliseconds(200);
+
+/** A life that neither answers nor announces itself for this long, and holds no runs, is over. */
+constexpr Duration forgottenAfter = absl::Seconds(20);
+
+/** Part of a draining worker's remaining time in which its runs are stopped, beyond the stop itself. */
+constexpr Duration leavingMargin = absl::Milliseconds(700);
+
+} // namespace
+
+const char *nameOf(StopReason reason)
+{
+    static constexpr std::array<const char *, 6> names{"none", "job-ended", "preempted", "stands-still", "worker-leaves", "start-unsettled"};
+    return names.at(static_cast<std::size_t>(reason));
+}
+
+Dispatcher::Dispatcher(const workload::Workload &workloadState, DispatchOptions dispatchOptions, std::uint64_t fenceToken, Timestamp now)
+    : state(workloadState)
+    , options(dispatchOptions)
+    , fence(fenceToken)
+    , planner(this->state, this->views, this->tracks, this->advice)
+{
+    this->syncWorkers(now);
+    this->adoptRuns(now);
+}
+
+void Dispatcher::adoptRuns(Timestamp now)
+{
+    for (const auto &[id, worker] : this->state.workers()) {
+        for (const workload::TaskKey &key : worker.runs) {
+            const workload::Task &task = this->state.findJob(key.job)->task(key);
+            RunTrack track;
+            track.run = task.lastRun;
+            track.worker = id;
+            track.checkpoint = task.checkpoint;
+            track.placedAt = now;
+            // Whether an earlier leader's start arrived, or will, isn't known; the first poll tells what runs.
+            track.mayStartLate = true;
+            track.ticketValidUntil = absl::InfinitePast();
+            this->tracks.emplace(key, std::move(track));
+        }
+    }
+}
+
+void Dispatcher::noteChange()
+{
+    this->changed = true;
+}
+
+void Dispatcher::noteAnnouncement(Timestamp now, const std::string &worker, std::uint64_t sequence, Duration drainRemaining)
+{
+    const auto view = this->views.find(worker);
+    if (view == this->views.end()) {
+        return;
+    }
+    view->second.announcedAt = now;
+    view->second.announcedSequence = std::max(view->second.announcedSequence, sequence);
+    if (drainRemaining < absl::InfiniteDuration()) {
+        view->second.leavesAt = std::min(view->second.leavesAt, now + drainRemaining);
+    }
+}
+
+bool Dispatcher::isStaleAnnouncement(const std::string &worker, std::uint64_t sequence) const
+{
+    const auto view = this->views.find(worker);
+    return view != this->views.end() && sequence < view->second.announcedSequence;
+}
+
+const RunTracks &Dispatcher::runs() const
+{
+    return this->tracks;
+}
+
+const std::map<std::string, WorkerView> &Dispatcher::workerViews() const
+{
+    return this->views;
+}
+
+DispatchEffects Dispatcher::step(Timestamp now, std::int64_t wallMillis)
+{
+    this->syncWorkers(now);
+    this->expireLeases(now);
+    this->drainWorkers(now);
+    this->driveRuns(now);
+    this->planWork(now, wallMillis);
+    this->pollWorkers(now);
+    return std::exchange(this->effects, DispatchEffects());
+}
+
+void Dispatcher::syncWorkers(Timestamp now)
+{
+    for (const auto &[id, worker] : this->state.workers()) {
+        this->views.try_emplace(id, now, this->options.longestLease);
+    }
+    for (auto view = this->views.begin(); view != this->views.end();) {
+        view = this->state.findWorker(view->first) == nullptr ? this->views.erase(view) : std::next(view);
+    }
+}
+
+std::uint64_t Dispatcher::send(Timestamp now, const std::string &worker, Order order, Duration timeout, bool withLease)
+{
+    WorkerView &view = this->views.at(worker);
+    WorkerCall call;
+    call.id = this->nextCall++;
+    call.worker = worker;
+    call.address = this->state.findWorker(worker)->registration.address;
+    call.fence = this->fence;
+    call.leaseEndOnWorkerClock = withLease ? view.leaseEnd(now, this->options.longestLease) : 0;
+    call.timeout = timeout;
+    call.order = std::move(order);
+    view.noteLease(call.leaseEndOnWorkerClock);
+    this->calls[call.id] = {worker, call.order, now, call.leaseEndOnWorkerClock};
+    this->effects.calls.push_back(std::move(call));
+    return this->nextCall - 1;
+}
+
+void Dispatcher::propose(ProposalKind kind, const std::string &worker, work::CommandUnion command)
+{
+    const std::uint64_t id = this->nextProposal++;
+    this->proposals[id] = {kind, worker};
+    this->effects.proposals.push_back({id, std::move(command)});
+}
+
+void Dispatcher::pollWorkers(Timestamp now)
+{
+    for (auto &[id, view] : this->views) {
+        if (view.pollState != PollState::Idle || view.nextPoll > now || view.isFenced) {
+            continue;
+        }
+        PollOrder order;
+        order.lastSequence = this->state.findWorker(id)->lastSequence;
+        order.wait = view.isReachable(now) ? pollWait : absl::ZeroDuration();
+        view.pollState = PollState::InFlight;
+        view.pollSentAt = now;
+        this->send(now, id, order, view.isReachable(now) ? pollTimeout : firstPollTimeout, true);
+    }
+}
+
+void Dispatcher::takeAnswer(Timestamp now, std::uint64_t callId, const WorkerAnswer &answer)
+{
+    const auto found = this->calls.find(callId);
+    if (found == this->calls.end()) {
+        return;
+    }
+    const PendingCall call = std::move(found->second);
+    this->calls.erase(found);
+    const auto view = this->views.find(call.worker);
+    if (view == this->views.end()) {
+        return;
+    }
+    if (answer.kind == AnswerKind::OtherLife) {
+        log::info("dispatch", "worker.other-life", {{"worker", call.worker}});
+        this->removeWorker(call.worker);
+        return;
+    }
+    if (answer.kind == AnswerKind::Fenced && !view->second.isFenced) {
+        view->second.isFenced = true;
+        log::warning("dispatch", "worker.fenced", {{"worker", call.worker}, {"fence", this->fence}});
+    }
+    if (answer.kind != AnswerKind::NoAnswer && answer.kind != AnswerKind::NotSent) {
+        view->second.noteAnswer(now, answer.hasClock ? std::optional(answer.clockMillis) : std::nullopt);
+    }
+    if (std::holds_alternative<PollOrder>(call.order)) {
+        this->takePoll(now, call, answer);
+    } else if (const auto *start = std::get_if<StartOrder>(&call.order)) {
+        this->takeStart(now, call, *start, answer);
+    } else if (const auto *stop = std::get_if<StopOrder>(&call.order)) {
+        this->takeStop(now, call, *stop, answer);
+    }
+}
+
+void Dispatcher::takePoll(Timestamp now, const PendingCall &call, const WorkerAnswer &answer)
+{
+    WorkerView &view = this->views.at(call.worker);
+    view.pollState = PollState::Idle;
+    if (answer.kind != AnswerKind::Accepted) {
+        view.noteSilence(now);
+        log::info("dispatch", "poll.failed", {{"worker", call.worker}, {"answer", nameOf(answer.kind)}});
+        return;
+    }
+    view.nextPoll = now;
+    this->takeEnded(now, call.worker, view, answer);
+    this->takeRunning(now, call.worker, view, answer, call.sentAt);
+    this->settleVanished(now, call.worker, call.sentAt, answer);
+}
+
+void Dispatcher::takeRunning(Timestamp now, const std::string &worker, WorkerView &view, const WorkerAnswer &answer, Timestamp)
+{
+    for (const ListedRun &listed : answer.running) {
+        RunTrack *track = this->findTrack(listed.task, listed.run, worker);
+        if (track == nullptr) {
+            // A late start of a run that was settled otherwise, or one that the ledger has given up.
+            log::warning("dispatch", "run.unknown", {{"task", listed.task.text()}, {"run", listed.run}, {"worker", worker}});
+            this->send(now, worker, StopOrder{listed.task, listed.run}, firstPollTimeout, false);
+            continue;
+        }
+        if (track->phase == RunPhase::Starting) {
+            track->phase = RunPhase::Running;
+            track->runningSince = now;
+            track->progressAt = now;
+        }
+        if (listed.percent != track->percent) {
+            track->progressAt = now;
+        }
+        track->percent = listed.percent;
+        track->load = listed.load;
+        if (!listed.checkpoint.empty()) {
+            track->checkpoint = listed.checkpoint;
+        }
+    }
+}
+
+void Dispatcher::takeEnded(Timestamp now, const std::string &worker, WorkerView &view, const WorkerAnswer &answer)
+{
+    work::RecordEndsT record;
+    record.worker = worker;
+    const std::uint64_t recorded = this->state.findWorker(worker)->lastSequence;
+    for (const ListedEnd &listed : answer.ended) {
+        if (listed.sequence <= recorded) {
+            continue;
+        }
+        this->judgeEnd(now, view, listed);
+        auto &end = record.ends.emplace_back(std::make_unique<work::RunEndT>());
+        end->task = listed.task.record();
+        end->run = listed.run;
+        end->kind = listed.kind;
+        end->checkpoint = listed.checkpoint;
+        end->sequence = listed.sequence;
+    }
+    if (record.ends.empty()) {
+        return;
+    }
+    this->dropTracks(record);
+    view.pollState = PollState::RecordingEnds;
+    work::CommandUnion command;
+    command.Set(std::move(record));
+    this->propose(ProposalKind::RecordEnds, worker, std::move(command));
+}
+
+void Dispatcher::judgeEnd(Timestamp now, WorkerView &view, const ListedEnd &end)
+{
+    const auto track = this->tracks.find(end.task);
+    const bool isKnown = track != this->tracks.end() && track->second.run == end.run;
+    log::info("dispatch",
+              "run.ended",
+              {{"task", end.task.text()},
+               {"run", end.run},
+               {"how", work::EnumNameRunEndKind(end.kind)},
+               {"millis", isKnown ? absl::ToInt64Milliseconds(now - track->second.placedAt) : -1}});
+    if (end.kind == work::RunEndKind::Failed) {
+        ++view.failedInRow;
+        view.doneSinceFailure = 0;
+    } else if (end.kind == work::RunEndKind::Done) {
+        view.failedInRow = 0;
+        ++view.doneSinceFailure;
+    }
+}
+
+void Dispatcher::dropTracks(const work::RecordEndsT &command)
+{
+    for (const auto &end : command.ends) {
+        const auto track = this->tracks.find(workload::TaskKey(*end->task));
+        if (track != this->tracks.end() && track->second.run == end->run && track->second.worker == command.worker) {
+            this->tracks.erase(track);
+        }
+    }
+}
+
+void Dispatcher::settleVanished(Timestamp now, const std::string &worker, Timestamp pollSentAt, const WorkerAnswer &answer)
+{
+    std::set<workload::TaskKey> listed;
+    for (const ListedRun &run : answer.running) {
+        listed.insert(run.task);
+    }
+    std::vector<std::pair<workload::TaskKey, RunTrack>> vanished;
+    const workload::Worker &record = *this->state.findWorker(worker);
+    for (const workload::TaskKey &key : record.runs) {
+        const auto track = this->tracks.find(key);
+        if (track == this->tracks.end() || track->second.worker != worker || listed.contains(key)) {
+            continue;
+        }
+        if (track->second.settledAt < pollSentAt) {
+            vanished.emplace_back(key, track->second);
+        } else if (track->second.phase == RunPhase::Running && track->second.runningSince < pollSentAt) {
+            // It ran and is gone without an end that is still listed: make sure that it stays gone.
+            this->stopRun(now, key, track->second, StopReason::StartUnsettled);
+        }
+    }
+    this->endRuns(worker, std::move(vanished), work::RunEndKind::Void);
+}
+
+void Dispatcher::endRuns(const std::string &worker, std::vector<std::pair<workload::TaskKey, RunTrack>> ended, work::RunEndKind kind)
+{
+    if (ended.empty()) {
+        return;
+    }
+    work::RecordEndsT record;
+    record.worker = worker;
+    for (const auto &[key, track] : ended) {
+        log::info("dispatch", "run.ended", {{"task", key.text()}, {"run", track.run}, {"how", work::EnumNameRunEndKind(kind)}, {"worker", worker}});
+        auto &end = record.ends.emplace_back(std::make_unique<work::RunEndT>());
+        end->task = key.record();
+        end->run = track.run;
+        end->kind = kind;
+        end->checkpoint = track.checkpoint;
+    }
+    this->dropTracks(record);
+    work::CommandUnion command;
+    command.Set(std::move(record));
+    this->propose(ProposalKind::RecordEnds, "", std::move(command));
+}
+
+void Dispatcher::takeOutcome(Timestamp now, std::uint64_t proposalId, const workload::Outcome &outcome)
+{
+    const auto found = this->proposals.find(proposalId);
+    if (found == this->proposals.end()) {
+        return;
+    }
+    const PendingProposal proposal = std::move(found->second);
+    this->proposals.erase(found);
+    this->changed = true;
+    if (proposal.kind == ProposalKind::RecordEnds) {
+        const auto view = this->views.find(proposal.worker);
+        if (view != this->views.end()) {
+            view->second.pollState = PollState::Idle;
+        }
+        return;
+    }
+    if (proposal.kind != ProposalKind::Place) {
+        return;
+    }
+    this->placing = false;
+    for (const work::PlacementT &placed : outcome.placed) {
+        const workload::TaskKey key(*placed.task);
+        RunTrack track;
+        track.run = placed.run;
+        track.worker = placed.worker;
+        track.placedAt = now;
+        const workload::Job &job = *this->state.findJob(key.job);
+        track.checkpoint = job.task(key).checkpoint;
+        if (job.queue().advice) {
+            const planning::Ticket *ticket = this->advice.validTicket(absl::InfinitePast(), key.stepKey(), placed.worker);
+            track.ticket = ticket == nullptr ? "" : ticket->text;
+            track.ticketValidUntil = ticket == nullptr ? absl::InfinitePast() : ticket->validUntil;
+        }
+        this->tracks[key] = std::move(track);
+    }
+}
+
+void Dispatcher::takeAdvice(Timestamp now, std::uint64_t question, const AdviceAnswer &answer)
+{
+    this->advice.answer(now, question, answer);
+    this->changed = true;
+}
+
+void Dispatcher::planWork(Timestamp now, std::int64_t wallMillis)
+{
+    if (this->placing || now < this->nextPlan || (!this->changed && now < this->nextPlan + planInterval)) {
+        return;
+    }
+    this->changed = false;
+    this->nextPlan = now + planPause;
+    planning::Plan plan = this->planner.plan(now, wallMillis);
+    std::move(plan.questions.begin(), plan.questions.end(), std::back_inserter(this->effects.questions));
+    for (const workload::TaskKey &key : plan.preempted) {
+        const auto track = this->tracks.find(key);
+        if (track != this->tracks.end()) {
+            this->stopRun(now, key, track->second, StopReason::Preempted);
+        }
+    }
+    if (plan.placements.empty()) {
+        return;
+    }
+    work::PlaceRunsT command;
+    for (work::PlacementT &placement : plan.placements) {
+        command.placements.push_back(std::make_unique<work::PlacementT>(std::move(placement)));
+    }
+    work::CommandUnion made;
+    made.Set(std::move(command));
+    this->placing = true;
+    this->propose(ProposalKind::Place, "", std::move(made));
+}
+
+void Dispatcher::expireLeases(Timestamp now)
+{
+    for (auto &[id, view] : this->views) {
+        if (view.isReachable(now) || !view.leaseIsOver(now)) {
+            continue;
+        }
+        std::vector<std::pair<workload::TaskKey, RunTrack>> expired;
+        for (const workload::TaskKey &key : this->state.findWorker(id)->runs) {
+            const auto track = this->tracks.find(key);
+            if (track != this->tracks.end() && track->second.worker == id) {
+                expired.emplace_back(key, track->second);
+            }
+        }
+        this->endRuns(id, std::move(expired), work::RunEndKind::Expired);
+        const bool isSilent = now - std::max(view.announcedAt, view.lastAnswerAt()) > forgottenAfter;
+        if (isSilent && this->state.findWorker(id)->runs.empty()) {
+            log::info("dispatch", "worker.forgotten", {{"worker", id}});
+            this->removeWorker(id);
+        }
+    }
+}
+
+void Dispatcher::removeWorker(const std::string &worker)
+{
+    for (auto track = this->tracks.begin(); track != this->tracks.end();) {
+        track = track->second.worker == worker ? this->tracks.erase(track) : std::next(track);
+    }
+    const auto view = this->views.find(worker);
+    if (view != this->views.end()) {
+        view->second.isFenced = true; // no more calls to a life that is over
+    }
+    work::RemoveWorkerT command;
+    command.id = worker;
+    work::CommandUnion made;
+    made.Set(std::move(command));
+    this->propose(ProposalKind::RemoveWorker, worker, std::move(made));
+}
+
+void Dispatcher::drainWorkers(Timestamp now)
+{
+    for (const auto &[id, view] : this->views) {
+        if (view.leavesAt == absl::InfiniteFuture() || now + this->options.stopGrace + leavingMargin < view.leavesAt) {
+            continue;
+        }
+        for (const workload::TaskKey &key : this->state.findWorker(id)->runs) {
+            const auto track = this->tracks.find(key);
+            if (track == this->tracks.end() || track->second.phase == RunPhase::Stopping) {
+                continue;
+            }
+            const work::StepSpecT &step = this->state.findJob(key.job)->stepSpec(key.step);
+            if (step.isCheckpointing || step.isLasting) {
+                this->stopRun(now, key, track->second, StopReason::WorkerLeaves);
+            }
+        }
+    }
+}
+
+RunTrack *Dispatcher::findTrack(const workload::TaskKey &key, std::uint32_t run, const std::string &worker)
+{
+    const auto found = this->tracks.find(key);
+    const bool isThatRun = found != this->tracks.end() && found->second.run == run && found->second.worker == worker;
+    return isThatRun ? &found->second : nullptr;
+}
+
+} // namespace paddlepier::execution
--- /dev/null
+++ b/paddlepier/execution/dispatcher.h
@@ -0,0 +1,140 @@
+// Carries the ledger's placements out on the workers, for one term of one leader.
+//
+// The dispatcher polls every worker under the term's fencing token, sends starts and stops, records ends and finds out
+// what became of orders without an answer. It performs no I/O: step() gives the calls to make and the commands to propose,
+// and what comes of them is passed back.
+//
+// Guarantees:
+//  - nothing is started on a worker before it has answered this term, which fences earlier leaders off it;
+//  - a run's room is given back only when the worker has listed its end, has confirmed that it can't begin any more, or
+//    when every lease it may hold has run out on the worker's own clock;
+//  - a worker may forget an end only after it was committed.
+//
+// Example:
+//     Dispatcher dispatcher(workload, options, term, now);
+//     const DispatchEffects effects = dispatcher.step(now, wallMillis);
+//     // make effects.calls, propose effects.proposals, ask effects.questions
+//     dispatcher.takeAnswer(now, callId, answer);
+//
+// Thread safety: none; owned by the control thread.
+
+#ifndef PADDLEPIER_EXECUTION_DISPATCHER_H
+#define PADDLEPIER_EXECUTION_DISPATCHER_H
+
+#include "paddlepier/base/clock.h"
+#include "paddlepier/execution/orders.h"
+#include "paddlepier/execution/runtrack.h"
+#include "paddlepier/execution/workerview.h"
+#include "paddlepier/planning/advicebook.h"
+#include "paddlepier/planning/planner.h"
+#include "paddlepier/workload/workload.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace paddlepier::execution
+{
+
+struct DispatchOptions {
+    /** Longest lease that a worker grants. */
+    Duration longestLease = absl::Seconds(10);
+    /** Longest time that a stop takes on a sound worker. */
+    Duration stopGrace = absl::Milliseconds(200);
+    Duration checkpointInterval = absl::Milliseconds(500);
+};
+
+struct Proposal {
+    std::uint64_t id = 0;
+    work::CommandUnion command;
+};
+
+struct DispatchEffects {
+    std::vector<WorkerCall> calls;
+    std::vector<Proposal> proposals;
+    std::vector<AdviceQuestion> questions;
+};
+
+class Dispatcher
+{
+public:
+    Dispatcher(const workload::Workload &workloadState, DispatchOptions dispatchOptions, std::uint64_t fenceToken, Timestamp now);
+
+    /** What is to be done now; call it after every batch of events. */
+    DispatchEffects step(Timestamp now, std::int64_t wallMillis);
+
+    void takeAnswer(Timestamp now, std::uint64_t call, const WorkerAnswer &answer);
+    void takeAdvice(Timestamp now, std::uint64_t question, const AdviceAnswer &answer);
+    void takeOutcome(Timestamp now, std::uint64_t proposal, const workload::Outcome &outcome);
+
+    /** The worker has announced itself; @p drainRemaining is the least time left, infinite if it isn't draining. */
+    void noteAnnouncement(Timestamp now, const std::string &worker, std::uint64_t sequence, Duration drainRemaining);
+    /** True if a later announcement of the same life has been seen. */
+    bool isStaleAnnouncement(const std::string &worker, std::uint64_t sequence) const;
+    /** The ledger has changed by something else than a proposal of this dispatcher. */
+    void noteChange();
+
+    const RunTracks &runs() const;
+    const std::map<std::string, WorkerView> &workerViews() const;
+
+private:
+    enum class ProposalKind { Place, RecordEnds, RemoveWorker };
+    struct PendingProposal {
+        ProposalKind kind = ProposalKind::Place;
+        std::string worker;
+    };
+    struct PendingCall {
+        std::string worker;
+        Order order;
+        Timestamp sentAt;
+        std::int64_t leaseEnd = 0;
+    };
+
+    void adoptRuns(Timestamp now);
+    void syncWorkers(Timestamp now);
+    void pollWorkers(Timestamp now);
+    void driveRuns(Timestamp now);
+    void driveRun(Timestamp now, const workload::TaskKey &key, RunTrack &track);
+    void driveStart(Timestamp now, const workload::TaskKey &key, RunTrack &track);
+    void expireLeases(Timestamp now);
+    void drainWorkers(Timestamp now);
+    void planWork(Timestamp now, std::int64_t wallMillis);
+
+    void takePoll(Timestamp now, const PendingCall &call, const WorkerAnswer &answer);
+    void takeRunning(Timestamp now, const std::string &worker, WorkerView &view, const WorkerAnswer &answer, Timestamp sentAt);
+    void takeEnded(Timestamp now, const std::string &worker, WorkerView &view, const WorkerAnswer &answer);
+    void judgeEnd(Timestamp now, WorkerView &view, const ListedEnd &end);
+    void takeStart(Timestamp now, const PendingCall &call, const StartOrder &order, const WorkerAnswer &answer);
+    void takeStop(Timestamp now, const PendingCall &call, const StopOrder &order, const WorkerAnswer &answer);
+    void stopRun(Timestamp now, const workload::TaskKey &key, RunTrack &track, StopReason reason);
+    void settleVanished(Timestamp now, const std::string &worker, Timestamp pollSentAt, const WorkerAnswer &answer);
+    void endRuns(const std::string &worker, std::vector<std::pair<workload::TaskKey, RunTrack>> ended, work::RunEndKind kind);
+    void removeWorker(const std::string &worker);
+    void dropTracks(const work::RecordEndsT &command);
+
+    std::uint64_t send(Timestamp now, const std::string &worker, Order order, Duration timeout, bool withLease);
+    void propose(ProposalKind kind, const std::string &worker, work::CommandUnion command);
+    RunTrack *findTrack(const workload::TaskKey &key, std::uint32_t run, const std::string &worker);
+
+    const workload::Workload &state;
+    const DispatchOptions options;
+    const std::uint64_t fence;
+    std::map<std::string, WorkerView> views;
+    // Invariant: holds exactly the runs that the ledger has under way, but for those whose end is being recorded.
+    RunTracks tracks;
+    planning::AdviceBook advice;
+    planning::Planner planner;
+    std::map<std::uint64_t, PendingCall> calls;
+    std::map<std::uint64_t, PendingProposal> proposals;
+    std::uint64_t nextCall = 1;
+    std::uint64_t nextProposal = 1;
+    bool placing = false;
+    bool changed = true;
+    Timestamp nextPlan = absl::InfinitePast();
+    DispatchEffects effects;
+};
+
+} // namespace paddlepier::execution
+
+#endif
--- /dev/null
+++ b/paddlepier/execution/runs.cpp
@@ -0,0 +1,154 @@
+// Carries the ledger's placements out on the workers: starts, stops and orders without an answer.
+
+#include "paddlepier/base/log.h"
+#include "paddlepier/execution/dispatcher.h"
+
+namespace paddlepier::execution
+{
+
+namespace
+{
+
+/** A sound worker answers within a few round trips; a slowed one within some tenths of a second. */
+constexpr Duration orderTimeout = absl::Milliseconds(900);
+
+/** Pause before an order without an answer is sent again. */
+constexpr Duration orderRetryPause = absl::Milliseconds(150);
+
+/** Starts sent for one run before it is given up and kept from starting. */
+constexpr std::uint32_t mostStartCalls = 3;
+
+/** A stop is sent again if the run is still listed after this time, beyond what a stop may take. */
+constexpr Duration stopPatience = absl::Milliseconds(1500);
+
+} // namespace
+
+void Dispatcher::driveRuns(Timestamp now)
+{
+    for (auto &[key, track] : this->tracks) {
+        this->driveRun(now, key, track);
+    }
+}
+
+void Dispatcher::driveRun(Timestamp now, const workload::TaskKey &key, RunTrack &track)
+{
+    const auto view = this->views.find(track.worker);
+    if (view == this->views.end() || view->second.isFenced) {
+        return;
+    }
+    const workload::Job *job = this->state.findJob(key.job);
+    if (track.phase != RunPhase::Stopping && (job->hasEnded() && !job->task(key).isDone)) {
+        this->stopRun(now, key, track, StopReason::JobEnded);
+    }
+    if (track.callInFlight || now < track.nextCall || !view->second.isKnown()) {
+        return;
+    }
+    if (track.phase == RunPhase::Starting) {
+        this->driveStart(now, key, track);
+    } else if (track.phase == RunPhase::Stopping && track.settledAt + this->options.stopGrace + stopPatience > now
+               && track.settledAt != absl::InfiniteFuture()) {
+        return;
+    } else if (track.phase == RunPhase::Stopping) {
+        track.callInFlight = true;
+        this->send(now, track.worker, StopOrder{key, track.run}, orderTimeout, false);
+    }
+}
+
+void Dispatcher::driveStart(Timestamp now, const workload::TaskKey &key, RunTrack &track)
+{
+    const WorkerView &view = this->views.at(track.worker);
+    if (!view.isReachable(now)) {
+        return;
+    }
+    const bool isTicketOver = now > track.ticketValidUntil;
+    if (track.startCalls >= mostStartCalls || (isTicketOver && track.startCalls > 0) || track.ticketValidUntil == absl::InfinitePast()) {
+        this->stopRun(now, key, track, StopReason::StartUnsettled);
+        return;
+    }
+    const workload::Job &job = *this->state.findJob(key.job);
+    ++track.startCalls;
+    track.callInFlight = true;
+    this->send(now, track.worker, StartOrder{key, track.run, job.spec().payload, track.checkpoint, track.ticket}, orderTimeout, true);
+}
+
+void Dispatcher::takeStart(Timestamp now, const PendingCall &call, const StartOrder &order, const WorkerAnswer &answer)
+{
+    RunTrack *track = this->findTrack(order.task, order.run, call.worker);
+    if (track == nullptr) {
+        return;
+    }
+    track->callInFlight = false;
+    if (answer.kind != AnswerKind::Accepted) {
+        log::info("dispatch",
+                  "start.refused",
+                  {{"task", order.task.text()}, {"run", order.run}, {"worker", call.worker}, {"answer", nameOf(answer.kind)}, {"calls", track->startCalls}});
+    }
+    WorkerView &view = this->views.at(call.worker);
+    switch (answer.kind) {
+    case AnswerKind::Accepted:
+        if (track->phase == RunPhase::Starting) {
+            track->phase = RunPhase::Running;
+            track->runningSince = now;
+            track->progressAt = now;
+        }
+        return;
+    case AnswerKind::OldRun:
+        track->phase = RunPhase::Stopping;
+        track->settledAt = now;
+        return;
+    case AnswerKind::LeaseOver:
+    case AnswerKind::NotSent:
+        track->nextCall = now + orderRetryPause;
+        return;
+    case AnswerKind::NoAnswer:
+        track->mayStartLate = true;
+        track->nextCall = now + orderRetryPause;
+        return;
+    case AnswerKind::Unhealthy:
+        view.startsBlockedUntil = now + absl::Seconds(2);
+        break;
+    case AnswerKind::BadTicket:
+        this->advice.rejectTicket(order.task.stepKey(), call.worker);
+        break;
+    case AnswerKind::NoRoom:
+    case AnswerKind::Invalid:
+        break;
+    case AnswerKind::Fenced:
+    case AnswerKind::OtherLife:
+        return;
+    }
+    // The worker has done nothing. An earlier call of this start may still be carried out, unless a stop comes first.
+    if (track->mayStartLate) {
+        this->stopRun(now, order.task, *track, StopReason::StartUnsettled);
+    } else {
+        this->endRuns(call.worker, {{order.task, *track}}, work::RunEndKind::Void);
+    }
+}
+
+void Dispatcher::stopRun(Timestamp now, const workload::TaskKey &key, RunTrack &track, StopReason reason)
+{
+    if (track.phase == RunPhase::Stopping) {
+        return;
+    }
+    log::info(
+        "dispatch", "run.stop", {{"task", key.text()}, {"run", track.run}, {"worker", track.worker}, {"reason", nameOf(reason)}, {"percent", track.percent}});
+    track.phase = RunPhase::Stopping;
+    track.stopReason = reason;
+    track.stoppingSince = now;
+    track.nextCall = now;
+}
+
+void Dispatcher::takeStop(Timestamp now, const PendingCall &call, const StopOrder &order, const WorkerAnswer &answer)
+{
+    RunTrack *track = this->findTrack(order.task, order.run, call.worker);
+    if (track == nullptr) {
+        return;
+    }
+    track->callInFlight = false;
+    track->nextCall = now + orderRetryPause;
+    if (answer.kind == AnswerKind::Accepted || answer.kind == AnswerKind::OldRun) {
+        track->settledAt = now;
+    }
+}
+
+} // namespace paddlepier::execution
--- /dev/null
+++ b/paddlepier/execution/runtrack.h
@@ -0,0 +1,57 @@
+// Where one run stands between its placement and its end, as the leader's dispatcher knows it.
+//
+// Thread safety: plain values; owned by the dispatcher.
+
+#ifndef PADDLEPIER_EXECUTION_RUNTRACK_H
+#define PADDLEPIER_EXECUTION_RUNTRACK_H
+
+#include "paddlepier/base/clock.h"
+#include "paddlepier/workload/taskkey.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+namespace paddlepier::execution
+{
+
+enum class RunPhase {
+    /** Placed; the worker hasn't confirmed the start. */
+    Starting,
+    Running,
+    /** Is to end, or must be kept from starting. */
+    Stopping
+};
+
+enum class StopReason { None, JobEnded, Preempted, StandsStill, WorkerLeaves, StartUnsettled };
+const char *nameOf(StopReason reason);
+
+struct RunTrack {
+    std::uint32_t run = 0;
+    std::string worker;
+    RunPhase phase = RunPhase::Starting;
+    StopReason stopReason = StopReason::None;
+    std::string ticket;
+    Timestamp ticketValidUntil = absl::InfiniteFuture();
+    /** A start got no answer: the worker may carry it out later. */
+    bool mayStartLate = false;
+    bool callInFlight = false;
+    /** The worker has confirmed that the run is over, or can't begin any more; its end may still be listed. */
+    Timestamp settledAt = absl::InfiniteFuture();
+    Timestamp nextCall = absl::InfinitePast();
+    std::uint32_t startCalls = 0;
+    Timestamp placedAt;
+    Timestamp runningSince = absl::InfiniteFuture();
+    Timestamp stoppingSince = absl::InfiniteFuture();
+    std::uint32_t percent = 0;
+    Timestamp progressAt = absl::InfinitePast();
+    std::uint32_t load = 0;
+    std::uint32_t pace = 100;
+    std::string checkpoint;
+};
+
+using RunTracks = std::map<workload::TaskKey, RunTrack>;
+
+} // namespace paddlepier::execution
+
+#endif
--- /dev/null
+++ b/paddlepier/execution/workerview.cpp
@@ -0,0 +1,91 @@
+// What a leader knows about one worker's life.
+
+#include "paddlepier/execution/workerview.h"
+
+#include <algorithm>
+
+namespace paddlepier::execution
+{
+
+namespace
+{
+
+/** Added to every wait for a lease to run out, for rounding and the way of the order. */
+constexpr Duration leaseMargin = absl::Milliseconds(300);
+
+/** Pause after a silent call, times the number in a row. */
+constexpr Duration silencePause = absl::Milliseconds(150);
+constexpr Duration longestSilencePause = absl::Milliseconds(900);
+
+Duration slowed(Duration duration)
+{
+    return duration * (1000 + clockSlowPerMille) / 1000;
+}
+
+} // namespace
+
+WorkerView::WorkerView(Timestamp termBegin, Duration longestLease)
+    : announcedAt(termBegin)
+    , oldLeasesOverAt(termBegin + slowed(longestLease) + leaseMargin)
+    , clockReadAt(termBegin)
+{
+}
+
+void WorkerView::noteAnswer(Timestamp now, std::optional<std::int64_t> clock)
+{
+    this->answeredAt = now;
+    this->silences = 0;
+    // Answers may overtake each other; the greatest reading relative to its age is the nearest to the truth.
+    if (clock && (!this->clockMillis || *clock >= *this->clockMillis)) {
+        this->clockMillis = clock;
+        this->clockReadAt = now;
+    }
+}
+
+void WorkerView::noteSilence(Timestamp now)
+{
+    ++this->silences;
+    this->nextPoll = now + std::min(longestSilencePause, silencePause * this->silences);
+}
+
+std::int64_t WorkerView::leaseEnd(Timestamp now, Duration lease) const
+{
+    if (!this->clockMillis) {
+        return 0;
+    }
+    return *this->clockMillis + absl::ToInt64Milliseconds(now - this->clockReadAt) + absl::ToInt64Milliseconds(lease);
+}
+
+void WorkerView::noteLease(std::int64_t endOnWorkerClock)
+{
+    this->longestGivenEnd = std::max(this->longestGivenEnd, endOnWorkerClock);
+}
+
+bool WorkerView::leaseIsOver(Timestamp now) const
+{
+    if (now < this->oldLeasesOverAt) {
+        return false;
+    }
+    if (this->longestGivenEnd == 0) {
+        return true;
+    }
+    const Duration left = absl::Milliseconds(this->longestGivenEnd - *this->clockMillis);
+    return now > this->clockReadAt + slowed(left) + leaseMargin;
+}
+
+bool WorkerView::isReachable(Timestamp) const
+{
+    return this->isKnown() && this->silences == 0 && !this->isFenced;
+}
+
+bool WorkerView::isKnown() const
+{
+    return this->clockMillis.has_value();
+}
+
+Timestamp WorkerView::lastAnswerAt() const
+{
+    return this->answeredAt;
+}
+
+} // namespace paddlepier::execution
--- /dev/null
+++ b/paddlepier/execution/workerview.h
@@ -0,0 +1,73 @@
+// What a leader knows about one worker's life besides the ledger: its clock, its lease, how it answers.
+//
+// The view is volatile and begins anew with each term. A worker's clock is known from its answers; it may run up to
+// `clockSlowPerMille` slow. leaseIsOver() is true only when every lease that this leader or an earlier one can have given
+// has run out on that clock.
+//
+// Thread safety: none; owned by the dispatcher.
+
+#ifndef PADDLEPIER_EXECUTION_WORKERVIEW_H
+#define PADDLEPIER_EXECUTION_WORKERVIEW_H
+
+#include "paddlepier/base/clock.h"
+
+#include <cstdint>
+#include <optional>
+
+namespace paddlepier::execution
+{
+
+/** Workers' clocks may run this much slow; stated by the users' platform (2 %), and 1 % for the own clock. */
+constexpr std::int64_t clockSlowPerMille = 30;
+
+enum class PollState { Idle, InFlight, RecordingEnds };
+
+class WorkerView
+{
+public:
+    /** @param longestLease bound that the worker itself puts on a lease */
+    WorkerView(Timestamp termBegin, Duration longestLease);
+
+    /** A whole answer has come. */
+    void noteAnswer(Timestamp now, std::optional<std::int64_t> clockMillis);
+    /** A call has ended without a whole answer. */
+    void noteSilence(Timestamp now);
+
+    /** The end that a lease of @p lease from now has on the worker's clock; 0 while that clock isn't known. */
+    std::int64_t leaseEnd(Timestamp now, Duration lease) const;
+    void noteLease(std::int64_t endOnWorkerClock);
+    bool leaseIsOver(Timestamp now) const;
+
+    bool isReachable(Timestamp now) const;
+    bool isKnown() const;
+    Timestamp lastAnswerAt() const;
+
+    PollState pollState = PollState::Idle;
+    Timestamp nextPoll = absl::InfinitePast();
+    Timestamp pollSentAt = absl::InfinitePast();
+    /** A higher fencing token was seen there: no more orders from this term. */
+    bool isFenced = false;
+    /** No starts before this time: it has refused work as unhealthy. */
+    Timestamp startsBlockedUntil = absl::InfinitePast();
+    /** When the worker may leave; infinite while it isn't draining. */
+    Timestamp leavesAt = absl::InfiniteFuture();
+    Timestamp announcedAt;
+    std::uint64_t announcedSequence = 0;
+    /** Failed ends in a row, and successes since the last failed one. */
+    std::uint32_t failedInRow = 0;
+    std::uint32_t doneSinceFailure = 0;
+    /** Smoothed ratio of a run's time there to what was expected; 1 is an ordinary worker. */
+    double slowness = 1.0;
+
+private:
+    Timestamp oldLeasesOverAt;
+    std::int64_t longestGivenEnd = 0;
+    std::optional<std::int64_t> clockMillis;
+    Timestamp clockReadAt;
+    Timestamp answeredAt = absl::InfinitePast();
+    std::uint32_t silences = 0;
+};
+
+} // namespace paddlepier::execution
+
+#endif
--- a/paddlepier/http/httpclient.cpp
+++ b/paddlepier/http/httpclient.cpp
@@ -162,6 +162,11 @@
     curl_multi_setopt(this->implementation->multi, CURLMOPT_MAX_HOST_CONNECTIONS, static_cast<long>(connections));
 }
 
+void TransferPool::setKeptConnections(std::uint32_t connections)
+{
+    curl_multi_setopt(this->implementation->multi, CURLMOPT_MAXCONNECTS, static_cast<long>(connections));
+}
+
 void TransferPool::start(OutgoingRequest request, Done done)
 {
     auto transfer = std::make_unique<Transfer>();
--- a/paddlepier/http/httpclient.h
+++ b/paddlepier/http/httpclient.h
@@ -68,6 +68,9 @@
     /** Bound on connections to one host, kept ones included. */
     void setConnectionsPerHost(std::uint32_t connections);
 
+    /** Bound on connections that are kept open for later transfers. */
+    void setKeptConnections(std::uint32_t connections);
+
 private:
     struct Implementation;
     std::unique_ptr<Implementation> implementation;
--- a/paddlepier/http/httpserver.cpp
+++ b/paddlepier/http/httpserver.cpp
@@ -142,6 +142,11 @@
     this->stop(absl::ZeroDuration());
 }
 
+void HttpServer::closeAfterAnswers()
+{
+    this->stopping = true;
+}
+
 void HttpServer::stop(Duration patience)
 {
     if (this->daemon == nullptr) {
--- a/paddlepier/http/httpserver.h
+++ b/paddlepier/http/httpserver.h
@@ -96,6 +96,9 @@
     HttpServer(const HttpServer &) = delete;
     HttpServer &operator=(const HttpServer &) = delete;
 
+    /** From now on every answer closes its connection, so that callers go elsewhere before stop(). */
+    void closeAfterAnswers();
+
     /** Refuses new connections, waits up to @p patience for exchanges under way, then closes. */
     void stop(Duration patience);
 
--- a/paddlepier/instance/instance.cpp
+++ b/paddlepier/instance/instance.cpp
@@ -60,7 +60,7 @@
 {
     const std::uint64_t seed = randomSeed();
     const auto sendFrame = [this](const std::string &instance, wire::PeerFrameT frame) { this->sendFrame(instance, std::move(frame)); };
-    this->disk = std::make_unique<DiskWriter>(this->mailbox, this->counters);
+    this->disk = std::make_unique<replication::DiskWriter>(this->mailbox, this->counters);
     this->calls = std::make_unique<CallRouter>(this->settings, sendFrame, this->counters, seed);
     this->openLedgers(seed);
     this->transport = std::make_unique<peer::Transport>(this->settings, this->counters, [this](wire::PeerFrameT frame) {
--- a/paddlepier/instance/instance.h
+++ b/paddlepier/instance/instance.h
@@ -17,11 +17,11 @@
 #include "paddlepier/http/httpserver.h"
 #include "paddlepier/instance/callrouter.h"
 #include "paddlepier/instance/configurationkeeper.h"
-#include "paddlepier/instance/diskwriter.h"
 #include "paddlepier/instance/ledgernode.h"
 #include "paddlepier/instance/ledgerservice.h"
 #include "paddlepier/instance/quickservice.h"
 #include "paddlepier/peer/transport.h"
+#include "paddlepier/replication/diskwriter.h"
 #include "paddlepier/settings/settings.h"
 
 #include <atomic>
@@ -80,7 +80,7 @@
     std::atomic<bool> leaving{false};
     Timestamp nextTick = absl::InfinitePast();
 
-    std::unique_ptr<DiskWriter> disk;
+    std::unique_ptr<replication::DiskWriter> disk;
     std::map<std::string, Hosted> hosted;
     std::unique_ptr<CallRouter> calls;
     std::unique_ptr<peer::Transport> transport;
--- a/paddlepier/peer/transport.cpp
+++ b/paddlepier/peer/transport.cpp
@@ -37,6 +37,25 @@
 constexpr std::size_t readBytes = 65536;
 constexpr Duration reconnectPause = absl::Milliseconds(200);
 
+/** Longest wait for a connection to open: some round trips of the slowest link, well under an election. */
+constexpr Duration connectPatience = absl::Milliseconds(700);
+
+/** Unacknowledged bytes end a connection after this time, so that a silent cut doesn't outlast itself by TCP's backoff. */
+constexpr unsigned int unacknowledgedMillis = 1500;
+
+/** Probes of a silent incoming connection, in seconds and tries: it is given up after about four seconds. */
+constexpr int keepAliveIdleSeconds = 2;
+constexpr int keepAliveIntervalSeconds = 1;
+constexpr int keepAliveTries = 2;
+
+/** Incoming connections where the peers aren't known beforehand. */
+constexpr std::size_t mostUnknownPeers = 1024;
+
+void setOption(int socket, int level, int option, unsigned int value)
+{
+    ::setsockopt(socket, level, option, &value, sizeof(value));
+}
+
 /** Longest time that an incoming connection may take to say Hello. */
 constexpr Duration helloPatience = absl::Seconds(5);
 
@@ -82,8 +101,8 @@
         int socket = -1;
         bool isConnected = false;
         Timestamp nextTry = absl::InfinitePast();
-        std::string buffer; // of the transport's thread
-        std::string waiting; // handed over by send()
+        Timestamp connectingSince;
+        std::string buffer;
     };
 
     struct Incoming {
@@ -95,6 +114,8 @@
 
     void listen();
     void run();
+    void takeWaiting();
+    void addOutgoing(const std::string &name, const Endpoint &endpoint);
     void serveOutgoing(Outgoing &outgoing);
     void connect(Outgoing &outgoing);
     void closeOutgoing(Outgoing &outgoing);
@@ -119,7 +140,9 @@
     int listener = -1;
     std::atomic<bool> stopping{false};
     absl::Mutex mutex;
-    // The map itself never changes after construction; `waiting` in its values is guarded by `mutex`.
+    /** Bytes that send() handed over, by peer. */
+    absl::flat_hash_map<std::string, std::string> waiting ABSL_GUARDED_BY(mutex);
+    // Of the transport's thread once it runs.
     absl::flat_hash_map<std::string, std::unique_ptr<Outgoing>> outgoing;
     absl::flat_hash_map<int, Incoming> incoming;
     std::thread thread;
@@ -138,10 +161,7 @@
     , wakeup(::eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC))
 {
     for (const PeerSettings &peer : this->settings.peers) {
-        auto connection = std::make_unique<Outgoing>();
-        connection->name = peer.id;
-        connection->endpoint = peer.peer;
-        this->outgoing.emplace(peer.id, std::move(connection));
+        this->addOutgoing(peer.id, peer.peer);
     }
     this->listen();
     this->thread = std::thread([this] { this->run(); });
@@ -174,8 +194,7 @@
 
 void Transport::Implementation::send(const std::string &instance, const wire::PeerFrameT &frame)
 {
-    const auto found = this->outgoing.find(instance);
-    if (found == this->outgoing.end()) {
+    if (!this->settings.acceptsUnknownPeers && this->settings.findPeer(instance) == nullptr) {
         this->droppedFrames.add();
         return;
     }
@@ -187,12 +206,12 @@
     }
     {
         const absl::MutexLock lock(&this->mutex);
-        std::string &waiting = found->second->waiting;
-        if (waiting.size() + bytes.size() > mostQueuedBytes) {
+        std::string &queued = this->waiting[instance];
+        if (queued.size() + bytes.size() > mostQueuedBytes) {
             this->droppedFrames.add();
             return;
         }
-        waiting += bytes;
+        queued += bytes;
     }
     this->sentFrames.add();
     this->sentBytes.add(static_cast<std::int64_t>(bytes.size()));
@@ -233,6 +252,7 @@
                 this->readIncoming(descriptor);
             }
         }
+        this->takeWaiting();
         for (auto &[name, connection] : this->outgoing) {
             this->serveOutgoing(*connection);
         }
@@ -240,10 +260,46 @@
     }
 }
 
+void Transport::Implementation::addOutgoing(const std::string &name, const Endpoint &endpoint)
+{
+    auto connection = std::make_unique<Outgoing>();
+    connection->name = name;
+    connection->endpoint = endpoint;
+    this->outgoing.emplace(name, std::move(connection));
+}
+
+void Transport::Implementation::takeWaiting()
+{
+    absl::flat_hash_map<std::string, std::string> taken;
+    {
+        const absl::MutexLock lock(&this->mutex);
+        taken.swap(this->waiting);
+    }
+    for (auto &[name, bytes] : taken) {
+        if (!this->outgoing.contains(name)) {
+            const std::optional<Endpoint> endpoint = Endpoint::parse(name);
+            if (!endpoint) {
+                this->droppedFrames.add();
+                log::warning("peer", "frame.dropped", {{"to", name}, {"reason", "the name is no address"}});
+                continue;
+            }
+            this->addOutgoing(name, *endpoint);
+        }
+        Outgoing &connection = *this->outgoing.at(name);
+        const bool isPausing = connection.socket < 0 && controlNow() < connection.nextTry;
+        if (isPausing || connection.buffer.size() + bytes.size() > mostQueuedBytes) {
+            this->droppedFrames.add();
+            continue;
+        }
+        connection.buffer += bytes;
+    }
+}
+
 void Transport::Implementation::serveOutgoing(Outgoing &connection)
 {
     if (connection.socket < 0) {
-        if (controlNow() >= connection.nextTry) {
+        const bool isWanted = !this->settings.acceptsUnknownPeers || !connection.buffer.empty();
+        if (isWanted && controlNow() >= connection.nextTry) {
             this->connect(connection);
         }
         return;
@@ -254,7 +310,8 @@
         ::getsockopt(connection.socket, SOL_SOCKET, SO_ERROR, &problem, &size);
         sockaddr_storage other{};
         socklen_t otherSize = sizeof(other);
-        if (problem != 0) {
+        const bool isLate = controlNow() - connection.connectingSince > connectPatience;
+        if (problem != 0 || isLate) {
             this->closeOutgoing(connection);
             return;
         }
@@ -268,8 +325,9 @@
 void Transport::Implementation::connect(Outgoing &connection)
 {
     connection.socket = openSocket(connection.endpoint);
-    const int on = 1;
-    ::setsockopt(connection.socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+    connection.connectingSince = controlNow();
+    setOption(connection.socket, IPPROTO_TCP, TCP_NODELAY, 1);
+    setOption(connection.socket, IPPROTO_TCP, TCP_USER_TIMEOUT, unacknowledgedMillis);
     const SocketAddress address = toSocketAddress(connection.endpoint);
     const int result = ::connect(connection.socket, address.pointer(), address.size);
     if (result != 0 && errno != EINPROGRESS) {
@@ -287,7 +345,7 @@
     greeting.instance = this->settings.id;
     hello.fromInstance = this->settings.id;
     hello.body.Set(std::move(greeting));
-    connection.buffer = toFrameBytes(hello);
+    connection.buffer.insert(0, toFrameBytes(hello));
 }
 
 void Transport::Implementation::closeOutgoing(Outgoing &connection)
@@ -298,19 +356,12 @@
     connection.socket = -1;
     connection.isConnected = false;
     connection.nextTry = controlNow() + reconnectPause;
-    connection.buffer.clear();
     // What waited is old by the time the peer is back; the protocols above send anew.
-    const absl::MutexLock lock(&this->mutex);
-    connection.waiting.clear();
+    connection.buffer.clear();
 }
 
 void Transport::Implementation::flush(Outgoing &connection)
 {
-    {
-        const absl::MutexLock lock(&this->mutex);
-        connection.buffer += connection.waiting;
-        connection.waiting.clear();
-    }
     std::size_t sent = 0;
     while (sent < connection.buffer.size()) {
         const ssize_t count = ::send(connection.socket, connection.buffer.data() + sent, connection.buffer.size() - sent, MSG_NOSIGNAL);
@@ -337,11 +388,16 @@
             return;
         }
         // A peer has one connection; twice that leaves room for ones that a restart left half open.
-        if (this->incoming.size() >= this->settings.peers.size() * std::size_t{2} + std::size_t{8}) {
+        const std::size_t most = this->settings.acceptsUnknownPeers ? mostUnknownPeers : this->settings.peers.size() * std::size_t{2} + std::size_t{8};
+        if (this->incoming.size() >= most) {
             this->refusedConnections.add();
             ::close(socket);
             continue;
         }
+        setOption(socket, SOL_SOCKET, SO_KEEPALIVE, 1);
+        setOption(socket, IPPROTO_TCP, TCP_KEEPIDLE, keepAliveIdleSeconds);
+        setOption(socket, IPPROTO_TCP, TCP_KEEPINTVL, keepAliveIntervalSeconds);
+        setOption(socket, IPPROTO_TCP, TCP_KEEPCNT, keepAliveTries);
         epoll_event event{};
         event.events = EPOLLIN;
         event.data.fd = socket;
@@ -429,7 +485,9 @@
     if (!isSameKey(hello->key, this->settings.cellKey)) {
         throw PeerRefusedError("wrong cell key");
     }
-    if (this->settings.findPeer(hello->instance) == nullptr) {
+    const bool isKnown =
+        this->settings.acceptsUnknownPeers ? Endpoint::parse(hello->instance).has_value() : this->settings.findPeer(hello->instance) != nullptr;
+    if (!isKnown) {
         throw PeerRefusedError(absl::StrCat("unknown instance ", hello->instance));
     }
     connection.instance = hello->instance;
--- /dev/null
+++ b/paddlepier/planning/advicebook.cpp
@@ -0,0 +1,120 @@
+// What the policy service has said.
+
+#include "paddlepier/planning/advicebook.h"
+
+#include <algorithm>
+
+namespace paddlepier::planning
+{
+
+namespace
+{
+
+/** A ticket isn't used in the last part of its life: commit and order take some tens of milliseconds. */
+constexpr Duration ticketMargin = absl::Milliseconds(250);
+
+/** Weight of the past in a queue's share of permitted workers, for each worker newly asked about. */
+constexpr double shareMemory = 0.98;
+
+Duration costOf(const work::AdvicePolicyT &policy, std::size_t workers)
+{
+    return absl::Microseconds(static_cast<std::int64_t>(1000 * (policy.decisionMillis + policy.perWorkerMillis * static_cast<double>(workers))));
+}
+
+} // namespace
+
+Standing AdviceBook::standing(Timestamp now, const workload::StepKey &step, const std::string &worker) const
+{
+    const auto found = this->steps.find(step);
+    if (found == this->steps.end()) {
+        return Standing::Unasked;
+    }
+    const auto ticket = found->second.permitted.find(worker);
+    if (ticket != found->second.permitted.end()) {
+        return ticket->second.validUntil > now ? Standing::Permitted : Standing::Expired;
+    }
+    return found->second.forbidden.contains(worker) ? Standing::Forbidden : Standing::Unasked;
+}
+
+const Ticket *AdviceBook::validTicket(Timestamp now, const workload::StepKey &step, const std::string &worker) const
+{
+    const auto found = this->steps.find(step);
+    if (found == this->steps.end()) {
+        return nullptr;
+    }
+    const auto ticket = found->second.permitted.find(worker);
+    return ticket != found->second.permitted.end() && ticket->second.validUntil > now ? &ticket->second : nullptr;
+}
+
+bool AdviceBook::isAsking(const workload::StepKey &step) const
+{
+    const auto found = this->steps.find(step);
+    return found != this->steps.end() && found->second.asking > 0;
+}
+
+execution::AdviceQuestion
+AdviceBook::ask(Timestamp now, const workload::StepKey &step, const std::string &queue, std::vector<std::string> workers, const work::AdvicePolicyT &policy)
+{
+    execution::AdviceQuestion question;
+    question.id = this->nextId++;
+    question.step = step;
+    question.cost = costOf(policy, workers.size());
+    question.workers = workers;
+    this->pending[question.id] = {step, queue, std::move(workers), now, absl::Milliseconds(policy.validMillis)};
+    ++this->steps[step].asking;
+    return question;
+}
+
+void AdviceBook::answer(Timestamp now, std::uint64_t id, const execution::AdviceAnswer &answer)
+{
+    const auto found = this->pending.find(id);
+    if (found == this->pending.end()) {
+        return;
+    }
+    const Pending asked = std::move(found->second);
+    this->pending.erase(found);
+    const auto step = this->steps.find(asked.step);
+    if (step == this->steps.end()) {
+        return;
+    }
+    StepAdvice &advice = step->second;
+    advice.asking -= std::min<std::size_t>(advice.asking, 1);
+    if (!answer.isAnswered) {
+        return;
+    }
+    Share &share = this->shares[asked.queue];
+    for (const std::string &worker : asked.workers) {
+        const auto good = std::find_if(answer.good.begin(), answer.good.end(), [&](const work::AdviceTicketT &entry) { return entry.worker == worker; });
+        share.permitted = share.permitted * shareMemory + (good != answer.good.end() ? 1 : 0);
+        share.asked = share.asked * shareMemory + 1;
+        if (good != answer.good.end()) {
+            advice.permitted[worker] = {good->ticket, now + asked.valid - ticketMargin};
+        } else {
+            advice.forbidden[worker] = true;
+        }
+    }
+}
+
+void AdviceBook::rejectTicket(const workload::StepKey &step, const std::string &worker)
+{
+    const auto found = this->steps.find(step);
+    if (found != this->steps.end() && found->second.permitted.contains(worker)) {
+        found->second.permitted[worker].validUntil = absl::InfinitePast();
+    }
+}
+
+void AdviceBook::forgetJob(const std::string &job)
+{
+    auto step = this->steps.lower_bound({job, 0, 0});
+    while (step != this->steps.end() && step->first.job == job) {
+        step = this->steps.erase(step);
+    }
+}
+
+double AdviceBook::permittedShare(const std::string &queue) const
+{
+    const auto found = this->shares.find(queue);
+    return found == this->shares.end() ? 0.5 : std::clamp(found->second.permitted / found->second.asked, 0.05, 1.0);
+}
+
+} // namespace paddlepier::planning
--- /dev/null
+++ b/paddlepier/planning/advicebook.h
@@ -0,0 +1,79 @@
+// What the policy service has said about which workers may run which step.
+//
+// The service is slow and takes one call at a time from each caller, so that answers are kept: that a worker may run a
+// step never changes, but its ticket ends after a while and has to be asked for again.
+//
+// Example:
+//     const auto question = book.ask(now, step, workers, policy);
+//     book.answer(now, question.id, answer);
+//     if (const Ticket *ticket = book.validTicket(now, step, worker)) { ... }
+//
+// Thread safety: none; owned by the control thread. Every call is O(log n) a worker.
+
+#ifndef PADDLEPIER_PLANNING_ADVICEBOOK_H
+#define PADDLEPIER_PLANNING_ADVICEBOOK_H
+
+#include "paddlepier/base/clock.h"
+#include "paddlepier/execution/orders.h"
+#include "paddlepier/wire/workload_generated.h"
+#include "paddlepier/workload/taskkey.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace paddlepier::planning
+{
+
+struct Ticket {
+    std::string text;
+    Timestamp validUntil;
+};
+
+enum class Standing { Unasked, Forbidden, Permitted, Expired };
+
+class AdviceBook
+{
+public:
+    Standing standing(Timestamp now, const workload::StepKey &step, const std::string &worker) const;
+    /** Null unless the worker may run the step and the ticket is still good. */
+    const Ticket *validTicket(Timestamp now, const workload::StepKey &step, const std::string &worker) const;
+    bool isAsking(const workload::StepKey &step) const;
+
+    execution::AdviceQuestion
+    ask(Timestamp now, const workload::StepKey &step, const std::string &queue, std::vector<std::string> workers, const work::AdvicePolicyT &policy);
+    void answer(Timestamp now, std::uint64_t id, const execution::AdviceAnswer &answer);
+    /** A worker has refused the ticket. */
+    void rejectTicket(const workload::StepKey &step, const std::string &worker);
+    void forgetJob(const std::string &job);
+
+    /** Learned share of a service's workers that may run a step of @p queue. */
+    double permittedShare(const std::string &queue) const;
+
+private:
+    struct Pending {
+        workload::StepKey step;
+        std::string queue;
+        std::vector<std::string> workers;
+        Timestamp askedAt;
+        Duration valid;
+    };
+    struct StepAdvice {
+        std::map<std::string, Ticket> permitted;
+        std::map<std::string, bool> forbidden;
+        std::size_t asking = 0;
+    };
+    struct Share {
+        double permitted = 1.0;
+        double asked = 2.0;
+    };
+
+    std::map<workload::StepKey, StepAdvice> steps;
+    std::map<std::uint64_t, Pending> pending;
+    std::map<std::string, Share> shares;
+    std::uint64_t nextId = 1;
+};
+
+} // namespace paddlepier::planning
+
+#endif
--- /dev/null
+++ b/paddlepier/planning/planner.cpp
@@ -0,0 +1,396 @@
+// Decides which waiting tasks go to which workers.
+
+#include "paddlepier/planning/planner.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
+namespace paddlepier::planning
+{
+
+namespace
+{
+
+using workload::Task;
+
+/** Failed ends in a row after which a worker gets no work for a while. */
+constexpr std::uint32_t suspiciousFailures = 2;
+
+/** Most workers that one question names; the policy service takes a hundred. */
+constexpr std::size_t mostWorkersAsked = 60;
+
+/** Workers asked about beyond what the share of permitted ones makes likely to be enough. */
+constexpr double askedSurplus = 1.3;
+constexpr std::size_t leastWorkersAsked = 3;
+
+/** Most preemptions of one plan, so that a burst doesn't stop more than the next plan finds needed. */
+constexpr std::size_t mostPreemptions = 24;
+
+/** Penalties of a placement, in units of a wholly free worker. */
+constexpr double farDataPenalty = 3.0;
+constexpr double slownessPenalty = 4.0;
+constexpr double suspicionPenalty = 2.0;
+
+/** A label that names the rack rather than the kind: it has digits after a dash, as in "r1-3". */
+std::string rackOf(const workload::Worker &worker)
+{
+    return worker.registration.labels.size() < 2 ? "" : worker.registration.labels.back();
+}
+
+std::size_t tasksThatFit(std::int64_t processors, std::int64_t memory, const work::StepSpecT &step)
+{
+    const std::int64_t byProcessors =
+        step.isFilling || step.demand->milliProcessors() == 0 ? std::numeric_limits<std::int32_t>::max() : processors / step.demand->milliProcessors();
+    const std::int64_t byMemory = step.demand->memoryMegabytes() == 0 ? std::numeric_limits<std::int32_t>::max() : memory / step.demand->memoryMegabytes();
+    return static_cast<std::size_t>(std::max<std::int64_t>(0, std::min(byProcessors, byMemory)));
+}
+
+} // namespace
+
+Planner::Planner(const workload::Workload &workloadState,
+                 const std::map<std::string, execution::WorkerView> &workerViews,
+                 const execution::RunTracks &runTracks,
+                 AdviceBook &book)
+    : state(workloadState)
+    , views(workerViews)
+    , tracks(runTracks)
+    , advice(book)
+{
+}
+
+Plan Planner::plan(Timestamp at, std::int64_t wall)
+{
+    this->now = at;
+    this->wallMillis = wall;
+    Plan plan;
+    std::vector<Wanted> steps = this->collectSteps();
+    if (steps.empty()) {
+        return plan;
+    }
+    this->collectRooms();
+    for (Wanted &wanted : steps) {
+        this->planStep(wanted, plan);
+    }
+    return plan;
+}
+
+void Planner::collectRooms()
+{
+    this->rooms.clear();
+    for (const auto &[id, worker] : this->state.workers()) {
+        const auto view = this->views.find(id);
+        const bool isUsable =
+            view != this->views.end() && view->second.isReachable(this->now) && !worker.registration.isDraining && view->second.startsBlockedUntil <= this->now;
+        if (!isUsable) {
+            continue;
+        }
+        const work::Demand &capacity = *worker.registration.capacity;
+        Room room;
+        room.worker = &worker;
+        room.view = &view->second;
+        room.rack = rackOf(worker);
+        room.processors = worker.freeMilliProcessors();
+        room.memory = static_cast<std::int64_t>(capacity.memoryMegabytes()) - static_cast<std::int64_t>(worker.reservedMemoryMegabytes);
+        room.accelerators = static_cast<std::int64_t>(capacity.accelerators()) - static_cast<std::int64_t>(worker.reservedAccelerators);
+        for (const workload::TaskKey &key : worker.runs) {
+            const auto track = this->tracks.find(key);
+            if (track != this->tracks.end() && track->second.phase == execution::RunPhase::Stopping) {
+                const work::StepSpecT &step = this->state.findJob(key.job)->stepSpec(key.step);
+                room.comingProcessors += step.isFilling ? 0 : step.demand->milliProcessors();
+                room.comingMemory += step.demand->memoryMegabytes();
+            }
+        }
+        this->rooms.push_back(std::move(room));
+    }
+}
+
+std::vector<Planner::Wanted> Planner::collectSteps() const
+{
+    std::vector<Wanted> wanted;
+    for (const std::string &id : this->state.activeJobs()) {
+        const workload::Job &job = *this->state.findJob(id);
+        if (job.hasEnded()) {
+            continue;
+        }
+        for (std::uint32_t occurrence = 0; occurrence < job.occurrences().size(); ++occurrence) {
+            if (job.dueMillis(occurrence) > this->wallMillis) {
+                break;
+            }
+            for (std::uint32_t step = 0; step < job.spec().steps.size(); ++step) {
+                this->collectStep(wanted, job, occurrence, step);
+            }
+        }
+    }
+    std::stable_sort(wanted.begin(), wanted.end(), [](const Wanted &left, const Wanted &right) {
+        const auto rank = [](const Wanted &entry) { return std::pair(entry.job->queue().priority, entry.job->submittedAtMillis()); };
+        return rank(left) < rank(right);
+    });
+    return wanted;
+}
+
+void Planner::collectStep(std::vector<Wanted> &wanted, const workload::Job &job, std::uint32_t occurrence, std::uint32_t step) const
+{
+    const workload::Step &stepState = job.occurrences()[occurrence].steps[step];
+    if (stepState.doneTasks + stepState.runningTasks >= stepState.tasks.size() || !job.isReady(occurrence, step)) {
+        return;
+    }
+    Wanted entry;
+    entry.job = &job;
+    entry.key = {job.id(), occurrence, step};
+    entry.step = &job.stepSpec(step);
+    if (entry.step->isGang && stepState.runningTasks > 0) {
+        return;
+    }
+    for (std::uint32_t index = 0; index < stepState.tasks.size(); ++index) {
+        const Task &task = stepState.tasks[index];
+        if (task.hasRun()) {
+            ++entry.onWorker[task.worker];
+        } else if (!task.isDone) {
+            entry.tasks.push_back(index);
+        }
+    }
+    if (!entry.tasks.empty()) {
+        wanted.push_back(std::move(entry));
+    }
+}
+
+bool Planner::fits(const Room &room, const work::StepSpecT &step) const
+{
+    const work::Demand &demand = *step.demand;
+    const bool hasProcessors = step.isFilling || room.processors >= demand.milliProcessors();
+    return hasProcessors && room.memory >= demand.memoryMegabytes() && room.accelerators >= demand.accelerators();
+}
+
+bool Planner::mayRun(const Room &room, const Wanted &wanted) const
+{
+    const work::RegisterWorkerT &registration = room.worker->registration;
+    const work::ServiceSpecT *service = this->state.findService(registration.service);
+    return registration.service == wanted.job->queue().service && (service == nullptr || !service->isSpare)
+           && (wanted.step->requiredLabel.empty() || room.worker->hasLabel(wanted.step->requiredLabel));
+}
+
+bool Planner::isTrusted(const Room &room, const Task &task) const
+{
+    // A task that has failed already must not use up its attempts on a worker that may be the cause.
+    return room.view->failedInRow < (task.failures > 0 ? 1 : suspiciousFailures);
+}
+
+bool Planner::isPermitted(const Room &room, const Wanted &wanted) const
+{
+    return !wanted.job->queue().advice || this->advice.validTicket(this->now, wanted.key, room.worker->registration.id) != nullptr;
+}
+
+bool Planner::isBelowBound(const Room &room, const Wanted &wanted) const
+{
+    if (wanted.step->mostPerWorker == 0) {
+        return true;
+    }
+    const auto found = wanted.onWorker.find(room.worker->registration.id);
+    return found == wanted.onWorker.end() || found->second < wanted.step->mostPerWorker;
+}
+
+double Planner::scoreOf(const Room &room, const Wanted &wanted) const
+{
+    const auto capacity = static_cast<double>(room.worker->registration.capacity->milliProcessors());
+    const double left = (static_cast<double>(room.processors) - wanted.step->demand->milliProcessors()) / std::max(1.0, capacity);
+    double score = wanted.step->isFilling ? -left : left;
+    if (!wanted.step->dataRack.empty() && wanted.step->dataRack != room.rack) {
+        score += farDataPenalty;
+    }
+    score += slownessPenalty * std::max(0.0, room.view->slowness - 1.2);
+    score += suspicionPenalty * room.view->failedInRow;
+    return score;
+}
+
+Planner::Room *Planner::bestRoom(const Wanted &wanted, const Task &task, const std::string &rack)
+{
+    Room *best = nullptr;
+    double bestScore = std::numeric_limits<double>::infinity();
+    for (Room &room : this->rooms) {
+        const bool isRightRack = rack.empty() || room.rack == rack;
+        if (!isRightRack || !this->fits(room, *wanted.step) || !this->mayRun(room, wanted) || !this->isBelowBound(room, wanted) || !this->isTrusted(room, task)
+            || !this->isPermitted(room, wanted)) {
+            continue;
+        }
+        const double score = this->scoreOf(room, wanted);
+        if (score < bestScore) {
+            best = &room;
+            bestScore = score;
+        }
+    }
+    return best;
+}
+
+void Planner::take(Room &room, const work::StepSpecT &step, int sign) const
+{
+    room.processors -= step.isFilling ? 0 : sign * static_cast<std::int64_t>(step.demand->milliProcessors());
+    room.memory -= sign * static_cast<std::int64_t>(step.demand->memoryMegabytes());
+    room.accelerators -= sign * static_cast<std::int64_t>(step.demand->accelerators());
+}
+
+work::PlacementT Planner::placement(const Wanted &wanted, std::uint32_t task, const std::string &worker)
+{
+    const workload::TaskKey key(wanted.key.job, wanted.key.occurrence, wanted.key.step, task);
+    work::PlacementT made;
+    made.task = key.record();
+    made.run = wanted.job->nextRun(key);
+    made.worker = worker;
+    return made;
+}
+
+void Planner::planStep(Wanted &wanted, Plan &plan)
+{
+    if (wanted.step->isGang) {
+        this->planGang(wanted, plan);
+    } else {
+        this->placeSingly(wanted, plan);
+    }
+    if (wanted.tasks.empty()) {
+        return;
+    }
+    if (wanted.job->queue().advice) {
+        this->askAdvice(wanted, plan);
+    }
+    if (wanted.job->queue().priority == 0) {
+        this->preemptFor(wanted, plan);
+    }
+}
+
+void Planner::placeSingly(Wanted &wanted, Plan &plan)
+{
+    std::vector<std::uint32_t> left;
+    const std::vector<Task> &tasks = wanted.job->occurrences()[wanted.key.occurrence].steps[wanted.key.step].tasks;
+    for (const std::uint32_t index : wanted.tasks) {
+        Room *room = this->bestRoom(wanted, tasks[index], "");
+        if (room == nullptr) {
+            left.push_back(index);
+            continue;
+        }
+        this->take(*room, *wanted.step, 1);
+        ++wanted.onWorker[room->worker->registration.id];
+        plan.placements.push_back(placement(wanted, index, room->worker->registration.id));
+    }
+    wanted.tasks = std::move(left);
+}
+
+void Planner::planGang(Wanted &wanted, Plan &plan)
+{
+    const std::vector<Task> &tasks = wanted.job->occurrences()[wanted.key.occurrence].steps[wanted.key.step].tasks;
+    std::vector<std::string> racks{""};
+    if (wanted.step->prefersOneRack) {
+        std::vector<std::string> known;
+        std::transform(this->rooms.begin(), this->rooms.end(), std::back_inserter(known), [](const Room &room) { return room.rack; });
+        std::sort(known.begin(), known.end());
+        known.erase(std::unique(known.begin(), known.end()), known.end());
+        racks.insert(racks.begin(), known.begin(), known.end());
+    }
+    for (const std::string &rack : racks) {
+        std::vector<Room *> taken;
+        for (const std::uint32_t index : wanted.tasks) {
+            Room *room = this->bestRoom(wanted, tasks[index], rack);
+            if (room == nullptr) {
+                break;
+            }
+            this->take(*room, *wanted.step, 1);
+            ++wanted.onWorker[room->worker->registration.id];
+            taken.push_back(room);
+        }
+        if (taken.size() == wanted.tasks.size()) {
+            for (std::size_t number = 0; number < taken.size(); ++number) {
+                plan.placements.push_back(placement(wanted, wanted.tasks[number], taken[number]->worker->registration.id));
+            }
+            wanted.tasks.clear();
+            return;
+        }
+        for (Room *room : taken) {
+            this->take(*room, *wanted.step, -1);
+            --wanted.onWorker[room->worker->registration.id];
+        }
+    }
+}
+
+void Planner::askAdvice(Wanted &wanted, Plan &plan)
+{
+    struct Candidate {
+        Room *room;
+        bool isExpired;
+        double score;
+    };
+    std::vector<Candidate> candidates;
+    for (Room &room : this->rooms) {
+        const Standing standing = this->advice.standing(this->now, wanted.key, room.worker->registration.id);
+        const bool isOpen = standing == Standing::Unasked || standing == Standing::Expired;
+        if (isOpen && this->fits(room, *wanted.step) && this->mayRun(room, wanted) && this->isBelowBound(room, wanted)
+            && room.view->failedInRow < suspiciousFailures) {
+            candidates.push_back({&room, standing == Standing::Expired, this->scoreOf(room, wanted)});
+        }
+    }
+    std::sort(candidates.begin(), candidates.end(), [](const Candidate &left, const Candidate &right) {
+        return std::pair(!left.isExpired, left.score) < std::pair(!right.isExpired, right.score);
+    });
+    const double share = this->advice.permittedShare(wanted.job->queue().name);
+    double expected = 0;
+    const double needed = static_cast<double>(wanted.tasks.size()) * askedSurplus;
+    std::vector<std::string> asked;
+    for (const Candidate &candidate : candidates) {
+        if (asked.size() >= mostWorkersAsked || (expected >= needed && asked.size() >= leastWorkersAsked)) {
+            break;
+        }
+        std::size_t slots = tasksThatFit(candidate.room->processors, candidate.room->memory, *wanted.step);
+        slots = std::min(slots, wanted.tasks.size());
+        if (wanted.step->mostPerWorker > 0) {
+            slots = std::min<std::size_t>(slots, wanted.step->mostPerWorker);
+        }
+        const double chance = candidate.isExpired ? 1.0 : share;
+        expected += chance * static_cast<double>(slots);
+        asked.push_back(candidate.room->worker->registration.id);
+        // The room is kept for this step, in proportion to the chance that it is used.
+        const auto kept = static_cast<std::int64_t>(std::lround(chance * static_cast<double>(slots)));
+        candidate.room->processors -= wanted.step->isFilling ? 0 : kept * wanted.step->demand->milliProcessors();
+        candidate.room->memory -= kept * wanted.step->demand->memoryMegabytes();
+    }
+    if (!asked.empty() && !this->advice.isAsking(wanted.key)) {
+        plan.questions.push_back(this->advice.ask(this->now, wanted.key, wanted.job->queue().name, std::move(asked), *wanted.job->queue().advice));
+    }
+}
+
+void Planner::preemptFor(const Wanted &wanted, Plan &plan)
+{
+    std::size_t missing = wanted.tasks.size();
+    const std::int64_t each = wanted.step->demand->milliProcessors();
+    for (Room &room : this->rooms) {
+        if (missing == 0 || plan.preempted.size() >= mostPreemptions) {
+            return;
+        }
+        const Standing standing = wanted.job->queue().advice ? this->advice.standing(this->now, wanted.key, room.worker->registration.id) : Standing::Permitted;
+        if (standing == Standing::Forbidden || !this->mayRun(room, wanted) || !this->isBelowBound(room, wanted) || room.view->failedInRow > 0) {
+            continue;
+        }
+        // Room that is free or on its way serves first.
+        std::int64_t available = std::max<std::int64_t>(0, room.processors) + room.comingProcessors;
+        for (const workload::TaskKey &key : room.worker->runs) {
+            if (available >= each) {
+                break;
+            }
+            const workload::Job &job = *this->state.findJob(key.job);
+            const work::StepSpecT &step = job.stepSpec(key.step);
+            const auto track = this->tracks.find(key);
+            const bool isChosen = std::find(plan.preempted.begin(), plan.preempted.end(), key) != plan.preempted.end();
+            const bool makesWay = !isChosen && job.queue().priority > wanted.job->queue().priority && step.isCheckpointing && !step.isGang && !step.isLasting
+                                  && !step.isFilling && track != this->tracks.end() && track->second.phase == execution::RunPhase::Running;
+            if (makesWay) {
+                plan.preempted.push_back(key);
+                available += step.demand->milliProcessors();
+                room.comingProcessors += step.demand->milliProcessors();
+            }
+        }
+        while (available >= each && missing > 0 && each > 0) {
+            available -= each;
+            room.comingProcessors -= each;
+            --missing;
+        }
+    }
+}
+
+} // namespace paddlepier::planning
--- a/paddlepier/instance/diskwriter.cpp
+++ b/paddlepier/replication/diskwriter.cpp
@@ -1,6 +1,6 @@
 // The thread that writes replicas' logs and snapshots.
 
-#include "paddlepier/instance/diskwriter.h"
+#include "paddlepier/replication/diskwriter.h"
 
 #include "paddlepier/base/error.h"
 #include "paddlepier/base/log.h"
@@ -8,7 +8,7 @@
 #include <cstdlib>
 #include <limits>
 
-namespace paddlepier::instance
+namespace paddlepier::replication
 {
 
 namespace
@@ -71,4 +71,4 @@
     this->thread.join();
 }
 
-} // namespace paddlepier::instance
+} // namespace paddlepier::replication
--- a/paddlepier/instance/diskwriter.h
+++ b/paddlepier/replication/diskwriter.h
@@ -8,8 +8,8 @@
 //
 // Thread safety: submit() from the control thread; completions are posted to the mailbox given to the constructor.
 
-#ifndef PADDLEPIER_INSTANCE_DISKWRITER_H
-#define PADDLEPIER_INSTANCE_DISKWRITER_H
+#ifndef PADDLEPIER_REPLICATION_DISKWRITER_H
+#define PADDLEPIER_REPLICATION_DISKWRITER_H
 
 #include "paddlepier/base/counters.h"
 #include "paddlepier/base/mailbox.h"
@@ -18,7 +18,7 @@
 #include <functional>
 #include <thread>
 
-namespace paddlepier::instance
+namespace paddlepier::replication
 {
 
 class DiskWriter
@@ -46,6 +46,6 @@
     std::thread thread;
 };
 
-} // namespace paddlepier::instance
+} // namespace paddlepier::replication
 
 #endif
--- a/paddlepier/settings/settings.h
+++ b/paddlepier/settings/settings.h
@@ -100,6 +100,11 @@
     std::vector<TokenSettings> tokens;
     LimitSettings limits;
     TimingSettings timing;
+    /**
+     * Instances are found at run time and are named by their peer address; `peers` is empty. Not in the settings file:
+     * set where the deployment tells a process no more than a few addresses to begin with.
+     */
+    bool acceptsUnknownPeers = false;
 
     const PeerSettings *findPeer(std::string_view instance) const;
     const LedgerSettings *findLedger(std::string_view dataCentre) const;
--- a/paddlepier/wire/peer_generated.h
+++ b/paddlepier/wire/peer_generated.h
@@ -1916,6 +1916,7 @@
   std::string instance{};
   std::string replica{};
   bool formed = false;
+  std::vector<std::string> members{};
 };
 
 struct JoinReply FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -1928,7 +1929,8 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_INSTANCE = 4,
     VT_REPLICA = 6,
-    VT_FORMED = 8
+    VT_FORMED = 8,
+    VT_MEMBERS = 10
   };
   const flatbuffers::String *instance() const {
     return GetPointer<const flatbuffers::String *>(VT_INSTANCE);
@@ -1939,6 +1941,10 @@
   bool formed() const {
     return GetField<uint8_t>(VT_FORMED, 0) != 0;
   }
+  /// Instances that hold a replica, as far as the sender knows.
+  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *members() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_MEMBERS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_INSTANCE) &&
@@ -1946,6 +1952,9 @@
            VerifyOffset(verifier, VT_REPLICA) &&
            verifier.VerifyString(replica()) &&
            VerifyField<uint8_t>(verifier, VT_FORMED, 1) &&
+           VerifyOffset(verifier, VT_MEMBERS) &&
+           verifier.VerifyVector(members()) &&
+           verifier.VerifyVectorOfStrings(members()) &&
            verifier.EndTable();
   }
   JoinReplyT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1966,6 +1975,9 @@
   void add_formed(bool formed) {
     fbb_.AddElement<uint8_t>(JoinReply::VT_FORMED, static_cast<uint8_t>(formed), 0);
   }
+  void add_members(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> members) {
+    fbb_.AddOffset(JoinReply::VT_MEMBERS, members);
+  }
   explicit JoinReplyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1981,8 +1993,10 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::String> instance = 0,
     flatbuffers::Offset<flatbuffers::String> replica = 0,
-    bool formed = false) {
+    bool formed = false,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> members = 0) {
   JoinReplyBuilder builder_(_fbb);
+  builder_.add_members(members);
   builder_.add_replica(replica);
   builder_.add_instance(instance);
   builder_.add_formed(formed);
@@ -1998,14 +2012,17 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     const char *instance = nullptr,
     const char *replica = nullptr,
-    bool formed = false) {
+    bool formed = false,
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *members = nullptr) {
   auto instance__ = instance ? _fbb.CreateString(instance) : 0;
   auto replica__ = replica ? _fbb.CreateString(replica) : 0;
+  auto members__ = members ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*members) : 0;
   return paddlepier::wire::CreateJoinReply(
       _fbb,
       instance__,
       replica__,
-      formed);
+      formed,
+      members__);
 }
 
 flatbuffers::Offset<JoinReply> CreateJoinReply(flatbuffers::FlatBufferBuilder &_fbb, const JoinReplyT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -3096,6 +3113,7 @@
   { auto _e = instance(); if (_e) _o->instance = _e->str(); }
   { auto _e = replica(); if (_e) _o->replica = _e->str(); }
   { auto _e = formed(); _o->formed = _e; }
+  { auto _e = members(); if (_e) { _o->members.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->members[_i] = _e->Get(_i)->str(); } } }
 }
 
 inline flatbuffers::Offset<JoinReply> JoinReply::Pack(flatbuffers::FlatBufferBuilder &_fbb, const JoinReplyT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -3109,11 +3127,13 @@
   auto _instance = _o->instance.empty() ? 0 : _fbb.CreateString(_o->instance);
   auto _replica = _o->replica.empty() ? 0 : _fbb.CreateString(_o->replica);
   auto _formed = _o->formed;
+  auto _members = _o->members.size() ? _fbb.CreateVectorOfStrings(_o->members) : 0;
   return paddlepier::wire::CreateJoinReply(
       _fbb,
       _instance,
       _replica,
-      _formed);
+      _formed,
+      _members);
 }
 
 inline ConfigurationOfferT *ConfigurationOffer::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- /dev/null
+++ b/paddlepier/workload/job.cpp
@@ -0,0 +1,342 @@
+// One job of steps.
+
+#include "paddlepier/workload/job.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+
+namespace paddlepier::workload
+{
+
+namespace
+{
+
+std::uint32_t occurrenceCount(const work::JobSpecT &spec)
+{
+    return std::max<std::uint32_t>(1, spec.repetitions);
+}
+
+std::string problemOfStep(const work::StepSpecT &step, std::size_t number)
+{
+    if (step.count == 0) {
+        return absl::StrCat("step ", number, " has no tasks");
+    }
+    for (const std::uint32_t earlier : step.after) {
+        if (earlier >= number) {
+            return absl::StrCat("step ", number, " follows step ", earlier, ", which isn't an earlier one");
+        }
+    }
+    return "";
+}
+
+} // namespace
+
+std::string problemOf(const work::JobSpecT &spec)
+{
+    if (spec.steps.empty()) {
+        return "a job needs a step";
+    }
+    std::uint64_t tasks = 0;
+    for (std::size_t number = 0; number < spec.steps.size(); ++number) {
+        std::string problem = problemOfStep(*spec.steps[number], number);
+        if (!problem.empty()) {
+            return problem;
+        }
+        tasks += spec.steps[number]->count;
+    }
+    if (tasks * occurrenceCount(spec) > mostTasks) {
+        return absl::StrCat("over ", mostTasks, " tasks");
+    }
+    return "";
+}
+
+std::uint32_t Step::waitingTasks() const
+{
+    return static_cast<std::uint32_t>(std::count_if(this->tasks.begin(), this->tasks.end(), [](const Task &task) { return !task.isDone && !task.hasRun(); }));
+}
+
+Job::Job(std::string id, work::QueueSpecT queue, work::JobSpecT spec, std::int64_t nowMillis)
+    : jobId(std::move(id))
+    , queueSpec(std::move(queue))
+    , jobSpec(std::move(spec))
+    , submittedAt(nowMillis)
+{
+    this->runs.resize(occurrenceCount(this->jobSpec));
+    for (Occurrence &occurrence : this->runs) {
+        for (const auto &step : this->jobSpec.steps) {
+            occurrence.steps.emplace_back().tasks.resize(step->count);
+        }
+    }
+}
+
+Job::Job(const work::JobRecordT &record)
+    : Job(record.id, *record.queue, *record.spec, record.submittedAtMillis)
+{
+    this->jobState = record.state;
+    this->cancelled = record.isCancelled;
+    this->endedAt = record.endedAtMillis;
+    for (std::size_t number = 0; number < this->runs.size(); ++number) {
+        for (std::size_t index = 0; index < this->runs[number].steps.size(); ++index) {
+            Step &step = this->runs[number].steps[index];
+            const work::StepRecordT &stored = *record.occurrences[number]->steps[index];
+            step.gangFailures = stored.gangFailures;
+            step.lastFailedRun = stored.lastFailedRun;
+            // Only tasks that differ from a new one are stored.
+            for (const auto &entry : stored.tasks) {
+                step.tasks[entry->index] = Task{entry->isDone, entry->everStarted, entry->lastRun, entry->failures, entry->worker, entry->checkpoint};
+                step.doneTasks += entry->isDone ? 1 : 0;
+                step.runningTasks += entry->worker.empty() ? 0 : 1;
+                this->underWay += entry->worker.empty() ? 0 : 1;
+                this->anyStarted = this->anyStarted || entry->everStarted;
+            }
+        }
+    }
+}
+
+work::JobRecordT Job::record() const
+{
+    work::JobRecordT record;
+    record.id = this->jobId;
+    record.queue = std::make_unique<work::QueueSpecT>(this->queueSpec);
+    record.spec = std::make_unique<work::JobSpecT>(this->jobSpec);
+    record.state = this->jobState;
+    record.isCancelled = this->cancelled;
+    record.submittedAtMillis = this->submittedAt;
+    record.endedAtMillis = this->endedAt;
+    for (const Occurrence &occurrence : this->runs) {
+        auto &storedOccurrence = record.occurrences.emplace_back(std::make_unique<work::OccurrenceRecordT>());
+        for (const Step &step : occurrence.steps) {
+            auto &storedStep = storedOccurrence->steps.emplace_back(std::make_unique<work::StepRecordT>());
+            storedStep->gangFailures = step.gangFailures;
+            storedStep->lastFailedRun = step.lastFailedRun;
+            for (std::uint32_t index = 0; index < step.tasks.size(); ++index) {
+                const Task &task = step.tasks[index];
+                if (!task.isDone && task.lastRun == 0) {
+                    continue;
+                }
+                auto &entry = storedStep->tasks.emplace_back(std::make_unique<work::TaskRecordT>());
+                entry->index = index;
+                entry->isDone = task.isDone;
+                entry->everStarted = task.everStarted;
+                entry->lastRun = task.lastRun;
+                entry->failures = task.failures;
+                entry->worker = task.worker;
+                entry->checkpoint = task.checkpoint;
+            }
+        }
+    }
+    return record;
+}
+
+const std::string &Job::id() const
+{
+    return this->jobId;
+}
+
+const work::JobSpecT &Job::spec() const
+{
+    return this->jobSpec;
+}
+
+const work::StepSpecT &Job::stepSpec(std::uint32_t step) const
+{
+    return *this->jobSpec.steps.at(step);
+}
+
+const work::QueueSpecT &Job::queue() const
+{
+    return this->queueSpec;
+}
+
+work::JobState Job::state() const
+{
+    return this->jobState;
+}
+
+bool Job::isCancelled() const
+{
+    return this->cancelled;
+}
+
+std::int64_t Job::submittedAtMillis() const
+{
+    return this->submittedAt;
+}
+
+std::int64_t Job::endedAtMillis() const
+{
+    return this->endedAt;
+}
+
+const std::vector<Occurrence> &Job::occurrences() const
+{
+    return this->runs;
+}
+
+const Task &Job::task(const TaskKey &key) const
+{
+    return this->runs.at(key.occurrence).steps.at(key.step).tasks.at(key.index);
+}
+
+Task &Job::taskOf(const TaskKey &key)
+{
+    return this->stepOf(key).tasks.at(key.index);
+}
+
+Step &Job::stepOf(const TaskKey &key)
+{
+    return this->runs.at(key.occurrence).steps.at(key.step);
+}
+
+bool Job::hasEnded() const
+{
+    return this->jobState != work::JobState::Queued && this->jobState != work::JobState::Running;
+}
+
+bool Job::hasTask(const TaskKey &key) const
+{
+    return key.occurrence < this->runs.size() && key.step < this->runs[key.occurrence].steps.size()
+           && key.index < this->runs[key.occurrence].steps[key.step].tasks.size();
+}
+
+std::uint32_t Job::runsUnderWay() const
+{
+    return this->underWay;
+}
+
+bool Job::isWaiting() const
+{
+    return !this->anyStarted && !this->hasEnded();
+}
+
+std::int64_t Job::dueMillis(std::uint32_t occurrence) const
+{
+    return this->jobSpec.repetitions == 0 ? 0 : this->jobSpec.firstDueMillis + occurrence * this->jobSpec.intervalMillis;
+}
+
+bool Job::isReady(std::uint32_t occurrence, std::uint32_t step) const
+{
+    const std::vector<Step> &steps = this->runs.at(occurrence).steps;
+    const std::vector<std::uint32_t> &after = this->stepSpec(step).after;
+    return std::all_of(after.begin(), after.end(), [&](std::uint32_t earlier) { return steps.at(earlier).isDone(); });
+}
+
+std::uint32_t Job::nextRun(const TaskKey &key) const
+{
+    if (!this->stepSpec(key.step).isGang) {
+        return this->task(key).lastRun + 1;
+    }
+    std::uint32_t highest = 0;
+    for (const Task &member : this->runs.at(key.occurrence).steps.at(key.step).tasks) {
+        highest = std::max(highest, member.lastRun);
+    }
+    return highest + 1;
+}
+
+bool Job::mayPlace(const TaskKey &key, std::uint32_t run) const
+{
+    if (this->hasEnded() || !this->hasTask(key) || !this->isReady(key.occurrence, key.step)) {
+        return false;
+    }
+    const Task &wanted = this->task(key);
+    return !wanted.isDone && !wanted.hasRun() && run > wanted.lastRun;
+}
+
+void Job::place(const TaskKey &key, std::uint32_t run, const std::string &worker)
+{
+    Task &placed = this->taskOf(key);
+    placed.lastRun = run;
+    placed.worker = worker;
+    placed.everStarted = true;
+    ++this->stepOf(key).runningTasks;
+    ++this->underWay;
+    this->anyStarted = true;
+    this->jobState = work::JobState::Running;
+}
+
+bool Job::endRun(const TaskKey &key, std::uint32_t run, const std::string &worker, work::RunEndKind kind, const std::string &checkpoint, std::int64_t nowMillis)
+{
+    if (!this->hasTask(key)) {
+        return false;
+    }
+    Task &ended = this->taskOf(key);
+    if (ended.worker != worker || ended.lastRun != run) {
+        return false;
+    }
+    ended.worker.clear();
+    --this->stepOf(key).runningTasks;
+    --this->underWay;
+    if (!checkpoint.empty()) {
+        ended.checkpoint = checkpoint;
+    }
+    const bool isLasting = this->stepSpec(key.step).isLasting;
+    if (kind == work::RunEndKind::Done && !isLasting) {
+        this->finishTask(key);
+    } else if (kind == work::RunEndKind::Failed && !isLasting) {
+        this->countFailure(key, run, nowMillis);
+    }
+    if (!this->hasEnded() && this->isComplete()) {
+        this->end(work::JobState::Completed, nowMillis);
+    }
+    return true;
+}
+
+void Job::finishTask(const TaskKey &key)
+{
+    Step &step = this->stepOf(key);
+    const auto finish = [&step](Task &task) {
+        step.doneTasks += task.isDone ? 0 : 1;
+        task.isDone = true;
+    };
+    if (this->stepSpec(key.step).isGang) {
+        std::for_each(step.tasks.begin(), step.tasks.end(), finish);
+    } else {
+        finish(step.tasks.at(key.index));
+    }
+}
+
+void Job::countFailure(const TaskKey &key, std::uint32_t run, std::int64_t nowMillis)
+{
+    std::uint32_t failures = 0;
+    if (this->stepSpec(key.step).isGang) {
+        Step &step = this->stepOf(key);
+        step.gangFailures += step.lastFailedRun == run ? 0 : 1;
+        step.lastFailedRun = run;
+        failures = step.gangFailures;
+    } else {
+        failures = ++this->taskOf(key).failures;
+    }
+    if (!this->task(key).isDone && !this->hasEnded() && failures >= std::max<std::uint32_t>(1, this->queueSpec.maxAttempts)) {
+        this->end(work::JobState::Failed, nowMillis);
+    }
+}
+
+void Job::dropPayload()
+{
+    this->jobSpec.payload.clear();
+    this->jobSpec.payload.shrink_to_fit();
+}
+
+void Job::cancel(std::int64_t nowMillis)
+{
+    if (!this->hasEnded()) {
+        this->cancelled = true;
+        this->end(work::JobState::Cancelled, nowMillis);
+    }
+}
+
+void Job::end(work::JobState endState, std::int64_t nowMillis)
+{
+    this->jobState = endState;
+    this->endedAt = nowMillis;
+}
+
+bool Job::isComplete() const
+{
+    return std::all_of(this->runs.begin(), this->runs.end(), [](const Occurrence &occurrence) {
+        return std::all_of(occurrence.steps.begin(), occurrence.steps.end(), [](const Step &step) { return step.isDone(); });
+    });
+}
+
+} // namespace paddlepier::workload
--- /dev/null
+++ b/paddlepier/workload/job.h
@@ -0,0 +1,133 @@
+// One job of steps: the aggregate that decides what a placement or the end of a run does to it.
+//
+// A job's steps run once, or once for each occurrence. A step's tasks may run when all steps that it follows are done. Of
+// a task at most one run is under way; runs are numbered from 1. A gang runs and ends as a whole: all members carry the
+// same run number.
+//
+// Invariants:
+//  - a task has a worker exactly while a run of it may be under way there;
+//  - a job that has ended has no new runs, but may have runs that aren't known to be over.
+//
+// Thread safety: none; owned by the ledger.
+
+#ifndef PADDLEPIER_WORKLOAD_JOB_H
+#define PADDLEPIER_WORKLOAD_JOB_H
+
+#include "paddlepier/wire/workload_generated.h"
+#include "paddlepier/workload/taskkey.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace paddlepier::workload
+{
+
+struct Task {
+    bool isDone = false;
+    bool everStarted = false;
+    /** Highest run given out; 0 before the first. */
+    std::uint32_t lastRun = 0;
+    std::uint32_t failures = 0;
+    /** Worker of the run that may be under way; empty if there is none. */
+    std::string worker;
+    std::string checkpoint;
+
+    bool hasRun() const
+    {
+        return !this->worker.empty();
+    }
+};
+
+struct Step {
+    std::vector<Task> tasks;
+    std::uint32_t doneTasks = 0;
+    std::uint32_t runningTasks = 0;
+    std::uint32_t gangFailures = 0;
+    std::uint32_t lastFailedRun = 0;
+
+    bool isDone() const
+    {
+        return this->doneTasks == this->tasks.size();
+    }
+
+    /** Tasks that are neither done nor have a run. */
+    std::uint32_t waitingTasks() const;
+};
+
+struct Occurrence {
+    std::vector<Step> steps;
+};
+
+/** Most tasks that one job may have in all its occurrences. */
+constexpr std::uint64_t mostTasks = 20'000;
+
+class Job
+{
+public:
+    Job(std::string jobId, work::QueueSpecT queueSpec, work::JobSpecT jobSpec, std::int64_t nowMillis);
+    explicit Job(const work::JobRecordT &record);
+
+    const std::string &id() const;
+    const work::JobSpecT &spec() const;
+    const work::StepSpecT &stepSpec(std::uint32_t step) const;
+    /** As it stood when the job was accepted. */
+    const work::QueueSpecT &queue() const;
+    work::JobState state() const;
+    bool isCancelled() const;
+    std::int64_t submittedAtMillis() const;
+    std::int64_t endedAtMillis() const;
+    const std::vector<Occurrence> &occurrences() const;
+    const Task &task(const TaskKey &key) const;
+
+    bool hasEnded() const;
+    bool hasTask(const TaskKey &key) const;
+    std::uint32_t runsUnderWay() const;
+    /** No task has been placed yet. */
+    bool isWaiting() const;
+    /** When an occurrence may start, in milliseconds since 1970; 0 for a job without repetitions. */
+    std::int64_t dueMillis(std::uint32_t occurrence) const;
+    /** All steps that @p step follows are done. */
+    bool isReady(std::uint32_t occurrence, std::uint32_t step) const;
+    /** The next run number of a task, or of the whole gang. */
+    std::uint32_t nextRun(const TaskKey &key) const;
+
+    /** A run with this number may begin now. */
+    bool mayPlace(const TaskKey &key, std::uint32_t run) const;
+    void place(const TaskKey &key, std::uint32_t run, const std::string &worker);
+    /** Ends the run that is under way; an end of any other run changes nothing. @return whether it was that run */
+    bool endRun(const TaskKey &key, std::uint32_t run, const std::string &worker, work::RunEndKind kind, const std::string &checkpoint, std::int64_t nowMillis);
+    void cancel(std::int64_t nowMillis);
+
+    /** Of an ended job: frees what only a start needs. */
+    void dropPayload();
+
+    work::JobRecordT record() const;
+
+private:
+    Task &taskOf(const TaskKey &key);
+    Step &stepOf(const TaskKey &key);
+    void finishTask(const TaskKey &key);
+    void countFailure(const TaskKey &key, std::uint32_t run, std::int64_t nowMillis);
+    void end(work::JobState endState, std::int64_t nowMillis);
+    bool isComplete() const;
+
+    std::string jobId;
+    work::QueueSpecT queueSpec;
+    work::JobSpecT jobSpec;
+    work::JobState jobState = work::JobState::Queued;
+    bool cancelled = false;
+    std::int64_t submittedAt = 0;
+    std::int64_t endedAt = 0;
+    std::vector<Occurrence> runs;
+    // Derived:
+    std::uint32_t underWay = 0;
+    bool anyStarted = false;
+};
+
+/** What is wrong with @p spec, or an empty text. */
+std::string problemOf(const work::JobSpecT &spec);
+
+} // namespace paddlepier::workload
+
+#endif
--- /dev/null
+++ b/paddlepier/workload/taskkey.h
@@ -0,0 +1,79 @@
+// Name of one task: job, occurrence, step and index, each counting from 0.
+//
+// Thread safety: plain values.
+
+#ifndef PADDLEPIER_WORKLOAD_TASKKEY_H
+#define PADDLEPIER_WORKLOAD_TASKKEY_H
+
+#include "paddlepier/wire/workload_generated.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <compare>
+#include <cstdint>
+#include <string>
+
+namespace paddlepier::workload
+{
+
+/** One step of one occurrence of a job. */
+struct StepKey {
+    std::string job;
+    std::uint32_t occurrence = 0;
+    std::uint32_t step = 0;
+
+    auto operator<=>(const StepKey &) const = default;
+
+    std::string text() const
+    {
+        return absl::StrCat(this->job, ".", this->occurrence, ".", this->step);
+    }
+};
+
+struct TaskKey {
+    std::string job;
+    std::uint32_t occurrence = 0;
+    std::uint32_t step = 0;
+    std::uint32_t index = 0;
+
+    TaskKey() = default;
+
+    TaskKey(std::string jobId, std::uint32_t occurrenceNumber, std::uint32_t stepNumber, std::uint32_t taskIndex)
+        : job(std::move(jobId))
+        , occurrence(occurrenceNumber)
+        , step(stepNumber)
+        , index(taskIndex)
+    {
+    }
+
+    explicit TaskKey(const work::TaskKeyT &record)
+        : TaskKey(record.job, record.occurrence, record.step, record.index)
+    {
+    }
+
+    auto operator<=>(const TaskKey &) const = default;
+
+    StepKey stepKey() const
+    {
+        return {this->job, this->occurrence, this->step};
+    }
+
+    std::unique_ptr<work::TaskKeyT> record() const
+    {
+        auto made = std::make_unique<work::TaskKeyT>();
+        made->job = this->job;
+        made->occurrence = this->occurrence;
+        made->step = this->step;
+        made->index = this->index;
+        return made;
+    }
+
+    std::string text() const
+    {
+        return absl::StrCat(this->job, ".", this->occurrence, ".", this->step, ".", this->index);
+    }
+};
+
+} // namespace paddlepier::workload
+
+#endif
--- /dev/null
+++ b/paddlepier/workload/workload.cpp
@@ -0,0 +1,384 @@
+// A region's workload as a replicated state machine.
+
+#include "paddlepier/workload/workload.h"
+
+#include "paddlepier/wire/codec.h"
+
+#include <absl/strings/ascii.h>
+#include <absl/strings/match.h>
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+
+namespace paddlepier::workload
+{
+
+namespace
+{
+
+absl::string_view toAbsl(std::string_view text)
+{
+    return {text.data(), text.size()};
+}
+
+} // namespace
+
+bool Worker::hasRoomFor(const work::StepSpecT &step) const
+{
+    const work::Demand &demand = *step.demand;
+    const work::Demand &capacity = *this->registration.capacity;
+    const std::uint64_t processors = step.isFilling ? 0 : demand.milliProcessors();
+    return this->reservedMilliProcessors + processors <= capacity.milliProcessors()
+           && this->reservedMemoryMegabytes + demand.memoryMegabytes() <= capacity.memoryMegabytes()
+           && this->reservedAccelerators + demand.accelerators() <= capacity.accelerators();
+}
+
+std::int64_t Worker::freeMilliProcessors() const
+{
+    return static_cast<std::int64_t>(this->registration.capacity->milliProcessors()) - static_cast<std::int64_t>(this->reservedMilliProcessors);
+}
+
+bool Worker::hasLabel(std::string_view label) const
+{
+    const std::vector<std::string> &labels = this->registration.labels;
+    return std::find(labels.begin(), labels.end(), label) != labels.end();
+}
+
+Outcome Workload::failure(ErrorCode error, const std::string &message)
+{
+    return {error, message, {}};
+}
+
+Outcome Workload::apply(const std::vector<std::uint8_t> &command)
+{
+    return this->apply(wire::unpack<work::EntryT>(command));
+}
+
+Outcome Workload::apply(const work::EntryT &entry)
+{
+    this->appliedAt = std::max(this->appliedAt, entry.atMillis);
+    this->forgetEndedJobs();
+    switch (entry.command.type) {
+    case work::Command::ChangeConfiguration:
+        return this->changeConfiguration(*entry.command.AsChangeConfiguration());
+    case work::Command::SubmitJob:
+        return this->submitJob(*entry.command.AsSubmitJob());
+    case work::Command::CancelJob:
+        return this->cancelJob(*entry.command.AsCancelJob());
+    case work::Command::PlaceRuns:
+        return this->placeRuns(*entry.command.AsPlaceRuns());
+    case work::Command::RecordEnds:
+        return this->recordEnds(*entry.command.AsRecordEnds());
+    case work::Command::RegisterWorker:
+        return this->registerWorker(*entry.command.AsRegisterWorker());
+    case work::Command::RemoveWorker:
+        return this->removeWorker(*entry.command.AsRemoveWorker());
+    case work::Command::NONE:
+        break;
+    }
+    return failure(ErrorCode::Internal, "an entry without a command");
+}
+
+bool Workload::hasHistory() const
+{
+    return this->appliedAt > 0;
+}
+
+Outcome Workload::changeConfiguration(const work::ChangeConfigurationT &command)
+{
+    if (command.version == this->currentConfiguration.version && command.text != this->currentConfiguration.text) {
+        return failure(ErrorCode::Conflict, absl::StrCat("version ", command.version, " is held with another content"));
+    }
+    // A version that isn't higher is acknowledged and changes nothing.
+    if (command.version > this->currentConfiguration.version) {
+        this->currentConfiguration = command;
+    }
+    return {};
+}
+
+Outcome Workload::submitJob(const work::SubmitJobT &command)
+{
+    if (this->jobById.contains(command.id)) {
+        return {};
+    }
+    const auto &queues = this->currentConfiguration.queues;
+    const auto queue = std::find_if(queues.begin(), queues.end(), [&](const auto &candidate) { return candidate->name == command.queue; });
+    if (queue == queues.end()) {
+        return failure(ErrorCode::UnknownRoute, absl::StrCat("no queue ", command.queue));
+    }
+    const auto added = this->jobById.emplace(command.id, Job(command.id, **queue, *command.spec, this->appliedAt)).first;
+    this->noteJob(added->second);
+    return {};
+}
+
+Outcome Workload::cancelJob(const work::CancelJobT &command)
+{
+    const auto found = this->jobById.find(command.id);
+    if (found == this->jobById.end()) {
+        return failure(ErrorCode::UnknownJob, absl::StrCat("no job ", command.id));
+    }
+    found->second.cancel(this->appliedAt);
+    this->noteJob(found->second);
+    return {};
+}
+
+std::size_t Workload::groupLength(const std::vector<std::unique_ptr<work::PlacementT>> &placements, std::size_t begin) const
+{
+    const TaskKey first(*placements[begin]->task);
+    const Job *job = this->findJob(first.job);
+    if (job == nullptr || !job->hasTask(first) || !job->stepSpec(first.step).isGang) {
+        return 1;
+    }
+    std::size_t length = 1;
+    while (begin + length < placements.size() && TaskKey(*placements[begin + length]->task).stepKey() == first.stepKey()) {
+        ++length;
+    }
+    return length;
+}
+
+Outcome Workload::placeRuns(const work::PlaceRunsT &command)
+{
+    Outcome outcome;
+    for (std::size_t begin = 0; begin < command.placements.size();) {
+        const std::size_t length = this->groupLength(command.placements, begin);
+        std::size_t taken = 0;
+        while (taken < length && this->placeOne(*command.placements[begin + taken])) {
+            ++taken;
+        }
+        for (std::size_t index = begin; index < begin + taken; ++index) {
+            if (taken < length) {
+                this->undoPlacement(*command.placements[index]);
+            } else {
+                outcome.placed.push_back(*command.placements[index]);
+            }
+        }
+        begin += length;
+    }
+    return outcome;
+}
+
+bool Workload::placeOne(const work::PlacementT &placement)
+{
+    const TaskKey key(*placement.task);
+    const auto job = this->jobById.find(key.job);
+    const auto worker = this->workerById.find(placement.worker);
+    if (job == this->jobById.end() || worker == this->workerById.end() || !job->second.mayPlace(key, placement.run)) {
+        return false;
+    }
+    const work::StepSpecT &step = job->second.stepSpec(key.step);
+    if (!worker->second.hasRoomFor(step)) {
+        return false;
+    }
+    this->reserve(worker->second, step, 1);
+    worker->second.runs.insert(key);
+    job->second.place(key, placement.run, placement.worker);
+    return true;
+}
+
+void Workload::undoPlacement(const work::PlacementT &placement)
+{
+    work::RunEndT end;
+    end.task = std::make_unique<work::TaskKeyT>(*placement.task);
+    end.run = placement.run;
+    end.kind = work::RunEndKind::Void;
+    this->endRun(placement.worker, end);
+}
+
+void Workload::reserve(Worker &worker, const work::StepSpecT &step, int sign)
+{
+    const auto change = static_cast<std::uint64_t>(static_cast<std::int64_t>(sign));
+    worker.reservedMilliProcessors += change * (step.isFilling ? 0 : step.demand->milliProcessors());
+    worker.reservedMemoryMegabytes += change * step.demand->memoryMegabytes();
+    worker.reservedAccelerators += change * step.demand->accelerators();
+}
+
+Outcome Workload::recordEnds(const work::RecordEndsT &command)
+{
+    for (const auto &end : command.ends) {
+        this->endRun(command.worker, *end);
+    }
+    return {};
+}
+
+void Workload::endRun(const std::string &workerId, const work::RunEndT &end)
+{
+    const auto worker = this->workerById.find(workerId);
+    if (worker != this->workerById.end()) {
+        worker->second.lastSequence = std::max(worker->second.lastSequence, end.sequence);
+    }
+    const TaskKey key(*end.task);
+    const auto job = this->jobById.find(key.job);
+    if (job == this->jobById.end() || !job->second.endRun(key, end.run, workerId, end.kind, end.checkpoint, this->appliedAt)) {
+        return;
+    }
+    if (worker != this->workerById.end() && worker->second.runs.erase(key) > 0) {
+        this->reserve(worker->second, job->second.stepSpec(key.step), -1);
+    }
+    this->noteJob(job->second);
+}
+
+Outcome Workload::registerWorker(const work::RegisterWorkerT &command)
+{
+    Worker &worker = this->workerById[command.id];
+    const bool wasDraining = worker.registration.isDraining;
+    worker.registration = command;
+    worker.registration.isDraining = command.isDraining || wasDraining;
+    return {};
+}
+
+Outcome Workload::removeWorker(const work::RemoveWorkerT &command)
+{
+    const auto found = this->workerById.find(command.id);
+    if (found == this->workerById.end()) {
+        return {};
+    }
+    const std::set<TaskKey> lost = found->second.runs;
+    for (const TaskKey &key : lost) {
+        work::RunEndT end;
+        end.task = key.record();
+        end.run = this->jobById.at(key.job).task(key).lastRun;
+        end.kind = work::RunEndKind::WorkerLost;
+        this->endRun(command.id, end);
+    }
+    this->workerById.erase(command.id);
+    return {};
+}
+
+void Workload::noteJob(Job &job)
+{
+    if (!job.hasEnded() || job.runsUnderWay() > 0) {
+        this->active.insert(job.id());
+        return;
+    }
+    if (this->active.erase(job.id()) > 0) {
+        job.dropPayload();
+        this->ended.push_back(job.id());
+    }
+}
+
+void Workload::forgetEndedJobs()
+{
+    while (!this->ended.empty()) {
+        const auto job = this->jobById.find(this->ended.front());
+        if (job->second.endedAtMillis() + jobRetentionMillis > this->appliedAt) {
+            return;
+        }
+        this->jobById.erase(job);
+        this->ended.pop_front();
+    }
+}
+
+const work::ChangeConfigurationT &Workload::configuration() const
+{
+    return this->currentConfiguration;
+}
+
+const work::QueueSpecT *Workload::findQueue(std::string_view host, std::string_view path) const
+{
+    const work::QueueSpecT *best = nullptr;
+    for (const auto &queue : this->currentConfiguration.queues) {
+        const bool matches = absl::EqualsIgnoreCase(queue->host, toAbsl(host)) && absl::StartsWith(toAbsl(path), queue->pathPrefix);
+        if (matches && (best == nullptr || queue->pathPrefix.size() > best->pathPrefix.size())) {
+            best = queue.get();
+        }
+    }
+    return best;
+}
+
+const work::ServiceSpecT *Workload::findService(std::string_view name) const
+{
+    for (const auto &service : this->currentConfiguration.services) {
+        if (service->name == name) {
+            return service.get();
+        }
+    }
+    return nullptr;
+}
+
+const Job *Workload::findJob(const std::string &id) const
+{
+    const auto found = this->jobById.find(id);
+    return found == this->jobById.end() ? nullptr : &found->second;
+}
+
+const Worker *Workload::findWorker(const std::string &id) const
+{
+    const auto found = this->workerById.find(id);
+    return found == this->workerById.end() ? nullptr : &found->second;
+}
+
+const std::map<std::string, Worker> &Workload::workers() const
+{
+    return this->workerById;
+}
+
+const std::set<std::string> &Workload::activeJobs() const
+{
+    return this->active;
+}
+
+std::uint32_t Workload::waitingJobs(const std::string &queue) const
+{
+    return static_cast<std::uint32_t>(std::count_if(this->active.begin(), this->active.end(), [&](const std::string &id) {
+        const Job &job = this->jobById.at(id);
+        return job.queue().name == queue && job.isWaiting();
+    }));
+}
+
+std::int64_t Workload::appliedAtMillis() const
+{
+    return this->appliedAt;
+}
+
+std::string Workload::snapshot() const
+{
+    work::SnapshotT snapshot;
+    snapshot.atMillis = this->appliedAt;
+    snapshot.configuration = std::make_unique<work::ChangeConfigurationT>(this->currentConfiguration);
+    for (const auto &[id, job] : this->jobById) {
+        snapshot.jobs.push_back(std::make_unique<work::JobRecordT>(job.record()));
+    }
+    for (const auto &[id, worker] : this->workerById) {
+        auto &record = snapshot.workers.emplace_back(std::make_unique<work::WorkerRecordT>());
+        record->registration = std::make_unique<work::RegisterWorkerT>(worker.registration);
+        record->lastSequence = worker.lastSequence;
+    }
+    return wire::pack(snapshot);
+}
+
+void Workload::restore(const std::string &bytes)
+{
+    const auto snapshot = wire::unpack<work::SnapshotT>(bytes);
+    *this = Workload();
+    this->appliedAt = snapshot.atMillis;
+    if (snapshot.configuration) {
+        this->currentConfiguration = *snapshot.configuration;
+    }
+    for (const auto &record : snapshot.workers) {
+        Worker &worker = this->workerById[record->registration->id];
+        worker.registration = *record->registration;
+        worker.lastSequence = record->lastSequence;
+    }
+    for (const auto &record : snapshot.jobs) {
+        Job &job = this->jobById.emplace(record->id, Job(*record)).first->second;
+        this->active.insert(job.id());
+        this->noteJob(job);
+        for (std::uint32_t occurrence = 0; occurrence < job.occurrences().size(); ++occurrence) {
+            for (std::uint32_t step = 0; step < job.occurrences()[occurrence].steps.size(); ++step) {
+                const std::vector<Task> &tasks = job.occurrences()[occurrence].steps[step].tasks;
+                for (std::uint32_t index = 0; index < tasks.size(); ++index) {
+                    const auto worker = this->workerById.find(tasks[index].worker);
+                    if (worker != this->workerById.end()) {
+                        worker->second.runs.insert({job.id(), occurrence, step, index});
+                        this->reserve(worker->second, job.stepSpec(step), 1);
+                    }
+                }
+            }
+        }
+    }
+    std::sort(this->ended.begin(), this->ended.end(), [this](const std::string &left, const std::string &right) {
+        return this->jobById.at(left).endedAtMillis() < this->jobById.at(right).endedAtMillis();
+    });
+}
+
+} // namespace paddlepier::workload
--- /dev/null
+++ b/paddlepier/workload/workload.h
@@ -0,0 +1,116 @@
+// A region's workload: configuration, jobs, workers' lives and the runs between them, as a replicated state machine.
+//
+// A placement reserves room on its worker in the same entry that names it, so that no two decisions can fill the same
+// room. Room is given back by the recorded end of the run and by nothing else. An accepted configuration's version only
+// rises; another content under the version held is refused.
+//
+// Example:
+//     Workload workload;
+//     const Outcome outcome = workload.apply(wire::pack(entry));
+//
+// Thread safety: none; owned by the control thread. apply() costs O(log n) for each task that it names.
+
+#ifndef PADDLEPIER_WORKLOAD_WORKLOAD_H
+#define PADDLEPIER_WORKLOAD_WORKLOAD_H
+
+#include "paddlepier/base/error.h"
+#include "paddlepier/wire/workload_generated.h"
+#include "paddlepier/workload/job.h"
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace paddlepier::workload
+{
+
+/** Ended jobs are kept this long; the users ask for two minutes, the rest is for clocks that differ. */
+constexpr std::int64_t jobRetentionMillis = 150'000;
+
+/** Outcome of one command. */
+struct Outcome {
+    ErrorCode error = ErrorCode::None;
+    std::string message;
+    /** Of PlaceRuns: what was taken. */
+    std::vector<work::PlacementT> placed;
+};
+
+/** One life of a worker. */
+struct Worker {
+    work::RegisterWorkerT registration;
+    /** Newest end that is recorded; the worker may forget ends up to it. */
+    std::uint64_t lastSequence = 0;
+    /** Runs that may be under way there. */
+    std::set<TaskKey> runs;
+    std::uint64_t reservedMilliProcessors = 0;
+    std::uint64_t reservedMemoryMegabytes = 0;
+    std::uint64_t reservedAccelerators = 0;
+
+    bool hasRoomFor(const work::StepSpecT &step) const;
+    std::int64_t freeMilliProcessors() const;
+    bool hasLabel(std::string_view label) const;
+};
+
+class Workload
+{
+public:
+    using Outcome = workload::Outcome;
+
+    Outcome apply(const std::vector<std::uint8_t> &command);
+    Outcome apply(const work::EntryT &entry);
+    std::string snapshot() const;
+    /** @throws MalformedBodyError if @p bytes are not a snapshot */
+    void restore(const std::string &bytes);
+    bool hasHistory() const;
+    static Outcome failure(ErrorCode error, const std::string &message);
+
+    /** Version 0 before the first. */
+    const work::ChangeConfigurationT &configuration() const;
+    /** Queue of the longest prefix that @p path begins with; null if there is none. */
+    const work::QueueSpecT *findQueue(std::string_view host, std::string_view path) const;
+    const work::ServiceSpecT *findService(std::string_view name) const;
+    const Job *findJob(const std::string &id) const;
+    const Worker *findWorker(const std::string &id) const;
+    const std::map<std::string, Worker> &workers() const;
+    /** Jobs with tasks to run or runs under way. */
+    const std::set<std::string> &activeJobs() const;
+    std::uint32_t waitingJobs(const std::string &queue) const;
+    std::int64_t appliedAtMillis() const;
+
+private:
+    Outcome changeConfiguration(const work::ChangeConfigurationT &command);
+    Outcome submitJob(const work::SubmitJobT &command);
+    Outcome cancelJob(const work::CancelJobT &command);
+    Outcome placeRuns(const work::PlaceRunsT &command);
+    Outcome recordEnds(const work::RecordEndsT &command);
+    Outcome registerWorker(const work::RegisterWorkerT &command);
+    Outcome removeWorker(const work::RemoveWorkerT &command);
+
+    /** Length of the group of placements at @p begin that are taken whole or not at all. */
+    std::size_t groupLength(const std::vector<std::unique_ptr<work::PlacementT>> &placements, std::size_t begin) const;
+    bool placeOne(const work::PlacementT &placement);
+    void undoPlacement(const work::PlacementT &placement);
+    void endRun(const std::string &worker, const work::RunEndT &end);
+    void reserve(Worker &worker, const work::StepSpecT &step, int sign);
+    void noteJob(Job &job);
+    void forgetEndedJobs();
+
+    work::ChangeConfigurationT currentConfiguration;
+    std::map<std::string, Job> jobById;
+    std::map<std::string, Worker> workerById;
+    std::int64_t appliedAt = 0;
+
+    // Derived, rebuilt by restore():
+    std::set<std::string> active;
+    /** Ended jobs without runs, in the order in which they came to that. */
+    std::deque<std::string> ended;
+};
+
+} // namespace paddlepier::workload
+
+#endif
--- a/schema/generate.sh
+++ b/schema/generate.sh
@@ -2,7 +2,7 @@
 # Regenerates the committed C++ of the schema files. Needs flatc (Debian: flatbuffers-compiler).
 set -euo pipefail
 cd "$(dirname "$0")/.."
-for name in api ledger peer; do
+for name in api ledger peer workload; do
     embed=()
     [ "$name" = api ] && embed=(--bfbs-gen-embed)
     # The field names follow this project's style; flatc's advice on snake_case is left out of the output.
