Serve only once earlier terms are applied; count a job as waiting until a run is known to have begun

Cause: a replica counted as serving as soon as the entries of earlier terms were committed, before flush() applied them.

Ruled out: the advice service (answered), lost entries (the run stood in the ledger). Change: ReplicaNode remembers the term whose predecessors are applied; waiting jobs are counted from what workers have shown.

--- a/paddlepier/cluster/workservice.cpp
+++ b/paddlepier/cluster/workservice.cpp
@@ -157,7 +157,7 @@
     const std::string id = call.path.substr(queue->pathPrefix.size());
     if (id.empty() && call.action == work::JobAction::Show) {
         CallResult result = answer(work::CallOutcome::Accepted);
-        result.reply.waitingJobs = this->node.state().waitingJobs(queue->name);
+        result.reply.waitingJobs = this->dispatcher.waitingJobs(queue->name);
         done(result);
         return;
     }
--- a/paddlepier/execution/dispatcher.cpp
+++ b/paddlepier/execution/dispatcher.cpp
@@ -91,6 +91,28 @@
     return view != this->views.end() && sequence < view->second.announcedSequence;
 }
 
+bool Dispatcher::hasBegun(const workload::Job &job) const
+{
+    if (job.hasBegun()) {
+        return true;
+    }
+    for (auto track = this->tracks.lower_bound({job.id(), 0, 0, 0}); track != this->tracks.end() && track->first.job == job.id(); ++track) {
+        if (track->second.runningSince < absl::InfiniteFuture()) {
+            return true;
+        }
+    }
+    return false;
+}
+
+std::uint32_t Dispatcher::waitingJobs(const std::string &queue) const
+{
+    const std::set<std::string> &active = this->state.activeJobs();
+    return static_cast<std::uint32_t>(std::count_if(active.begin(), active.end(), [&](const std::string &id) {
+        const workload::Job &job = *this->state.findJob(id);
+        return job.queue().name == queue && !job.hasEnded() && !this->hasBegun(job);
+    }));
+}
+
 const RunTracks &Dispatcher::runs() const
 {
     return this->tracks;
--- a/paddlepier/execution/dispatcher.h
+++ b/paddlepier/execution/dispatcher.h
@@ -75,6 +75,9 @@
     /** The ledger has changed by something else than a proposal of this dispatcher. */
     void noteChange();
 
+    /** Jobs of a queue of which no run is known to have begun: rather too many than too few while answers are missing. */
+    std::uint32_t waitingJobs(const std::string &queue) const;
+
     const RunTracks &runs() const;
     const std::map<std::string, WorkerView> &workerViews() const;
 
@@ -115,6 +118,7 @@
 
     std::uint64_t send(Timestamp now, const std::string &worker, Order order, Duration timeout, bool withLease);
     void propose(ProposalKind kind, const std::string &worker, work::CommandUnion command);
+    bool hasBegun(const workload::Job &job) const;
     RunTrack *findTrack(const workload::TaskKey &key, std::uint32_t run, const std::string &worker);
 
     const workload::Workload &state;
--- a/paddlepier/replication/replicanode.h
+++ b/paddlepier/replication/replicanode.h
@@ -175,6 +175,8 @@
     std::unique_ptr<consensus::Replica> core;
     State stateMachine;
     consensus::Index appliedIndex = 0;
+    /** Newest term in which this replica led with everything of earlier terms applied. */
+    consensus::Term appliedTerm = 0;
 
     // Invariant: keys are indexes of this leader's own entries that are not applied yet.
     std::map<consensus::Index, Proposal> proposals;
@@ -277,7 +279,9 @@
     // A new group accepts nothing before all its replicas vote: until then one lost instance would stop it, and one lost
     // disk could lose what it accepted. Later on it serves through repairs.
     const bool isFormed = this->stateMachine.hasHistory() || this->core->membership().voters.size() >= this->options.founders.size();
-    return isFormed && this->core->isCaughtUpLeader() && this->core->hasLeaderLease(at);
+    // Entries of earlier terms count as committed before flush() applies them: a state read in between lacks them.
+    const bool hasApplied = this->appliedTerm == this->core->currentTerm();
+    return isFormed && hasApplied && this->core->isCaughtUpLeader() && this->core->hasLeaderLease(at);
 }
 
 template<ReplicatedState State>
@@ -446,6 +450,9 @@
     for (const wire::LogRecordT &entry : effects.committed) {
         this->applyOne(entry);
     }
+    if (this->core->isCaughtUpLeader() && this->appliedIndex >= this->core->commitIndex()) {
+        this->appliedTerm = this->core->currentTerm();
+    }
     this->compactIfLong();
 }
 
--- a/paddlepier/workload/job.cpp
+++ b/paddlepier/workload/job.cpp
@@ -17,6 +17,12 @@
     return std::max<std::uint32_t>(1, spec.repetitions);
 }
 
+/** The worker has listed the end, so that the run was there; what the leader concludes itself is no proof. */
+bool isProofOfStart(work::RunEndKind kind)
+{
+    return kind != work::RunEndKind::Void && kind != work::RunEndKind::WorkerLost && kind != work::RunEndKind::Expired;
+}
+
 std::string problemOfStep(const work::StepSpecT &step, std::size_t number)
 {
     if (step.count == 0) {
@@ -205,9 +211,9 @@
     return this->underWay;
 }
 
-bool Job::isWaiting() const
+bool Job::hasBegun() const
 {
-    return !this->anyStarted && !this->hasEnded();
+    return this->anyStarted;
 }
 
 std::int64_t Job::dueMillis(std::uint32_t occurrence) const
@@ -248,10 +254,8 @@
     Task &placed = this->taskOf(key);
     placed.lastRun = run;
     placed.worker = worker;
-    placed.everStarted = true;
     ++this->stepOf(key).runningTasks;
     ++this->underWay;
-    this->anyStarted = true;
     this->jobState = work::JobState::Running;
 }
 
@@ -270,6 +274,10 @@
     if (!checkpoint.empty()) {
         ended.checkpoint = checkpoint;
     }
+    if (isProofOfStart(kind)) {
+        ended.everStarted = true;
+        this->anyStarted = true;
+    }
     const bool isLasting = this->stepSpec(key.step).isLasting;
     if (kind == work::RunEndKind::Done && !isLasting) {
         this->finishTask(key);
--- a/paddlepier/workload/job.h
+++ b/paddlepier/workload/job.h
@@ -83,8 +83,8 @@
     bool hasEnded() const;
     bool hasTask(const TaskKey &key) const;
     std::uint32_t runsUnderWay() const;
-    /** No task has been placed yet. */
-    bool isWaiting() const;
+    /** A run of it was on a worker; one that is there now and hasn't ended may not be known here. */
+    bool hasBegun() const;
     /** When an occurrence may start, in milliseconds since 1970; 0 for a job without repetitions. */
     std::int64_t dueMillis(std::uint32_t occurrence) const;
     /** All steps that @p step follows are done. */
--- /dev/null
+++ b/paddlepier/workload/job_test.cpp
@@ -0,0 +1,165 @@
+// What a placement or the end of a run does to a job.
+
+#include "paddlepier/workload/job.h"
+
+#include <catch2/catch.hpp>
+
+namespace paddlepier::workload
+{
+
+namespace
+{
+
+class JobFixture
+{
+public:
+    static std::unique_ptr<work::StepSpecT> step(std::uint32_t count)
+    {
+        auto made = std::make_unique<work::StepSpecT>();
+        made->count = count;
+        made->demand = std::make_unique<work::Demand>(1000, 512, 0);
+        return made;
+    }
+
+    Job job()
+    {
+        work::QueueSpecT queue;
+        queue.name = "quick";
+        queue.maxAttempts = 2;
+        work::JobSpecT copy = this->spec;
+        return {"00000000000000aa", queue, copy, 1000};
+    }
+
+    static TaskKey key(std::uint32_t stepNumber, std::uint32_t index)
+    {
+        return {"00000000000000aa", 0, stepNumber, index};
+    }
+
+    static void run(Job &job, const TaskKey &task, work::RunEndKind end)
+    {
+        const std::uint32_t number = job.nextRun(task);
+        REQUIRE(job.mayPlace(task, number));
+        job.place(task, number, "w1");
+        REQUIRE(job.endRun(task, number, "w1", end, "", 2000));
+    }
+
+    work::JobSpecT spec;
+};
+
+} // namespace
+
+TEST_CASE_METHOD(JobFixture, "begun_afterRunThatNeverStarted_isFalse")
+{
+    this->spec.steps.push_back(step(1));
+    Job made = this->job();
+    run(made, key(0, 0), work::RunEndKind::Void);
+    CHECK_FALSE(made.hasBegun());
+    run(made, key(0, 0), work::RunEndKind::Stopped);
+    CHECK(made.hasBegun());
+}
+
+TEST_CASE_METHOD(JobFixture, "placement_beforeEarlierStepIsDone_isRefused")
+{
+    this->spec.steps.push_back(step(2));
+    this->spec.steps.push_back(step(1));
+    this->spec.steps[1]->after = {0};
+    Job made = this->job();
+    run(made, key(0, 0), work::RunEndKind::Done);
+    CHECK_FALSE(made.mayPlace(key(1, 0), 1));
+    run(made, key(0, 1), work::RunEndKind::Done);
+    CHECK(made.mayPlace(key(1, 0), 1));
+}
+
+TEST_CASE_METHOD(JobFixture, "placement_ofTaskWithRunUnderWay_isRefused")
+{
+    this->spec.steps.push_back(step(1));
+    Job made = this->job();
+    made.place(key(0, 0), 1, "w1");
+    CHECK_FALSE(made.mayPlace(key(0, 0), 2));
+    CHECK_FALSE(made.endRun(key(0, 0), 1, "w2", work::RunEndKind::Done, "", 2000));
+    CHECK_FALSE(made.endRun(key(0, 0), 2, "w1", work::RunEndKind::Done, "", 2000));
+    CHECK_FALSE(made.mayPlace(key(0, 0), 2));
+}
+
+TEST_CASE_METHOD(JobFixture, "failedRuns_upToAttempts_endTheJob")
+{
+    this->spec.steps.push_back(step(2));
+    Job made = this->job();
+    run(made, key(0, 0), work::RunEndKind::Failed);
+    run(made, key(0, 0), work::RunEndKind::Stopped);
+    CHECK(made.state() == work::JobState::Running);
+    run(made, key(0, 0), work::RunEndKind::Failed);
+    CHECK(made.state() == work::JobState::Failed);
+    CHECK_FALSE(made.mayPlace(key(0, 1), 1));
+}
+
+TEST_CASE_METHOD(JobFixture, "gang_oneMemberDone_isDoneAsAWhole")
+{
+    this->spec.steps.push_back(step(3));
+    this->spec.steps[0]->isGang = true;
+    Job made = this->job();
+    for (std::uint32_t index = 0; index < 3; ++index) {
+        made.place(key(0, index), 1, "w1");
+    }
+    CHECK(made.endRun(key(0, 1), 1, "w1", work::RunEndKind::Done, "", 2000));
+    CHECK(made.state() == work::JobState::Completed);
+    CHECK(made.runsUnderWay() == 2);
+}
+
+TEST_CASE_METHOD(JobFixture, "gang_severalMembersOfOneRunFail_countsOneAttempt")
+{
+    this->spec.steps.push_back(step(2));
+    this->spec.steps[0]->isGang = true;
+    Job made = this->job();
+    made.place(key(0, 0), 1, "w1");
+    made.place(key(0, 1), 1, "w2");
+    made.endRun(key(0, 0), 1, "w1", work::RunEndKind::Failed, "", 2000);
+    made.endRun(key(0, 1), 1, "w2", work::RunEndKind::Failed, "", 2000);
+    CHECK(made.state() == work::JobState::Running);
+    CHECK(made.nextRun(key(0, 0)) == 2);
+}
+
+TEST_CASE_METHOD(JobFixture, "lastingTask_howeverItEnds_isToRunAgain")
+{
+    this->spec.steps.push_back(step(1));
+    this->spec.steps[0]->isLasting = true;
+    Job made = this->job();
+    for (int attempt = 0; attempt < 5; ++attempt) {
+        run(made, key(0, 0), attempt % 2 == 0 ? work::RunEndKind::Failed : work::RunEndKind::Done);
+    }
+    CHECK(made.state() == work::JobState::Running);
+    made.cancel(3000);
+    CHECK(made.state() == work::JobState::Cancelled);
+    CHECK_FALSE(made.mayPlace(key(0, 0), 9));
+}
+
+TEST_CASE_METHOD(JobFixture, "record_ofJobInTheMiddle_restoresTheSame")
+{
+    this->spec.steps.push_back(step(3));
+    Job made = this->job();
+    run(made, key(0, 0), work::RunEndKind::Done);
+    run(made, key(0, 1), work::RunEndKind::Failed);
+    made.place(key(0, 2), 1, "w3");
+    const Job again(made.record());
+    CHECK(again.record().occurrences[0]->steps[0]->tasks.size() == 3);
+    CHECK(again.task(key(0, 0)).isDone);
+    CHECK(again.task(key(0, 1)).failures == 1);
+    CHECK(again.task(key(0, 2)).worker == "w3");
+    CHECK(again.runsUnderWay() == 1);
+    CHECK(again.hasBegun());
+}
+
+TEST_CASE("problemOf_stepThatNamesALaterOne_isTold")
+{
+    work::JobSpecT spec;
+    CHECK_FALSE(problemOf(spec).empty());
+    spec.steps.push_back(JobFixture::step(1));
+    CHECK(problemOf(spec).empty());
+    spec.steps[0]->after = {0};
+    CHECK_FALSE(problemOf(spec).empty());
+    spec.steps[0]->after.clear();
+    spec.steps[0]->count = 30'000;
+    CHECK_FALSE(problemOf(spec).empty());
+}
+
+} // namespace paddlepier::workload
--- a/paddlepier/workload/workload.cpp
+++ b/paddlepier/workload/workload.cpp
@@ -317,14 +317,6 @@
     return this->active;
 }
 
-std::uint32_t Workload::waitingJobs(const std::string &queue) const
-{
-    return static_cast<std::uint32_t>(std::count_if(this->active.begin(), this->active.end(), [&](const std::string &id) {
-        const Job &job = this->jobById.at(id);
-        return job.queue().name == queue && job.isWaiting();
-    }));
-}
-
 std::int64_t Workload::appliedAtMillis() const
 {
     return this->appliedAt;
--- a/paddlepier/workload/workload.h
+++ b/paddlepier/workload/workload.h
@@ -79,7 +79,6 @@
     const std::map<std::string, Worker> &workers() const;
     /** Jobs with tasks to run or runs under way. */
     const std::set<std::string> &activeJobs() const;
-    std::uint32_t waitingJobs(const std::string &queue) const;
     std::int64_t appliedAtMillis() const;
 
 private:
