--- a/paddlepier/cluster/advicecallers.cpp
+++ b/paddlepier/cluster/advicecallers.cpp
@@ -19,6 +19,9 @@
 /** Of four callers one is kept for short questions, rounded up. */
 constexpr std::size_t shortOnlyShare = 4;
 
+/** Longest time that a question may wait behind others: about half of a long one. */
+constexpr Duration longestWait = absl::Milliseconds(250);
+
 constexpr Duration avoidedAfterFailure = absl::Seconds(1);
 
 } // namespace
@@ -48,7 +51,7 @@
             continue;
         }
         const Timestamp end = std::max(now, caller.busyUntil) + cost;
-        if (end < bestEnd) {
+        if (end < bestEnd && caller.busyUntil <= now + longestWait) {
             best = name;
             bestEnd = end;
         }
--- a/paddlepier/cluster/advicecallers.h
+++ b/paddlepier/cluster/advicecallers.h
@@ -21,7 +21,10 @@
 public:
     /** An instance has shown that it is there. */
     void noteAlive(Timestamp now, const std::string &instance);
-    /** Caller on which a question of this cost ends first; its time is taken there. */
+    /**
+     * Caller on which a question of this cost ends first; its time is taken there. Empty if it would wait for long behind
+     * others on each of them: a question that is answered too late only delays the next.
+     */
     std::string choose(Timestamp now, Duration cost);
     /** A question has ended, early or late: corrects the caller's expected time. */
     void noteEnd(Timestamp now, const std::string &instance, Duration cost);
--- a/paddlepier/execution/dispatcher.cpp
+++ b/paddlepier/execution/dispatcher.cpp
@@ -179,7 +179,8 @@
         order.wait = view.isReachable(now) ? pollWait : absl::ZeroDuration();
         view.pollState = PollState::InFlight;
         view.pollSentAt = now;
-        this->send(now, id, order, view.isReachable(now) ? pollTimeout : firstPollTimeout, true);
+        // A silent worker may receive what it doesn't answer: offering it a lease again and again would keep its runs for ever.
+        this->send(now, id, order, view.isReachable(now) ? pollTimeout : firstPollTimeout, view.isReachable(now));
     }
 }
 
@@ -295,11 +296,9 @@
                {"how", work::EnumNameRunEndKind(end.kind)},
                {"millis", isKnown ? absl::ToInt64Milliseconds(now - track->second.placedAt) : -1}});
     if (end.kind == work::RunEndKind::Failed) {
-        ++view.failedInRow;
-        view.doneSinceFailure = 0;
+        view.noteFailedRun(now);
     } else if (end.kind == work::RunEndKind::Done) {
-        view.failedInRow = 0;
-        ++view.doneSinceFailure;
+        view.noteDoneRun();
     }
 }
 
--- /dev/null
+++ b/paddlepier/execution/dispatcher_test.cpp
@@ -0,0 +1,354 @@
+// The dispatcher against workers that lose orders, carry them out late, are cut off and come back, through changes of
+// leaders, in virtual time.
+
+#include "paddlepier/execution/dispatcher.h"
+
+#include "paddlepier/execution/fakeworkers.h"
+
+#include <absl/strings/str_cat.h>
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+#include <deque>
+#include <memory>
+#include <random>
+
+namespace paddlepier::execution
+{
+
+namespace
+{
+
+/** How the network treats orders, in per cent. */
+struct Weather {
+    unsigned int lostBefore = 0;
+    unsigned int lostAfter = 0;
+    unsigned int late = 0;
+};
+
+class DispatcherFixture
+{
+public:
+    DispatcherFixture()
+        : workers([this](const workload::TaskKey &key) -> const work::StepSpecT & { return this->state.findJob(key.job)->stepSpec(key.step); })
+    {
+        work::ChangeConfigurationT configuration;
+        configuration.version = 1;
+        auto &queue = configuration.queues.emplace_back(std::make_unique<work::QueueSpecT>());
+        queue->name = "quick";
+        queue->service = "pool";
+        queue->maxAttempts = 3;
+        configuration.services.emplace_back(std::make_unique<work::ServiceSpecT>())->name = "pool";
+        this->apply(std::move(configuration));
+    }
+
+    template<typename Table>
+    workload::Outcome apply(Table table)
+    {
+        work::EntryT entry;
+        entry.atMillis = absl::ToUnixMillis(this->now);
+        entry.command.Set(std::move(table));
+        return this->state.apply(entry);
+    }
+
+    void addWorker(const std::string &id, std::uint32_t processors = 4000)
+    {
+        work::RegisterWorkerT registration;
+        registration.id = id;
+        registration.service = "pool";
+        registration.address = id;
+        registration.capacity = std::make_unique<work::Demand>(processors, 10'000, 0);
+        this->workers.workers[id].capacity = processors;
+        this->apply(std::move(registration));
+    }
+
+    void addJob(const std::string &id, std::uint32_t tasks, std::uint32_t millis, std::uint32_t steps = 1)
+    {
+        work::SubmitJobT command;
+        command.id = id;
+        command.queue = "quick";
+        command.spec = std::make_unique<work::JobSpecT>();
+        for (std::uint32_t number = 0; number < steps; ++number) {
+            auto &step = command.spec->steps.emplace_back(std::make_unique<work::StepSpecT>());
+            step->count = tasks;
+            step->estimatedMillis = millis;
+            step->demand = std::make_unique<work::Demand>(1000, 100, 0);
+            if (number > 0) {
+                step->after = {number - 1};
+            }
+        }
+        this->apply(std::move(command));
+        if (this->dispatcher) {
+            this->dispatcher->noteChange();
+        }
+    }
+
+    void newLeader()
+    {
+        this->answers.clear();
+        this->commits.clear();
+        this->dispatcher = std::make_unique<Dispatcher>(this->state, DispatchOptions(), ++this->term, this->now);
+    }
+
+    void runFor(Duration time)
+    {
+        for (const Timestamp end = this->now + time; this->now < end;) {
+            this->step();
+        }
+    }
+
+    template<typename Condition>
+    bool runUntil(Condition isMet, Duration patience = absl::Seconds(60))
+    {
+        for (const Timestamp end = this->now + patience; this->now < end && !isMet();) {
+            this->step();
+        }
+        return isMet();
+    }
+
+    bool isCompleted(const std::string &job) const
+    {
+        return this->state.findJob(job)->state() == work::JobState::Completed;
+    }
+
+    workload::Workload state;
+    FakeWorkers workers;
+    Weather weather;
+    Timestamp now = absl::UnixEpoch() + absl::Hours(1);
+    std::unique_ptr<Dispatcher> dispatcher;
+    std::mt19937 random{7};
+
+private:
+    struct Late {
+        Timestamp at;
+        WorkerCall call;
+    };
+    struct Answer {
+        Timestamp at;
+        std::uint64_t call;
+        WorkerAnswer answer;
+    };
+    struct Commit {
+        Timestamp at;
+        Proposal proposal;
+    };
+
+    bool chance(unsigned int percent)
+    {
+        return this->random() % 100 < percent;
+    }
+
+    void step()
+    {
+        this->now += absl::Milliseconds(10);
+        this->workers.advance(this->now);
+        this->carryOutLate();
+        if (!this->dispatcher) {
+            return;
+        }
+        this->deliver();
+        DispatchEffects effects = this->dispatcher->step(this->now, absl::ToUnixMillis(this->now));
+        for (Proposal &proposal : effects.proposals) {
+            this->commits.push_back({this->now + absl::Milliseconds(20), std::move(proposal)});
+        }
+        for (const WorkerCall &call : effects.calls) {
+            this->send(call);
+        }
+    }
+
+    void send(const WorkerCall &call)
+    {
+        const bool isPoll = std::holds_alternative<PollOrder>(call.order);
+        const WorkerAnswer silence;
+        if (this->workers.workers[call.worker].isCut || this->chance(this->weather.lostBefore)) {
+            this->answers.push_back({this->now + call.timeout, call.id, silence});
+        } else if (!isPoll && this->chance(this->weather.late)) {
+            this->late.push_back({this->now + absl::Milliseconds(2000 + this->random() % 10'000), call});
+            this->answers.push_back({this->now + call.timeout, call.id, silence});
+        } else {
+            const WorkerAnswer answer = this->workers.carryOut(this->now, call);
+            const bool isLost = this->chance(this->weather.lostAfter);
+            this->answers.push_back({this->now + (isLost ? call.timeout : absl::Milliseconds(10)), call.id, isLost ? silence : answer});
+        }
+    }
+
+    void carryOutLate()
+    {
+        for (auto order = this->late.begin(); order != this->late.end();) {
+            if (order->at > this->now) {
+                ++order;
+                continue;
+            }
+            if (!this->workers.workers[order->call.worker].isCut) {
+                this->workers.carryOut(this->now, order->call);
+            }
+            order = this->late.erase(order);
+        }
+    }
+
+    void deliver()
+    {
+        for (auto commit = this->commits.begin(); commit != this->commits.end();) {
+            if (commit->at > this->now) {
+                ++commit;
+                continue;
+            }
+            work::EntryT entry;
+            entry.atMillis = absl::ToUnixMillis(this->now);
+            entry.command = std::move(commit->proposal.command);
+            const std::uint64_t id = commit->proposal.id;
+            commit = this->commits.erase(commit);
+            this->dispatcher->takeOutcome(this->now, id, this->state.apply(entry));
+        }
+        for (auto answer = this->answers.begin(); answer != this->answers.end();) {
+            if (answer->at > this->now) {
+                ++answer;
+                continue;
+            }
+            const Answer due = *answer;
+            answer = this->answers.erase(answer);
+            this->dispatcher->takeAnswer(this->now, due.call, due.answer);
+        }
+    }
+
+    std::uint64_t term = 0;
+    std::deque<Late> late;
+    std::deque<Answer> answers;
+    std::deque<Commit> commits;
+};
+
+} // namespace
+
+TEST_CASE_METHOD(DispatcherFixture, "job_onSoundWorkers_completesStepByStep")
+{
+    this->addWorker("w1");
+    this->addWorker("w2");
+    this->newLeader();
+    this->addJob("a", 12, 300, 2);
+    CHECK(this->runUntil([this] { return this->isCompleted("a"); }));
+    CHECK(this->workers.problems.empty());
+    CHECK(this->workers.starts == 24);
+}
+
+TEST_CASE_METHOD(DispatcherFixture, "startWithoutAnswer_carriedOutLate_runsOnce")
+{
+    this->addWorker("w1");
+    this->addWorker("w2");
+    this->newLeader();
+    this->weather.late = 60;
+    this->addJob("a", 8, 400);
+    this->runFor(absl::Seconds(4));
+    this->weather.late = 0;
+    CHECK(this->runUntil([this] { return this->isCompleted("a"); }));
+    CHECK(this->workers.problems.empty());
+}
+
+TEST_CASE_METHOD(DispatcherFixture, "workerCutOff_untilItsLeaseIsOver_keepsItsTasks")
+{
+    this->addWorker("w1");
+    this->newLeader();
+    this->addJob("a", 2, 60'000);
+    this->runFor(absl::Seconds(1));
+    REQUIRE(this->workers.workers["w1"].runs.size() == 2);
+    this->workers.workers["w1"].isCut = true;
+    this->addWorker("w2");
+    this->dispatcher->noteChange();
+    this->runFor(absl::Seconds(8));
+    CHECK(this->workers.workers["w2"].runs.empty());
+    CHECK(this->runUntil([this] { return this->workers.workers["w2"].runs.size() == 2; }));
+    CHECK(this->workers.problems.empty());
+}
+
+TEST_CASE_METHOD(DispatcherFixture, "newLeader_withRunsUnderWay_takesThemOver")
+{
+    this->addWorker("w1");
+    this->newLeader();
+    this->addJob("a", 3, 3000);
+    this->runFor(absl::Seconds(1));
+    this->dispatcher.reset();
+    this->runFor(absl::Seconds(1));
+    this->newLeader();
+    CHECK(this->runUntil([this] { return this->isCompleted("a"); }));
+    CHECK(this->workers.starts == 3);
+    CHECK(this->workers.problems.empty());
+}
+
+TEST_CASE_METHOD(DispatcherFixture, "workerThatFailsAll_doesNotUseUpTheAttempts")
+{
+    for (const char *id : {"w1", "w2", "w3", "w4"}) {
+        this->addWorker(id);
+    }
+    this->workers.workers["w1"].failsAll = true;
+    this->newLeader();
+    for (int job = 0; job < 8; ++job) {
+        this->addJob(absl::StrCat("job-", job), 4, 200);
+        this->runFor(absl::Milliseconds(300));
+    }
+    for (int job = 0; job < 8; ++job) {
+        CHECK(this->runUntil([&] { return this->isCompleted(absl::StrCat("job-", job)); }));
+    }
+}
+
+TEST_CASE_METHOD(DispatcherFixture, "waitingJobs_whileTheStartIsUnanswered_countsTheJob")
+{
+    this->addWorker("w1");
+    this->newLeader();
+    this->runFor(absl::Seconds(1));
+    this->weather.lostBefore = 100;
+    this->addJob("a", 1, 1000);
+    this->runFor(absl::Milliseconds(500));
+    CHECK(this->dispatcher->waitingJobs("quick") == 1);
+    this->weather.lostBefore = 0;
+    CHECK(this->runUntil([this] { return this->dispatcher->waitingJobs("quick") == 0; }));
+}
+
+TEST_CASE("runs_throughLostAndLateOrdersCutsAndNewLeaders_neverOverlapNorRunAgain", "[proof][fuzz]")
+{
+    const bool holds = rc::check("no rule is broken, and everything completes once the faults are over", [] {
+        DispatcherFixture fixture;
+        fixture.random.seed(*rc::gen::arbitrary<std::uint32_t>());
+        for (int number = 0; number < 4; ++number) {
+            fixture.addWorker(absl::StrCat("w", number));
+        }
+        fixture.newLeader();
+        fixture.weather.lostBefore = *rc::gen::inRange(0U, 25U);
+        fixture.weather.lostAfter = *rc::gen::inRange(0U, 25U);
+        fixture.weather.late = *rc::gen::inRange(0U, 25U);
+        const int events = *rc::gen::inRange(2, 10);
+        int jobs = 0;
+        for (int event = 0; event < events; ++event) {
+            const unsigned int kind = fixture.random() % 5;
+            if (kind == 0) {
+                fixture.newLeader();
+            } else if (kind == 1) {
+                fixture.dispatcher.reset();
+                fixture.runFor(absl::Milliseconds(fixture.random() % 3000));
+                fixture.newLeader();
+            } else if (kind == 2) {
+                bool &cut = fixture.workers.workers[absl::StrCat("w", fixture.random() % 4)].isCut;
+                cut = !cut;
+            }
+            fixture.addJob(absl::StrCat("job", jobs++), 1 + fixture.random() % 6, 100 + fixture.random() % 3000, 1 + fixture.random() % 2);
+            fixture.runFor(absl::Milliseconds(fixture.random() % 6000));
+        }
+        fixture.weather = Weather();
+        for (auto &[id, worker] : fixture.workers.workers) {
+            worker.isCut = false;
+        }
+        const bool isOver = fixture.runUntil(
+            [&] {
+                for (int job = 0; job < jobs; ++job) {
+                    if (!fixture.isCompleted(absl::StrCat("job", job))) {
+                        return false;
+                    }
+                }
+                return true;
+            },
+            absl::Seconds(120));
+        RC_ASSERT(fixture.workers.problems == std::vector<std::string>());
+        RC_ASSERT(isOver);
+    });
+    CHECK(holds);
+}
+
+} // namespace paddlepier::execution
--- a/paddlepier/execution/workerview.cpp
+++ b/paddlepier/execution/workerview.cpp
@@ -17,6 +17,10 @@
 constexpr Duration silencePause = absl::Milliseconds(150);
 constexpr Duration longestSilencePause = absl::Milliseconds(900);
 
+/** A worker that fails its runs gets none for this time, doubled with each further failure. */
+constexpr Duration shortestTimeOut = absl::Milliseconds(500);
+constexpr std::uint32_t mostDoublings = 4;
+
 Duration slowed(Duration duration)
 {
     return duration * (1000 + clockSlowPerMille) / 1000;
@@ -31,6 +35,20 @@
 {
 }
 
+void WorkerView::noteFailedRun(Timestamp now)
+{
+    ++this->failedInRow;
+    this->doneSinceFailure = 0;
+    const std::uint32_t doublings = std::min(this->failedInRow, mostDoublings);
+    this->suspectUntil = now + shortestTimeOut * (1U << doublings);
+}
+
+void WorkerView::noteDoneRun()
+{
+    this->failedInRow = 0;
+    ++this->doneSinceFailure;
+}
+
 void WorkerView::noteAnswer(Timestamp now, std::optional<std::int64_t> clock)
 {
     this->answeredAt = now;
--- a/paddlepier/execution/workerview.h
+++ b/paddlepier/execution/workerview.h
@@ -28,6 +28,9 @@
     /** @param longestLease bound that the worker itself puts on a lease */
     WorkerView(Timestamp termBegin, Duration longestLease);
 
+    /** A run has ended by a fault, its own or the worker's. */
+    void noteFailedRun(Timestamp now);
+    void noteDoneRun();
     /** A whole answer has come. */
     void noteAnswer(Timestamp now, std::optional<std::int64_t> clockMillis);
     /** A call has ended without a whole answer. */
@@ -56,6 +59,8 @@
     /** Failed ends in a row, and successes since the last failed one. */
     std::uint32_t failedInRow = 0;
     std::uint32_t doneSinceFailure = 0;
+    /** No work before this time, if it has failed several times in a row. */
+    Timestamp suspectUntil = absl::InfinitePast();
     /** Smoothed ratio of a run's time there to what was expected; 1 is an ordinary worker. */
     double slowness = 1.0;
 
--- /dev/null
+++ b/paddlepier/execution/workerview_test.cpp
@@ -0,0 +1,61 @@
+// A worker's clock and lease as its leader knows them.
+
+#include "paddlepier/execution/workerview.h"
+
+#include <catch2/catch.hpp>
+
+namespace paddlepier::execution
+{
+
+namespace
+{
+
+class WorkerViewFixture
+{
+public:
+    static constexpr Duration lease = absl::Seconds(10);
+    const Timestamp begin = absl::UnixEpoch() + absl::Hours(1);
+    WorkerView view{begin, lease};
+};
+
+} // namespace
+
+TEST_CASE_METHOD(WorkerViewFixture, "lease_ofEarlierLeaders_isOverOnlyAfterTheLongestOne")
+{
+    CHECK_FALSE(this->view.leaseIsOver(this->begin + lease));
+    CHECK(this->view.leaseIsOver(this->begin + lease + absl::Seconds(1)));
+}
+
+TEST_CASE_METHOD(WorkerViewFixture, "lease_onASlowClock_isOverOnlyWhenThatClockIsPastIt")
+{
+    const Timestamp later = this->begin + absl::Seconds(60);
+    this->view.noteAnswer(later, 5000);
+    this->view.noteLease(this->view.leaseEnd(later, lease));
+    // A clock that is 2 % slow shows the lease's end 200 ms late.
+    CHECK_FALSE(this->view.leaseIsOver(later + lease + absl::Milliseconds(200)));
+    CHECK(this->view.leaseIsOver(later + lease + absl::Seconds(1)));
+}
+
+TEST_CASE_METHOD(WorkerViewFixture, "leaseEnd_afterAnOlderReading_isNotShortened")
+{
+    this->view.noteAnswer(this->begin, 5000);
+    const std::int64_t end = this->view.leaseEnd(this->begin, lease);
+    this->view.noteAnswer(this->begin + absl::Milliseconds(10), 4990);
+    CHECK(this->view.leaseEnd(this->begin + absl::Milliseconds(10), lease) >= end);
+}
+
+TEST_CASE_METHOD(WorkerViewFixture, "suspicion_afterFailuresInARow_endsAndDoubles")
+{
+    this->view.noteFailedRun(this->begin);
+    const Duration first = this->view.suspectUntil - this->begin;
+    this->view.noteFailedRun(this->begin);
+    CHECK(this->view.suspectUntil - this->begin == 2 * first);
+    for (int failure = 0; failure < 40; ++failure) {
+        this->view.noteFailedRun(this->begin);
+    }
+    CHECK(this->view.suspectUntil - this->begin < absl::Seconds(20));
+    this->view.noteDoneRun();
+    CHECK(this->view.failedInRow == 0);
+}
+
+} // namespace paddlepier::execution
--- a/paddlepier/peer/transport.cpp
+++ b/paddlepier/peer/transport.cpp
@@ -119,6 +119,7 @@
     void serveOutgoing(Outgoing &outgoing);
     void connect(Outgoing &outgoing);
     void closeOutgoing(Outgoing &outgoing);
+    void noteClosedByPeer(int socket);
     void flush(Outgoing &outgoing);
     void accept();
     void readIncoming(int socket);
@@ -250,6 +251,8 @@
                 [[maybe_unused]] const ssize_t size = ::read(this->wakeup, &value, sizeof(value));
             } else if (this->incoming.contains(descriptor)) {
                 this->readIncoming(descriptor);
+            } else if ((events[static_cast<std::size_t>(index)].events & (EPOLLRDHUP | EPOLLHUP | EPOLLERR)) != 0) {
+                this->noteClosedByPeer(descriptor);
             }
         }
         this->takeWaiting();
@@ -335,7 +338,7 @@
         return;
     }
     epoll_event event{};
-    event.events = EPOLLOUT | EPOLLET;
+    event.events = EPOLLOUT | EPOLLRDHUP | EPOLLET;
     event.data.fd = connection.socket;
     ::epoll_ctl(this->epoll, EPOLL_CTL_ADD, connection.socket, &event);
     wire::PeerFrameT hello;
@@ -360,6 +363,19 @@
     connection.buffer.clear();
 }
 
+void Transport::Implementation::noteClosedByPeer(int socket)
+{
+    // Peers send nothing over this connection, so that its end is the only thing that it tells. What is sent next opens
+    // a new one at once, instead of being lost in this one.
+    for (auto &[name, connection] : this->outgoing) {
+        if (connection->socket == socket && connection->isConnected) {
+            this->closeOutgoing(*connection);
+            connection->nextTry = controlNow();
+            return;
+        }
+    }
+}
+
 void Transport::Implementation::flush(Outgoing &connection)
 {
     std::size_t sent = 0;
--- a/paddlepier/planning/advicebook.cpp
+++ b/paddlepier/planning/advicebook.cpp
@@ -16,6 +16,9 @@
 /** Weight of the past in a queue's share of permitted workers, for each worker newly asked about. */
 constexpr double shareMemory = 0.98;
 
+/** Pause after a question without an answer, so that it isn't asked again in every plan. */
+constexpr Duration unansweredPause = absl::Milliseconds(60);
+
 Duration costOf(const work::AdvicePolicyT &policy, std::size_t workers)
 {
     return absl::Microseconds(static_cast<std::int64_t>(1000 * (policy.decisionMillis + policy.perWorkerMillis * static_cast<double>(workers))));
@@ -52,6 +55,12 @@
     return found != this->steps.end() && found->second.asking > 0;
 }
 
+bool AdviceBook::mayAsk(Timestamp now, const workload::StepKey &step) const
+{
+    const auto found = this->steps.find(step);
+    return found == this->steps.end() || (found->second.asking == 0 && found->second.notBefore <= now);
+}
+
 execution::AdviceQuestion
 AdviceBook::ask(Timestamp now, const workload::StepKey &step, const std::string &queue, std::vector<std::string> workers, const work::AdvicePolicyT &policy)
 {
@@ -80,6 +89,7 @@
     StepAdvice &advice = step->second;
     advice.asking -= std::min<std::size_t>(advice.asking, 1);
     if (!answer.isAnswered) {
+        advice.notBefore = now + unansweredPause;
         return;
     }
     Share &share = this->shares[asked.queue];
--- a/paddlepier/planning/advicebook.h
+++ b/paddlepier/planning/advicebook.h
@@ -39,6 +39,8 @@
     /** Null unless the worker may run the step and the ticket is still good. */
     const Ticket *validTicket(Timestamp now, const workload::StepKey &step, const std::string &worker) const;
     bool isAsking(const workload::StepKey &step) const;
+    /** False while an answer is awaited, and for a short while after a question that got none. */
+    bool mayAsk(Timestamp now, const workload::StepKey &step) const;
 
     execution::AdviceQuestion
     ask(Timestamp now, const workload::StepKey &step, const std::string &queue, std::vector<std::string> workers, const work::AdvicePolicyT &policy);
@@ -62,6 +64,7 @@
         std::map<std::string, Ticket> permitted;
         std::map<std::string, bool> forbidden;
         std::size_t asking = 0;
+        Timestamp notBefore = absl::InfinitePast();
     };
     struct Share {
         double permitted = 1.0;
--- a/paddlepier/planning/planner.cpp
+++ b/paddlepier/planning/planner.cpp
@@ -90,6 +90,7 @@
         room.worker = &worker;
         room.view = &view->second;
         room.rack = rackOf(worker);
+        room.isOnProbation = view->second.failedInRow >= suspiciousFailures && view->second.suspectUntil <= this->now;
         room.processors = worker.freeMilliProcessors();
         room.memory = static_cast<std::int64_t>(capacity.memoryMegabytes()) - static_cast<std::int64_t>(worker.reservedMemoryMegabytes);
         room.accelerators = static_cast<std::int64_t>(capacity.accelerators()) - static_cast<std::int64_t>(worker.reservedAccelerators);
@@ -173,7 +174,16 @@
 bool Planner::isTrusted(const Room &room, const Task &task) const
 {
     // A task that has failed already must not use up its attempts on a worker that may be the cause.
-    return room.view->failedInRow < (task.failures > 0 ? 1 : suspiciousFailures);
+    return task.failures > 0 && !room.isOnProbation ? room.view->failedInRow == 0 : this->isAcceptable(room);
+}
+
+bool Planner::isAcceptable(const Room &room) const
+{
+    if (room.view->failedInRow < suspiciousFailures) {
+        return true;
+    }
+    // After its time out a suspicious worker shows itself by one run at a time.
+    return room.isOnProbation && room.worker->runs.empty();
 }
 
 bool Planner::isPermitted(const Room &room, const Wanted &wanted) const
@@ -321,8 +331,7 @@
     for (Room &room : this->rooms) {
         const Standing standing = this->advice.standing(this->now, wanted.key, room.worker->registration.id);
         const bool isOpen = standing == Standing::Unasked || standing == Standing::Expired;
-        if (isOpen && this->fits(room, *wanted.step) && this->mayRun(room, wanted) && this->isBelowBound(room, wanted)
-            && room.view->failedInRow < suspiciousFailures) {
+        if (isOpen && this->fits(room, *wanted.step) && this->mayRun(room, wanted) && this->isBelowBound(room, wanted) && this->isAcceptable(room)) {
             candidates.push_back({&room, standing == Standing::Expired, this->scoreOf(room, wanted)});
         }
     }
@@ -350,7 +359,7 @@
         candidate.room->processors -= wanted.step->isFilling ? 0 : kept * wanted.step->demand->milliProcessors();
         candidate.room->memory -= kept * wanted.step->demand->memoryMegabytes();
     }
-    if (!asked.empty() && !this->advice.isAsking(wanted.key)) {
+    if (!asked.empty() && this->advice.mayAsk(this->now, wanted.key)) {
         plan.questions.push_back(this->advice.ask(this->now, wanted.key, wanted.job->queue().name, std::move(asked), *wanted.job->queue().advice));
     }
 }
--- a/paddlepier/planning/planner.h
+++ b/paddlepier/planning/planner.h
@@ -50,6 +50,8 @@
         const workload::Worker *worker = nullptr;
         const execution::WorkerView *view = nullptr;
         std::string rack;
+        /** It failed too much, but its time out is over. */
+        bool isOnProbation = false;
         std::int64_t processors = 0;
         std::int64_t memory = 0;
         std::int64_t accelerators = 0;
@@ -77,6 +79,7 @@
     void askAdvice(Wanted &wanted, Plan &plan);
     void preemptFor(const Wanted &wanted, Plan &plan);
     bool mayRun(const Room &room, const Wanted &wanted) const;
+    bool isAcceptable(const Room &room) const;
     bool isTrusted(const Room &room, const workload::Task &task) const;
     bool fits(const Room &room, const work::StepSpecT &step) const;
     bool isPermitted(const Room &room, const Wanted &wanted) const;
--- a/paddlepier/replication/replicanode_test.cpp
+++ b/paddlepier/replication/replicanode_test.cpp
@@ -83,7 +83,8 @@
         options.founders = {"127.0.0.1:1"};
         options.heartbeat = absl::Milliseconds(100);
         options.election = absl::Milliseconds(500);
-        this->node = std::make_unique<Node>(options, this->disk, [](const std::string &, wire::PeerFrameT) {}, this->counters, this->now, 7);
+        this->node = std::make_unique<Node>(
+            options, this->disk, [](const std::string &, wire::PeerFrameT) {}, this->counters, this->now, 7);
     }
 
     /** Waits for the disk and runs what it posted, without flushing the node. */
