--- a/paddlepier/execution/fakeworkers.h
+++ b/paddlepier/execution/fakeworkers.h
@@ -39,6 +39,8 @@
         std::map<workload::TaskKey, Run> runs;
         std::map<workload::TaskKey, std::uint32_t> highest;
         std::vector<ListedEnd> ended;
+        /** Ends up to this number were still listed when the lease ran out: the pages don't hold the leader to them. */
+        std::uint64_t lapsedEnd = 0;
         std::uint32_t capacity = 4000;
         bool isCut = false;
         bool failsAll = false;
@@ -85,6 +87,9 @@
     void advance(Timestamp now)
     {
         for (auto &[id, worker] : this->workers) {
+            if (clock(now) >= worker.leaseEnd) {
+                worker.lapsedEnd = worker.lastEnd;
+            }
             for (auto run = worker.runs.begin(); run != worker.runs.end();) {
                 const bool lapsed = clock(now) >= worker.leaseEnd;
                 if (run->second.stopsAt > now && run->second.endsAt > now && !lapsed) {
@@ -154,7 +159,7 @@
     {
         const auto isNoted = [&](const ListedEnd &end) { return end.sequence <= order.lastSequence; };
         for (const ListedEnd &end : worker.ended) {
-            if (isNoted(end) && end.kind == work::RunEndKind::Done) {
+            if (isNoted(end) && end.kind == work::RunEndKind::Done && end.sequence > worker.lapsedEnd) {
                 this->doneAndNoted.insert(end.task);
             }
         }
