Slow what fills beside what serves, restart what stands still, learn each worker's speed

Cause: nothing kept filling runs from disturbing serving ones (the rule on harm), a run on a worker that hangs was left there, and slow workers got work like others. Change: PaceControl for each worker; standing still is judged by the percentage in polls; speed is a smoothed ratio to what is usual in the queue; what is known of ended jobs is dropped.

--- a/paddlepier/execution/dispatcher.cpp
+++ b/paddlepier/execution/dispatcher.cpp
@@ -16,6 +16,8 @@
 
 /** How long a worker may hold a poll back while nothing ends; bounds how late a silent worker is noticed. */
 constexpr Duration pollWait = absl::Milliseconds(1000);
+/** The same where filling runs disturb serving ones, whose figures cover half a second. */
+constexpr Duration contendedPollWait = absl::Milliseconds(400);
 constexpr Duration pollTimeout = absl::Milliseconds(1600);
 constexpr Duration firstPollTimeout = absl::Milliseconds(700);
 
@@ -25,6 +27,9 @@
 /** A plan is made at least this often, for what only time changes: due occurrences, tickets, waiting periods. */
 constexpr Duration planInterval = absl::Milliseconds(200);
 
+/** How often what is known of ended jobs is dropped. */
+constexpr Duration forgetInterval = absl::Seconds(2);
+
 /** A life that neither answers nor announces itself for this long, and holds no runs, is over. */
 constexpr Duration forgottenAfter = absl::Seconds(20);
 
@@ -35,7 +40,7 @@
 
 const char *nameOf(StopReason reason)
 {
-    static constexpr std::array<const char *, 6> names{"none", "job-ended", "preempted", "stands-still", "worker-leaves", "start-unsettled"};
+    static constexpr std::array<const char *, 7> names{"none", "job-ended", "preempted", "stands-still", "worker-leaves", "start-unsettled", "disturbs"};
     return names.at(static_cast<std::size_t>(reason));
 }
 
@@ -126,6 +131,7 @@
 DispatchEffects Dispatcher::step(Timestamp now, std::int64_t wallMillis)
 {
     this->syncWorkers(now);
+    this->forgetEndedJobs(now);
     this->expireLeases(now);
     this->drainWorkers(now);
     this->driveRuns(now);
@@ -144,6 +150,15 @@
     }
 }
 
+void Dispatcher::forgetEndedJobs(Timestamp now)
+{
+    if (now < this->nextForget) {
+        return;
+    }
+    this->nextForget = now + forgetInterval;
+    this->advice.forgetJobs([this](const std::string &job) { return !this->state.activeJobs().contains(job); });
+}
+
 std::uint64_t Dispatcher::send(Timestamp now, const std::string &worker, Order order, Duration timeout, bool withLease)
 {
     WorkerView &view = this->views.at(worker);
@@ -176,7 +191,7 @@
         }
         PollOrder order;
         order.lastSequence = this->state.findWorker(id)->lastSequence;
-        order.wait = view.isReachable(now) ? pollWait : absl::ZeroDuration();
+        order.wait = !view.isReachable(now) ? absl::ZeroDuration() : view.isContended ? contendedPollWait : pollWait;
         view.pollState = PollState::InFlight;
         view.pollSentAt = now;
         // A silent worker may receive what it doesn't answer: offering it a lease again and again would keep its runs for ever.
@@ -214,6 +229,8 @@
         this->takeStart(now, call, *start, answer);
     } else if (const auto *stop = std::get_if<StopOrder>(&call.order)) {
         this->takeStop(now, call, *stop, answer);
+    } else if (const auto *pace = std::get_if<PaceOrder>(&call.order)) {
+        this->takePace(call, *pace, answer);
     }
 }
 
@@ -228,36 +245,11 @@
     }
     view.nextPoll = now;
     this->takeEnded(now, call.worker, view, answer);
-    this->takeRunning(now, call.worker, view, answer, call.sentAt);
+    this->takeRunning(now, call.worker, view, answer);
+    this->watchRuns(now, call.worker, view);
     this->settleVanished(now, call.worker, call.sentAt, answer);
 }
 
-void Dispatcher::takeRunning(Timestamp now, const std::string &worker, WorkerView &view, const WorkerAnswer &answer, Timestamp)
-{
-    for (const ListedRun &listed : answer.running) {
-        RunTrack *track = this->findTrack(listed.task, listed.run, worker);
-        if (track == nullptr) {
-            // A late start of a run that was settled otherwise, or one that the ledger has given up.
-            log::warning("dispatch", "run.unknown", {{"task", listed.task.text()}, {"run", listed.run}, {"worker", worker}});
-            this->send(now, worker, StopOrder{listed.task, listed.run}, firstPollTimeout, false);
-            continue;
-        }
-        if (track->phase == RunPhase::Starting) {
-            track->phase = RunPhase::Running;
-            track->runningSince = now;
-            track->progressAt = now;
-        }
-        if (listed.percent != track->percent) {
-            track->progressAt = now;
-        }
-        track->percent = listed.percent;
-        track->load = listed.load;
-        if (!listed.checkpoint.empty()) {
-            track->checkpoint = listed.checkpoint;
-        }
-    }
-}
-
 void Dispatcher::takeEnded(Timestamp now, const std::string &worker, WorkerView &view, const WorkerAnswer &answer)
 {
     work::RecordEndsT record;
@@ -285,23 +277,6 @@
     this->propose(ProposalKind::RecordEnds, worker, std::move(command));
 }
 
-void Dispatcher::judgeEnd(Timestamp now, WorkerView &view, const ListedEnd &end)
-{
-    const auto track = this->tracks.find(end.task);
-    const bool isKnown = track != this->tracks.end() && track->second.run == end.run;
-    log::info("dispatch",
-              "run.ended",
-              {{"task", end.task.text()},
-               {"run", end.run},
-               {"how", work::EnumNameRunEndKind(end.kind)},
-               {"millis", isKnown ? absl::ToInt64Milliseconds(now - track->second.placedAt) : -1}});
-    if (end.kind == work::RunEndKind::Failed) {
-        view.noteFailedRun(now);
-    } else if (end.kind == work::RunEndKind::Done) {
-        view.noteDoneRun();
-    }
-}
-
 void Dispatcher::dropTracks(const work::RecordEndsT &command)
 {
     for (const auto &end : command.ends) {
--- a/paddlepier/execution/dispatcher.h
+++ b/paddlepier/execution/dispatcher.h
@@ -100,12 +100,19 @@
     void driveRuns(Timestamp now);
     void driveRun(Timestamp now, const workload::TaskKey &key, RunTrack &track);
     void driveStart(Timestamp now, const workload::TaskKey &key, RunTrack &track);
+    void forgetEndedJobs(Timestamp now);
     void expireLeases(Timestamp now);
     void drainWorkers(Timestamp now);
     void planWork(Timestamp now, std::int64_t wallMillis);
 
     void takePoll(Timestamp now, const PendingCall &call, const WorkerAnswer &answer);
-    void takeRunning(Timestamp now, const std::string &worker, WorkerView &view, const WorkerAnswer &answer, Timestamp sentAt);
+    void takeRunning(Timestamp now, const std::string &worker, WorkerView &view, const WorkerAnswer &answer);
+    /** Judges the runs on a worker after a poll: which stand still, which disturb, how fast the worker is. */
+    void watchRuns(Timestamp now, const std::string &worker, WorkerView &view);
+    void watchProgress(Timestamp now, const workload::TaskKey &key, RunTrack &track, WorkerView &view);
+    void paceFilling(
+        Timestamp now, const std::string &worker, WorkerView &view, const std::vector<ServingLoad> &serving, const std::vector<workload::TaskKey> &filling);
+    void takePace(const PendingCall &call, const PaceOrder &order, const WorkerAnswer &answer);
     void takeEnded(Timestamp now, const std::string &worker, WorkerView &view, const WorkerAnswer &answer);
     void judgeEnd(Timestamp now, WorkerView &view, const ListedEnd &end);
     void takeStart(Timestamp now, const PendingCall &call, const StartOrder &order, const WorkerAnswer &answer);
@@ -127,6 +134,8 @@
     std::map<std::string, WorkerView> views;
     // Invariant: holds exactly the runs that the ledger has under way, but for those whose end is being recorded.
     RunTracks tracks;
+    /** What runs of a queue take, as a ratio to their estimates. */
+    std::map<std::string, double> usualRatios;
     planning::AdviceBook advice;
     planning::Planner planner;
     std::map<std::uint64_t, PendingCall> calls;
@@ -135,6 +144,7 @@
     std::uint64_t nextProposal = 1;
     bool placing = false;
     bool changed = true;
+    Timestamp nextForget = absl::InfinitePast();
     Timestamp nextPlan = absl::InfinitePast();
     DispatchEffects effects;
 };
--- a/paddlepier/execution/dispatcher_test.cpp
+++ b/paddlepier/execution/dispatcher_test.cpp
@@ -289,6 +289,20 @@
     }
 }
 
+TEST_CASE_METHOD(DispatcherFixture, "runThatStandsStill_onOneWorker_goesOnElsewhere")
+{
+    this->addWorker("w1");
+    this->workers.workers["w1"].stalls = true;
+    this->newLeader();
+    this->addJob("a", 2, 800);
+    this->runFor(absl::Seconds(1));
+    REQUIRE(this->workers.workers["w1"].runs.size() == 2);
+    this->addWorker("w2");
+    this->dispatcher->noteChange();
+    CHECK(this->runUntil([this] { return this->isCompleted("a"); }, absl::Seconds(5)));
+    CHECK(this->workers.problems.empty());
+}
+
 TEST_CASE_METHOD(DispatcherFixture, "waitingJobs_whileTheStartIsUnanswered_countsTheJob")
 {
     this->addWorker("w1");
--- a/paddlepier/execution/fakeworkers.h
+++ b/paddlepier/execution/fakeworkers.h
@@ -27,9 +27,15 @@
 public:
     struct Run {
         std::uint32_t number = 0;
+        Timestamp startedAt;
         Timestamp endsAt;
         Timestamp stopsAt = absl::InfiniteFuture();
         std::uint32_t processors = 0;
+
+        std::uint32_t percentAt(Timestamp now) const
+        {
+            return static_cast<std::uint32_t>(100 * absl::FDivDuration(now - this->startedAt, this->endsAt - this->startedAt));
+        }
     };
 
     struct Worker {
@@ -44,6 +50,8 @@
         std::uint32_t capacity = 4000;
         bool isCut = false;
         bool failsAll = false;
+        /** Runs that begin now never get on. */
+        bool stalls = false;
     };
 
     using Lookup = std::function<const work::StepSpecT &(const workload::TaskKey &)>;
@@ -78,7 +86,7 @@
         } else if (const auto *stop = std::get_if<StopOrder>(&call.order)) {
             this->stop(now, worker, *stop);
         } else if (const auto *poll = std::get_if<PollOrder>(&call.order)) {
-            this->poll(worker, *poll, answer);
+            this->poll(now, worker, *poll, answer);
         }
         return answer;
     }
@@ -133,7 +141,8 @@
         if (this->doneAndNoted.contains(order.task)) {
             this->problems.push_back("started after its end: " + order.task.text());
         }
-        Run run{order.run, now + absl::Milliseconds(step.estimatedMillis), absl::InfiniteFuture(), step.demand->milliProcessors()};
+        Run run{order.run, now, now + absl::Milliseconds(step.estimatedMillis), absl::InfiniteFuture(), step.demand->milliProcessors()};
+        run.endsAt = worker.stalls ? now + absl::Hours(1000) : run.endsAt;
         worker.runs[order.task] = run;
         ++this->starts;
         std::uint32_t used = 0;
@@ -155,7 +164,7 @@
         }
     }
 
-    void poll(Worker &worker, const PollOrder &order, WorkerAnswer &answer)
+    void poll(Timestamp now, Worker &worker, const PollOrder &order, WorkerAnswer &answer)
     {
         const auto isNoted = [&](const ListedEnd &end) { return end.sequence <= order.lastSequence; };
         for (const ListedEnd &end : worker.ended) {
@@ -166,7 +175,7 @@
         worker.ended.erase(std::remove_if(worker.ended.begin(), worker.ended.end(), isNoted), worker.ended.end());
         answer.ended = worker.ended;
         for (const auto &[task, run] : worker.runs) {
-            answer.running.push_back({task, run.number, "", 50, 0});
+            answer.running.push_back({task, run.number, "", run.percentAt(now), 0});
         }
     }
 
--- a/paddlepier/execution/runtrack.h
+++ b/paddlepier/execution/runtrack.h
@@ -23,7 +23,7 @@
     Stopping
 };
 
-enum class StopReason { None, JobEnded, Preempted, StandsStill, WorkerLeaves, StartUnsettled };
+enum class StopReason { None, JobEnded, Preempted, StandsStill, WorkerLeaves, StartUnsettled, Disturbs };
 const char *nameOf(StopReason reason);
 
 struct RunTrack {
@@ -44,9 +44,13 @@
     Timestamp runningSince = absl::InfiniteFuture();
     Timestamp stoppingSince = absl::InfiniteFuture();
     std::uint32_t percent = 0;
+    /** When the percentage last rose, and what it was when it was first seen. */
     Timestamp progressAt = absl::InfinitePast();
+    std::uint32_t firstPercent = 0;
+    Timestamp firstPercentAt = absl::InfiniteFuture();
     std::uint32_t load = 0;
     std::uint32_t pace = 100;
+    bool isPaceInFlight = false;
     std::string checkpoint;
 };
 
--- a/paddlepier/execution/workerview.h
+++ b/paddlepier/execution/workerview.h
@@ -10,6 +10,7 @@
 #define PADDLEPIER_EXECUTION_WORKERVIEW_H
 
 #include "paddlepier/base/clock.h"
+#include "paddlepier/execution/pacecontrol.h"
 
 #include <cstdint>
 #include <optional>
@@ -63,6 +64,9 @@
     Timestamp suspectUntil = absl::InfinitePast();
     /** Smoothed ratio of a run's time there to what was expected; 1 is an ordinary worker. */
     double slowness = 1.0;
+    PaceControl paceControl;
+    /** Serving and filling runs are on it together. */
+    bool isContended = false;
 
 private:
     Timestamp oldLeasesOverAt;
--- a/paddlepier/planning/advicebook.cpp
+++ b/paddlepier/planning/advicebook.cpp
@@ -113,14 +113,6 @@
     }
 }
 
-void AdviceBook::forgetJob(const std::string &job)
-{
-    auto step = this->steps.lower_bound({job, 0, 0});
-    while (step != this->steps.end() && step->first.job == job) {
-        step = this->steps.erase(step);
-    }
-}
-
 double AdviceBook::permittedShare(const std::string &queue) const
 {
     const auto found = this->shares.find(queue);
--- a/paddlepier/planning/advicebook.h
+++ b/paddlepier/planning/advicebook.h
@@ -47,7 +47,12 @@
     void answer(Timestamp now, std::uint64_t id, const execution::AdviceAnswer &answer);
     /** A worker has refused the ticket. */
     void rejectTicket(const workload::StepKey &step, const std::string &worker);
-    void forgetJob(const std::string &job);
+    /** Drops what is known for jobs that @p isOver says to have ended; O(steps). */
+    template<typename Predicate>
+    void forgetJobs(Predicate isOver)
+    {
+        std::erase_if(this->steps, [&isOver](const auto &entry) { return isOver(entry.first.job); });
+    }
 
     /** Learned share of a service's workers that may run a step of @p queue. */
     double permittedShare(const std::string &queue) const;
--- a/paddlepier/planning/planner.cpp
+++ b/paddlepier/planning/planner.cpp
@@ -31,6 +31,7 @@
 constexpr double farDataPenalty = 3.0;
 constexpr double slownessPenalty = 4.0;
 constexpr double suspicionPenalty = 2.0;
+constexpr double contentionPenalty = 1.0;
 
 /** A label that names the rack rather than the kind: it has digits after a dash, as in "r1-3". */
 std::string rackOf(const workload::Worker &worker)
@@ -95,17 +96,24 @@
         room.memory = static_cast<std::int64_t>(capacity.memoryMegabytes()) - static_cast<std::int64_t>(worker.reservedMemoryMegabytes);
         room.accelerators = static_cast<std::int64_t>(capacity.accelerators()) - static_cast<std::int64_t>(worker.reservedAccelerators);
         for (const workload::TaskKey &key : worker.runs) {
-            const auto track = this->tracks.find(key);
-            if (track != this->tracks.end() && track->second.phase == execution::RunPhase::Stopping) {
-                const work::StepSpecT &step = this->state.findJob(key.job)->stepSpec(key.step);
-                room.comingProcessors += step.isFilling ? 0 : step.demand->milliProcessors();
-                room.comingMemory += step.demand->memoryMegabytes();
-            }
+            this->countRun(room, key);
         }
         this->rooms.push_back(std::move(room));
     }
 }
 
+void Planner::countRun(Room &room, const workload::TaskKey &key) const
+{
+    const work::StepSpecT &step = this->state.findJob(key.job)->stepSpec(key.step);
+    room.serving += step.targetLatencyMillis > 0 ? 1 : 0;
+    room.filling += step.isFilling ? 1 : 0;
+    const auto track = this->tracks.find(key);
+    if (track != this->tracks.end() && track->second.phase == execution::RunPhase::Stopping) {
+        room.comingProcessors += step.isFilling ? 0 : step.demand->milliProcessors();
+        room.comingMemory += step.demand->memoryMegabytes();
+    }
+}
+
 std::vector<Planner::Wanted> Planner::collectSteps() const
 {
     std::vector<Wanted> wanted;
@@ -208,6 +216,8 @@
     if (!wanted.step->dataRack.empty() && wanted.step->dataRack != room.rack) {
         score += farDataPenalty;
     }
+    // What fills disturbs what serves.
+    score += contentionPenalty * (wanted.step->isFilling ? room.serving : wanted.step->targetLatencyMillis > 0 ? room.filling : 0);
     score += slownessPenalty * std::max(0.0, room.view->slowness - 1.2);
     score += suspicionPenalty * room.view->failedInRow;
     return score;
--- a/paddlepier/planning/planner.h
+++ b/paddlepier/planning/planner.h
@@ -58,6 +58,9 @@
         /** Room that stopping runs are about to give back. */
         std::int64_t comingProcessors = 0;
         std::int64_t comingMemory = 0;
+        /** Runs that owe their users a latency, and runs that may disturb them. */
+        std::uint32_t serving = 0;
+        std::uint32_t filling = 0;
     };
 
     /** One step with tasks to place. */
@@ -71,6 +74,7 @@
     };
 
     void collectRooms();
+    void countRun(Room &room, const workload::TaskKey &key) const;
     std::vector<Wanted> collectSteps() const;
     void collectStep(std::vector<Wanted> &wanted, const workload::Job &job, std::uint32_t occurrence, std::uint32_t step) const;
     void planStep(Wanted &wanted, Plan &plan);
