Ask the policy service about more workers at once, and again through another instance when an answer is late

Long questions named four workers on average at 400 ms each, five questions a step, so that the callers were busy all the time (960 questions of 0.4 s in 60 s on 7 callers). Ruled out: the policy service itself (22 ms when asked), the commit (20 ms), starts (16 ms). Change: a question's deadline is its expected answer, half of its cost and 120 ms; a stopping instance no longer shows itself; a question names workers until they make up 0.35 of its fixed cost, also some without room now.

--- a/paddlepier/cluster/advicecallers.cpp
+++ b/paddlepier/cluster/advicecallers.cpp
@@ -10,8 +10,8 @@
 namespace
 {
 
-/** Instances show themselves every 400 ms; one that missed two isn't given questions. */
-constexpr Duration aliveFor = absl::Milliseconds(1300);
+/** Instances show themselves every 300 ms; one that missed two isn't given questions. */
+constexpr Duration aliveFor = absl::Milliseconds(800);
 
 /** Questions over this cost are long: several short ones fit into it. */
 constexpr Duration longCost = absl::Milliseconds(100);
@@ -31,7 +31,7 @@
     this->callers[instance].aliveAt = now;
 }
 
-std::string AdviceCallers::choose(Timestamp now, Duration cost)
+AdviceChoice AdviceCallers::choose(Timestamp now, Duration cost)
 {
     std::size_t alive = 0;
     for (const auto &[name, caller] : this->callers) {
@@ -60,7 +60,7 @@
         this->callers[best].busyUntil = bestEnd;
         ++this->callers[best].underWay;
     }
-    return best;
+    return {best, bestEnd};
 }
 
 void AdviceCallers::noteEnd(Timestamp now, const std::string &instance, Duration)
--- a/paddlepier/cluster/advicecallers.h
+++ b/paddlepier/cluster/advicecallers.h
@@ -16,6 +16,13 @@
 namespace paddlepier::cluster
 {
 
+struct AdviceChoice {
+    /** Empty if no caller is to be had. */
+    std::string instance;
+    /** When the answer is to be expected, the questions before it included. */
+    Timestamp expectedAt;
+};
+
 class AdviceCallers
 {
 public:
@@ -25,7 +32,7 @@
      * Caller on which a question of this cost ends first; its time is taken there. Empty if it would wait for long behind
      * others on each of them: a question that is answered too late only delays the next.
      */
-    std::string choose(Timestamp now, Duration cost);
+    AdviceChoice choose(Timestamp now, Duration cost);
     /** A question has ended, early or late: corrects the caller's expected time. */
     void noteEnd(Timestamp now, const std::string &instance, Duration cost);
     /** A question wasn't answered: the caller gets no others for a while. */
--- a/paddlepier/cluster/advicecallers_test.cpp
+++ b/paddlepier/cluster/advicecallers_test.cpp
@@ -29,30 +29,30 @@
 TEST_CASE_METHOD(AdviceCallersFixture, "choose_allCallersBusyForLong_isNobody")
 {
     int taken = 0;
-    while (taken < 100 && !this->callers.choose(this->now, absl::Milliseconds(500)).empty()) {
+    while (taken < 100 && !this->callers.choose(this->now, absl::Milliseconds(500)).instance.empty()) {
         ++taken;
     }
     // Three of the four callers take long questions, one each: a second would wait for half a second.
     CHECK(taken == 3);
-    CHECK_FALSE(this->callers.choose(this->now, absl::Milliseconds(20)).empty());
-    CHECK_FALSE(this->callers.choose(this->now + absl::Milliseconds(400), absl::Milliseconds(500)).empty());
+    CHECK_FALSE(this->callers.choose(this->now, absl::Milliseconds(20)).instance.empty());
+    CHECK_FALSE(this->callers.choose(this->now + absl::Milliseconds(400), absl::Milliseconds(500)).instance.empty());
 }
 
 TEST_CASE_METHOD(AdviceCallersFixture, "choose_callerNotSeenForLong_isAnother")
 {
     this->now += absl::Seconds(5);
-    CHECK(this->callers.choose(this->now, absl::Milliseconds(20)).empty());
+    CHECK(this->callers.choose(this->now, absl::Milliseconds(20)).instance.empty());
     this->callers.noteAlive(this->now, "c");
-    CHECK(this->callers.choose(this->now, absl::Milliseconds(20)) == "c");
+    CHECK(this->callers.choose(this->now, absl::Milliseconds(20)).instance == "c");
 }
 
 TEST_CASE_METHOD(AdviceCallersFixture, "choose_callerThatFailed_isAnotherForAWhile")
 {
-    const std::string first = this->callers.choose(this->now, absl::Milliseconds(20));
+    const std::string first = this->callers.choose(this->now, absl::Milliseconds(20)).instance;
     this->callers.noteEnd(this->now, first, absl::Milliseconds(20));
     this->callers.noteFailure(this->now, first);
     for (int question = 0; question < 6; ++question) {
-        CHECK(this->callers.choose(this->now, absl::Milliseconds(20)) != first);
+        CHECK(this->callers.choose(this->now, absl::Milliseconds(20)).instance != first);
     }
 }
 
--- a/paddlepier/cluster/coreprocess.cpp
+++ b/paddlepier/cluster/coreprocess.cpp
@@ -15,9 +15,6 @@
 
 constexpr Duration tickInterval = absl::Milliseconds(20);
 
-/** A question to the policy service through another instance is given up after its cost and this. */
-constexpr Duration advicePatience = absl::Milliseconds(1800);
-
 /** A voter that has been silent for this long may be replaced: longer than a process takes to restart. */
 constexpr Duration voterSilence = absl::Milliseconds(2500);
 
@@ -74,8 +71,8 @@
             *this->node,
             this->coreOptions.dispatch,
             this->workers,
-            [this](const std::string &instance, const work::AdviceCallT &call, std::function<void(execution::AdviceAnswer)> done) {
-                this->askThrough(instance, call, std::move(done));
+            [this](const std::string &instance, const work::AdviceCallT &call, Timestamp deadline, std::function<void(execution::AdviceAnswer)> done) {
+                this->askThrough(instance, call, deadline, std::move(done));
             },
             [this](std::function<void()> work) { this->post(std::move(work)); },
             this->callers,
@@ -159,14 +156,14 @@
     this->leader->call(now, method, std::move(body), patience, std::move(done));
 }
 
-void CoreProcess::askThrough(const std::string &instance, const work::AdviceCallT &call, std::function<void(execution::AdviceAnswer)> done)
+void CoreProcess::askThrough(const std::string &instance, const work::AdviceCallT &call, Timestamp deadline, std::function<void(execution::AdviceAnswer)> done)
 {
     if (instance == this->options.settings.id) {
         this->advice.ask(call, [this, done = std::move(done)](const execution::AdviceAnswer &received) { this->post([done, received] { done(received); }); });
         return;
     }
     const std::uint64_t id = this->nextQuestion++;
-    this->asked[id] = {std::move(done), controlNow() + advicePatience};
+    this->asked[id] = {std::move(done), deadline};
     wire::CallRequestT request;
     request.id = id;
     request.method = nameOf(WorkMethod::Advise);
--- a/paddlepier/cluster/coreprocess.h
+++ b/paddlepier/cluster/coreprocess.h
@@ -42,7 +42,7 @@
 private:
     void updateService(Timestamp now);
     void handleAsLeader(Timestamp now, const std::string &fromInstance, WorkMethod method, const std::string &body, const CallDone &done);
-    void askThrough(const std::string &instance, const work::AdviceCallT &call, std::function<void(execution::AdviceAnswer)> done);
+    void askThrough(const std::string &instance, const work::AdviceCallT &call, Timestamp deadline, std::function<void(execution::AdviceAnswer)> done);
 
     struct Asked {
         std::function<void(execution::AdviceAnswer)> done;
--- a/paddlepier/cluster/entryprocess.cpp
+++ b/paddlepier/cluster/entryprocess.cpp
@@ -43,7 +43,8 @@
 
 void EntryProcess::advance(Timestamp now)
 {
-    if (now >= this->nextPresence && !this->presenceUnderWay) {
+    // A stopping instance isn't given new work by the leader.
+    if (now >= this->nextPresence && !this->presenceUnderWay && !this->isStopping()) {
         this->showPresence(now);
     }
     const bool hasLeader = now - this->leader->lastAnswerAt() < leaderSilence;
--- a/paddlepier/cluster/workservice.cpp
+++ b/paddlepier/cluster/workservice.cpp
@@ -20,6 +20,12 @@
 /** When a refused caller should come back: about an election. */
 constexpr std::uint32_t retryAfterMillis = 1000;
 
+/**
+ * A question is asked again through another instance when its answer is this late, and half of its cost: a caller that was
+ * killed or cut off doesn't say so, and a quick job has about a second to spare.
+ */
+constexpr Duration adviceSlack = absl::Milliseconds(120);
+
 bool isJobId(const std::string &text)
 {
     return text.size() == jobIdDigits
@@ -309,7 +315,8 @@
 
 void WorkService::ask(Timestamp now, const execution::AdviceQuestion &question)
 {
-    const std::string caller = this->callers.choose(now, question.cost);
+    const AdviceChoice choice = this->callers.choose(now, question.cost);
+    const std::string &caller = choice.instance;
     if (caller.empty()) {
         this->dispatcher.takeAdvice(now, question.id, {});
         return;
@@ -318,7 +325,8 @@
     call.step = question.step.text();
     call.workers = question.workers;
     this->adviceCalls.add();
-    this->askThroughInstance(caller, call, [this, alive = this->isAlive, caller, now, question](const execution::AdviceAnswer &received) {
+    const Timestamp deadline = choice.expectedAt + adviceSlack + question.cost / 2;
+    this->askThroughInstance(caller, call, deadline, [this, alive = this->isAlive, caller, now, question](const execution::AdviceAnswer &received) {
         if (!*alive) {
             return;
         }
--- a/paddlepier/cluster/workservice.h
+++ b/paddlepier/cluster/workservice.h
@@ -29,7 +29,8 @@
 using Post = std::function<void(std::function<void()>)>;
 
 /** Asks through another instance. */
-using AskThrough = std::function<void(const std::string &instance, const work::AdviceCallT &call, std::function<void(execution::AdviceAnswer)> done)>;
+using AskThrough =
+    std::function<void(const std::string &instance, const work::AdviceCallT &call, Timestamp deadline, std::function<void(execution::AdviceAnswer)> done)>;
 
 class WorkService
 {
--- a/paddlepier/execution/dispatcher.cpp
+++ b/paddlepier/execution/dispatcher.cpp
@@ -351,6 +351,7 @@
         return;
     }
     this->placing = false;
+    this->logPlacements(outcome.placed);
     for (const work::PlacementT &placed : outcome.placed) {
         const workload::TaskKey key(*placed.task);
         RunTrack track;
@@ -368,6 +369,22 @@
     }
 }
 
+void Dispatcher::logPlacements(const std::vector<work::PlacementT> &placed) const
+{
+    // One line for each step; what became of each run stands in the line of its end.
+    std::map<workload::StepKey, std::string> workersByStep;
+    for (const work::PlacementT &placement : placed) {
+        absl::StrAppend(&workersByStep[workload::TaskKey(*placement.task).stepKey()], " ", placement.task->index, "@", placement.worker);
+    }
+    for (const auto &[step, workers] : workersByStep) {
+        const workload::Job &job = *this->state.findJob(step.job);
+        log::info(
+            "dispatch",
+            "step.placed",
+            {{"step", step.text()}, {"queue", job.queue().name}, {"ageMillis", this->state.appliedAtMillis() - job.submittedAtMillis()}, {"runs", workers}});
+    }
+}
+
 void Dispatcher::takeAdvice(Timestamp now, std::uint64_t question, const AdviceAnswer &answer)
 {
     this->advice.answer(now, question, answer);
--- a/paddlepier/execution/dispatcher.h
+++ b/paddlepier/execution/dispatcher.h
@@ -105,6 +105,7 @@
     void drainWorkers(Timestamp now);
     void planWork(Timestamp now, std::int64_t wallMillis);
 
+    void logPlacements(const std::vector<work::PlacementT> &placed) const;
     void takePoll(Timestamp now, const PendingCall &call, const WorkerAnswer &answer);
     void takeRunning(Timestamp now, const std::string &worker, WorkerView &view, const WorkerAnswer &answer);
     /** Judges the runs on a worker after a poll: which stand still, which disturb, how fast the worker is. */
--- a/paddlepier/execution/watch.cpp
+++ b/paddlepier/execution/watch.cpp
@@ -163,6 +163,7 @@
               {{"task", end.task.text()},
                {"run", end.run},
                {"how", work::EnumNameRunEndKind(end.kind)},
+               {"startMillis", isKnown ? absl::ToInt64Milliseconds(track->second.runningSince - track->second.placedAt) : -1},
                {"millis", isKnown ? absl::ToInt64Milliseconds(now - track->second.placedAt) : -1}});
     if (end.kind == work::RunEndKind::Failed) {
         view.noteFailedRun(now);
--- a/paddlepier/planning/planner.cpp
+++ b/paddlepier/planning/planner.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <cmath>
 #include <limits>
+#include <tuple>
 
 namespace paddlepier::planning
 {
@@ -24,6 +25,12 @@
 constexpr double askedSurplus = 1.3;
 constexpr std::size_t leastWorkersAsked = 3;
 
+/**
+ * A question costs a fixed time and a little for each worker; naming more workers until they make up this part of the fixed
+ * time saves later questions.
+ */
+constexpr double marginalShare = 0.35;
+
 /** Most preemptions of one plan, so that a burst doesn't stop more than the next plan finds needed. */
 constexpr std::size_t mostPreemptions = 24;
 
@@ -330,48 +337,67 @@
     }
 }
 
-void Planner::askAdvice(Wanted &wanted, Plan &plan)
+std::vector<Planner::Candidate> Planner::adviceCandidates(const Wanted &wanted)
 {
-    struct Candidate {
-        Room *room;
-        bool isExpired;
-        double score;
-    };
     std::vector<Candidate> candidates;
     for (Room &room : this->rooms) {
         const Standing standing = this->advice.standing(this->now, wanted.key, room.worker->registration.id);
         const bool isOpen = standing == Standing::Unasked || standing == Standing::Expired;
-        if (isOpen && this->fits(room, *wanted.step) && this->mayRun(room, wanted) && this->isBelowBound(room, wanted) && this->isAcceptable(room)) {
-            candidates.push_back({&room, standing == Standing::Expired, this->scoreOf(room, wanted)});
+        if (!isOpen || !this->mayRun(room, wanted) || !this->isBelowBound(room, wanted) || !this->isAcceptable(room)) {
+            continue;
+        }
+        const bool hasRoom = this->fits(room, *wanted.step);
+        // A ticket without room now would have ended by the time that there is some; that a worker may run the step stays known.
+        if (hasRoom || standing == Standing::Unasked) {
+            candidates.push_back({&room, hasRoom, standing == Standing::Expired, this->scoreOf(room, wanted)});
         }
     }
     std::sort(candidates.begin(), candidates.end(), [](const Candidate &left, const Candidate &right) {
-        return std::pair(!left.isExpired, left.score) < std::pair(!right.isExpired, right.score);
+        const auto rank = [](const Candidate &entry) { return std::tuple(!entry.hasRoom, !entry.isExpired, entry.score); };
+        return rank(left) < rank(right);
     });
+    return candidates;
+}
+
+void Planner::askAdvice(Wanted &wanted, Plan &plan)
+{
+    const std::vector<Candidate> candidates = this->adviceCandidates(wanted);
+    if (candidates.empty() || !candidates.front().hasRoom) {
+        return;
+    }
+    const work::AdvicePolicyT &policy = *wanted.job->queue().advice;
+    const double cheap = policy.perWorkerMillis > 0 ? marginalShare * policy.decisionMillis / policy.perWorkerMillis : static_cast<double>(mostWorkersAsked);
+    const std::size_t least = std::clamp(static_cast<std::size_t>(cheap), leastWorkersAsked, mostWorkersAsked);
     const double share = this->advice.permittedShare(wanted.job->queue().name);
-    double expected = 0;
     const double needed = static_cast<double>(wanted.tasks.size()) * askedSurplus;
+    double expected = 0;
     std::vector<std::string> asked;
     for (const Candidate &candidate : candidates) {
-        if (asked.size() >= mostWorkersAsked || (expected >= needed && asked.size() >= leastWorkersAsked)) {
+        const bool isEnough = expected >= needed;
+        if (asked.size() >= mostWorkersAsked || (isEnough && asked.size() >= least)) {
             break;
         }
-        std::size_t slots = tasksThatFit(candidate.room->processors, candidate.room->memory, *wanted.step);
-        slots = std::min(slots, wanted.tasks.size());
-        if (wanted.step->mostPerWorker > 0) {
-            slots = std::min<std::size_t>(slots, wanted.step->mostPerWorker);
-        }
-        const double chance = candidate.isExpired ? 1.0 : share;
-        expected += chance * static_cast<double>(slots);
         asked.push_back(candidate.room->worker->registration.id);
-        // The room is kept for this step, in proportion to the chance that it is used.
-        const auto kept = static_cast<std::int64_t>(std::lround(chance * static_cast<double>(slots)));
-        candidate.room->processors -= wanted.step->isFilling ? 0 : kept * wanted.step->demand->milliProcessors();
-        candidate.room->memory -= kept * wanted.step->demand->memoryMegabytes();
+        if (!isEnough && candidate.hasRoom) {
+            expected += this->keepRoom(wanted, *candidate.room, candidate.isExpired ? 1.0 : share);
+        }
     }
-    if (!asked.empty() && this->advice.mayAsk(this->now, wanted.key)) {
-        plan.questions.push_back(this->advice.ask(this->now, wanted.key, wanted.job->queue().name, std::move(asked), *wanted.job->queue().advice));
+    if (this->advice.mayAsk(this->now, wanted.key)) {
+        plan.questions.push_back(this->advice.ask(this->now, wanted.key, wanted.job->queue().name, std::move(asked), policy));
+    }
+}
+
+double Planner::keepRoom(const Wanted &wanted, Room &room, double chance)
+{
+    std::size_t slots = std::min(tasksThatFit(room.processors, room.memory, *wanted.step), wanted.tasks.size());
+    if (wanted.step->mostPerWorker > 0) {
+        slots = std::min<std::size_t>(slots, wanted.step->mostPerWorker);
     }
+    const double expected = chance * static_cast<double>(slots);
+    const std::int64_t kept = std::lround(expected);
+    room.processors -= wanted.step->isFilling ? 0 : kept * wanted.step->demand->milliProcessors();
+    room.memory -= kept * wanted.step->demand->memoryMegabytes();
+    return expected;
 }
 
 void Planner::preemptFor(const Wanted &wanted, Plan &plan)
--- a/paddlepier/planning/planner.h
+++ b/paddlepier/planning/planner.h
@@ -63,6 +63,14 @@
         std::uint32_t filling = 0;
     };
 
+    struct Candidate {
+        Room *room;
+        bool hasRoom;
+        /** Known to be permitted; only the ticket is over. */
+        bool isExpired;
+        double score;
+    };
+
     /** One step with tasks to place. */
     struct Wanted {
         const workload::Job *job = nullptr;
@@ -81,6 +89,10 @@
     void planGang(Wanted &wanted, Plan &plan);
     void placeSingly(Wanted &wanted, Plan &plan);
     void askAdvice(Wanted &wanted, Plan &plan);
+    /** Workers that the policy service may be asked about, the most useful first. */
+    std::vector<Candidate> adviceCandidates(const Wanted &wanted);
+    /** Keeps room for the tasks that are likely to go there. @return how many, in expectation */
+    double keepRoom(const Wanted &wanted, Room &room, double chance);
     void preemptFor(const Wanted &wanted, Plan &plan);
     bool mayRun(const Room &room, const Wanted &wanted) const;
     bool isAcceptable(const Room &room) const;
