--- a/paddlepier/execution/dispatcher.cpp
+++ b/paddlepier/execution/dispatcher.cpp
@@ -48,7 +48,7 @@
     : state(workloadState)
     , options(dispatchOptions)
     , fence(fenceToken)
-    , planner(this->state, this->views, this->tracks, this->advice)
+    , planner(this->state, this->views, this->tracks, this->advice, this->usualRatios)
 {
     this->syncWorkers(now);
     this->adoptRuns(now);
--- a/paddlepier/planning/planner.cpp
+++ b/paddlepier/planning/planner.cpp
@@ -59,11 +59,13 @@
 Planner::Planner(const workload::Workload &workloadState,
                  const std::map<std::string, execution::WorkerView> &workerViews,
                  const execution::RunTracks &runTracks,
-                 AdviceBook &book)
+                 AdviceBook &book,
+                 const std::map<std::string, double> &usualRatiosByQueue)
     : state(workloadState)
     , views(workerViews)
     , tracks(runTracks)
     , advice(book)
+    , usualRatios(usualRatiosByQueue)
 {
 }
 
@@ -139,7 +141,7 @@
         }
     }
     std::stable_sort(wanted.begin(), wanted.end(), [](const Wanted &left, const Wanted &right) {
-        const auto rank = [](const Wanted &entry) { return std::pair(entry.job->queue().priority, entry.job->submittedAtMillis()); };
+        const auto rank = [](const Wanted &entry) { return std::tuple(entry.job->queue().priority, entry.outlook, entry.job->submittedAtMillis()); };
         return rank(left) < rank(right);
     });
     return wanted;
@@ -167,6 +169,10 @@
         }
     }
     if (!entry.tasks.empty()) {
+        const auto usual = this->usualRatios.find(job.queue().name);
+        // What is to last has no end to meet.
+        entry.outlook =
+            entry.step->isLasting ? Outlook::InTime : outlookOf(job, occurrence, this->wallMillis, usual == this->usualRatios.end() ? 1.0 : usual->second);
         wanted.push_back(std::move(entry));
     }
 }
--- a/paddlepier/planning/planner.h
+++ b/paddlepier/planning/planner.h
@@ -1,8 +1,8 @@
 // Decides which waiting tasks go to which workers, what to ask the policy service, and what makes way for urgent work.
 //
 // A plan is made from the ledger and from what the leader knows of the workers; nothing is changed by making it. Steps are
-// taken in the order of their queue's priority and then of their age. Room that a step is going to need, once the policy
-// service has answered, is kept from the steps after it in the same plan.
+// taken in the order of their queue's priority, and then of what their jobs can still reach and of their age. Room that a step is going to need, once the
+// policy service has answered, is kept from the steps after it in the same plan.
 //
 // Example:
 //     const Plan plan = planner.plan(now, wallMillis);
@@ -17,6 +17,7 @@
 #include "paddlepier/execution/runtrack.h"
 #include "paddlepier/execution/workerview.h"
 #include "paddlepier/planning/advicebook.h"
+#include "paddlepier/planning/outlook.h"
 #include "paddlepier/workload/workload.h"
 
 #include <cstdint>
@@ -40,7 +41,8 @@
     Planner(const workload::Workload &workloadState,
             const std::map<std::string, execution::WorkerView> &workerViews,
             const execution::RunTracks &runTracks,
-            AdviceBook &book);
+            AdviceBook &book,
+            const std::map<std::string, double> &usualRatiosByQueue);
 
     Plan plan(Timestamp now, std::int64_t wallMillis);
 
@@ -76,6 +78,7 @@
         const workload::Job *job = nullptr;
         workload::StepKey key;
         const work::StepSpecT *step = nullptr;
+        Outlook outlook = Outlook::InTime;
         std::vector<std::uint32_t> tasks;
         /** Tasks of this step on each worker. */
         std::map<std::string, std::uint32_t> onWorker;
@@ -109,6 +112,7 @@
     const std::map<std::string, execution::WorkerView> &views;
     const execution::RunTracks &tracks;
     AdviceBook &advice;
+    const std::map<std::string, double> &usualRatios;
     Timestamp now;
     std::int64_t wallMillis = 0;
     std::vector<Room> rooms;
