--- /dev/null
+++ b/paddlepier/cluster/leaderclient_test.cpp
@@ -0,0 +1,128 @@
+// Calls to a leader that moves, is silent or isn't there.
+
+#include "paddlepier/cluster/leaderclient.h"
+
+#include "paddlepier/wire/codec.h"
+
+#include <catch2/catch.hpp>
+
+#include <set>
+
+namespace paddlepier::cluster
+{
+
+namespace
+{
+
+class LeaderClientFixture
+{
+public:
+    struct Sent {
+        std::string to;
+        std::uint64_t id;
+    };
+
+    LeaderClientFixture()
+        : client(
+            [this](const std::string &to, wire::PeerFrameT frame) {
+                this->sent.push_back({to, frame.body.AsCallRequest()->id});
+            },
+            100)
+    {
+        this->client.addCore("a:1");
+        this->client.addCore("b:1");
+        this->client.addCore("c:1");
+    }
+
+    void call(Duration patience = absl::Seconds(2))
+    {
+        this->client.call(this->now, WorkMethod::Presence, "", patience, [this](const CallResult &result) { this->results.push_back(result); });
+    }
+
+    void reply(const Sent &request, ErrorCode error, const std::string &leader = "")
+    {
+        wire::CallReplyT answer;
+        answer.id = request.id;
+        answer.error = error;
+        answer.leader = leader;
+        answer.body = wire::toBytes(wire::pack(work::WorkReplyT()));
+        this->client.receiveReply(this->now, request.to, answer);
+    }
+
+    void pass(Duration time)
+    {
+        for (const Timestamp end = this->now + time; this->now < end; this->now += absl::Milliseconds(20)) {
+            this->client.tick(this->now);
+        }
+    }
+
+    std::vector<Sent> sent;
+    std::vector<CallResult> results;
+    Timestamp now = absl::UnixEpoch() + absl::Hours(1);
+    LeaderClient client;
+};
+
+} // namespace
+
+TEST_CASE_METHOD(LeaderClientFixture, "call_toAnotherThanTheLeader_followsItsHint")
+{
+    this->call();
+    REQUIRE(this->sent.size() == 1);
+    this->reply(this->sent[0], ErrorCode::NotLeader, "c:1");
+    this->pass(absl::Milliseconds(40));
+    REQUIRE(this->sent.size() == 2);
+    CHECK(this->sent[1].to == "c:1");
+    this->reply(this->sent[1], ErrorCode::None);
+    REQUIRE(this->results.size() == 1);
+    CHECK(this->results[0].error == ErrorCode::None);
+    this->call();
+    CHECK(this->sent.back().to == "c:1");
+}
+
+TEST_CASE_METHOD(LeaderClientFixture, "call_withoutAnswer_goesToAllCoresAndEndsAsUncertain")
+{
+    this->call(absl::Seconds(2));
+    this->pass(absl::Milliseconds(2100));
+    std::set<std::string> asked;
+    for (const Sent &request : this->sent) {
+        asked.insert(request.to);
+    }
+    CHECK(asked.size() == 3);
+    REQUIRE(this->results.size() == 1);
+    CHECK(this->results[0].error == ErrorCode::Timeout);
+}
+
+TEST_CASE_METHOD(LeaderClientFixture, "call_refusedByAll_endsAsCertainlyNotTaken")
+{
+    this->call(absl::Milliseconds(600));
+    std::size_t answered = 0;
+    while (this->results.empty()) {
+        while (answered < this->sent.size()) {
+            this->reply(this->sent[answered++], ErrorCode::NotLeader);
+        }
+        this->pass(absl::Milliseconds(20));
+    }
+    CHECK(this->results[0].error == ErrorCode::NotLeader);
+}
+
+TEST_CASE_METHOD(LeaderClientFixture, "call_oneAttemptUnanswered_isUncertainThoughOthersRefuse")
+{
+    this->call(absl::Seconds(1));
+    this->pass(absl::Milliseconds(400));
+    REQUIRE(this->sent.size() == 2);
+    this->reply(this->sent[1], ErrorCode::NotLeader);
+    this->pass(absl::Seconds(1));
+    REQUIRE(this->results.size() == 1);
+    CHECK(this->results[0].error == ErrorCode::Timeout);
+}
+
+TEST_CASE_METHOD(LeaderClientFixture, "lateAnswer_afterTheEnd_changesNothing")
+{
+    this->call(absl::Milliseconds(200));
+    this->pass(absl::Milliseconds(300));
+    REQUIRE(this->results.size() == 1);
+    this->reply(this->sent[0], ErrorCode::None);
+    CHECK(this->results.size() == 1);
+}
+
+} // namespace paddlepier::cluster
--- a/paddlepier/consensus/admission.cpp
+++ b/paddlepier/consensus/admission.cpp
@@ -105,7 +105,7 @@
 std::string Admission::replaceable(const Replica &replica, const std::string &instance, const std::string &newcomer, Timestamp now) const
 {
     const std::vector<std::string> &voters = replica.membership().voters;
-    const std::string older = olderReplica(voters, instance, newcomer);
+    std::string older = olderReplica(voters, instance, newcomer);
     if (!older.empty() || voters.size() < this->limits.mostVoters) {
         return older;
     }
--- a/paddlepier/execution/dispatcher.cpp
+++ b/paddlepier/execution/dispatcher.cpp
@@ -307,10 +307,10 @@
             this->stopRun(now, key, track->second, StopReason::StartUnsettled);
         }
     }
-    this->endRuns(worker, std::move(vanished), work::RunEndKind::Void);
+    this->endRuns(worker, vanished, work::RunEndKind::Void);
 }
 
-void Dispatcher::endRuns(const std::string &worker, std::vector<std::pair<workload::TaskKey, RunTrack>> ended, work::RunEndKind kind)
+void Dispatcher::endRuns(const std::string &worker, const std::vector<std::pair<workload::TaskKey, RunTrack>> &ended, work::RunEndKind kind)
 {
     if (ended.empty()) {
         return;
@@ -432,7 +432,7 @@
                 expired.emplace_back(key, track->second);
             }
         }
-        this->endRuns(id, std::move(expired), work::RunEndKind::Expired);
+        this->endRuns(id, expired, work::RunEndKind::Expired);
         const bool isSilent = now - std::max(view.announcedAt, view.lastAnswerAt()) > forgottenAfter;
         if (isSilent && this->state.findWorker(id)->runs.empty()) {
             log::info("dispatch", "worker.forgotten", {{"worker", id}});
--- a/paddlepier/execution/dispatcher.h
+++ b/paddlepier/execution/dispatcher.h
@@ -120,7 +120,7 @@
     void takeStop(Timestamp now, const PendingCall &call, const StopOrder &order, const WorkerAnswer &answer);
     void stopRun(Timestamp now, const workload::TaskKey &key, RunTrack &track, StopReason reason);
     void settleVanished(Timestamp now, const std::string &worker, Timestamp pollSentAt, const WorkerAnswer &answer);
-    void endRuns(const std::string &worker, std::vector<std::pair<workload::TaskKey, RunTrack>> ended, work::RunEndKind kind);
+    void endRuns(const std::string &worker, const std::vector<std::pair<workload::TaskKey, RunTrack>> &ended, work::RunEndKind kind);
     void removeWorker(const std::string &worker);
     void dropTracks(const work::RecordEndsT &command);
 
--- a/paddlepier/replication/replicanode_test.cpp
+++ b/paddlepier/replication/replicanode_test.cpp
@@ -84,7 +84,7 @@
         options.heartbeat = absl::Milliseconds(100);
         options.election = absl::Milliseconds(500);
         this->node = std::make_unique<Node>(
-            options, this->disk, [](const std::string &, wire::PeerFrameT) {}, this->counters, this->now, 7);
+            options, this->disk, [](const std::string &, const wire::PeerFrameT &) {}, this->counters, this->now, 7);
     }
 
     /** Waits for the disk and runs what it posted, without flushing the node. */
--- a/paddlepier/workload/taskkey.h
+++ b/paddlepier/workload/taskkey.h
@@ -9,9 +9,10 @@
 
 #include <absl/strings/str_cat.h>
 
-#include <compare>
 #include <cstdint>
+#include <memory>
 #include <string>
+#include <tuple>
 
 namespace paddlepier::workload
 {
@@ -22,7 +23,12 @@
     std::uint32_t occurrence = 0;
     std::uint32_t step = 0;
 
-    auto operator<=>(const StepKey &) const = default;
+    bool operator==(const StepKey &) const = default;
+
+    bool operator<(const StepKey &other) const
+    {
+        return std::tie(this->job, this->occurrence, this->step) < std::tie(other.job, other.occurrence, other.step);
+    }
 
     std::string text() const
     {
@@ -51,7 +57,12 @@
     {
     }
 
-    auto operator<=>(const TaskKey &) const = default;
+    bool operator==(const TaskKey &) const = default;
+
+    bool operator<(const TaskKey &other) const
+    {
+        return std::tie(this->job, this->occurrence, this->step, this->index) < std::tie(other.job, other.occurrence, other.step, other.index);
+    }
 
     StepKey stepKey() const
     {
