--- a/Makefile
+++ b/Makefile
@@ -19,6 +19,7 @@
 	$(BUILD)/testing/demo $(BUILD) examples
 
 lint: build
+	@scripts/check_names.sh
 	@scripts/lint.sh $(BUILD)
 
 # The tests come last, so that the output ends with their summary.
--- a/paddlepier/http/httpserver.cpp
+++ b/paddlepier/http/httpserver.cpp
@@ -83,9 +83,14 @@
     static void onCompleted(void *self, MHD_Connection *, void **context, MHD_RequestTerminationCode)
     {
         if (*context != nullptr) {
+            auto *server = static_cast<HttpServer *>(self);
+            {
+                const absl::MutexLock lock(&server->mutex);
+                server->suspended.erase(*static_cast<std::shared_ptr<Exchange> *>(*context));
+            }
             delete static_cast<std::shared_ptr<Exchange> *>(*context);
             *context = nullptr;
-            --static_cast<HttpServer *>(self)->active;
+            --server->active;
         }
     }
 
@@ -157,12 +162,39 @@
     if (listener != MHD_INVALID_SOCKET) {
         ::close(listener);
     }
+    this->waitForExchanges(patience);
+    this->refuseSuspended();
+    MHD_stop_daemon(this->daemon);
+    this->daemon = nullptr;
+}
+
+void HttpServer::waitForExchanges(Duration patience) const
+{
     const Timestamp end = controlNow() + patience;
     while (this->active > 0 && controlNow() < end) {
         absl::SleepFor(absl::Milliseconds(5));
     }
-    MHD_stop_daemon(this->daemon);
-    this->daemon = nullptr;
+}
+
+void HttpServer::refuseSuspended()
+{
+    // Longest time in which the library sends answers that are ready.
+    constexpr Duration sendPatience = absl::Milliseconds(200);
+    std::set<std::shared_ptr<Exchange>> left;
+    {
+        const absl::MutexLock lock(&this->mutex);
+        left = this->suspended;
+    }
+    if (left.empty()) {
+        return;
+    }
+    log::warning("http", "exchanges.refused", {{"count", left.size()}});
+    for (const std::shared_ptr<Exchange> &exchange : left) {
+        // Not 503: whether the request takes effect isn't known here.
+        exchange->answer(
+            {504, {{"Content-Type", "application/json"}, {"Retry-After", "1"}}, "{\"error\":\"Timeout\",\"message\":\"stopping; the outcome is not known\"}"});
+    }
+    this->waitForExchanges(sendPatience);
 }
 
 std::int64_t HttpServer::activeExchanges() const
@@ -199,6 +231,10 @@
         const absl::MutexLock lock(&exchange->mutex);
         if (!exchange->reply) {
             exchange->suspended = true;
+            {
+                const absl::MutexLock ownLock(&this->mutex);
+                this->suspended.insert(exchange);
+            }
             MHD_suspend_connection(connection);
             return MHD_YES;
         }
--- a/paddlepier/http/httpserver.h
+++ b/paddlepier/http/httpserver.h
@@ -23,6 +23,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -99,7 +100,7 @@
     /** From now on every answer closes its connection, so that callers go elsewhere before stop(). */
     void closeAfterAnswers();
 
-    /** Refuses new connections, waits up to @p patience for exchanges under way, then closes. */
+    /** Refuses new connections, waits up to @p patience for exchanges under way, answers the rest with 504, then closes. */
     void stop(Duration patience);
 
     std::int64_t activeExchanges() const;
@@ -110,12 +111,17 @@
 private:
     int onData(MHD_Connection *connection, const char *url, const char *method, const char *data, std::size_t *size, void **context);
     int queueAnswer(Exchange &exchange);
+    void waitForExchanges(Duration patience) const;
+    void refuseSuspended();
 
     const LimitSettings bounds;
     const Handler handler;
     std::atomic<std::int64_t> active{0};
     std::atomic<bool> stopping{false};
     MHD_Daemon *daemon = nullptr;
+    absl::Mutex mutex;
+    // Invariant: holds every exchange whose connection is suspended; the library must not be stopped while there is one.
+    std::set<std::shared_ptr<Exchange>> suspended ABSL_GUARDED_BY(mutex);
 };
 
 } // namespace paddlepier::http
--- a/scripts/check_names.sh
+++ b/scripts/check_names.sh
@@ -2,7 +2,7 @@
 # Checks that the platform's names stay in platform/, that the product doesn't include it, and that it stays small.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-names='last_seen|run-start|run-stop|machine-upkeep|requested_memory_mb|fencing_token|task_spec|last_checkpoint|anti_affinity|long_running|heartbeat_address|drain_remaining_ms|Paddlepier-'
+names='last_seen|run-start|run-stop|machine-upkeep|requested_memory_mb|fencing_token|task_spec|last_checkpoint|anti_affinity|long_running|heartbeat_address|drain_remaining_ms|Paddlepier-(Duty|Fencing|Expected-Instance|Deadline-Remaining)'
 if git grep -nE "$names" -- 'paddlepier/*.h' 'paddlepier/*.cpp' 'testing/*.h' 'testing/*.cpp'; then
     echo "names of the platform outside platform/" >&2
     exit 1
