Give no new work to workers whose answer is overdue

Ruled out: lost answers (each costs one poll), the policy service. Change: a worker with an answer 250 ms overdue gets no new work (unless most are: then this process is slow); a start that was never sent to a silent worker is given up at once; polls time out after 1.4 s.

--- a/paddlepier/execution/dispatcher.cpp
+++ b/paddlepier/execution/dispatcher.cpp
@@ -18,9 +18,12 @@
 constexpr Duration pollWait = absl::Milliseconds(1000);
 /** The same where filling runs disturb serving ones, whose figures cover half a second. */
 constexpr Duration contendedPollWait = absl::Milliseconds(400);
-constexpr Duration pollTimeout = absl::Milliseconds(1600);
+constexpr Duration pollTimeout = absl::Milliseconds(1400);
 constexpr Duration firstPollTimeout = absl::Milliseconds(700);
 
+/** A sound worker answers in some 10 ms; one whose answer is this late gets no further work until it answers. */
+constexpr Duration answerPatience = absl::Milliseconds(250);
+
 /** Least pause between two plans, so that what comes at nearly the same time is decided together. */
 constexpr Duration planPause = absl::Milliseconds(3);
 
@@ -171,6 +174,8 @@
     call.timeout = timeout;
     call.order = std::move(order);
     view.noteLease(call.leaseEndOnWorkerClock);
+    const auto *poll = std::get_if<PollOrder>(&call.order);
+    view.noteCall(call.id, now + answerPatience + (poll == nullptr ? absl::ZeroDuration() : poll->wait));
     this->calls[call.id] = {worker, call.order, now, call.leaseEndOnWorkerClock};
     this->effects.calls.push_back(std::move(call));
     return this->nextCall - 1;
@@ -211,6 +216,7 @@
     if (view == this->views.end()) {
         return;
     }
+    view->second.noteCallEnd(callId);
     if (answer.kind == AnswerKind::OtherLife) {
         log::info("dispatch", "worker.other-life", {{"worker", call.worker}});
         this->removeWorker(call.worker);
--- a/paddlepier/execution/dispatcher.h
+++ b/paddlepier/execution/dispatcher.h
@@ -98,8 +98,10 @@
     void syncWorkers(Timestamp now);
     void pollWorkers(Timestamp now);
     void driveRuns(Timestamp now);
-    void driveRun(Timestamp now, const workload::TaskKey &key, RunTrack &track);
-    void driveStart(Timestamp now, const workload::TaskKey &key, RunTrack &track);
+    /** Runs whose start was never sent, with what is known of them. */
+    using UnsentRuns = std::vector<std::pair<workload::TaskKey, RunTrack>>;
+    void driveRun(Timestamp now, const workload::TaskKey &key, RunTrack &track, UnsentRuns &unsent);
+    void driveStart(Timestamp now, const workload::TaskKey &key, RunTrack &track, UnsentRuns &unsent);
     void forgetEndedJobs(Timestamp now);
     void expireLeases(Timestamp now);
     void drainWorkers(Timestamp now);
--- a/paddlepier/execution/runs.cpp
+++ b/paddlepier/execution/runs.cpp
@@ -25,12 +25,16 @@
 
 void Dispatcher::driveRuns(Timestamp now)
 {
+    UnsentRuns unsent;
     for (auto &[key, track] : this->tracks) {
-        this->driveRun(now, key, track);
+        this->driveRun(now, key, track, unsent);
+    }
+    for (const auto &[key, track] : unsent) {
+        this->endRuns(track.worker, {{key, track}}, work::RunEndKind::Void);
     }
 }
 
-void Dispatcher::driveRun(Timestamp now, const workload::TaskKey &key, RunTrack &track)
+void Dispatcher::driveRun(Timestamp now, const workload::TaskKey &key, RunTrack &track, UnsentRuns &unsent)
 {
     const auto view = this->views.find(track.worker);
     if (view == this->views.end() || view->second.isFenced) {
@@ -44,7 +48,7 @@
         return;
     }
     if (track.phase == RunPhase::Starting) {
-        this->driveStart(now, key, track);
+        this->driveStart(now, key, track, unsent);
     } else if (track.phase == RunPhase::Stopping && track.settledAt + this->options.stopGrace + stopPatience > now
                && track.settledAt != absl::InfiniteFuture()) {
         return;
@@ -54,10 +58,14 @@
     }
 }
 
-void Dispatcher::driveStart(Timestamp now, const workload::TaskKey &key, RunTrack &track)
+void Dispatcher::driveStart(Timestamp now, const workload::TaskKey &key, RunTrack &track, UnsentRuns &unsent)
 {
     const WorkerView &view = this->views.at(track.worker);
     if (!view.isReachable(now)) {
+        if (track.startCalls == 0 && !track.mayStartLate) {
+            // Nothing was sent: the task needn't wait for this worker.
+            unsent.emplace_back(key, track);
+        }
         return;
     }
     const bool isTicketOver = now > track.ticketValidUntil;
--- a/paddlepier/execution/watch.cpp
+++ b/paddlepier/execution/watch.cpp
@@ -158,13 +158,15 @@
 {
     const auto track = this->tracks.find(end.task);
     const bool isKnown = track != this->tracks.end() && track->second.run == end.run;
-    log::info("dispatch",
-              "run.ended",
-              {{"task", end.task.text()},
-               {"run", end.run},
-               {"how", work::EnumNameRunEndKind(end.kind)},
-               {"startMillis", isKnown ? absl::ToInt64Milliseconds(track->second.runningSince - track->second.placedAt) : -1},
-               {"millis", isKnown ? absl::ToInt64Milliseconds(now - track->second.placedAt) : -1}});
+    log::info(
+        "dispatch",
+        "run.ended",
+        {{"task", end.task.text()},
+         {"run", end.run},
+         {"how", work::EnumNameRunEndKind(end.kind)},
+         {"startMillis",
+          isKnown && track->second.runningSince < absl::InfiniteFuture() ? absl::ToInt64Milliseconds(track->second.runningSince - track->second.placedAt) : -1},
+         {"millis", isKnown ? absl::ToInt64Milliseconds(now - track->second.placedAt) : -1}});
     if (end.kind == work::RunEndKind::Failed) {
         view.noteFailedRun(now);
     } else if (end.kind == work::RunEndKind::Done) {
--- a/paddlepier/execution/workerview.cpp
+++ b/paddlepier/execution/workerview.cpp
@@ -15,7 +15,7 @@
 
 /** Pause after a silent call, times the number in a row. */
 constexpr Duration silencePause = absl::Milliseconds(150);
-constexpr Duration longestSilencePause = absl::Milliseconds(900);
+constexpr Duration longestSilencePause = absl::Milliseconds(600);
 
 /** A worker that fails its runs gets none for this time, doubled with each further failure. */
 constexpr Duration shortestTimeOut = absl::Milliseconds(500);
@@ -96,6 +96,21 @@
     return this->isKnown() && this->silences == 0 && !this->isFenced;
 }
 
+void WorkerView::noteCall(std::uint64_t call, Timestamp due)
+{
+    this->dueAnswers[call] = due;
+}
+
+void WorkerView::noteCallEnd(std::uint64_t call)
+{
+    this->dueAnswers.erase(call);
+}
+
+bool WorkerView::isOverdue(Timestamp now) const
+{
+    return std::any_of(this->dueAnswers.begin(), this->dueAnswers.end(), [now](const auto &entry) { return entry.second < now; });
+}
+
 bool WorkerView::isKnown() const
 {
     return this->clockMillis.has_value();
--- a/paddlepier/execution/workerview.h
+++ b/paddlepier/execution/workerview.h
@@ -13,6 +13,7 @@
 #include "paddlepier/execution/pacecontrol.h"
 
 #include <cstdint>
+#include <map>
 #include <optional>
 
 namespace paddlepier::execution
@@ -43,6 +44,12 @@
     bool leaseIsOver(Timestamp now) const;
 
     bool isReachable(Timestamp now) const;
+
+    /** A call was sent whose answer is due by @p due. */
+    void noteCall(std::uint64_t call, Timestamp due);
+    void noteCallEnd(std::uint64_t call);
+    /** An answer is overdue: the worker may be cut off, long before a call has timed out. */
+    bool isOverdue(Timestamp now) const;
     bool isKnown() const;
     Timestamp lastAnswerAt() const;
 
@@ -75,6 +82,8 @@
     Timestamp clockReadAt;
     Timestamp answeredAt = absl::InfinitePast();
     std::uint32_t silences = 0;
+    /** Calls under way and when their answers are due. */
+    std::map<std::uint64_t, Timestamp> dueAnswers;
 };
 
 } // namespace paddlepier::execution
--- a/paddlepier/planning/planner.cpp
+++ b/paddlepier/planning/planner.cpp
@@ -88,10 +88,11 @@
 void Planner::collectRooms()
 {
     this->rooms.clear();
+    const bool mayAvoidOverdue = this->areFewOverdue();
     for (const auto &[id, worker] : this->state.workers()) {
         const auto view = this->views.find(id);
-        const bool isUsable =
-            view != this->views.end() && view->second.isReachable(this->now) && !worker.registration.isDraining && view->second.startsBlockedUntil <= this->now;
+        const bool isUsable = view != this->views.end() && view->second.isReachable(this->now) && !worker.registration.isDraining
+                              && view->second.startsBlockedUntil <= this->now && !(mayAvoidOverdue && view->second.isOverdue(this->now));
         if (!isUsable) {
             continue;
         }
@@ -111,6 +112,13 @@
     }
 }
 
+bool Planner::areFewOverdue() const
+{
+    const auto overdue = std::count_if(this->views.begin(), this->views.end(), [this](const auto &entry) { return entry.second.isOverdue(this->now); });
+    // Where most answers are late it is this process that is slow, or cut off.
+    return static_cast<std::size_t>(overdue) * 2 < this->views.size();
+}
+
 void Planner::countRun(Room &room, const workload::TaskKey &key) const
 {
     const work::StepSpecT &step = this->state.findJob(key.job)->stepSpec(key.step);
--- a/paddlepier/planning/planner.h
+++ b/paddlepier/planning/planner.h
@@ -85,6 +85,8 @@
     };
 
     void collectRooms();
+    /** Few enough workers owe an answer to do without them. */
+    bool areFewOverdue() const;
     void countRun(Room &room, const workload::TaskKey &key) const;
     std::vector<Wanted> collectSteps() const;
     void collectStep(std::vector<Wanted> &wanted, const workload::Job &job, std::uint32_t occurrence, std::uint32_t step) const;
