--- a/paddlepier/base/log.cpp
+++ b/paddlepier/base/log.cpp
@@ -63,7 +63,7 @@
 void initialize(Level lowest)
 {
     static log4cplus::Initializer library;
-    log4cplus::SharedAppenderPtr appender(new log4cplus::ConsoleAppender(true, true));
+    log4cplus::SharedAppenderPtr appender(new log4cplus::ConsoleAppender(false, true));
     appender->setLayout(std::make_unique<log4cplus::PatternLayout>(linePattern));
     log4cplus::Logger root = log4cplus::Logger::getRoot();
     root.removeAllAppenders();
--- a/paddlepier/base/log.h
+++ b/paddlepier/base/log.h
@@ -1,4 +1,4 @@
-// Structured logs: one JSON object a line on standard error.
+// Structured logs: one JSON object a line on standard output.
 //
 // Every line has `time`, `level`, `component` and `event`, and then the event's own fields. Fields are typed, so that a
 // number stays a number in JSON.
