--- a/paddlepier/execution/dispatcher_test.cpp
+++ b/paddlepier/execution/dispatcher_test.cpp
@@ -292,15 +292,16 @@
 TEST_CASE_METHOD(DispatcherFixture, "placement_whileAnAnswerIsOverdue_goesToOtherWorkers")
 {
     this->addWorker("w1");
-    this->addWorker("w2");
-    this->addWorker("w3");
     this->newLeader();
     this->runFor(absl::Seconds(1));
     this->workers.workers["w1"].isCut = true;
-    this->addJob("first", 12, 100);
-    this->runFor(absl::Milliseconds(400));
-    // Well before any call to the cut-off worker has timed out.
-    this->addJob("second", 8, 100);
+    this->addJob("first", 1, 100);
+    this->runFor(absl::Milliseconds(100));
+    this->addWorker("w2");
+    this->addWorker("w3");
+    this->runFor(absl::Milliseconds(250));
+    // No call to the cut-off worker has timed out yet; it has the least free room, which is taken first otherwise.
+    this->addJob("second", 2, 100);
     CHECK(this->runUntil([this] { return this->isCompleted("second"); }, absl::Milliseconds(400)));
     CHECK(this->workers.problems.empty());
 }
--- a/paddlepier/planning/planner.cpp
+++ b/paddlepier/planning/planner.cpp
@@ -429,7 +429,7 @@
         // Room that is free or on its way serves first.
         std::int64_t available = std::max<std::int64_t>(0, room.processors) + room.comingProcessors;
         for (const workload::TaskKey &key : room.worker->runs) {
-            if (available >= each) {
+            if (available >= each * static_cast<std::int64_t>(missing)) {
                 break;
             }
             const workload::Job &job = *this->state.findJob(key.job);
--- /dev/null
+++ b/paddlepier/planning/planner_test.cpp
@@ -0,0 +1,251 @@
+// Where waiting tasks go, what is asked first, and what makes way.
+
+#include "paddlepier/planning/planner.h"
+
+#include <catch2/catch.hpp>
+
+namespace paddlepier::planning
+{
+
+namespace
+{
+
+class PlannerFixture
+{
+public:
+    PlannerFixture()
+        : planner(this->state, this->views, this->tracks, this->advice, this->usualRatios)
+    {
+    }
+
+    template<typename Table>
+    workload::Outcome apply(Table table)
+    {
+        work::EntryT entry;
+        entry.atMillis = this->wallMillis;
+        entry.command.Set(std::move(table));
+        return this->state.apply(entry);
+    }
+
+    /** Queues `urgent` (priority 0), `slow` (priority 2) and `advised` (priority 1, with a policy). */
+    void configure()
+    {
+        work::ChangeConfigurationT configuration;
+        configuration.version = 1;
+        for (const auto &[name, priority] : {std::pair("urgent", 0U), std::pair("slow", 2U), std::pair("advised", 1U)}) {
+            auto &queue = configuration.queues.emplace_back(std::make_unique<work::QueueSpecT>());
+            queue->name = name;
+            queue->service = "pool";
+            queue->priority = priority;
+            queue->maxAttempts = 3;
+            queue->stretch = 2;
+        }
+        configuration.queues.back()->advice = std::make_unique<work::AdvicePolicyT>();
+        configuration.queues.back()->advice->decisionMillis = 20;
+        configuration.queues.back()->advice->perWorkerMillis = 1;
+        configuration.queues.back()->advice->validMillis = 2000;
+        configuration.services.emplace_back(std::make_unique<work::ServiceSpecT>())->name = "pool";
+        this->apply(std::move(configuration));
+    }
+
+    void addWorker(const std::string &id, const std::string &rack = "r1-1", std::uint32_t processors = 4000)
+    {
+        work::RegisterWorkerT registration;
+        registration.id = id;
+        registration.service = "pool";
+        registration.labels = {"a", rack};
+        registration.capacity = std::make_unique<work::Demand>(processors, 10'000, 0);
+        this->apply(std::move(registration));
+        this->views.try_emplace(id, this->now, absl::Seconds(10)).first->second.noteAnswer(this->now, 1000);
+    }
+
+    work::StepSpecT &addJob(const std::string &id, const std::string &queue, std::uint32_t tasks)
+    {
+        this->pending.id = id;
+        this->pending.queue = queue;
+        this->pending.spec = std::make_unique<work::JobSpecT>();
+        auto &step = this->pending.spec->steps.emplace_back(std::make_unique<work::StepSpecT>());
+        step->count = tasks;
+        step->estimatedMillis = 1000;
+        step->demand = std::make_unique<work::Demand>(1000, 100, 0);
+        return *step;
+    }
+
+    void submit()
+    {
+        this->apply(std::move(this->pending));
+        this->pending = work::SubmitJobT();
+    }
+
+    Plan plan()
+    {
+        return this->planner.plan(this->now, this->wallMillis);
+    }
+
+    /** Carries a plan's placements out: the runs are then under way. */
+    void place(Plan plan)
+    {
+        work::PlaceRunsT command;
+        for (work::PlacementT &placement : plan.placements) {
+            execution::RunTrack track;
+            track.worker = placement.worker;
+            track.run = placement.run;
+            track.phase = execution::RunPhase::Running;
+            this->tracks[workload::TaskKey(*placement.task)] = track;
+            command.placements.push_back(std::make_unique<work::PlacementT>(std::move(placement)));
+        }
+        this->apply(std::move(command));
+    }
+
+    Timestamp now = absl::UnixEpoch() + absl::Hours(1);
+    std::int64_t wallMillis = 1'000'000;
+    workload::Workload state;
+    std::map<std::string, execution::WorkerView> views;
+    execution::RunTracks tracks;
+    AdviceBook advice;
+    std::map<std::string, double> usualRatios;
+    Planner planner;
+    work::SubmitJobT pending;
+};
+
+} // namespace
+
+TEST_CASE_METHOD(PlannerFixture, "gang_withoutRoomForAll_isNotPlaced")
+{
+    this->configure();
+    this->addWorker("w1");
+    this->addJob("a", "slow", 5).isGang = true;
+    this->submit();
+    CHECK(this->plan().placements.empty());
+    this->addWorker("w2");
+    const Plan plan = this->plan();
+    REQUIRE(plan.placements.size() == 5);
+    for (const work::PlacementT &placement : plan.placements) {
+        CHECK(placement.run == 1);
+    }
+}
+
+TEST_CASE_METHOD(PlannerFixture, "task_withDataOnARack_goesThereWhileThereIsRoom")
+{
+    this->configure();
+    this->addWorker("w1", "r1-1");
+    this->addWorker("w2", "r1-2", 16'000);
+    this->addJob("a", "slow", 4).dataRack = "r1-2";
+    this->submit();
+    const Plan plan = this->plan();
+    REQUIRE(plan.placements.size() == 4);
+    for (const work::PlacementT &placement : plan.placements) {
+        CHECK(placement.worker == "w2");
+    }
+}
+
+TEST_CASE_METHOD(PlannerFixture, "step_withABoundForEachWorker_keepsToIt")
+{
+    this->configure();
+    this->addWorker("w1");
+    this->addWorker("w2");
+    this->addJob("a", "slow", 4).mostPerWorker = 1;
+    this->submit();
+    CHECK(this->plan().placements.size() == 2);
+}
+
+TEST_CASE_METHOD(PlannerFixture, "step_thatNeedsALabel_goesToNoOtherWorker")
+{
+    this->configure();
+    this->addWorker("w1");
+    this->addJob("a", "slow", 1).requiredLabel = "b";
+    this->submit();
+    CHECK(this->plan().placements.empty());
+}
+
+TEST_CASE_METHOD(PlannerFixture, "question_forAStepWithAPolicy_comesBeforeItsPlacement")
+{
+    this->configure();
+    for (int number = 0; number < 12; ++number) {
+        this->addWorker("w" + std::to_string(number));
+    }
+    this->addJob("a", "advised", 2);
+    this->submit();
+    const Plan plan = this->plan();
+    CHECK(plan.placements.empty());
+    REQUIRE(plan.questions.size() == 1);
+    // Naming a worker costs a twentieth of the question: several are named at once.
+    CHECK(plan.questions[0].workers.size() >= 7);
+    CHECK(this->plan().questions.empty());
+    execution::AdviceAnswer answer;
+    answer.isAnswered = true;
+    answer.good.emplace_back();
+    answer.good.back().worker = plan.questions[0].workers[0];
+    answer.good.back().ticket = "t";
+    this->advice.answer(this->now, plan.questions[0].id, answer);
+    const Plan next = this->plan();
+    REQUIRE(next.placements.size() == 2);
+    CHECK(next.placements[0].worker == plan.questions[0].workers[0]);
+    this->now += absl::Seconds(3);
+    CHECK(this->plan().placements.empty());
+}
+
+TEST_CASE_METHOD(PlannerFixture, "urgentWork_withoutRoom_makesCheckpointingWorkGiveWay")
+{
+    this->configure();
+    this->addWorker("w1");
+    this->addJob("slow", "slow", 4).isCheckpointing = true;
+    this->submit();
+    this->place(this->plan());
+    this->addJob("quick", "urgent", 2);
+    this->submit();
+    const Plan plan = this->plan();
+    CHECK(plan.placements.empty());
+    CHECK(plan.preempted.size() == 2);
+}
+
+TEST_CASE_METHOD(PlannerFixture, "urgentWork_withoutRoom_leavesLastingAndUnsavedWorkAlone")
+{
+    this->configure();
+    this->addWorker("w1");
+    this->addJob("lasting", "slow", 2).isLasting = true;
+    this->submit();
+    this->addJob("unsaved", "slow", 2);
+    this->submit();
+    this->place(this->plan());
+    this->addJob("quick", "urgent", 2);
+    this->submit();
+    CHECK(this->plan().preempted.empty());
+}
+
+TEST_CASE_METHOD(PlannerFixture, "hopelessJob_beforeAFreshOne_isServedAfterIt")
+{
+    this->configure();
+    this->addJob("old", "slow", 4);
+    this->submit();
+    this->wallMillis += 60'000;
+    this->addJob("fresh", "slow", 4);
+    this->submit();
+    this->addWorker("w1");
+    const Plan plan = this->plan();
+    REQUIRE(plan.placements.size() == 4);
+    CHECK(plan.placements[0].task->job == "fresh");
+}
+
+TEST_CASE_METHOD(PlannerFixture, "drainingAndSuspiciousWorkers_getNoWork")
+{
+    this->configure();
+    this->addWorker("w1");
+    this->addWorker("w2");
+    this->addWorker("w3");
+    this->views.at("w1").noteFailedRun(this->now);
+    this->views.at("w1").noteFailedRun(this->now);
+    work::RegisterWorkerT draining = this->state.findWorker("w2")->registration;
+    draining.isDraining = true;
+    this->apply(std::move(draining));
+    this->addJob("a", "slow", 12);
+    this->submit();
+    const Plan plan = this->plan();
+    REQUIRE(plan.placements.size() == 4);
+    CHECK(plan.placements[0].worker == "w3");
+    this->now += absl::Seconds(30);
+    // After its time out the suspicious worker shows itself by one run.
+    CHECK(this->plan().placements.size() >= 5);
+}
+
+} // namespace paddlepier::planning
