--- /dev/null
+++ b/paddlepier/replication/replicanode_detail.h
@@ -0,0 +1,378 @@
+// Function bodies of ReplicaNode; included by replicanode.h alone.
+
+#ifndef PADDLEPIER_REPLICATION_REPLICANODE_DETAIL_H
+#define PADDLEPIER_REPLICATION_REPLICANODE_DETAIL_H
+
+// IWYU pragma: private, include "paddlepier/replication/replicanode.h"
+#include "paddlepier/replication/replicanode.h"
+
+namespace paddlepier::replication
+{
+
+template<ReplicatedState State>
+ReplicaNode<State>::ReplicaNode(
+    GroupOptions groupOptions, DiskWriter &diskWriter, Send frameSender, Counters &counters, Timestamp startedAt, std::uint64_t seed)
+    : options(std::move(groupOptions))
+    , disk(diskWriter)
+    , send(std::move(frameSender))
+    , appliedEntries(counters.counter(absl::StrCat("ledger_applied_entries_total{ledger=\"", this->options.name, "\"}")))
+    , commitTimes(counters.histogram(absl::StrCat("ledger_commit{ledger=\"", this->options.name, "\"}")))
+    , store(std::make_shared<storage::ReplicaStore>(this->options.folder, this->options.instance, seed))
+    , admission(
+          [this](consensus::Admission::Step step, const std::string &replica) {
+              log::info("ledger", consensus::nameOf(step), {{"ledger", this->options.name}, {"replica", replica}});
+          },
+          this->options.admission)
+    , now(startedAt)
+    , leaderSeenAt(startedAt)
+{
+    this->core =
+        std::make_unique<consensus::Replica>(detail::replicaSettings(this->options, this->store->identity()), this->store->takeRecovered(), startedAt, seed);
+    if (this->core->currentSnapshot()) {
+        this->stateMachine.restore(wire::toString(this->core->currentSnapshot()->data));
+        this->appliedIndex = this->core->currentSnapshot()->index;
+    }
+    for (const std::string &founder : this->options.founders) {
+        this->addPeer(founder);
+    }
+    log::info("ledger", "replica.opened", {{"ledger", this->options.name}, {"replica", this->store->identity()}, {"lastIndex", this->core->lastIndex()}});
+}
+
+template<ReplicatedState State>
+const std::string &ReplicaNode<State>::name() const
+{
+    return this->options.name;
+}
+
+template<ReplicatedState State>
+State &ReplicaNode<State>::state()
+{
+    return this->stateMachine;
+}
+
+template<ReplicatedState State>
+const consensus::Replica &ReplicaNode<State>::replica() const
+{
+    return *this->core;
+}
+
+template<ReplicatedState State>
+std::string ReplicaNode<State>::leaderInstance() const
+{
+    return consensus::instanceOf(this->core->leader());
+}
+
+template<ReplicatedState State>
+std::vector<std::string> ReplicaNode<State>::knownInstances() const
+{
+    std::set<std::string> known = this->peers;
+    for (const std::string &replica : this->core->membership().voters) {
+        known.insert(consensus::instanceOf(replica));
+    }
+    for (const std::string &replica : this->core->membership().learners) {
+        known.insert(consensus::instanceOf(replica));
+    }
+    known.insert(this->options.instance);
+    return {known.begin(), known.end()};
+}
+
+template<ReplicatedState State>
+void ReplicaNode<State>::addPeer(const std::string &instance)
+{
+    if (instance != this->options.instance) {
+        this->peers.insert(instance);
+    }
+}
+
+template<ReplicatedState State>
+bool ReplicaNode<State>::isVoter() const
+{
+    return detail::holdsName(this->core->membership().voters, this->store->identity());
+}
+
+template<ReplicatedState State>
+bool ReplicaNode<State>::isServing(Timestamp at) const
+{
+    // A new group accepts nothing before all its replicas vote: until then one lost instance would stop it, and one lost
+    // disk could lose what it accepted. Later on it serves through repairs.
+    const bool isFormed = this->stateMachine.hasHistory() || this->core->membership().voters.size() >= this->options.founders.size();
+    // Entries of earlier terms count as committed before flush() applies them: a state read in between lacks them.
+    const bool hasApplied = this->appliedTerm == this->core->currentTerm();
+    return isFormed && hasApplied && this->core->isCaughtUpLeader() && this->core->hasLeaderLease(at);
+}
+
+template<ReplicatedState State>
+void ReplicaNode<State>::handOver(Timestamp at)
+{
+    if (this->core->isLeader()) {
+        log::info("ledger", "leadership.handed-over", {{"ledger", this->options.name}});
+        this->core->handOver(at);
+    }
+}
+
+template<ReplicatedState State>
+void ReplicaNode<State>::receive(Timestamp at, wire::PeerFrameT frame)
+{
+    this->now = at;
+    if (const auto *request = frame.body.AsJoinRequest()) {
+        this->receiveJoinRequest(frame.fromInstance, *request);
+        return;
+    }
+    if (const auto *reply = frame.body.AsJoinReply()) {
+        this->receiveJoinReply(frame.fromInstance, *reply);
+        return;
+    }
+    // A frame to an earlier replica of this instance must not reach the new one, nor one in another instance's name.
+    if (frame.toReplica != this->store->identity() || consensus::instanceOf(frame.fromReplica) != frame.fromInstance) {
+        return;
+    }
+    this->core->receive(at, frame.fromReplica, std::move(frame.body));
+}
+
+template<ReplicatedState State>
+void ReplicaNode<State>::tick(Timestamp at)
+{
+    this->now = at;
+    this->core->tick(at);
+    if (!this->core->leader().empty()) {
+        this->leaderSeenAt = at;
+    }
+    const bool mayBeRemoved = this->options.acceptsNewInstances && at - this->leaderSeenAt > detail::leaderSilence;
+    if (!this->isVoter() || mayBeRemoved) {
+        this->seekMembership(at);
+    }
+    if (this->core->isLeader()) {
+        this->admission.advance(*this->core, at);
+    }
+    if (this->wasLeader != this->core->isLeader()) {
+        this->wasLeader = this->core->isLeader();
+        log::info("ledger",
+                  this->wasLeader ? "leadership.won" : "leadership.lost",
+                  {{"ledger", this->options.name}, {"term", this->core->currentTerm()}, {"replica", this->store->identity()}});
+    }
+    if (!this->core->isLeader()) {
+        this->failProposals();
+    }
+}
+
+template<ReplicatedState State>
+void ReplicaNode<State>::seekMembership(Timestamp at)
+{
+    if (at < this->nextJoin) {
+        return;
+    }
+    this->nextJoin = at + detail::joinInterval;
+    for (const std::string &instance : this->peers) {
+        wire::JoinRequestT request;
+        request.instance = this->options.instance;
+        request.replica = this->store->identity();
+        wire::PeerFrameT frame;
+        frame.group = this->options.name;
+        frame.body.Set(std::move(request));
+        this->send(instance, std::move(frame));
+    }
+    this->formIfAllAgree(at);
+    this->formedByInstance.clear();
+}
+
+template<ReplicatedState State>
+void ReplicaNode<State>::formIfAllAgree(Timestamp at)
+{
+    // Only the first instance of the list forms the group, and only when every other one has said that there is none.
+    const std::vector<std::string> &founders = this->options.founders;
+    if (!this->options.mayForm || founders.empty() || founders.front() != this->options.instance || this->core->isMember()) {
+        return;
+    }
+    const auto saysNo = [this](const std::string &founder) {
+        const auto answer = this->formedByInstance.find(founder);
+        return founder == this->options.instance || (answer != this->formedByInstance.end() && !answer->second);
+    };
+    if (std::all_of(founders.begin(), founders.end(), saysNo)) {
+        log::warning("ledger", "group.formed", {{"ledger", this->options.name}, {"replica", this->store->identity()}});
+        this->core->formGroup(at);
+    }
+}
+
+template<ReplicatedState State>
+void ReplicaNode<State>::receiveJoinRequest(const std::string &fromInstance, const wire::JoinRequestT &request)
+{
+    const bool isExpected = this->options.acceptsNewInstances || detail::holdsName(this->options.founders, fromInstance);
+    if (request.instance != fromInstance || consensus::instanceOf(request.replica) != fromInstance || !isExpected) {
+        return;
+    }
+    this->addPeer(fromInstance);
+    if (this->core->isLeader()) {
+        this->admission.request(fromInstance, request.replica);
+    }
+    wire::JoinReplyT reply;
+    reply.instance = this->options.instance;
+    reply.replica = this->store->identity();
+    reply.formed = this->core->isMember();
+    reply.members = this->knownInstances();
+    wire::PeerFrameT frame;
+    frame.group = this->options.name;
+    frame.body.Set(std::move(reply));
+    this->send(fromInstance, std::move(frame));
+}
+
+template<ReplicatedState State>
+void ReplicaNode<State>::receiveJoinReply(const std::string &fromInstance, const wire::JoinReplyT &reply)
+{
+    this->formedByInstance[fromInstance] = reply.formed;
+    if (this->options.acceptsNewInstances) {
+        for (const std::string &member : reply.members) {
+            this->addPeer(member);
+        }
+    }
+}
+
+template<ReplicatedState State>
+void ReplicaNode<State>::proposeBytes(const std::string &command, Completed completed)
+{
+    const std::optional<consensus::Index> index = this->core->propose(command);
+    if (!index) {
+        completed(State::failure(ErrorCode::NotLeader, "this replica does not lead"));
+        return;
+    }
+    this->proposals[*index] = {this->core->currentTerm(), std::move(completed)};
+    this->proposedAt[*index] = this->now;
+}
+
+template<ReplicatedState State>
+void ReplicaNode<State>::failProposals()
+{
+    std::map<consensus::Index, Proposal> failed;
+    failed.swap(this->proposals);
+    this->proposedAt.clear();
+    const Outcome lost = State::failure(ErrorCode::Timeout, "leadership was lost before the change was agreed on; it may still be made");
+    for (auto &[index, proposal] : failed) {
+        proposal.completed(lost);
+    }
+}
+
+template<ReplicatedState State>
+void ReplicaNode<State>::flush(Timestamp at)
+{
+    this->now = at;
+    this->core->replicate(at);
+    consensus::Effects effects = this->core->takeEffects();
+    this->sendAll(effects.now);
+    if (effects.resetToSnapshot) {
+        this->stateMachine.restore(wire::toString(effects.snapshot->data));
+        this->appliedIndex = effects.snapshot->index;
+        log::info("ledger", "snapshot.installed", {{"ledger", this->options.name}, {"index", this->appliedIndex}});
+    }
+    this->mergeDurable(effects);
+    this->writeDurable();
+    for (const wire::LogRecordT &entry : effects.committed) {
+        this->applyOne(entry);
+    }
+    if (this->core->isCaughtUpLeader() && this->appliedIndex >= this->core->commitIndex()) {
+        this->appliedTerm = this->core->currentTerm();
+    }
+    this->compactIfLong();
+}
+
+template<ReplicatedState State>
+void ReplicaNode<State>::mergeDurable(consensus::Effects &effects)
+{
+    if (!effects.isDurable() && effects.afterSync.empty()) {
+        return;
+    }
+    consensus::Effects &merged = this->waiting.effects;
+    this->waiting.isEmpty = false;
+    if (effects.snapshot) {
+        merged.snapshot = effects.snapshot;
+        merged.entries.clear();
+    }
+    if (effects.hardState) {
+        merged.hardState = effects.hardState;
+    }
+    std::move(effects.entries.begin(), effects.entries.end(), std::back_inserter(merged.entries));
+    std::move(effects.afterSync.begin(), effects.afterSync.end(), std::back_inserter(merged.afterSync));
+}
+
+template<ReplicatedState State>
+void ReplicaNode<State>::writeDurable()
+{
+    if (this->diskBusy || this->waiting.isEmpty) {
+        return;
+    }
+    auto work = std::make_shared<consensus::Effects>(std::move(this->waiting.effects));
+    this->waiting = DurableWork();
+    const auto completed = [this, work] {
+        this->diskBusy = false;
+        this->sendAll(work->afterSync);
+        if (!work->entries.empty()) {
+            this->core->persisted(this->now, work->entries.back().index, work->entries.back().term);
+        }
+    };
+    if (!work->isDurable()) {
+        completed();
+        return;
+    }
+    this->diskBusy = true;
+    this->disk.submit(
+        [work, files = this->store] {
+            if (work->snapshot) {
+                files->saveSnapshot(*work->snapshot, *work->hardState, work->entries);
+            } else {
+                files->append(work->hardState ? &*work->hardState : nullptr, work->entries);
+            }
+        },
+        completed);
+}
+
+template<ReplicatedState State>
+void ReplicaNode<State>::sendAll(std::vector<consensus::Outbound> &messages)
+{
+    for (consensus::Outbound &message : messages) {
+        wire::PeerFrameT frame;
+        frame.group = this->options.name;
+        frame.fromReplica = this->store->identity();
+        frame.toReplica = message.to;
+        frame.body = std::move(message.body);
+        this->send(consensus::instanceOf(message.to), std::move(frame));
+    }
+    messages.clear();
+}
+
+template<ReplicatedState State>
+void ReplicaNode<State>::applyOne(const wire::LogRecordT &entry)
+{
+    this->appliedIndex = entry.index;
+    this->appliedEntries.add();
+    Outcome outcome{};
+    if (entry.kind == wire::EntryKind::Command) {
+        outcome = this->stateMachine.apply(entry.data);
+    }
+    const auto proposal = this->proposals.find(entry.index);
+    if (proposal == this->proposals.end()) {
+        return;
+    }
+    if (proposal->second.term != entry.term) {
+        outcome = State::failure(ErrorCode::Timeout, "another leader's change was agreed on instead");
+    }
+    this->commitTimes.record(this->now - this->proposedAt[entry.index]);
+    this->proposedAt.erase(entry.index);
+    const Completed completed = std::move(proposal->second.completed);
+    this->proposals.erase(proposal);
+    completed(outcome);
+}
+
+template<ReplicatedState State>
+void ReplicaNode<State>::compactIfLong()
+{
+    if (this->diskBusy || !this->waiting.isEmpty || this->core->lastIndex() - this->core->firstIndex() < detail::entriesPerSnapshot) {
+        return;
+    }
+    this->core->compact(this->appliedIndex, this->stateMachine.snapshot());
+    consensus::Effects effects = this->core->takeEffects();
+    this->sendAll(effects.now);
+    this->mergeDurable(effects);
+    this->writeDurable();
+}
+
+} // namespace paddlepier::replication
+
+#endif
