--- a/paddlepier/planning/advicebook.cpp
+++ b/paddlepier/planning/advicebook.cpp
@@ -49,12 +49,6 @@
     return ticket != found->second.permitted.end() && ticket->second.validUntil > now ? &ticket->second : nullptr;
 }
 
-bool AdviceBook::isAsking(const workload::StepKey &step) const
-{
-    const auto found = this->steps.find(step);
-    return found != this->steps.end() && found->second.asking > 0;
-}
-
 bool AdviceBook::mayAsk(Timestamp now, const workload::StepKey &step) const
 {
     const auto found = this->steps.find(step);
--- a/paddlepier/planning/advicebook.h
+++ b/paddlepier/planning/advicebook.h
@@ -38,7 +38,6 @@
     Standing standing(Timestamp now, const workload::StepKey &step, const std::string &worker) const;
     /** Null unless the worker may run the step and the ticket is still good. */
     const Ticket *validTicket(Timestamp now, const workload::StepKey &step, const std::string &worker) const;
-    bool isAsking(const workload::StepKey &step) const;
     /** False while an answer is awaited, and for a short while after a question that got none. */
     bool mayAsk(Timestamp now, const workload::StepKey &step) const;
 
