--- a/paddlepier/peer/transport.cpp
+++ b/paddlepier/peer/transport.cpp
@@ -289,8 +289,8 @@
             this->addOutgoing(name, *endpoint);
         }
         Outgoing &connection = *this->outgoing.at(name);
-        const bool isPausing = connection.socket < 0 && controlNow() < connection.nextTry;
-        if (isPausing || connection.buffer.size() + bytes.size() > mostQueuedBytes) {
+        // What is sent in the pause before the next try goes out with it; at a start, peers often come up within one.
+        if (connection.buffer.size() + bytes.size() > mostQueuedBytes) {
             this->droppedFrames.add();
             continue;
         }
