Elect at once after a restart of the whole group; look for the leader at every core

Ruled out: start of the processes (67 ms) and opening of the store (10 ms). Change: a replica that has heard from no leader since its start asks for pre-votes every 30 to 60 ms. If every voter, not a majority, says that it knows no leader, none can hold a lease, and the vote need not wait. An instance without a leader asks all cores at once, and one late answer no longer makes it forget a leader that answers others. Tests: group_allRestartedAtOnce_electsWithoutWaitingForOldPromises (fails before), group_restartBesideCutLeader_hasOneLease and its red twin with a majority instead of all; the fuzz; presence_whileNoLeaderIsKnown_goesToEveryCore.

--- a/paddlepier/cluster/leaderclient.cpp
+++ b/paddlepier/cluster/leaderclient.cpp
@@ -71,10 +71,22 @@
 void LeaderClient::attempt(Timestamp now, std::uint64_t id, Pending &pending)
 {
     pending.nextTry = now + answerPatience;
-    pending.target = this->nextTarget();
-    if (pending.target.empty()) {
+    if (pending.method == WorkMethod::Presence && this->leader.empty()) {
+        // Looking for the leader: whoever leads answers, however many of the others are gone.
+        pending.target.clear();
+        for (const std::string &core : this->coreInstances) {
+            this->sendTo(core, id, pending);
+        }
         return;
     }
+    pending.target = this->nextTarget();
+    if (!pending.target.empty()) {
+        this->sendTo(pending.target, id, pending);
+    }
+}
+
+void LeaderClient::sendTo(const std::string &instance, std::uint64_t id, Pending &pending)
+{
     ++pending.unanswered;
     wire::CallRequestT request;
     request.id = id;
@@ -82,7 +94,7 @@
     request.body = wire::toBytes(pending.body);
     wire::PeerFrameT frame;
     frame.body.Set(std::move(request));
-    this->send(pending.target, std::move(frame));
+    this->send(instance, std::move(frame));
 }
 
 void LeaderClient::receiveReply(Timestamp now, const std::string &fromInstance, const wire::CallReplyT &reply)
@@ -117,7 +129,8 @@
         if (pending.deadline <= now) {
             late.push_back(id);
         } else if (pending.nextTry <= now) {
-            if (pending.target == this->leader && pending.unanswered > 0) {
+            // One late answer is no proof while others come: a commit may wait for a slow disk.
+            if (pending.target == this->leader && pending.unanswered > 0 && now - this->answeredAt >= answerPatience) {
                 this->leader.clear();
             }
             this->attempt(now, id, pending);
--- a/paddlepier/cluster/leaderclient.h
+++ b/paddlepier/cluster/leaderclient.h
@@ -55,12 +55,14 @@
         CallDone done;
         Timestamp deadline;
         Timestamp nextTry;
+        /** Who was asked last; empty if nobody was, or all were. */
         std::string target;
         /** Attempts whose fate isn't known. */
         std::uint32_t unanswered = 0;
     };
 
     void attempt(Timestamp now, std::uint64_t id, Pending &pending);
+    void sendTo(const std::string &instance, std::uint64_t id, Pending &pending);
     std::string nextTarget();
     void end(std::uint64_t id, const CallResult &result);
 
--- a/paddlepier/cluster/leaderclient_test.cpp
+++ b/paddlepier/cluster/leaderclient_test.cpp
@@ -34,9 +34,9 @@
         this->client.addCore("c:1");
     }
 
-    void call(Duration patience = absl::Seconds(2))
+    void call(Duration patience = absl::Seconds(2), WorkMethod method = WorkMethod::Announce)
     {
-        this->client.call(this->now, WorkMethod::Presence, "", patience, [this](const CallResult &result) { this->results.push_back(result); });
+        this->client.call(this->now, method, "", patience, [this](const CallResult &result) { this->results.push_back(result); });
     }
 
     void reply(const Sent &request, ErrorCode error, const std::string &leader = "")
@@ -116,6 +116,27 @@
     CHECK(this->results[0].error == ErrorCode::Timeout);
 }
 
+TEST_CASE_METHOD(LeaderClientFixture, "presence_whileNoLeaderIsKnown_goesToEveryCore")
+{
+    this->call(absl::Seconds(1), WorkMethod::Presence);
+    CHECK(this->sent.size() == 3);
+}
+
+TEST_CASE_METHOD(LeaderClientFixture, "call_lateWhileTheLeaderAnswersOthers_staysWithIt")
+{
+    this->call();
+    this->reply({"b:1", this->sent[0].id}, ErrorCode::None);
+    this->call(absl::Seconds(2));
+    for (int round = 0; round < 5; ++round) {
+        this->pass(absl::Milliseconds(200));
+        this->call();
+        this->reply(this->sent.back(), ErrorCode::None);
+    }
+    for (const Sent &request : this->sent) {
+        CHECK((request.id == this->sent[0].id || request.to == "b:1"));
+    }
+}
+
 TEST_CASE_METHOD(LeaderClientFixture, "lateAnswer_afterTheEnd_changesNothing")
 {
     this->call(absl::Milliseconds(200));
--- a/paddlepier/consensus/replica.cpp
+++ b/paddlepier/consensus/replica.cpp
@@ -10,6 +10,14 @@
 namespace paddlepier::consensus
 {
 
+namespace
+{
+
+/** An election takes two syncs and a round trip on top of what a pre-vote takes: several probes' time. */
+constexpr int probesOfOneElection = 5;
+
+} // namespace
+
 const char *nameOf(ReplicaRole role)
 {
     static constexpr std::array<const char *, 4> names{"Follower", "PreCandidate", "Candidate", "Leader"};
@@ -22,6 +30,8 @@
     , hardState(std::move(recovered.hardState))
     , snapshot(std::move(recovered.snapshot))
     , lastHeardLeader(now) // A restarted voter may have promised a leader its silence just before.
+    , startedAt(now)
+    , termAtStart(this->hardState.term)
 {
     if (this->snapshot) {
         this->baseIndex = this->snapshot->index;
@@ -69,10 +79,27 @@
     this->effects.hardState = this->hardState;
 }
 
+bool Replica::isFreshlyStarted(Timestamp now) const
+{
+    return !this->heardLeader && this->role != ReplicaRole::Leader && now - this->startedAt < 2 * this->settings.election;
+}
+
+bool Replica::hasUnanimousRestart() const
+{
+    const std::size_t needed = this->settings.guards.unanimousRestart ? this->members.voters.size() : this->quorum();
+    return !this->heardLeader && this->leaderless.size() >= needed;
+}
+
 void Replica::resetElectionTimer(Timestamp now)
 {
     std::uniform_real_distribution<double> spread(1.0, 2.0);
-    this->electionDeadline = now + this->settings.election * spread(this->random);
+    Duration shortest = this->settings.election;
+    if (this->isFreshlyStarted(now) && this->settings.guards.preVote) {
+        // Whoever has just voted, for itself or another, gives that election time to end.
+        const bool hasVoted = this->hardState.term > this->termAtStart;
+        shortest = this->settings.restartProbe * (hasVoted ? probesOfOneElection : 1);
+    }
+    this->electionDeadline = now + shortest * spread(this->random);
 }
 
 void Replica::becomeFollower(Term newTerm, const std::string &newLeader)
@@ -88,27 +115,30 @@
     this->votes.clear();
 }
 
-void Replica::startElection(Timestamp now, bool preVote, bool handOver)
+void Replica::startElection(Timestamp now, bool preVote, bool handOver, bool afterRestart)
 {
-    this->resetElectionTimer(now);
     if (!this->isVoter(this->settings.self)) {
+        this->resetElectionTimer(now);
         return;
     }
     this->leaderName.clear();
     this->votes.clear();
     this->votes[this->settings.self] = true;
+    this->leaderless = {this->settings.self};
     this->role = preVote ? ReplicaRole::PreCandidate : ReplicaRole::Candidate;
     if (!preVote) {
         ++this->hardState.term;
         this->hardState.votedFor = this->settings.self;
         this->saveHardState();
     }
+    this->resetElectionTimer(now);
     wire::VoteRequestT request;
     request.term = preVote ? this->hardState.term + 1 : this->hardState.term;
     request.lastIndex = this->lastIndex();
     request.lastTerm = *this->termAt(this->lastIndex());
     request.preVote = preVote;
     request.handOver = handOver;
+    request.afterRestart = afterRestart;
     for (const std::string &voter : this->members.voters) {
         if (voter != this->settings.self) {
             this->sendAfterSync(voter, request);
@@ -127,6 +157,7 @@
 void Replica::becomeLeader(Timestamp now)
 {
     this->role = ReplicaRole::Leader;
+    this->heardLeader = true;
     this->leaderName = this->settings.self;
     this->leadingSince = now;
     this->progresses.clear();
@@ -190,12 +221,18 @@
 bool Replica::mayVote(Timestamp now, const wire::VoteRequestT &request) const
 {
     const bool hearsLeader = this->role == ReplicaRole::Leader || now - this->lastHeardLeader < this->settings.election;
-    if (this->settings.guards.stickyVotes && hearsLeader && !request.handOver) {
+    const bool needNotWait = request.handOver || (request.afterRestart && !this->heardLeader);
+    if (this->settings.guards.stickyVotes && hearsLeader && !needNotWait) {
         return false;
     }
+    return this->isUpToDate(request);
+}
+
+bool Replica::isUpToDate(const wire::VoteRequestT &request) const
+{
     const Term lastTerm = *this->termAt(this->lastIndex());
-    const bool isUpToDate = request.lastTerm > lastTerm || (request.lastTerm == lastTerm && request.lastIndex >= this->lastIndex());
-    return isUpToDate && request.term >= this->hardState.term;
+    const bool hasAllEntries = request.lastTerm > lastTerm || (request.lastTerm == lastTerm && request.lastIndex >= this->lastIndex());
+    return hasAllEntries && request.term >= this->hardState.term;
 }
 
 void Replica::onVoteRequest(Timestamp now, const std::string &from, const wire::VoteRequestT &request)
@@ -206,6 +243,7 @@
     if (request.preVote) {
         reply.granted = willing && request.term > this->hardState.term;
         reply.term = reply.granted ? request.term : this->hardState.term;
+        reply.knowsNoLeader = !this->heardLeader && this->role != ReplicaRole::Leader && this->isUpToDate(request);
         this->sendAfterSync(from, reply);
         return;
     }
@@ -226,6 +264,13 @@
 
 void Replica::onVoteReply(Timestamp now, const std::string &from, const wire::VoteReplyT &reply)
 {
+    if (this->role == ReplicaRole::PreCandidate && reply.preVote && reply.knowsNoLeader && this->isVoter(from)) {
+        this->leaderless.insert(from);
+        if (this->hasUnanimousRestart()) {
+            this->startElection(now, false, false, true);
+            return;
+        }
+    }
     if (!reply.granted) {
         if (reply.term > this->hardState.term) {
             this->becomeFollower(reply.term, "");
--- a/paddlepier/consensus/replica.h
+++ b/paddlepier/consensus/replica.h
@@ -10,6 +10,10 @@
 //  - at most one leader a term; hasLeaderLease() is true on at most one replica at a time, if clocks run at the same
 //    rate within the drift bound.
 //
+// A voter that has restarted may have promised a leader its silence, and keeps it for an election timeout. After a restart
+// of the whole group that would be time lost: if every voter says that it knows no leader, there is none whose lease could
+// still run, and the group elects one at once.
+//
 // Example:
 //     Replica replica(settings, recovered, now, seed);
 //     replica.receive(now, from, message);
@@ -26,6 +30,7 @@
 #include "paddlepier/wire/peer_generated.h"
 
 #include <absl/container/flat_hash_map.h>
+#include <absl/container/flat_hash_set.h>
 
 #include <cstdint>
 #include <deque>
@@ -51,6 +56,8 @@
     bool stickyVotes = true;
     /** Acknowledge only what is synced. */
     bool syncBeforeAcknowledge = true;
+    /** An election right after a restart needs the word of every voter that it knows no leader, not of a majority. */
+    bool unanimousRestart = true;
 };
 
 struct ReplicaSettings {
@@ -59,6 +66,11 @@
     Duration heartbeat = absl::Milliseconds(100);
     /** Shortest silence after which a follower starts an election; the longest is twice that. */
     Duration election = absl::Milliseconds(500);
+    /**
+     * Shortest pause between the pre-votes of a replica that has heard from no leader since it was started; the longest
+     * is twice that. A few round trips.
+     */
+    Duration restartProbe = absl::Milliseconds(30);
     std::uint32_t driftPerMille = 10;
     std::size_t appendBytes = std::size_t{256} * 1024;
     std::size_t chunkBytes = std::size_t{256} * 1024;
@@ -164,9 +176,12 @@
     };
 
     void becomeFollower(Term newTerm, const std::string &newLeader);
-    void startElection(Timestamp now, bool preVote, bool handOver);
+    void startElection(Timestamp now, bool preVote, bool handOver, bool afterRestart = false);
     void becomeLeader(Timestamp now);
     void resetElectionTimer(Timestamp now);
+    /** It asks for votes, or answers, as one that was started a short while ago and has heard from no leader. */
+    bool isFreshlyStarted(Timestamp now) const;
+    bool hasUnanimousRestart() const;
     bool stepDownWithoutQuorum(Timestamp now);
 
     void onVoteRequest(Timestamp now, const std::string &from, const wire::VoteRequestT &request);
@@ -177,6 +192,7 @@
     void onSnapshotReply(Timestamp now, const std::string &from, const wire::SnapshotReplyT &reply);
     void acceptLeader(Timestamp now, const std::string &from, Term term);
     bool mayVote(Timestamp now, const wire::VoteRequestT &request) const;
+    bool isUpToDate(const wire::VoteRequestT &request) const;
     void noteAck(Timestamp now, Progress &progress, std::int64_t sentAtMicros);
 
     Index storeEntries(std::vector<std::unique_ptr<wire::LogRecordT>> &entries);
@@ -224,6 +240,12 @@
     std::string leaderName;
     Timestamp electionDeadline;
     Timestamp lastHeardLeader;
+    const Timestamp startedAt;
+    const Term termAtStart;
+    /** Since this replica was started it has heard from a leader, or has led. */
+    bool heardLeader = false;
+    /** Voters that know no leader, by their answers to the pre-vote under way. */
+    absl::flat_hash_set<std::string> leaderless;
     Timestamp leadingSince;
     Timestamp lastBroadcast;
     Index termStartIndex = 0;
--- a/paddlepier/consensus/replica_test.cpp
+++ b/paddlepier/consensus/replica_test.cpp
@@ -106,6 +106,64 @@
     REQUIRE(isBroken(guards));
 }
 
+namespace
+{
+
+/** The leader is cut off while both others restart: its lease still runs when they could elect another. */
+std::optional<std::string> restartBesideCutLeader(ReplicaGuards guards, std::uint64_t seed)
+{
+    FakeGroup group(3, guards, seed);
+    std::uint32_t leader = 0;
+    while (!group.replica(leader)->isLeader()) {
+        ++leader;
+    }
+    for (std::uint32_t other = 0; other < 3; ++other) {
+        group.step({Fault::Cut, leader, other});
+    }
+    for (const std::uint32_t other : {(leader + 1) % 3, (leader + 2) % 3}) {
+        group.step({Fault::Crash, other, 0});
+        group.step({Fault::Restart, other, 0});
+    }
+    group.step({Fault::Run, 390, 0});
+    group.settle();
+    return group.violation();
+}
+
+} // namespace
+
+TEST_CASE("group_restartBesideCutLeader_hasOneLease", "[proof][fuzz]")
+{
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        const std::optional<std::string> violation = restartBesideCutLeader({}, seed);
+        INFO("seed " << seed << ": " << violation.value_or(""));
+        CHECK_FALSE(violation);
+    }
+}
+
+TEST_CASE("group_restartTrustingAMajority_isCaught", "[proof][red]")
+{
+    ReplicaGuards guards;
+    guards.unanimousRestart = false;
+    REQUIRE(restartBesideCutLeader(guards, 1).has_value());
+}
+
+TEST_CASE("group_allRestartedAtOnce_electsWithoutWaitingForOldPromises", "[proof][fuzz]")
+{
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        FakeGroup group(3, {}, seed);
+        for (std::uint32_t member = 0; member < 3; ++member) {
+            group.step({Fault::Crash, member, 0});
+        }
+        for (std::uint32_t member = 0; member < 3; ++member) {
+            group.step({Fault::Restart, member, 0});
+        }
+        // Well below the shortest time after which a voter forgets its promise.
+        group.step({Fault::Run, 390, 0});
+        INFO("seed " << seed);
+        CHECK((group.replica(0)->isLeader() || group.replica(1)->isLeader() || group.replica(2)->isLeader()));
+    }
+}
+
 TEST_CASE("group_lostDiskUnderOldName_isCaught", "[proof][red]")
 {
     REQUIRE(isBroken({}, true));
--- a/paddlepier/consensus/replication.cpp
+++ b/paddlepier/consensus/replication.cpp
@@ -222,6 +222,7 @@
     }
     this->leaderName = from;
     this->lastHeardLeader = now;
+    this->heardLeader = true;
     this->resetElectionTimer(now);
 }
 
--- a/paddlepier/wire/peer_generated.h
+++ b/paddlepier/wire/peer_generated.h
@@ -1039,6 +1039,7 @@
   uint64_t lastTerm = 0;
   bool preVote = false;
   bool handOver = false;
+  bool afterRestart = false;
 };
 
 struct VoteRequest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -1053,7 +1054,8 @@
     VT_LASTINDEX = 6,
     VT_LASTTERM = 8,
     VT_PREVOTE = 10,
-    VT_HANDOVER = 12
+    VT_HANDOVER = 12,
+    VT_AFTERRESTART = 14
   };
   uint64_t term() const {
     return GetField<uint64_t>(VT_TERM, 0);
@@ -1071,6 +1073,10 @@
   bool handOver() const {
     return GetField<uint8_t>(VT_HANDOVER, 0) != 0;
   }
+  /// Every voter has said that it knows no leader: one that has restarted since it heard from one need not wait.
+  bool afterRestart() const {
+    return GetField<uint8_t>(VT_AFTERRESTART, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_TERM, 8) &&
@@ -1078,6 +1084,7 @@
            VerifyField<uint64_t>(verifier, VT_LASTTERM, 8) &&
            VerifyField<uint8_t>(verifier, VT_PREVOTE, 1) &&
            VerifyField<uint8_t>(verifier, VT_HANDOVER, 1) &&
+           VerifyField<uint8_t>(verifier, VT_AFTERRESTART, 1) &&
            verifier.EndTable();
   }
   VoteRequestT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1104,6 +1111,9 @@
   void add_handOver(bool handOver) {
     fbb_.AddElement<uint8_t>(VoteRequest::VT_HANDOVER, static_cast<uint8_t>(handOver), 0);
   }
+  void add_afterRestart(bool afterRestart) {
+    fbb_.AddElement<uint8_t>(VoteRequest::VT_AFTERRESTART, static_cast<uint8_t>(afterRestart), 0);
+  }
   explicit VoteRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1121,11 +1131,13 @@
     uint64_t lastIndex = 0,
     uint64_t lastTerm = 0,
     bool preVote = false,
-    bool handOver = false) {
+    bool handOver = false,
+    bool afterRestart = false) {
   VoteRequestBuilder builder_(_fbb);
   builder_.add_lastTerm(lastTerm);
   builder_.add_lastIndex(lastIndex);
   builder_.add_term(term);
+  builder_.add_afterRestart(afterRestart);
   builder_.add_handOver(handOver);
   builder_.add_preVote(preVote);
   return builder_.Finish();
@@ -1146,6 +1158,7 @@
   uint64_t term = 0;
   bool granted = false;
   bool preVote = false;
+  bool knowsNoLeader = false;
 };
 
 struct VoteReply FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -1158,7 +1171,8 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_TERM = 4,
     VT_GRANTED = 6,
-    VT_PREVOTE = 8
+    VT_PREVOTE = 8,
+    VT_KNOWSNOLEADER = 10
   };
   uint64_t term() const {
     return GetField<uint64_t>(VT_TERM, 0);
@@ -1169,11 +1183,16 @@
   bool preVote() const {
     return GetField<uint8_t>(VT_PREVOTE, 0) != 0;
   }
+  /// To a pre-vote: doesn't lead, has heard from no leader since it was started, and would grant the vote otherwise.
+  bool knowsNoLeader() const {
+    return GetField<uint8_t>(VT_KNOWSNOLEADER, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_TERM, 8) &&
            VerifyField<uint8_t>(verifier, VT_GRANTED, 1) &&
            VerifyField<uint8_t>(verifier, VT_PREVOTE, 1) &&
+           VerifyField<uint8_t>(verifier, VT_KNOWSNOLEADER, 1) &&
            verifier.EndTable();
   }
   VoteReplyT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1194,6 +1213,9 @@
   void add_preVote(bool preVote) {
     fbb_.AddElement<uint8_t>(VoteReply::VT_PREVOTE, static_cast<uint8_t>(preVote), 0);
   }
+  void add_knowsNoLeader(bool knowsNoLeader) {
+    fbb_.AddElement<uint8_t>(VoteReply::VT_KNOWSNOLEADER, static_cast<uint8_t>(knowsNoLeader), 0);
+  }
   explicit VoteReplyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1209,9 +1231,11 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t term = 0,
     bool granted = false,
-    bool preVote = false) {
+    bool preVote = false,
+    bool knowsNoLeader = false) {
   VoteReplyBuilder builder_(_fbb);
   builder_.add_term(term);
+  builder_.add_knowsNoLeader(knowsNoLeader);
   builder_.add_preVote(preVote);
   builder_.add_granted(granted);
   return builder_.Finish();
@@ -2807,6 +2831,7 @@
   { auto _e = lastTerm(); _o->lastTerm = _e; }
   { auto _e = preVote(); _o->preVote = _e; }
   { auto _e = handOver(); _o->handOver = _e; }
+  { auto _e = afterRestart(); _o->afterRestart = _e; }
 }
 
 inline flatbuffers::Offset<VoteRequest> VoteRequest::Pack(flatbuffers::FlatBufferBuilder &_fbb, const VoteRequestT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -2822,13 +2847,15 @@
   auto _lastTerm = _o->lastTerm;
   auto _preVote = _o->preVote;
   auto _handOver = _o->handOver;
+  auto _afterRestart = _o->afterRestart;
   return paddlepier::wire::CreateVoteRequest(
       _fbb,
       _term,
       _lastIndex,
       _lastTerm,
       _preVote,
-      _handOver);
+      _handOver,
+      _afterRestart);
 }
 
 inline VoteReplyT *VoteReply::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -2843,6 +2870,7 @@
   { auto _e = term(); _o->term = _e; }
   { auto _e = granted(); _o->granted = _e; }
   { auto _e = preVote(); _o->preVote = _e; }
+  { auto _e = knowsNoLeader(); _o->knowsNoLeader = _e; }
 }
 
 inline flatbuffers::Offset<VoteReply> VoteReply::Pack(flatbuffers::FlatBufferBuilder &_fbb, const VoteReplyT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -2856,11 +2884,13 @@
   auto _term = _o->term;
   auto _granted = _o->granted;
   auto _preVote = _o->preVote;
+  auto _knowsNoLeader = _o->knowsNoLeader;
   return paddlepier::wire::CreateVoteReply(
       _fbb,
       _term,
       _granted,
-      _preVote);
+      _preVote,
+      _knowsNoLeader);
 }
 
 inline AppendRequestT::AppendRequestT(const AppendRequestT &o)
