Keep the tasks of a finite step in one data centre and on few workers

Change: a step's home is the data centre that has most room, or where its tasks are already; workers that can take more of the step, or have some of it, go first; what makes way is sought at home first. Room, waiting step and penalty move out of the planner into suitability.h, preemption for one worker into a function of its own. Tests: finiteStep_thatFitsIntoOneDataCentre_staysThere, ..._withTasksUnderWay_goesOnBesideThem, ..._widerThanADataCentre_...

--- a/paddlepier/planning/planner.cpp
+++ b/paddlepier/planning/planner.cpp
@@ -34,26 +34,12 @@
 /** Most preemptions of one plan, so that a burst doesn't stop more than the next plan finds needed. */
 constexpr std::size_t mostPreemptions = 24;
 
-/** Penalties of a placement, in units of a wholly free worker. */
-constexpr double farDataPenalty = 3.0;
-constexpr double slownessPenalty = 4.0;
-constexpr double suspicionPenalty = 2.0;
-constexpr double contentionPenalty = 1.0;
-
 /** A label that names the rack rather than the kind: it has digits after a dash, as in "r1-3". */
 std::string rackOf(const workload::Worker &worker)
 {
     return worker.registration.labels.size() < 2 ? "" : worker.registration.labels.back();
 }
 
-std::size_t tasksThatFit(std::int64_t processors, std::int64_t memory, const work::StepSpecT &step)
-{
-    const std::int64_t byProcessors =
-        step.isFilling || step.demand->milliProcessors() == 0 ? std::numeric_limits<std::int32_t>::max() : processors / step.demand->milliProcessors();
-    const std::int64_t byMemory = step.demand->memoryMegabytes() == 0 ? std::numeric_limits<std::int32_t>::max() : memory / step.demand->memoryMegabytes();
-    return static_cast<std::size_t>(std::max<std::int64_t>(0, std::min(byProcessors, byMemory)));
-}
-
 } // namespace
 
 Planner::Planner(const workload::Workload &workloadState,
@@ -74,12 +60,13 @@
     this->now = at;
     this->wallMillis = wall;
     Plan plan;
-    std::vector<Wanted> steps = this->collectSteps();
+    std::vector<WantedStep> steps = this->collectSteps();
     if (steps.empty()) {
         return plan;
     }
     this->collectRooms();
-    for (Wanted &wanted : steps) {
+    for (WantedStep &wanted : steps) {
+        wanted.home = homeOf(wanted, this->rooms);
         this->planStep(wanted, plan);
     }
     return plan;
@@ -131,9 +118,9 @@
     }
 }
 
-std::vector<Planner::Wanted> Planner::collectSteps() const
+std::vector<WantedStep> Planner::collectSteps() const
 {
-    std::vector<Wanted> wanted;
+    std::vector<WantedStep> wanted;
     for (const std::string &id : this->state.activeJobs()) {
         const workload::Job &job = *this->state.findJob(id);
         if (job.hasEnded()) {
@@ -148,20 +135,20 @@
             }
         }
     }
-    std::stable_sort(wanted.begin(), wanted.end(), [](const Wanted &left, const Wanted &right) {
-        const auto rank = [](const Wanted &entry) { return std::tuple(entry.job->queue().priority, entry.outlook, entry.job->submittedAtMillis()); };
+    std::stable_sort(wanted.begin(), wanted.end(), [](const WantedStep &left, const WantedStep &right) {
+        const auto rank = [](const WantedStep &entry) { return std::tuple(entry.job->queue().priority, entry.outlook, entry.job->submittedAtMillis()); };
         return rank(left) < rank(right);
     });
     return wanted;
 }
 
-void Planner::collectStep(std::vector<Wanted> &wanted, const workload::Job &job, std::uint32_t occurrence, std::uint32_t step) const
+void Planner::collectStep(std::vector<WantedStep> &wanted, const workload::Job &job, std::uint32_t occurrence, std::uint32_t step) const
 {
     const workload::Step &stepState = job.occurrences()[occurrence].steps[step];
     if (stepState.doneTasks + stepState.runningTasks >= stepState.tasks.size() || !job.isReady(occurrence, step)) {
         return;
     }
-    Wanted entry;
+    WantedStep entry;
     entry.job = &job;
     entry.key = {job.id(), occurrence, step};
     entry.step = &job.stepSpec(step);
@@ -185,14 +172,7 @@
     }
 }
 
-bool Planner::fits(const Room &room, const work::StepSpecT &step) const
-{
-    const work::Demand &demand = *step.demand;
-    const bool hasProcessors = step.isFilling || room.processors >= demand.milliProcessors();
-    return hasProcessors && room.memory >= demand.memoryMegabytes() && room.accelerators >= demand.accelerators();
-}
-
-bool Planner::mayRun(const Room &room, const Wanted &wanted) const
+bool Planner::mayRun(const Room &room, const WantedStep &wanted) const
 {
     const work::RegisterWorkerT &registration = room.worker->registration;
     const work::ServiceSpecT *service = this->state.findService(registration.service);
@@ -215,12 +195,12 @@
     return room.isOnProbation && room.worker->runs.empty();
 }
 
-bool Planner::isPermitted(const Room &room, const Wanted &wanted) const
+bool Planner::isPermitted(const Room &room, const WantedStep &wanted) const
 {
     return !wanted.job->queue().advice || this->advice.validTicket(this->now, wanted.key, room.worker->registration.id) != nullptr;
 }
 
-bool Planner::isBelowBound(const Room &room, const Wanted &wanted) const
+bool Planner::isBelowBound(const Room &room, const WantedStep &wanted) const
 {
     if (wanted.step->mostPerWorker == 0) {
         return true;
@@ -229,48 +209,26 @@
     return found == wanted.onWorker.end() || found->second < wanted.step->mostPerWorker;
 }
 
-double Planner::scoreOf(const Room &room, const Wanted &wanted) const
-{
-    const auto capacity = static_cast<double>(room.worker->registration.capacity->milliProcessors());
-    const double left = (static_cast<double>(room.processors) - wanted.step->demand->milliProcessors()) / std::max(1.0, capacity);
-    double score = wanted.step->isFilling ? -left : left;
-    if (!wanted.step->dataRack.empty() && wanted.step->dataRack != room.rack) {
-        score += farDataPenalty;
-    }
-    // What fills disturbs what serves.
-    score += contentionPenalty * (wanted.step->isFilling ? room.serving : wanted.step->targetLatencyMillis > 0 ? room.filling : 0);
-    score += slownessPenalty * std::max(0.0, room.view->slowness - 1.2);
-    score += suspicionPenalty * room.view->failedInRow;
-    return score;
-}
-
-Planner::Room *Planner::bestRoom(const Wanted &wanted, const Task &task, const std::string &rack)
+Room *Planner::bestRoom(const WantedStep &wanted, const Task &task, const std::string &rack)
 {
     Room *best = nullptr;
-    double bestScore = std::numeric_limits<double>::infinity();
+    double least = std::numeric_limits<double>::infinity();
     for (Room &room : this->rooms) {
         const bool isRightRack = rack.empty() || room.rack == rack;
-        if (!isRightRack || !this->fits(room, *wanted.step) || !this->mayRun(room, wanted) || !this->isBelowBound(room, wanted) || !this->isTrusted(room, task)
+        if (!isRightRack || !room.fits(*wanted.step) || !this->mayRun(room, wanted) || !this->isBelowBound(room, wanted) || !this->isTrusted(room, task)
             || !this->isPermitted(room, wanted)) {
             continue;
         }
-        const double score = this->scoreOf(room, wanted);
-        if (score < bestScore) {
+        const double penalty = penaltyOf(room, wanted);
+        if (penalty < least) {
             best = &room;
-            bestScore = score;
+            least = penalty;
         }
     }
     return best;
 }
 
-void Planner::take(Room &room, const work::StepSpecT &step, int sign) const
-{
-    room.processors -= step.isFilling ? 0 : sign * static_cast<std::int64_t>(step.demand->milliProcessors());
-    room.memory -= sign * static_cast<std::int64_t>(step.demand->memoryMegabytes());
-    room.accelerators -= sign * static_cast<std::int64_t>(step.demand->accelerators());
-}
-
-work::PlacementT Planner::placement(const Wanted &wanted, std::uint32_t task, const std::string &worker)
+work::PlacementT Planner::placement(const WantedStep &wanted, std::uint32_t task, const std::string &worker)
 {
     const workload::TaskKey key(wanted.key.job, wanted.key.occurrence, wanted.key.step, task);
     work::PlacementT made;
@@ -280,7 +238,7 @@
     return made;
 }
 
-void Planner::planStep(Wanted &wanted, Plan &plan)
+void Planner::planStep(WantedStep &wanted, Plan &plan)
 {
     if (wanted.step->isGang) {
         this->planGang(wanted, plan);
@@ -298,7 +256,7 @@
     }
 }
 
-void Planner::placeSingly(Wanted &wanted, Plan &plan)
+void Planner::placeSingly(WantedStep &wanted, Plan &plan)
 {
     std::vector<std::uint32_t> left;
     const std::vector<Task> &tasks = wanted.job->occurrences()[wanted.key.occurrence].steps[wanted.key.step].tasks;
@@ -308,14 +266,14 @@
             left.push_back(index);
             continue;
         }
-        this->take(*room, *wanted.step, 1);
+        room->take(*wanted.step);
         ++wanted.onWorker[room->worker->registration.id];
         plan.placements.push_back(placement(wanted, index, room->worker->registration.id));
     }
     wanted.tasks = std::move(left);
 }
 
-void Planner::planGang(Wanted &wanted, Plan &plan)
+void Planner::planGang(WantedStep &wanted, Plan &plan)
 {
     const std::vector<Task> &tasks = wanted.job->occurrences()[wanted.key.occurrence].steps[wanted.key.step].tasks;
     std::vector<std::string> racks{""};
@@ -333,7 +291,7 @@
             if (room == nullptr) {
                 break;
             }
-            this->take(*room, *wanted.step, 1);
+            room->take(*wanted.step);
             ++wanted.onWorker[room->worker->registration.id];
             taken.push_back(room);
         }
@@ -345,13 +303,13 @@
             return;
         }
         for (Room *room : taken) {
-            this->take(*room, *wanted.step, -1);
+            room->take(*wanted.step, -1);
             --wanted.onWorker[room->worker->registration.id];
         }
     }
 }
 
-std::vector<Planner::Candidate> Planner::adviceCandidates(const Wanted &wanted)
+std::vector<Planner::Candidate> Planner::adviceCandidates(const WantedStep &wanted)
 {
     std::vector<Candidate> candidates;
     for (Room &room : this->rooms) {
@@ -360,20 +318,20 @@
         if (!isOpen || !this->mayRun(room, wanted) || !this->isBelowBound(room, wanted) || !this->isAcceptable(room)) {
             continue;
         }
-        const bool hasRoom = this->fits(room, *wanted.step);
+        const bool hasRoom = room.fits(*wanted.step);
         // A ticket without room now would have ended by the time that there is some; that a worker may run the step stays known.
         if (hasRoom || standing == Standing::Unasked) {
-            candidates.push_back({&room, hasRoom, standing == Standing::Expired, this->scoreOf(room, wanted)});
+            candidates.push_back({&room, hasRoom, standing == Standing::Expired, penaltyOf(room, wanted)});
         }
     }
     std::sort(candidates.begin(), candidates.end(), [](const Candidate &left, const Candidate &right) {
-        const auto rank = [](const Candidate &entry) { return std::tuple(!entry.hasRoom, !entry.isExpired, entry.score); };
+        const auto rank = [](const Candidate &entry) { return std::tuple(!entry.hasRoom, !entry.isExpired, entry.penalty); };
         return rank(left) < rank(right);
     });
     return candidates;
 }
 
-void Planner::askAdvice(Wanted &wanted, Plan &plan)
+void Planner::askAdvice(WantedStep &wanted, Plan &plan)
 {
     const std::vector<Candidate> candidates = this->adviceCandidates(wanted);
     if (candidates.empty() || !candidates.front().hasRoom) {
@@ -401,55 +359,67 @@
     }
 }
 
-double Planner::keepRoom(const Wanted &wanted, Room &room, double chance)
+double Planner::keepRoom(const WantedStep &wanted, Room &room, double chance)
 {
-    std::size_t slots = std::min(tasksThatFit(room.processors, room.memory, *wanted.step), wanted.tasks.size());
+    std::size_t slots = std::min(room.tasksThatFit(*wanted.step), wanted.tasks.size());
     if (wanted.step->mostPerWorker > 0) {
         slots = std::min<std::size_t>(slots, wanted.step->mostPerWorker);
     }
     const double expected = chance * static_cast<double>(slots);
     const std::int64_t kept = std::lround(expected);
-    room.processors -= wanted.step->isFilling ? 0 : kept * wanted.step->demand->milliProcessors();
-    room.memory -= kept * wanted.step->demand->memoryMegabytes();
+    room.take(*wanted.step, kept);
     return expected;
 }
 
-void Planner::preemptFor(const Wanted &wanted, Plan &plan)
+void Planner::preemptFor(const WantedStep &wanted, Plan &plan)
 {
     std::size_t missing = wanted.tasks.size();
-    const std::int64_t each = wanted.step->demand->milliProcessors();
-    for (Room &room : this->rooms) {
-        if (missing == 0 || plan.preempted.size() >= mostPreemptions) {
-            return;
-        }
-        const Standing standing = wanted.job->queue().advice ? this->advice.standing(this->now, wanted.key, room.worker->registration.id) : Standing::Permitted;
-        if (standing == Standing::Forbidden || !this->mayRun(room, wanted) || !this->isBelowBound(room, wanted) || room.view->failedInRow > 0) {
-            continue;
-        }
-        // Room that is free or on its way serves first.
-        std::int64_t available = std::max<std::int64_t>(0, room.processors) + room.comingProcessors;
-        for (const workload::TaskKey &key : room.worker->runs) {
-            if (available >= each * static_cast<std::int64_t>(missing)) {
-                break;
+    for (const bool isHome : {true, false}) {
+        for (Room &room : this->rooms) {
+            if (missing == 0 || plan.preempted.size() >= mostPreemptions) {
+                return;
             }
-            const workload::Job &job = *this->state.findJob(key.job);
-            const work::StepSpecT &step = job.stepSpec(key.step);
-            const auto track = this->tracks.find(key);
-            const bool isChosen = std::find(plan.preempted.begin(), plan.preempted.end(), key) != plan.preempted.end();
-            const bool makesWay = !isChosen && job.queue().priority > wanted.job->queue().priority && step.isCheckpointing && !step.isGang && !step.isLasting
-                                  && !step.isFilling && track != this->tracks.end() && track->second.phase == execution::RunPhase::Running;
-            if (makesWay) {
-                plan.preempted.push_back(key);
-                available += step.demand->milliProcessors();
-                room.comingProcessors += step.demand->milliProcessors();
+            if ((wanted.home.empty() || room.dataCentre() == wanted.home) == isHome) {
+                missing = this->preemptOn(room, wanted, missing, plan);
             }
         }
-        while (available >= each && missing > 0 && each > 0) {
-            available -= each;
-            room.comingProcessors -= each;
-            --missing;
+    }
+}
+
+std::size_t Planner::preemptOn(Room &room, const WantedStep &wanted, std::size_t missing, Plan &plan)
+{
+    const std::int64_t each = wanted.step->demand->milliProcessors();
+    const Standing standing = wanted.job->queue().advice ? this->advice.standing(this->now, wanted.key, room.id()) : Standing::Permitted;
+    if (each == 0 || standing == Standing::Forbidden || !this->mayRun(room, wanted) || !this->isBelowBound(room, wanted) || room.view->failedInRow > 0) {
+        return missing;
+    }
+    // Room that is free or on its way serves first.
+    std::int64_t available = std::max<std::int64_t>(0, room.processors) + room.comingProcessors;
+    for (const workload::TaskKey &key : room.worker->runs) {
+        if (available >= each * static_cast<std::int64_t>(missing)) {
+            break;
+        }
+        if (this->makesWay(key, wanted, plan)) {
+            const std::int64_t freed = this->state.findJob(key.job)->stepSpec(key.step).demand->milliProcessors();
+            plan.preempted.push_back(key);
+            available += freed;
+            room.comingProcessors += freed;
         }
     }
+    const auto served = std::min<std::size_t>(missing, static_cast<std::size_t>(available / each));
+    room.comingProcessors -= each * static_cast<std::int64_t>(served);
+    return missing - served;
+}
+
+bool Planner::makesWay(const workload::TaskKey &key, const WantedStep &wanted, const Plan &plan) const
+{
+    const workload::Job &job = *this->state.findJob(key.job);
+    const work::StepSpecT &step = job.stepSpec(key.step);
+    const auto track = this->tracks.find(key);
+    const bool isRunning = track != this->tracks.end() && track->second.phase == execution::RunPhase::Running;
+    const bool isChosen = std::find(plan.preempted.begin(), plan.preempted.end(), key) != plan.preempted.end();
+    return isRunning && !isChosen && job.queue().priority > wanted.job->queue().priority && step.isCheckpointing && !step.isGang && !step.isLasting
+           && !step.isFilling;
 }
 
 } // namespace paddlepier::planning
--- a/paddlepier/planning/planner.h
+++ b/paddlepier/planning/planner.h
@@ -18,6 +18,7 @@
 #include "paddlepier/execution/workerview.h"
 #include "paddlepier/planning/advicebook.h"
 #include "paddlepier/planning/outlook.h"
+#include "paddlepier/planning/suitability.h"
 #include "paddlepier/workload/workload.h"
 
 #include <cstdint>
@@ -47,68 +48,39 @@
     Plan plan(Timestamp now, std::int64_t wallMillis);
 
 private:
-    /** One worker as this plan sees it. */
-    struct Room {
-        const workload::Worker *worker = nullptr;
-        const execution::WorkerView *view = nullptr;
-        std::string rack;
-        /** It failed too much, but its time out is over. */
-        bool isOnProbation = false;
-        std::int64_t processors = 0;
-        std::int64_t memory = 0;
-        std::int64_t accelerators = 0;
-        /** Room that stopping runs are about to give back. */
-        std::int64_t comingProcessors = 0;
-        std::int64_t comingMemory = 0;
-        /** Runs that owe their users a latency, and runs that may disturb them. */
-        std::uint32_t serving = 0;
-        std::uint32_t filling = 0;
-    };
-
     struct Candidate {
         Room *room;
         bool hasRoom;
         /** Known to be permitted; only the ticket is over. */
         bool isExpired;
-        double score;
-    };
-
-    /** One step with tasks to place. */
-    struct Wanted {
-        const workload::Job *job = nullptr;
-        workload::StepKey key;
-        const work::StepSpecT *step = nullptr;
-        Outlook outlook = Outlook::InTime;
-        std::vector<std::uint32_t> tasks;
-        /** Tasks of this step on each worker. */
-        std::map<std::string, std::uint32_t> onWorker;
+        double penalty;
     };
 
     void collectRooms();
     /** Few enough workers owe an answer to do without them. */
     bool areFewOverdue() const;
     void countRun(Room &room, const workload::TaskKey &key) const;
-    std::vector<Wanted> collectSteps() const;
-    void collectStep(std::vector<Wanted> &wanted, const workload::Job &job, std::uint32_t occurrence, std::uint32_t step) const;
-    void planStep(Wanted &wanted, Plan &plan);
-    void planGang(Wanted &wanted, Plan &plan);
-    void placeSingly(Wanted &wanted, Plan &plan);
-    void askAdvice(Wanted &wanted, Plan &plan);
+    std::vector<WantedStep> collectSteps() const;
+    void collectStep(std::vector<WantedStep> &wanted, const workload::Job &job, std::uint32_t occurrence, std::uint32_t step) const;
+    void planStep(WantedStep &wanted, Plan &plan);
+    void planGang(WantedStep &wanted, Plan &plan);
+    void placeSingly(WantedStep &wanted, Plan &plan);
+    void askAdvice(WantedStep &wanted, Plan &plan);
     /** Workers that the policy service may be asked about, the most useful first. */
-    std::vector<Candidate> adviceCandidates(const Wanted &wanted);
+    std::vector<Candidate> adviceCandidates(const WantedStep &wanted);
     /** Keeps room for the tasks that are likely to go there. @return how many, in expectation */
-    double keepRoom(const Wanted &wanted, Room &room, double chance);
-    void preemptFor(const Wanted &wanted, Plan &plan);
-    bool mayRun(const Room &room, const Wanted &wanted) const;
+    static double keepRoom(const WantedStep &wanted, Room &room, double chance);
+    void preemptFor(const WantedStep &wanted, Plan &plan);
+    /** Stops less urgent runs on one worker, as many as @p missing tasks need; @return the tasks still missing */
+    std::size_t preemptOn(Room &room, const WantedStep &wanted, std::size_t missing, Plan &plan);
+    bool makesWay(const workload::TaskKey &key, const WantedStep &wanted, const Plan &plan) const;
+    bool mayRun(const Room &room, const WantedStep &wanted) const;
     bool isAcceptable(const Room &room) const;
     bool isTrusted(const Room &room, const workload::Task &task) const;
-    bool fits(const Room &room, const work::StepSpecT &step) const;
-    bool isPermitted(const Room &room, const Wanted &wanted) const;
-    bool isBelowBound(const Room &room, const Wanted &wanted) const;
-    double scoreOf(const Room &room, const Wanted &wanted) const;
-    Room *bestRoom(const Wanted &wanted, const workload::Task &task, const std::string &rack);
-    void take(Room &room, const work::StepSpecT &step, int sign) const;
-    static work::PlacementT placement(const Wanted &wanted, std::uint32_t task, const std::string &worker);
+    bool isPermitted(const Room &room, const WantedStep &wanted) const;
+    bool isBelowBound(const Room &room, const WantedStep &wanted) const;
+    Room *bestRoom(const WantedStep &wanted, const workload::Task &task, const std::string &rack);
+    static work::PlacementT placement(const WantedStep &wanted, std::uint32_t task, const std::string &worker);
 
     const workload::Workload &state;
     const std::map<std::string, execution::WorkerView> &views;
--- a/paddlepier/planning/planner_test.cpp
+++ b/paddlepier/planning/planner_test.cpp
@@ -4,6 +4,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <set>
+
 namespace paddlepier::planning
 {
 
@@ -48,10 +50,11 @@
         this->apply(std::move(configuration));
     }
 
-    void addWorker(const std::string &id, const std::string &rack = "r1-1", std::uint32_t processors = 4000)
+    void addWorker(const std::string &id, const std::string &rack = "r1-1", std::uint32_t processors = 4000, const std::string &dataCentre = "d1")
     {
         work::RegisterWorkerT registration;
         registration.id = id;
+        registration.zone = dataCentre;
         registration.service = "pool";
         registration.labels = {"a", rack};
         registration.capacity = std::make_unique<work::Demand>(processors, 10'000, 0);
@@ -248,4 +251,50 @@
     CHECK(this->plan().placements.size() >= 5);
 }
 
+TEST_CASE_METHOD(PlannerFixture, "finiteStep_thatFitsIntoOneDataCentre_staysThere")
+{
+    this->configure();
+    for (const char *id : {"a1", "b1", "c1", "a2", "b2", "c2"}) {
+        this->addWorker(id, "r1-1", 4000, std::string(1, id[0]));
+    }
+    // Something runs on b1, so that the other data centres have more room.
+    this->addJob("0000000000000001", "slow", 1);
+    this->submit();
+    this->place(this->plan());
+    this->addJob("0000000000000002", "slow", 6);
+    this->submit();
+    std::set<char> dataCentres;
+    std::set<std::string> workers;
+    for (const work::PlacementT &placement : this->plan().placements) {
+        dataCentres.insert(placement.worker[0]);
+        workers.insert(placement.worker);
+    }
+    CHECK(dataCentres.size() == 1);
+    CHECK(workers.size() == 2);
+}
+
+TEST_CASE_METHOD(PlannerFixture, "finiteStep_withTasksUnderWay_goesOnBesideThem")
+{
+    this->configure();
+    this->addWorker("a1", "r1-1", 2000, "a");
+    this->addJob("0000000000000001", "slow", 4);
+    this->submit();
+    this->place(this->plan());
+    this->addWorker("a2", "r1-1", 2000, "a");
+    this->addWorker("b1", "r1-1", 9000, "b");
+    for (const work::PlacementT &placement : this->plan().placements) {
+        CHECK(placement.worker == "a2");
+    }
+}
+
+TEST_CASE_METHOD(PlannerFixture, "finiteStep_widerThanADataCentre_takesRoomElsewhereToo")
+{
+    this->configure();
+    this->addWorker("a1", "r1-1", 4000, "a");
+    this->addWorker("b1", "r1-1", 2000, "b");
+    this->addJob("0000000000000001", "slow", 6);
+    this->submit();
+    CHECK(this->plan().placements.size() == 6);
+}
+
 } // namespace paddlepier::planning
