Start a copy of a task whose worker doesn't answer, where its step allows that

The first to end as done counts and the other is stopped; a failure counts as an attempt. A superseded run is over by its listed end, by a confirmed stop and a poll after it, or by the end of the lease. Nothing is superseded while most workers are doubtful, since it is then this process that is cut off. Tests: copy_ofATaskOnAWorkerThatIsCutOff_completesTheJob, supersededRun_* (four), runWithoutCopies_..., the dispatcher's fuzz with a quarter of the jobs allowing copies.

--- /dev/null
+++ b/paddlepier/execution/copies.cpp
@@ -0,0 +1,119 @@
+// Carries the ledger's placements out on the workers: copies of tasks whose worker doesn't answer.
+//
+// Where a step allows copies, a run on a worker that may be cut off is superseded: the ledger keeps its room taken, and
+// the task may be placed elsewhere at once. The first of the two to end as done counts, and the other one is stopped. A
+// superseded run is over when its worker lists its end, when the worker has confirmed a stop and lists it no longer, or
+// when the lease has run out.
+
+#include "paddlepier/base/log.h"
+#include "paddlepier/execution/dispatcher.h"
+
+#include <algorithm>
+
+namespace paddlepier::execution
+{
+
+namespace
+{
+
+/** Runs of one task that may be under way beside its newest one; each further one wastes as much as a whole run. */
+constexpr std::ptrdiff_t mostSuperseded = 1;
+
+constexpr Duration stopTimeout = absl::Milliseconds(900);
+
+} // namespace
+
+bool Dispatcher::areFewDoubtful(Timestamp now) const
+{
+    const auto doubtful =
+        std::count_if(this->views.begin(), this->views.end(), [now](const auto &entry) { return entry.second.isOverdue(now) || entry.second.isSilent(); });
+    return static_cast<std::size_t>(doubtful) * 2 < this->views.size();
+}
+
+bool Dispatcher::maySupersede(const workload::TaskKey &key) const
+{
+    const workload::Job &job = *this->state.findJob(key.job);
+    const work::StepSpecT &step = job.stepSpec(key.step);
+    if (!step.mayRunCopies || step.isGang || step.isLasting || job.hasEnded() || job.task(key).isDone) {
+        return false;
+    }
+    const auto &workers = this->state.workers();
+    return std::count_if(workers.begin(), workers.end(), [&key](const auto &entry) { return entry.second.superseded.contains(key); }) < mostSuperseded;
+}
+
+void Dispatcher::supersedeRuns(Timestamp now)
+{
+    if (!this->areFewDoubtful(now)) {
+        return;
+    }
+    for (const auto &[id, view] : this->views) {
+        if (!view.isOverdue(now) && !view.isSilent()) {
+            continue;
+        }
+        std::vector<std::pair<workload::TaskKey, RunTrack>> superseded;
+        for (const workload::TaskKey &key : this->state.findWorker(id)->runs) {
+            const auto track = this->tracks.find(key);
+            if (track != this->tracks.end() && track->second.worker == id && this->maySupersede(key)) {
+                superseded.emplace_back(key, track->second);
+            }
+        }
+        this->endRuns(id, superseded, work::RunEndKind::Superseded);
+    }
+}
+
+bool Dispatcher::takeSupersededRun(Timestamp now, const std::string &worker, const ListedRun &listed)
+{
+    const workload::Worker &record = *this->state.findWorker(worker);
+    const auto found = record.superseded.find(listed.task);
+    if (found == record.superseded.end() || found->second.run != listed.run) {
+        return false;
+    }
+    const workload::Job *job = this->state.findJob(listed.task.job);
+    if (job == nullptr || job->hasEnded() || job->task(listed.task).isDone) {
+        this->stopSuperseded(now, worker, listed.task, listed.run);
+    }
+    return true;
+}
+
+void Dispatcher::stopSuperseded(Timestamp now, const std::string &worker, const workload::TaskKey &key, std::uint32_t run)
+{
+    SupersededTrack &track = this->supersededTracks[{worker, key}];
+    if (!track.isStopInFlight) {
+        track.isStopInFlight = true;
+        this->send(now, worker, StopOrder{key, run}, stopTimeout, false);
+    }
+}
+
+void Dispatcher::settleSuperseded(Timestamp now, const std::string &worker, Timestamp pollSentAt, const WorkerAnswer &answer)
+{
+    std::vector<std::pair<workload::TaskKey, RunTrack>> over;
+    for (const auto &[key, run] : this->state.findWorker(worker)->superseded) {
+        const auto isThisTask = [&key = key](const auto &listed) { return listed.task == key; };
+        const bool isListed =
+            std::any_of(answer.running.begin(), answer.running.end(), isThisTask) || std::any_of(answer.ended.begin(), answer.ended.end(), isThisTask);
+        if (isListed) {
+            continue;
+        }
+        if (this->supersededTracks[{worker, key}].settledAt < pollSentAt) {
+            RunTrack track;
+            track.run = run.run;
+            over.emplace_back(key, std::move(track));
+        } else {
+            this->stopSuperseded(now, worker, key, run.run);
+        }
+    }
+    this->endRuns(worker, over, work::RunEndKind::Void);
+}
+
+void Dispatcher::expireSuperseded(const std::string &worker)
+{
+    std::vector<std::pair<workload::TaskKey, RunTrack>> expired;
+    for (const auto &[key, run] : this->state.findWorker(worker)->superseded) {
+        RunTrack track;
+        track.run = run.run;
+        expired.emplace_back(key, std::move(track));
+    }
+    this->endRuns(worker, expired, work::RunEndKind::Expired);
+}
+
+} // namespace paddlepier::execution
--- a/paddlepier/execution/dispatcher.cpp
+++ b/paddlepier/execution/dispatcher.cpp
@@ -137,6 +137,7 @@
     this->syncWorkers(now);
     this->forgetEndedJobs(now);
     this->expireLeases(now);
+    this->supersedeRuns(now);
     this->drainWorkers(now);
     this->driveRuns(now);
     this->planWork(now, wallMillis);
@@ -161,6 +162,10 @@
     }
     this->nextForget = now + forgetInterval;
     this->advice.forgetJobs([this](const std::string &job) { return !this->state.activeJobs().contains(job); });
+    std::erase_if(this->supersededTracks, [this](const auto &entry) {
+        const workload::Worker *worker = this->state.findWorker(entry.first.first);
+        return worker == nullptr || !worker->superseded.contains(entry.first.second);
+    });
 }
 
 std::uint64_t Dispatcher::send(Timestamp now, const std::string &worker, Order order, Duration timeout, bool withLease)
@@ -255,6 +260,7 @@
     this->takeRunning(now, call.worker, view, answer);
     this->watchRuns(now, call.worker, view);
     this->settleVanished(now, call.worker, call.sentAt, answer);
+    this->settleSuperseded(now, call.worker, call.sentAt, answer);
 }
 
 void Dispatcher::takeEnded(Timestamp now, const std::string &worker, WorkerView &view, const WorkerAnswer &answer)
@@ -440,6 +446,7 @@
             }
         }
         this->endRuns(id, expired, work::RunEndKind::Expired);
+        this->expireSuperseded(id);
         const bool isSilent = now - std::max(view.announcedAt, view.lastAnswerAt()) > forgottenAfter;
         if (isSilent && this->state.findWorker(id)->runs.empty()) {
             log::info("dispatch", "worker.forgotten", {{"worker", id}});
--- a/paddlepier/execution/dispatcher.h
+++ b/paddlepier/execution/dispatcher.h
@@ -102,6 +102,17 @@
     using UnsentRuns = std::vector<std::pair<workload::TaskKey, RunTrack>>;
     void driveRun(Timestamp now, const workload::TaskKey &key, RunTrack &track, UnsentRuns &unsent);
     void driveStart(Timestamp now, const workload::TaskKey &key, RunTrack &track, UnsentRuns &unsent);
+    /** Gives up waiting for runs on workers that may be cut off, where the step allows a copy elsewhere. */
+    void supersedeRuns(Timestamp now);
+    bool maySupersede(const workload::TaskKey &key) const;
+    /** Few enough workers owe an answer that it isn't this process that is slow or cut off. */
+    bool areFewDoubtful(Timestamp now) const;
+    /** A superseded run is listed; it goes on unless its task is done. @return false if it isn't one */
+    bool takeSupersededRun(Timestamp now, const std::string &worker, const ListedRun &listed);
+    /** Ends superseded runs that a worker lists no longer, and can't start any more. */
+    void settleSuperseded(Timestamp now, const std::string &worker, Timestamp pollSentAt, const WorkerAnswer &answer);
+    void expireSuperseded(const std::string &worker);
+    void stopSuperseded(Timestamp now, const std::string &worker, const workload::TaskKey &key, std::uint32_t run);
     void forgetEndedJobs(Timestamp now);
     void expireLeases(Timestamp now);
     void drainWorkers(Timestamp now);
@@ -135,6 +146,13 @@
     const DispatchOptions options;
     const std::uint64_t fence;
     std::map<std::string, WorkerView> views;
+    /** What was done about a superseded run that its worker doesn't list. */
+    struct SupersededTrack {
+        bool isStopInFlight = false;
+        /** The worker has confirmed that it can't start any more. */
+        Timestamp settledAt = absl::InfiniteFuture();
+    };
+    std::map<std::pair<std::string, workload::TaskKey>, SupersededTrack> supersededTracks;
     // Invariant: holds exactly the runs that the ledger has under way, but for those whose end is being recorded.
     RunTracks tracks;
     /** What runs of a queue take, as a ratio to their estimates. */
--- a/paddlepier/execution/dispatcher_test.cpp
+++ b/paddlepier/execution/dispatcher_test.cpp
@@ -62,7 +62,7 @@
         this->apply(std::move(registration));
     }
 
-    void addJob(const std::string &id, std::uint32_t tasks, std::uint32_t millis, std::uint32_t steps = 1)
+    void addJob(const std::string &id, std::uint32_t tasks, std::uint32_t millis, std::uint32_t steps = 1, bool mayRunCopies = false)
     {
         work::SubmitJobT command;
         command.id = id;
@@ -72,6 +72,7 @@
             auto &step = command.spec->steps.emplace_back(std::make_unique<work::StepSpecT>());
             step->count = tasks;
             step->estimatedMillis = millis;
+            step->mayRunCopies = mayRunCopies;
             step->demand = std::make_unique<work::Demand>(1000, 100, 0);
             if (number > 0) {
                 step->after = {number - 1};
@@ -217,6 +218,23 @@
     std::deque<Commit> commits;
 };
 
+class CopiesFixture : public DispatcherFixture
+{
+public:
+    /** Job `a` runs on `w1`; then `w2` and `w3` join. */
+    void startOnFirstWorker(std::uint32_t tasks, std::uint32_t millis, bool mayRunCopies = true)
+    {
+        this->addWorker("w1");
+        this->newLeader();
+        this->addJob("a", tasks, millis, 1, mayRunCopies);
+        REQUIRE(this->runUntil([this, tasks] { return this->workers.workers["w1"].runs.size() == tasks; }, absl::Seconds(1)));
+        this->addWorker("w2");
+        this->addWorker("w3");
+        this->dispatcher->noteChange();
+        this->runFor(absl::Milliseconds(200));
+    }
+};
+
 } // namespace
 
 TEST_CASE_METHOD(DispatcherFixture, "job_onSoundWorkers_completesStepByStep")
@@ -333,6 +351,54 @@
     CHECK(this->runUntil([this] { return this->dispatcher->waitingJobs("quick") == 0; }));
 }
 
+TEST_CASE_METHOD(CopiesFixture, "copy_ofATaskOnAWorkerThatIsCutOff_completesTheJob")
+{
+    this->startOnFirstWorker(2, 1000);
+    this->workers.workers["w1"].isCut = true;
+    // Well before the lease of the cut worker is over.
+    CHECK(this->runUntil([this] { return this->isCompleted("a"); }, absl::Seconds(4)));
+    CHECK(this->state.findWorker("w1")->superseded.size() == 2);
+    this->workers.workers["w1"].isCut = false;
+    CHECK(this->runUntil([this] { return this->state.findWorker("w1")->superseded.empty(); }, absl::Seconds(4)));
+    CHECK(this->state.findWorker("w1")->freeMilliProcessors() == 4000);
+    CHECK(this->workers.problems.empty());
+}
+
+TEST_CASE_METHOD(CopiesFixture, "supersededRun_thatIsDoneFirst_completesTheJobAndStopsTheCopy")
+{
+    this->startOnFirstWorker(1, 3000);
+    this->workers.workers["w1"].isCut = true;
+    const auto hasCopy = [this] { return this->workers.workers["w2"].runs.size() + this->workers.workers["w3"].runs.size() == 1; };
+    REQUIRE(this->runUntil(hasCopy, absl::Seconds(2)));
+    this->workers.workers["w1"].isCut = false;
+    CHECK(this->runUntil([this] { return this->isCompleted("a"); }, absl::Milliseconds(2800)));
+    CHECK(this->runUntil([&] { return !hasCopy(); }, absl::Seconds(1)));
+    CHECK(this->runUntil([this] { return this->state.activeJobs().empty(); }, absl::Seconds(2)));
+}
+
+TEST_CASE_METHOD(CopiesFixture, "supersededRun_whileItsEndIsUnknown_keepsItsRoomThroughSnapshotAndNewLeader")
+{
+    this->startOnFirstWorker(4, 8000);
+    this->workers.workers["w1"].isCut = true;
+    REQUIRE(this->runUntil([this] { return this->state.findWorker("w1")->superseded.size() == 4; }, absl::Seconds(2)));
+    this->state.restore(std::string(this->state.snapshot()));
+    CHECK(this->state.findWorker("w1")->freeMilliProcessors() == 0);
+    this->newLeader();
+    this->workers.workers["w1"].isCut = false;
+    this->addJob("b", 12, 2000);
+    CHECK(this->runUntil([this] { return this->isCompleted("a") && this->isCompleted("b"); }));
+    CHECK(this->workers.problems.empty());
+}
+
+TEST_CASE_METHOD(CopiesFixture, "runWithoutCopies_onAWorkerThatIsCutOff_isNotSuperseded")
+{
+    this->startOnFirstWorker(2, 1000, false);
+    this->workers.workers["w1"].isCut = true;
+    this->runFor(absl::Seconds(4));
+    CHECK(this->state.findWorker("w1")->superseded.empty());
+    CHECK_FALSE(this->isCompleted("a"));
+}
+
 TEST_CASE("runs_throughLostAndLateOrdersCutsAndNewLeaders_neverOverlapNorRunAgain", "[proof][fuzz]")
 {
     const bool holds = rc::check("no rule is broken, and everything completes once the faults are over", [] {
@@ -359,7 +425,8 @@
                 bool &cut = fixture.workers.workers[absl::StrCat("w", fixture.random() % 4)].isCut;
                 cut = !cut;
             }
-            fixture.addJob(absl::StrCat("job", jobs++), 1 + fixture.random() % 6, 100 + fixture.random() % 3000, 1 + fixture.random() % 2);
+            fixture.addJob(
+                absl::StrCat("job", jobs++), 1 + fixture.random() % 6, 100 + fixture.random() % 3000, 1 + fixture.random() % 2, fixture.random() % 4 == 0);
             fixture.runFor(absl::Milliseconds(fixture.random() % 6000));
         }
         fixture.weather = Weather();
--- a/paddlepier/execution/fakeworkers.h
+++ b/paddlepier/execution/fakeworkers.h
@@ -134,11 +134,11 @@
         }
         const work::StepSpecT &step = this->lookup(order.task);
         for (const auto &[id, other] : this->workers) {
-            if (other.runs.contains(order.task)) {
+            if (other.runs.contains(order.task) && !step.mayRunCopies) {
                 this->problems.push_back("twice: " + order.task.text());
             }
         }
-        if (this->doneAndNoted.contains(order.task)) {
+        if (this->doneAndNoted.contains(order.task) && !step.mayRunCopies) {
             this->problems.push_back("started after its end: " + order.task.text());
         }
         Run run{order.run, now, now + absl::Milliseconds(step.estimatedMillis), absl::InfiniteFuture(), step.demand->milliProcessors()};
--- a/paddlepier/execution/runs.cpp
+++ b/paddlepier/execution/runs.cpp
@@ -41,7 +41,11 @@
         return;
     }
     const workload::Job *job = this->state.findJob(key.job);
-    if (track.phase != RunPhase::Stopping && (job->hasEnded() && !job->task(key).isDone)) {
+    const work::StepSpecT &step = job->stepSpec(key.step);
+    const bool isDone = job->task(key).isDone;
+    // The members of a gang end together; of copies, the others are stopped when the first is done.
+    const bool isNeedless = isDone ? step.mayRunCopies && !step.isGang : job->hasEnded();
+    if (track.phase != RunPhase::Stopping && isNeedless) {
         this->stopRun(now, key, track, StopReason::JobEnded);
     }
     if (track.callInFlight || now < track.nextCall || !view->second.isKnown()) {
@@ -149,12 +153,18 @@
 void Dispatcher::takeStop(Timestamp now, const PendingCall &call, const StopOrder &order, const WorkerAnswer &answer)
 {
     RunTrack *track = this->findTrack(order.task, order.run, call.worker);
+    const bool isSettled = answer.kind == AnswerKind::Accepted || answer.kind == AnswerKind::OldRun;
+    const auto superseded = this->supersededTracks.find({call.worker, order.task});
+    if (track == nullptr && superseded != this->supersededTracks.end()) {
+        superseded->second.isStopInFlight = false;
+        superseded->second.settledAt = isSettled ? now : superseded->second.settledAt;
+    }
     if (track == nullptr) {
         return;
     }
     track->callInFlight = false;
     track->nextCall = now + orderRetryPause;
-    if (answer.kind == AnswerKind::Accepted || answer.kind == AnswerKind::OldRun) {
+    if (isSettled) {
         track->settledAt = now;
     }
 }
--- a/paddlepier/execution/watch.cpp
+++ b/paddlepier/execution/watch.cpp
@@ -50,6 +50,9 @@
 {
     for (const ListedRun &listed : answer.running) {
         RunTrack *track = this->findTrack(listed.task, listed.run, worker);
+        if (track == nullptr && this->takeSupersededRun(now, worker, listed)) {
+            continue;
+        }
         if (track == nullptr) {
             // A late start of a run that was settled otherwise, or one that the ledger has given up.
             log::warning("dispatch", "run.unknown", {{"task", listed.task.text()}, {"run", listed.run}, {"worker", worker}});
--- a/paddlepier/execution/workerview.cpp
+++ b/paddlepier/execution/workerview.cpp
@@ -96,6 +96,11 @@
     return this->isKnown() && this->silences == 0 && !this->isFenced;
 }
 
+bool WorkerView::isSilent() const
+{
+    return this->silences > 0;
+}
+
 void WorkerView::noteCall(std::uint64_t call, Timestamp due)
 {
     this->dueAnswers[call] = due;
--- a/paddlepier/execution/workerview.h
+++ b/paddlepier/execution/workerview.h
@@ -44,6 +44,8 @@
     bool leaseIsOver(Timestamp now) const;
 
     bool isReachable(Timestamp now) const;
+    /** The newest call to it got no answer. */
+    bool isSilent() const;
 
     /** A call was sent whose answer is due by @p due. */
     void noteCall(std::uint64_t call, Timestamp due);
--- a/paddlepier/planning/planner.cpp
+++ b/paddlepier/planning/planner.cpp
@@ -145,7 +145,7 @@
 void Planner::collectStep(std::vector<WantedStep> &wanted, const workload::Job &job, std::uint32_t occurrence, std::uint32_t step) const
 {
     const workload::Step &stepState = job.occurrences()[occurrence].steps[step];
-    if (stepState.doneTasks + stepState.runningTasks >= stepState.tasks.size() || !job.isReady(occurrence, step)) {
+    if (stepState.isDone() || stepState.waitingTasks() == 0 || !job.isReady(occurrence, step)) {
         return;
     }
     WantedStep entry;
@@ -163,6 +163,9 @@
             entry.tasks.push_back(index);
         }
     }
+    if (entry.step->mayRunCopies && entry.step->mostPerWorker > 0) {
+        this->countSuperseded(entry);
+    }
     if (!entry.tasks.empty()) {
         const auto usual = this->usualRatios.find(job.queue().name);
         // What is to last has no end to meet.
@@ -172,6 +175,16 @@
     }
 }
 
+void Planner::countSuperseded(WantedStep &wanted) const
+{
+    const workload::TaskKey first(wanted.key.job, wanted.key.occurrence, wanted.key.step, 0);
+    for (const auto &[id, worker] : this->state.workers()) {
+        for (auto run = worker.superseded.lower_bound(first); run != worker.superseded.end() && run->first.stepKey() == wanted.key; ++run) {
+            ++wanted.onWorker[id];
+        }
+    }
+}
+
 bool Planner::mayRun(const Room &room, const WantedStep &wanted) const
 {
     const work::RegisterWorkerT &registration = room.worker->registration;
@@ -209,14 +222,16 @@
     return found == wanted.onWorker.end() || found->second < wanted.step->mostPerWorker;
 }
 
-Room *Planner::bestRoom(const WantedStep &wanted, const Task &task, const std::string &rack)
+Room *Planner::bestRoom(const WantedStep &wanted, std::uint32_t index, const std::string &rack)
 {
+    const workload::TaskKey key(wanted.key.job, wanted.key.occurrence, wanted.key.step, index);
+    const Task &task = wanted.job->task(key);
     Room *best = nullptr;
     double least = std::numeric_limits<double>::infinity();
     for (Room &room : this->rooms) {
         const bool isRightRack = rack.empty() || room.rack == rack;
         if (!isRightRack || !room.fits(*wanted.step) || !this->mayRun(room, wanted) || !this->isBelowBound(room, wanted) || !this->isTrusted(room, task)
-            || !this->isPermitted(room, wanted)) {
+            || !this->isPermitted(room, wanted) || room.worker->superseded.contains(key)) {
             continue;
         }
         const double penalty = penaltyOf(room, wanted);
@@ -259,9 +274,8 @@
 void Planner::placeSingly(WantedStep &wanted, Plan &plan)
 {
     std::vector<std::uint32_t> left;
-    const std::vector<Task> &tasks = wanted.job->occurrences()[wanted.key.occurrence].steps[wanted.key.step].tasks;
     for (const std::uint32_t index : wanted.tasks) {
-        Room *room = this->bestRoom(wanted, tasks[index], "");
+        Room *room = this->bestRoom(wanted, index, "");
         if (room == nullptr) {
             left.push_back(index);
             continue;
@@ -275,7 +289,6 @@
 
 void Planner::planGang(WantedStep &wanted, Plan &plan)
 {
-    const std::vector<Task> &tasks = wanted.job->occurrences()[wanted.key.occurrence].steps[wanted.key.step].tasks;
     std::vector<std::string> racks{""};
     if (wanted.step->prefersOneRack) {
         std::vector<std::string> known;
@@ -287,7 +300,7 @@
     for (const std::string &rack : racks) {
         std::vector<Room *> taken;
         for (const std::uint32_t index : wanted.tasks) {
-            Room *room = this->bestRoom(wanted, tasks[index], rack);
+            Room *room = this->bestRoom(wanted, index, rack);
             if (room == nullptr) {
                 break;
             }
--- a/paddlepier/planning/planner.h
+++ b/paddlepier/planning/planner.h
@@ -62,6 +62,8 @@
     void countRun(Room &room, const workload::TaskKey &key) const;
     std::vector<WantedStep> collectSteps() const;
     void collectStep(std::vector<WantedStep> &wanted, const workload::Job &job, std::uint32_t occurrence, std::uint32_t step) const;
+    /** Superseded runs may still be on their workers, and count towards the step's bound there. */
+    void countSuperseded(WantedStep &wanted) const;
     void planStep(WantedStep &wanted, Plan &plan);
     void planGang(WantedStep &wanted, Plan &plan);
     void placeSingly(WantedStep &wanted, Plan &plan);
@@ -79,7 +81,7 @@
     bool isTrusted(const Room &room, const workload::Task &task) const;
     bool isPermitted(const Room &room, const WantedStep &wanted) const;
     bool isBelowBound(const Room &room, const WantedStep &wanted) const;
-    Room *bestRoom(const WantedStep &wanted, const workload::Task &task, const std::string &rack);
+    Room *bestRoom(const WantedStep &wanted, std::uint32_t index, const std::string &rack);
     static work::PlacementT placement(const WantedStep &wanted, std::uint32_t task, const std::string &worker);
 
     const workload::Workload &state;
--- a/paddlepier/planning/planner_test.cpp
+++ b/paddlepier/planning/planner_test.cpp
@@ -297,4 +297,27 @@
     CHECK(this->plan().placements.size() == 6);
 }
 
+TEST_CASE_METHOD(PlannerFixture, "stepWithABoundPerWorker_besideASupersededRun_staysBelowIt")
+{
+    this->configure();
+    this->addWorker("w1");
+    work::StepSpecT &step = this->addJob("0000000000000001", "slow", 2);
+    step.mayRunCopies = true;
+    step.mostPerWorker = 1;
+    this->submit();
+    this->place(this->plan());
+    work::RecordEndsT superseded;
+    superseded.worker = "w1";
+    auto &end = superseded.ends.emplace_back(std::make_unique<work::RunEndT>());
+    end->task = workload::TaskKey("0000000000000001", 0, 0, 0).record();
+    end->run = 1;
+    end->kind = work::RunEndKind::Superseded;
+    this->apply(std::move(superseded));
+    CHECK(this->plan().placements.empty());
+    this->addWorker("w2");
+    const Plan plan = this->plan();
+    REQUIRE(plan.placements.size() == 1);
+    CHECK(plan.placements[0].worker == "w2");
+}
+
 } // namespace paddlepier::planning
--- a/paddlepier/wire/workload_generated.h
+++ b/paddlepier/wire/workload_generated.h
@@ -98,6 +98,10 @@
 struct JobRecordBuilder;
 struct JobRecordT;
 
+struct CopyRecord;
+struct CopyRecordBuilder;
+struct CopyRecordT;
+
 struct WorkerRecord;
 struct WorkerRecordBuilder;
 struct WorkerRecordT;
@@ -162,11 +166,13 @@
   Void = 6,
   /// The worker's life ended.
   WorkerLost = 7,
+  /// May still be under way on a worker that doesn't answer; its step allows a copy elsewhere. The room stays taken.
+  Superseded = 8,
   MIN = Done,
-  MAX = WorkerLost
+  MAX = Superseded
 };
 
-inline const RunEndKind (&EnumValuesRunEndKind())[8] {
+inline const RunEndKind (&EnumValuesRunEndKind())[9] {
   static const RunEndKind values[] = {
     RunEndKind::Done,
     RunEndKind::Failed,
@@ -175,13 +181,14 @@
     RunEndKind::GangBroken,
     RunEndKind::GangIncomplete,
     RunEndKind::Void,
-    RunEndKind::WorkerLost
+    RunEndKind::WorkerLost,
+    RunEndKind::Superseded
   };
   return values;
 }
 
 inline const char * const *EnumNamesRunEndKind() {
-  static const char * const names[9] = {
+  static const char * const names[10] = {
     "Done",
     "Failed",
     "Stopped",
@@ -190,13 +197,14 @@
     "GangIncomplete",
     "Void",
     "WorkerLost",
+    "Superseded",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameRunEndKind(RunEndKind e) {
-  if (flatbuffers::IsOutRange(e, RunEndKind::Done, RunEndKind::WorkerLost)) return "";
+  if (flatbuffers::IsOutRange(e, RunEndKind::Done, RunEndKind::Superseded)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesRunEndKind()[index];
 }
@@ -3108,6 +3116,98 @@
 
 flatbuffers::Offset<JobRecord> CreateJobRecord(flatbuffers::FlatBufferBuilder &_fbb, const JobRecordT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct CopyRecordT : public flatbuffers::NativeTable {
+  typedef CopyRecord TableType;
+  static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
+    return "paddlepier.work.CopyRecordT";
+  }
+  std::unique_ptr<paddlepier::work::TaskKeyT> task{};
+  uint32_t run = 0;
+  std::unique_ptr<paddlepier::work::Demand> demand{};
+  CopyRecordT() = default;
+  CopyRecordT(const CopyRecordT &o);
+  CopyRecordT(CopyRecordT&&) FLATBUFFERS_NOEXCEPT = default;
+  CopyRecordT &operator=(CopyRecordT o) FLATBUFFERS_NOEXCEPT;
+};
+
+/// A superseded run whose end isn't known.
+struct CopyRecord FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef CopyRecordT NativeTableType;
+  typedef CopyRecordBuilder Builder;
+  struct Traits;
+  static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
+    return "paddlepier.work.CopyRecord";
+  }
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_TASK = 4,
+    VT_RUN = 6,
+    VT_DEMAND = 8
+  };
+  const paddlepier::work::TaskKey *task() const {
+    return GetPointer<const paddlepier::work::TaskKey *>(VT_TASK);
+  }
+  uint32_t run() const {
+    return GetField<uint32_t>(VT_RUN, 0);
+  }
+  const paddlepier::work::Demand *demand() const {
+    return GetStruct<const paddlepier::work::Demand *>(VT_DEMAND);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_TASK) &&
+           verifier.VerifyTable(task()) &&
+           VerifyField<uint32_t>(verifier, VT_RUN, 4) &&
+           VerifyField<paddlepier::work::Demand>(verifier, VT_DEMAND, 4) &&
+           verifier.EndTable();
+  }
+  CopyRecordT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(CopyRecordT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<CopyRecord> Pack(flatbuffers::FlatBufferBuilder &_fbb, const CopyRecordT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct CopyRecordBuilder {
+  typedef CopyRecord Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_task(flatbuffers::Offset<paddlepier::work::TaskKey> task) {
+    fbb_.AddOffset(CopyRecord::VT_TASK, task);
+  }
+  void add_run(uint32_t run) {
+    fbb_.AddElement<uint32_t>(CopyRecord::VT_RUN, run, 0);
+  }
+  void add_demand(const paddlepier::work::Demand *demand) {
+    fbb_.AddStruct(CopyRecord::VT_DEMAND, demand);
+  }
+  explicit CopyRecordBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<CopyRecord> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<CopyRecord>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<CopyRecord> CreateCopyRecord(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<paddlepier::work::TaskKey> task = 0,
+    uint32_t run = 0,
+    const paddlepier::work::Demand *demand = nullptr) {
+  CopyRecordBuilder builder_(_fbb);
+  builder_.add_demand(demand);
+  builder_.add_run(run);
+  builder_.add_task(task);
+  return builder_.Finish();
+}
+
+struct CopyRecord::Traits {
+  using type = CopyRecord;
+  static auto constexpr Create = CreateCopyRecord;
+};
+
+flatbuffers::Offset<CopyRecord> CreateCopyRecord(flatbuffers::FlatBufferBuilder &_fbb, const CopyRecordT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct WorkerRecordT : public flatbuffers::NativeTable {
   typedef WorkerRecord TableType;
   static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
@@ -3115,6 +3215,7 @@
   }
   std::unique_ptr<paddlepier::work::RegisterWorkerT> registration{};
   uint64_t lastSequence = 0;
+  std::vector<std::unique_ptr<paddlepier::work::CopyRecordT>> copies{};
   WorkerRecordT() = default;
   WorkerRecordT(const WorkerRecordT &o);
   WorkerRecordT(WorkerRecordT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -3130,7 +3231,8 @@
   }
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_REGISTRATION = 4,
-    VT_LASTSEQUENCE = 6
+    VT_LASTSEQUENCE = 6,
+    VT_COPIES = 8
   };
   const paddlepier::work::RegisterWorker *registration() const {
     return GetPointer<const paddlepier::work::RegisterWorker *>(VT_REGISTRATION);
@@ -3138,11 +3240,17 @@
   uint64_t lastSequence() const {
     return GetField<uint64_t>(VT_LASTSEQUENCE, 0);
   }
+  const flatbuffers::Vector<flatbuffers::Offset<paddlepier::work::CopyRecord>> *copies() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<paddlepier::work::CopyRecord>> *>(VT_COPIES);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_REGISTRATION) &&
            verifier.VerifyTable(registration()) &&
            VerifyField<uint64_t>(verifier, VT_LASTSEQUENCE, 8) &&
+           VerifyOffset(verifier, VT_COPIES) &&
+           verifier.VerifyVector(copies()) &&
+           verifier.VerifyVectorOfTables(copies()) &&
            verifier.EndTable();
   }
   WorkerRecordT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3160,6 +3268,9 @@
   void add_lastSequence(uint64_t lastSequence) {
     fbb_.AddElement<uint64_t>(WorkerRecord::VT_LASTSEQUENCE, lastSequence, 0);
   }
+  void add_copies(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<paddlepier::work::CopyRecord>>> copies) {
+    fbb_.AddOffset(WorkerRecord::VT_COPIES, copies);
+  }
   explicit WorkerRecordBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3174,9 +3285,11 @@
 inline flatbuffers::Offset<WorkerRecord> CreateWorkerRecord(
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<paddlepier::work::RegisterWorker> registration = 0,
-    uint64_t lastSequence = 0) {
+    uint64_t lastSequence = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<paddlepier::work::CopyRecord>>> copies = 0) {
   WorkerRecordBuilder builder_(_fbb);
   builder_.add_lastSequence(lastSequence);
+  builder_.add_copies(copies);
   builder_.add_registration(registration);
   return builder_.Finish();
 }
@@ -3186,6 +3299,19 @@
   static auto constexpr Create = CreateWorkerRecord;
 };
 
+inline flatbuffers::Offset<WorkerRecord> CreateWorkerRecordDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<paddlepier::work::RegisterWorker> registration = 0,
+    uint64_t lastSequence = 0,
+    const std::vector<flatbuffers::Offset<paddlepier::work::CopyRecord>> *copies = nullptr) {
+  auto copies__ = copies ? _fbb.CreateVector<flatbuffers::Offset<paddlepier::work::CopyRecord>>(*copies) : 0;
+  return paddlepier::work::CreateWorkerRecord(
+      _fbb,
+      registration,
+      lastSequence,
+      copies__);
+}
+
 flatbuffers::Offset<WorkerRecord> CreateWorkerRecord(flatbuffers::FlatBufferBuilder &_fbb, const WorkerRecordT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
 struct SnapshotT : public flatbuffers::NativeTable {
@@ -5192,14 +5318,62 @@
       _occurrences);
 }
 
+inline CopyRecordT::CopyRecordT(const CopyRecordT &o)
+      : task((o.task) ? new paddlepier::work::TaskKeyT(*o.task) : nullptr),
+        run(o.run),
+        demand((o.demand) ? new paddlepier::work::Demand(*o.demand) : nullptr) {
+}
+
+inline CopyRecordT &CopyRecordT::operator=(CopyRecordT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(task, o.task);
+  std::swap(run, o.run);
+  std::swap(demand, o.demand);
+  return *this;
+}
+
+inline CopyRecordT *CopyRecord::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<CopyRecordT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void CopyRecord::UnPackTo(CopyRecordT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = task(); if (_e) _o->task = std::unique_ptr<paddlepier::work::TaskKeyT>(_e->UnPack(_resolver)); }
+  { auto _e = run(); _o->run = _e; }
+  { auto _e = demand(); if (_e) _o->demand = std::unique_ptr<paddlepier::work::Demand>(new paddlepier::work::Demand(*_e)); }
+}
+
+inline flatbuffers::Offset<CopyRecord> CopyRecord::Pack(flatbuffers::FlatBufferBuilder &_fbb, const CopyRecordT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateCopyRecord(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<CopyRecord> CreateCopyRecord(flatbuffers::FlatBufferBuilder &_fbb, const CopyRecordT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const CopyRecordT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _task = _o->task ? CreateTaskKey(_fbb, _o->task.get(), _rehasher) : 0;
+  auto _run = _o->run;
+  auto _demand = _o->demand ? _o->demand.get() : nullptr;
+  return paddlepier::work::CreateCopyRecord(
+      _fbb,
+      _task,
+      _run,
+      _demand);
+}
+
 inline WorkerRecordT::WorkerRecordT(const WorkerRecordT &o)
       : registration((o.registration) ? new paddlepier::work::RegisterWorkerT(*o.registration) : nullptr),
         lastSequence(o.lastSequence) {
+  copies.reserve(o.copies.size());
+  for (const auto &copies_ : o.copies) { copies.emplace_back((copies_) ? new paddlepier::work::CopyRecordT(*copies_) : nullptr); }
 }
 
 inline WorkerRecordT &WorkerRecordT::operator=(WorkerRecordT o) FLATBUFFERS_NOEXCEPT {
   std::swap(registration, o.registration);
   std::swap(lastSequence, o.lastSequence);
+  std::swap(copies, o.copies);
   return *this;
 }
 
@@ -5214,6 +5388,7 @@
   (void)_resolver;
   { auto _e = registration(); if (_e) _o->registration = std::unique_ptr<paddlepier::work::RegisterWorkerT>(_e->UnPack(_resolver)); }
   { auto _e = lastSequence(); _o->lastSequence = _e; }
+  { auto _e = copies(); if (_e) { _o->copies.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->copies[_i] = std::unique_ptr<paddlepier::work::CopyRecordT>(_e->Get(_i)->UnPack(_resolver)); } } }
 }
 
 inline flatbuffers::Offset<WorkerRecord> WorkerRecord::Pack(flatbuffers::FlatBufferBuilder &_fbb, const WorkerRecordT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -5226,10 +5401,12 @@
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const WorkerRecordT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _registration = _o->registration ? CreateRegisterWorker(_fbb, _o->registration.get(), _rehasher) : 0;
   auto _lastSequence = _o->lastSequence;
+  auto _copies = _o->copies.size() ? _fbb.CreateVector<flatbuffers::Offset<paddlepier::work::CopyRecord>> (_o->copies.size(), [](size_t i, _VectorArgs *__va) { return CreateCopyRecord(*__va->__fbb, __va->__o->copies[i].get(), __va->__rehasher); }, &_va ) : 0;
   return paddlepier::work::CreateWorkerRecord(
       _fbb,
       _registration,
-      _lastSequence);
+      _lastSequence,
+      _copies);
 }
 
 inline SnapshotT::SnapshotT(const SnapshotT &o)
--- a/paddlepier/workload/job.cpp
+++ b/paddlepier/workload/job.cpp
@@ -20,7 +20,7 @@
 /** The worker has listed the end, so that the run was there; what the leader concludes itself is no proof. */
 bool isProofOfStart(work::RunEndKind kind)
 {
-    return kind != work::RunEndKind::Void && kind != work::RunEndKind::WorkerLost && kind != work::RunEndKind::Expired;
+    return kind != work::RunEndKind::Void && kind != work::RunEndKind::WorkerLost && kind != work::RunEndKind::Expired && kind != work::RunEndKind::Superseded;
 }
 
 std::string problemOfStep(const work::StepSpecT &step, std::size_t number)
@@ -274,8 +274,21 @@
     if (!checkpoint.empty()) {
         ended.checkpoint = checkpoint;
     }
+    this->takeEnd(key, run, kind, nowMillis);
+    return true;
+}
+
+void Job::endSupersededRun(const TaskKey &key, std::uint32_t run, work::RunEndKind kind, std::int64_t nowMillis)
+{
+    if (this->hasTask(key)) {
+        this->takeEnd(key, run, kind, nowMillis);
+    }
+}
+
+void Job::takeEnd(const TaskKey &key, std::uint32_t run, work::RunEndKind kind, std::int64_t nowMillis)
+{
     if (isProofOfStart(kind)) {
-        ended.everStarted = true;
+        this->taskOf(key).everStarted = true;
         this->anyStarted = true;
     }
     const bool isLasting = this->stepSpec(key.step).isLasting;
@@ -287,7 +300,6 @@
     if (!this->hasEnded() && this->isComplete()) {
         this->end(work::JobState::Completed, nowMillis);
     }
-    return true;
 }
 
 void Job::finishTask(const TaskKey &key)
--- a/paddlepier/workload/job.h
+++ b/paddlepier/workload/job.h
@@ -97,6 +97,8 @@
     void place(const TaskKey &key, std::uint32_t run, const std::string &worker);
     /** Ends the run that is under way; an end of any other run changes nothing. @return whether it was that run */
     bool endRun(const TaskKey &key, std::uint32_t run, const std::string &worker, work::RunEndKind kind, const std::string &checkpoint, std::int64_t nowMillis);
+    /** A run that was superseded has ended: done counts as the task's end, failed as an attempt. */
+    void endSupersededRun(const TaskKey &key, std::uint32_t run, work::RunEndKind kind, std::int64_t nowMillis);
     void cancel(std::int64_t nowMillis);
 
     /** Of an ended job: frees what only a start needs. */
@@ -107,6 +109,7 @@
 private:
     Task &taskOf(const TaskKey &key);
     Step &stepOf(const TaskKey &key);
+    void takeEnd(const TaskKey &key, std::uint32_t run, work::RunEndKind kind, std::int64_t nowMillis);
     void finishTask(const TaskKey &key);
     void countFailure(const TaskKey &key, std::uint32_t run, std::int64_t nowMillis);
     void end(work::JobState endState, std::int64_t nowMillis);
--- a/paddlepier/workload/job_test.cpp
+++ b/paddlepier/workload/job_test.cpp
@@ -48,6 +48,32 @@
 
 } // namespace
 
+TEST_CASE_METHOD(JobFixture, "supersededRun_thatFails_countsAsAnAttempt")
+{
+    this->spec.steps.push_back(step(1));
+    Job made = this->job();
+    run(made, key(0, 0), work::RunEndKind::Superseded);
+    CHECK(made.task(key(0, 0)).failures == 0);
+    CHECK_FALSE(made.hasBegun());
+    made.endSupersededRun(key(0, 0), 1, work::RunEndKind::Failed, 3000);
+    run(made, key(0, 0), work::RunEndKind::Failed);
+    CHECK(made.state() == work::JobState::Failed);
+}
+
+TEST_CASE_METHOD(JobFixture, "supersededRun_thatIsDone_completesTheJobBesideItsCopy")
+{
+    this->spec.steps.push_back(step(1));
+    Job made = this->job();
+    run(made, key(0, 0), work::RunEndKind::Superseded);
+    made.place(key(0, 0), 2, "w2");
+    made.endSupersededRun(key(0, 0), 1, work::RunEndKind::Done, 3000);
+    CHECK(made.state() == work::JobState::Completed);
+    CHECK(made.runsUnderWay() == 1);
+    CHECK(made.endRun(key(0, 0), 2, "w2", work::RunEndKind::Stopped, "", 3100));
+    CHECK(made.state() == work::JobState::Completed);
+    CHECK(made.runsUnderWay() == 0);
+}
+
 TEST_CASE_METHOD(JobFixture, "begun_afterRunThatNeverStarted_isFalse")
 {
     this->spec.steps.push_back(step(1));
--- a/paddlepier/workload/workload.cpp
+++ b/paddlepier/workload/workload.cpp
@@ -21,6 +21,20 @@
     return {text.data(), text.size()};
 }
 
+/** Room that a task takes; what fills uses processors that others leave. */
+work::Demand demandOf(const work::StepSpecT &step)
+{
+    return {step.isFilling ? 0 : step.demand->milliProcessors(), step.demand->memoryMegabytes(), step.demand->accelerators()};
+}
+
+void reserve(Worker &worker, const work::Demand &demand, int sign)
+{
+    const auto change = static_cast<std::uint64_t>(static_cast<std::int64_t>(sign));
+    worker.reservedMilliProcessors += change * demand.milliProcessors();
+    worker.reservedMemoryMegabytes += change * demand.memoryMegabytes();
+    worker.reservedAccelerators += change * demand.accelerators();
+}
+
 } // namespace
 
 bool Worker::hasRoomFor(const work::StepSpecT &step) const
@@ -166,10 +180,10 @@
         return false;
     }
     const work::StepSpecT &step = job->second.stepSpec(key.step);
-    if (!worker->second.hasRoomFor(step)) {
+    if (!worker->second.hasRoomFor(step) || worker->second.superseded.contains(key)) {
         return false;
     }
-    this->reserve(worker->second, step, 1);
+    reserve(worker->second, demandOf(step), 1);
     worker->second.runs.insert(key);
     job->second.place(key, placement.run, placement.worker);
     return true;
@@ -184,14 +198,6 @@
     this->endRun(placement.worker, end);
 }
 
-void Workload::reserve(Worker &worker, const work::StepSpecT &step, int sign)
-{
-    const auto change = static_cast<std::uint64_t>(static_cast<std::int64_t>(sign));
-    worker.reservedMilliProcessors += change * (step.isFilling ? 0 : step.demand->milliProcessors());
-    worker.reservedMemoryMegabytes += change * step.demand->memoryMegabytes();
-    worker.reservedAccelerators += change * step.demand->accelerators();
-}
-
 Outcome Workload::recordEnds(const work::RecordEndsT &command)
 {
     for (const auto &end : command.ends) {
@@ -207,16 +213,39 @@
         worker->second.lastSequence = std::max(worker->second.lastSequence, end.sequence);
     }
     const TaskKey key(*end.task);
+    if (worker != this->workerById.end()) {
+        this->endSupersededRun(worker->second, key, end);
+    }
     const auto job = this->jobById.find(key.job);
     if (job == this->jobById.end() || !job->second.endRun(key, end.run, workerId, end.kind, end.checkpoint, this->appliedAt)) {
         return;
     }
     if (worker != this->workerById.end() && worker->second.runs.erase(key) > 0) {
-        this->reserve(worker->second, job->second.stepSpec(key.step), -1);
+        const work::Demand demand = demandOf(job->second.stepSpec(key.step));
+        if (end.kind == work::RunEndKind::Superseded) {
+            worker->second.superseded[key] = {end.run, demand};
+        } else {
+            reserve(worker->second, demand, -1);
+        }
     }
     this->noteJob(job->second);
 }
 
+void Workload::endSupersededRun(Worker &worker, const TaskKey &key, const work::RunEndT &end)
+{
+    const auto found = worker.superseded.find(key);
+    if (found == worker.superseded.end() || found->second.run != end.run) {
+        return;
+    }
+    reserve(worker, found->second.demand, -1);
+    worker.superseded.erase(found);
+    const auto job = this->jobById.find(key.job);
+    if (job != this->jobById.end()) {
+        job->second.endSupersededRun(key, end.run, end.kind, this->appliedAt);
+        this->noteJob(job->second);
+    }
+}
+
 Outcome Workload::registerWorker(const work::RegisterWorkerT &command)
 {
     Worker &worker = this->workerById[command.id];
@@ -334,6 +363,12 @@
         auto &record = snapshot.workers.emplace_back(std::make_unique<work::WorkerRecordT>());
         record->registration = std::make_unique<work::RegisterWorkerT>(worker.registration);
         record->lastSequence = worker.lastSequence;
+        for (const auto &[key, run] : worker.superseded) {
+            auto &copy = record->copies.emplace_back(std::make_unique<work::CopyRecordT>());
+            copy->task = key.record();
+            copy->run = run.run;
+            copy->demand = std::make_unique<work::Demand>(run.demand);
+        }
     }
     return wire::pack(snapshot);
 }
@@ -350,6 +385,10 @@
         Worker &worker = this->workerById[record->registration->id];
         worker.registration = *record->registration;
         worker.lastSequence = record->lastSequence;
+        for (const auto &copy : record->copies) {
+            worker.superseded[TaskKey(*copy->task)] = {copy->run, *copy->demand};
+            reserve(worker, *copy->demand, 1);
+        }
     }
     for (const auto &record : snapshot.jobs) {
         Job &job = this->jobById.emplace(record->id, Job(*record)).first->second;
@@ -362,7 +401,7 @@
                     const auto worker = this->workerById.find(tasks[index].worker);
                     if (worker != this->workerById.end()) {
                         worker->second.runs.insert({job.id(), occurrence, step, index});
-                        this->reserve(worker->second, job.stepSpec(step), 1);
+                        reserve(worker->second, demandOf(job.stepSpec(step)), 1);
                     }
                 }
             }
--- a/paddlepier/workload/workload.h
+++ b/paddlepier/workload/workload.h
@@ -40,6 +40,13 @@
     std::vector<work::PlacementT> placed;
 };
 
+/** A run that was superseded by a copy of its task elsewhere, while it isn't known whether it is still under way. */
+struct SupersededRun {
+    std::uint32_t run = 0;
+    /** Room that it may still take. */
+    work::Demand demand;
+};
+
 /** One life of a worker. */
 struct Worker {
     work::RegisterWorkerT registration;
@@ -47,6 +54,8 @@
     std::uint64_t lastSequence = 0;
     /** Runs that may be under way there. */
     std::set<TaskKey> runs;
+    /** Invariant: no task is in both `runs` and `superseded`. */
+    std::map<TaskKey, SupersededRun> superseded;
     std::uint64_t reservedMilliProcessors = 0;
     std::uint64_t reservedMemoryMegabytes = 0;
     std::uint64_t reservedAccelerators = 0;
@@ -95,7 +104,7 @@
     bool placeOne(const work::PlacementT &placement);
     void undoPlacement(const work::PlacementT &placement);
     void endRun(const std::string &worker, const work::RunEndT &end);
-    void reserve(Worker &worker, const work::StepSpecT &step, int sign);
+    void endSupersededRun(Worker &worker, const TaskKey &key, const work::RunEndT &end);
     void noteJob(Job &job);
     void forgetEndedJobs();
 
