Look only at runs that start or stop, and let plans be 6 ms apart

Change: runs that run are looked at every 20 ms, for jobs that ended; those that start or stop at each event; plans are 6 ms apart instead of 3 ms; the copy of an order that waits for its answer has no payload. Dead members and getters of the dispatcher and its views are gone (checkpointInterval, doneSinceFailure, stopReason, stoppingSince, runs(), workerViews(), leaseEnd).

--- a/paddlepier/execution/dispatcher.cpp
+++ b/paddlepier/execution/dispatcher.cpp
@@ -26,7 +26,7 @@
 constexpr Duration answerPatience = absl::Milliseconds(250);
 
 /** Least pause between two plans, so that what comes at nearly the same time is decided together. */
-constexpr Duration planPause = absl::Milliseconds(3);
+constexpr Duration planPause = absl::Milliseconds(6);
 
 /** A plan is made at least this often, for what only time changes: due occurrences, tickets, waiting periods. */
 constexpr Duration planInterval = absl::Milliseconds(200);
@@ -37,6 +37,13 @@
 /** A life that neither answers nor announces itself for this long, and holds no runs, is over. */
 constexpr Duration forgottenAfter = absl::Seconds(20);
 
+/** What is kept of an order until its answer comes. */
+Order withoutPayload(const Order &order)
+{
+    const auto *start = std::get_if<StartOrder>(&order);
+    return start == nullptr ? order : StartOrder{start->task, start->run, "", "", ""};
+}
+
 /** Part of a draining worker's remaining time in which its runs are stopped, beyond the stop itself. */
 constexpr Duration leavingMargin = absl::Milliseconds(700);
 
@@ -72,6 +79,7 @@
             track.mayStartLate = true;
             track.ticketValidUntil = absl::InfinitePast();
             this->tracks.emplace(key, std::move(track));
+            this->unsettled.insert(key);
         }
     }
 }
@@ -122,16 +130,6 @@
     }));
 }
 
-const RunTracks &Dispatcher::runs() const
-{
-    return this->tracks;
-}
-
-const std::map<std::string, WorkerView> &Dispatcher::workerViews() const
-{
-    return this->views;
-}
-
 DispatchEffects Dispatcher::step(Timestamp now, std::int64_t wallMillis)
 {
     this->syncWorkers(now);
@@ -168,7 +166,7 @@
     });
 }
 
-std::uint64_t Dispatcher::send(Timestamp now, const std::string &worker, Order order, Duration timeout, bool withLease)
+void Dispatcher::send(Timestamp now, const std::string &worker, Order order, Duration timeout, bool withLease)
 {
     WorkerView &view = this->views.at(worker);
     WorkerCall call;
@@ -182,9 +180,8 @@
     view.noteLease(call.leaseEndOnWorkerClock);
     const auto *poll = std::get_if<PollOrder>(&call.order);
     view.noteCall(call.id, now + answerPatience + (poll == nullptr ? absl::ZeroDuration() : poll->wait));
-    this->calls[call.id] = {worker, call.order, now, call.leaseEndOnWorkerClock};
+    this->calls[call.id] = {worker, withoutPayload(call.order), now};
     this->effects.calls.push_back(std::move(call));
-    return this->nextCall - 1;
 }
 
 void Dispatcher::propose(ProposalKind kind, const std::string &worker, work::CommandUnion command)
@@ -379,6 +376,7 @@
             track.ticketValidUntil = ticket == nullptr ? absl::InfinitePast() : ticket->validUntil;
         }
         this->tracks[key] = std::move(track);
+        this->unsettled.insert(key);
     }
 }
 
--- a/paddlepier/execution/dispatcher.h
+++ b/paddlepier/execution/dispatcher.h
@@ -31,6 +31,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -42,7 +43,6 @@
     Duration longestLease = absl::Seconds(10);
     /** Longest time that a stop takes on a sound worker. */
     Duration stopGrace = absl::Milliseconds(200);
-    Duration checkpointInterval = absl::Milliseconds(500);
 };
 
 struct Proposal {
@@ -78,9 +78,6 @@
     /** Jobs of a queue of which no run is known to have begun: rather too many than too few while answers are missing. */
     std::uint32_t waitingJobs(const std::string &queue) const;
 
-    const RunTracks &runs() const;
-    const std::map<std::string, WorkerView> &workerViews() const;
-
 private:
     enum class ProposalKind { Place, RecordEnds, RemoveWorker };
     struct PendingProposal {
@@ -91,7 +88,6 @@
         std::string worker;
         Order order;
         Timestamp sentAt;
-        std::int64_t leaseEnd = 0;
     };
 
     void adoptRuns(Timestamp now);
@@ -137,7 +133,7 @@
     void removeWorker(const std::string &worker);
     void dropTracks(const work::RecordEndsT &command);
 
-    std::uint64_t send(Timestamp now, const std::string &worker, Order order, Duration timeout, bool withLease);
+    void send(Timestamp now, const std::string &worker, Order order, Duration timeout, bool withLease);
     void propose(ProposalKind kind, const std::string &worker, work::CommandUnion command);
     bool hasBegun(const workload::Job &job) const;
     RunTrack *findTrack(const workload::TaskKey &key, std::uint32_t run, const std::string &worker);
@@ -155,6 +151,9 @@
     std::map<std::pair<std::string, workload::TaskKey>, SupersededTrack> supersededTracks;
     // Invariant: holds exactly the runs that the ledger has under way, but for those whose end is being recorded.
     RunTracks tracks;
+    /** Runs that are starting or stopping, and some that were a moment ago. */
+    std::set<workload::TaskKey> unsettled;
+    Timestamp nextFullDrive = absl::InfinitePast();
     /** What runs of a queue take, as a ratio to their estimates. */
     std::map<std::string, double> usualRatios;
     planning::AdviceBook advice;
--- a/paddlepier/execution/runs.cpp
+++ b/paddlepier/execution/runs.cpp
@@ -18,6 +18,9 @@
 /** Starts sent for one run before it is given up and kept from starting. */
 constexpr std::uint32_t mostStartCalls = 3;
 
+/** How often runs that neither start nor stop are looked at, for jobs that have ended meanwhile. */
+constexpr Duration fullDriveInterval = absl::Milliseconds(20);
+
 /** A stop is sent again if the run is still listed after this time, beyond what a stop may take. */
 constexpr Duration stopPatience = absl::Milliseconds(1500);
 
@@ -26,8 +29,19 @@
 void Dispatcher::driveRuns(Timestamp now)
 {
     UnsentRuns unsent;
-    for (auto &[key, track] : this->tracks) {
-        this->driveRun(now, key, track, unsent);
+    if (now >= this->nextFullDrive) {
+        this->nextFullDrive = now + fullDriveInterval;
+        for (auto &[key, track] : this->tracks) {
+            this->driveRun(now, key, track, unsent);
+        }
+    } else {
+        std::erase_if(this->unsettled, [this](const workload::TaskKey &key) {
+            const auto track = this->tracks.find(key);
+            return track == this->tracks.end() || track->second.phase == RunPhase::Running;
+        });
+        for (const workload::TaskKey &key : this->unsettled) {
+            this->driveRun(now, key, this->tracks.at(key), unsent);
+        }
     }
     for (const auto &[key, track] : unsent) {
         this->endRuns(track.worker, {{key, track}}, work::RunEndKind::Void);
@@ -107,6 +121,7 @@
     case AnswerKind::OldRun:
         track->phase = RunPhase::Stopping;
         track->settledAt = now;
+        this->unsettled.insert(order.task);
         return;
     case AnswerKind::LeaseOver:
     case AnswerKind::NotSent:
@@ -145,9 +160,8 @@
     log::info(
         "dispatch", "run.stop", {{"task", key.text()}, {"run", track.run}, {"worker", track.worker}, {"reason", nameOf(reason)}, {"percent", track.percent}});
     track.phase = RunPhase::Stopping;
-    track.stopReason = reason;
-    track.stoppingSince = now;
     track.nextCall = now;
+    this->unsettled.insert(key);
 }
 
 void Dispatcher::takeStop(Timestamp now, const PendingCall &call, const StopOrder &order, const WorkerAnswer &answer)
--- a/paddlepier/execution/runtrack.h
+++ b/paddlepier/execution/runtrack.h
@@ -30,7 +30,6 @@
     std::uint32_t run = 0;
     std::string worker;
     RunPhase phase = RunPhase::Starting;
-    StopReason stopReason = StopReason::None;
     std::string ticket;
     Timestamp ticketValidUntil = absl::InfiniteFuture();
     /** A start got no answer: the worker may carry it out later. */
@@ -42,7 +41,6 @@
     std::uint32_t startCalls = 0;
     Timestamp placedAt;
     Timestamp runningSince = absl::InfiniteFuture();
-    Timestamp stoppingSince = absl::InfiniteFuture();
     std::uint32_t percent = 0;
     /** When the percentage last rose, and what it was when it was first seen. */
     Timestamp progressAt = absl::InfinitePast();
--- a/paddlepier/execution/workerview.cpp
+++ b/paddlepier/execution/workerview.cpp
@@ -38,7 +38,6 @@
 void WorkerView::noteFailedRun(Timestamp now)
 {
     ++this->failedInRow;
-    this->doneSinceFailure = 0;
     const std::uint32_t doublings = std::min(this->failedInRow, mostDoublings);
     this->suspectUntil = now + shortestTimeOut * (1U << doublings);
 }
@@ -46,7 +45,6 @@
 void WorkerView::noteDoneRun()
 {
     this->failedInRow = 0;
-    ++this->doneSinceFailure;
 }
 
 void WorkerView::noteAnswer(Timestamp now, std::optional<std::int64_t> clock)
--- a/paddlepier/execution/workerview.h
+++ b/paddlepier/execution/workerview.h
@@ -66,9 +66,8 @@
     Timestamp leavesAt = absl::InfiniteFuture();
     Timestamp announcedAt;
     std::uint64_t announcedSequence = 0;
-    /** Failed ends in a row, and successes since the last failed one. */
+    /** Failed ends in a row. */
     std::uint32_t failedInRow = 0;
-    std::uint32_t doneSinceFailure = 0;
     /** No work before this time, if it has failed several times in a row. */
     Timestamp suspectUntil = absl::InfinitePast();
     /** Smoothed ratio of a run's time there to what was expected; 1 is an ordinary worker. */
