--- /dev/null
+++ b/paddlepier/base/boundedwriter_test.cpp
@@ -0,0 +1,110 @@
+// A writer whose reader stalls, goes on, or is gone.
+
+#include "paddlepier/base/boundedwriter.h"
+
+#include <catch2/catch.hpp>
+#include <fcntl.h>
+#include <signal.h>
+#include <unistd.h>
+
+#include <array>
+#include <string>
+
+namespace paddlepier
+{
+
+namespace
+{
+
+class BoundedWriterFixture
+{
+public:
+    BoundedWriterFixture()
+    {
+        REQUIRE(::pipe(this->ends.data()) == 0);
+    }
+
+    ~BoundedWriterFixture()
+    {
+        this->closeReader();
+        ::close(this->ends[1]);
+    }
+
+    void closeReader()
+    {
+        if (this->ends[0] >= 0) {
+            ::close(this->ends[0]);
+        }
+        this->ends[0] = -1;
+    }
+
+    /** Reads until @p text has come; waits for it. */
+    bool reads(const std::string &text) const
+    {
+        std::string read;
+        std::array<char, 4096> buffer{};
+        while (read.size() < text.size()) {
+            const ssize_t size = ::read(this->ends[0], buffer.data(), std::min(buffer.size(), text.size() - read.size()));
+            if (size <= 0) {
+                return false;
+            }
+            read.append(buffer.data(), static_cast<std::size_t>(size));
+        }
+        return read == text;
+    }
+
+    std::array<int, 2> ends{-1, -1};
+};
+
+constexpr std::size_t mostBytes = 1000;
+
+} // namespace
+
+TEST_CASE_METHOD(BoundedWriterFixture, "lines_withAReader_comeWholeAndInOrder")
+{
+    BoundedWriter writer(this->ends[1], mostBytes);
+    CHECK(writer.post("one\n"));
+    CHECK(writer.post("two\n"));
+    writer.stop(absl::Seconds(60));
+    CHECK(this->reads("one\ntwo\n"));
+    CHECK(writer.takeDropped() == 0);
+}
+
+TEST_CASE_METHOD(BoundedWriterFixture, "lines_whileTheReaderStalls_areDroppedAndCountedWithoutWaiting")
+{
+    BoundedWriter writer(this->ends[1], mostBytes);
+    const std::string line(100, 'x');
+    // More than pipe and buffer can take: if a post waited for the reader, this would never end.
+    std::int64_t refused = 0;
+    for (int count = 0; count < 100'000; ++count) {
+        refused += writer.post(line) ? 0 : 1;
+    }
+    CHECK(refused > 0);
+    CHECK(writer.takeDropped() == refused);
+    CHECK(writer.takeDropped() == 0);
+    CHECK(this->reads(line));
+}
+
+TEST_CASE_METHOD(BoundedWriterFixture, "stop_whileTheReaderStalls_returns")
+{
+    ::fcntl(this->ends[1], F_SETPIPE_SZ, 4096);
+    BoundedWriter writer(this->ends[1], 1U << 20U);
+    writer.post(std::string(100'000, 'x'));
+    writer.stop(absl::Milliseconds(1));
+    CHECK_FALSE(writer.post("late"));
+}
+
+TEST_CASE_METHOD(BoundedWriterFixture, "lines_afterTheReaderIsGone_areDropped")
+{
+    ::signal(SIGPIPE, SIG_IGN);
+    this->closeReader();
+    BoundedWriter writer(this->ends[1], mostBytes);
+    writer.post("one\n");
+    // The writer notices at its first write, and then drops.
+    while (writer.post("")) {
+        ::usleep(1000);
+    }
+    CHECK(writer.takeDropped() > 0);
+}
+
+} // namespace paddlepier
--- a/paddlepier/base/log.cpp
+++ b/paddlepier/base/log.cpp
@@ -2,16 +2,20 @@
 
 #include "paddlepier/base/log.h"
 
+#include "paddlepier/base/boundedwriter.h"
 #include "paddlepier/base/error.h"
+#include "paddlepier/base/linebudget.h"
 
 #include <absl/strings/str_cat.h>
 #include <flatbuffers/util.h>
-#include <log4cplus/consoleappender.h>
+#include <log4cplus/appender.h>
 #include <log4cplus/initializer.h>
 #include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
+#include <unistd.h>
 
 #include <array>
+#include <atomic>
 #include <utility>
 
 namespace paddlepier::log
@@ -58,12 +62,75 @@
     return jsonString(std::get<std::string>(value));
 }
 
+/** Some seconds of lines at the highest load seen; a reader that stalls for longer loses lines. */
+constexpr std::size_t mostWaitingBytes = std::size_t{1} << 20U;
+
+/** Lines of one event in a second: above the starts and ends of the largest deployment aimed at. */
+constexpr std::int64_t mostLinesPerSecond = 1000;
+
+/** Formats lines by the library's layout and hands them to a writer that never waits. */
+class WriterAppender : public log4cplus::Appender
+{
+public:
+    WriterAppender()
+    {
+        current = this;
+    }
+
+    WriterAppender(const WriterAppender &) = delete;
+    WriterAppender &operator=(const WriterAppender &) = delete;
+
+    ~WriterAppender() override
+    {
+        current = nullptr;
+        this->destructorImpl();
+    }
+
+    void close() override
+    {
+        this->closed = true;
+    }
+
+    /** Lines that were dropped since the last call; 0 where no output is set up. */
+    static std::int64_t takeDropped()
+    {
+        WriterAppender *appender = current;
+        return appender == nullptr ? 0 : appender->writer.takeDropped();
+    }
+
+protected:
+    void append(const log4cplus::spi::InternalLoggingEvent &event) override
+    {
+        this->writer.post(this->formatEvent(event));
+    }
+
+private:
+    inline static std::atomic<WriterAppender *> current{nullptr};
+
+    BoundedWriter writer{STDOUT_FILENO, mostWaitingBytes};
+};
+
+LineBudget &lineBudget()
+{
+    static LineBudget budget(mostLinesPerSecond);
+    return budget;
+}
+
+void writeLine(Level level, std::string_view component, std::string_view event, Fields fields)
+{
+    std::string line = absl::StrCat("\"component\":", jsonString(component), ",\"event\":", jsonString(event));
+    for (const Field &field : fields) {
+        absl::StrAppend(&line, ",", jsonString(field.name), ":", jsonValue(field.value));
+    }
+    log4cplus::Logger::getRoot().forcedLog(toLibraryLevel(level), line);
+}
+
 } // namespace
 
 void initialize(Level lowest)
 {
     static log4cplus::Initializer library;
-    log4cplus::SharedAppenderPtr appender(new log4cplus::ConsoleAppender(false, true));
+    log4cplus::SharedAppenderPtr appender(new WriterAppender());
     appender->setLayout(std::make_unique<log4cplus::PatternLayout>(linePattern));
     log4cplus::Logger root = log4cplus::Logger::getRoot();
     root.removeAllAppenders();
@@ -83,16 +150,20 @@
 
 void write(Level level, std::string_view component, std::string_view event, Fields fields)
 {
-    log4cplus::Logger root = log4cplus::Logger::getRoot();
-    const log4cplus::LogLevel libraryLevel = toLibraryLevel(level);
-    if (!root.isEnabledFor(libraryLevel)) {
+    if (!log4cplus::Logger::getRoot().isEnabledFor(toLibraryLevel(level))) {
         return;
     }
-    std::string line = absl::StrCat("\"component\":", jsonString(component), ",\"event\":", jsonString(event));
-    for (const Field &field : fields) {
-        absl::StrAppend(&line, ",", jsonString(field.name), ":", jsonValue(field.value));
+    const LineBudget::Verdict verdict = lineBudget().take(event, controlNow());
+    if (verdict.leftOut > 0) {
+        writeLine(Level::Warning, "log", "lines.left-out", {{"of", event}, {"lines", verdict.leftOut}});
+    }
+    const std::int64_t dropped = WriterAppender::takeDropped();
+    if (dropped > 0) {
+        writeLine(Level::Warning, "log", "lines.dropped", {{"reason", "the reader of standard output is slow"}, {"lines", dropped}});
+    }
+    if (verdict.isAllowed) {
+        writeLine(level, component, event, fields);
     }
-    root.forcedLog(libraryLevel, line);
 }
 
 std::string jsonString(std::string_view text)
--- a/paddlepier/base/log.h
+++ b/paddlepier/base/log.h
@@ -3,6 +3,9 @@
 // Every line has `time`, `level`, `component` and `event`, and then the event's own fields. Fields are typed, so that a
 // number stays a number in JSON.
 //
+// Writing never waits for the reader of standard output, and each event has a budget of lines a second. What was lost or
+// left out is told by a line of its own, `lines.dropped` or `lines.left-out`, with the count.
+//
 // Example:
 //     log::info("ledger", "leader.elected", {{"group", name}, {"term", term}});
 //
--- a/paddlepier/cli/commands.cpp
+++ b/paddlepier/cli/commands.cpp
@@ -5,6 +5,7 @@
 #include "paddlepier/base/clock.h"
 #include "paddlepier/base/error.h"
 #include "paddlepier/cli/client.h"
+#include "paddlepier/cli/commandline.h"
 #include "paddlepier/cli/jobfile.h"
 #include "paddlepier/cli/serve.h"
 #include "paddlepier/cli/tables.h"
@@ -27,7 +28,6 @@
 namespace
 {
 
-constexpr const char *programVersion = "0.1.0";
 constexpr const char *serverVariable = "PADDLEPIER_SERVER";
 constexpr const char *tokenVariable = "PADDLEPIER_TOKEN";
 
@@ -37,31 +37,6 @@
     return value == nullptr ? fallback : value;
 }
 
-/** One subcommand's arguments; help shows an example. */
-class CommandLine
-{
-public:
-    explicit CommandLine(const std::string &description, const std::string &example)
-        : parser(absl::StrCat(description, "\n\nExample: ", example), ' ', programVersion)
-    {
-        this->parser.setExceptionHandling(false);
-    }
-
-    TCLAP::CmdLine &arguments()
-    {
-        return this->parser;
-    }
-
-    void parse(std::vector<std::string> words)
-    {
-        words[0] = absl::StrCat("paddlepier ", words[0]);
-        this->parser.parse(words);
-    }
-
-private:
-    TCLAP::CmdLine parser;
-};
-
 /** Arguments of every subcommand that calls an instance. */
 class ClientArguments
 {
