Let hopeless, late and then young jobs make way first, over all workers

What made way for quick work was chosen worker by worker in the order of job ids, so that every long job was stopped again and again (1428 stops), and room on its way was counted only after a worker's runs had been chosen. Ruled out: attempts (no job failed for them), advice (875 answers in time). Change: for one step, room that is free or on its way is claimed on all workers first; then runs are stopped one by one over all workers, at the step's home first, then what can't be served in time any more, then the youngest. Tests: preemption_ofSeveralJobs_takesTheYoungestAndLeavesTheOldest (fails before).

--- a/paddlepier/planning/planner.cpp
+++ b/paddlepier/planning/planner.cpp
@@ -167,14 +167,18 @@
         this->countSuperseded(entry);
     }
     if (!entry.tasks.empty()) {
-        const auto usual = this->usualRatios.find(job.queue().name);
         // What is to last has no end to meet.
-        entry.outlook =
-            entry.step->isLasting ? Outlook::InTime : outlookOf(job, occurrence, this->wallMillis, usual == this->usualRatios.end() ? 1.0 : usual->second);
+        entry.outlook = entry.step->isLasting ? Outlook::InTime : this->outlookOfOccurrence(job, occurrence);
         wanted.push_back(std::move(entry));
     }
 }
 
+Outlook Planner::outlookOfOccurrence(const workload::Job &job, std::uint32_t occurrence) const
+{
+    const auto usual = this->usualRatios.find(job.queue().name);
+    return outlookOf(job, occurrence, this->wallMillis, usual == this->usualRatios.end() ? 1.0 : usual->second);
+}
+
 void Planner::countSuperseded(WantedStep &wanted) const
 {
     const workload::TaskKey first(wanted.key.job, wanted.key.occurrence, wanted.key.step, 0);
@@ -387,41 +391,55 @@
 void Planner::preemptFor(const WantedStep &wanted, Plan &plan)
 {
     std::size_t missing = wanted.tasks.size();
-    for (const bool isHome : {true, false}) {
-        for (Room &room : this->rooms) {
-            if (missing == 0 || plan.preempted.size() >= mostPreemptions) {
-                return;
-            }
-            if ((wanted.home.empty() || room.dataCentre() == wanted.home) == isHome) {
-                missing = this->preemptOn(room, wanted, missing, plan);
-            }
+    std::vector<Victim> victims;
+    for (Room &room : this->rooms) {
+        if (this->mayMakeRoom(room, wanted)) {
+            // Room that is free or on its way serves first.
+            missing -= claimComingRoom(room, wanted, missing);
+            this->collectVictims(room, wanted, plan, victims);
+        }
+    }
+    std::sort(victims.begin(), victims.end(), [](const Victim &left, const Victim &right) {
+        const auto rank = [](const Victim &victim) { return std::tie(victim.isHome, victim.outlook, victim.submittedAtMillis); };
+        return rank(left) > rank(right);
+    });
+    for (const Victim &victim : victims) {
+        if (missing == 0 || plan.preempted.size() >= mostPreemptions) {
+            return;
         }
+        plan.preempted.push_back(victim.key);
+        victim.room->comingProcessors += this->state.findJob(victim.key.job)->stepSpec(victim.key.step).demand->milliProcessors();
+        missing -= claimComingRoom(*victim.room, wanted, missing);
     }
 }
 
-std::size_t Planner::preemptOn(Room &room, const WantedStep &wanted, std::size_t missing, Plan &plan)
+bool Planner::mayMakeRoom(const Room &room, const WantedStep &wanted) const
 {
-    const std::int64_t each = wanted.step->demand->milliProcessors();
     const Standing standing = wanted.job->queue().advice ? this->advice.standing(this->now, wanted.key, room.id()) : Standing::Permitted;
-    if (each == 0 || standing == Standing::Forbidden || !this->mayRun(room, wanted) || !this->isBelowBound(room, wanted) || room.view->failedInRow > 0) {
+    return standing != Standing::Forbidden && this->mayRun(room, wanted) && this->isBelowBound(room, wanted) && room.view->failedInRow == 0;
+}
+
+std::size_t Planner::claimComingRoom(Room &room, const WantedStep &wanted, std::size_t missing)
+{
+    const std::int64_t each = wanted.step->demand->milliProcessors();
+    if (each == 0) {
         return missing;
     }
-    // Room that is free or on its way serves first.
-    std::int64_t available = std::max<std::int64_t>(0, room.processors) + room.comingProcessors;
+    const std::int64_t available = std::max<std::int64_t>(0, room.processors) + room.comingProcessors;
+    const std::size_t claimed = std::min(missing, static_cast<std::size_t>(std::max<std::int64_t>(0, available / each)));
+    room.comingProcessors -= each * static_cast<std::int64_t>(claimed);
+    return claimed;
+}
+
+void Planner::collectVictims(Room &room, const WantedStep &wanted, const Plan &plan, std::vector<Victim> &victims) const
+{
+    const bool isHome = wanted.home.empty() || room.dataCentre() == wanted.home;
     for (const workload::TaskKey &key : room.worker->runs) {
-        if (available >= each * static_cast<std::int64_t>(missing)) {
-            break;
-        }
         if (this->makesWay(key, wanted, plan)) {
-            const std::int64_t freed = this->state.findJob(key.job)->stepSpec(key.step).demand->milliProcessors();
-            plan.preempted.push_back(key);
-            available += freed;
-            room.comingProcessors += freed;
+            const workload::Job &job = *this->state.findJob(key.job);
+            victims.push_back({key, &room, isHome, this->outlookOfOccurrence(job, key.occurrence), job.submittedAtMillis()});
         }
     }
-    const auto served = std::min<std::size_t>(missing, static_cast<std::size_t>(available / each));
-    room.comingProcessors -= each * static_cast<std::int64_t>(served);
-    return missing - served;
 }
 
 bool Planner::makesWay(const workload::TaskKey &key, const WantedStep &wanted, const Plan &plan) const
--- a/paddlepier/planning/planner.h
+++ b/paddlepier/planning/planner.h
@@ -56,6 +56,19 @@
         double penalty;
     };
 
+    /**
+     * A run that may make way. Those near the step's other tasks go first, then what can't be served in time any more, and
+     * then the youngest: where room is short some jobs end in time instead of all ending late.
+     */
+    struct Victim {
+        workload::TaskKey key;
+        Room *room;
+        bool isHome;
+        Outlook outlook;
+        std::int64_t submittedAtMillis;
+    };
+
+    Outlook outlookOfOccurrence(const workload::Job &job, std::uint32_t occurrence) const;
     void collectRooms();
     /** Few enough workers owe an answer to do without them. */
     bool areFewOverdue() const;
@@ -73,8 +86,10 @@
     /** Keeps room for the tasks that are likely to go there. @return how many, in expectation */
     static double keepRoom(const WantedStep &wanted, Room &room, double chance);
     void preemptFor(const WantedStep &wanted, Plan &plan);
-    /** Stops less urgent runs on one worker, as many as @p missing tasks need; @return the tasks still missing */
-    std::size_t preemptOn(Room &room, const WantedStep &wanted, std::size_t missing, Plan &plan);
+    bool mayMakeRoom(const Room &room, const WantedStep &wanted) const;
+    /** Takes room that is free or on its way for up to @p missing tasks; @return for how many there is some */
+    static std::size_t claimComingRoom(Room &room, const WantedStep &wanted, std::size_t missing);
+    void collectVictims(Room &room, const WantedStep &wanted, const Plan &plan, std::vector<Victim> &victims) const;
     bool makesWay(const workload::TaskKey &key, const WantedStep &wanted, const Plan &plan) const;
     bool mayRun(const Room &room, const WantedStep &wanted) const;
     bool isAcceptable(const Room &room) const;
--- a/paddlepier/planning/planner_test.cpp
+++ b/paddlepier/planning/planner_test.cpp
@@ -320,4 +320,26 @@
     CHECK(plan.placements[0].worker == "w2");
 }
 
+TEST_CASE_METHOD(PlannerFixture, "preemption_ofSeveralJobs_takesTheYoungestAndLeavesTheOldest")
+{
+    this->configure();
+    this->addWorker("w1", "r1-1", 2000);
+    this->addWorker("w2", "r1-1", 2000);
+    // The ids are against the order of age, and each worker runs a task of each job.
+    for (const char *id : {"000000000000000c", "000000000000000b"}) {
+        work::StepSpecT &step = this->addJob(id, "slow", 2);
+        step.isCheckpointing = true;
+        step.mostPerWorker = 1;
+        this->submit();
+        this->place(this->plan());
+        this->wallMillis += 100;
+    }
+    this->addJob("000000000000000d", "urgent", 2);
+    this->submit();
+    const Plan plan = this->plan();
+    REQUIRE(plan.preempted.size() == 2);
+    CHECK(plan.preempted[0].job == "000000000000000b");
+    CHECK(plan.preempted[1].job == "000000000000000b");
+}
+
 } // namespace paddlepier::planning
