End a worker's earlier life when the next one answers, not when something announces it

Ruled out: copies (the runs that overlapped weren't superseded ones), one-way and lossy cuts (nothing broke in them). Change: an announcement ends nothing. A life ends others at its address or of its machine when it has answered its first poll, and only those known before that poll was sent; a dead one is found by its polls, which another life answers. Tests: announcementOfADeadLife_heldUpUntilAfterTheNextOne_endsNothing, newLife_atTheAddressOfOneThatIsSilent_endsItOnceItAnswers. The old rule had stood in WorkService without a test.

--- a/paddlepier/cluster/workservice.cpp
+++ b/paddlepier/cluster/workservice.cpp
@@ -228,20 +228,6 @@
     this->proposeFor(toCommand(std::move(command)), answer(work::CallOutcome::Accepted).reply, done);
 }
 
-void WorkService::removeEarlierLives(const work::RegisterWorkerT &registration)
-{
-    for (const auto &[id, worker] : this->node.state().workers()) {
-        const bool isSameMachine = !registration.machine.empty() && worker.registration.machine == registration.machine;
-        if (id == registration.id || (!isSameMachine && worker.registration.address != registration.address)) {
-            continue;
-        }
-        log::info("workers", "worker.replaced", {{"worker", id}, {"by", registration.id}, {"runs", worker.runs.size()}});
-        work::RemoveWorkerT command;
-        command.id = id;
-        this->propose(toCommand(std::move(command)), [](const workload::Outcome &) {});
-    }
-}
-
 void WorkService::announce(Timestamp now, const work::AnnounceCallT &call, const CallDone &done)
 {
     const work::RegisterWorkerT &registration = *call.registration;
@@ -264,7 +250,6 @@
                {"draining", registration.isDraining},
                {"drainRemainingMillis", call.drainRemainingMillis},
                {"sequence", call.sequence}});
-    this->removeEarlierLives(registration);
     this->proposeFor(toCommand(registration), answer(work::CallOutcome::Accepted).reply, done);
 }
 
--- a/paddlepier/cluster/workservice.h
+++ b/paddlepier/cluster/workservice.h
@@ -58,7 +58,6 @@
     void show(const work::QueueSpecT &queue, const std::string &id, const CallDone &done);
     void cancel(const std::string &id, const CallDone &done);
     void announce(Timestamp now, const work::AnnounceCallT &call, const CallDone &done);
-    void removeEarlierLives(const work::RegisterWorkerT &registration);
     void withdraw(const work::WithdrawCallT &call, const CallDone &done);
     void configure(work::ConfigureCallT call, const CallDone &done);
     void readConfiguration(const CallDone &done);
--- a/paddlepier/execution/dispatcher.cpp
+++ b/paddlepier/execution/dispatcher.cpp
@@ -229,6 +229,9 @@
         view->second.isFenced = true;
         log::warning("dispatch", "worker.fenced", {{"worker", call.worker}, {"fence", this->fence}});
     }
+    if (!view->second.isKnown() && answer.kind == AnswerKind::Accepted && std::holds_alternative<PollOrder>(call.order)) {
+        this->removeOtherLives(call.worker, call.sentAt);
+    }
     if (answer.kind != AnswerKind::NoAnswer && answer.kind != AnswerKind::NotSent) {
         view->second.noteAnswer(now, answer.hasClock ? std::optional(answer.clockMillis) : std::nullopt);
     }
@@ -469,6 +472,25 @@
     this->propose(ProposalKind::RemoveWorker, worker, std::move(made));
 }
 
+void Dispatcher::removeOtherLives(const std::string &worker, Timestamp pollSentAt)
+{
+    const work::RegisterWorkerT &alive = this->state.findWorker(worker)->registration;
+    std::vector<std::string> over;
+    for (const auto &[id, other] : this->state.workers()) {
+        const bool isSameMachine = !alive.machine.empty() && other.registration.machine == alive.machine;
+        const auto view = this->views.find(id);
+        // One that joined after the poll was sent may be a later life.
+        const bool isEarlier = view == this->views.end() || view->second.knownSince < pollSentAt;
+        if (id != worker && isEarlier && (isSameMachine || other.registration.address == alive.address)) {
+            log::info("dispatch", "worker.replaced", {{"worker", id}, {"by", worker}, {"runs", other.runs.size()}});
+            over.push_back(id);
+        }
+    }
+    for (const std::string &id : over) {
+        this->removeWorker(id);
+    }
+}
+
 void Dispatcher::drainWorkers(Timestamp now)
 {
     for (const auto &[id, view] : this->views) {
--- a/paddlepier/execution/dispatcher.h
+++ b/paddlepier/execution/dispatcher.h
@@ -131,6 +131,11 @@
     void settleVanished(Timestamp now, const std::string &worker, Timestamp pollSentAt, const WorkerAnswer &answer);
     void endRuns(const std::string &worker, const std::vector<std::pair<workload::TaskKey, RunTrack>> &ended, work::RunEndKind kind);
     void removeWorker(const std::string &worker);
+    /**
+     * @p worker has answered a poll for the first time: other lives at its address or of its machine are over. An announcement
+     * proves nothing of the kind, since it may have been held up until after its sender's end.
+     */
+    void removeOtherLives(const std::string &worker, Timestamp pollSentAt);
     void dropTracks(const work::RecordEndsT &command);
 
     void send(Timestamp now, const std::string &worker, Order order, Duration timeout, bool withLease);
--- a/paddlepier/execution/dispatcher_test.cpp
+++ b/paddlepier/execution/dispatcher_test.cpp
@@ -51,12 +51,12 @@
         return this->state.apply(entry);
     }
 
-    void addWorker(const std::string &id, std::uint32_t processors = 4000)
+    void addWorker(const std::string &id, std::uint32_t processors = 4000, const std::string &address = "")
     {
         work::RegisterWorkerT registration;
         registration.id = id;
         registration.service = "pool";
-        registration.address = id;
+        registration.address = address.empty() ? id : address;
         registration.capacity = std::make_unique<work::Demand>(processors, 10'000, 0);
         this->workers.workers[id].capacity = processors;
         this->apply(std::move(registration));
@@ -351,6 +351,45 @@
     CHECK(this->runUntil([this] { return this->dispatcher->waitingJobs("quick") == 0; }));
 }
 
+TEST_CASE_METHOD(DispatcherFixture, "announcementOfADeadLife_heldUpUntilAfterTheNextOne_endsNothing")
+{
+    this->addWorker("second", 4000, "host:1");
+    this->newLeader();
+    this->addJob("a", 2, 3000);
+    this->runFor(absl::Seconds(1));
+    REQUIRE(this->workers.workers["second"].runs.size() == 2);
+    this->addWorker("first", 4000, "host:1");
+    this->workers.workers["first"].isOver = true;
+    this->dispatcher->noteChange();
+    CHECK(this->runUntil([this] { return this->state.findWorker("first") == nullptr; }, absl::Seconds(2)));
+    CHECK(this->state.findWorker("second") != nullptr);
+    CHECK(this->runUntil([this] { return this->isCompleted("a"); }));
+    CHECK(this->workers.starts == 2);
+    CHECK(this->workers.problems.empty());
+}
+
+TEST_CASE_METHOD(DispatcherFixture, "newLife_atTheAddressOfOneThatIsSilent_endsItOnceItAnswers")
+{
+    this->addWorker("first", 4000, "host:1");
+    this->newLeader();
+    this->addJob("a", 2, 3000);
+    this->runFor(absl::Seconds(1));
+    REQUIRE(this->workers.workers["first"].runs.size() == 2);
+    // A crash: its runs are gone, and calls meant for it get no answer.
+    this->workers.workers["first"].runs.clear();
+    this->workers.workers["first"].isCut = true;
+    this->runFor(absl::Seconds(1));
+    this->addWorker("second", 4000, "host:1");
+    this->workers.workers["second"].isCut = true;
+    this->dispatcher->noteChange();
+    this->runFor(absl::Seconds(1));
+    CHECK(this->state.findWorker("first") != nullptr);
+    this->workers.workers["second"].isCut = false;
+    CHECK(this->runUntil([this] { return this->state.findWorker("first") == nullptr; }, absl::Seconds(2)));
+    CHECK(this->runUntil([this] { return this->isCompleted("a"); }, absl::Seconds(5)));
+    CHECK(this->workers.problems.empty());
+}
+
 TEST_CASE_METHOD(CopiesFixture, "copy_ofATaskOnAWorkerThatIsCutOff_completesTheJob")
 {
     this->startOnFirstWorker(2, 1000);
--- a/paddlepier/execution/fakeworkers.h
+++ b/paddlepier/execution/fakeworkers.h
@@ -50,6 +50,8 @@
         std::uint32_t capacity = 4000;
         bool isCut = false;
         bool failsAll = false;
+        /** It has crashed; what is sent to its address reaches another life. */
+        bool isOver = false;
         /** Runs that begin now never get on. */
         bool stalls = false;
     };
@@ -72,6 +74,10 @@
     {
         Worker &worker = this->workers[call.worker];
         WorkerAnswer answer;
+        if (worker.isOver) {
+            answer.kind = AnswerKind::OtherLife;
+            return answer;
+        }
         answer.hasClock = true;
         answer.clockMillis = clock(now);
         if (call.fence < worker.fence) {
--- a/paddlepier/execution/workerview.cpp
+++ b/paddlepier/execution/workerview.cpp
@@ -29,7 +29,8 @@
 } // namespace
 
 WorkerView::WorkerView(Timestamp termBegin, Duration longestLease)
-    : announcedAt(termBegin)
+    : knownSince(termBegin)
+    , announcedAt(termBegin)
     , oldLeasesOverAt(termBegin + slowed(longestLease) + leaseMargin)
     , clockReadAt(termBegin)
 {
--- a/paddlepier/execution/workerview.h
+++ b/paddlepier/execution/workerview.h
@@ -64,6 +64,8 @@
     Timestamp startsBlockedUntil = absl::InfinitePast();
     /** When the worker may leave; infinite while it isn't draining. */
     Timestamp leavesAt = absl::InfiniteFuture();
+    /** When this leader first knew of the worker. */
+    Timestamp knownSince;
     Timestamp announcedAt;
     std::uint64_t announcedSequence = 0;
     /** Failed ends in a row. */
