End a stopped process at once, without the logging library's static objects

Ruled out: the transport's and the HTTP client's threads (joined within 1 ms), the servers (stopped), our own log writer (the same before it). Heartbeat and election of the platform's cores move to the process that uses them. No test of its own: on this machine the process ended in time before too.

--- a/paddlepier/base/log.cpp
+++ b/paddlepier/base/log.cpp
@@ -16,6 +16,7 @@
 
 #include <array>
 #include <atomic>
+#include <cstdlib>
 #include <utility>
 
 namespace paddlepier::log
@@ -65,6 +66,8 @@
 /** Some seconds of lines at the highest load seen; a reader that stalls for longer loses lines. */
 constexpr std::size_t mostWaitingBytes = std::size_t{1} << 20U;
 
+constexpr Duration finishPatience = absl::Milliseconds(200);
+
 /** Lines of one event in a second: above the starts and ends of the largest deployment aimed at. */
 constexpr std::int64_t mostLinesPerSecond = 1000;
 
@@ -91,6 +94,13 @@
         this->closed = true;
     }
 
+    static void finish()
+    {
+        if (WriterAppender *appender = current) {
+            appender->writer.stop(finishPatience);
+        }
+    }
+
     /** Lines that were dropped since the last call; 0 where no output is set up. */
     static std::int64_t takeDropped()
     {
@@ -138,6 +148,12 @@
     root.setLogLevel(toLibraryLevel(lowest));
 }
 
+void finishAndExit(int status)
+{
+    WriterAppender::finish();
+    std::_Exit(status);
+}
+
 Level levelFromName(std::string_view name)
 {
     for (const auto &[levelName, level] : levelNames) {
--- a/paddlepier/base/log.h
+++ b/paddlepier/base/log.h
@@ -64,6 +64,14 @@
 /** Reads a level's name as written in settings; throws InvalidSettingsError for any other text. */
 Level levelFromName(std::string_view name);
 
+/**
+ * Writes what waits, for a fifth of a second at most, and ends the process without destroying static objects.
+ *
+ * The logging library ends its own threads when it is destroyed, which has kept stopped processes for seconds. Call it when
+ * everything that needs an orderly end has had it.
+ */
+[[noreturn]] void finishAndExit(int status);
+
 void write(Level level, std::string_view component, std::string_view event, Fields fields);
 
 inline void debug(std::string_view component, std::string_view event, Fields fields = {})
--- a/paddlepier/cluster/coreprocess.cpp
+++ b/paddlepier/cluster/coreprocess.cpp
@@ -15,6 +15,13 @@
 
 constexpr Duration tickInterval = absl::Milliseconds(20);
 
+/**
+ * Heartbeats between cores, and the shortest silence after which a leader is taken to be gone: four heartbeats, far above
+ * a round trip between the data centres of a region (some milliseconds) and a core's pause where its share is a quota (100 ms).
+ */
+constexpr Duration heartbeatInterval = absl::Milliseconds(75);
+constexpr Duration electionSilence = absl::Milliseconds(300);
+
 /** A voter that has been silent for this long may be replaced: longer than a process takes to restart. */
 constexpr Duration voterSilence = absl::Milliseconds(2500);
 
@@ -32,8 +39,8 @@
     options.acceptsNewInstances = true;
     options.admission.mostVoters = core.voters;
     options.admission.silence = voterSilence;
-    options.heartbeat = member.settings.timing.heartbeat;
-    options.election = member.settings.timing.election;
+    options.heartbeat = heartbeatInterval;
+    options.election = electionSilence;
     options.driftPerMille = member.settings.timing.driftPerMille;
     return options;
 }
