Connect again at once to a peer that shows itself; split the transport

Change: a peer that opens a connection here is up, so that an attempt towards it that is under way is given up for a new one, with what waits.

--- a/paddlepier/peer/transport.cpp
+++ b/paddlepier/peer/transport.cpp
@@ -4,6 +4,8 @@
 
 #include "paddlepier/base/error.h"
 #include "paddlepier/base/log.h"
+#include "paddlepier/peer/framecodec.h"
+#include "paddlepier/peer/sockets.h"
 #include "paddlepier/settings/socketaddress.h"
 #include "paddlepier/wire/codec.h"
 
@@ -11,10 +13,7 @@
 #include <absl/container/flat_hash_map.h>
 #include <absl/strings/str_cat.h>
 #include <absl/synchronization/mutex.h>
-#include <arpa/inet.h>
 #include <fcntl.h>
-#include <netinet/in.h>
-#include <netinet/tcp.h>
 #include <sys/epoll.h>
 #include <sys/eventfd.h>
 #include <sys/socket.h>
@@ -32,7 +31,6 @@
 namespace
 {
 
-constexpr std::size_t lengthBytes = sizeof(std::uint32_t);
 constexpr int pollMillis = 200;
 constexpr std::size_t readBytes = 65536;
 constexpr Duration reconnectPause = absl::Milliseconds(50);
@@ -43,52 +41,12 @@
  */
 constexpr Duration connectPatience = absl::Milliseconds(200);
 
-/**
- * Unacknowledged bytes end a connection after this time: three of TCP's shortest retransmissions. A connection that has
- * fallen silent, or a cut, then doesn't outlast itself by TCP's backoff.
- */
-constexpr unsigned int unacknowledgedMillis = 800;
-
-/** Probes of a silent incoming connection, in seconds and tries: it is given up after about four seconds. */
-constexpr int keepAliveIdleSeconds = 2;
-constexpr int keepAliveIntervalSeconds = 1;
-constexpr int keepAliveTries = 2;
-
 /** Incoming connections where the peers aren't known beforehand. */
 constexpr std::size_t mostUnknownPeers = 1024;
 
-void setOption(int socket, int level, int option, unsigned int value)
-{
-    ::setsockopt(socket, level, option, &value, sizeof(value));
-}
-
 /** Longest time that an incoming connection may take to say Hello. */
 constexpr Duration helloPatience = absl::Seconds(5);
 
-int openSocket(const Endpoint &endpoint)
-{
-    return ::socket(toSocketAddress(endpoint).storage.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-}
-
-std::string toFrameBytes(const wire::PeerFrameT &frame)
-{
-    const std::string body = wire::pack(frame);
-    const std::uint32_t length = htonl(static_cast<std::uint32_t>(body.size()));
-    std::string bytes(reinterpret_cast<const char *>(&length), lengthBytes);
-    bytes += body;
-    return bytes;
-}
-
-/** Compares in time that doesn't depend on where the two differ. */
-bool isSameKey(const std::string &left, const std::string &right)
-{
-    unsigned char difference = left.size() == right.size() ? 0 : 1;
-    for (std::size_t index = 0; index < std::min(left.size(), right.size()); ++index) {
-        difference |= static_cast<unsigned char>(left[index] ^ right[index]);
-    }
-    return difference == 0;
-}
-
 } // namespace
 
 class Transport::Implementation
@@ -109,6 +67,8 @@
         Timestamp nextTry = absl::InfinitePast();
         Timestamp connectingSince;
         std::string buffer;
+        /** Length of the Hello at the beginning of `buffer`, until the connection is open. */
+        std::size_t greetingBytes = 0;
     };
 
     struct Incoming {
@@ -124,6 +84,8 @@
     void addOutgoing(const std::string &name, const Endpoint &endpoint);
     void serveOutgoing(Outgoing &outgoing);
     void connect(Outgoing &outgoing);
+    /** Gives an attempt up for a new one; what waits goes out with it. */
+    void reconnect(Outgoing &outgoing);
     void closeOutgoing(Outgoing &outgoing);
     void noteClosedByPeer(int socket);
     void flush(Outgoing &outgoing);
@@ -335,8 +297,7 @@
 {
     connection.socket = openSocket(connection.endpoint);
     connection.connectingSince = controlNow();
-    setOption(connection.socket, IPPROTO_TCP, TCP_NODELAY, 1);
-    setOption(connection.socket, IPPROTO_TCP, TCP_USER_TIMEOUT, unacknowledgedMillis);
+    setOutgoingOptions(connection.socket);
     const SocketAddress address = toSocketAddress(connection.endpoint);
     const int result = ::connect(connection.socket, address.pointer(), address.size);
     if (result != 0 && errno != EINPROGRESS) {
@@ -354,7 +315,16 @@
     greeting.instance = this->settings.id;
     hello.fromInstance = this->settings.id;
     hello.body.Set(std::move(greeting));
-    connection.buffer.insert(0, toFrameBytes(hello));
+    const std::string bytes = toFrameBytes(hello);
+    connection.greetingBytes = bytes.size();
+    connection.buffer.insert(0, bytes);
+}
+
+void Transport::Implementation::reconnect(Outgoing &connection)
+{
+    ::close(connection.socket);
+    connection.buffer.erase(0, connection.greetingBytes);
+    this->connect(connection);
 }
 
 void Transport::Implementation::closeOutgoing(Outgoing &connection)
@@ -416,10 +386,7 @@
             ::close(socket);
             continue;
         }
-        setOption(socket, SOL_SOCKET, SO_KEEPALIVE, 1);
-        setOption(socket, IPPROTO_TCP, TCP_KEEPIDLE, keepAliveIdleSeconds);
-        setOption(socket, IPPROTO_TCP, TCP_KEEPINTVL, keepAliveIntervalSeconds);
-        setOption(socket, IPPROTO_TCP, TCP_KEEPCNT, keepAliveTries);
+        setIncomingOptions(socket);
         epoll_event event{};
         event.events = EPOLLIN;
         event.data.fd = socket;
@@ -471,19 +438,8 @@
 void Transport::Implementation::takeFrames(int socket, Incoming &connection)
 {
     std::size_t offset = 0;
-    while (connection.buffer.size() - offset >= lengthBytes) {
-        std::uint32_t length = 0;
-        std::memcpy(&length, connection.buffer.data() + offset, lengthBytes);
-        length = ntohl(length);
-        if (length > mostFrameBytes) {
-            throw FrameTooLargeError(absl::StrCat("a frame of ", length, " bytes"));
-        }
-        if (connection.buffer.size() - offset - lengthBytes < length) {
-            break;
-        }
-        const std::string body = connection.buffer.substr(offset + lengthBytes, length);
-        offset += lengthBytes + length;
-        auto frame = wire::unpack<wire::PeerFrameT>(body);
+    while (const std::optional<std::string> body = takeFrameBody(connection.buffer, offset, mostFrameBytes)) {
+        auto frame = wire::unpack<wire::PeerFrameT>(*body);
         if (!connection.isTrusted) {
             this->greet(connection, frame);
             continue;
@@ -514,6 +470,11 @@
     }
     connection.instance = hello->instance;
     connection.isTrusted = true;
+    // It is up: an attempt to reach it that began before would only be repeated after a wait.
+    const auto towards = this->outgoing.find(hello->instance);
+    if (towards != this->outgoing.end() && towards->second->socket >= 0 && !towards->second->isConnected) {
+        this->reconnect(*towards->second);
+    }
 }
 
 Transport::Transport(const Settings &settings, Counters &counters, Receiver receiver)
