Write log lines in whole pieces that a pipe takes at once

Change: each call writes whole lines, at most PIPE_BUF bytes. Tests: lines_moreThanAPipeTakesInOnePiece_comeInWholeLines (fails before).

--- a/paddlepier/base/boundedwriter.cpp
+++ b/paddlepier/base/boundedwriter.cpp
@@ -7,7 +7,9 @@
 #include <signal.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <cerrno>
+#include <climits>
 #include <string>
 #include <thread>
 
@@ -23,11 +25,20 @@
 /** Longest wait of a destructor for the rest to be written. */
 constexpr Duration closePatience = absl::Milliseconds(200);
 
+/** Whole lines of @p text, as many as a pipe takes in one piece, so that a reader doesn't find them mixed or cut. */
+std::string_view nextPiece(std::string_view text)
+{
+    const std::string_view most = text.substr(0, PIPE_BUF);
+    const std::size_t lineEnd = most.rfind('\n');
+    return lineEnd == std::string_view::npos ? most : most.substr(0, lineEnd + 1);
+}
+
 /** @return false if the descriptor takes no more */
 bool writeWhole(int descriptor, std::string_view text)
 {
     while (!text.empty()) {
-        const ssize_t written = ::write(descriptor, text.data(), text.size());
+        const std::string_view piece = nextPiece(text);
+        const ssize_t written = ::write(descriptor, piece.data(), piece.size());
         if (written < 0 && errno != EINTR) {
             return false;
         }
--- a/paddlepier/base/boundedwriter_test.cpp
+++ b/paddlepier/base/boundedwriter_test.cpp
@@ -7,7 +7,9 @@
 #include <signal.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
+#include <climits>
 #include <string>
 
 namespace paddlepier
@@ -70,6 +72,29 @@
     CHECK(writer.takeDropped() == 0);
 }
 
+TEST_CASE_METHOD(BoundedWriterFixture, "lines_moreThanAPipeTakesInOnePiece_comeInWholeLines")
+{
+    this->closeReader();
+    ::close(this->ends[1]);
+    // In this mode each read gives what one write wrote.
+    REQUIRE(::pipe2(this->ends.data(), O_DIRECT) == 0);
+    std::string text;
+    for (std::size_t line = 0; line < 100; ++line) {
+        text += std::string(90 + line % 7, 'x') + "\n";
+    }
+    BoundedWriter writer(this->ends[1], text.size());
+    REQUIRE(writer.post(text));
+    std::string read;
+    std::array<char, PIPE_BUF> piece{};
+    while (read.size() < text.size()) {
+        const ssize_t size = ::read(this->ends[0], piece.data(), piece.size());
+        REQUIRE(size > 0);
+        CHECK(piece[static_cast<std::size_t>(size) - 1] == '\n');
+        read.append(piece.data(), static_cast<std::size_t>(size));
+    }
+    CHECK(read == text);
+}
+
 TEST_CASE_METHOD(BoundedWriterFixture, "lines_whileTheReaderStalls_areDroppedAndCountedWithoutWaiting")
 {
     BoundedWriter writer(this->ends[1], mostBytes);
