Answer calls that can't be read, tell of dropped events; pages for the landing

A leader's own call with a body that can't be read ended without an answer, and an event that the full mailbox lost was only counted.

--- a/paddlepier/cluster/coreprocess.cpp
+++ b/paddlepier/cluster/coreprocess.cpp
@@ -157,6 +157,10 @@
             this->service->handle(now, this->options.settings.id, method, body, done);
         } catch (const Error &error) {
             log::warning("cluster", "call.refused", {{"error", paddlepier::nameOf(error.code())}, {"message", error.what()}});
+            CallResult result;
+            result.reply.outcome = work::CallOutcome::Invalid;
+            result.reply.message = error.what();
+            done(result);
         }
         return;
     }
--- a/paddlepier/cluster/memberprocess.cpp
+++ b/paddlepier/cluster/memberprocess.cpp
@@ -51,6 +51,7 @@
 {
     if (!this->mailbox.post(std::move(work))) {
         this->counters.counter("events_dropped_total").add();
+        log::error("cluster", "event.dropped", {{"reason", "the control thread's mailbox is full"}, {"limit", mailboxLimit}});
     }
 }
 
