--- a/paddlepier/consensus/replica.cpp
+++ b/paddlepier/consensus/replica.cpp
@@ -59,7 +59,7 @@
     this->hardState.term = 1;
     this->saveHardState();
     this->appendOwn(wire::EntryKind::Membership, wire::pack(first));
-    this->startElection(now, false, false);
+    this->startElection(now, Election::Vote);
 }
 
 void Replica::recomputeMembership()
@@ -115,8 +115,9 @@
     this->votes.clear();
 }
 
-void Replica::startElection(Timestamp now, bool preVote, bool handOver, bool afterRestart)
+void Replica::startElection(Timestamp now, Election election)
 {
+    const bool preVote = election == Election::PreVote;
     if (!this->isVoter(this->settings.self)) {
         this->resetElectionTimer(now);
         return;
@@ -137,8 +138,8 @@
     request.lastIndex = this->lastIndex();
     request.lastTerm = *this->termAt(this->lastIndex());
     request.preVote = preVote;
-    request.handOver = handOver;
-    request.afterRestart = afterRestart;
+    request.handOver = election == Election::AfterHandOver;
+    request.afterRestart = election == Election::AfterRestart;
     for (const std::string &voter : this->members.voters) {
         if (voter != this->settings.self) {
             this->sendAfterSync(voter, request);
@@ -148,7 +149,7 @@
         return;
     }
     if (preVote) {
-        this->startElection(now, false, false);
+        this->startElection(now, Election::Vote);
     } else {
         this->becomeLeader(now);
     }
@@ -197,7 +198,7 @@
         return;
     }
     if (now >= this->electionDeadline) {
-        this->startElection(now, this->settings.guards.preVote, false);
+        this->startElection(now, this->settings.guards.preVote ? Election::PreVote : Election::Vote);
     }
 }
 
@@ -267,7 +268,7 @@
     if (this->role == ReplicaRole::PreCandidate && reply.preVote && reply.knowsNoLeader && this->isVoter(from)) {
         this->leaderless.insert(from);
         if (this->hasUnanimousRestart()) {
-            this->startElection(now, false, false, true);
+            this->startElection(now, Election::AfterRestart);
             return;
         }
     }
@@ -287,7 +288,7 @@
         return;
     }
     if (isPreVote) {
-        this->startElection(now, false, false);
+        this->startElection(now, Election::Vote);
     } else {
         this->becomeLeader(now);
     }
--- a/paddlepier/consensus/replica.h
+++ b/paddlepier/consensus/replica.h
@@ -176,7 +176,17 @@
     };
 
     void becomeFollower(Term newTerm, const std::string &newLeader);
-    void startElection(Timestamp now, bool preVote, bool handOver, bool afterRestart = false);
+    enum class Election {
+        /** Asks whether an election could be won; changes nothing at the voters. */
+        PreVote,
+        Vote,
+        /** The leader has asked for it, so that voters need not wait for its silence. */
+        AfterHandOver,
+        /** Every voter knows no leader, so that those that have restarted need not wait either. */
+        AfterRestart
+    };
+
+    void startElection(Timestamp now, Election election);
     void becomeLeader(Timestamp now);
     void resetElectionTimer(Timestamp now);
     /** It asks for votes, or answers, as one that was started a short while ago and has heard from no leader. */
--- a/paddlepier/consensus/replication.cpp
+++ b/paddlepier/consensus/replication.cpp
@@ -254,7 +254,7 @@
     }
     this->sendAfterSync(from, reply);
     if (request.handOver) {
-        this->startElection(now, false, true);
+        this->startElection(now, Election::AfterHandOver);
     }
 }
 
--- a/paddlepier/execution/dispatcher.cpp
+++ b/paddlepier/execution/dispatcher.cpp
@@ -1,4 +1,4 @@
-// Carries the ledger's placements out on the workers: polls, workers' lives and what is proposed.
+// Carries the ledger's placements out on the workers: polls, and what is proposed.
 
 #include "paddlepier/execution/dispatcher.h"
 
@@ -34,9 +34,6 @@
 /** How often what is known of ended jobs is dropped. */
 constexpr Duration forgetInterval = absl::Seconds(2);
 
-/** A life that neither answers nor announces itself for this long, and holds no runs, is over. */
-constexpr Duration forgottenAfter = absl::Seconds(20);
-
 /** What is kept of an order until its answer comes. */
 Order withoutPayload(const Order &order)
 {
@@ -44,9 +41,6 @@
     return start == nullptr ? order : StartOrder{start->task, start->run, "", "", ""};
 }
 
-/** Part of a draining worker's remaining time in which its runs are stopped, beyond the stop itself. */
-constexpr Duration leavingMargin = absl::Milliseconds(700);
-
 } // namespace
 
 const char *nameOf(StopReason reason)
@@ -433,83 +427,6 @@
     this->propose(ProposalKind::Place, "", std::move(made));
 }
 
-void Dispatcher::expireLeases(Timestamp now)
-{
-    for (auto &[id, view] : this->views) {
-        if (view.isReachable(now) || !view.leaseIsOver(now)) {
-            continue;
-        }
-        std::vector<std::pair<workload::TaskKey, RunTrack>> expired;
-        for (const workload::TaskKey &key : this->state.findWorker(id)->runs) {
-            const auto track = this->tracks.find(key);
-            if (track != this->tracks.end() && track->second.worker == id) {
-                expired.emplace_back(key, track->second);
-            }
-        }
-        this->endRuns(id, expired, work::RunEndKind::Expired);
-        this->expireSuperseded(id);
-        const bool isSilent = now - std::max(view.announcedAt, view.lastAnswerAt()) > forgottenAfter;
-        if (isSilent && this->state.findWorker(id)->runs.empty()) {
-            log::info("dispatch", "worker.forgotten", {{"worker", id}});
-            this->removeWorker(id);
-        }
-    }
-}
-
-void Dispatcher::removeWorker(const std::string &worker)
-{
-    for (auto track = this->tracks.begin(); track != this->tracks.end();) {
-        track = track->second.worker == worker ? this->tracks.erase(track) : std::next(track);
-    }
-    const auto view = this->views.find(worker);
-    if (view != this->views.end()) {
-        view->second.isFenced = true; // no more calls to a life that is over
-    }
-    work::RemoveWorkerT command;
-    command.id = worker;
-    work::CommandUnion made;
-    made.Set(std::move(command));
-    this->propose(ProposalKind::RemoveWorker, worker, std::move(made));
-}
-
-void Dispatcher::removeOtherLives(const std::string &worker, Timestamp pollSentAt)
-{
-    const work::RegisterWorkerT &alive = this->state.findWorker(worker)->registration;
-    std::vector<std::string> over;
-    for (const auto &[id, other] : this->state.workers()) {
-        const bool isSameMachine = !alive.machine.empty() && other.registration.machine == alive.machine;
-        const auto view = this->views.find(id);
-        // One that joined after the poll was sent may be a later life.
-        const bool isEarlier = view == this->views.end() || view->second.knownSince < pollSentAt;
-        if (id != worker && isEarlier && (isSameMachine || other.registration.address == alive.address)) {
-            log::info("dispatch", "worker.replaced", {{"worker", id}, {"by", worker}, {"runs", other.runs.size()}});
-            over.push_back(id);
-        }
-    }
-    for (const std::string &id : over) {
-        this->removeWorker(id);
-    }
-}
-
-void Dispatcher::drainWorkers(Timestamp now)
-{
-    for (const auto &[id, view] : this->views) {
-        if (view.leavesAt == absl::InfiniteFuture() || now + this->options.stopGrace + leavingMargin < view.leavesAt) {
-            continue;
-        }
-        for (const workload::TaskKey &key : this->state.findWorker(id)->runs) {
-            const auto track = this->tracks.find(key);
-            if (track == this->tracks.end() || track->second.phase == RunPhase::Stopping) {
-                continue;
-            }
-            const work::StepSpecT &step = this->state.findJob(key.job)->stepSpec(key.step);
-            if (step.isCheckpointing || step.isLasting) {
-                this->stopRun(now, key, track->second, StopReason::WorkerLeaves);
-            }
-        }
-    }
-}
-
 RunTrack *Dispatcher::findTrack(const workload::TaskKey &key, std::uint32_t run, const std::string &worker)
 {
     const auto found = this->tracks.find(key);
--- a/paddlepier/planning/planner.h
+++ b/paddlepier/planning/planner.h
@@ -1,8 +1,9 @@
 // Decides which waiting tasks go to which workers, what to ask the policy service, and what makes way for urgent work.
 //
 // A plan is made from the ledger and from what the leader knows of the workers; nothing is changed by making it. Steps are
-// taken in the order of their queue's priority, and then of what their jobs can still reach and of their age. Room that a step is going to need, once the
-// policy service has answered, is kept from the steps after it in the same plan.
+// taken in the order of their queue's priority, and then of what their jobs can still reach and of their age. Room that a
+// step is going to need, once the policy service has answered, is kept from the steps after it in the same plan. Which of
+// the workers with room is taken is decided in suitability.h.
 //
 // Example:
 //     const Plan plan = planner.plan(now, wallMillis);
