Measure what the control thread spends its time on

Cause sought: five hypotheses for the grown deployment's lost lasting tasks; neither lines nor metrics told planning, the log, events from others and the rest apart.

--- a/paddlepier/base/counters.cpp
+++ b/paddlepier/base/counters.cpp
@@ -42,6 +42,7 @@
 void Histogram::record(Duration duration)
 {
     this->buckets[bucketOf(duration)].fetch_add(1, std::memory_order_relaxed);
+    this->totalMicros.fetch_add(absl::ToInt64Microseconds(duration), std::memory_order_relaxed);
 }
 
 std::int64_t Histogram::count() const
@@ -53,6 +54,11 @@
     return total;
 }
 
+Duration Histogram::sum() const
+{
+    return absl::Microseconds(this->totalMicros.load(std::memory_order_relaxed));
+}
+
 Duration Histogram::quantile(double q) const
 {
     const std::int64_t total = this->count();
@@ -88,6 +94,7 @@
     }
     for (const auto &[name, histogram] : this->histograms) {
         absl::StrAppend(&out, name, "_count ", histogram->count(), "\n");
+        absl::StrAppend(&out, name, "_sum_seconds ", absl::ToDoubleSeconds(histogram->sum()), "\n");
         absl::StrAppend(&out, name, "_p50_seconds ", absl::ToDoubleSeconds(histogram->quantile(0.5)), "\n");
         absl::StrAppend(&out, name, "_p99_seconds ", absl::ToDoubleSeconds(histogram->quantile(0.99)), "\n");
     }
--- a/paddlepier/base/counters.h
+++ b/paddlepier/base/counters.h
@@ -66,11 +66,43 @@
 
     std::int64_t count() const;
 
+    /** Of all durations recorded, to a microsecond each. */
+    Duration sum() const;
+
 private:
     static constexpr std::size_t bucketCount = 256;
     static std::size_t bucketOf(Duration duration);
 
     std::array<std::atomic<std::int64_t>, bucketCount> buckets{};
+    std::atomic<std::int64_t> totalMicros{0};
+};
+
+/** Records in a histogram how long a scope takes. */
+class ScopeTimer
+{
+public:
+    explicit ScopeTimer(Histogram &histogram)
+        : times(histogram)
+        , startedAt(controlNow())
+    {
+    }
+
+    ScopeTimer(const ScopeTimer &) = delete;
+    ScopeTimer &operator=(const ScopeTimer &) = delete;
+
+    ~ScopeTimer()
+    {
+        this->times.record(this->elapsed());
+    }
+
+    Duration elapsed() const
+    {
+        return controlNow() - this->startedAt;
+    }
+
+private:
+    Histogram &times;
+    const Timestamp startedAt;
 };
 
 /** All counters of a process by name. */
@@ -80,7 +112,7 @@
     Counter &counter(std::string_view name);
     Histogram &histogram(std::string_view name);
 
-    /** Every counter, and the count, p50 and p99 in seconds of every histogram. */
+    /** Every counter, and the count, the sum, p50 and p99 in seconds of every histogram. */
     std::string text() const;
 
 private:
--- a/paddlepier/cluster/coreprocess.cpp
+++ b/paddlepier/cluster/coreprocess.cpp
@@ -51,6 +51,8 @@
     : MemberProcess(std::move(memberOptions), std::move(advicePort))
     , coreOptions(options)
     , workers(std::move(workerPort))
+    , dispatchTimes(this->counters.histogram("control_dispatch"))
+    , ledgerTimes(this->counters.histogram("control_ledger"))
     , nextQuestion(randomSeed())
 {
     const auto send = [this](const std::string &instance, wire::PeerFrameT frame) { this->sendFrame(instance, std::move(frame)); };
@@ -69,7 +71,13 @@
     const bool leads = this->node->replica().isLeader() && this->node->replica().isCaughtUpLeader();
     const consensus::Term term = this->node->replica().currentTerm();
     if (this->service && (!leads || this->serviceTerm != term)) {
-        log::info("cluster", "service.stopped", {{"term", this->serviceTerm}});
+        log::info("cluster",
+                  "service.stopped",
+                  {{"term", this->serviceTerm},
+                   {"stepMillis", absl::ToInt64Milliseconds(this->stepTimes.sum())},
+                   {"eventMillis", absl::ToInt64Milliseconds(this->eventTimes.sum())},
+                   {"dispatchMillis", absl::ToInt64Milliseconds(this->dispatchTimes.sum())},
+                   {"ledgerMillis", absl::ToInt64Milliseconds(this->ledgerTimes.sum())}});
         this->service.reset();
     }
     if (leads && !this->service && this->node->isServing(now)) {
@@ -110,9 +118,13 @@
     // Without the lease another leader may be at work: nothing is ordered until it is certain again.
     if (this->service && this->node->isServing(now)) {
         this->callers.noteAlive(now, this->options.settings.id);
+        const ScopeTimer timer(this->dispatchTimes);
         this->service->step(now);
     }
-    this->node->flush(now);
+    {
+        const ScopeTimer timer(this->ledgerTimes);
+        this->node->flush(now);
+    }
     this->ready = true;
 }
 
--- a/paddlepier/cluster/coreprocess.h
+++ b/paddlepier/cluster/coreprocess.h
@@ -51,6 +51,8 @@
 
     const CoreOptions coreOptions;
     const WorkerPort workers;
+    Histogram &dispatchTimes;
+    Histogram &ledgerTimes;
     std::unique_ptr<replication::DiskWriter> disk;
     std::unique_ptr<WorkloadNode> node;
     std::unique_ptr<WorkService> service;
--- a/paddlepier/cluster/memberprocess.cpp
+++ b/paddlepier/cluster/memberprocess.cpp
@@ -16,6 +16,9 @@
 /** Events that may wait for the control thread; far beyond what a second brings. */
 constexpr std::size_t mailboxLimit = 20'000;
 
+/** A step that takes longer is written to the log: two of them in a row bring elections near. */
+constexpr Duration slowStep = absl::Milliseconds(100);
+
 } // namespace
 
 std::uint64_t randomSeed()
@@ -28,6 +31,8 @@
     : options(std::move(memberOptions))
     , advice(std::move(advicePort))
     , mailbox(mailboxLimit)
+    , stepTimes(this->counters.histogram("control_step"))
+    , eventTimes(this->counters.histogram("control_events"))
 {
     const auto send = [this](const std::string &instance, wire::PeerFrameT frame) { this->sendFrame(instance, std::move(frame)); };
     this->leader = std::make_unique<LeaderClient>(send, randomSeed());
@@ -168,12 +173,23 @@
 
 void MemberProcess::step(Duration patience)
 {
-    for (const Mailbox::Work &work : this->mailbox.take(patience)) {
-        work();
+    const std::vector<Mailbox::Work> batch = this->mailbox.take(patience);
+    const ScopeTimer whole(this->stepTimes);
+    {
+        const ScopeTimer events(this->eventTimes);
+        for (const Mailbox::Work &work : batch) {
+            work();
+        }
     }
+    const Duration eventTime = whole.elapsed();
     const Timestamp now = controlNow();
     this->leader->tick(now);
     this->advance(now);
+    if (whole.elapsed() > slowStep) {
+        log::warning("cluster",
+                     "control.slow",
+                     {{"millis", absl::ToInt64Milliseconds(whole.elapsed())}, {"events", batch.size()}, {"eventMillis", absl::ToInt64Milliseconds(eventTime)}});
+    }
 }
 
 } // namespace paddlepier::cluster
--- a/paddlepier/cluster/memberprocess.h
+++ b/paddlepier/cluster/memberprocess.h
@@ -79,6 +79,9 @@
     const AdvicePort advice;
     Counters counters;
     Mailbox mailbox;
+    /** What the control thread spends its time on: a whole step, and the events of its batch. */
+    Histogram &stepTimes;
+    Histogram &eventTimes;
     std::unique_ptr<LeaderClient> leader;
     std::atomic<bool> ready{false};
     std::atomic<bool> stopRequested{false};
