Reproduce the lost lasting runs: a leader slower than its orders, and one after it

Cause: a leader whose processor is full takes its own slowness for the workers' silence (polls are given up while their answers lie unread, the next go out without a lease), and each next leader stops one by one what was placed and never started. Ruled out: events from others and the log as the load (0.6 and 0.2 s of 13.1 s), stale announcements (no worker started anew).

--- a/Makefile
+++ b/Makefile
@@ -24,6 +24,7 @@
 
 # The tests come last, so that the output ends with their summary.
 check: lint
+	@if [ -s KNOWN-RED.txt ]; then sed 's/^/known red, passed over: /' KNOWN-RED.txt; fi
 	@cd $(BUILD) && ctest --no-tests=error --output-on-failure --timeout 300
 
 bench: build
--- /dev/null
+++ b/paddlepier/execution/overload_test.cpp
@@ -0,0 +1,237 @@
+// A leader whose process is slower than the orders and answers that it has to handle, in virtual time.
+//
+// Symptom: lasting runs ended on sound workers, all within some ten seconds of a rise in load, and stayed away though there was
+// room.
+// Sequence: the leader's processor was full from the first second on; polls were answered in time, but their answers lay
+// unread until the polls had been given up; the next polls went out without a lease, as to a silent worker, and with less
+// time, and were given up as well; ten seconds after the last lease the runs ended; each next leader began with a stop for
+// every run that had been placed and not started, and was overloaded from its first second on.
+// Cause: the process took its own slowness for the workers' silence, and settled what an earlier leader had placed run by run.
+// What settled it: 13.1 s of control time in one term, 12.1 s of it in the dispatcher's step; 26 to 38 lines poll.failed in a
+// second without a fault anywhere; 809 lines run.stop with start-unsettled in the first second of the next leader.
+
+#include "paddlepier/execution/dispatcher.h"
+
+#include "paddlepier/execution/fakeworkers.h"
+
+#include <absl/strings/str_cat.h>
+#include <catch2/catch.hpp>
+
+#include <deque>
+#include <memory>
+
+namespace paddlepier::execution
+{
+
+namespace
+{
+
+/** Longer than any test, and short enough that the percentage rises between polls. */
+constexpr std::uint32_t runMillis = 60'000;
+
+/** A leader whose process handles one order or one answer after the other. */
+class OverloadFixture
+{
+public:
+    OverloadFixture()
+        : workers([this](const workload::TaskKey &key) -> const work::StepSpecT & { return this->state.findJob(key.job)->stepSpec(key.step); })
+    {
+        work::ChangeConfigurationT configuration;
+        configuration.version = 1;
+        auto &queue = configuration.queues.emplace_back(std::make_unique<work::QueueSpecT>());
+        queue->name = "standing";
+        queue->service = "pool";
+        queue->maxAttempts = 3;
+        configuration.services.emplace_back(std::make_unique<work::ServiceSpecT>())->name = "pool";
+        this->apply(std::move(configuration));
+    }
+
+    /** Each worker has room for one task. */
+    void addWorkers(std::uint32_t count)
+    {
+        for (std::uint32_t number = 0; number < count; ++number) {
+            work::RegisterWorkerT registration;
+            registration.id = absl::StrCat("w", number);
+            registration.service = "pool";
+            registration.address = registration.id;
+            registration.capacity = std::make_unique<work::Demand>(1000, 10'000, 0);
+            this->workers.workers[registration.id].capacity = 1000;
+            this->apply(std::move(registration));
+        }
+    }
+
+    void addJob(std::uint32_t tasks)
+    {
+        work::SubmitJobT command;
+        command.id = "a";
+        command.queue = "standing";
+        command.spec = std::make_unique<work::JobSpecT>();
+        auto &step = command.spec->steps.emplace_back(std::make_unique<work::StepSpecT>());
+        step->count = tasks;
+        step->estimatedMillis = runMillis;
+        step->demand = std::make_unique<work::Demand>(1000, 100, 0);
+        this->apply(std::move(command));
+        this->dispatcher->noteChange();
+    }
+
+    void newLeader()
+    {
+        this->commits.clear();
+        this->orders.clear();
+        this->answers.clear();
+        this->dispatcher = std::make_unique<Dispatcher>(this->state, DispatchOptions(), ++this->term, this->now);
+    }
+
+    void runFor(Duration time)
+    {
+        for (const Timestamp end = this->now + time; this->now < end;) {
+            this->step();
+        }
+    }
+
+    template<typename Table>
+    workload::Outcome apply(Table table)
+    {
+        work::EntryT entry;
+        entry.atMillis = absl::ToUnixMillis(this->now);
+        entry.command.Set(std::move(table));
+        return this->state.apply(entry);
+    }
+
+    workload::Workload state;
+    FakeWorkers workers;
+    Timestamp now = absl::UnixEpoch() + absl::Hours(1);
+    std::unique_ptr<Dispatcher> dispatcher;
+    /** Processor time of one order or answer, with what the process gets of a processor taken into account. */
+    Duration cost = absl::ZeroDuration();
+    /** Neither sends nor reads. */
+    bool isStuck = false;
+    std::size_t stops = 0;
+
+private:
+    struct Commit {
+        Timestamp at;
+        Proposal proposal;
+    };
+    struct Answer {
+        /** When it lies at this process. */
+        Timestamp at;
+        Timestamp deadline;
+        std::uint64_t call;
+        WorkerAnswer answer;
+    };
+
+    void step()
+    {
+        this->now += absl::Milliseconds(10);
+        this->workers.advance(this->now);
+        this->commitDue();
+        this->handleWhatTimeAllows();
+        DispatchEffects effects = this->dispatcher->step(this->now, absl::ToUnixMillis(this->now));
+        for (Proposal &proposal : effects.proposals) {
+            this->commits.push_back({this->now + absl::Milliseconds(20), std::move(proposal)});
+        }
+        for (WorkerCall &call : effects.calls) {
+            this->stops += std::holds_alternative<StopOrder>(call.order) ? 1 : 0;
+            this->orders.push_back(std::move(call));
+        }
+    }
+
+    void commitDue()
+    {
+        while (!this->commits.empty() && this->commits.front().at <= this->now) {
+            Commit commit = std::move(this->commits.front());
+            this->commits.pop_front();
+            work::EntryT entry;
+            entry.atMillis = absl::ToUnixMillis(this->now);
+            entry.command = std::move(commit.proposal.command);
+            this->dispatcher->takeOutcome(this->now, commit.proposal.id, this->state.apply(entry));
+        }
+    }
+
+    /** Orders and answers take turns, as the threads of a process do. */
+    void handleWhatTimeAllows()
+    {
+        if (this->isStuck) {
+            return;
+        }
+        for (this->freeAt = std::max(this->freeAt, this->now - absl::Milliseconds(10)); this->freeAt < this->now; this->freeAt += this->cost) {
+            const bool hasSent = this->sendNext();
+            const bool hasRead = this->readNext();
+            if (!hasSent && !hasRead) {
+                break;
+            }
+            this->freeAt += hasSent && hasRead ? this->cost : absl::ZeroDuration();
+        }
+    }
+
+    bool sendNext()
+    {
+        if (this->orders.empty()) {
+            return false;
+        }
+        const WorkerCall call = std::move(this->orders.front());
+        this->orders.pop_front();
+        const auto *poll = std::get_if<PollOrder>(&call.order);
+        const Duration wait = poll == nullptr ? absl::ZeroDuration() : poll->wait;
+        this->answers.push_back({this->now + wait + absl::Milliseconds(10), this->now + call.timeout, call.id, this->workers.carryOut(this->now, call)});
+        return true;
+    }
+
+    bool readNext()
+    {
+        const auto due = std::find_if(this->answers.begin(), this->answers.end(), [this](const Answer &answer) { return answer.at <= this->now; });
+        if (due == this->answers.end()) {
+            return false;
+        }
+        const Answer answer = *due;
+        this->answers.erase(due);
+        this->dispatcher->takeAnswer(this->now, answer.call, this->now > answer.deadline ? WorkerAnswer() : answer.answer);
+        return true;
+    }
+
+    std::uint64_t term = 0;
+    std::deque<Commit> commits;
+    std::deque<WorkerCall> orders;
+    std::deque<Answer> answers;
+    Timestamp freeAt = absl::InfinitePast();
+};
+
+} // namespace
+
+TEST_CASE_METHOD(OverloadFixture, "lastingRuns_whileTheLeaderIsSlowerThanItsPolls_keepRunning")
+{
+    constexpr std::uint32_t workerCount = 120;
+    this->addWorkers(workerCount);
+    this->newLeader();
+    this->addJob(workerCount);
+    this->runFor(absl::Seconds(5));
+    REQUIRE(this->workers.starts == workerCount);
+    // 240 polls and as many answers a second would take 2.9 s of this process.
+    this->cost = absl::Milliseconds(6);
+    this->runFor(absl::Seconds(30));
+    CHECK(this->workers.starts == workerCount);
+    CHECK(this->stops == 0);
+    CHECK(this->workers.problems.empty());
+}
+
+TEST_CASE_METHOD(OverloadFixture, "newLeader_withRunsThatWerePlacedAndNeverStarted_settlesThemWithoutAStopForEach")
+{
+    constexpr std::uint32_t workerCount = 120;
+    this->addWorkers(workerCount);
+    this->newLeader();
+    this->runFor(absl::Seconds(1));
+    this->addJob(workerCount);
+    // The first leader is lost after its placements and before its starts.
+    this->isStuck = true;
+    this->runFor(absl::Milliseconds(500));
+    this->isStuck = false;
+    REQUIRE(this->state.findWorker("w0")->runs.size() == 1);
+    this->newLeader();
+    this->runFor(absl::Seconds(5));
+    CHECK(this->stops == 0);
+    CHECK(this->workers.starts == workerCount);
+    CHECK(this->workers.problems.empty());
+}
+
+} // namespace paddlepier::execution
