Wait longer for a leader that is regularly late

Change: a follower's own wait is three times the longest recent pause between its leader's messages, at least the old silence and at most four times that; what it has promised to the leader, on which the lease rests, is unchanged.

--- a/paddlepier/consensus/replica.cpp
+++ b/paddlepier/consensus/replica.cpp
@@ -30,6 +30,7 @@
     , hardState(std::move(recovered.hardState))
     , snapshot(std::move(recovered.snapshot))
     , lastHeardLeader(now) // A restarted voter may have promised a leader its silence just before.
+    , patience(this->settings.election)
     , startedAt(now)
     , termAtStart(this->hardState.term)
 {
@@ -93,7 +94,7 @@
 void Replica::resetElectionTimer(Timestamp now)
 {
     std::uniform_real_distribution<double> spread(1.0, 2.0);
-    Duration shortest = this->settings.election;
+    Duration shortest = this->patience.silence();
     if (this->isFreshlyStarted(now) && this->settings.guards.preVote) {
         // Whoever has just voted, for itself or another, gives that election time to end.
         const bool hasVoted = this->hardState.term > this->termAtStart;
--- a/paddlepier/consensus/replica.h
+++ b/paddlepier/consensus/replica.h
@@ -26,6 +26,7 @@
 #define PADDLEPIER_CONSENSUS_REPLICA_H
 
 #include "paddlepier/base/clock.h"
+#include "paddlepier/consensus/leaderpatience.h"
 #include "paddlepier/storage/replicastore.h"
 #include "paddlepier/wire/peer_generated.h"
 
@@ -64,7 +65,7 @@
     /** This replica's identity. */
     std::string self;
     Duration heartbeat = absl::Milliseconds(100);
-    /** Shortest silence after which a follower starts an election; the longest is twice that. */
+    /** Shortest silence after which a follower starts an election, while its leader's messages come in time; the longest is twice that. */
     Duration election = absl::Milliseconds(500);
     /**
      * Shortest pause between the pre-votes of a replica that has heard from no leader since it was started; the longest
@@ -250,6 +251,7 @@
     std::string leaderName;
     Timestamp electionDeadline;
     Timestamp lastHeardLeader;
+    LeaderPatience patience;
     const Timestamp startedAt;
     const Term termAtStart;
     /** Since this replica was started it has heard from a leader, or has led. */
--- a/paddlepier/consensus/replication.cpp
+++ b/paddlepier/consensus/replication.cpp
@@ -219,6 +219,9 @@
 {
     if (term > this->hardState.term || this->role != ReplicaRole::Follower) {
         this->becomeFollower(term, from);
+        this->patience.forget();
+    } else if (this->leaderName == from) {
+        this->patience.notePause(now - this->lastHeardLeader);
     }
     this->leaderName = from;
     this->lastHeardLeader = now;
