--- /dev/null
+++ b/paddlepier/cluster/carriers.cpp
@@ -0,0 +1,70 @@
+// Chooses the core instance that carries an order to a worker out.
+
+#include "paddlepier/cluster/carriers.h"
+
+#include <xxhash.h>
+
+#include <cstdint>
+
+namespace paddlepier::cluster
+{
+
+namespace
+{
+
+/** Workers that one process serves beside its decisions: a poll each half second and some two starts a second for each. */
+constexpr std::size_t mostWorkersOfLeader = 100;
+
+/** An instance that hasn't shown itself for this long carries nothing: four of its intervals. */
+constexpr Duration aliveFor = absl::Milliseconds(900);
+
+constexpr Duration avoidedAfterFailure = absl::Seconds(2);
+
+/** The same in every process and run. */
+std::uint64_t weightOf(const std::string &instance, const std::string &worker)
+{
+    return XXH64(worker.data(), worker.size(), XXH64(instance.data(), instance.size(), 0));
+}
+
+} // namespace
+
+void Carriers::noteAlive(Timestamp now, const std::string &instance, const std::string &dataCentre)
+{
+    Carrier &carrier = this->carriers[instance];
+    carrier.dataCentre = dataCentre;
+    carrier.aliveAt = now;
+}
+
+void Carriers::noteFailure(Timestamp now, const std::string &instance)
+{
+    const auto carrier = this->carriers.find(instance);
+    if (carrier != this->carriers.end()) {
+        carrier->second.avoidedUntil = now + avoidedAfterFailure;
+    }
+}
+
+std::string Carriers::choose(Timestamp now, std::size_t workerCount, const std::string &worker, const std::string &dataCentre) const
+{
+    if (workerCount <= mostWorkersOfLeader) {
+        return "";
+    }
+    const std::string *best = nullptr;
+    std::uint64_t mostWeight = 0;
+    bool isBestNear = false;
+    for (const auto &[instance, carrier] : this->carriers) {
+        if (now - carrier.aliveAt > aliveFor || carrier.avoidedUntil > now) {
+            continue;
+        }
+        // The highest weight wins, so that an instance that comes or goes moves its own workers alone.
+        const std::uint64_t weight = weightOf(instance, worker);
+        const bool isNear = carrier.dataCentre == dataCentre;
+        if (best == nullptr || (isNear && !isBestNear) || (isNear == isBestNear && weight > mostWeight)) {
+            best = &instance;
+            mostWeight = weight;
+            isBestNear = isNear;
+        }
+    }
+    return best == nullptr ? "" : *best;
+}
+
+} // namespace paddlepier::cluster
--- /dev/null
+++ b/paddlepier/cluster/carriers.h
@@ -0,0 +1,50 @@
+// Chooses the core instance that carries an order to a worker out.
+//
+// The leader alone decides; to send an order and read its answer is work that any core instance can do. A cell that is
+// small enough for one process is served by the leader itself, without the way over another instance. In a larger one each
+// worker belongs to one instance, in its own data centre where there is one, so that connections are kept and used again.
+// An instance that has let an order go unanswered carries none for a while; the leader does.
+//
+// Example:
+//     carriers.noteAlive(now, instance, dataCentre);
+//     const std::string carrier = carriers.choose(now, workerCount, worker, dataCentre);
+//     if (carrier.empty()) { /* the leader itself */ }
+//
+// Thread safety: none; owned by the control thread. choose() costs O(core instances).
+
+#ifndef PADDLEPIER_CLUSTER_CARRIERS_H
+#define PADDLEPIER_CLUSTER_CARRIERS_H
+
+#include "paddlepier/base/clock.h"
+
+#include <cstddef>
+#include <map>
+#include <string>
+
+namespace paddlepier::cluster
+{
+
+class Carriers
+{
+public:
+    /** Another core instance has shown that it is there. */
+    void noteAlive(Timestamp now, const std::string &instance, const std::string &dataCentre);
+    /** It has left an order without an answer. */
+    void noteFailure(Timestamp now, const std::string &instance);
+
+    /** @return the instance that carries orders to @p worker, or an empty name for the leader itself */
+    std::string choose(Timestamp now, std::size_t workerCount, const std::string &worker, const std::string &dataCentre) const;
+
+private:
+    struct Carrier {
+        std::string dataCentre;
+        Timestamp aliveAt;
+        Timestamp avoidedUntil = absl::InfinitePast();
+    };
+
+    std::map<std::string, Carrier> carriers;
+};
+
+} // namespace paddlepier::cluster
+
+#endif
--- a/paddlepier/cluster/coreprocess.cpp
+++ b/paddlepier/cluster/coreprocess.cpp
@@ -3,10 +3,13 @@
 #include "paddlepier/cluster/coreprocess.h"
 
 #include "paddlepier/base/log.h"
+#include "paddlepier/cluster/carrycodec.h"
 #include "paddlepier/wire/codec.h"
 
 #include <absl/strings/str_cat.h>
 
+#include <algorithm>
+
 namespace paddlepier::cluster
 {
 
@@ -28,6 +31,13 @@
 /** Longest wait of a planned stop for another leader and for calls under way. */
 constexpr Duration stopPatience = absl::Seconds(2);
 
+/** How often a core shows itself to the leader, and how long it waits for the answer. */
+constexpr Duration presenceInterval = absl::Milliseconds(200);
+constexpr Duration presencePatience = absl::Milliseconds(600);
+
+/** Beyond the time that a worker has: the way over another core, some ten round trips of the slowest link. */
+constexpr Duration carrySlack = absl::Milliseconds(150);
+
 replication::GroupOptions groupOptions(const MemberOptions &member, const CoreOptions &core)
 {
     replication::GroupOptions options;
@@ -85,7 +95,7 @@
         this->service = std::make_unique<WorkService>(
             *this->node,
             this->coreOptions.dispatch,
-            this->workers,
+            WorkerPort{[this](const execution::WorkerCall &call, std::function<void(execution::WorkerAnswer)> done) { this->carry(call, std::move(done)); }},
             [this](const std::string &instance, const work::AdviceCallT &call, Timestamp deadline, std::function<void(execution::AdviceAnswer)> done) {
                 this->askThrough(instance, call, deadline, std::move(done));
             },
@@ -111,10 +121,13 @@
             }
             const auto done = std::move(question->second.done);
             question = this->asked.erase(question);
-            done({});
+            done(nullptr);
         }
     }
     this->updateService(now);
+    if (!this->service && now >= this->nextPresence && !this->isPresenceUnderWay && !this->isStopping()) {
+        this->showPresence(now);
+    }
     // Without the lease another leader may be at work: nothing is ordered until it is certain again.
     if (this->service && this->node->isServing(now)) {
         this->callers.noteAlive(now, this->options.settings.id);
@@ -157,6 +170,13 @@
         this->adviseFor(fromInstance, request);
         return;
     }
+    if (*method == WorkMethod::Carry) {
+        this->carryFor(fromInstance, request);
+        return;
+    }
+    if (*method == WorkMethod::Presence) {
+        this->noteCore(controlNow(), fromInstance, request);
+    }
     this->handleAsLeader(controlNow(), fromInstance, *method, wire::toString(request.body), [this, fromInstance, id = request.id](const CallResult &result) {
         this->reply(fromInstance, id, result, this->node->leaderInstance());
     });
@@ -179,23 +199,93 @@
     this->leader->call(now, method, std::move(body), patience, std::move(done));
 }
 
-void CoreProcess::askThrough(const std::string &instance, const work::AdviceCallT &call, Timestamp deadline, std::function<void(execution::AdviceAnswer)> done)
+void CoreProcess::askInstance(
+    const std::string &instance, WorkMethod method, std::string body, Timestamp deadline, std::function<void(const wire::CallReplyT *)> done)
 {
-    if (instance == this->options.settings.id) {
-        this->advice.ask(call, [this, done = std::move(done)](const execution::AdviceAnswer &received) { this->post([done, received] { done(received); }); });
-        return;
-    }
     const std::uint64_t id = this->nextQuestion++;
     this->asked[id] = {std::move(done), deadline};
     wire::CallRequestT request;
     request.id = id;
-    request.method = nameOf(WorkMethod::Advise);
-    request.body = wire::toBytes(wire::pack(call));
+    request.method = nameOf(method);
+    request.body = wire::toBytes(body);
     wire::PeerFrameT frame;
     frame.body.Set(std::move(request));
     this->sendFrame(instance, std::move(frame));
 }
 
+void CoreProcess::askThrough(const std::string &instance, const work::AdviceCallT &call, Timestamp deadline, std::function<void(execution::AdviceAnswer)> done)
+{
+    if (instance == this->options.settings.id) {
+        this->advice.ask(call, [this, done = std::move(done)](const execution::AdviceAnswer &received) { this->post([done, received] { done(received); }); });
+        return;
+    }
+    this->askInstance(instance, WorkMethod::Advise, wire::pack(call), deadline, [done = std::move(done)](const wire::CallReplyT *reply) {
+        execution::AdviceAnswer answer;
+        answer.isAnswered = reply != nullptr && reply->error == ErrorCode::None;
+        if (answer.isAnswered) {
+            for (const auto &ticket : wire::unpack<work::AdviceReplyT>(reply->body).good) {
+                answer.good.push_back(*ticket);
+            }
+        }
+        done(answer);
+    });
+}
+
+void CoreProcess::carry(const execution::WorkerCall &call, std::function<void(execution::WorkerAnswer)> done)
+{
+    const Timestamp now = controlNow();
+    const workload::Workload &state = this->node->state();
+    const workload::Worker *worker = state.findWorker(call.worker);
+    const std::string carrier = worker == nullptr ? "" : this->carriers.choose(now, state.workers().size(), call.worker, worker->registration.zone);
+    if (carrier.empty()) {
+        this->workers.call(call, std::move(done));
+        return;
+    }
+    const auto take = [this, carrier, done = std::move(done)](const wire::CallReplyT *reply) {
+        execution::WorkerAnswer answer;
+        if (reply == nullptr) {
+            this->carriers.noteFailure(controlNow(), carrier);
+            log::info("cluster", "carrier.silent", {{"instance", carrier}});
+        } else if (reply->error == ErrorCode::None) {
+            answer = fromCarryReply(wire::unpack<work::CarryReplyT>(reply->body));
+        }
+        done(answer);
+    };
+    this->askInstance(carrier, WorkMethod::Carry, wire::pack(toCarryCall(call)), now + call.timeout + carrySlack, take);
+}
+
+void CoreProcess::carryFor(const std::string &fromInstance, const wire::CallRequestT &request)
+{
+    const execution::WorkerCall call = fromCarryCall(wire::unpack<work::CarryCallT>(request.body));
+    this->workers.call(call, [this, fromInstance, id = request.id](const execution::WorkerAnswer &received) {
+        this->post([this, fromInstance, id, received] {
+            wire::CallReplyT answer;
+            answer.id = id;
+            answer.body = wire::toBytes(wire::pack(toCarryReply(received)));
+            wire::PeerFrameT frame;
+            frame.body.Set(std::move(answer));
+            this->sendFrame(fromInstance, std::move(frame));
+        });
+    });
+}
+
+void CoreProcess::noteCore(Timestamp now, const std::string &instance, const wire::CallRequestT &request)
+{
+    const std::vector<std::string> cores = this->node->knownInstances();
+    if (std::find(cores.begin(), cores.end(), instance) != cores.end()) {
+        this->carriers.noteAlive(now, instance, wire::unpack<work::PresenceCallT>(wire::toString(request.body)).zone);
+    }
+}
+
+void CoreProcess::showPresence(Timestamp now)
+{
+    this->nextPresence = now + presenceInterval;
+    this->isPresenceUnderWay = true;
+    work::PresenceCallT call;
+    call.zone = this->options.zone;
+    this->leader->call(now, WorkMethod::Presence, wire::pack(call), presencePatience, [this](const CallResult &) { this->isPresenceUnderWay = false; });
+}
+
 void CoreProcess::receiveReply(const std::string &fromInstance, const wire::CallReplyT &reply)
 {
     const auto found = this->asked.find(reply.id);
@@ -203,16 +293,15 @@
         MemberProcess::receiveReply(fromInstance, reply);
         return;
     }
-    execution::AdviceAnswer answer;
-    answer.isAnswered = reply.error == ErrorCode::None;
-    if (answer.isAnswered) {
-        for (const auto &ticket : wire::unpack<work::AdviceReplyT>(reply.body).good) {
-            answer.good.push_back(*ticket);
-        }
-    }
     const auto done = std::move(found->second.done);
     this->asked.erase(found);
-    done(answer);
+    try {
+        done(&reply);
+    } catch (const Error &error) {
+        // Only reading the answer fails, before anything has come of it: it counts as none.
+        log::warning("cluster", "answer.unreadable", {{"from", fromInstance}, {"error", paddlepier::nameOf(error.code())}, {"message", error.what()}});
+        done(nullptr);
+    }
 }
 
 void CoreProcess::stopAsPlanned()
--- a/paddlepier/cluster/coreprocess.h
+++ b/paddlepier/cluster/coreprocess.h
@@ -5,6 +5,7 @@
 #ifndef PADDLEPIER_CLUSTER_COREPROCESS_H
 #define PADDLEPIER_CLUSTER_COREPROCESS_H
 
+#include "paddlepier/cluster/carriers.h"
 #include "paddlepier/cluster/memberprocess.h"
 #include "paddlepier/cluster/workservice.h"
 #include "paddlepier/replication/diskwriter.h"
@@ -42,10 +43,20 @@
 private:
     void updateService(Timestamp now);
     void handleAsLeader(Timestamp now, const std::string &fromInstance, WorkMethod method, const std::string &body, const CallDone &done);
+    /** Shows a core that doesn't lead to the leader: it may ask for advice and carry orders. */
+    void showPresence(Timestamp now);
+    /** A core has shown itself to this one, which may lead. */
+    void noteCore(Timestamp now, const std::string &instance, const wire::CallRequestT &request);
+    /** Brings an order to its worker, by itself or through another core. */
+    void carry(const execution::WorkerCall &call, std::function<void(execution::WorkerAnswer)> done);
+    /** Carries an order of the leader out. */
+    void carryFor(const std::string &fromInstance, const wire::CallRequestT &request);
+    /** Sends a request to another instance; @p done is called once, with nothing if no answer came by @p deadline. */
+    void askInstance(const std::string &instance, WorkMethod method, std::string body, Timestamp deadline, std::function<void(const wire::CallReplyT *)> done);
     void askThrough(const std::string &instance, const work::AdviceCallT &call, Timestamp deadline, std::function<void(execution::AdviceAnswer)> done);
 
     struct Asked {
-        std::function<void(execution::AdviceAnswer)> done;
+        std::function<void(const wire::CallReplyT *)> done;
         Timestamp deadline;
     };
 
@@ -58,6 +69,9 @@
     std::unique_ptr<WorkService> service;
     consensus::Term serviceTerm = 0;
     AdviceCallers callers;
+    Carriers carriers;
+    Timestamp nextPresence = absl::InfinitePast();
+    bool isPresenceUnderWay = false;
     std::map<std::uint64_t, Asked> asked;
     std::uint64_t nextQuestion;
     Timestamp nextTick = absl::InfinitePast();
--- a/paddlepier/cluster/workservice.cpp
+++ b/paddlepier/cluster/workservice.cpp
@@ -144,6 +144,7 @@
     case WorkMethod::Presence:
         return this->presence(now, fromInstance, done);
     case WorkMethod::Advise:
+    case WorkMethod::Carry:
         break;
     }
     done(answer(work::CallOutcome::Invalid, "not a call to a leader"));
--- a/paddlepier/wire/workload_generated.h
+++ b/paddlepier/wire/workload_generated.h
@@ -146,6 +146,34 @@
 struct AdviceReplyBuilder;
 struct AdviceReplyT;
 
+struct PollCarried;
+struct PollCarriedBuilder;
+struct PollCarriedT;
+
+struct StartCarried;
+struct StartCarriedBuilder;
+struct StartCarriedT;
+
+struct StopCarried;
+struct StopCarriedBuilder;
+struct StopCarriedT;
+
+struct PaceCarried;
+struct PaceCarriedBuilder;
+struct PaceCarriedT;
+
+struct CarryCall;
+struct CarryCallBuilder;
+struct CarryCallT;
+
+struct CarriedRun;
+struct CarriedRunBuilder;
+struct CarriedRunT;
+
+struct CarryReply;
+struct CarryReplyBuilder;
+struct CarryReplyT;
+
 struct WorkReply;
 struct WorkReplyBuilder;
 struct WorkReplyT;
@@ -485,6 +513,152 @@
   return EnumNamesJobAction()[index];
 }
 
+enum class CarriedOrder : uint8_t {
+  NONE = 0,
+  PollCarried = 1,
+  StartCarried = 2,
+  StopCarried = 3,
+  PaceCarried = 4,
+  MIN = NONE,
+  MAX = PaceCarried
+};
+
+inline const CarriedOrder (&EnumValuesCarriedOrder())[5] {
+  static const CarriedOrder values[] = {
+    CarriedOrder::NONE,
+    CarriedOrder::PollCarried,
+    CarriedOrder::StartCarried,
+    CarriedOrder::StopCarried,
+    CarriedOrder::PaceCarried
+  };
+  return values;
+}
+
+inline const char * const *EnumNamesCarriedOrder() {
+  static const char * const names[6] = {
+    "NONE",
+    "PollCarried",
+    "StartCarried",
+    "StopCarried",
+    "PaceCarried",
+    nullptr
+  };
+  return names;
+}
+
+inline const char *EnumNameCarriedOrder(CarriedOrder e) {
+  if (flatbuffers::IsOutRange(e, CarriedOrder::NONE, CarriedOrder::PaceCarried)) return "";
+  const size_t index = static_cast<size_t>(e);
+  return EnumNamesCarriedOrder()[index];
+}
+
+template<typename T> struct CarriedOrderTraits {
+  static const CarriedOrder enum_value = CarriedOrder::NONE;
+};
+
+template<> struct CarriedOrderTraits<paddlepier::work::PollCarried> {
+  static const CarriedOrder enum_value = CarriedOrder::PollCarried;
+};
+
+template<> struct CarriedOrderTraits<paddlepier::work::StartCarried> {
+  static const CarriedOrder enum_value = CarriedOrder::StartCarried;
+};
+
+template<> struct CarriedOrderTraits<paddlepier::work::StopCarried> {
+  static const CarriedOrder enum_value = CarriedOrder::StopCarried;
+};
+
+template<> struct CarriedOrderTraits<paddlepier::work::PaceCarried> {
+  static const CarriedOrder enum_value = CarriedOrder::PaceCarried;
+};
+
+template<typename T> struct CarriedOrderUnionTraits {
+  static const CarriedOrder enum_value = CarriedOrder::NONE;
+};
+
+template<> struct CarriedOrderUnionTraits<paddlepier::work::PollCarriedT> {
+  static const CarriedOrder enum_value = CarriedOrder::PollCarried;
+};
+
+template<> struct CarriedOrderUnionTraits<paddlepier::work::StartCarriedT> {
+  static const CarriedOrder enum_value = CarriedOrder::StartCarried;
+};
+
+template<> struct CarriedOrderUnionTraits<paddlepier::work::StopCarriedT> {
+  static const CarriedOrder enum_value = CarriedOrder::StopCarried;
+};
+
+template<> struct CarriedOrderUnionTraits<paddlepier::work::PaceCarriedT> {
+  static const CarriedOrder enum_value = CarriedOrder::PaceCarried;
+};
+
+struct CarriedOrderUnion {
+  CarriedOrder type;
+  void *value;
+
+  CarriedOrderUnion() : type(CarriedOrder::NONE), value(nullptr) {}
+  CarriedOrderUnion(CarriedOrderUnion&& u) FLATBUFFERS_NOEXCEPT :
+    type(CarriedOrder::NONE), value(nullptr)
+    { std::swap(type, u.type); std::swap(value, u.value); }
+  CarriedOrderUnion(const CarriedOrderUnion &);
+  CarriedOrderUnion &operator=(const CarriedOrderUnion &u)
+    { CarriedOrderUnion t(u); std::swap(type, t.type); std::swap(value, t.value); return *this; }
+  CarriedOrderUnion &operator=(CarriedOrderUnion &&u) FLATBUFFERS_NOEXCEPT
+    { std::swap(type, u.type); std::swap(value, u.value); return *this; }
+  ~CarriedOrderUnion() { Reset(); }
+
+  void Reset();
+
+  template <typename T>
+  void Set(T&& val) {
+    typedef typename std::remove_reference<T>::type RT;
+    Reset();
+    type = CarriedOrderUnionTraits<RT>::enum_value;
+    if (type != CarriedOrder::NONE) {
+      value = new RT(std::forward<T>(val));
+    }
+  }
+
+  static void *UnPack(const void *obj, CarriedOrder type, const flatbuffers::resolver_function_t *resolver);
+  flatbuffers::Offset<void> Pack(flatbuffers::FlatBufferBuilder &_fbb, const flatbuffers::rehasher_function_t *_rehasher = nullptr) const;
+
+  paddlepier::work::PollCarriedT *AsPollCarried() {
+    return type == CarriedOrder::PollCarried ?
+      reinterpret_cast<paddlepier::work::PollCarriedT *>(value) : nullptr;
+  }
+  const paddlepier::work::PollCarriedT *AsPollCarried() const {
+    return type == CarriedOrder::PollCarried ?
+      reinterpret_cast<const paddlepier::work::PollCarriedT *>(value) : nullptr;
+  }
+  paddlepier::work::StartCarriedT *AsStartCarried() {
+    return type == CarriedOrder::StartCarried ?
+      reinterpret_cast<paddlepier::work::StartCarriedT *>(value) : nullptr;
+  }
+  const paddlepier::work::StartCarriedT *AsStartCarried() const {
+    return type == CarriedOrder::StartCarried ?
+      reinterpret_cast<const paddlepier::work::StartCarriedT *>(value) : nullptr;
+  }
+  paddlepier::work::StopCarriedT *AsStopCarried() {
+    return type == CarriedOrder::StopCarried ?
+      reinterpret_cast<paddlepier::work::StopCarriedT *>(value) : nullptr;
+  }
+  const paddlepier::work::StopCarriedT *AsStopCarried() const {
+    return type == CarriedOrder::StopCarried ?
+      reinterpret_cast<const paddlepier::work::StopCarriedT *>(value) : nullptr;
+  }
+  paddlepier::work::PaceCarriedT *AsPaceCarried() {
+    return type == CarriedOrder::PaceCarried ?
+      reinterpret_cast<paddlepier::work::PaceCarriedT *>(value) : nullptr;
+  }
+  const paddlepier::work::PaceCarriedT *AsPaceCarried() const {
+    return type == CarriedOrder::PaceCarried ?
+      reinterpret_cast<const paddlepier::work::PaceCarriedT *>(value) : nullptr;
+  }
+};
+
+bool VerifyCarriedOrder(flatbuffers::Verifier &verifier, const void *obj, CarriedOrder type);
+bool VerifyCarriedOrderVector(flatbuffers::Verifier &verifier, const flatbuffers::Vector<flatbuffers::Offset<void>> *values, const flatbuffers::Vector<CarriedOrder> *types);
+
 /// What the leader answers to a call of its callers.
 enum class CallOutcome : uint8_t {
   Accepted = 0,
@@ -4187,150 +4361,981 @@
 
 flatbuffers::Offset<AdviceReply> CreateAdviceReply(flatbuffers::FlatBufferBuilder &_fbb, const AdviceReplyT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
-struct WorkReplyT : public flatbuffers::NativeTable {
-  typedef WorkReply TableType;
+struct PollCarriedT : public flatbuffers::NativeTable {
+  typedef PollCarried TableType;
   static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
-    return "paddlepier.work.WorkReplyT";
+    return "paddlepier.work.PollCarriedT";
   }
-  paddlepier::work::CallOutcome outcome = paddlepier::work::CallOutcome::Accepted;
-  paddlepier::work::JobState state = paddlepier::work::JobState::Queued;
-  uint32_t waitingJobs = 0;
-  std::vector<std::string> coreInstances{};
-  std::unique_ptr<paddlepier::work::ChangeConfigurationT> configuration{};
-  std::string message{};
-  uint32_t retryAfterMillis = 0;
-  WorkReplyT() = default;
-  WorkReplyT(const WorkReplyT &o);
-  WorkReplyT(WorkReplyT&&) FLATBUFFERS_NOEXCEPT = default;
-  WorkReplyT &operator=(WorkReplyT o) FLATBUFFERS_NOEXCEPT;
+  uint64_t lastSequence = 0;
+  uint32_t waitMillis = 0;
 };
 
-struct WorkReply FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
-  typedef WorkReplyT NativeTableType;
-  typedef WorkReplyBuilder Builder;
+/// An order of the leader to a worker, carried out by another core instance.
+struct PollCarried FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef PollCarriedT NativeTableType;
+  typedef PollCarriedBuilder Builder;
   struct Traits;
   static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
-    return "paddlepier.work.WorkReply";
+    return "paddlepier.work.PollCarried";
   }
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_OUTCOME = 4,
-    VT_STATE = 6,
-    VT_WAITINGJOBS = 8,
-    VT_COREINSTANCES = 10,
-    VT_CONFIGURATION = 12,
-    VT_MESSAGE = 14,
-    VT_RETRYAFTERMILLIS = 16
+    VT_LASTSEQUENCE = 4,
+    VT_WAITMILLIS = 6
   };
-  paddlepier::work::CallOutcome outcome() const {
-    return static_cast<paddlepier::work::CallOutcome>(GetField<uint8_t>(VT_OUTCOME, 0));
+  uint64_t lastSequence() const {
+    return GetField<uint64_t>(VT_LASTSEQUENCE, 0);
   }
-  paddlepier::work::JobState state() const {
-    return static_cast<paddlepier::work::JobState>(GetField<uint8_t>(VT_STATE, 0));
+  uint32_t waitMillis() const {
+    return GetField<uint32_t>(VT_WAITMILLIS, 0);
   }
-  uint32_t waitingJobs() const {
-    return GetField<uint32_t>(VT_WAITINGJOBS, 0);
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_LASTSEQUENCE, 8) &&
+           VerifyField<uint32_t>(verifier, VT_WAITMILLIS, 4) &&
+           verifier.EndTable();
   }
-  /// Instances that hold a replica.
-  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *coreInstances() const {
-    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_COREINSTANCES);
+  PollCarriedT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(PollCarriedT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<PollCarried> Pack(flatbuffers::FlatBufferBuilder &_fbb, const PollCarriedT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct PollCarriedBuilder {
+  typedef PollCarried Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_lastSequence(uint64_t lastSequence) {
+    fbb_.AddElement<uint64_t>(PollCarried::VT_LASTSEQUENCE, lastSequence, 0);
   }
-  const paddlepier::work::ChangeConfiguration *configuration() const {
-    return GetPointer<const paddlepier::work::ChangeConfiguration *>(VT_CONFIGURATION);
+  void add_waitMillis(uint32_t waitMillis) {
+    fbb_.AddElement<uint32_t>(PollCarried::VT_WAITMILLIS, waitMillis, 0);
   }
-  const flatbuffers::String *message() const {
-    return GetPointer<const flatbuffers::String *>(VT_MESSAGE);
+  explicit PollCarriedBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
   }
-  uint32_t retryAfterMillis() const {
-    return GetField<uint32_t>(VT_RETRYAFTERMILLIS, 0);
+  flatbuffers::Offset<PollCarried> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<PollCarried>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<PollCarried> CreatePollCarried(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t lastSequence = 0,
+    uint32_t waitMillis = 0) {
+  PollCarriedBuilder builder_(_fbb);
+  builder_.add_lastSequence(lastSequence);
+  builder_.add_waitMillis(waitMillis);
+  return builder_.Finish();
+}
+
+struct PollCarried::Traits {
+  using type = PollCarried;
+  static auto constexpr Create = CreatePollCarried;
+};
+
+flatbuffers::Offset<PollCarried> CreatePollCarried(flatbuffers::FlatBufferBuilder &_fbb, const PollCarriedT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct StartCarriedT : public flatbuffers::NativeTable {
+  typedef StartCarried TableType;
+  static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
+    return "paddlepier.work.StartCarriedT";
+  }
+  std::unique_ptr<paddlepier::work::TaskKeyT> task{};
+  uint32_t run = 0;
+  std::string payload{};
+  std::string checkpoint{};
+  std::string ticket{};
+  StartCarriedT() = default;
+  StartCarriedT(const StartCarriedT &o);
+  StartCarriedT(StartCarriedT&&) FLATBUFFERS_NOEXCEPT = default;
+  StartCarriedT &operator=(StartCarriedT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct StartCarried FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef StartCarriedT NativeTableType;
+  typedef StartCarriedBuilder Builder;
+  struct Traits;
+  static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
+    return "paddlepier.work.StartCarried";
+  }
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_TASK = 4,
+    VT_RUN = 6,
+    VT_PAYLOAD = 8,
+    VT_CHECKPOINT = 10,
+    VT_TICKET = 12
+  };
+  const paddlepier::work::TaskKey *task() const {
+    return GetPointer<const paddlepier::work::TaskKey *>(VT_TASK);
+  }
+  uint32_t run() const {
+    return GetField<uint32_t>(VT_RUN, 0);
+  }
+  const flatbuffers::String *payload() const {
+    return GetPointer<const flatbuffers::String *>(VT_PAYLOAD);
+  }
+  const flatbuffers::String *checkpoint() const {
+    return GetPointer<const flatbuffers::String *>(VT_CHECKPOINT);
+  }
+  const flatbuffers::String *ticket() const {
+    return GetPointer<const flatbuffers::String *>(VT_TICKET);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
-           VerifyField<uint8_t>(verifier, VT_OUTCOME, 1) &&
-           VerifyField<uint8_t>(verifier, VT_STATE, 1) &&
-           VerifyField<uint32_t>(verifier, VT_WAITINGJOBS, 4) &&
-           VerifyOffset(verifier, VT_COREINSTANCES) &&
-           verifier.VerifyVector(coreInstances()) &&
-           verifier.VerifyVectorOfStrings(coreInstances()) &&
-           VerifyOffset(verifier, VT_CONFIGURATION) &&
-           verifier.VerifyTable(configuration()) &&
-           VerifyOffset(verifier, VT_MESSAGE) &&
-           verifier.VerifyString(message()) &&
-           VerifyField<uint32_t>(verifier, VT_RETRYAFTERMILLIS, 4) &&
+           VerifyOffset(verifier, VT_TASK) &&
+           verifier.VerifyTable(task()) &&
+           VerifyField<uint32_t>(verifier, VT_RUN, 4) &&
+           VerifyOffset(verifier, VT_PAYLOAD) &&
+           verifier.VerifyString(payload()) &&
+           VerifyOffset(verifier, VT_CHECKPOINT) &&
+           verifier.VerifyString(checkpoint()) &&
+           VerifyOffset(verifier, VT_TICKET) &&
+           verifier.VerifyString(ticket()) &&
            verifier.EndTable();
   }
-  WorkReplyT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  void UnPackTo(WorkReplyT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  static flatbuffers::Offset<WorkReply> Pack(flatbuffers::FlatBufferBuilder &_fbb, const WorkReplyT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+  StartCarriedT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(StartCarriedT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<StartCarried> Pack(flatbuffers::FlatBufferBuilder &_fbb, const StartCarriedT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 };
 
-struct WorkReplyBuilder {
-  typedef WorkReply Table;
+struct StartCarriedBuilder {
+  typedef StartCarried Table;
   flatbuffers::FlatBufferBuilder &fbb_;
   flatbuffers::uoffset_t start_;
-  void add_outcome(paddlepier::work::CallOutcome outcome) {
-    fbb_.AddElement<uint8_t>(WorkReply::VT_OUTCOME, static_cast<uint8_t>(outcome), 0);
-  }
-  void add_state(paddlepier::work::JobState state) {
-    fbb_.AddElement<uint8_t>(WorkReply::VT_STATE, static_cast<uint8_t>(state), 0);
-  }
-  void add_waitingJobs(uint32_t waitingJobs) {
-    fbb_.AddElement<uint32_t>(WorkReply::VT_WAITINGJOBS, waitingJobs, 0);
+  void add_task(flatbuffers::Offset<paddlepier::work::TaskKey> task) {
+    fbb_.AddOffset(StartCarried::VT_TASK, task);
   }
-  void add_coreInstances(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> coreInstances) {
-    fbb_.AddOffset(WorkReply::VT_COREINSTANCES, coreInstances);
+  void add_run(uint32_t run) {
+    fbb_.AddElement<uint32_t>(StartCarried::VT_RUN, run, 0);
   }
-  void add_configuration(flatbuffers::Offset<paddlepier::work::ChangeConfiguration> configuration) {
-    fbb_.AddOffset(WorkReply::VT_CONFIGURATION, configuration);
+  void add_payload(flatbuffers::Offset<flatbuffers::String> payload) {
+    fbb_.AddOffset(StartCarried::VT_PAYLOAD, payload);
   }
-  void add_message(flatbuffers::Offset<flatbuffers::String> message) {
-    fbb_.AddOffset(WorkReply::VT_MESSAGE, message);
+  void add_checkpoint(flatbuffers::Offset<flatbuffers::String> checkpoint) {
+    fbb_.AddOffset(StartCarried::VT_CHECKPOINT, checkpoint);
   }
-  void add_retryAfterMillis(uint32_t retryAfterMillis) {
-    fbb_.AddElement<uint32_t>(WorkReply::VT_RETRYAFTERMILLIS, retryAfterMillis, 0);
+  void add_ticket(flatbuffers::Offset<flatbuffers::String> ticket) {
+    fbb_.AddOffset(StartCarried::VT_TICKET, ticket);
   }
-  explicit WorkReplyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+  explicit StartCarriedBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
   }
-  flatbuffers::Offset<WorkReply> Finish() {
+  flatbuffers::Offset<StartCarried> Finish() {
     const auto end = fbb_.EndTable(start_);
-    auto o = flatbuffers::Offset<WorkReply>(end);
+    auto o = flatbuffers::Offset<StartCarried>(end);
     return o;
   }
 };
 
-inline flatbuffers::Offset<WorkReply> CreateWorkReply(
+inline flatbuffers::Offset<StartCarried> CreateStartCarried(
     flatbuffers::FlatBufferBuilder &_fbb,
-    paddlepier::work::CallOutcome outcome = paddlepier::work::CallOutcome::Accepted,
-    paddlepier::work::JobState state = paddlepier::work::JobState::Queued,
-    uint32_t waitingJobs = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> coreInstances = 0,
-    flatbuffers::Offset<paddlepier::work::ChangeConfiguration> configuration = 0,
-    flatbuffers::Offset<flatbuffers::String> message = 0,
-    uint32_t retryAfterMillis = 0) {
-  WorkReplyBuilder builder_(_fbb);
-  builder_.add_retryAfterMillis(retryAfterMillis);
-  builder_.add_message(message);
-  builder_.add_configuration(configuration);
-  builder_.add_coreInstances(coreInstances);
-  builder_.add_waitingJobs(waitingJobs);
-  builder_.add_state(state);
-  builder_.add_outcome(outcome);
+    flatbuffers::Offset<paddlepier::work::TaskKey> task = 0,
+    uint32_t run = 0,
+    flatbuffers::Offset<flatbuffers::String> payload = 0,
+    flatbuffers::Offset<flatbuffers::String> checkpoint = 0,
+    flatbuffers::Offset<flatbuffers::String> ticket = 0) {
+  StartCarriedBuilder builder_(_fbb);
+  builder_.add_ticket(ticket);
+  builder_.add_checkpoint(checkpoint);
+  builder_.add_payload(payload);
+  builder_.add_run(run);
+  builder_.add_task(task);
   return builder_.Finish();
 }
 
-struct WorkReply::Traits {
-  using type = WorkReply;
-  static auto constexpr Create = CreateWorkReply;
+struct StartCarried::Traits {
+  using type = StartCarried;
+  static auto constexpr Create = CreateStartCarried;
 };
 
-inline flatbuffers::Offset<WorkReply> CreateWorkReplyDirect(
+inline flatbuffers::Offset<StartCarried> CreateStartCarriedDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
-    paddlepier::work::CallOutcome outcome = paddlepier::work::CallOutcome::Accepted,
-    paddlepier::work::JobState state = paddlepier::work::JobState::Queued,
-    uint32_t waitingJobs = 0,
-    const std::vector<flatbuffers::Offset<flatbuffers::String>> *coreInstances = nullptr,
-    flatbuffers::Offset<paddlepier::work::ChangeConfiguration> configuration = 0,
+    flatbuffers::Offset<paddlepier::work::TaskKey> task = 0,
+    uint32_t run = 0,
+    const char *payload = nullptr,
+    const char *checkpoint = nullptr,
+    const char *ticket = nullptr) {
+  auto payload__ = payload ? _fbb.CreateString(payload) : 0;
+  auto checkpoint__ = checkpoint ? _fbb.CreateString(checkpoint) : 0;
+  auto ticket__ = ticket ? _fbb.CreateString(ticket) : 0;
+  return paddlepier::work::CreateStartCarried(
+      _fbb,
+      task,
+      run,
+      payload__,
+      checkpoint__,
+      ticket__);
+}
+
+flatbuffers::Offset<StartCarried> CreateStartCarried(flatbuffers::FlatBufferBuilder &_fbb, const StartCarriedT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct StopCarriedT : public flatbuffers::NativeTable {
+  typedef StopCarried TableType;
+  static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
+    return "paddlepier.work.StopCarriedT";
+  }
+  std::unique_ptr<paddlepier::work::TaskKeyT> task{};
+  uint32_t run = 0;
+  StopCarriedT() = default;
+  StopCarriedT(const StopCarriedT &o);
+  StopCarriedT(StopCarriedT&&) FLATBUFFERS_NOEXCEPT = default;
+  StopCarriedT &operator=(StopCarriedT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct StopCarried FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef StopCarriedT NativeTableType;
+  typedef StopCarriedBuilder Builder;
+  struct Traits;
+  static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
+    return "paddlepier.work.StopCarried";
+  }
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_TASK = 4,
+    VT_RUN = 6
+  };
+  const paddlepier::work::TaskKey *task() const {
+    return GetPointer<const paddlepier::work::TaskKey *>(VT_TASK);
+  }
+  uint32_t run() const {
+    return GetField<uint32_t>(VT_RUN, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_TASK) &&
+           verifier.VerifyTable(task()) &&
+           VerifyField<uint32_t>(verifier, VT_RUN, 4) &&
+           verifier.EndTable();
+  }
+  StopCarriedT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(StopCarriedT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<StopCarried> Pack(flatbuffers::FlatBufferBuilder &_fbb, const StopCarriedT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct StopCarriedBuilder {
+  typedef StopCarried Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_task(flatbuffers::Offset<paddlepier::work::TaskKey> task) {
+    fbb_.AddOffset(StopCarried::VT_TASK, task);
+  }
+  void add_run(uint32_t run) {
+    fbb_.AddElement<uint32_t>(StopCarried::VT_RUN, run, 0);
+  }
+  explicit StopCarriedBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<StopCarried> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<StopCarried>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<StopCarried> CreateStopCarried(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<paddlepier::work::TaskKey> task = 0,
+    uint32_t run = 0) {
+  StopCarriedBuilder builder_(_fbb);
+  builder_.add_run(run);
+  builder_.add_task(task);
+  return builder_.Finish();
+}
+
+struct StopCarried::Traits {
+  using type = StopCarried;
+  static auto constexpr Create = CreateStopCarried;
+};
+
+flatbuffers::Offset<StopCarried> CreateStopCarried(flatbuffers::FlatBufferBuilder &_fbb, const StopCarriedT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct PaceCarriedT : public flatbuffers::NativeTable {
+  typedef PaceCarried TableType;
+  static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
+    return "paddlepier.work.PaceCarriedT";
+  }
+  std::unique_ptr<paddlepier::work::TaskKeyT> task{};
+  uint32_t run = 0;
+  uint32_t percent = 0;
+  PaceCarriedT() = default;
+  PaceCarriedT(const PaceCarriedT &o);
+  PaceCarriedT(PaceCarriedT&&) FLATBUFFERS_NOEXCEPT = default;
+  PaceCarriedT &operator=(PaceCarriedT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct PaceCarried FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef PaceCarriedT NativeTableType;
+  typedef PaceCarriedBuilder Builder;
+  struct Traits;
+  static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
+    return "paddlepier.work.PaceCarried";
+  }
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_TASK = 4,
+    VT_RUN = 6,
+    VT_PERCENT = 8
+  };
+  const paddlepier::work::TaskKey *task() const {
+    return GetPointer<const paddlepier::work::TaskKey *>(VT_TASK);
+  }
+  uint32_t run() const {
+    return GetField<uint32_t>(VT_RUN, 0);
+  }
+  uint32_t percent() const {
+    return GetField<uint32_t>(VT_PERCENT, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_TASK) &&
+           verifier.VerifyTable(task()) &&
+           VerifyField<uint32_t>(verifier, VT_RUN, 4) &&
+           VerifyField<uint32_t>(verifier, VT_PERCENT, 4) &&
+           verifier.EndTable();
+  }
+  PaceCarriedT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(PaceCarriedT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<PaceCarried> Pack(flatbuffers::FlatBufferBuilder &_fbb, const PaceCarriedT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct PaceCarriedBuilder {
+  typedef PaceCarried Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_task(flatbuffers::Offset<paddlepier::work::TaskKey> task) {
+    fbb_.AddOffset(PaceCarried::VT_TASK, task);
+  }
+  void add_run(uint32_t run) {
+    fbb_.AddElement<uint32_t>(PaceCarried::VT_RUN, run, 0);
+  }
+  void add_percent(uint32_t percent) {
+    fbb_.AddElement<uint32_t>(PaceCarried::VT_PERCENT, percent, 0);
+  }
+  explicit PaceCarriedBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<PaceCarried> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<PaceCarried>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<PaceCarried> CreatePaceCarried(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<paddlepier::work::TaskKey> task = 0,
+    uint32_t run = 0,
+    uint32_t percent = 0) {
+  PaceCarriedBuilder builder_(_fbb);
+  builder_.add_percent(percent);
+  builder_.add_run(run);
+  builder_.add_task(task);
+  return builder_.Finish();
+}
+
+struct PaceCarried::Traits {
+  using type = PaceCarried;
+  static auto constexpr Create = CreatePaceCarried;
+};
+
+flatbuffers::Offset<PaceCarried> CreatePaceCarried(flatbuffers::FlatBufferBuilder &_fbb, const PaceCarriedT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct CarryCallT : public flatbuffers::NativeTable {
+  typedef CarryCall TableType;
+  static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
+    return "paddlepier.work.CarryCallT";
+  }
+  std::string worker{};
+  std::string address{};
+  uint64_t fence = 0;
+  int64_t leaseEndOnWorkerClock = 0;
+  uint32_t timeoutMillis = 0;
+  paddlepier::work::CarriedOrderUnion order{};
+};
+
+struct CarryCall FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef CarryCallT NativeTableType;
+  typedef CarryCallBuilder Builder;
+  struct Traits;
+  static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
+    return "paddlepier.work.CarryCall";
+  }
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_WORKER = 4,
+    VT_ADDRESS = 6,
+    VT_FENCE = 8,
+    VT_LEASEENDONWORKERCLOCK = 10,
+    VT_TIMEOUTMILLIS = 12,
+    VT_ORDER_TYPE = 14,
+    VT_ORDER = 16
+  };
+  const flatbuffers::String *worker() const {
+    return GetPointer<const flatbuffers::String *>(VT_WORKER);
+  }
+  const flatbuffers::String *address() const {
+    return GetPointer<const flatbuffers::String *>(VT_ADDRESS);
+  }
+  uint64_t fence() const {
+    return GetField<uint64_t>(VT_FENCE, 0);
+  }
+  int64_t leaseEndOnWorkerClock() const {
+    return GetField<int64_t>(VT_LEASEENDONWORKERCLOCK, 0);
+  }
+  uint32_t timeoutMillis() const {
+    return GetField<uint32_t>(VT_TIMEOUTMILLIS, 0);
+  }
+  paddlepier::work::CarriedOrder order_type() const {
+    return static_cast<paddlepier::work::CarriedOrder>(GetField<uint8_t>(VT_ORDER_TYPE, 0));
+  }
+  const void *order() const {
+    return GetPointer<const void *>(VT_ORDER);
+  }
+  template<typename T> const T *order_as() const;
+  const paddlepier::work::PollCarried *order_as_PollCarried() const {
+    return order_type() == paddlepier::work::CarriedOrder::PollCarried ? static_cast<const paddlepier::work::PollCarried *>(order()) : nullptr;
+  }
+  const paddlepier::work::StartCarried *order_as_StartCarried() const {
+    return order_type() == paddlepier::work::CarriedOrder::StartCarried ? static_cast<const paddlepier::work::StartCarried *>(order()) : nullptr;
+  }
+  const paddlepier::work::StopCarried *order_as_StopCarried() const {
+    return order_type() == paddlepier::work::CarriedOrder::StopCarried ? static_cast<const paddlepier::work::StopCarried *>(order()) : nullptr;
+  }
+  const paddlepier::work::PaceCarried *order_as_PaceCarried() const {
+    return order_type() == paddlepier::work::CarriedOrder::PaceCarried ? static_cast<const paddlepier::work::PaceCarried *>(order()) : nullptr;
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_WORKER) &&
+           verifier.VerifyString(worker()) &&
+           VerifyOffset(verifier, VT_ADDRESS) &&
+           verifier.VerifyString(address()) &&
+           VerifyField<uint64_t>(verifier, VT_FENCE, 8) &&
+           VerifyField<int64_t>(verifier, VT_LEASEENDONWORKERCLOCK, 8) &&
+           VerifyField<uint32_t>(verifier, VT_TIMEOUTMILLIS, 4) &&
+           VerifyField<uint8_t>(verifier, VT_ORDER_TYPE, 1) &&
+           VerifyOffset(verifier, VT_ORDER) &&
+           VerifyCarriedOrder(verifier, order(), order_type()) &&
+           verifier.EndTable();
+  }
+  CarryCallT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(CarryCallT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<CarryCall> Pack(flatbuffers::FlatBufferBuilder &_fbb, const CarryCallT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+template<> inline const paddlepier::work::PollCarried *CarryCall::order_as<paddlepier::work::PollCarried>() const {
+  return order_as_PollCarried();
+}
+
+template<> inline const paddlepier::work::StartCarried *CarryCall::order_as<paddlepier::work::StartCarried>() const {
+  return order_as_StartCarried();
+}
+
+template<> inline const paddlepier::work::StopCarried *CarryCall::order_as<paddlepier::work::StopCarried>() const {
+  return order_as_StopCarried();
+}
+
+template<> inline const paddlepier::work::PaceCarried *CarryCall::order_as<paddlepier::work::PaceCarried>() const {
+  return order_as_PaceCarried();
+}
+
+struct CarryCallBuilder {
+  typedef CarryCall Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_worker(flatbuffers::Offset<flatbuffers::String> worker) {
+    fbb_.AddOffset(CarryCall::VT_WORKER, worker);
+  }
+  void add_address(flatbuffers::Offset<flatbuffers::String> address) {
+    fbb_.AddOffset(CarryCall::VT_ADDRESS, address);
+  }
+  void add_fence(uint64_t fence) {
+    fbb_.AddElement<uint64_t>(CarryCall::VT_FENCE, fence, 0);
+  }
+  void add_leaseEndOnWorkerClock(int64_t leaseEndOnWorkerClock) {
+    fbb_.AddElement<int64_t>(CarryCall::VT_LEASEENDONWORKERCLOCK, leaseEndOnWorkerClock, 0);
+  }
+  void add_timeoutMillis(uint32_t timeoutMillis) {
+    fbb_.AddElement<uint32_t>(CarryCall::VT_TIMEOUTMILLIS, timeoutMillis, 0);
+  }
+  void add_order_type(paddlepier::work::CarriedOrder order_type) {
+    fbb_.AddElement<uint8_t>(CarryCall::VT_ORDER_TYPE, static_cast<uint8_t>(order_type), 0);
+  }
+  void add_order(flatbuffers::Offset<void> order) {
+    fbb_.AddOffset(CarryCall::VT_ORDER, order);
+  }
+  explicit CarryCallBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<CarryCall> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<CarryCall>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<CarryCall> CreateCarryCall(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> worker = 0,
+    flatbuffers::Offset<flatbuffers::String> address = 0,
+    uint64_t fence = 0,
+    int64_t leaseEndOnWorkerClock = 0,
+    uint32_t timeoutMillis = 0,
+    paddlepier::work::CarriedOrder order_type = paddlepier::work::CarriedOrder::NONE,
+    flatbuffers::Offset<void> order = 0) {
+  CarryCallBuilder builder_(_fbb);
+  builder_.add_leaseEndOnWorkerClock(leaseEndOnWorkerClock);
+  builder_.add_fence(fence);
+  builder_.add_order(order);
+  builder_.add_timeoutMillis(timeoutMillis);
+  builder_.add_address(address);
+  builder_.add_worker(worker);
+  builder_.add_order_type(order_type);
+  return builder_.Finish();
+}
+
+struct CarryCall::Traits {
+  using type = CarryCall;
+  static auto constexpr Create = CreateCarryCall;
+};
+
+inline flatbuffers::Offset<CarryCall> CreateCarryCallDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *worker = nullptr,
+    const char *address = nullptr,
+    uint64_t fence = 0,
+    int64_t leaseEndOnWorkerClock = 0,
+    uint32_t timeoutMillis = 0,
+    paddlepier::work::CarriedOrder order_type = paddlepier::work::CarriedOrder::NONE,
+    flatbuffers::Offset<void> order = 0) {
+  auto worker__ = worker ? _fbb.CreateString(worker) : 0;
+  auto address__ = address ? _fbb.CreateString(address) : 0;
+  return paddlepier::work::CreateCarryCall(
+      _fbb,
+      worker__,
+      address__,
+      fence,
+      leaseEndOnWorkerClock,
+      timeoutMillis,
+      order_type,
+      order);
+}
+
+flatbuffers::Offset<CarryCall> CreateCarryCall(flatbuffers::FlatBufferBuilder &_fbb, const CarryCallT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct CarriedRunT : public flatbuffers::NativeTable {
+  typedef CarriedRun TableType;
+  static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
+    return "paddlepier.work.CarriedRunT";
+  }
+  std::unique_ptr<paddlepier::work::TaskKeyT> task{};
+  uint32_t run = 0;
+  std::string checkpoint{};
+  uint32_t percent = 0;
+  uint32_t load = 0;
+  CarriedRunT() = default;
+  CarriedRunT(const CarriedRunT &o);
+  CarriedRunT(CarriedRunT&&) FLATBUFFERS_NOEXCEPT = default;
+  CarriedRunT &operator=(CarriedRunT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct CarriedRun FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef CarriedRunT NativeTableType;
+  typedef CarriedRunBuilder Builder;
+  struct Traits;
+  static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
+    return "paddlepier.work.CarriedRun";
+  }
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_TASK = 4,
+    VT_RUN = 6,
+    VT_CHECKPOINT = 8,
+    VT_PERCENT = 10,
+    VT_LOAD = 12
+  };
+  const paddlepier::work::TaskKey *task() const {
+    return GetPointer<const paddlepier::work::TaskKey *>(VT_TASK);
+  }
+  uint32_t run() const {
+    return GetField<uint32_t>(VT_RUN, 0);
+  }
+  const flatbuffers::String *checkpoint() const {
+    return GetPointer<const flatbuffers::String *>(VT_CHECKPOINT);
+  }
+  uint32_t percent() const {
+    return GetField<uint32_t>(VT_PERCENT, 0);
+  }
+  uint32_t load() const {
+    return GetField<uint32_t>(VT_LOAD, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_TASK) &&
+           verifier.VerifyTable(task()) &&
+           VerifyField<uint32_t>(verifier, VT_RUN, 4) &&
+           VerifyOffset(verifier, VT_CHECKPOINT) &&
+           verifier.VerifyString(checkpoint()) &&
+           VerifyField<uint32_t>(verifier, VT_PERCENT, 4) &&
+           VerifyField<uint32_t>(verifier, VT_LOAD, 4) &&
+           verifier.EndTable();
+  }
+  CarriedRunT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(CarriedRunT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<CarriedRun> Pack(flatbuffers::FlatBufferBuilder &_fbb, const CarriedRunT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct CarriedRunBuilder {
+  typedef CarriedRun Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_task(flatbuffers::Offset<paddlepier::work::TaskKey> task) {
+    fbb_.AddOffset(CarriedRun::VT_TASK, task);
+  }
+  void add_run(uint32_t run) {
+    fbb_.AddElement<uint32_t>(CarriedRun::VT_RUN, run, 0);
+  }
+  void add_checkpoint(flatbuffers::Offset<flatbuffers::String> checkpoint) {
+    fbb_.AddOffset(CarriedRun::VT_CHECKPOINT, checkpoint);
+  }
+  void add_percent(uint32_t percent) {
+    fbb_.AddElement<uint32_t>(CarriedRun::VT_PERCENT, percent, 0);
+  }
+  void add_load(uint32_t load) {
+    fbb_.AddElement<uint32_t>(CarriedRun::VT_LOAD, load, 0);
+  }
+  explicit CarriedRunBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<CarriedRun> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<CarriedRun>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<CarriedRun> CreateCarriedRun(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<paddlepier::work::TaskKey> task = 0,
+    uint32_t run = 0,
+    flatbuffers::Offset<flatbuffers::String> checkpoint = 0,
+    uint32_t percent = 0,
+    uint32_t load = 0) {
+  CarriedRunBuilder builder_(_fbb);
+  builder_.add_load(load);
+  builder_.add_percent(percent);
+  builder_.add_checkpoint(checkpoint);
+  builder_.add_run(run);
+  builder_.add_task(task);
+  return builder_.Finish();
+}
+
+struct CarriedRun::Traits {
+  using type = CarriedRun;
+  static auto constexpr Create = CreateCarriedRun;
+};
+
+inline flatbuffers::Offset<CarriedRun> CreateCarriedRunDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<paddlepier::work::TaskKey> task = 0,
+    uint32_t run = 0,
+    const char *checkpoint = nullptr,
+    uint32_t percent = 0,
+    uint32_t load = 0) {
+  auto checkpoint__ = checkpoint ? _fbb.CreateString(checkpoint) : 0;
+  return paddlepier::work::CreateCarriedRun(
+      _fbb,
+      task,
+      run,
+      checkpoint__,
+      percent,
+      load);
+}
+
+flatbuffers::Offset<CarriedRun> CreateCarriedRun(flatbuffers::FlatBufferBuilder &_fbb, const CarriedRunT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct CarryReplyT : public flatbuffers::NativeTable {
+  typedef CarryReply TableType;
+  static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
+    return "paddlepier.work.CarryReplyT";
+  }
+  uint8_t kind = 0;
+  bool hasClock = false;
+  int64_t clockMillis = 0;
+  std::vector<std::unique_ptr<paddlepier::work::CarriedRunT>> running{};
+  std::vector<std::unique_ptr<paddlepier::work::RunEndT>> ended{};
+  CarryReplyT() = default;
+  CarryReplyT(const CarryReplyT &o);
+  CarryReplyT(CarryReplyT&&) FLATBUFFERS_NOEXCEPT = default;
+  CarryReplyT &operator=(CarryReplyT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct CarryReply FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef CarryReplyT NativeTableType;
+  typedef CarryReplyBuilder Builder;
+  struct Traits;
+  static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
+    return "paddlepier.work.CarryReply";
+  }
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_KIND = 4,
+    VT_HASCLOCK = 6,
+    VT_CLOCKMILLIS = 8,
+    VT_RUNNING = 10,
+    VT_ENDED = 12
+  };
+  /// Number of the kind of answer, in the order of the product's own enumeration.
+  uint8_t kind() const {
+    return GetField<uint8_t>(VT_KIND, 0);
+  }
+  bool hasClock() const {
+    return GetField<uint8_t>(VT_HASCLOCK, 0) != 0;
+  }
+  int64_t clockMillis() const {
+    return GetField<int64_t>(VT_CLOCKMILLIS, 0);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<paddlepier::work::CarriedRun>> *running() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<paddlepier::work::CarriedRun>> *>(VT_RUNNING);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<paddlepier::work::RunEnd>> *ended() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<paddlepier::work::RunEnd>> *>(VT_ENDED);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint8_t>(verifier, VT_KIND, 1) &&
+           VerifyField<uint8_t>(verifier, VT_HASCLOCK, 1) &&
+           VerifyField<int64_t>(verifier, VT_CLOCKMILLIS, 8) &&
+           VerifyOffset(verifier, VT_RUNNING) &&
+           verifier.VerifyVector(running()) &&
+           verifier.VerifyVectorOfTables(running()) &&
+           VerifyOffset(verifier, VT_ENDED) &&
+           verifier.VerifyVector(ended()) &&
+           verifier.VerifyVectorOfTables(ended()) &&
+           verifier.EndTable();
+  }
+  CarryReplyT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(CarryReplyT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<CarryReply> Pack(flatbuffers::FlatBufferBuilder &_fbb, const CarryReplyT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct CarryReplyBuilder {
+  typedef CarryReply Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_kind(uint8_t kind) {
+    fbb_.AddElement<uint8_t>(CarryReply::VT_KIND, kind, 0);
+  }
+  void add_hasClock(bool hasClock) {
+    fbb_.AddElement<uint8_t>(CarryReply::VT_HASCLOCK, static_cast<uint8_t>(hasClock), 0);
+  }
+  void add_clockMillis(int64_t clockMillis) {
+    fbb_.AddElement<int64_t>(CarryReply::VT_CLOCKMILLIS, clockMillis, 0);
+  }
+  void add_running(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<paddlepier::work::CarriedRun>>> running) {
+    fbb_.AddOffset(CarryReply::VT_RUNNING, running);
+  }
+  void add_ended(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<paddlepier::work::RunEnd>>> ended) {
+    fbb_.AddOffset(CarryReply::VT_ENDED, ended);
+  }
+  explicit CarryReplyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<CarryReply> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<CarryReply>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<CarryReply> CreateCarryReply(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint8_t kind = 0,
+    bool hasClock = false,
+    int64_t clockMillis = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<paddlepier::work::CarriedRun>>> running = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<paddlepier::work::RunEnd>>> ended = 0) {
+  CarryReplyBuilder builder_(_fbb);
+  builder_.add_clockMillis(clockMillis);
+  builder_.add_ended(ended);
+  builder_.add_running(running);
+  builder_.add_hasClock(hasClock);
+  builder_.add_kind(kind);
+  return builder_.Finish();
+}
+
+struct CarryReply::Traits {
+  using type = CarryReply;
+  static auto constexpr Create = CreateCarryReply;
+};
+
+inline flatbuffers::Offset<CarryReply> CreateCarryReplyDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint8_t kind = 0,
+    bool hasClock = false,
+    int64_t clockMillis = 0,
+    const std::vector<flatbuffers::Offset<paddlepier::work::CarriedRun>> *running = nullptr,
+    const std::vector<flatbuffers::Offset<paddlepier::work::RunEnd>> *ended = nullptr) {
+  auto running__ = running ? _fbb.CreateVector<flatbuffers::Offset<paddlepier::work::CarriedRun>>(*running) : 0;
+  auto ended__ = ended ? _fbb.CreateVector<flatbuffers::Offset<paddlepier::work::RunEnd>>(*ended) : 0;
+  return paddlepier::work::CreateCarryReply(
+      _fbb,
+      kind,
+      hasClock,
+      clockMillis,
+      running__,
+      ended__);
+}
+
+flatbuffers::Offset<CarryReply> CreateCarryReply(flatbuffers::FlatBufferBuilder &_fbb, const CarryReplyT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct WorkReplyT : public flatbuffers::NativeTable {
+  typedef WorkReply TableType;
+  static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
+    return "paddlepier.work.WorkReplyT";
+  }
+  paddlepier::work::CallOutcome outcome = paddlepier::work::CallOutcome::Accepted;
+  paddlepier::work::JobState state = paddlepier::work::JobState::Queued;
+  uint32_t waitingJobs = 0;
+  std::vector<std::string> coreInstances{};
+  std::unique_ptr<paddlepier::work::ChangeConfigurationT> configuration{};
+  std::string message{};
+  uint32_t retryAfterMillis = 0;
+  WorkReplyT() = default;
+  WorkReplyT(const WorkReplyT &o);
+  WorkReplyT(WorkReplyT&&) FLATBUFFERS_NOEXCEPT = default;
+  WorkReplyT &operator=(WorkReplyT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct WorkReply FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef WorkReplyT NativeTableType;
+  typedef WorkReplyBuilder Builder;
+  struct Traits;
+  static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
+    return "paddlepier.work.WorkReply";
+  }
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_OUTCOME = 4,
+    VT_STATE = 6,
+    VT_WAITINGJOBS = 8,
+    VT_COREINSTANCES = 10,
+    VT_CONFIGURATION = 12,
+    VT_MESSAGE = 14,
+    VT_RETRYAFTERMILLIS = 16
+  };
+  paddlepier::work::CallOutcome outcome() const {
+    return static_cast<paddlepier::work::CallOutcome>(GetField<uint8_t>(VT_OUTCOME, 0));
+  }
+  paddlepier::work::JobState state() const {
+    return static_cast<paddlepier::work::JobState>(GetField<uint8_t>(VT_STATE, 0));
+  }
+  uint32_t waitingJobs() const {
+    return GetField<uint32_t>(VT_WAITINGJOBS, 0);
+  }
+  /// Instances that hold a replica.
+  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *coreInstances() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_COREINSTANCES);
+  }
+  const paddlepier::work::ChangeConfiguration *configuration() const {
+    return GetPointer<const paddlepier::work::ChangeConfiguration *>(VT_CONFIGURATION);
+  }
+  const flatbuffers::String *message() const {
+    return GetPointer<const flatbuffers::String *>(VT_MESSAGE);
+  }
+  uint32_t retryAfterMillis() const {
+    return GetField<uint32_t>(VT_RETRYAFTERMILLIS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint8_t>(verifier, VT_OUTCOME, 1) &&
+           VerifyField<uint8_t>(verifier, VT_STATE, 1) &&
+           VerifyField<uint32_t>(verifier, VT_WAITINGJOBS, 4) &&
+           VerifyOffset(verifier, VT_COREINSTANCES) &&
+           verifier.VerifyVector(coreInstances()) &&
+           verifier.VerifyVectorOfStrings(coreInstances()) &&
+           VerifyOffset(verifier, VT_CONFIGURATION) &&
+           verifier.VerifyTable(configuration()) &&
+           VerifyOffset(verifier, VT_MESSAGE) &&
+           verifier.VerifyString(message()) &&
+           VerifyField<uint32_t>(verifier, VT_RETRYAFTERMILLIS, 4) &&
+           verifier.EndTable();
+  }
+  WorkReplyT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(WorkReplyT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<WorkReply> Pack(flatbuffers::FlatBufferBuilder &_fbb, const WorkReplyT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct WorkReplyBuilder {
+  typedef WorkReply Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_outcome(paddlepier::work::CallOutcome outcome) {
+    fbb_.AddElement<uint8_t>(WorkReply::VT_OUTCOME, static_cast<uint8_t>(outcome), 0);
+  }
+  void add_state(paddlepier::work::JobState state) {
+    fbb_.AddElement<uint8_t>(WorkReply::VT_STATE, static_cast<uint8_t>(state), 0);
+  }
+  void add_waitingJobs(uint32_t waitingJobs) {
+    fbb_.AddElement<uint32_t>(WorkReply::VT_WAITINGJOBS, waitingJobs, 0);
+  }
+  void add_coreInstances(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> coreInstances) {
+    fbb_.AddOffset(WorkReply::VT_COREINSTANCES, coreInstances);
+  }
+  void add_configuration(flatbuffers::Offset<paddlepier::work::ChangeConfiguration> configuration) {
+    fbb_.AddOffset(WorkReply::VT_CONFIGURATION, configuration);
+  }
+  void add_message(flatbuffers::Offset<flatbuffers::String> message) {
+    fbb_.AddOffset(WorkReply::VT_MESSAGE, message);
+  }
+  void add_retryAfterMillis(uint32_t retryAfterMillis) {
+    fbb_.AddElement<uint32_t>(WorkReply::VT_RETRYAFTERMILLIS, retryAfterMillis, 0);
+  }
+  explicit WorkReplyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<WorkReply> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<WorkReply>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<WorkReply> CreateWorkReply(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    paddlepier::work::CallOutcome outcome = paddlepier::work::CallOutcome::Accepted,
+    paddlepier::work::JobState state = paddlepier::work::JobState::Queued,
+    uint32_t waitingJobs = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> coreInstances = 0,
+    flatbuffers::Offset<paddlepier::work::ChangeConfiguration> configuration = 0,
+    flatbuffers::Offset<flatbuffers::String> message = 0,
+    uint32_t retryAfterMillis = 0) {
+  WorkReplyBuilder builder_(_fbb);
+  builder_.add_retryAfterMillis(retryAfterMillis);
+  builder_.add_message(message);
+  builder_.add_configuration(configuration);
+  builder_.add_coreInstances(coreInstances);
+  builder_.add_waitingJobs(waitingJobs);
+  builder_.add_state(state);
+  builder_.add_outcome(outcome);
+  return builder_.Finish();
+}
+
+struct WorkReply::Traits {
+  using type = WorkReply;
+  static auto constexpr Create = CreateWorkReply;
+};
+
+inline flatbuffers::Offset<WorkReply> CreateWorkReplyDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    paddlepier::work::CallOutcome outcome = paddlepier::work::CallOutcome::Accepted,
+    paddlepier::work::JobState state = paddlepier::work::JobState::Queued,
+    uint32_t waitingJobs = 0,
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *coreInstances = nullptr,
+    flatbuffers::Offset<paddlepier::work::ChangeConfiguration> configuration = 0,
     const char *message = nullptr,
     uint32_t retryAfterMillis = 0) {
   auto coreInstances__ = coreInstances ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*coreInstances) : 0;
@@ -5572,197 +6577,522 @@
   return CreateWithdrawCall(_fbb, _o, _rehasher);
 }
 
-inline flatbuffers::Offset<WithdrawCall> CreateWithdrawCall(flatbuffers::FlatBufferBuilder &_fbb, const WithdrawCallT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+inline flatbuffers::Offset<WithdrawCall> CreateWithdrawCall(flatbuffers::FlatBufferBuilder &_fbb, const WithdrawCallT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const WithdrawCallT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _id = _o->id.empty() ? 0 : _fbb.CreateString(_o->id);
+  return paddlepier::work::CreateWithdrawCall(
+      _fbb,
+      _id);
+}
+
+inline ConfigureCallT::ConfigureCallT(const ConfigureCallT &o)
+      : change((o.change) ? new paddlepier::work::ChangeConfigurationT(*o.change) : nullptr) {
+}
+
+inline ConfigureCallT &ConfigureCallT::operator=(ConfigureCallT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(change, o.change);
+  return *this;
+}
+
+inline ConfigureCallT *ConfigureCall::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<ConfigureCallT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void ConfigureCall::UnPackTo(ConfigureCallT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = change(); if (_e) _o->change = std::unique_ptr<paddlepier::work::ChangeConfigurationT>(_e->UnPack(_resolver)); }
+}
+
+inline flatbuffers::Offset<ConfigureCall> ConfigureCall::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ConfigureCallT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateConfigureCall(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<ConfigureCall> CreateConfigureCall(flatbuffers::FlatBufferBuilder &_fbb, const ConfigureCallT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const ConfigureCallT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _change = _o->change ? CreateChangeConfiguration(_fbb, _o->change.get(), _rehasher) : 0;
+  return paddlepier::work::CreateConfigureCall(
+      _fbb,
+      _change);
+}
+
+inline ReadConfigurationCallT *ReadConfigurationCall::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<ReadConfigurationCallT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void ReadConfigurationCall::UnPackTo(ReadConfigurationCallT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+}
+
+inline flatbuffers::Offset<ReadConfigurationCall> ReadConfigurationCall::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ReadConfigurationCallT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateReadConfigurationCall(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<ReadConfigurationCall> CreateReadConfigurationCall(flatbuffers::FlatBufferBuilder &_fbb, const ReadConfigurationCallT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const ReadConfigurationCallT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  return paddlepier::work::CreateReadConfigurationCall(
+      _fbb);
+}
+
+inline PresenceCallT *PresenceCall::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<PresenceCallT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void PresenceCall::UnPackTo(PresenceCallT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = zone(); if (_e) _o->zone = _e->str(); }
+}
+
+inline flatbuffers::Offset<PresenceCall> PresenceCall::Pack(flatbuffers::FlatBufferBuilder &_fbb, const PresenceCallT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreatePresenceCall(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<PresenceCall> CreatePresenceCall(flatbuffers::FlatBufferBuilder &_fbb, const PresenceCallT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const PresenceCallT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _zone = _o->zone.empty() ? 0 : _fbb.CreateString(_o->zone);
+  return paddlepier::work::CreatePresenceCall(
+      _fbb,
+      _zone);
+}
+
+inline AdviceCallT *AdviceCall::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<AdviceCallT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void AdviceCall::UnPackTo(AdviceCallT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = step(); if (_e) _o->step = _e->str(); }
+  { auto _e = workers(); if (_e) { _o->workers.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->workers[_i] = _e->Get(_i)->str(); } } }
+}
+
+inline flatbuffers::Offset<AdviceCall> AdviceCall::Pack(flatbuffers::FlatBufferBuilder &_fbb, const AdviceCallT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateAdviceCall(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<AdviceCall> CreateAdviceCall(flatbuffers::FlatBufferBuilder &_fbb, const AdviceCallT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const AdviceCallT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _step = _o->step.empty() ? 0 : _fbb.CreateString(_o->step);
+  auto _workers = _o->workers.size() ? _fbb.CreateVectorOfStrings(_o->workers) : 0;
+  return paddlepier::work::CreateAdviceCall(
+      _fbb,
+      _step,
+      _workers);
+}
+
+inline AdviceTicketT *AdviceTicket::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<AdviceTicketT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void AdviceTicket::UnPackTo(AdviceTicketT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = worker(); if (_e) _o->worker = _e->str(); }
+  { auto _e = ticket(); if (_e) _o->ticket = _e->str(); }
+}
+
+inline flatbuffers::Offset<AdviceTicket> AdviceTicket::Pack(flatbuffers::FlatBufferBuilder &_fbb, const AdviceTicketT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateAdviceTicket(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<AdviceTicket> CreateAdviceTicket(flatbuffers::FlatBufferBuilder &_fbb, const AdviceTicketT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const AdviceTicketT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _worker = _o->worker.empty() ? 0 : _fbb.CreateString(_o->worker);
+  auto _ticket = _o->ticket.empty() ? 0 : _fbb.CreateString(_o->ticket);
+  return paddlepier::work::CreateAdviceTicket(
+      _fbb,
+      _worker,
+      _ticket);
+}
+
+inline AdviceReplyT::AdviceReplyT(const AdviceReplyT &o)
+      : validMillis(o.validMillis) {
+  good.reserve(o.good.size());
+  for (const auto &good_ : o.good) { good.emplace_back((good_) ? new paddlepier::work::AdviceTicketT(*good_) : nullptr); }
+}
+
+inline AdviceReplyT &AdviceReplyT::operator=(AdviceReplyT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(good, o.good);
+  std::swap(validMillis, o.validMillis);
+  return *this;
+}
+
+inline AdviceReplyT *AdviceReply::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<AdviceReplyT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void AdviceReply::UnPackTo(AdviceReplyT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = good(); if (_e) { _o->good.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->good[_i] = std::unique_ptr<paddlepier::work::AdviceTicketT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = validMillis(); _o->validMillis = _e; }
+}
+
+inline flatbuffers::Offset<AdviceReply> AdviceReply::Pack(flatbuffers::FlatBufferBuilder &_fbb, const AdviceReplyT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateAdviceReply(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<AdviceReply> CreateAdviceReply(flatbuffers::FlatBufferBuilder &_fbb, const AdviceReplyT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const AdviceReplyT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _good = _o->good.size() ? _fbb.CreateVector<flatbuffers::Offset<paddlepier::work::AdviceTicket>> (_o->good.size(), [](size_t i, _VectorArgs *__va) { return CreateAdviceTicket(*__va->__fbb, __va->__o->good[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _validMillis = _o->validMillis;
+  return paddlepier::work::CreateAdviceReply(
+      _fbb,
+      _good,
+      _validMillis);
+}
+
+inline PollCarriedT *PollCarried::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<PollCarriedT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void PollCarried::UnPackTo(PollCarriedT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = lastSequence(); _o->lastSequence = _e; }
+  { auto _e = waitMillis(); _o->waitMillis = _e; }
+}
+
+inline flatbuffers::Offset<PollCarried> PollCarried::Pack(flatbuffers::FlatBufferBuilder &_fbb, const PollCarriedT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreatePollCarried(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<PollCarried> CreatePollCarried(flatbuffers::FlatBufferBuilder &_fbb, const PollCarriedT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
   (void)_rehasher;
   (void)_o;
-  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const WithdrawCallT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
-  auto _id = _o->id.empty() ? 0 : _fbb.CreateString(_o->id);
-  return paddlepier::work::CreateWithdrawCall(
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const PollCarriedT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _lastSequence = _o->lastSequence;
+  auto _waitMillis = _o->waitMillis;
+  return paddlepier::work::CreatePollCarried(
       _fbb,
-      _id);
+      _lastSequence,
+      _waitMillis);
 }
 
-inline ConfigureCallT::ConfigureCallT(const ConfigureCallT &o)
-      : change((o.change) ? new paddlepier::work::ChangeConfigurationT(*o.change) : nullptr) {
+inline StartCarriedT::StartCarriedT(const StartCarriedT &o)
+      : task((o.task) ? new paddlepier::work::TaskKeyT(*o.task) : nullptr),
+        run(o.run),
+        payload(o.payload),
+        checkpoint(o.checkpoint),
+        ticket(o.ticket) {
 }
 
-inline ConfigureCallT &ConfigureCallT::operator=(ConfigureCallT o) FLATBUFFERS_NOEXCEPT {
-  std::swap(change, o.change);
+inline StartCarriedT &StartCarriedT::operator=(StartCarriedT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(task, o.task);
+  std::swap(run, o.run);
+  std::swap(payload, o.payload);
+  std::swap(checkpoint, o.checkpoint);
+  std::swap(ticket, o.ticket);
   return *this;
 }
 
-inline ConfigureCallT *ConfigureCall::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::make_unique<ConfigureCallT>();
+inline StartCarriedT *StartCarried::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<StartCarriedT>();
   UnPackTo(_o.get(), _resolver);
   return _o.release();
 }
 
-inline void ConfigureCall::UnPackTo(ConfigureCallT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+inline void StartCarried::UnPackTo(StartCarriedT *_o, const flatbuffers::resolver_function_t *_resolver) const {
   (void)_o;
   (void)_resolver;
-  { auto _e = change(); if (_e) _o->change = std::unique_ptr<paddlepier::work::ChangeConfigurationT>(_e->UnPack(_resolver)); }
+  { auto _e = task(); if (_e) _o->task = std::unique_ptr<paddlepier::work::TaskKeyT>(_e->UnPack(_resolver)); }
+  { auto _e = run(); _o->run = _e; }
+  { auto _e = payload(); if (_e) _o->payload = _e->str(); }
+  { auto _e = checkpoint(); if (_e) _o->checkpoint = _e->str(); }
+  { auto _e = ticket(); if (_e) _o->ticket = _e->str(); }
 }
 
-inline flatbuffers::Offset<ConfigureCall> ConfigureCall::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ConfigureCallT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
-  return CreateConfigureCall(_fbb, _o, _rehasher);
+inline flatbuffers::Offset<StartCarried> StartCarried::Pack(flatbuffers::FlatBufferBuilder &_fbb, const StartCarriedT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateStartCarried(_fbb, _o, _rehasher);
 }
 
-inline flatbuffers::Offset<ConfigureCall> CreateConfigureCall(flatbuffers::FlatBufferBuilder &_fbb, const ConfigureCallT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+inline flatbuffers::Offset<StartCarried> CreateStartCarried(flatbuffers::FlatBufferBuilder &_fbb, const StartCarriedT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
   (void)_rehasher;
   (void)_o;
-  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const ConfigureCallT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
-  auto _change = _o->change ? CreateChangeConfiguration(_fbb, _o->change.get(), _rehasher) : 0;
-  return paddlepier::work::CreateConfigureCall(
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const StartCarriedT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _task = _o->task ? CreateTaskKey(_fbb, _o->task.get(), _rehasher) : 0;
+  auto _run = _o->run;
+  auto _payload = _o->payload.empty() ? 0 : _fbb.CreateString(_o->payload);
+  auto _checkpoint = _o->checkpoint.empty() ? 0 : _fbb.CreateString(_o->checkpoint);
+  auto _ticket = _o->ticket.empty() ? 0 : _fbb.CreateString(_o->ticket);
+  return paddlepier::work::CreateStartCarried(
       _fbb,
-      _change);
+      _task,
+      _run,
+      _payload,
+      _checkpoint,
+      _ticket);
 }
 
-inline ReadConfigurationCallT *ReadConfigurationCall::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::make_unique<ReadConfigurationCallT>();
+inline StopCarriedT::StopCarriedT(const StopCarriedT &o)
+      : task((o.task) ? new paddlepier::work::TaskKeyT(*o.task) : nullptr),
+        run(o.run) {
+}
+
+inline StopCarriedT &StopCarriedT::operator=(StopCarriedT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(task, o.task);
+  std::swap(run, o.run);
+  return *this;
+}
+
+inline StopCarriedT *StopCarried::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<StopCarriedT>();
   UnPackTo(_o.get(), _resolver);
   return _o.release();
 }
 
-inline void ReadConfigurationCall::UnPackTo(ReadConfigurationCallT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+inline void StopCarried::UnPackTo(StopCarriedT *_o, const flatbuffers::resolver_function_t *_resolver) const {
   (void)_o;
   (void)_resolver;
+  { auto _e = task(); if (_e) _o->task = std::unique_ptr<paddlepier::work::TaskKeyT>(_e->UnPack(_resolver)); }
+  { auto _e = run(); _o->run = _e; }
 }
 
-inline flatbuffers::Offset<ReadConfigurationCall> ReadConfigurationCall::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ReadConfigurationCallT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
-  return CreateReadConfigurationCall(_fbb, _o, _rehasher);
+inline flatbuffers::Offset<StopCarried> StopCarried::Pack(flatbuffers::FlatBufferBuilder &_fbb, const StopCarriedT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateStopCarried(_fbb, _o, _rehasher);
 }
 
-inline flatbuffers::Offset<ReadConfigurationCall> CreateReadConfigurationCall(flatbuffers::FlatBufferBuilder &_fbb, const ReadConfigurationCallT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+inline flatbuffers::Offset<StopCarried> CreateStopCarried(flatbuffers::FlatBufferBuilder &_fbb, const StopCarriedT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
   (void)_rehasher;
   (void)_o;
-  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const ReadConfigurationCallT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
-  return paddlepier::work::CreateReadConfigurationCall(
-      _fbb);
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const StopCarriedT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _task = _o->task ? CreateTaskKey(_fbb, _o->task.get(), _rehasher) : 0;
+  auto _run = _o->run;
+  return paddlepier::work::CreateStopCarried(
+      _fbb,
+      _task,
+      _run);
 }
 
-inline PresenceCallT *PresenceCall::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::make_unique<PresenceCallT>();
+inline PaceCarriedT::PaceCarriedT(const PaceCarriedT &o)
+      : task((o.task) ? new paddlepier::work::TaskKeyT(*o.task) : nullptr),
+        run(o.run),
+        percent(o.percent) {
+}
+
+inline PaceCarriedT &PaceCarriedT::operator=(PaceCarriedT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(task, o.task);
+  std::swap(run, o.run);
+  std::swap(percent, o.percent);
+  return *this;
+}
+
+inline PaceCarriedT *PaceCarried::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<PaceCarriedT>();
   UnPackTo(_o.get(), _resolver);
   return _o.release();
 }
 
-inline void PresenceCall::UnPackTo(PresenceCallT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+inline void PaceCarried::UnPackTo(PaceCarriedT *_o, const flatbuffers::resolver_function_t *_resolver) const {
   (void)_o;
   (void)_resolver;
-  { auto _e = zone(); if (_e) _o->zone = _e->str(); }
+  { auto _e = task(); if (_e) _o->task = std::unique_ptr<paddlepier::work::TaskKeyT>(_e->UnPack(_resolver)); }
+  { auto _e = run(); _o->run = _e; }
+  { auto _e = percent(); _o->percent = _e; }
 }
 
-inline flatbuffers::Offset<PresenceCall> PresenceCall::Pack(flatbuffers::FlatBufferBuilder &_fbb, const PresenceCallT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
-  return CreatePresenceCall(_fbb, _o, _rehasher);
+inline flatbuffers::Offset<PaceCarried> PaceCarried::Pack(flatbuffers::FlatBufferBuilder &_fbb, const PaceCarriedT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreatePaceCarried(_fbb, _o, _rehasher);
 }
 
-inline flatbuffers::Offset<PresenceCall> CreatePresenceCall(flatbuffers::FlatBufferBuilder &_fbb, const PresenceCallT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+inline flatbuffers::Offset<PaceCarried> CreatePaceCarried(flatbuffers::FlatBufferBuilder &_fbb, const PaceCarriedT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
   (void)_rehasher;
   (void)_o;
-  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const PresenceCallT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
-  auto _zone = _o->zone.empty() ? 0 : _fbb.CreateString(_o->zone);
-  return paddlepier::work::CreatePresenceCall(
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const PaceCarriedT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _task = _o->task ? CreateTaskKey(_fbb, _o->task.get(), _rehasher) : 0;
+  auto _run = _o->run;
+  auto _percent = _o->percent;
+  return paddlepier::work::CreatePaceCarried(
       _fbb,
-      _zone);
+      _task,
+      _run,
+      _percent);
 }
 
-inline AdviceCallT *AdviceCall::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::make_unique<AdviceCallT>();
+inline CarryCallT *CarryCall::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<CarryCallT>();
   UnPackTo(_o.get(), _resolver);
   return _o.release();
 }
 
-inline void AdviceCall::UnPackTo(AdviceCallT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+inline void CarryCall::UnPackTo(CarryCallT *_o, const flatbuffers::resolver_function_t *_resolver) const {
   (void)_o;
   (void)_resolver;
-  { auto _e = step(); if (_e) _o->step = _e->str(); }
-  { auto _e = workers(); if (_e) { _o->workers.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->workers[_i] = _e->Get(_i)->str(); } } }
+  { auto _e = worker(); if (_e) _o->worker = _e->str(); }
+  { auto _e = address(); if (_e) _o->address = _e->str(); }
+  { auto _e = fence(); _o->fence = _e; }
+  { auto _e = leaseEndOnWorkerClock(); _o->leaseEndOnWorkerClock = _e; }
+  { auto _e = timeoutMillis(); _o->timeoutMillis = _e; }
+  { auto _e = order_type(); _o->order.type = _e; }
+  { auto _e = order(); if (_e) _o->order.value = paddlepier::work::CarriedOrderUnion::UnPack(_e, order_type(), _resolver); }
 }
 
-inline flatbuffers::Offset<AdviceCall> AdviceCall::Pack(flatbuffers::FlatBufferBuilder &_fbb, const AdviceCallT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
-  return CreateAdviceCall(_fbb, _o, _rehasher);
+inline flatbuffers::Offset<CarryCall> CarryCall::Pack(flatbuffers::FlatBufferBuilder &_fbb, const CarryCallT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateCarryCall(_fbb, _o, _rehasher);
 }
 
-inline flatbuffers::Offset<AdviceCall> CreateAdviceCall(flatbuffers::FlatBufferBuilder &_fbb, const AdviceCallT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+inline flatbuffers::Offset<CarryCall> CreateCarryCall(flatbuffers::FlatBufferBuilder &_fbb, const CarryCallT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
   (void)_rehasher;
   (void)_o;
-  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const AdviceCallT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
-  auto _step = _o->step.empty() ? 0 : _fbb.CreateString(_o->step);
-  auto _workers = _o->workers.size() ? _fbb.CreateVectorOfStrings(_o->workers) : 0;
-  return paddlepier::work::CreateAdviceCall(
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const CarryCallT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _worker = _o->worker.empty() ? 0 : _fbb.CreateString(_o->worker);
+  auto _address = _o->address.empty() ? 0 : _fbb.CreateString(_o->address);
+  auto _fence = _o->fence;
+  auto _leaseEndOnWorkerClock = _o->leaseEndOnWorkerClock;
+  auto _timeoutMillis = _o->timeoutMillis;
+  auto _order_type = _o->order.type;
+  auto _order = _o->order.Pack(_fbb);
+  return paddlepier::work::CreateCarryCall(
       _fbb,
-      _step,
-      _workers);
+      _worker,
+      _address,
+      _fence,
+      _leaseEndOnWorkerClock,
+      _timeoutMillis,
+      _order_type,
+      _order);
 }
 
-inline AdviceTicketT *AdviceTicket::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::make_unique<AdviceTicketT>();
+inline CarriedRunT::CarriedRunT(const CarriedRunT &o)
+      : task((o.task) ? new paddlepier::work::TaskKeyT(*o.task) : nullptr),
+        run(o.run),
+        checkpoint(o.checkpoint),
+        percent(o.percent),
+        load(o.load) {
+}
+
+inline CarriedRunT &CarriedRunT::operator=(CarriedRunT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(task, o.task);
+  std::swap(run, o.run);
+  std::swap(checkpoint, o.checkpoint);
+  std::swap(percent, o.percent);
+  std::swap(load, o.load);
+  return *this;
+}
+
+inline CarriedRunT *CarriedRun::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<CarriedRunT>();
   UnPackTo(_o.get(), _resolver);
   return _o.release();
 }
 
-inline void AdviceTicket::UnPackTo(AdviceTicketT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+inline void CarriedRun::UnPackTo(CarriedRunT *_o, const flatbuffers::resolver_function_t *_resolver) const {
   (void)_o;
   (void)_resolver;
-  { auto _e = worker(); if (_e) _o->worker = _e->str(); }
-  { auto _e = ticket(); if (_e) _o->ticket = _e->str(); }
+  { auto _e = task(); if (_e) _o->task = std::unique_ptr<paddlepier::work::TaskKeyT>(_e->UnPack(_resolver)); }
+  { auto _e = run(); _o->run = _e; }
+  { auto _e = checkpoint(); if (_e) _o->checkpoint = _e->str(); }
+  { auto _e = percent(); _o->percent = _e; }
+  { auto _e = load(); _o->load = _e; }
 }
 
-inline flatbuffers::Offset<AdviceTicket> AdviceTicket::Pack(flatbuffers::FlatBufferBuilder &_fbb, const AdviceTicketT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
-  return CreateAdviceTicket(_fbb, _o, _rehasher);
+inline flatbuffers::Offset<CarriedRun> CarriedRun::Pack(flatbuffers::FlatBufferBuilder &_fbb, const CarriedRunT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateCarriedRun(_fbb, _o, _rehasher);
 }
 
-inline flatbuffers::Offset<AdviceTicket> CreateAdviceTicket(flatbuffers::FlatBufferBuilder &_fbb, const AdviceTicketT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+inline flatbuffers::Offset<CarriedRun> CreateCarriedRun(flatbuffers::FlatBufferBuilder &_fbb, const CarriedRunT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
   (void)_rehasher;
   (void)_o;
-  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const AdviceTicketT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
-  auto _worker = _o->worker.empty() ? 0 : _fbb.CreateString(_o->worker);
-  auto _ticket = _o->ticket.empty() ? 0 : _fbb.CreateString(_o->ticket);
-  return paddlepier::work::CreateAdviceTicket(
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const CarriedRunT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _task = _o->task ? CreateTaskKey(_fbb, _o->task.get(), _rehasher) : 0;
+  auto _run = _o->run;
+  auto _checkpoint = _o->checkpoint.empty() ? 0 : _fbb.CreateString(_o->checkpoint);
+  auto _percent = _o->percent;
+  auto _load = _o->load;
+  return paddlepier::work::CreateCarriedRun(
       _fbb,
-      _worker,
-      _ticket);
+      _task,
+      _run,
+      _checkpoint,
+      _percent,
+      _load);
 }
 
-inline AdviceReplyT::AdviceReplyT(const AdviceReplyT &o)
-      : validMillis(o.validMillis) {
-  good.reserve(o.good.size());
-  for (const auto &good_ : o.good) { good.emplace_back((good_) ? new paddlepier::work::AdviceTicketT(*good_) : nullptr); }
+inline CarryReplyT::CarryReplyT(const CarryReplyT &o)
+      : kind(o.kind),
+        hasClock(o.hasClock),
+        clockMillis(o.clockMillis) {
+  running.reserve(o.running.size());
+  for (const auto &running_ : o.running) { running.emplace_back((running_) ? new paddlepier::work::CarriedRunT(*running_) : nullptr); }
+  ended.reserve(o.ended.size());
+  for (const auto &ended_ : o.ended) { ended.emplace_back((ended_) ? new paddlepier::work::RunEndT(*ended_) : nullptr); }
 }
 
-inline AdviceReplyT &AdviceReplyT::operator=(AdviceReplyT o) FLATBUFFERS_NOEXCEPT {
-  std::swap(good, o.good);
-  std::swap(validMillis, o.validMillis);
+inline CarryReplyT &CarryReplyT::operator=(CarryReplyT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(kind, o.kind);
+  std::swap(hasClock, o.hasClock);
+  std::swap(clockMillis, o.clockMillis);
+  std::swap(running, o.running);
+  std::swap(ended, o.ended);
   return *this;
 }
 
-inline AdviceReplyT *AdviceReply::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::make_unique<AdviceReplyT>();
+inline CarryReplyT *CarryReply::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<CarryReplyT>();
   UnPackTo(_o.get(), _resolver);
   return _o.release();
 }
 
-inline void AdviceReply::UnPackTo(AdviceReplyT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+inline void CarryReply::UnPackTo(CarryReplyT *_o, const flatbuffers::resolver_function_t *_resolver) const {
   (void)_o;
   (void)_resolver;
-  { auto _e = good(); if (_e) { _o->good.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->good[_i] = std::unique_ptr<paddlepier::work::AdviceTicketT>(_e->Get(_i)->UnPack(_resolver)); } } }
-  { auto _e = validMillis(); _o->validMillis = _e; }
+  { auto _e = kind(); _o->kind = _e; }
+  { auto _e = hasClock(); _o->hasClock = _e; }
+  { auto _e = clockMillis(); _o->clockMillis = _e; }
+  { auto _e = running(); if (_e) { _o->running.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->running[_i] = std::unique_ptr<paddlepier::work::CarriedRunT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = ended(); if (_e) { _o->ended.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->ended[_i] = std::unique_ptr<paddlepier::work::RunEndT>(_e->Get(_i)->UnPack(_resolver)); } } }
 }
 
-inline flatbuffers::Offset<AdviceReply> AdviceReply::Pack(flatbuffers::FlatBufferBuilder &_fbb, const AdviceReplyT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
-  return CreateAdviceReply(_fbb, _o, _rehasher);
+inline flatbuffers::Offset<CarryReply> CarryReply::Pack(flatbuffers::FlatBufferBuilder &_fbb, const CarryReplyT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateCarryReply(_fbb, _o, _rehasher);
 }
 
-inline flatbuffers::Offset<AdviceReply> CreateAdviceReply(flatbuffers::FlatBufferBuilder &_fbb, const AdviceReplyT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+inline flatbuffers::Offset<CarryReply> CreateCarryReply(flatbuffers::FlatBufferBuilder &_fbb, const CarryReplyT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
   (void)_rehasher;
   (void)_o;
-  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const AdviceReplyT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
-  auto _good = _o->good.size() ? _fbb.CreateVector<flatbuffers::Offset<paddlepier::work::AdviceTicket>> (_o->good.size(), [](size_t i, _VectorArgs *__va) { return CreateAdviceTicket(*__va->__fbb, __va->__o->good[i].get(), __va->__rehasher); }, &_va ) : 0;
-  auto _validMillis = _o->validMillis;
-  return paddlepier::work::CreateAdviceReply(
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const CarryReplyT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _kind = _o->kind;
+  auto _hasClock = _o->hasClock;
+  auto _clockMillis = _o->clockMillis;
+  auto _running = _o->running.size() ? _fbb.CreateVector<flatbuffers::Offset<paddlepier::work::CarriedRun>> (_o->running.size(), [](size_t i, _VectorArgs *__va) { return CreateCarriedRun(*__va->__fbb, __va->__o->running[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _ended = _o->ended.size() ? _fbb.CreateVector<flatbuffers::Offset<paddlepier::work::RunEnd>> (_o->ended.size(), [](size_t i, _VectorArgs *__va) { return CreateRunEnd(*__va->__fbb, __va->__o->ended[i].get(), __va->__rehasher); }, &_va ) : 0;
+  return paddlepier::work::CreateCarryReply(
       _fbb,
-      _good,
-      _validMillis);
+      _kind,
+      _hasClock,
+      _clockMillis,
+      _running,
+      _ended);
 }
 
 inline WorkReplyT::WorkReplyT(const WorkReplyT &o)
@@ -6027,6 +7357,140 @@
   type = Command::NONE;
 }
 
+inline bool VerifyCarriedOrder(flatbuffers::Verifier &verifier, const void *obj, CarriedOrder type) {
+  switch (type) {
+    case CarriedOrder::NONE: {
+      return true;
+    }
+    case CarriedOrder::PollCarried: {
+      auto ptr = reinterpret_cast<const paddlepier::work::PollCarried *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case CarriedOrder::StartCarried: {
+      auto ptr = reinterpret_cast<const paddlepier::work::StartCarried *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case CarriedOrder::StopCarried: {
+      auto ptr = reinterpret_cast<const paddlepier::work::StopCarried *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case CarriedOrder::PaceCarried: {
+      auto ptr = reinterpret_cast<const paddlepier::work::PaceCarried *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    default: return true;
+  }
+}
+
+inline bool VerifyCarriedOrderVector(flatbuffers::Verifier &verifier, const flatbuffers::Vector<flatbuffers::Offset<void>> *values, const flatbuffers::Vector<CarriedOrder> *types) {
+  if (!values || !types) return !values && !types;
+  if (values->size() != types->size()) return false;
+  for (flatbuffers::uoffset_t i = 0; i < values->size(); ++i) {
+    if (!VerifyCarriedOrder(
+        verifier,  values->Get(i), types->GetEnum<CarriedOrder>(i))) {
+      return false;
+    }
+  }
+  return true;
+}
+
+inline void *CarriedOrderUnion::UnPack(const void *obj, CarriedOrder type, const flatbuffers::resolver_function_t *resolver) {
+  (void)resolver;
+  switch (type) {
+    case CarriedOrder::PollCarried: {
+      auto ptr = reinterpret_cast<const paddlepier::work::PollCarried *>(obj);
+      return ptr->UnPack(resolver);
+    }
+    case CarriedOrder::StartCarried: {
+      auto ptr = reinterpret_cast<const paddlepier::work::StartCarried *>(obj);
+      return ptr->UnPack(resolver);
+    }
+    case CarriedOrder::StopCarried: {
+      auto ptr = reinterpret_cast<const paddlepier::work::StopCarried *>(obj);
+      return ptr->UnPack(resolver);
+    }
+    case CarriedOrder::PaceCarried: {
+      auto ptr = reinterpret_cast<const paddlepier::work::PaceCarried *>(obj);
+      return ptr->UnPack(resolver);
+    }
+    default: return nullptr;
+  }
+}
+
+inline flatbuffers::Offset<void> CarriedOrderUnion::Pack(flatbuffers::FlatBufferBuilder &_fbb, const flatbuffers::rehasher_function_t *_rehasher) const {
+  (void)_rehasher;
+  switch (type) {
+    case CarriedOrder::PollCarried: {
+      auto ptr = reinterpret_cast<const paddlepier::work::PollCarriedT *>(value);
+      return CreatePollCarried(_fbb, ptr, _rehasher).Union();
+    }
+    case CarriedOrder::StartCarried: {
+      auto ptr = reinterpret_cast<const paddlepier::work::StartCarriedT *>(value);
+      return CreateStartCarried(_fbb, ptr, _rehasher).Union();
+    }
+    case CarriedOrder::StopCarried: {
+      auto ptr = reinterpret_cast<const paddlepier::work::StopCarriedT *>(value);
+      return CreateStopCarried(_fbb, ptr, _rehasher).Union();
+    }
+    case CarriedOrder::PaceCarried: {
+      auto ptr = reinterpret_cast<const paddlepier::work::PaceCarriedT *>(value);
+      return CreatePaceCarried(_fbb, ptr, _rehasher).Union();
+    }
+    default: return 0;
+  }
+}
+
+inline CarriedOrderUnion::CarriedOrderUnion(const CarriedOrderUnion &u) : type(u.type), value(nullptr) {
+  switch (type) {
+    case CarriedOrder::PollCarried: {
+      value = new paddlepier::work::PollCarriedT(*reinterpret_cast<paddlepier::work::PollCarriedT *>(u.value));
+      break;
+    }
+    case CarriedOrder::StartCarried: {
+      value = new paddlepier::work::StartCarriedT(*reinterpret_cast<paddlepier::work::StartCarriedT *>(u.value));
+      break;
+    }
+    case CarriedOrder::StopCarried: {
+      value = new paddlepier::work::StopCarriedT(*reinterpret_cast<paddlepier::work::StopCarriedT *>(u.value));
+      break;
+    }
+    case CarriedOrder::PaceCarried: {
+      value = new paddlepier::work::PaceCarriedT(*reinterpret_cast<paddlepier::work::PaceCarriedT *>(u.value));
+      break;
+    }
+    default:
+      break;
+  }
+}
+
+inline void CarriedOrderUnion::Reset() {
+  switch (type) {
+    case CarriedOrder::PollCarried: {
+      auto ptr = reinterpret_cast<paddlepier::work::PollCarriedT *>(value);
+      delete ptr;
+      break;
+    }
+    case CarriedOrder::StartCarried: {
+      auto ptr = reinterpret_cast<paddlepier::work::StartCarriedT *>(value);
+      delete ptr;
+      break;
+    }
+    case CarriedOrder::StopCarried: {
+      auto ptr = reinterpret_cast<paddlepier::work::StopCarriedT *>(value);
+      delete ptr;
+      break;
+    }
+    case CarriedOrder::PaceCarried: {
+      auto ptr = reinterpret_cast<paddlepier::work::PaceCarriedT *>(value);
+      delete ptr;
+      break;
+    }
+    default: break;
+  }
+  value = nullptr;
+  type = CarriedOrder::NONE;
+}
+
 }  // namespace work
 }  // namespace paddlepier
 
