Give the dispatcher's tests a fixture that other test files can use

Change: the fixture moves into a header, as it was, with hooks that see calls and answers. No test is changed.

--- /dev/null
+++ b/paddlepier/execution/dispatcherfixture.h
@@ -0,0 +1,232 @@
+// A dispatcher with its ledger and its workers in virtual time: the base of the dispatcher's tests.
+//
+// step() moves time on by 10 ms and carries out what the dispatcher orders and proposes: an answer comes after 10 ms, a
+// commit after 20. Orders are lost or late as the weather says.
+//
+// Thread safety: none.
+
+#ifndef PADDLEPIER_EXECUTION_DISPATCHERFIXTURE_H
+#define PADDLEPIER_EXECUTION_DISPATCHERFIXTURE_H
+
+#include "paddlepier/execution/dispatcher.h"
+#include "paddlepier/execution/fakeworkers.h"
+
+#include <algorithm>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <random>
+#include <string>
+#include <utility>
+
+namespace paddlepier::execution
+{
+
+/** How the network treats orders, in per cent. */
+struct Weather {
+    unsigned int lostBefore = 0;
+    unsigned int lostAfter = 0;
+    unsigned int late = 0;
+};
+
+class DispatcherFixture
+{
+public:
+    DispatcherFixture()
+        : workers([this](const workload::TaskKey &key) -> const work::StepSpecT & { return this->state.findJob(key.job)->stepSpec(key.step); })
+    {
+        work::ChangeConfigurationT configuration;
+        configuration.version = 1;
+        auto &queue = configuration.queues.emplace_back(std::make_unique<work::QueueSpecT>());
+        queue->name = "quick";
+        queue->service = "pool";
+        queue->maxAttempts = 3;
+        configuration.services.emplace_back(std::make_unique<work::ServiceSpecT>())->name = "pool";
+        this->apply(std::move(configuration));
+    }
+
+    template<typename Table>
+    workload::Outcome apply(Table table)
+    {
+        work::EntryT entry;
+        entry.atMillis = absl::ToUnixMillis(this->now);
+        entry.command.Set(std::move(table));
+        return this->state.apply(entry);
+    }
+
+    void addWorker(const std::string &id, std::uint32_t processors = 4000, const std::string &address = "")
+    {
+        work::RegisterWorkerT registration;
+        registration.id = id;
+        registration.service = "pool";
+        registration.address = address.empty() ? id : address;
+        registration.capacity = std::make_unique<work::Demand>(processors, 10'000, 0);
+        this->workers.workers[id].capacity = processors;
+        this->apply(std::move(registration));
+    }
+
+    void addJob(const std::string &id, std::uint32_t tasks, std::uint32_t millis, std::uint32_t steps = 1, bool mayRunCopies = false)
+    {
+        work::SubmitJobT command;
+        command.id = id;
+        command.queue = "quick";
+        command.spec = std::make_unique<work::JobSpecT>();
+        for (std::uint32_t number = 0; number < steps; ++number) {
+            auto &step = command.spec->steps.emplace_back(std::make_unique<work::StepSpecT>());
+            step->count = tasks;
+            step->estimatedMillis = millis;
+            step->mayRunCopies = mayRunCopies;
+            step->demand = std::make_unique<work::Demand>(1000, 100, 0);
+            if (number > 0) {
+                step->after = {number - 1};
+            }
+        }
+        this->apply(std::move(command));
+        if (this->dispatcher) {
+            this->dispatcher->noteChange();
+        }
+    }
+
+    void newLeader()
+    {
+        this->answers.clear();
+        this->commits.clear();
+        this->dispatcher = std::make_unique<Dispatcher>(this->state, DispatchOptions(), ++this->term, this->now);
+    }
+
+    void runFor(Duration time)
+    {
+        for (const Timestamp end = this->now + time; this->now < end;) {
+            this->step();
+        }
+    }
+
+    template<typename Condition>
+    bool runUntil(Condition isMet, Duration patience = absl::Seconds(60))
+    {
+        for (const Timestamp end = this->now + patience; this->now < end && !isMet();) {
+            this->step();
+        }
+        return isMet();
+    }
+
+    bool isCompleted(const std::string &job) const
+    {
+        return this->state.findJob(job)->state() == work::JobState::Completed;
+    }
+
+    workload::Workload state;
+    FakeWorkers workers;
+    Weather weather;
+    Timestamp now = absl::UnixEpoch() + absl::Hours(1);
+    std::unique_ptr<Dispatcher> dispatcher;
+    std::mt19937 random{7};
+    /** Sees every call before it is carried out. */
+    std::function<void(const WorkerCall &)> onCall = [](const WorkerCall &) {};
+    /** The same for every answer, before the dispatcher takes it. */
+    std::function<void(std::uint64_t call)> onAnswer = [](std::uint64_t) {};
+
+private:
+    struct Late {
+        Timestamp at;
+        WorkerCall call;
+    };
+    struct Answer {
+        Timestamp at;
+        std::uint64_t call;
+        WorkerAnswer answer;
+    };
+    struct Commit {
+        Timestamp at;
+        Proposal proposal;
+    };
+
+    bool chance(unsigned int percent)
+    {
+        return this->random() % 100 < percent;
+    }
+
+    void step()
+    {
+        this->now += absl::Milliseconds(10);
+        this->workers.advance(this->now);
+        this->carryOutLate();
+        if (!this->dispatcher) {
+            return;
+        }
+        this->deliver();
+        DispatchEffects effects = this->dispatcher->step(this->now, absl::ToUnixMillis(this->now));
+        for (Proposal &proposal : effects.proposals) {
+            this->commits.push_back({this->now + absl::Milliseconds(20), std::move(proposal)});
+        }
+        for (const WorkerCall &call : effects.calls) {
+            this->send(call);
+        }
+    }
+
+    void send(const WorkerCall &call)
+    {
+        this->onCall(call);
+        const bool isPoll = std::holds_alternative<PollOrder>(call.order);
+        const WorkerAnswer silence;
+        if (this->workers.workers[call.worker].isCut || this->chance(this->weather.lostBefore)) {
+            this->answers.push_back({this->now + call.timeout, call.id, silence});
+        } else if (!isPoll && this->chance(this->weather.late)) {
+            this->late.push_back({this->now + absl::Milliseconds(2000 + this->random() % 10'000), call});
+            this->answers.push_back({this->now + call.timeout, call.id, silence});
+        } else {
+            const WorkerAnswer answer = this->workers.carryOut(this->now, call);
+            const bool isLost = this->chance(this->weather.lostAfter);
+            this->answers.push_back({this->now + (isLost ? call.timeout : absl::Milliseconds(10)), call.id, isLost ? silence : answer});
+        }
+    }
+
+    void carryOutLate()
+    {
+        for (auto order = this->late.begin(); order != this->late.end();) {
+            if (order->at > this->now) {
+                ++order;
+                continue;
+            }
+            if (!this->workers.workers[order->call.worker].isCut) {
+                this->workers.carryOut(this->now, order->call);
+            }
+            order = this->late.erase(order);
+        }
+    }
+
+    void deliver()
+    {
+        for (auto commit = this->commits.begin(); commit != this->commits.end();) {
+            if (commit->at > this->now) {
+                ++commit;
+                continue;
+            }
+            work::EntryT entry;
+            entry.atMillis = absl::ToUnixMillis(this->now);
+            entry.command = std::move(commit->proposal.command);
+            const std::uint64_t id = commit->proposal.id;
+            commit = this->commits.erase(commit);
+            this->dispatcher->takeOutcome(this->now, id, this->state.apply(entry));
+        }
+        for (auto answer = this->answers.begin(); answer != this->answers.end();) {
+            if (answer->at > this->now) {
+                ++answer;
+                continue;
+            }
+            const Answer due = *answer;
+            answer = this->answers.erase(answer);
+            this->onAnswer(due.call);
+            this->dispatcher->takeAnswer(this->now, due.call, due.answer);
+        }
+    }
+
+    std::uint64_t term = 0;
+    std::deque<Late> late;
+    std::deque<Answer> answers;
+    std::deque<Commit> commits;
+};
+
+} // namespace paddlepier::execution
+
+#endif
--- a/paddlepier/execution/fakeworkers.h
+++ b/paddlepier/execution/fakeworkers.h
@@ -179,7 +179,8 @@
             }
         }
         worker.ended.erase(std::remove_if(worker.ended.begin(), worker.ended.end(), isNoted), worker.ended.end());
-        answer.ended = worker.ended;
+        constexpr std::size_t mostListed = 500;
+        answer.ended.assign(worker.ended.begin(), worker.ended.begin() + static_cast<std::ptrdiff_t>(std::min(mostListed, worker.ended.size())));
         for (const auto &[task, run] : worker.runs) {
             answer.running.push_back({task, run.number, "", run.percentAt(now), 0});
         }
