Let a worker's lists tell what became of an earlier leader's runs

Ruled out: taking the list as it is for runs of this term; a start without an answer may still come (the fuzz test goes red then: seen). Change: a worker that has answered a poll of this term keeps its fencing token and does nothing for an earlier leader. A run that was adopted and is listed neither as running nor as ended can't begin any more and is void at once. A list of ends that is full (500) settles nothing, since the run's end may be beyond it. The same holds for superseded runs of earlier terms. Runs of this term are settled as before. Tests: three of newterm_test.cpp red with the code before (four stops instead of none; the room of a superseded run not given back in time); the full list red with that guard off (the run starts twice). Fuzz test of runs: holds.

--- a/paddlepier/execution/copies.cpp
+++ b/paddlepier/execution/copies.cpp
@@ -50,6 +50,9 @@
                 superseded.emplace_back(key, track->second);
             }
         }
+        for (const auto &[key, track] : superseded) {
+            this->supersededTracks[{id, key, track.run}].isAdopted = track.isAdopted;
+        }
         this->endRuns(id, superseded, work::RunEndKind::Superseded);
     }
 }
@@ -87,7 +90,8 @@
         if (isListed) {
             continue;
         }
-        if (this->supersededTracks[{worker, key, run.run}].settledAt < pollSentAt) {
+        const SupersededTrack &track = this->supersededTracks[{worker, key, run.run}];
+        if (track.isAdopted || track.settledAt < pollSentAt) {
             over.push_back(trackOf(key, run));
         } else {
             this->stopSuperseded(now, worker, key, run.run);
--- a/paddlepier/execution/dispatcher.cpp
+++ b/paddlepier/execution/dispatcher.cpp
@@ -71,11 +71,12 @@
             track.worker = id;
             track.checkpoint = task.checkpoint;
             track.placedAt = now;
-            // Whether an earlier leader's start arrived, or will, isn't known; the first poll tells what runs.
-            track.mayStartLate = true;
-            track.ticketValidUntil = absl::InfinitePast();
+            track.isAdopted = true;
             this->tracks.emplace(key, std::move(track));
         }
+        for (const auto &[key, run] : worker.superseded) {
+            this->supersededTracks[{id, key, run.run}].isAdopted = true;
+        }
     }
 }
 
--- a/paddlepier/execution/dispatcher.h
+++ b/paddlepier/execution/dispatcher.h
@@ -167,6 +167,8 @@
     /** What was done about a superseded run that its worker doesn't list. */
     struct SupersededTrack {
         bool isStopInFlight = false;
+        /** As in RunTrack. */
+        bool isAdopted = false;
         /** The worker has confirmed that it can't start any more. */
         Timestamp settledAt = absl::InfiniteFuture();
     };
--- a/paddlepier/execution/newterm_test.cpp
+++ b/paddlepier/execution/newterm_test.cpp
@@ -37,6 +37,19 @@
         };
     }
 
+    /** A leader whose starts are all lost places the tasks of job `a` on `w1`, and is followed by another one. */
+    void adoptRunsThatNeverBegan(std::uint32_t tasks, bool mayRunCopies = false)
+    {
+        this->addWorker("w1");
+        this->newLeader();
+        this->runFor(absl::Seconds(1));
+        this->weather.lostBefore = 100;
+        this->addJob("a", tasks, 1000, 1, mayRunCopies);
+        REQUIRE(this->runUntil([this, tasks] { return this->state.findWorker("w1")->runs.size() == tasks; }, absl::Seconds(1)));
+        this->weather.lostBefore = 0;
+        this->newLeader();
+    }
+
     std::size_t stops = 0;
     std::set<std::uint64_t> polls;
     std::set<std::uint64_t> starts;
@@ -47,6 +60,79 @@
 
 } // namespace
 
+TEST_CASE_METHOD(NewTermFixture, "adoptedRun_thatNeverBegan_isPlacedAgainWithoutAStop")
+{
+    this->adoptRunsThatNeverBegan(4);
+    CHECK(this->runUntil([this] { return this->workers.starts == 4; }, absl::Milliseconds(300)));
+    CHECK(this->runUntil([this] { return this->isCompleted("a"); }, absl::Seconds(3)));
+    CHECK(this->stops == 0);
+    CHECK(this->workers.problems.empty());
+}
+
+TEST_CASE_METHOD(NewTermFixture, "adoptedRun_whoseStartComesLate_doesNotBegin")
+{
+    this->addWorker("w1");
+    this->addWorker("w2");
+    this->newLeader();
+    this->runFor(absl::Seconds(1));
+    this->weather.late = 100;
+    this->addJob("a", 4, 1000);
+    this->runFor(absl::Milliseconds(60));
+    this->weather.late = 0;
+    this->newLeader();
+    // The late starts are carried out after two to twelve seconds.
+    this->runFor(absl::Seconds(14));
+    CHECK(this->isCompleted("a"));
+    CHECK(this->workers.starts == 4);
+    CHECK(this->stops == 0);
+    CHECK(this->workers.problems.empty());
+}
+
+TEST_CASE_METHOD(NewTermFixture, "adoptedRun_onAWorkerThatIsCutOff_keepsItsTaskAndRoom")
+{
+    this->adoptRunsThatNeverBegan(4);
+    this->workers.workers["w1"].isCut = true;
+    this->addWorker("w2");
+    this->runFor(absl::Seconds(8));
+    CHECK(this->state.findWorker("w1")->runs.size() == 4);
+    CHECK(this->workers.starts == 0);
+}
+
+TEST_CASE_METHOD(NewTermFixture, "adoptedRun_whoseEndIsBeyondAFullList_isNotRunAgain")
+{
+    this->addWorker("w1");
+    this->newLeader();
+    this->addJob("a", 1, 200);
+    REQUIRE(this->runUntil([this] { return this->workers.workers["w1"].runs.size() == 1; }, absl::Seconds(1)));
+    this->dispatcher.reset();
+    FakeWorkers::Worker &worker = this->workers.workers["w1"];
+    for (std::uint32_t number = 0; number < 500; ++number) {
+        worker.ended.push_back({++worker.lastEnd, workload::TaskKey("forgotten", 0, 0, number), 1, work::RunEndKind::Stopped, ""});
+    }
+    this->runFor(absl::Milliseconds(300));
+    REQUIRE(worker.ended.size() == 501);
+    this->newLeader();
+    CHECK(this->runUntil([this] { return this->isCompleted("a"); }, absl::Seconds(1)));
+    CHECK(this->workers.starts == 1);
+    CHECK(this->workers.problems.empty());
+}
+
+TEST_CASE_METHOD(NewTermFixture, "supersededRun_ofAnEarlierTermThatNeverBegan_isOverWithoutAStop")
+{
+    this->addWorker("w2");
+    this->addWorker("w3");
+    this->adoptRunsThatNeverBegan(4, true);
+    this->workers.workers["w1"].isCut = true;
+    this->runFor(absl::Seconds(1));
+    REQUIRE(this->state.findWorker("w1")->superseded.size() == 4);
+    this->newLeader();
+    this->workers.workers["w1"].isCut = false;
+    CHECK(this->runUntil([this] { return this->state.findWorker("w1")->superseded.empty(); }, absl::Seconds(1)));
+    CHECK(this->stops == 0);
+    CHECK(this->state.findWorker("w1")->freeMilliProcessors() == 4000);
+    CHECK(this->workers.problems.empty());
+}
+
 TEST_CASE_METHOD(NewTermFixture, "answer_ofAWorkerThatHasJustLeftTheLedger_isIgnored")
 {
     this->addWorker("w1");
--- a/paddlepier/execution/polls.cpp
+++ b/paddlepier/execution/polls.cpp
@@ -17,6 +17,9 @@
 constexpr Duration pollTimeout = absl::Milliseconds(750);
 /** A worker that was silent is asked without a wait; short, so that it is found again soon. */
 constexpr Duration silentPollTimeout = absl::Milliseconds(350);
+/** A worker lists this many ends at a time: where there are as many, the end of a run that isn't listed may be yet to come. */
+constexpr std::size_t mostListedEnds = 500;
+
 } // namespace
 
 void Dispatcher::schedulePoll(const std::string &worker, const WorkerView &view)
@@ -72,8 +75,10 @@
     this->takeEnded(now, call.worker, view, answer);
     this->takeRunning(now, call.worker, answer);
     this->watchRuns(now, call.worker, view);
-    this->settleVanished(now, call.worker, call.sentAt);
-    this->settleSuperseded(now, call.worker, call.sentAt, answer);
+    if (answer.ended.size() < mostListedEnds) {
+        this->settleVanished(now, call.worker, call.sentAt);
+        this->settleSuperseded(now, call.worker, call.sentAt, answer);
+    }
     if (view.pollState == PollState::Idle) {
         this->schedulePoll(call.worker, view);
     }
@@ -124,7 +129,7 @@
         if (track == this->tracks.end() || track->second.worker != worker || track->second.listedAt == now) {
             continue;
         }
-        if (track->second.settledAt < pollSentAt) {
+        if (track->second.isAdopted || track->second.settledAt < pollSentAt) {
             vanished.emplace_back(key, track->second);
         } else if (track->second.phase == RunPhase::Running && track->second.runningSince < pollSentAt) {
             // It ran and is gone without an end that is still listed: make sure that it stays gone.
--- a/paddlepier/execution/runs.cpp
+++ b/paddlepier/execution/runs.cpp
@@ -86,7 +86,7 @@
         this->driveStop(now, key, track);
     } else if (isNeedless(*this->state.findJob(key.job), key)) {
         this->stopRun(now, key, track, StopReason::JobEnded);
-    } else {
+    } else if (!track.isAdopted) {
         this->driveStart(now, key, track, unsent);
     }
 }
@@ -106,7 +106,7 @@
 void Dispatcher::driveStart(Timestamp now, const workload::TaskKey &key, RunTrack &track, UnsentRuns &unsent)
 {
     if (!this->views.at(track.worker).isReachable()) {
-        if (track.startCalls == 0 && !track.mayStartLate) {
+        if (track.startCalls == 0) {
             // Nothing was sent: the task needn't wait for this worker.
             unsent.emplace_back(key, track);
         } else {
--- a/paddlepier/execution/runtrack.h
+++ b/paddlepier/execution/runtrack.h
@@ -32,6 +32,11 @@
     RunPhase phase = RunPhase::Starting;
     std::string ticket;
     Timestamp ticketValidUntil = absl::InfiniteFuture();
+    /**
+     * Placed by an earlier leader, and no start of it was sent since: once the worker has answered this term's leader, which
+     * fences the earlier ones off it, the run can't begin any more.
+     */
+    bool isAdopted = false;
     /** When the worker last listed a run of this task as running. */
     Timestamp listedAt = absl::InfinitePast();
     /** A start got no answer: the worker may carry it out later. */
