Pace a term's first polls, and give polls more time while this process is slow

Cause: a new leader polled all 350 workers at once with 350 ms to answer; the answers came late because the process itself was slow, so all were asked again. Change: 32 first polls under way at once; one without an answer after 250 ms makes way for the next, so that workers that are cut off don't hold the others up. The first poll of a worker in a term has 0.9 s. While half of the workers or more owe an answer, or failed to give one, it is this process that is slow, and every poll gets 0.65 s more. Tests: firstPolls_ofManyWorkers_arePaced (150 at once before) and polls_whileMostWorkersOweAnAnswer_getMoreTime (350 ms before) seen red; firstPolls_whereMostWorkersAreCutOff_reachTheOthersInTime holds before and after, as it should.

--- a/paddlepier/execution/dispatcher.cpp
+++ b/paddlepier/execution/dispatcher.cpp
@@ -236,6 +236,7 @@
     }
     const PendingCall call = std::move(found->second);
     this->calls.erase(found);
+    this->freshFirstPolls.erase(callId);
     const auto view = this->views.find(call.worker);
     // A life may have left the ledger since the last step.
     if (view == this->views.end() || this->state.findWorker(call.worker) == nullptr) {
--- a/paddlepier/execution/dispatcher.h
+++ b/paddlepier/execution/dispatcher.h
@@ -103,6 +103,7 @@
     void checkWorkers(Timestamp now);
     void pollWorkers(Timestamp now);
     void pollWorker(Timestamp now, const std::string &worker);
+    Duration timeoutOfPoll(const WorkerView &view) const;
     void schedulePoll(const std::string &worker, const WorkerView &view);
     void driveRuns(Timestamp now);
     /** Stops what has nothing left to do. */
@@ -182,6 +183,8 @@
     /** Workers without a poll under way, but for those whose ends are being recorded; apart: those that haven't answered one. */
     DueQueue<std::string> duePolls;
     DueQueue<std::string> dueFirstPolls;
+    /** First polls that may still be answered in time. */
+    std::map<std::uint64_t, Timestamp> freshFirstPolls;
     /** Most workers owe an answer or have failed to give one: it is this process that is slow, or cut off. */
     bool isSlow = false;
     Timestamp nextWorkerCheck = absl::InfinitePast();
--- a/paddlepier/execution/newterm_test.cpp
+++ b/paddlepier/execution/newterm_test.cpp
@@ -133,6 +133,51 @@
     CHECK(this->workers.problems.empty());
 }
 
+TEST_CASE_METHOD(NewTermFixture, "firstPolls_ofManyWorkers_arePaced")
+{
+    for (int number = 0; number < 150; ++number) {
+        this->addWorker(absl::StrCat("w", number));
+    }
+    this->newLeader();
+    std::size_t mostInOneStep = 0;
+    for (int step = 0; step < 50; ++step) {
+        const std::size_t before = this->firstPolls;
+        this->runFor(absl::Milliseconds(10));
+        mostInOneStep = std::max(mostInOneStep, this->firstPolls - before);
+    }
+    CHECK(this->firstPolls == 150);
+    CHECK(mostInOneStep <= 32);
+}
+
+TEST_CASE_METHOD(NewTermFixture, "firstPolls_whereMostWorkersAreCutOff_reachTheOthersInTime")
+{
+    for (int number = 0; number < 150; ++number) {
+        this->addWorker(absl::StrCat("w", number));
+        this->workers.workers[absl::StrCat("w", number)].isCut = number % 3 != 0;
+    }
+    this->newLeader();
+    const auto areReached = [this] {
+        return std::all_of(
+            this->workers.workers.begin(), this->workers.workers.end(), [](const auto &entry) { return entry.second.isCut || entry.second.fence == 1; });
+    };
+    CHECK(this->runUntil(areReached, absl::Seconds(2)));
+}
+
+TEST_CASE_METHOD(NewTermFixture, "polls_whileMostWorkersOweAnAnswer_getMoreTime")
+{
+    for (const char *id : {"w1", "w2", "w3"}) {
+        this->addWorker(id);
+    }
+    this->newLeader();
+    this->runFor(absl::Seconds(1));
+    const Duration usual = this->pollTimeouts.back();
+    for (auto &[id, worker] : this->workers.workers) {
+        worker.isCut = true;
+    }
+    this->runFor(absl::Seconds(2));
+    CHECK(this->pollTimeouts.back() > usual);
+}
+
 TEST_CASE_METHOD(NewTermFixture, "answer_ofAWorkerThatHasJustLeftTheLedger_isIgnored")
 {
     this->addWorker("w1");
--- a/paddlepier/execution/polls.cpp
+++ b/paddlepier/execution/polls.cpp
@@ -17,6 +17,22 @@
 constexpr Duration pollTimeout = absl::Milliseconds(750);
 /** A worker that was silent is asked without a wait; short, so that it is found again soon. */
 constexpr Duration silentPollTimeout = absl::Milliseconds(350);
+/**
+ * The first poll of a worker in a term: a leader that has just begun is busy, and asking again would add to that. The worker
+ * has no work of this leader yet, so that little is lost by waiting.
+ */
+constexpr Duration firstPollTimeout = absl::Milliseconds(900);
+/** Added to every poll's timeout while this process is slow itself: a round of polls that are all given up is work for nothing. */
+constexpr Duration slowSurplus = absl::Milliseconds(650);
+
+/**
+ * First polls under way at once: their answers tell all that a worker runs, and 350 of them at the same time would hold a core of
+ * 0.4 of a processor up for longer than an election waits. At some 10 ms a round trip 350 workers still take a tenth of a second.
+ */
+constexpr std::size_t mostFirstPolls = 32;
+/** A first poll that isn't answered by then makes way for others: its worker may be cut off. */
+constexpr Duration firstPollPatience = absl::Milliseconds(250);
+
 /** A worker lists this many ends at a time: where there are as many, the end of a run that isn't listed may be yet to come. */
 constexpr std::size_t mostListedEnds = 500;
 
@@ -32,7 +48,15 @@
     while (const std::optional<std::string> worker = this->duePolls.take(now)) {
         this->pollWorker(now, *worker);
     }
-    while (const std::optional<std::string> worker = this->dueFirstPolls.take(now)) {
+    // Calls are numbered in the order in which they are sent.
+    while (!this->freshFirstPolls.empty() && this->freshFirstPolls.begin()->second + firstPollPatience <= now) {
+        this->freshFirstPolls.erase(this->freshFirstPolls.begin());
+    }
+    while (this->freshFirstPolls.size() < mostFirstPolls) {
+        const std::optional<std::string> worker = this->dueFirstPolls.take(now);
+        if (!worker) {
+            return;
+        }
         this->pollWorker(now, *worker);
     }
 }
@@ -49,10 +73,21 @@
     PollOrder order;
     order.lastSequence = record->lastSequence;
     order.wait = !isReachable ? absl::ZeroDuration() : view.isContended ? contendedPollWait : pollWait;
+    if (!view.hasListed) {
+        this->freshFirstPolls.emplace(this->nextCall, now);
+    }
+    const Duration timeout = this->timeoutOfPoll(view);
     view.pollState = PollState::InFlight;
     view.pollSentAt = now;
     // A silent worker may receive what it doesn't answer: offering it a lease again and again would keep its runs for ever.
-    this->send(now, worker, order, isReachable ? pollTimeout : silentPollTimeout, isReachable);
+    this->send(now, worker, order, timeout, isReachable);
+}
+
+Duration Dispatcher::timeoutOfPoll(const WorkerView &view) const
+{
+    const bool isFirst = view.pollSentAt == absl::InfinitePast();
+    const Duration timeout = view.isReachable() ? pollTimeout : isFirst ? firstPollTimeout : silentPollTimeout;
+    return this->isSlow ? timeout + slowSurplus : timeout;
 }
 
 void Dispatcher::takePoll(Timestamp now, const PendingCall &call, const WorkerAnswer &answer)
