Place no more than can be started soon

Cause: a plan placed all that there was room for, however many starts waited for an answer; what waits as a placed run can't be put in order of urgency any more, and a slow leader was given ever more to send. Change: at 300 starts without an answer placing pauses until 150 are left; a plan's most urgent placements are taken up to that bound, gangs whole. 300 is what 750 starts a second leave open in 0.4 s; sound workers answer in some 10 ms. Ruled out: leaving out starts that are over 250 ms old; a slow process is just the case that has many of them. Test: starts_whileNoneIsAnswered_areBounded, 1,500 at once before. A plan goes on making placements that are then left out; the planner should know the bound.

--- a/paddlepier/execution/dispatcher.cpp
+++ b/paddlepier/execution/dispatcher.cpp
@@ -23,6 +23,14 @@
  */
 constexpr Duration workerCheckInterval = absl::Milliseconds(20);
 
+/**
+ * Starts that may wait for their answer before placing pauses: what 350 workers at 750 starts a second leave open in 0.4 s.
+ * Beyond that tasks wait better in the ledger, where they can still be put in order of urgency.
+ */
+constexpr std::size_t mostStartsUnderWay = 300;
+/** Placing goes on when this few are left, so that a plan over all that waits isn't made for a few places. */
+constexpr std::size_t fewStartsUnderWay = 150;
+
 /** How long a count of waiting jobs may be given as the answer; the users allow two seconds. */
 constexpr Duration countingInterval = absl::Milliseconds(200);
 
@@ -217,6 +225,7 @@
     view.noteLease(call.leaseEndOnWorkerClock);
     const auto *poll = std::get_if<PollOrder>(&call.order);
     view.noteCall(call.id, now + answerPatience + (poll == nullptr ? absl::ZeroDuration() : poll->wait));
+    this->startsUnderWay += std::holds_alternative<StartOrder>(call.order) ? 1 : 0;
     this->calls[call.id] = {worker, withoutPayload(call.order), now};
     this->effects.calls.push_back(std::move(call));
 }
@@ -237,6 +246,7 @@
     const PendingCall call = std::move(found->second);
     this->calls.erase(found);
     this->freshFirstPolls.erase(callId);
+    this->startsUnderWay -= std::holds_alternative<StartOrder>(call.order) ? 1 : 0;
     const auto view = this->views.find(call.worker);
     // A life may have left the ledger since the last step.
     if (view == this->views.end() || this->state.findWorker(call.worker) == nullptr) {
@@ -359,6 +369,10 @@
     if (this->placing || now < this->nextPlan || (!this->changed && now < this->nextPlan + planInterval)) {
         return;
     }
+    this->placingPauses = this->startsUnderWay >= (this->placingPauses ? fewStartsUnderWay : mostStartsUnderWay);
+    if (this->placingPauses) {
+        return;
+    }
     this->changed = false;
     this->nextPlan = now + planPause;
     planning::Plan plan = this->planner.plan(now, wallMillis);
@@ -372,6 +386,7 @@
     if (plan.placements.empty()) {
         return;
     }
+    this->limitPlacements(plan.placements);
     work::PlaceRunsT command;
     for (work::PlacementT &placement : plan.placements) {
         command.placements.push_back(std::make_unique<work::PlacementT>(std::move(placement)));
@@ -382,6 +397,21 @@
     this->propose(ProposalKind::Place, "", std::move(made));
 }
 
+void Dispatcher::limitPlacements(std::vector<work::PlacementT> &placements) const
+{
+    std::size_t kept = mostStartsUnderWay - std::min(this->startsUnderWay, mostStartsUnderWay);
+    if (kept >= placements.size()) {
+        return;
+    }
+    const workload::StepKey last = workload::TaskKey(*placements[kept].task).stepKey();
+    if (this->state.findJob(last.job)->stepSpec(last.step).isGang) {
+        while (kept < placements.size() && workload::TaskKey(*placements[kept].task).stepKey() == last) {
+            ++kept;
+        }
+    }
+    placements.resize(kept);
+}
+
 RunTrack *Dispatcher::findTrack(const workload::TaskKey &key, std::uint32_t run, const std::string &worker)
 {
     const auto found = this->tracks.find(key);
--- a/paddlepier/execution/dispatcher.h
+++ b/paddlepier/execution/dispatcher.h
@@ -129,6 +129,8 @@
     void expireLeases(Timestamp now);
     void drainWorkers(Timestamp now);
     void planWork(Timestamp now, std::int64_t wallMillis);
+    /** Keeps the most urgent placements, as many as may be under way; gangs stay whole. */
+    void limitPlacements(std::vector<work::PlacementT> &placements) const;
     void countWaitingJobs() const;
 
     void logPlacements(const std::vector<work::PlacementT> &placed) const;
@@ -199,6 +201,10 @@
     std::map<std::uint64_t, PendingProposal> proposals;
     std::uint64_t nextCall = 1;
     std::uint64_t nextProposal = 1;
+    /** Starts that wait for their answer. */
+    std::size_t startsUnderWay = 0;
+    /** Too many starts wait for their answer. */
+    bool placingPauses = false;
     bool placing = false;
     bool changed = true;
     Timestamp nextForget = absl::InfinitePast();
--- a/paddlepier/execution/newterm_test.cpp
+++ b/paddlepier/execution/newterm_test.cpp
@@ -178,6 +178,23 @@
     CHECK(this->pollTimeouts.back() > usual);
 }
 
+TEST_CASE_METHOD(NewTermFixture, "starts_whileNoneIsAnswered_areBounded")
+{
+    for (int number = 0; number < 100; ++number) {
+        this->addWorker(absl::StrCat("w", number), 16'000);
+    }
+    this->newLeader();
+    this->runFor(absl::Seconds(1));
+    this->weather.lostBefore = 100;
+    this->addJob("a", 1500, 1000);
+    this->runFor(absl::Milliseconds(700));
+    CHECK(this->mostStarts > 0);
+    CHECK(this->mostStarts <= 300);
+    this->weather.lostBefore = 0;
+    CHECK(this->runUntil([this] { return this->isCompleted("a"); }));
+    CHECK(this->workers.problems.empty());
+}
+
 TEST_CASE_METHOD(NewTermFixture, "answer_ofAWorkerThatHasJustLeftTheLedger_isIgnored")
 {
     this->addWorker("w1");
