--- a/paddlepier/execution/dispatcher_benchmark.cpp
+++ b/paddlepier/execution/dispatcher_benchmark.cpp
@@ -146,7 +146,7 @@
         step->count = tasksOfJob;
         step->estimatedMillis = runMillis;
         step->demand = std::make_unique<work::Demand>(1000, 100, 0);
-        const std::string id = command.id;
+        std::string id = command.id;
         this->apply(std::move(command));
         return id;
     }
