Stop a superseded run until it is settled, not for ever

Cause: each further stop's answer moved the time of the confirmation on, so that where polls are answered at once no poll was ever sent after it: a stop with each poll, and the run's room never came back. Found by a test for another thing: that a run's number is part of what is kept of a superseded run, since else the stop of an earlier run of the task counted for the later one. Ruled out: late answers; the log of the calls shows a stop every 10 ms, each answered. Change: the first confirmation counts, and a confirmed stop isn't sent again. Test: supersededRun_afterAnEarlierOneOfItsTaskWasSettled_isStoppedToo, red before (the run isn't over after two seconds), and red again with the run's number taken out of the key (the second run is given up without a stop).

--- a/paddlepier/execution/copies.cpp
+++ b/paddlepier/execution/copies.cpp
@@ -93,7 +93,7 @@
         const SupersededTrack &track = this->supersededTracks[{worker, key, run.run}];
         if (track.isAdopted || track.settledAt < pollSentAt) {
             over.push_back(trackOf(key, run));
-        } else {
+        } else if (track.settledAt == absl::InfiniteFuture()) {
             this->stopSuperseded(now, worker, key, run.run);
         }
     }
--- a/paddlepier/execution/newterm_test.cpp
+++ b/paddlepier/execution/newterm_test.cpp
@@ -19,7 +19,10 @@
     NewTermFixture()
     {
         this->onCall = [this](const WorkerCall &call) {
-            this->stops += std::holds_alternative<StopOrder>(call.order) ? 1 : 0;
+            if (const auto *stop = std::get_if<StopOrder>(&call.order)) {
+                ++this->stops;
+                this->stoppedRuns.insert(stop->run);
+            }
             if (const auto *poll = std::get_if<PollOrder>(&call.order)) {
                 this->polls.insert(call.id);
                 // A worker that hasn't answered yet is asked without a wait.
@@ -51,6 +54,7 @@
     }
 
     std::size_t stops = 0;
+    std::set<std::uint32_t> stoppedRuns;
     std::set<std::uint64_t> polls;
     std::set<std::uint64_t> starts;
     std::size_t firstPolls = 0;
@@ -133,6 +137,28 @@
     CHECK(this->workers.problems.empty());
 }
 
+TEST_CASE_METHOD(NewTermFixture, "supersededRun_afterAnEarlierOneOfItsTaskWasSettled_isStoppedToo")
+{
+    this->addWorker("w1");
+    // Two that have no room, so that the one that is late isn't half of the workers.
+    this->addWorker("w2", 0);
+    this->addWorker("w3", 0);
+    this->newLeader();
+    this->runFor(absl::Milliseconds(1200));
+    this->addJob("a", 1, 3000, 1, true);
+    const std::map<workload::TaskKey, workload::SupersededRun> &superseded = this->state.findWorker("w1")->superseded;
+    for (const std::uint32_t run : {1U, 2U}) {
+        this->weather.late = 100;
+        REQUIRE(this->runUntil([&] { return !superseded.empty(); }, absl::Seconds(2)));
+        REQUIRE(superseded.begin()->second.run == run);
+        this->weather.late = 0;
+        REQUIRE(this->runUntil([&] { return superseded.empty(); }, absl::Seconds(2)));
+        // Its start may still come, unless a stop comes first.
+        CHECK(this->stoppedRuns.contains(run));
+    }
+    CHECK(this->workers.problems.empty());
+}
+
 TEST_CASE_METHOD(NewTermFixture, "firstPolls_ofManyWorkers_arePaced")
 {
     for (int number = 0; number < 150; ++number) {
--- a/paddlepier/execution/runs.cpp
+++ b/paddlepier/execution/runs.cpp
@@ -3,6 +3,8 @@
 #include "paddlepier/base/log.h"
 #include "paddlepier/execution/dispatcher.h"
 
+#include <algorithm>
+
 namespace paddlepier::execution
 {
 
@@ -199,7 +201,8 @@
     const auto superseded = this->supersededTracks.find({call.worker, order.task, order.run});
     if (track == nullptr && superseded != this->supersededTracks.end()) {
         superseded->second.isStopInFlight = false;
-        superseded->second.settledAt = isSettled ? now : superseded->second.settledAt;
+        // The first confirmation counts: a poll that is sent after it tells whether the run is over.
+        superseded->second.settledAt = isSettled ? std::min(superseded->second.settledAt, now) : superseded->second.settledAt;
     }
     if (track == nullptr) {
         return;
