--- a/paddlepier/execution/dispatcher_test.cpp
+++ b/paddlepier/execution/dispatcher_test.cpp
@@ -1,223 +1,18 @@
 // The dispatcher against workers that lose orders, carry them out late, are cut off and come back, through changes of
 // leaders, in virtual time.
 
-#include "paddlepier/execution/dispatcher.h"
-
-#include "paddlepier/execution/fakeworkers.h"
+#include "paddlepier/execution/dispatcherfixture.h"
 
 #include <absl/strings/str_cat.h>
 #include <catch2/catch.hpp>
 #include <rapidcheck.h>
 
-#include <deque>
-#include <memory>
-#include <random>
-
 namespace paddlepier::execution
 {
 
 namespace
 {
 
-/** How the network treats orders, in per cent. */
-struct Weather {
-    unsigned int lostBefore = 0;
-    unsigned int lostAfter = 0;
-    unsigned int late = 0;
-};
-
-class DispatcherFixture
-{
-public:
-    DispatcherFixture()
-        : workers([this](const workload::TaskKey &key) -> const work::StepSpecT & { return this->state.findJob(key.job)->stepSpec(key.step); })
-    {
-        work::ChangeConfigurationT configuration;
-        configuration.version = 1;
-        auto &queue = configuration.queues.emplace_back(std::make_unique<work::QueueSpecT>());
-        queue->name = "quick";
-        queue->service = "pool";
-        queue->maxAttempts = 3;
-        configuration.services.emplace_back(std::make_unique<work::ServiceSpecT>())->name = "pool";
-        this->apply(std::move(configuration));
-    }
-
-    template<typename Table>
-    workload::Outcome apply(Table table)
-    {
-        work::EntryT entry;
-        entry.atMillis = absl::ToUnixMillis(this->now);
-        entry.command.Set(std::move(table));
-        return this->state.apply(entry);
-    }
-
-    void addWorker(const std::string &id, std::uint32_t processors = 4000, const std::string &address = "")
-    {
-        work::RegisterWorkerT registration;
-        registration.id = id;
-        registration.service = "pool";
-        registration.address = address.empty() ? id : address;
-        registration.capacity = std::make_unique<work::Demand>(processors, 10'000, 0);
-        this->workers.workers[id].capacity = processors;
-        this->apply(std::move(registration));
-    }
-
-    void addJob(const std::string &id, std::uint32_t tasks, std::uint32_t millis, std::uint32_t steps = 1, bool mayRunCopies = false)
-    {
-        work::SubmitJobT command;
-        command.id = id;
-        command.queue = "quick";
-        command.spec = std::make_unique<work::JobSpecT>();
-        for (std::uint32_t number = 0; number < steps; ++number) {
-            auto &step = command.spec->steps.emplace_back(std::make_unique<work::StepSpecT>());
-            step->count = tasks;
-            step->estimatedMillis = millis;
-            step->mayRunCopies = mayRunCopies;
-            step->demand = std::make_unique<work::Demand>(1000, 100, 0);
-            if (number > 0) {
-                step->after = {number - 1};
-            }
-        }
-        this->apply(std::move(command));
-        if (this->dispatcher) {
-            this->dispatcher->noteChange();
-        }
-    }
-
-    void newLeader()
-    {
-        this->answers.clear();
-        this->commits.clear();
-        this->dispatcher = std::make_unique<Dispatcher>(this->state, DispatchOptions(), ++this->term, this->now);
-    }
-
-    void runFor(Duration time)
-    {
-        for (const Timestamp end = this->now + time; this->now < end;) {
-            this->step();
-        }
-    }
-
-    template<typename Condition>
-    bool runUntil(Condition isMet, Duration patience = absl::Seconds(60))
-    {
-        for (const Timestamp end = this->now + patience; this->now < end && !isMet();) {
-            this->step();
-        }
-        return isMet();
-    }
-
-    bool isCompleted(const std::string &job) const
-    {
-        return this->state.findJob(job)->state() == work::JobState::Completed;
-    }
-
-    workload::Workload state;
-    FakeWorkers workers;
-    Weather weather;
-    Timestamp now = absl::UnixEpoch() + absl::Hours(1);
-    std::unique_ptr<Dispatcher> dispatcher;
-    std::mt19937 random{7};
-
-private:
-    struct Late {
-        Timestamp at;
-        WorkerCall call;
-    };
-    struct Answer {
-        Timestamp at;
-        std::uint64_t call;
-        WorkerAnswer answer;
-    };
-    struct Commit {
-        Timestamp at;
-        Proposal proposal;
-    };
-
-    bool chance(unsigned int percent)
-    {
-        return this->random() % 100 < percent;
-    }
-
-    void step()
-    {
-        this->now += absl::Milliseconds(10);
-        this->workers.advance(this->now);
-        this->carryOutLate();
-        if (!this->dispatcher) {
-            return;
-        }
-        this->deliver();
-        DispatchEffects effects = this->dispatcher->step(this->now, absl::ToUnixMillis(this->now));
-        for (Proposal &proposal : effects.proposals) {
-            this->commits.push_back({this->now + absl::Milliseconds(20), std::move(proposal)});
-        }
-        for (const WorkerCall &call : effects.calls) {
-            this->send(call);
-        }
-    }
-
-    void send(const WorkerCall &call)
-    {
-        const bool isPoll = std::holds_alternative<PollOrder>(call.order);
-        const WorkerAnswer silence;
-        if (this->workers.workers[call.worker].isCut || this->chance(this->weather.lostBefore)) {
-            this->answers.push_back({this->now + call.timeout, call.id, silence});
-        } else if (!isPoll && this->chance(this->weather.late)) {
-            this->late.push_back({this->now + absl::Milliseconds(2000 + this->random() % 10'000), call});
-            this->answers.push_back({this->now + call.timeout, call.id, silence});
-        } else {
-            const WorkerAnswer answer = this->workers.carryOut(this->now, call);
-            const bool isLost = this->chance(this->weather.lostAfter);
-            this->answers.push_back({this->now + (isLost ? call.timeout : absl::Milliseconds(10)), call.id, isLost ? silence : answer});
-        }
-    }
-
-    void carryOutLate()
-    {
-        for (auto order = this->late.begin(); order != this->late.end();) {
-            if (order->at > this->now) {
-                ++order;
-                continue;
-            }
-            if (!this->workers.workers[order->call.worker].isCut) {
-                this->workers.carryOut(this->now, order->call);
-            }
-            order = this->late.erase(order);
-        }
-    }
-
-    void deliver()
-    {
-        for (auto commit = this->commits.begin(); commit != this->commits.end();) {
-            if (commit->at > this->now) {
-                ++commit;
-                continue;
-            }
-            work::EntryT entry;
-            entry.atMillis = absl::ToUnixMillis(this->now);
-            entry.command = std::move(commit->proposal.command);
-            const std::uint64_t id = commit->proposal.id;
-            commit = this->commits.erase(commit);
-            this->dispatcher->takeOutcome(this->now, id, this->state.apply(entry));
-        }
-        for (auto answer = this->answers.begin(); answer != this->answers.end();) {
-            if (answer->at > this->now) {
-                ++answer;
-                continue;
-            }
-            const Answer due = *answer;
-            answer = this->answers.erase(answer);
-            this->dispatcher->takeAnswer(this->now, due.call, due.answer);
-        }
-    }
-
-    std::uint64_t term = 0;
-    std::deque<Late> late;
-    std::deque<Answer> answers;
-    std::deque<Commit> commits;
-};
-
 class CopiesFixture : public DispatcherFixture
 {
 public:
@@ -438,6 +233,22 @@
     CHECK_FALSE(this->isCompleted("a"));
 }
 
+TEST_CASE_METHOD(DispatcherFixture, "runWithCopies_whileAllAnswersAreTakenLate_isNotSuperseded")
+{
+    for (int number = 0; number < 8; ++number) {
+        this->addWorker(absl::StrCat("w", number));
+    }
+    this->answerDelay = absl::Milliseconds(300);
+    this->newLeader();
+    this->runFor(absl::Seconds(1));
+    for (int job = 0; job < 10; ++job) {
+        this->addJob(absl::StrCat("job-", job), 1, 2000, 1, true);
+        this->runFor(absl::Milliseconds(200));
+    }
+    CHECK(this->runUntil([this] { return this->isCompleted("job-9"); }));
+    CHECK(this->workers.starts == 10);
+}
+
 TEST_CASE("runs_throughLostAndLateOrdersCutsAndNewLeaders_neverOverlapNorRunAgain", "[proof][fuzz]")
 {
     const bool holds = rc::check("no rule is broken, and everything completes once the faults are over", [] {
--- /dev/null
+++ b/paddlepier/execution/newterm_test.cpp
@@ -0,0 +1,266 @@
+// A term's beginning: what becomes of the runs of earlier leaders, and how much is asked at once.
+
+#include "paddlepier/execution/dispatcherfixture.h"
+
+#include <absl/strings/str_cat.h>
+#include <catch2/catch.hpp>
+
+#include <set>
+
+namespace paddlepier::execution
+{
+
+namespace
+{
+
+class NewTermFixture : public DispatcherFixture
+{
+public:
+    NewTermFixture()
+    {
+        this->onCall = [this](const WorkerCall &call) {
+            if (const auto *stop = std::get_if<StopOrder>(&call.order)) {
+                ++this->stops;
+                this->stoppedRuns.insert(stop->run);
+            }
+            if (const auto *poll = std::get_if<PollOrder>(&call.order)) {
+                this->polls.insert(call.id);
+                // A worker that hasn't answered yet is asked without a wait.
+                this->firstPolls += poll->wait == absl::ZeroDuration() ? 1 : 0;
+                this->pollTimeouts.push_back(call.timeout);
+            }
+            if (std::holds_alternative<StartOrder>(call.order)) {
+                this->starts.insert(call.id);
+                this->mostStarts = std::max(this->mostStarts, this->starts.size());
+            }
+        };
+        this->onAnswer = [this](std::uint64_t call) {
+            this->polls.erase(call);
+            this->starts.erase(call);
+        };
+    }
+
+    /** A leader whose starts are all lost places the tasks of job `a` on `w1`, and is followed by another one. */
+    void adoptRunsThatNeverBegan(std::uint32_t tasks, bool mayRunCopies = false)
+    {
+        this->addWorker("w1");
+        this->newLeader();
+        this->runFor(absl::Seconds(1));
+        this->weather.lostBefore = 100;
+        this->addJob("a", tasks, 1000, 1, mayRunCopies);
+        REQUIRE(this->runUntil([this, tasks] { return this->state.findWorker("w1")->runs.size() == tasks; }, absl::Seconds(1)));
+        this->weather.lostBefore = 0;
+        this->newLeader();
+    }
+
+    std::size_t stops = 0;
+    std::set<std::uint32_t> stoppedRuns;
+    std::set<std::uint64_t> polls;
+    std::set<std::uint64_t> starts;
+    std::size_t firstPolls = 0;
+    std::size_t mostStarts = 0;
+    std::vector<Duration> pollTimeouts;
+};
+
+} // namespace
+
+TEST_CASE_METHOD(NewTermFixture, "adoptedRun_thatNeverBegan_isPlacedAgainWithoutAStop")
+{
+    this->adoptRunsThatNeverBegan(4);
+    CHECK(this->runUntil([this] { return this->workers.starts == 4; }, absl::Milliseconds(300)));
+    CHECK(this->runUntil([this] { return this->isCompleted("a"); }, absl::Seconds(3)));
+    CHECK(this->stops == 0);
+    CHECK(this->workers.problems.empty());
+}
+
+TEST_CASE_METHOD(NewTermFixture, "adoptedRun_whoseStartComesLate_doesNotBegin")
+{
+    this->addWorker("w1");
+    this->addWorker("w2");
+    this->newLeader();
+    this->runFor(absl::Seconds(1));
+    this->weather.late = 100;
+    this->addJob("a", 4, 1000);
+    this->runFor(absl::Milliseconds(60));
+    this->weather.late = 0;
+    this->newLeader();
+    // The late starts are carried out after two to twelve seconds.
+    this->runFor(absl::Seconds(14));
+    CHECK(this->isCompleted("a"));
+    CHECK(this->workers.starts == 4);
+    CHECK(this->stops == 0);
+    CHECK(this->workers.problems.empty());
+}
+
+TEST_CASE_METHOD(NewTermFixture, "adoptedRun_onAWorkerThatIsCutOff_keepsItsTaskAndRoom")
+{
+    this->adoptRunsThatNeverBegan(4);
+    this->workers.workers["w1"].isCut = true;
+    this->addWorker("w2");
+    this->runFor(absl::Seconds(8));
+    CHECK(this->state.findWorker("w1")->runs.size() == 4);
+    CHECK(this->workers.starts == 0);
+}
+
+TEST_CASE_METHOD(NewTermFixture, "adoptedRun_whoseEndIsBeyondAFullList_isNotRunAgain")
+{
+    this->addWorker("w1");
+    this->newLeader();
+    this->addJob("a", 1, 200);
+    REQUIRE(this->runUntil([this] { return this->workers.workers["w1"].runs.size() == 1; }, absl::Seconds(1)));
+    this->dispatcher.reset();
+    FakeWorkers::Worker &worker = this->workers.workers["w1"];
+    for (std::uint32_t number = 0; number < 500; ++number) {
+        worker.ended.push_back({++worker.lastEnd, workload::TaskKey("forgotten", 0, 0, number), 1, work::RunEndKind::Stopped, ""});
+    }
+    this->runFor(absl::Milliseconds(300));
+    REQUIRE(worker.ended.size() == 501);
+    this->newLeader();
+    CHECK(this->runUntil([this] { return this->isCompleted("a"); }, absl::Seconds(1)));
+    CHECK(this->workers.starts == 1);
+    CHECK(this->workers.problems.empty());
+}
+
+TEST_CASE_METHOD(NewTermFixture, "supersededRun_ofAnEarlierTermThatNeverBegan_isOverWithoutAStop")
+{
+    this->addWorker("w2");
+    this->addWorker("w3");
+    this->adoptRunsThatNeverBegan(4, true);
+    this->workers.workers["w1"].isCut = true;
+    this->runFor(absl::Seconds(1));
+    REQUIRE(this->state.findWorker("w1")->superseded.size() == 4);
+    this->newLeader();
+    this->workers.workers["w1"].isCut = false;
+    CHECK(this->runUntil([this] { return this->state.findWorker("w1")->superseded.empty(); }, absl::Seconds(1)));
+    CHECK(this->stops == 0);
+    CHECK(this->state.findWorker("w1")->freeMilliProcessors() == 4000);
+    CHECK(this->workers.problems.empty());
+}
+
+TEST_CASE_METHOD(NewTermFixture, "supersededRun_afterAnEarlierOneOfItsTaskWasSettled_isStoppedToo")
+{
+    this->addWorker("w1");
+    // Two that have no room, so that the one that is late isn't half of the workers.
+    this->addWorker("w2", 0);
+    this->addWorker("w3", 0);
+    this->newLeader();
+    this->runFor(absl::Milliseconds(1200));
+    this->addJob("a", 1, 3000, 1, true);
+    const std::map<workload::TaskKey, workload::SupersededRun> &superseded = this->state.findWorker("w1")->superseded;
+    for (const std::uint32_t run : {1U, 2U}) {
+        this->weather.late = 100;
+        REQUIRE(this->runUntil([&] { return !superseded.empty(); }, absl::Seconds(2)));
+        REQUIRE(superseded.begin()->second.run == run);
+        this->weather.late = 0;
+        REQUIRE(this->runUntil([&] { return superseded.empty(); }, absl::Seconds(2)));
+        // Its start may still come, unless a stop comes first.
+        CHECK(this->stoppedRuns.contains(run));
+    }
+    CHECK(this->workers.problems.empty());
+}
+
+TEST_CASE_METHOD(NewTermFixture, "firstPolls_ofManyWorkers_arePaced")
+{
+    for (int number = 0; number < 150; ++number) {
+        this->addWorker(absl::StrCat("w", number));
+    }
+    this->newLeader();
+    std::size_t mostInOneStep = 0;
+    for (int step = 0; step < 50; ++step) {
+        const std::size_t before = this->firstPolls;
+        this->runFor(absl::Milliseconds(10));
+        mostInOneStep = std::max(mostInOneStep, this->firstPolls - before);
+    }
+    CHECK(this->firstPolls == 150);
+    CHECK(mostInOneStep <= 32);
+}
+
+TEST_CASE_METHOD(NewTermFixture, "firstPolls_whereMostWorkersAreCutOff_reachTheOthersInTime")
+{
+    for (int number = 0; number < 150; ++number) {
+        this->addWorker(absl::StrCat("w", number));
+        this->workers.workers[absl::StrCat("w", number)].isCut = number % 3 != 0;
+    }
+    this->newLeader();
+    const auto areReached = [this] {
+        return std::all_of(
+            this->workers.workers.begin(), this->workers.workers.end(), [](const auto &entry) { return entry.second.isCut || entry.second.fence == 1; });
+    };
+    CHECK(this->runUntil(areReached, absl::Seconds(2)));
+}
+
+TEST_CASE_METHOD(NewTermFixture, "polls_whileMostWorkersOweAnAnswer_getMoreTime")
+{
+    for (const char *id : {"w1", "w2", "w3"}) {
+        this->addWorker(id);
+    }
+    this->newLeader();
+    this->runFor(absl::Seconds(1));
+    const Duration usual = this->pollTimeouts.back();
+    for (auto &[id, worker] : this->workers.workers) {
+        worker.isCut = true;
+    }
+    this->runFor(absl::Seconds(2));
+    CHECK(this->pollTimeouts.back() > usual);
+}
+
+TEST_CASE_METHOD(NewTermFixture, "polls_whileAnswersAreTakenLate_getMoreTime")
+{
+    for (const char *id : {"w1", "w2", "w3"}) {
+        this->addWorker(id);
+    }
+    this->newLeader();
+    this->runFor(absl::Seconds(1));
+    const Duration usual = this->pollTimeouts.back();
+    this->answerDelay = absl::Milliseconds(200);
+    this->addJob("a", 12, 500);
+    this->runFor(absl::Seconds(2));
+    CHECK(this->pollTimeouts.back() > usual);
+}
+
+TEST_CASE_METHOD(NewTermFixture, "gang_atTheBoundOfStarts_isPlacedWhole")
+{
+    for (int number = 0; number < 100; ++number) {
+        this->addWorker(absl::StrCat("w", number), 8000);
+    }
+    this->newLeader();
+    this->runFor(absl::Seconds(1));
+    this->addJob("a", 290, 500);
+    this->addJob("gang", 60, 500, 1, false, true);
+    CHECK(this->runUntil([this] { return this->isCompleted("a") && this->isCompleted("gang"); }, absl::Seconds(5)));
+    // Every member once: a gang that is cut in two would break.
+    CHECK(this->workers.starts == 350);
+    CHECK(this->workers.problems.empty());
+}
+
+TEST_CASE_METHOD(NewTermFixture, "starts_whileNoneIsAnswered_areBounded")
+{
+    for (int number = 0; number < 100; ++number) {
+        this->addWorker(absl::StrCat("w", number), 16'000);
+    }
+    this->newLeader();
+    this->runFor(absl::Seconds(1));
+    this->weather.lostBefore = 100;
+    this->addJob("a", 1500, 1000);
+    this->runFor(absl::Milliseconds(700));
+    CHECK(this->mostStarts > 0);
+    CHECK(this->mostStarts <= 300);
+    this->weather.lostBefore = 0;
+    CHECK(this->runUntil([this] { return this->isCompleted("a"); }));
+    CHECK(this->workers.problems.empty());
+}
+
+TEST_CASE_METHOD(NewTermFixture, "answer_ofAWorkerThatHasJustLeftTheLedger_isIgnored")
+{
+    this->addWorker("w1");
+    this->newLeader();
+    this->runFor(absl::Seconds(1));
+    REQUIRE_FALSE(this->polls.empty());
+    work::RemoveWorkerT command;
+    command.id = "w1";
+    this->apply(std::move(command));
+    this->runFor(absl::Seconds(1));
+    CHECK(this->polls.empty());
+}
+
+} // namespace paddlepier::execution
