--- a/paddlepier/planning/advicebook.cpp
+++ b/paddlepier/planning/advicebook.cpp
@@ -26,27 +26,34 @@
 
 } // namespace
 
-Standing AdviceBook::standing(Timestamp now, const workload::StepKey &step, const std::string &worker) const
+std::uint32_t AdviceBook::numberOf(const std::string &worker)
 {
-    const auto found = this->steps.find(step);
-    if (found == this->steps.end()) {
-        return Standing::Unasked;
-    }
-    const auto ticket = found->second.permitted.find(worker);
-    if (ticket != found->second.permitted.end()) {
-        return ticket->second.validUntil > now ? Standing::Permitted : Standing::Expired;
+    return this->numbers.try_emplace(worker, static_cast<std::uint32_t>(this->numbers.size())).first->second;
+}
+
+Standing AdviceBook::standingOf(Timestamp now, const Word &word)
+{
+    if (!word.isPermitted) {
+        return Standing::Forbidden;
     }
-    return found->second.forbidden.contains(worker) ? Standing::Forbidden : Standing::Unasked;
+    return word.ticket.validUntil > now ? Standing::Permitted : Standing::Expired;
+}
+
+bool AdviceBook::mayHaveTicket(Timestamp now, const workload::StepKey &step) const
+{
+    const auto found = this->steps.find(step);
+    return found != this->steps.end() && found->second.ticketsUntil > now;
 }
 
 const Ticket *AdviceBook::validTicket(Timestamp now, const workload::StepKey &step, const std::string &worker) const
 {
     const auto found = this->steps.find(step);
-    if (found == this->steps.end()) {
+    const auto number = this->numbers.find(worker);
+    if (found == this->steps.end() || number == this->numbers.end()) {
         return nullptr;
     }
-    const auto ticket = found->second.permitted.find(worker);
-    return ticket != found->second.permitted.end() && ticket->second.validUntil > now ? &ticket->second : nullptr;
+    const auto word = found->second.words.find(number->second);
+    return word != found->second.words.end() && standingOf(now, word->second) == Standing::Permitted ? &word->second.ticket : nullptr;
 }
 
 bool AdviceBook::mayAsk(Timestamp now, const workload::StepKey &step) const
@@ -92,9 +99,11 @@
         share.permitted = share.permitted * shareMemory + (good != answer.good.end() ? 1 : 0);
         share.asked = share.asked * shareMemory + 1;
         if (good != answer.good.end()) {
-            advice.permitted[worker] = {good->ticket, now + asked.valid - ticketMargin};
+            advice.words[this->numberOf(worker)] = {true, {good->ticket, now + asked.valid - ticketMargin}};
+            advice.ticketsUntil = std::max(advice.ticketsUntil, now + asked.valid - ticketMargin);
         } else {
-            advice.forbidden[worker] = true;
+            // That a worker may run a step never changes.
+            advice.words.try_emplace(this->numberOf(worker));
         }
     }
 }
@@ -102,8 +111,13 @@
 void AdviceBook::rejectTicket(const workload::StepKey &step, const std::string &worker)
 {
     const auto found = this->steps.find(step);
-    if (found != this->steps.end() && found->second.permitted.contains(worker)) {
-        found->second.permitted[worker].validUntil = absl::InfinitePast();
+    const auto number = this->numbers.find(worker);
+    if (found == this->steps.end() || number == this->numbers.end()) {
+        return;
+    }
+    const auto word = found->second.words.find(number->second);
+    if (word != found->second.words.end() && word->second.isPermitted) {
+        word->second.ticket.validUntil = absl::InfinitePast();
     }
 }
 
--- a/paddlepier/planning/advicebook.h
+++ b/paddlepier/planning/advicebook.h
@@ -8,7 +8,7 @@
 //     book.answer(now, question.id, answer);
 //     if (const Ticket *ticket = book.validTicket(now, step, worker)) { ... }
 //
-// Thread safety: none; owned by the control thread. Every call is O(log n) a worker.
+// Thread safety: none; owned by the control thread. Every call is O(1) a worker, but for answer(): O(log n).
 
 #ifndef PADDLEPIER_PLANNING_ADVICEBOOK_H
 #define PADDLEPIER_PLANNING_ADVICEBOOK_H
@@ -18,6 +18,9 @@
 #include "paddlepier/wire/workload_generated.h"
 #include "paddlepier/workload/taskkey.h"
 
+#include <absl/container/flat_hash_map.h>
+
+#include <cstdint>
 #include <map>
 #include <string>
 #include <vector>
@@ -35,7 +38,21 @@
 class AdviceBook
 {
 public:
-    Standing standing(Timestamp now, const workload::StepKey &step, const std::string &worker) const;
+    /** Number of @p worker in this book; it stays the same. */
+    std::uint32_t numberOf(const std::string &worker);
+    /** Calls @p visit(number, standing) for each worker that the service has told about; O(1) each. */
+    template<typename Visit>
+    void visitStandings(Timestamp now, const workload::StepKey &step, Visit visit) const
+    {
+        const auto found = this->steps.find(step);
+        if (found != this->steps.end()) {
+            for (const auto &[number, word] : found->second.words) {
+                visit(number, standingOf(now, word));
+            }
+        }
+    }
+    /** There may be a worker with a ticket that is still good. */
+    bool mayHaveTicket(Timestamp now, const workload::StepKey &step) const;
     /** Null unless the worker may run the step and the ticket is still good. */
     const Ticket *validTicket(Timestamp now, const workload::StepKey &step, const std::string &worker) const;
     /** False while an answer is awaited, and for a short while after a question that got none. */
@@ -50,7 +67,7 @@
     template<typename Predicate>
     void forgetJobs(Predicate isOver)
     {
-        std::erase_if(this->steps, [&isOver](const auto &entry) { return isOver(entry.first.job); });
+        absl::erase_if(this->steps, [&isOver](const auto &entry) { return isOver(entry.first.job); });
     }
 
     /** Learned share of a service's workers that may run a step of @p queue. */
@@ -64,9 +81,15 @@
         Timestamp askedAt;
         Duration valid;
     };
+    /** What was said of one worker; without a ticket if it is forbidden. */
+    struct Word {
+        bool isPermitted = false;
+        Ticket ticket;
+    };
     struct StepAdvice {
-        std::map<std::string, Ticket> permitted;
-        std::map<std::string, bool> forbidden;
+        absl::flat_hash_map<std::uint32_t, Word> words;
+        /** No ticket is good any longer than this. */
+        Timestamp ticketsUntil = absl::InfinitePast();
         std::size_t asking = 0;
         Timestamp notBefore = absl::InfinitePast();
     };
@@ -75,7 +98,10 @@
         double asked = 2.0;
     };
 
-    std::map<workload::StepKey, StepAdvice> steps;
+    static Standing standingOf(Timestamp now, const Word &word);
+
+    absl::flat_hash_map<std::string, std::uint32_t> numbers;
+    absl::flat_hash_map<workload::StepKey, StepAdvice> steps;
     std::map<std::uint64_t, Pending> pending;
     std::map<std::string, Share> shares;
     std::uint64_t nextId = 1;
--- a/paddlepier/planning/planner.cpp
+++ b/paddlepier/planning/planner.cpp
@@ -5,7 +5,9 @@
 #include <algorithm>
 #include <cmath>
 #include <limits>
+#include <optional>
 #include <tuple>
+#include <utility>
 
 namespace paddlepier::planning
 {
@@ -34,10 +36,17 @@
 /** Most preemptions of one plan, so that a burst doesn't stop more than the next plan finds needed. */
 constexpr std::size_t mostPreemptions = 24;
 
-/** A label that names the rack rather than the kind: it has digits after a dash, as in "r1-3". */
-std::string rackOf(const workload::Worker &worker)
+/** A search for runs that may make way that found too few is made again only after this time: those that stop need it. */
+constexpr Duration searchPause = absl::Milliseconds(20);
+
+/** What is known of searches is dropped when there is this much of it. */
+constexpr std::size_t mostSearchesKnown = 1024;
+
+/** How many workers a question names at least. */
+std::size_t leastAsked(const work::AdvicePolicyT &policy)
 {
-    return worker.registration.labels.size() < 2 ? "" : worker.registration.labels.back();
+    const double cheap = policy.perWorkerMillis > 0 ? marginalShare * policy.decisionMillis / policy.perWorkerMillis : static_cast<double>(mostWorkersAsked);
+    return std::clamp(static_cast<std::size_t>(cheap), leastWorkersAsked, mostWorkersAsked);
 }
 
 } // namespace
@@ -59,80 +68,43 @@
 {
     this->now = at;
     this->wallMillis = wall;
+    this->isYieldingCollected = false;
+    if (this->searchedAt.size() > mostSearchesKnown) {
+        absl::erase_if(this->searchedAt, [at](const auto &entry) { return entry.second + searchPause <= at; });
+    }
     Plan plan;
     std::vector<WantedStep> steps = this->collectSteps();
+    // What comes after the last step that may act keeps room from nobody.
+    while (!steps.empty() && !this->mayAct(steps.back())) {
+        steps.pop_back();
+    }
     if (steps.empty()) {
         return plan;
     }
-    this->collectRooms();
+    this->rooms.collect(this->now, this->state, this->views, this->advice);
     for (WantedStep &wanted : steps) {
-        wanted.home = homeOf(wanted, this->rooms);
+        this->rooms.beginStep(this->now, wanted, this->advice);
         this->planStep(wanted, plan);
     }
     return plan;
 }
 
-void Planner::collectRooms()
-{
-    this->rooms.clear();
-    const bool mayAvoidOverdue = this->areFewOverdue();
-    for (const auto &[id, worker] : this->state.workers()) {
-        const auto view = this->views.find(id);
-        const bool isUsable = view != this->views.end() && view->second.isReachable(this->now) && !worker.registration.isDraining
-                              && view->second.startsBlockedUntil <= this->now && !(mayAvoidOverdue && view->second.isOverdue(this->now));
-        if (!isUsable) {
-            continue;
-        }
-        const work::Demand &capacity = *worker.registration.capacity;
-        Room room;
-        room.worker = &worker;
-        room.view = &view->second;
-        room.rack = rackOf(worker);
-        room.isOnProbation = view->second.failedInRow >= suspiciousFailures && view->second.suspectUntil <= this->now;
-        room.processors = worker.freeMilliProcessors();
-        room.memory = static_cast<std::int64_t>(capacity.memoryMegabytes()) - static_cast<std::int64_t>(worker.reservedMemoryMegabytes);
-        room.accelerators = static_cast<std::int64_t>(capacity.accelerators()) - static_cast<std::int64_t>(worker.reservedAccelerators);
-        for (const workload::TaskKey &key : worker.runs) {
-            this->countRun(room, key);
-        }
-        this->rooms.push_back(std::move(room));
-    }
-}
-
-bool Planner::areFewOverdue() const
-{
-    const auto overdue = std::count_if(this->views.begin(), this->views.end(), [this](const auto &entry) { return entry.second.isOverdue(this->now); });
-    // Where most answers are late it is this process that is slow, or cut off.
-    return static_cast<std::size_t>(overdue) * 2 < this->views.size();
-}
-
-void Planner::countRun(Room &room, const workload::TaskKey &key) const
+bool Planner::mayAct(const WantedStep &wanted) const
 {
-    const work::StepSpecT &step = this->state.findJob(key.job)->stepSpec(key.step);
-    room.serving += step.targetLatencyMillis > 0 ? 1 : 0;
-    room.filling += step.isFilling ? 1 : 0;
-    const auto track = this->tracks.find(key);
-    if (track != this->tracks.end() && track->second.phase == execution::RunPhase::Stopping) {
-        room.comingProcessors += step.isFilling ? 0 : step.demand->milliProcessors();
-        room.comingMemory += step.demand->memoryMegabytes();
-    }
+    const bool needsAdvice = wanted.job->queue().advice != nullptr;
+    return !needsAdvice || this->advice.mayAsk(this->now, wanted.key) || this->advice.mayHaveTicket(this->now, wanted.key) || this->mayPreempt(wanted);
 }
 
 std::vector<WantedStep> Planner::collectSteps() const
 {
     std::vector<WantedStep> wanted;
-    for (const std::string &id : this->state.activeJobs()) {
+    for (const std::string &id : this->state.waitingJobs()) {
         const workload::Job &job = *this->state.findJob(id);
-        if (job.hasEnded()) {
-            continue;
-        }
         for (std::uint32_t occurrence = 0; occurrence < job.occurrences().size(); ++occurrence) {
             if (job.dueMillis(occurrence) > this->wallMillis) {
                 break;
             }
-            for (std::uint32_t step = 0; step < job.spec().steps.size(); ++step) {
-                this->collectStep(wanted, job, occurrence, step);
-            }
+            this->collectOccurrence(wanted, job, occurrence);
         }
     }
     std::stable_sort(wanted.begin(), wanted.end(), [](const WantedStep &left, const WantedStep &right) {
@@ -142,33 +114,32 @@
     return wanted;
 }
 
-void Planner::collectStep(std::vector<WantedStep> &wanted, const workload::Job &job, std::uint32_t occurrence, std::uint32_t step) const
+void Planner::collectOccurrence(std::vector<WantedStep> &wanted, const workload::Job &job, std::uint32_t occurrence) const
 {
-    const workload::Step &stepState = job.occurrences()[occurrence].steps[step];
-    if (stepState.isDone() || stepState.waitingTasks() == 0 || !job.isReady(occurrence, step)) {
-        return;
-    }
-    WantedStep entry;
-    entry.job = &job;
-    entry.key = {job.id(), occurrence, step};
-    entry.step = &job.stepSpec(step);
-    if (entry.step->isGang && stepState.runningTasks > 0) {
-        return;
-    }
-    for (std::uint32_t index = 0; index < stepState.tasks.size(); ++index) {
-        const Task &task = stepState.tasks[index];
-        if (task.hasRun()) {
-            ++entry.onWorker[task.worker];
-        } else if (!task.isDone) {
-            entry.tasks.push_back(index);
+    const std::vector<workload::Step> &steps = job.occurrences()[occurrence].steps;
+    std::optional<Outlook> outlook;
+    for (std::uint32_t number = 0; number < steps.size(); ++number) {
+        const workload::Step &progress = steps[number];
+        const work::StepSpecT &step = job.stepSpec(number);
+        if (progress.waitingTasks == 0 || progress.openBefore > 0 || (step.isGang && progress.runningTasks > 0)) {
+            continue;
+        }
+        WantedStep entry;
+        entry.job = &job;
+        entry.key = {job.id(), occurrence, number};
+        entry.step = &step;
+        entry.progress = &progress;
+        if (!step.isLasting) {
+            // What is to last has no end to meet.
+            outlook = outlook ? outlook : this->outlookOfOccurrence(job, occurrence);
+            entry.outlook = *outlook;
+        }
+        entry.tasks.reserve(progress.waitingTasks);
+        for (std::uint32_t index = 0; index < progress.tasks.size(); ++index) {
+            if (!progress.tasks[index].isDone && !progress.tasks[index].hasRun()) {
+                entry.tasks.push_back(index);
+            }
         }
-    }
-    if (entry.step->mayRunCopies && entry.step->mostPerWorker > 0) {
-        this->countSuperseded(entry);
-    }
-    if (!entry.tasks.empty()) {
-        // What is to last has no end to meet.
-        entry.outlook = entry.step->isLasting ? Outlook::InTime : this->outlookOfOccurrence(job, occurrence);
         wanted.push_back(std::move(entry));
     }
 }
@@ -179,31 +150,18 @@
     return outlookOf(job, occurrence, this->wallMillis, usual == this->usualRatios.end() ? 1.0 : usual->second);
 }
 
-void Planner::countSuperseded(WantedStep &wanted) const
-{
-    const workload::TaskKey first(wanted.key.job, wanted.key.occurrence, wanted.key.step, 0);
-    for (const auto &[id, worker] : this->state.workers()) {
-        for (auto run = worker.superseded.lower_bound(first); run != worker.superseded.end() && run->first.stepKey() == wanted.key; ++run) {
-            ++wanted.onWorker[id];
-        }
-    }
-}
-
-bool Planner::mayRun(const Room &room, const WantedStep &wanted) const
+bool Planner::mayRun(const Room &room, const WantedStep &wanted, std::uint32_t service)
 {
-    const work::RegisterWorkerT &registration = room.worker->registration;
-    const work::ServiceSpecT *service = this->state.findService(registration.service);
-    return registration.service == wanted.job->queue().service && (service == nullptr || !service->isSpare)
-           && (wanted.step->requiredLabel.empty() || room.worker->hasLabel(wanted.step->requiredLabel));
+    return room.service == service && !room.isSpare && (wanted.step->requiredLabel.empty() || room.worker->hasLabel(wanted.step->requiredLabel));
 }
 
-bool Planner::isTrusted(const Room &room, const Task &task) const
+bool Planner::isTrusted(const Room &room, const Task &task)
 {
     // A task that has failed already must not use up its attempts on a worker that may be the cause.
-    return task.failures > 0 && !room.isOnProbation ? room.view->failedInRow == 0 : this->isAcceptable(room);
+    return task.failures > 0 && !room.isOnProbation ? room.view->failedInRow == 0 : isAcceptable(room);
 }
 
-bool Planner::isAcceptable(const Room &room) const
+bool Planner::isAcceptable(const Room &room)
 {
     if (room.view->failedInRow < suspiciousFailures) {
         return true;
@@ -212,37 +170,52 @@
     return room.isOnProbation && room.worker->runs.empty();
 }
 
-bool Planner::isPermitted(const Room &room, const WantedStep &wanted) const
+bool Planner::isBelowBound(const Room &room, const WantedStep &wanted)
 {
-    return !wanted.job->queue().advice || this->advice.validTicket(this->now, wanted.key, room.worker->registration.id) != nullptr;
+    return wanted.step->mostPerWorker == 0 || room.stepTasks < wanted.step->mostPerWorker;
 }
 
-bool Planner::isBelowBound(const Room &room, const WantedStep &wanted) const
+void Planner::collectChoices(const WantedStep &wanted)
 {
-    if (wanted.step->mostPerWorker == 0) {
-        return true;
+    this->choices.clear();
+    const bool needsTicket = wanted.job->queue().advice != nullptr;
+    const std::uint32_t service = this->rooms.serviceNumber(wanted.job->queue().service);
+    for (Room &room : this->rooms.all()) {
+        const bool isPermitted = !needsTicket || room.standing == Standing::Permitted;
+        if (isPermitted && room.fits(*wanted.step) && mayRun(room, wanted, service) && isAcceptable(room)) {
+            this->judge(this->choices.emplace_back(Choice{&room, 0}), wanted);
+        }
     }
-    const auto found = wanted.onWorker.find(room.worker->registration.id);
-    return found == wanted.onWorker.end() || found->second < wanted.step->mostPerWorker;
 }
 
-Room *Planner::bestRoom(const WantedStep &wanted, std::uint32_t index, const std::string &rack)
+void Planner::judge(Choice &choice, const WantedStep &wanted) const
+{
+    const bool isOpen = choice.room->fits(*wanted.step) && isBelowBound(*choice.room, wanted);
+    choice.penalty = isOpen ? penaltyOf(*choice.room, wanted) : std::numeric_limits<double>::infinity();
+}
+
+void Planner::take(Choice &choice, const WantedStep &wanted, std::int32_t tasks)
 {
-    const workload::TaskKey key(wanted.key.job, wanted.key.occurrence, wanted.key.step, index);
-    const Task &task = wanted.job->task(key);
-    Room *best = nullptr;
+    this->rooms.take(*choice.room, *wanted.step, tasks);
+    this->rooms.countTask(*choice.room, tasks);
+    this->judge(choice, wanted);
+}
+
+Planner::Choice *Planner::bestChoice(const WantedStep &wanted, std::uint32_t index, std::string_view rack)
+{
+    const Task &task = wanted.progress->tasks[index];
+    Choice *best = nullptr;
     double least = std::numeric_limits<double>::infinity();
-    for (Room &room : this->rooms) {
-        const bool isRightRack = rack.empty() || room.rack == rack;
-        if (!isRightRack || !room.fits(*wanted.step) || !this->mayRun(room, wanted) || !this->isBelowBound(room, wanted) || !this->isTrusted(room, task)
-            || !this->isPermitted(room, wanted) || room.worker->superseded.contains(key)) {
+    for (Choice &choice : this->choices) {
+        if (choice.penalty >= least || (!rack.empty() && choice.room->rack() != rack) || !isTrusted(*choice.room, task)) {
             continue;
         }
-        const double penalty = penaltyOf(room, wanted);
-        if (penalty < least) {
-            best = &room;
-            least = penalty;
+        const auto &superseded = choice.room->worker->superseded;
+        if (!superseded.empty() && superseded.contains({wanted.key.job, wanted.key.occurrence, wanted.key.step, index})) {
+            continue;
         }
+        best = &choice;
+        least = choice.penalty;
     }
     return best;
 }
@@ -259,6 +232,7 @@
 
 void Planner::planStep(WantedStep &wanted, Plan &plan)
 {
+    this->collectChoices(wanted);
     if (wanted.step->isGang) {
         this->planGang(wanted, plan);
     } else {
@@ -279,101 +253,110 @@
 {
     std::vector<std::uint32_t> left;
     for (const std::uint32_t index : wanted.tasks) {
-        Room *room = this->bestRoom(wanted, index, "");
-        if (room == nullptr) {
+        Choice *choice = this->bestChoice(wanted, index, "");
+        if (choice == nullptr) {
             left.push_back(index);
             continue;
         }
-        room->take(*wanted.step);
-        ++wanted.onWorker[room->worker->registration.id];
-        plan.placements.push_back(placement(wanted, index, room->worker->registration.id));
+        this->take(*choice, wanted, 1);
+        plan.placements.push_back(placement(wanted, index, choice->room->id()));
     }
     wanted.tasks = std::move(left);
 }
 
 void Planner::planGang(WantedStep &wanted, Plan &plan)
 {
-    std::vector<std::string> racks{""};
     if (wanted.step->prefersOneRack) {
-        std::vector<std::string> known;
-        std::transform(this->rooms.begin(), this->rooms.end(), std::back_inserter(known), [](const Room &room) { return room.rack; });
-        std::sort(known.begin(), known.end());
-        known.erase(std::unique(known.begin(), known.end()), known.end());
-        racks.insert(racks.begin(), known.begin(), known.end());
-    }
-    for (const std::string &rack : racks) {
-        std::vector<Room *> taken;
-        for (const std::uint32_t index : wanted.tasks) {
-            Room *room = this->bestRoom(wanted, index, rack);
-            if (room == nullptr) {
-                break;
+        for (const std::string_view rack : this->rooms.racks()) {
+            if (this->placeGang(wanted, rack, plan)) {
+                return;
             }
-            room->take(*wanted.step);
-            ++wanted.onWorker[room->worker->registration.id];
-            taken.push_back(room);
         }
-        if (taken.size() == wanted.tasks.size()) {
-            for (std::size_t number = 0; number < taken.size(); ++number) {
-                plan.placements.push_back(placement(wanted, wanted.tasks[number], taken[number]->worker->registration.id));
-            }
-            wanted.tasks.clear();
-            return;
+    }
+    this->placeGang(wanted, "", plan);
+}
+
+bool Planner::placeGang(WantedStep &wanted, std::string_view rack, Plan &plan)
+{
+    std::vector<Choice *> taken;
+    for (const std::uint32_t index : wanted.tasks) {
+        Choice *choice = this->bestChoice(wanted, index, rack);
+        if (choice == nullptr) {
+            break;
         }
-        for (Room *room : taken) {
-            room->take(*wanted.step, -1);
-            --wanted.onWorker[room->worker->registration.id];
+        this->take(*choice, wanted, 1);
+        taken.push_back(choice);
+    }
+    if (taken.size() < wanted.tasks.size()) {
+        for (Choice *choice : taken) {
+            this->take(*choice, wanted, -1);
         }
+        return false;
+    }
+    for (std::size_t number = 0; number < taken.size(); ++number) {
+        plan.placements.push_back(placement(wanted, wanted.tasks[number], taken[number]->room->id()));
     }
+    wanted.tasks.clear();
+    return true;
 }
 
-std::vector<Planner::Candidate> Planner::adviceCandidates(const WantedStep &wanted)
+std::vector<Planner::Candidate> Planner::adviceCandidates(const WantedStep &wanted, bool withRoom)
 {
     std::vector<Candidate> candidates;
-    for (Room &room : this->rooms) {
-        const Standing standing = this->advice.standing(this->now, wanted.key, room.worker->registration.id);
-        const bool isOpen = standing == Standing::Unasked || standing == Standing::Expired;
-        if (!isOpen || !this->mayRun(room, wanted) || !this->isBelowBound(room, wanted) || !this->isAcceptable(room)) {
-            continue;
-        }
-        const bool hasRoom = room.fits(*wanted.step);
+    const std::uint32_t service = this->rooms.serviceNumber(wanted.job->queue().service);
+    for (Room &room : this->rooms.all()) {
         // A ticket without room now would have ended by the time that there is some; that a worker may run the step stays known.
-        if (hasRoom || standing == Standing::Unasked) {
-            candidates.push_back({&room, hasRoom, standing == Standing::Expired, penaltyOf(room, wanted)});
+        const bool isOpen = room.standing == Standing::Unasked || (withRoom && room.standing == Standing::Expired);
+        if (isOpen && room.fits(*wanted.step) == withRoom && mayRun(room, wanted, service) && isBelowBound(room, wanted) && isAcceptable(room)) {
+            candidates.push_back({&room, withRoom, room.standing == Standing::Expired, penaltyOf(room, wanted)});
         }
     }
-    std::stable_sort(candidates.begin(), candidates.end(), [](const Candidate &left, const Candidate &right) {
-        const auto rank = [](const Candidate &entry) { return std::tuple(!entry.hasRoom, !entry.isExpired, entry.penalty); };
-        return rank(left) < rank(right);
-    });
     return candidates;
 }
 
 void Planner::askAdvice(WantedStep &wanted, Plan &plan)
 {
-    const std::vector<Candidate> candidates = this->adviceCandidates(wanted);
-    if (candidates.empty() || !candidates.front().hasRoom) {
+    std::vector<Candidate> candidates = this->adviceCandidates(wanted, true);
+    if (candidates.empty()) {
         return;
     }
-    const work::AdvicePolicyT &policy = *wanted.job->queue().advice;
-    const double cheap = policy.perWorkerMillis > 0 ? marginalShare * policy.decisionMillis / policy.perWorkerMillis : static_cast<double>(mostWorkersAsked);
-    const std::size_t least = std::clamp(static_cast<std::size_t>(cheap), leastWorkersAsked, mostWorkersAsked);
+    const bool mayAsk = this->advice.mayAsk(this->now, wanted.key);
+    if (mayAsk && candidates.size() < mostWorkersAsked) {
+        const std::vector<Candidate> full = this->adviceCandidates(wanted, false);
+        candidates.insert(candidates.end(), full.begin(), full.end());
+    }
+    std::vector<std::string> asked = this->keepRoomFor(wanted, std::move(candidates), mayAsk);
+    if (mayAsk) {
+        const work::QueueSpecT &queue = wanted.job->queue();
+        plan.questions.push_back(this->advice.ask(this->now, wanted.key, queue.name, std::move(asked), *queue.advice));
+    }
+}
+
+std::vector<std::string> Planner::keepRoomFor(const WantedStep &wanted, std::vector<Candidate> candidates, bool mayAsk)
+{
+    const auto isWorse = [](const Candidate &left, const Candidate &right) {
+        const auto rank = [](const Candidate &entry) { return std::tuple(!entry.hasRoom, !entry.isExpired, entry.penalty, entry.room); };
+        return rank(left) > rank(right);
+    };
+    // Only the first of them are needed: a heap gives them without sorting all.
+    std::make_heap(candidates.begin(), candidates.end(), isWorse);
+    const std::size_t least = mayAsk ? leastAsked(*wanted.job->queue().advice) : 0;
     const double share = this->advice.permittedShare(wanted.job->queue().name);
     const double needed = static_cast<double>(wanted.tasks.size()) * askedSurplus;
     double expected = 0;
     std::vector<std::string> asked;
-    for (const Candidate &candidate : candidates) {
-        const bool isEnough = expected >= needed;
-        if (asked.size() >= mostWorkersAsked || (isEnough && asked.size() >= least)) {
-            break;
+    for (std::size_t count = 0; !candidates.empty() && count < mostWorkersAsked && (expected < needed || count < least); ++count) {
+        std::pop_heap(candidates.begin(), candidates.end(), isWorse);
+        const Candidate candidate = candidates.back();
+        candidates.pop_back();
+        if (mayAsk) {
+            asked.push_back(candidate.room->id());
         }
-        asked.push_back(candidate.room->worker->registration.id);
-        if (!isEnough && candidate.hasRoom) {
+        if (expected < needed && candidate.hasRoom) {
             expected += this->keepRoom(wanted, *candidate.room, candidate.isExpired ? 1.0 : share);
         }
     }
-    if (this->advice.mayAsk(this->now, wanted.key)) {
-        plan.questions.push_back(this->advice.ask(this->now, wanted.key, wanted.job->queue().name, std::move(asked), policy));
-    }
+    return asked;
 }
 
 double Planner::keepRoom(const WantedStep &wanted, Room &room, double chance)
@@ -383,40 +366,58 @@
         slots = std::min<std::size_t>(slots, wanted.step->mostPerWorker);
     }
     const double expected = chance * static_cast<double>(slots);
-    const std::int64_t kept = std::lround(expected);
-    room.take(*wanted.step, kept);
+    this->rooms.take(room, *wanted.step, std::lround(expected));
     return expected;
 }
 
+bool Planner::mayPreempt(const WantedStep &wanted) const
+{
+    const auto searched = this->searchedAt.find(wanted.key);
+    return wanted.job->queue().priority == 0 && (searched == this->searchedAt.end() || searched->second + searchPause <= this->now);
+}
+
 void Planner::preemptFor(const WantedStep &wanted, Plan &plan)
 {
+    this->rooms.countComing(this->state, this->tracks);
     std::size_t missing = wanted.tasks.size();
-    std::vector<Victim> victims;
-    for (Room &room : this->rooms) {
-        if (this->mayMakeRoom(room, wanted)) {
-            // Room that is free or on its way serves first.
+    const std::uint32_t service = this->rooms.serviceNumber(wanted.job->queue().service);
+    for (Room &room : this->rooms.all()) {
+        // Room that is free or on its way serves first.
+        if (missing > 0 && mayMakeRoom(room, wanted, service)) {
             missing -= claimComingRoom(room, wanted, missing);
-            this->collectVictims(room, wanted, plan, victims);
         }
     }
-    std::stable_sort(victims.begin(), victims.end(), [](const Victim &left, const Victim &right) {
-        const auto rank = [](const Victim &victim) { return std::tie(victim.isHome, victim.outlook, victim.submittedAtMillis); };
-        return rank(left) > rank(right);
-    });
-    for (const Victim &victim : victims) {
+    if (missing > 0 && plan.preempted.size() < mostPreemptions && this->mayPreempt(wanted)) {
+        this->searchedAt[wanted.key] = this->now;
+        this->preemptRuns(wanted, missing, plan);
+    }
+}
+
+void Planner::preemptRuns(const WantedStep &wanted, std::size_t missing, Plan &plan)
+{
+    if (!std::exchange(this->isYieldingCollected, true)) {
+        this->yielding.collect(this->state, this->tracks, this->rooms, [this](const workload::Job &job, std::uint32_t occurrence) {
+            return this->outlookOfOccurrence(job, occurrence);
+        });
+    }
+    const std::uint32_t service = this->rooms.serviceNumber(wanted.job->queue().service);
+    for (YieldingRun *run : this->yielding.inOrder(wanted.home)) {
         if (missing == 0 || plan.preempted.size() >= mostPreemptions) {
             return;
         }
-        plan.preempted.push_back(victim.key);
-        victim.room->comingProcessors += this->state.findJob(victim.key.job)->stepSpec(victim.key.step).demand->milliProcessors();
-        missing -= claimComingRoom(*victim.room, wanted, missing);
+        if (!mayMakeRoom(*run->room, wanted, service)) {
+            continue;
+        }
+        run->isChosen = true;
+        plan.preempted.push_back(run->key);
+        run->room->comingProcessors += run->milliProcessors;
+        missing -= claimComingRoom(*run->room, wanted, missing);
     }
 }
 
-bool Planner::mayMakeRoom(const Room &room, const WantedStep &wanted) const
+bool Planner::mayMakeRoom(const Room &room, const WantedStep &wanted, std::uint32_t service)
 {
-    const Standing standing = wanted.job->queue().advice ? this->advice.standing(this->now, wanted.key, room.id()) : Standing::Permitted;
-    return standing != Standing::Forbidden && this->mayRun(room, wanted) && this->isBelowBound(room, wanted) && room.view->failedInRow == 0;
+    return room.standing != Standing::Forbidden && mayRun(room, wanted, service) && isBelowBound(room, wanted) && room.view->failedInRow == 0;
 }
 
 std::size_t Planner::claimComingRoom(Room &room, const WantedStep &wanted, std::size_t missing)
@@ -431,26 +432,4 @@
     return claimed;
 }
 
-void Planner::collectVictims(Room &room, const WantedStep &wanted, const Plan &plan, std::vector<Victim> &victims) const
-{
-    const bool isHome = wanted.home.empty() || room.dataCentre() == wanted.home;
-    for (const workload::TaskKey &key : room.worker->runs) {
-        if (this->makesWay(key, wanted, plan)) {
-            const workload::Job &job = *this->state.findJob(key.job);
-            victims.push_back({key, &room, isHome, this->outlookOfOccurrence(job, key.occurrence), job.submittedAtMillis()});
-        }
-    }
-}
-
-bool Planner::makesWay(const workload::TaskKey &key, const WantedStep &wanted, const Plan &plan) const
-{
-    const workload::Job &job = *this->state.findJob(key.job);
-    const work::StepSpecT &step = job.stepSpec(key.step);
-    const auto track = this->tracks.find(key);
-    const bool isRunning = track != this->tracks.end() && track->second.phase == execution::RunPhase::Running;
-    const bool isChosen = std::find(plan.preempted.begin(), plan.preempted.end(), key) != plan.preempted.end();
-    return isRunning && !isChosen && job.queue().priority > wanted.job->queue().priority && step.isCheckpointing && !step.isGang && !step.isLasting
-           && !step.isFilling;
-}
-
 } // namespace paddlepier::planning
--- a/paddlepier/planning/planner.h
+++ b/paddlepier/planning/planner.h
@@ -3,12 +3,14 @@
 // A plan is made from the ledger and from what the leader knows of the workers; nothing is changed by making it. Steps are
 // taken in the order of their queue's priority, and then of what their jobs can still reach and of their age. Room that a
 // step is going to need, once the policy service has answered, is kept from the steps after it in the same plan. Which of
-// the workers with room is taken is decided in suitability.h.
+// the workers with room is taken is decided in suitability.h. Steps of which nothing can come now are passed over unless
+// room has to be kept for them.
 //
 // Example:
 //     const Plan plan = planner.plan(now, wallMillis);
 //
-// Thread safety: none; owned by the control thread. Cost: O(waiting steps x workers + placed tasks x workers).
+// Thread safety: none; owned by the control thread. Cost: O(waiting steps x workers + placed tasks x workers that
+// may run them); O(waiting steps) if none of them can be placed, asked about or make others give way.
 
 #ifndef PADDLEPIER_PLANNING_PLANNER_H
 #define PADDLEPIER_PLANNING_PLANNER_H
@@ -18,13 +20,18 @@
 #include "paddlepier/execution/runtrack.h"
 #include "paddlepier/execution/workerview.h"
 #include "paddlepier/planning/advicebook.h"
+#include "paddlepier/planning/makingway.h"
 #include "paddlepier/planning/outlook.h"
+#include "paddlepier/planning/rooms.h"
 #include "paddlepier/planning/suitability.h"
 #include "paddlepier/workload/workload.h"
 
+#include <absl/container/flat_hash_map.h>
+
 #include <cstdint>
 #include <map>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace paddlepier::planning
@@ -49,6 +56,14 @@
     Plan plan(Timestamp now, std::int64_t wallMillis);
 
 private:
+    /** A worker that a step may use now. */
+    struct Choice {
+        Room *room;
+        /** Infinite while nothing more fits. */
+        double penalty;
+    };
+
+    /** A worker that the policy service may be asked about. */
     struct Candidate {
         Room *room;
         bool hasRoom;
@@ -57,47 +72,38 @@
         double penalty;
     };
 
-    /**
-     * A run that may make way. Those near the step's other tasks go first, then what can't be served in time any more, and
-     * then the youngest: where room is short some jobs end in time instead of all ending late.
-     */
-    struct Victim {
-        workload::TaskKey key;
-        Room *room;
-        bool isHome;
-        Outlook outlook;
-        std::int64_t submittedAtMillis;
-    };
-
     Outlook outlookOfOccurrence(const workload::Job &job, std::uint32_t occurrence) const;
-    void collectRooms();
-    /** Few enough workers owe an answer to do without them. */
-    bool areFewOverdue() const;
-    void countRun(Room &room, const workload::TaskKey &key) const;
     std::vector<WantedStep> collectSteps() const;
-    void collectStep(std::vector<WantedStep> &wanted, const workload::Job &job, std::uint32_t occurrence, std::uint32_t step) const;
-    /** Superseded runs may still be on their workers, and count towards the step's bound there. */
-    void countSuperseded(WantedStep &wanted) const;
+    void collectOccurrence(std::vector<WantedStep> &wanted, const workload::Job &job, std::uint32_t occurrence) const;
+    /** Something may come of planning it now: it may have a ticket, ask, or make others give way. */
+    bool mayAct(const WantedStep &wanted) const;
     void planStep(WantedStep &wanted, Plan &plan);
     void planGang(WantedStep &wanted, Plan &plan);
+    /** Places the tasks on workers of @p rack, or of any if it is empty, where there is room for all. */
+    bool placeGang(WantedStep &wanted, std::string_view rack, Plan &plan);
     void placeSingly(WantedStep &wanted, Plan &plan);
+    void collectChoices(const WantedStep &wanted);
+    void judge(Choice &choice, const WantedStep &wanted) const;
+    /** Takes room for one task, or gives it back. */
+    void take(Choice &choice, const WantedStep &wanted, std::int32_t tasks);
+    Choice *bestChoice(const WantedStep &wanted, std::uint32_t index, std::string_view rack);
     void askAdvice(WantedStep &wanted, Plan &plan);
-    /** Workers that the policy service may be asked about, the most useful first. */
-    std::vector<Candidate> adviceCandidates(const WantedStep &wanted);
+    /** Workers that the policy service may be asked about, with or without room for a task. */
+    std::vector<Candidate> adviceCandidates(const WantedStep &wanted, bool withRoom);
+    /** Keeps room for the step on the best of the candidates. @return workers to ask about; none if it may not ask */
+    std::vector<std::string> keepRoomFor(const WantedStep &wanted, std::vector<Candidate> candidates, bool mayAsk);
     /** Keeps room for the tasks that are likely to go there. @return how many, in expectation */
-    static double keepRoom(const WantedStep &wanted, Room &room, double chance);
+    double keepRoom(const WantedStep &wanted, Room &room, double chance);
     void preemptFor(const WantedStep &wanted, Plan &plan);
-    bool mayMakeRoom(const Room &room, const WantedStep &wanted) const;
+    void preemptRuns(const WantedStep &wanted, std::size_t missing, Plan &plan);
+    bool mayPreempt(const WantedStep &wanted) const;
+    static bool mayMakeRoom(const Room &room, const WantedStep &wanted, std::uint32_t service);
     /** Takes room that is free or on its way for up to @p missing tasks; @return for how many there is some */
     static std::size_t claimComingRoom(Room &room, const WantedStep &wanted, std::size_t missing);
-    void collectVictims(Room &room, const WantedStep &wanted, const Plan &plan, std::vector<Victim> &victims) const;
-    bool makesWay(const workload::TaskKey &key, const WantedStep &wanted, const Plan &plan) const;
-    bool mayRun(const Room &room, const WantedStep &wanted) const;
-    bool isAcceptable(const Room &room) const;
-    bool isTrusted(const Room &room, const workload::Task &task) const;
-    bool isPermitted(const Room &room, const WantedStep &wanted) const;
-    bool isBelowBound(const Room &room, const WantedStep &wanted) const;
-    Room *bestRoom(const WantedStep &wanted, std::uint32_t index, const std::string &rack);
+    static bool mayRun(const Room &room, const WantedStep &wanted, std::uint32_t service);
+    static bool isAcceptable(const Room &room);
+    static bool isTrusted(const Room &room, const workload::Task &task);
+    static bool isBelowBound(const Room &room, const WantedStep &wanted);
     static work::PlacementT placement(const WantedStep &wanted, std::uint32_t task, const std::string &worker);
 
     const workload::Workload &state;
@@ -107,7 +113,12 @@
     const std::map<std::string, double> &usualRatios;
     Timestamp now;
     std::int64_t wallMillis = 0;
-    std::vector<Room> rooms;
+    Rooms rooms;
+    std::vector<Choice> choices;
+    YieldingRuns yielding;
+    bool isYieldingCollected = false;
+    /** When a step's search for runs that may make way was last made. */
+    absl::flat_hash_map<workload::StepKey, Timestamp> searchedAt;
 };
 
 } // namespace paddlepier::planning
--- a/paddlepier/planning/planner_outcome_test.cpp
+++ b/paddlepier/planning/planner_outcome_test.cpp
@@ -120,6 +120,35 @@
         }
     }
 
+    /** What the workload counts as it goes is what a scan finds, and what a restored one has. */
+    static void checkCounts(const workload::Workload &state)
+    {
+        std::size_t waitingJobs = 0;
+        for (const std::string &id : state.activeJobs()) {
+            const workload::Job &job = *state.findJob(id);
+            std::uint32_t waiting = 0;
+            for (const workload::Occurrence &occurrence : job.occurrences()) {
+                for (const workload::Step &step : occurrence.steps) {
+                    const auto isWaiting = [](const workload::Task &task) { return !task.isDone && !task.hasRun(); };
+                    CHECK(step.waitingTasks == std::count_if(step.tasks.begin(), step.tasks.end(), isWaiting));
+                    waiting += step.waitingTasks;
+                }
+            }
+            CHECK(job.waitingTasks() == waiting);
+            CHECK(state.waitingJobs().contains(id) == (waiting > 0 && !job.hasEnded()));
+            waitingJobs += state.waitingJobs().contains(id) ? 1 : 0;
+        }
+        CHECK(state.waitingJobs().size() == waitingJobs);
+        for (const auto &[id, worker] : state.workers()) {
+            const auto countOf = [&](auto predicate) {
+                return std::count_if(
+                    worker.runs.begin(), worker.runs.end(), [&](const auto &key) { return predicate(state.findJob(key.job)->stepSpec(key.step)); });
+            };
+            CHECK(worker.servingRuns == countOf([](const work::StepSpecT &step) { return step.targetLatencyMillis > 0; }));
+            CHECK(worker.fillingRuns == countOf([](const work::StepSpecT &step) { return step.isFilling; }));
+        }
+    }
+
     static void checkPreempted(const FakeCell &cell, const workload::TaskKey &key)
     {
         const workload::Job &job = *cell.state.findJob(key.job);
@@ -168,4 +197,18 @@
     CHECK(preempted > 100);
 }
 
+TEST_CASE_METHOD(OutcomeFixture, "countsOfAWorkload_afterPlacementsAndEnds_areThoseOfAScan")
+{
+    for (std::uint32_t seed = 500; seed < 510; ++seed) {
+        INFO("seed " << seed);
+        play(seed, [](const FakeCell &cell, const Plan &) {
+            checkCounts(cell.state);
+            workload::Workload restored;
+            restored.restore(cell.state.snapshot());
+            checkCounts(restored);
+            CHECK(restored.waitingJobs() == cell.state.waitingJobs());
+        });
+    }
+}
+
 } // namespace paddlepier::planning
--- /dev/null
+++ b/paddlepier/planning/rooms.h
@@ -0,0 +1,85 @@
+// The workers that a plan may use, and what is left of them while it is made.
+//
+// Workers, data centres, services and racks get numbers here, so that a plan compares no texts where it looks at every
+// worker for every step.
+//
+// Example:
+//     rooms.collect(now, state, views, book);
+//     rooms.beginStep(now, wanted, book);
+//     rooms.take(room, *wanted.step);
+//
+// Thread safety: none; owned by the planner. Cost: collect() is O(workers log data centres), beginStep() O(tasks of the step
+// under way + workers that the policy service has told about), the rest O(1) or O(data centres).
+
+#ifndef PADDLEPIER_PLANNING_ROOMS_H
+#define PADDLEPIER_PLANNING_ROOMS_H
+
+#include "paddlepier/base/clock.h"
+#include "paddlepier/execution/runtrack.h"
+#include "paddlepier/execution/workerview.h"
+#include "paddlepier/planning/advicebook.h"
+#include "paddlepier/planning/suitability.h"
+#include "paddlepier/workload/workload.h"
+
+#include <absl/container/flat_hash_map.h>
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace paddlepier::planning
+{
+
+class Rooms
+{
+public:
+    /** Begins a plan; what was known of the plan before is dropped. */
+    void collect(Timestamp now, const workload::Workload &state, const std::map<std::string, execution::WorkerView> &views, AdviceBook &book);
+    /** Counts what stopping runs are about to give back; once a plan. */
+    void countComing(const workload::Workload &state, const execution::RunTracks &tracks);
+
+    /** Notes what there is of a step on each worker, and what the policy service has said; sets the step's home. */
+    void beginStep(Timestamp now, WantedStep &wanted, const AdviceBook &book);
+
+    std::vector<Room> &all();
+    /** Null if the worker can't be used. */
+    Room *find(const std::string &worker);
+    void take(Room &room, const work::StepSpecT &step, std::int64_t tasks = 1);
+    /** Counts a task of the step that is being planned; -1 takes it back. */
+    void countTask(Room &room, std::int32_t tasks);
+    /** Number of a service; one that no worker offers has none of the workers' numbers. */
+    std::uint32_t serviceNumber(std::string_view service) const;
+    /** In the order of their names. */
+    const std::vector<std::string_view> &racks();
+
+private:
+    void add(const workload::Worker &worker, const execution::WorkerView &view, Timestamp now);
+    void clear();
+    void indexAdviceNumbers();
+    void numberDataCentres();
+    void countTasks(const WantedStep &wanted);
+    /** Where most of the step's tasks are already, and otherwise where there is most room for it. */
+    std::uint32_t homeOf(const WantedStep &wanted) const;
+    std::int64_t &freeOf(const Room &room);
+
+    std::vector<Room> rooms;
+    absl::flat_hash_map<std::string_view, std::uint32_t> byWorker;
+    std::vector<std::uint32_t> byAdviceNumber;
+    std::vector<std::string_view> services;
+    std::vector<std::string_view> dataCentres;
+    std::vector<std::string_view> rackNames;
+    /** Processors free in each data centre, not counting workers that are over their room. */
+    std::vector<std::int64_t> freeProcessors;
+    /** Rooms with superseded runs. */
+    std::vector<std::uint32_t> withSuperseded;
+    /** Rooms that hold something of the step that is being planned. */
+    std::vector<std::uint32_t> ofStep;
+    std::vector<std::uint32_t> toldOfStep;
+    bool isComingCounted = false;
+};
+
+} // namespace paddlepier::planning
+
+#endif
--- a/paddlepier/planning/suitability.cpp
+++ b/paddlepier/planning/suitability.cpp
@@ -34,9 +34,10 @@
     return this->worker->registration.id;
 }
 
-const std::string &Room::dataCentre() const
+std::string_view Room::rack() const
 {
-    return this->worker->registration.zone;
+    const std::vector<std::string> &labels = this->worker->registration.labels;
+    return labels.size() < 2 ? std::string_view() : std::string_view(labels.back());
 }
 
 bool Room::fits(const work::StepSpecT &step) const
@@ -68,25 +69,6 @@
     return !this->step->isLasting && !this->step->isFilling;
 }
 
-std::string homeOf(const WantedStep &wanted, const std::vector<Room> &rooms)
-{
-    if (!wanted.isServedAsAWhole()) {
-        return "";
-    }
-    std::map<std::string, std::int64_t> tasks;
-    std::map<std::string, std::int64_t> free;
-    for (const Room &room : rooms) {
-        free[room.dataCentre()] += std::max<std::int64_t>(0, room.processors);
-        const auto placed = wanted.onWorker.find(room.id());
-        if (placed != wanted.onWorker.end()) {
-            tasks[room.dataCentre()] += placed->second;
-        }
-    }
-    const std::map<std::string, std::int64_t> &weights = tasks.empty() ? free : tasks;
-    const auto most = std::max_element(weights.begin(), weights.end(), [](const auto &left, const auto &right) { return left.second < right.second; });
-    return most == weights.end() ? "" : most->first;
-}
-
 double penaltyOf(const Room &room, const WantedStep &wanted)
 {
     const work::StepSpecT &step = *wanted.step;
@@ -97,14 +79,14 @@
         const auto waiting = static_cast<double>(wanted.tasks.size());
         const double taken = std::min(1.0, static_cast<double>(room.tasksThatFit(step)) / waiting);
         penalty += splitPenalty * (1.0 - taken);
-        penalty += wanted.onWorker.contains(room.id()) ? 0.0 : otherWorkerPenalty;
-        penalty += wanted.home.empty() || wanted.home == room.dataCentre() ? 0.0 : awayPenalty;
+        penalty += room.isOfStep ? 0.0 : otherWorkerPenalty;
+        penalty += wanted.home == noHome || wanted.home == room.dataCentre ? 0.0 : awayPenalty;
     }
-    if (!step.dataRack.empty() && step.dataRack != room.rack) {
+    if (!step.dataRack.empty() && step.dataRack != room.rack()) {
         penalty += farDataPenalty;
     }
     // What fills disturbs what serves.
-    penalty += contentionPenalty * (step.isFilling ? room.serving : step.targetLatencyMillis > 0 ? room.filling : 0);
+    penalty += contentionPenalty * (step.isFilling ? room.worker->servingRuns : step.targetLatencyMillis > 0 ? room.worker->fillingRuns : 0);
     penalty += slownessPenalty * std::max(0.0, room.view->slowness - usualSlowness);
     penalty += suspicionPenalty * room.view->failedInRow;
     return penalty;
--- a/paddlepier/planning/suitability.h
+++ b/paddlepier/planning/suitability.h
@@ -5,45 +5,54 @@
 // few jobs up. Steps that last owe nothing as a whole and go where there is most room.
 //
 // Example:
-//     step.home = homeOf(step, rooms);
 //     const double penalty = penaltyOf(room, step); // the room with the least suits best
 //
-// Thread safety: plain values and free functions without state. Cost: O(1) but for homeOf(), which is O(rooms).
+// Thread safety: plain values and free functions without state. Cost: O(1).
 
 #ifndef PADDLEPIER_PLANNING_SUITABILITY_H
 #define PADDLEPIER_PLANNING_SUITABILITY_H
 
 #include "paddlepier/execution/workerview.h"
+#include "paddlepier/planning/advicebook.h"
 #include "paddlepier/planning/outlook.h"
 #include "paddlepier/workload/workload.h"
 
 #include <cstdint>
-#include <map>
+#include <limits>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace paddlepier::planning
 {
 
+/** No data centre is better than another. */
+constexpr std::uint32_t noHome = std::numeric_limits<std::uint32_t>::max();
+
 /** One worker as a plan sees it: what is left of it after the placements decided so far. */
 struct Room {
     const workload::Worker *worker = nullptr;
     const execution::WorkerView *view = nullptr;
-    std::string rack;
+    /** Numbers of the rooms' data centres and services, and of the worker in the advice book. */
+    std::uint32_t dataCentre = 0;
+    std::uint32_t service = 0;
+    std::uint32_t adviceNumber = 0;
+    /** Its machine is off. */
+    bool isSpare = false;
     /** It failed too much, but its time out is over. */
     bool isOnProbation = false;
     std::int64_t processors = 0;
     std::int64_t memory = 0;
     std::int64_t accelerators = 0;
-    /** Room that stopping runs are about to give back. */
+    /** Processors that stopping runs are about to give back. */
     std::int64_t comingProcessors = 0;
-    std::int64_t comingMemory = 0;
-    /** Runs that owe their users a latency, and runs that may disturb them. */
-    std::uint32_t serving = 0;
-    std::uint32_t filling = 0;
+    /** Of the step that is being planned: tasks there, whether it was ever counted there, and what the policy service says. */
+    std::uint32_t stepTasks = 0;
+    bool isOfStep = false;
+    Standing standing = Standing::Unasked;
 
     const std::string &id() const;
-    const std::string &dataCentre() const;
+    std::string_view rack() const;
     bool fits(const work::StepSpecT &step) const;
     std::size_t tasksThatFit(const work::StepSpecT &step) const;
     /** Takes @p tasks of @p step into account; a negative number takes them back. */
@@ -55,20 +64,16 @@
     const workload::Job *job = nullptr;
     workload::StepKey key;
     const work::StepSpecT *step = nullptr;
+    const workload::Step *progress = nullptr;
     Outlook outlook = Outlook::InTime;
     std::vector<std::uint32_t> tasks;
-    /** Tasks of this step on each worker. */
-    std::map<std::string, std::uint32_t> onWorker;
-    /** Data centre that its tasks had best go to; empty if that makes no difference. */
-    std::string home;
+    /** Data centre that its tasks had best go to. */
+    std::uint32_t home = noHome;
 
     /** Its tasks are best kept together. */
     bool isServedAsAWhole() const;
 };
 
-/** Where most of the step's tasks are already, and otherwise where there is most room for it. */
-std::string homeOf(const WantedStep &wanted, const std::vector<Room> &rooms);
-
 /** How badly the worker suits the step; the unit is a wholly free worker. */
 double penaltyOf(const Room &room, const WantedStep &wanted);
 
--- a/paddlepier/workload/job.cpp
+++ b/paddlepier/workload/job.cpp
@@ -57,11 +57,6 @@
     return "";
 }
 
-std::uint32_t Step::waitingTasks() const
-{
-    return static_cast<std::uint32_t>(std::count_if(this->tasks.begin(), this->tasks.end(), [](const Task &task) { return !task.isDone && !task.hasRun(); }));
-}
-
 Job::Job(std::string id, work::QueueSpecT queue, work::JobSpecT spec, std::int64_t nowMillis)
     : jobId(std::move(id))
     , queueSpec(std::move(queue))
@@ -74,6 +69,7 @@
             occurrence.steps.emplace_back().tasks.resize(step->count);
         }
     }
+    this->countAnew();
 }
 
 Job::Job(const work::JobRecordT &record)
@@ -91,13 +87,51 @@
             // Only tasks that differ from a new one are stored.
             for (const auto &entry : stored.tasks) {
                 step.tasks[entry->index] = Task{entry->isDone, entry->everStarted, entry->lastRun, entry->failures, entry->worker, entry->checkpoint};
-                step.doneTasks += entry->isDone ? 1 : 0;
-                step.runningTasks += entry->worker.empty() ? 0 : 1;
-                this->underWay += entry->worker.empty() ? 0 : 1;
                 this->anyStarted = this->anyStarted || entry->everStarted;
             }
         }
     }
+    this->countAnew();
+}
+
+void Job::countAnew()
+{
+    this->underWay = 0;
+    this->waiting = 0;
+    this->openSteps = 0;
+    for (Occurrence &occurrence : this->runs) {
+        for (std::uint32_t number = 0; number < occurrence.steps.size(); ++number) {
+            Step &step = occurrence.steps[number];
+            step.doneTasks = 0;
+            step.runningTasks = 0;
+            step.waitingTasks = 0;
+            for (const Task &task : step.tasks) {
+                step.doneTasks += task.isDone ? 1 : 0;
+                step.runningTasks += task.hasRun() ? 1 : 0;
+                step.waitingTasks += task.isDone || task.hasRun() ? 0 : 1;
+            }
+            this->underWay += step.runningTasks;
+            this->waiting += step.waitingTasks;
+            this->openSteps += step.isDone() ? 0 : 1;
+            const std::vector<std::uint32_t> &after = this->stepSpec(number).after;
+            step.openBefore = static_cast<std::uint32_t>(
+                std::count_if(after.begin(), after.end(), [&occurrence](std::uint32_t earlier) { return !occurrence.steps.at(earlier).isDone(); }));
+        }
+    }
+}
+
+void Job::countWaiting(Step &step, std::int32_t change)
+{
+    step.waitingTasks += static_cast<std::uint32_t>(change);
+    this->waiting += static_cast<std::uint32_t>(change);
+}
+
+void Job::releaseFollowers(Occurrence &occurrence, std::uint32_t step) const
+{
+    for (std::uint32_t later = step + 1; later < occurrence.steps.size(); ++later) {
+        const std::vector<std::uint32_t> &after = this->stepSpec(later).after;
+        occurrence.steps[later].openBefore -= static_cast<std::uint32_t>(std::count(after.begin(), after.end(), step));
+    }
 }
 
 work::JobRecordT Job::record() const
@@ -211,6 +245,11 @@
     return this->underWay;
 }
 
+std::uint32_t Job::waitingTasks() const
+{
+    return this->waiting;
+}
+
 bool Job::hasBegun() const
 {
     return this->anyStarted;
@@ -223,9 +262,7 @@
 
 bool Job::isReady(std::uint32_t occurrence, std::uint32_t step) const
 {
-    const std::vector<Step> &steps = this->runs.at(occurrence).steps;
-    const std::vector<std::uint32_t> &after = this->stepSpec(step).after;
-    return std::all_of(after.begin(), after.end(), [&](std::uint32_t earlier) { return steps.at(earlier).isDone(); });
+    return this->runs.at(occurrence).steps.at(step).openBefore == 0;
 }
 
 std::uint32_t Job::nextRun(const TaskKey &key) const
@@ -251,10 +288,12 @@
 
 void Job::place(const TaskKey &key, std::uint32_t run, const std::string &worker)
 {
-    Task &placed = this->taskOf(key);
+    Step &step = this->stepOf(key);
+    Task &placed = step.tasks.at(key.index);
+    this->countWaiting(step, placed.isDone || placed.hasRun() ? 0 : -1);
     placed.lastRun = run;
     placed.worker = worker;
-    ++this->stepOf(key).runningTasks;
+    ++step.runningTasks;
     ++this->underWay;
     this->jobState = work::JobState::Running;
 }
@@ -269,8 +308,10 @@
         return false;
     }
     ended.worker.clear();
-    --this->stepOf(key).runningTasks;
+    Step &step = this->stepOf(key);
+    --step.runningTasks;
     --this->underWay;
+    this->countWaiting(step, ended.isDone ? 0 : 1);
     if (!checkpoint.empty()) {
         ended.checkpoint = checkpoint;
     }
@@ -305,15 +346,23 @@
 void Job::finishTask(const TaskKey &key)
 {
     Step &step = this->stepOf(key);
-    const auto finish = [&step](Task &task) {
-        step.doneTasks += task.isDone ? 0 : 1;
-        task.isDone = true;
+    const bool wasDone = step.isDone();
+    const auto finish = [this, &step](Task &task) {
+        if (!task.isDone) {
+            task.isDone = true;
+            ++step.doneTasks;
+            this->countWaiting(step, task.hasRun() ? 0 : -1);
+        }
     };
     if (this->stepSpec(key.step).isGang) {
         std::for_each(step.tasks.begin(), step.tasks.end(), finish);
     } else {
         finish(step.tasks.at(key.index));
     }
+    if (!wasDone && step.isDone()) {
+        --this->openSteps;
+        this->releaseFollowers(this->runs.at(key.occurrence), key.step);
+    }
 }
 
 void Job::countFailure(const TaskKey &key, std::uint32_t run, std::int64_t nowMillis)
@@ -354,9 +403,7 @@
 
 bool Job::isComplete() const
 {
-    return std::all_of(this->runs.begin(), this->runs.end(), [](const Occurrence &occurrence) {
-        return std::all_of(occurrence.steps.begin(), occurrence.steps.end(), [](const Step &step) { return step.isDone(); });
-    });
+    return this->openSteps == 0;
 }
 
 } // namespace paddlepier::workload
--- a/paddlepier/workload/job.h
+++ b/paddlepier/workload/job.h
@@ -43,6 +43,10 @@
     std::vector<Task> tasks;
     std::uint32_t doneTasks = 0;
     std::uint32_t runningTasks = 0;
+    /** Tasks that are neither done nor have a run; beside copies a task can be done and have one. */
+    std::uint32_t waitingTasks = 0;
+    /** Steps that this one follows and that aren't done. */
+    std::uint32_t openBefore = 0;
     std::uint32_t gangFailures = 0;
     std::uint32_t lastFailedRun = 0;
 
@@ -50,9 +54,6 @@
     {
         return this->doneTasks == this->tasks.size();
     }
-
-    /** Tasks that are neither done nor have a run. */
-    std::uint32_t waitingTasks() const;
 };
 
 struct Occurrence {
@@ -83,11 +84,13 @@
     bool hasEnded() const;
     bool hasTask(const TaskKey &key) const;
     std::uint32_t runsUnderWay() const;
+    /** Tasks of all steps, ready or not, that are neither done nor have a run; O(1). */
+    std::uint32_t waitingTasks() const;
     /** A run of it was on a worker; one that is there now and hasn't ended may not be known here. */
     bool hasBegun() const;
     /** When an occurrence may start, in milliseconds since 1970; 0 for a job without repetitions. */
     std::int64_t dueMillis(std::uint32_t occurrence) const;
-    /** All steps that @p step follows are done. */
+    /** All steps that @p step follows are done; O(1). */
     bool isReady(std::uint32_t occurrence, std::uint32_t step) const;
     /** The next run number of a task, or of the whole gang. */
     std::uint32_t nextRun(const TaskKey &key) const;
@@ -111,6 +114,11 @@
     Step &stepOf(const TaskKey &key);
     void takeEnd(const TaskKey &key, std::uint32_t run, work::RunEndKind kind, std::int64_t nowMillis);
     void finishTask(const TaskKey &key);
+    /** Counts the tasks and steps anew; O(tasks). */
+    void countAnew();
+    void countWaiting(Step &step, std::int32_t change);
+    /** The step is done: those that follow it have one step less to wait for. */
+    void releaseFollowers(Occurrence &occurrence, std::uint32_t step) const;
     void countFailure(const TaskKey &key, std::uint32_t run, std::int64_t nowMillis);
     void end(work::JobState endState, std::int64_t nowMillis);
     bool isComplete() const;
@@ -125,6 +133,9 @@
     std::vector<Occurrence> runs;
     // Derived:
     std::uint32_t underWay = 0;
+    std::uint32_t waiting = 0;
+    /** In all occurrences. */
+    std::uint64_t openSteps = 0;
     bool anyStarted = false;
 };
 
--- a/paddlepier/workload/job_test.cpp
+++ b/paddlepier/workload/job_test.cpp
@@ -175,6 +175,42 @@
     CHECK(again.hasBegun());
 }
 
+TEST_CASE_METHOD(JobFixture, "waitingTasks_besideACopyOfADoneTask_countsThoseToPlace")
+{
+    this->spec.steps.push_back(step(3));
+    Job made = this->job();
+    CHECK(made.waitingTasks() == 3);
+    run(made, key(0, 0), work::RunEndKind::Superseded);
+    made.place(key(0, 0), 2, "w2");
+    CHECK(made.waitingTasks() == 2);
+    made.endSupersededRun(key(0, 0), 1, work::RunEndKind::Done, 3000);
+    // It is done and has a run.
+    CHECK(made.waitingTasks() == 2);
+    CHECK(made.endRun(key(0, 0), 2, "w2", work::RunEndKind::Stopped, "", 3100));
+    CHECK(made.waitingTasks() == 2);
+    run(made, key(0, 1), work::RunEndKind::Failed);
+    CHECK(made.waitingTasks() == 2);
+    CHECK(Job(made.record()).waitingTasks() == 2);
+}
+
+TEST_CASE_METHOD(JobFixture, "stepAfterSeveral_isReadyOnceAllAreDone_alsoWhenRestored")
+{
+    this->spec.steps.push_back(step(1));
+    this->spec.steps.push_back(step(1));
+    this->spec.steps.push_back(step(1));
+    this->spec.steps[2]->after = {0, 1, 0};
+    Job made = this->job();
+    CHECK(made.isReady(0, 1));
+    run(made, key(0, 0), work::RunEndKind::Done);
+    CHECK_FALSE(made.isReady(0, 2));
+    CHECK_FALSE(Job(made.record()).isReady(0, 2));
+    run(made, key(1, 0), work::RunEndKind::Done);
+    CHECK(made.isReady(0, 2));
+    CHECK(Job(made.record()).isReady(0, 2));
+    run(made, key(2, 0), work::RunEndKind::Done);
+    CHECK(made.state() == work::JobState::Completed);
+}
+
 TEST_CASE("problemOf_stepThatNamesALaterOne_isTold")
 {
     work::JobSpecT spec;
--- a/paddlepier/workload/taskkey.h
+++ b/paddlepier/workload/taskkey.h
@@ -13,6 +13,7 @@
 #include <memory>
 #include <string>
 #include <tuple>
+#include <utility>
 
 namespace paddlepier::workload
 {
@@ -30,6 +31,12 @@
         return std::tie(this->job, this->occurrence, this->step) < std::tie(other.job, other.occurrence, other.step);
     }
 
+    template<typename Hash>
+    friend Hash AbslHashValue(Hash hash, const StepKey &key)
+    {
+        return Hash::combine(std::move(hash), key.job, key.occurrence, key.step);
+    }
+
     std::string text() const
     {
         return absl::StrCat(this->job, ".", this->occurrence, ".", this->step);
--- a/paddlepier/workload/workload.cpp
+++ b/paddlepier/workload/workload.cpp
@@ -35,6 +35,13 @@
     worker.reservedAccelerators += change * demand.accelerators();
 }
 
+void countRun(Worker &worker, const work::StepSpecT &step, int sign)
+{
+    const auto change = static_cast<std::uint32_t>(sign);
+    worker.servingRuns += step.targetLatencyMillis > 0 ? change : 0;
+    worker.fillingRuns += step.isFilling ? change : 0;
+}
+
 } // namespace
 
 bool Worker::hasRoomFor(const work::StepSpecT &step) const
@@ -184,8 +191,10 @@
         return false;
     }
     reserve(worker->second, demandOf(step), 1);
+    countRun(worker->second, step, 1);
     worker->second.runs.insert(key);
     job->second.place(key, placement.run, placement.worker);
+    this->noteWaiting(job->second);
     return true;
 }
 
@@ -221,7 +230,9 @@
         return;
     }
     if (worker != this->workerById.end() && worker->second.runs.erase(key) > 0) {
-        const work::Demand demand = demandOf(job->second.stepSpec(key.step));
+        const work::StepSpecT &step = job->second.stepSpec(key.step);
+        const work::Demand demand = demandOf(step);
+        countRun(worker->second, step, -1);
         if (end.kind == work::RunEndKind::Superseded) {
             worker->second.superseded[key] = {end.run, demand};
         } else {
@@ -273,8 +284,18 @@
     return {};
 }
 
+void Workload::noteWaiting(const Job &job)
+{
+    if (!job.hasEnded() && job.waitingTasks() > 0) {
+        this->waiting.insert(job.id());
+    } else {
+        this->waiting.erase(job.id());
+    }
+}
+
 void Workload::noteJob(Job &job)
 {
+    this->noteWaiting(job);
     if (!job.hasEnded() || job.runsUnderWay() > 0) {
         this->active.insert(job.id());
         return;
@@ -346,6 +367,11 @@
     return this->active;
 }
 
+const std::set<std::string> &Workload::waitingJobs() const
+{
+    return this->waiting;
+}
+
 std::int64_t Workload::appliedAtMillis() const
 {
     return this->appliedAt;
@@ -402,6 +428,7 @@
                     if (worker != this->workerById.end()) {
                         worker->second.runs.insert({job.id(), occurrence, step, index});
                         reserve(worker->second, demandOf(job.stepSpec(step)), 1);
+                        countRun(worker->second, job.stepSpec(step), 1);
                     }
                 }
             }
--- a/paddlepier/workload/workload.h
+++ b/paddlepier/workload/workload.h
@@ -59,6 +59,9 @@
     std::uint64_t reservedMilliProcessors = 0;
     std::uint64_t reservedMemoryMegabytes = 0;
     std::uint64_t reservedAccelerators = 0;
+    /** Of `runs`: those that owe their users a latency, and those that may disturb them. */
+    std::uint32_t servingRuns = 0;
+    std::uint32_t fillingRuns = 0;
 
     bool hasRoomFor(const work::StepSpecT &step) const;
     std::int64_t freeMilliProcessors() const;
@@ -88,6 +91,8 @@
     const std::map<std::string, Worker> &workers() const;
     /** Jobs with tasks to run or runs under way. */
     const std::set<std::string> &activeJobs() const;
+    /** Of these, the ones that haven't ended and have tasks without a run. */
+    const std::set<std::string> &waitingJobs() const;
     std::int64_t appliedAtMillis() const;
 
 private:
@@ -106,6 +111,7 @@
     void endRun(const std::string &worker, const work::RunEndT &end);
     void endSupersededRun(Worker &worker, const TaskKey &key, const work::RunEndT &end);
     void noteJob(Job &job);
+    void noteWaiting(const Job &job);
     void forgetEndedJobs();
 
     work::ChangeConfigurationT currentConfiguration;
@@ -115,6 +121,7 @@
 
     // Derived, rebuilt by restore():
     std::set<std::string> active;
+    std::set<std::string> waiting;
     /** Ended jobs without runs, in the order in which they came to that. */
     std::deque<std::string> ended;
 };
