--- a/paddlepier/planning/planner.h
+++ b/paddlepier/planning/planner.h
@@ -118,7 +118,7 @@
     YieldingRuns yielding;
     bool isYieldingCollected = false;
     /** When a step's search for runs that may make way was last made. */
-    absl::flat_hash_map<workload::StepKey, Timestamp> searchedAt;
+    absl::flat_hash_map<workload::StepKey, Timestamp, workload::StepKeyHash> searchedAt;
 };
 
 } // namespace paddlepier::planning
--- a/paddlepier/planning/planner_benchmark.cpp
+++ b/paddlepier/planning/planner_benchmark.cpp
@@ -4,6 +4,10 @@
 
 #include <benchmark/benchmark.h>
 
+#include <set>
+#include <string>
+#include <utility>
+
 using namespace paddlepier;
 using namespace paddlepier::planning;
 
@@ -50,32 +54,64 @@
 }
 BENCHMARK(BM_PlanWithoutNews);
 
-/** 4,000 runs under way and 1,000 steps that wait: what a leader does at each compaction of its log. */
+/** Runs under way, 1,000 jobs that wait, and the given number of jobs that have ended and are kept for a while. */
+class SnapshotCell : public FakeCell
+{
+public:
+    explicit SnapshotCell(std::size_t endedJobs)
+        : FakeCell(seed, workers)
+    {
+        std::size_t ended = 0;
+        while (ended < endedJobs) {
+            this->fill(runs);
+            ended += this->endAll();
+        }
+        this->fill(runs);
+        this->addWaitingSteps(10 * steps);
+    }
+
+private:
+    /** Carries the jobs on for a while and cancels what is left then. @return jobs that have ended */
+    std::size_t endAll()
+    {
+        constexpr int rounds = 6;
+        const std::set<std::string> jobs = this->state.activeJobs();
+        for (int round = 0; round < rounds; ++round) {
+            this->endRuns(1.0);
+            this->carryOut(this->plan());
+        }
+        for (const std::string &id : jobs) {
+            work::CancelJobT command;
+            command.id = id;
+            this->apply(std::move(command));
+        }
+        this->endRuns(1.0);
+        return jobs.size();
+    }
+};
+
+/** What a leader does at each compaction of its log. */
 void BM_WorkloadSnapshot(benchmark::State &state)
 {
-    FakeCell cell(seed, workers);
-    cell.fill(runs);
-    cell.addWaitingSteps(10 * steps);
+    SnapshotCell cell(static_cast<std::size_t>(state.range(0)));
     std::size_t bytes = 0;
     for (auto _ : state) {
         bytes = cell.state.snapshot().size();
     }
     state.counters["bytes"] = static_cast<double>(bytes);
 }
-BENCHMARK(BM_WorkloadSnapshot)->Unit(benchmark::kMillisecond);
+BENCHMARK(BM_WorkloadSnapshot)->Arg(0)->Arg(1400)->Arg(6000)->Unit(benchmark::kMillisecond);
 
 void BM_WorkloadRestore(benchmark::State &state)
 {
-    FakeCell cell(seed, workers);
-    cell.fill(runs);
-    cell.addWaitingSteps(10 * steps);
+    SnapshotCell cell(static_cast<std::size_t>(state.range(0)));
     const std::string snapshot = cell.state.snapshot();
     workload::Workload restored;
     for (auto _ : state) {
         restored.restore(snapshot);
     }
 }
-BENCHMARK(BM_WorkloadRestore)->Unit(benchmark::kMillisecond);
+BENCHMARK(BM_WorkloadRestore)->Arg(0)->Arg(1400)->Arg(6000)->Unit(benchmark::kMillisecond);
 
 /** The end of a run and the placement of the next, without the time to pack and send them. */
 void BM_WorkloadEndAndPlace(benchmark::State &state)
--- a/paddlepier/planning/planner_outcome_test.cpp
+++ b/paddlepier/planning/planner_outcome_test.cpp
@@ -5,11 +5,13 @@
 #include <absl/strings/str_cat.h>
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <array>
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
-#include <tuple>
+#include <utility>
 #include <vector>
 
 namespace paddlepier::planning
@@ -29,7 +31,8 @@
     {
         const std::uint32_t workers = 5 + (seed * 7) % 60 + (seed % 10 == 0 ? 290 : 0);
         FakeCell cell(seed, workers);
-        cell.fill(workers * (seed % 3 == 0 ? 14 : 9));
+        const std::size_t runsPerWorker = seed % 3 == 0 ? 14 : 9;
+        cell.fill(workers * runsPerWorker);
         cell.addWaitingSteps(5 + seed % 40);
         for (int round = 0; round < rounds; ++round) {
             const Plan plan = cell.plan();
@@ -140,9 +143,9 @@
         }
         CHECK(state.waitingJobs().size() == waitingJobs);
         for (const auto &[id, worker] : state.workers()) {
-            const auto countOf = [&](auto predicate) {
-                return std::count_if(
-                    worker.runs.begin(), worker.runs.end(), [&](const auto &key) { return predicate(state.findJob(key.job)->stepSpec(key.step)); });
+            const std::set<workload::TaskKey> &runs = worker.runs;
+            const auto countOf = [&state, &runs](auto predicate) {
+                return std::count_if(runs.begin(), runs.end(), [&](const auto &key) { return predicate(state.findJob(key.job)->stepSpec(key.step)); });
             };
             CHECK(worker.servingRuns == countOf([](const work::StepSpecT &step) { return step.targetLatencyMillis > 0; }));
             CHECK(worker.fillingRuns == countOf([](const work::StepSpecT &step) { return step.isFilling; }));
--- a/paddlepier/workload/job.cpp
+++ b/paddlepier/workload/job.cpp
@@ -36,6 +36,25 @@
     return "";
 }
 
+flatbuffers::Offset<work::TaskRecord> packTask(flatbuffers::FlatBufferBuilder &builder, const Task &task, std::uint32_t index)
+{
+    const auto worker = builder.CreateString(task.worker);
+    const auto checkpoint = builder.CreateString(task.checkpoint);
+    return work::CreateTaskRecord(builder, index, task.isDone, task.lastRun, worker, task.failures, checkpoint, task.everStarted);
+}
+
+/** Only tasks that differ from a new one are stored. */
+flatbuffers::Offset<work::StepRecord> packStep(flatbuffers::FlatBufferBuilder &builder, const Step &step)
+{
+    std::vector<flatbuffers::Offset<work::TaskRecord>> tasks;
+    for (std::uint32_t index = 0; index < step.tasks.size(); ++index) {
+        if (step.tasks[index].isDone || step.tasks[index].lastRun > 0) {
+            tasks.push_back(packTask(builder, step.tasks[index], index));
+        }
+    }
+    return work::CreateStepRecord(builder, builder.CreateVector(tasks), step.gangFailures, step.lastFailedRun);
+}
+
 } // namespace
 
 std::string problemOf(const work::JobSpecT &spec)
@@ -78,13 +97,12 @@
     this->jobState = record.state;
     this->cancelled = record.isCancelled;
     this->endedAt = record.endedAtMillis;
-    for (std::size_t number = 0; number < this->runs.size(); ++number) {
+    for (std::size_t number = 0; number < record.occurrences.size(); ++number) {
         for (std::size_t index = 0; index < this->runs[number].steps.size(); ++index) {
             Step &step = this->runs[number].steps[index];
             const work::StepRecordT &stored = *record.occurrences[number]->steps[index];
             step.gangFailures = stored.gangFailures;
             step.lastFailedRun = stored.lastFailedRun;
-            // Only tasks that differ from a new one are stored.
             for (const auto &entry : stored.tasks) {
                 step.tasks[entry->index] = Task{entry->isDone, entry->everStarted, entry->lastRun, entry->failures, entry->worker, entry->checkpoint};
                 this->anyStarted = this->anyStarted || entry->everStarted;
@@ -136,37 +154,29 @@
 
 work::JobRecordT Job::record() const
 {
-    work::JobRecordT record;
-    record.id = this->jobId;
-    record.queue = std::make_unique<work::QueueSpecT>(this->queueSpec);
-    record.spec = std::make_unique<work::JobSpecT>(this->jobSpec);
-    record.state = this->jobState;
-    record.isCancelled = this->cancelled;
-    record.submittedAtMillis = this->submittedAt;
-    record.endedAtMillis = this->endedAt;
-    for (const Occurrence &occurrence : this->runs) {
-        auto &storedOccurrence = record.occurrences.emplace_back(std::make_unique<work::OccurrenceRecordT>());
-        for (const Step &step : occurrence.steps) {
-            auto &storedStep = storedOccurrence->steps.emplace_back(std::make_unique<work::StepRecordT>());
-            storedStep->gangFailures = step.gangFailures;
-            storedStep->lastFailedRun = step.lastFailedRun;
-            for (std::uint32_t index = 0; index < step.tasks.size(); ++index) {
-                const Task &task = step.tasks[index];
-                if (!task.isDone && task.lastRun == 0) {
-                    continue;
-                }
-                auto &entry = storedStep->tasks.emplace_back(std::make_unique<work::TaskRecordT>());
-                entry->index = index;
-                entry->isDone = task.isDone;
-                entry->everStarted = task.everStarted;
-                entry->lastRun = task.lastRun;
-                entry->failures = task.failures;
-                entry->worker = task.worker;
-                entry->checkpoint = task.checkpoint;
-            }
+    flatbuffers::FlatBufferBuilder builder;
+    builder.Finish(this->pack(builder));
+    work::JobRecordT made;
+    flatbuffers::GetRoot<work::JobRecord>(builder.GetBufferPointer())->UnPackTo(&made);
+    return made;
+}
+
+flatbuffers::Offset<work::JobRecord> Job::pack(flatbuffers::FlatBufferBuilder &builder) const
+{
+    std::vector<flatbuffers::Offset<work::OccurrenceRecord>> occurrences;
+    // Of a job that is over only what its users may ask for is needed.
+    for (std::size_t number = 0; !this->isOver() && number < this->runs.size(); ++number) {
+        std::vector<flatbuffers::Offset<work::StepRecord>> steps;
+        for (const Step &step : this->runs[number].steps) {
+            steps.push_back(packStep(builder, step));
         }
+        occurrences.push_back(work::CreateOccurrenceRecord(builder, builder.CreateVector(steps)));
     }
-    return record;
+    const auto id = builder.CreateString(this->jobId);
+    const auto queue = work::QueueSpec::Pack(builder, &this->queueSpec);
+    const auto spec = work::JobSpec::Pack(builder, &this->jobSpec);
+    const auto stored = builder.CreateVector(occurrences);
+    return work::CreateJobRecord(builder, id, queue, spec, this->jobState, this->cancelled, this->submittedAt, this->endedAt, stored);
 }
 
 const std::string &Job::id() const
@@ -240,6 +250,11 @@
            && key.index < this->runs[key.occurrence].steps[key.step].tasks.size();
 }
 
+bool Job::isOver() const
+{
+    return this->hasEnded() && this->underWay == 0;
+}
+
 std::uint32_t Job::runsUnderWay() const
 {
     return this->underWay;
--- a/paddlepier/workload/job.h
+++ b/paddlepier/workload/job.h
@@ -82,6 +82,8 @@
     const Task &task(const TaskKey &key) const;
 
     bool hasEnded() const;
+    /** It has ended, and no run of it is under way. */
+    bool isOver() const;
     bool hasTask(const TaskKey &key) const;
     std::uint32_t runsUnderWay() const;
     /** Tasks of all steps, ready or not, that are neither done nor have a run; O(1). */
@@ -107,6 +109,8 @@
     /** Of an ended job: frees what only a start needs. */
     void dropPayload();
 
+    /** For a snapshot; the tasks of a job that is over are left out. */
+    flatbuffers::Offset<work::JobRecord> pack(flatbuffers::FlatBufferBuilder &builder) const;
     work::JobRecordT record() const;
 
 private:
--- a/paddlepier/workload/job_test.cpp
+++ b/paddlepier/workload/job_test.cpp
@@ -211,6 +211,30 @@
     CHECK(made.state() == work::JobState::Completed);
 }
 
+TEST_CASE_METHOD(JobFixture, "record_ofAJobThatIsOver_keepsItsStateAndTakesNoRuns")
+{
+    this->spec.steps.push_back(step(2));
+    Job made = this->job();
+    made.place(key(0, 0), 1, "w1");
+    run(made, key(0, 1), work::RunEndKind::Done);
+    made.cancel(2500);
+    // A run is under way: what is known of it is still needed.
+    CHECK(Job(made.record()).runsUnderWay() == 1);
+    CHECK(made.endRun(key(0, 0), 1, "w1", work::RunEndKind::Stopped, "", 2600));
+    Job again(made.record());
+    CHECK(again.state() == work::JobState::Cancelled);
+    CHECK(again.isCancelled());
+    CHECK(again.endedAtMillis() == 2500);
+    CHECK(again.record().occurrences.empty());
+    // What comes late changes it no more than the one that was never stored.
+    CHECK_FALSE(again.mayPlace(key(0, 0), 2));
+    CHECK_FALSE(again.endRun(key(0, 0), 1, "w1", work::RunEndKind::Done, "", 2700));
+    again.endSupersededRun(key(0, 0), 1, work::RunEndKind::Done, 2800);
+    made.endSupersededRun(key(0, 0), 1, work::RunEndKind::Done, 2800);
+    CHECK(again.state() == made.state());
+    CHECK(again.endedAtMillis() == made.endedAtMillis());
+}
+
 TEST_CASE("problemOf_stepThatNamesALaterOne_isTold")
 {
     work::JobSpecT spec;
--- a/paddlepier/workload/taskkey.h
+++ b/paddlepier/workload/taskkey.h
@@ -7,13 +7,13 @@
 
 #include "paddlepier/wire/workload_generated.h"
 
+#include <absl/hash/hash.h>
 #include <absl/strings/str_cat.h>
 
 #include <cstdint>
 #include <memory>
 #include <string>
 #include <tuple>
-#include <utility>
 
 namespace paddlepier::workload
 {
@@ -31,15 +31,17 @@
         return std::tie(this->job, this->occurrence, this->step) < std::tie(other.job, other.occurrence, other.step);
     }
 
-    template<typename Hash>
-    friend Hash AbslHashValue(Hash hash, const StepKey &key)
+    std::string text() const
     {
-        return Hash::combine(std::move(hash), key.job, key.occurrence, key.step);
+        return absl::StrCat(this->job, ".", this->occurrence, ".", this->step);
     }
+};
 
-    std::string text() const
+/** For hash tables. */
+struct StepKeyHash {
+    std::size_t operator()(const StepKey &key) const
     {
-        return absl::StrCat(this->job, ".", this->occurrence, ".", this->step);
+        return absl::HashOf(key.job, key.occurrence, key.step);
     }
 };
 
--- a/paddlepier/workload/workload.cpp
+++ b/paddlepier/workload/workload.cpp
@@ -42,6 +42,17 @@
     worker.fillingRuns += step.isFilling ? change : 0;
 }
 
+flatbuffers::Offset<work::WorkerRecord> packWorker(flatbuffers::FlatBufferBuilder &builder, const Worker &worker)
+{
+    std::vector<flatbuffers::Offset<work::CopyRecord>> copies;
+    for (const auto &[key, run] : worker.superseded) {
+        const auto task = work::CreateTaskKey(builder, builder.CreateString(key.job), key.occurrence, key.step, key.index);
+        copies.push_back(work::CreateCopyRecord(builder, task, run.run, &run.demand));
+    }
+    const auto registration = work::RegisterWorker::Pack(builder, &worker.registration);
+    return work::CreateWorkerRecord(builder, registration, worker.lastSequence, builder.CreateVector(copies));
+}
+
 } // namespace
 
 bool Worker::hasRoomFor(const work::StepSpecT &step) const
@@ -379,24 +390,24 @@
 
 std::string Workload::snapshot() const
 {
-    work::SnapshotT snapshot;
-    snapshot.atMillis = this->appliedAt;
-    snapshot.configuration = std::make_unique<work::ChangeConfigurationT>(this->currentConfiguration);
+    // Packed straight from the state, without a copy of it as records.
+    constexpr std::size_t usualJobBytes = 1024;
+    flatbuffers::FlatBufferBuilder builder(usualJobBytes * (1 + this->jobById.size()));
+    std::vector<flatbuffers::Offset<work::JobRecord>> jobs;
+    jobs.reserve(this->jobById.size());
     for (const auto &[id, job] : this->jobById) {
-        snapshot.jobs.push_back(std::make_unique<work::JobRecordT>(job.record()));
+        jobs.push_back(job.pack(builder));
     }
+    std::vector<flatbuffers::Offset<work::WorkerRecord>> workers;
+    workers.reserve(this->workerById.size());
     for (const auto &[id, worker] : this->workerById) {
-        auto &record = snapshot.workers.emplace_back(std::make_unique<work::WorkerRecordT>());
-        record->registration = std::make_unique<work::RegisterWorkerT>(worker.registration);
-        record->lastSequence = worker.lastSequence;
-        for (const auto &[key, run] : worker.superseded) {
-            auto &copy = record->copies.emplace_back(std::make_unique<work::CopyRecordT>());
-            copy->task = key.record();
-            copy->run = run.run;
-            copy->demand = std::make_unique<work::Demand>(run.demand);
-        }
+        workers.push_back(packWorker(builder, worker));
     }
-    return wire::pack(snapshot);
+    const auto configuration = work::ChangeConfiguration::Pack(builder, &this->currentConfiguration);
+    const auto jobRecords = builder.CreateVector(jobs);
+    const auto workerRecords = builder.CreateVector(workers);
+    builder.Finish(work::CreateSnapshot(builder, this->appliedAt, configuration, jobRecords, workerRecords));
+    return std::string(reinterpret_cast<const char *>(builder.GetBufferPointer()), builder.GetSize());
 }
 
 void Workload::restore(const std::string &bytes)
