--- a/paddlepier/workload/job.cpp
+++ b/paddlepier/workload/job.cpp
@@ -36,6 +36,25 @@
     return "";
 }
 
+flatbuffers::Offset<work::TaskRecord> packTask(flatbuffers::FlatBufferBuilder &builder, const Task &task, std::uint32_t index)
+{
+    const auto worker = builder.CreateString(task.worker);
+    const auto checkpoint = builder.CreateString(task.checkpoint);
+    return work::CreateTaskRecord(builder, index, task.isDone, task.lastRun, worker, task.failures, checkpoint, task.everStarted);
+}
+
+/** Only tasks that differ from a new one are stored. */
+flatbuffers::Offset<work::StepRecord> packStep(flatbuffers::FlatBufferBuilder &builder, const Step &step)
+{
+    std::vector<flatbuffers::Offset<work::TaskRecord>> tasks;
+    for (std::uint32_t index = 0; index < step.tasks.size(); ++index) {
+        if (step.tasks[index].isDone || step.tasks[index].lastRun > 0) {
+            tasks.push_back(packTask(builder, step.tasks[index], index));
+        }
+    }
+    return work::CreateStepRecord(builder, builder.CreateVector(tasks), step.gangFailures, step.lastFailedRun);
+}
+
 } // namespace
 
 std::string problemOf(const work::JobSpecT &spec)
@@ -57,11 +76,6 @@
     return "";
 }
 
-std::uint32_t Step::waitingTasks() const
-{
-    return static_cast<std::uint32_t>(std::count_if(this->tasks.begin(), this->tasks.end(), [](const Task &task) { return !task.isDone && !task.hasRun(); }));
-}
-
 Job::Job(std::string id, work::QueueSpecT queue, work::JobSpecT spec, std::int64_t nowMillis)
     : jobId(std::move(id))
     , queueSpec(std::move(queue))
@@ -74,6 +88,7 @@
             occurrence.steps.emplace_back().tasks.resize(step->count);
         }
     }
+    this->countAnew();
 }
 
 Job::Job(const work::JobRecordT &record)
@@ -82,57 +97,86 @@
     this->jobState = record.state;
     this->cancelled = record.isCancelled;
     this->endedAt = record.endedAtMillis;
-    for (std::size_t number = 0; number < this->runs.size(); ++number) {
+    for (std::size_t number = 0; number < record.occurrences.size(); ++number) {
         for (std::size_t index = 0; index < this->runs[number].steps.size(); ++index) {
             Step &step = this->runs[number].steps[index];
             const work::StepRecordT &stored = *record.occurrences[number]->steps[index];
             step.gangFailures = stored.gangFailures;
             step.lastFailedRun = stored.lastFailedRun;
-            // Only tasks that differ from a new one are stored.
             for (const auto &entry : stored.tasks) {
                 step.tasks[entry->index] = Task{entry->isDone, entry->everStarted, entry->lastRun, entry->failures, entry->worker, entry->checkpoint};
-                step.doneTasks += entry->isDone ? 1 : 0;
-                step.runningTasks += entry->worker.empty() ? 0 : 1;
-                this->underWay += entry->worker.empty() ? 0 : 1;
                 this->anyStarted = this->anyStarted || entry->everStarted;
             }
         }
     }
+    this->countAnew();
 }
 
-work::JobRecordT Job::record() const
+void Job::countAnew()
 {
-    work::JobRecordT record;
-    record.id = this->jobId;
-    record.queue = std::make_unique<work::QueueSpecT>(this->queueSpec);
-    record.spec = std::make_unique<work::JobSpecT>(this->jobSpec);
-    record.state = this->jobState;
-    record.isCancelled = this->cancelled;
-    record.submittedAtMillis = this->submittedAt;
-    record.endedAtMillis = this->endedAt;
-    for (const Occurrence &occurrence : this->runs) {
-        auto &storedOccurrence = record.occurrences.emplace_back(std::make_unique<work::OccurrenceRecordT>());
-        for (const Step &step : occurrence.steps) {
-            auto &storedStep = storedOccurrence->steps.emplace_back(std::make_unique<work::StepRecordT>());
-            storedStep->gangFailures = step.gangFailures;
-            storedStep->lastFailedRun = step.lastFailedRun;
-            for (std::uint32_t index = 0; index < step.tasks.size(); ++index) {
-                const Task &task = step.tasks[index];
-                if (!task.isDone && task.lastRun == 0) {
-                    continue;
-                }
-                auto &entry = storedStep->tasks.emplace_back(std::make_unique<work::TaskRecordT>());
-                entry->index = index;
-                entry->isDone = task.isDone;
-                entry->everStarted = task.everStarted;
-                entry->lastRun = task.lastRun;
-                entry->failures = task.failures;
-                entry->worker = task.worker;
-                entry->checkpoint = task.checkpoint;
+    this->underWay = 0;
+    this->waiting = 0;
+    this->openSteps = 0;
+    for (Occurrence &occurrence : this->runs) {
+        for (std::uint32_t number = 0; number < occurrence.steps.size(); ++number) {
+            Step &step = occurrence.steps[number];
+            step.doneTasks = 0;
+            step.runningTasks = 0;
+            step.waitingTasks = 0;
+            for (const Task &task : step.tasks) {
+                step.doneTasks += task.isDone ? 1 : 0;
+                step.runningTasks += task.hasRun() ? 1 : 0;
+                step.waitingTasks += task.isDone || task.hasRun() ? 0 : 1;
             }
+            this->underWay += step.runningTasks;
+            this->waiting += step.waitingTasks;
+            this->openSteps += step.isDone() ? 0 : 1;
+            const std::vector<std::uint32_t> &after = this->stepSpec(number).after;
+            step.openBefore = static_cast<std::uint32_t>(
+                std::count_if(after.begin(), after.end(), [&occurrence](std::uint32_t earlier) { return !occurrence.steps.at(earlier).isDone(); }));
         }
     }
-    return record;
+}
+
+void Job::countWaiting(Step &step, std::int32_t change)
+{
+    step.waitingTasks += static_cast<std::uint32_t>(change);
+    this->waiting += static_cast<std::uint32_t>(change);
+}
+
+void Job::releaseFollowers(Occurrence &occurrence, std::uint32_t step) const
+{
+    for (std::uint32_t later = step + 1; later < occurrence.steps.size(); ++later) {
+        const std::vector<std::uint32_t> &after = this->stepSpec(later).after;
+        occurrence.steps[later].openBefore -= static_cast<std::uint32_t>(std::count(after.begin(), after.end(), step));
+    }
+}
+
+work::JobRecordT Job::record() const
+{
+    flatbuffers::FlatBufferBuilder builder;
+    builder.Finish(this->pack(builder));
+    work::JobRecordT made;
+    flatbuffers::GetRoot<work::JobRecord>(builder.GetBufferPointer())->UnPackTo(&made);
+    return made;
+}
+
+flatbuffers::Offset<work::JobRecord> Job::pack(flatbuffers::FlatBufferBuilder &builder) const
+{
+    std::vector<flatbuffers::Offset<work::OccurrenceRecord>> occurrences;
+    // Of a job that is over only what its users may ask for is needed.
+    for (std::size_t number = 0; !this->isOver() && number < this->runs.size(); ++number) {
+        std::vector<flatbuffers::Offset<work::StepRecord>> steps;
+        for (const Step &step : this->runs[number].steps) {
+            steps.push_back(packStep(builder, step));
+        }
+        occurrences.push_back(work::CreateOccurrenceRecord(builder, builder.CreateVector(steps)));
+    }
+    const auto id = builder.CreateString(this->jobId);
+    const auto queue = work::QueueSpec::Pack(builder, &this->queueSpec);
+    const auto spec = work::JobSpec::Pack(builder, &this->jobSpec);
+    const auto stored = builder.CreateVector(occurrences);
+    return work::CreateJobRecord(builder, id, queue, spec, this->jobState, this->cancelled, this->submittedAt, this->endedAt, stored);
 }
 
 const std::string &Job::id() const
@@ -206,11 +250,21 @@
            && key.index < this->runs[key.occurrence].steps[key.step].tasks.size();
 }
 
+bool Job::isOver() const
+{
+    return this->hasEnded() && this->underWay == 0;
+}
+
 std::uint32_t Job::runsUnderWay() const
 {
     return this->underWay;
 }
 
+std::uint32_t Job::waitingTasks() const
+{
+    return this->waiting;
+}
+
 bool Job::hasBegun() const
 {
     return this->anyStarted;
@@ -223,9 +277,7 @@
 
 bool Job::isReady(std::uint32_t occurrence, std::uint32_t step) const
 {
-    const std::vector<Step> &steps = this->runs.at(occurrence).steps;
-    const std::vector<std::uint32_t> &after = this->stepSpec(step).after;
-    return std::all_of(after.begin(), after.end(), [&](std::uint32_t earlier) { return steps.at(earlier).isDone(); });
+    return this->runs.at(occurrence).steps.at(step).openBefore == 0;
 }
 
 std::uint32_t Job::nextRun(const TaskKey &key) const
@@ -251,10 +303,12 @@
 
 void Job::place(const TaskKey &key, std::uint32_t run, const std::string &worker)
 {
-    Task &placed = this->taskOf(key);
+    Step &step = this->stepOf(key);
+    Task &placed = step.tasks.at(key.index);
+    this->countWaiting(step, placed.isDone || placed.hasRun() ? 0 : -1);
     placed.lastRun = run;
     placed.worker = worker;
-    ++this->stepOf(key).runningTasks;
+    ++step.runningTasks;
     ++this->underWay;
     this->jobState = work::JobState::Running;
 }
@@ -269,8 +323,10 @@
         return false;
     }
     ended.worker.clear();
-    --this->stepOf(key).runningTasks;
+    Step &step = this->stepOf(key);
+    --step.runningTasks;
     --this->underWay;
+    this->countWaiting(step, ended.isDone ? 0 : 1);
     if (!checkpoint.empty()) {
         ended.checkpoint = checkpoint;
     }
@@ -305,15 +361,23 @@
 void Job::finishTask(const TaskKey &key)
 {
     Step &step = this->stepOf(key);
-    const auto finish = [&step](Task &task) {
-        step.doneTasks += task.isDone ? 0 : 1;
-        task.isDone = true;
+    const bool wasDone = step.isDone();
+    const auto finish = [this, &step](Task &task) {
+        if (!task.isDone) {
+            task.isDone = true;
+            ++step.doneTasks;
+            this->countWaiting(step, task.hasRun() ? 0 : -1);
+        }
     };
     if (this->stepSpec(key.step).isGang) {
         std::for_each(step.tasks.begin(), step.tasks.end(), finish);
     } else {
         finish(step.tasks.at(key.index));
     }
+    if (!wasDone && step.isDone()) {
+        --this->openSteps;
+        this->releaseFollowers(this->runs.at(key.occurrence), key.step);
+    }
 }
 
 void Job::countFailure(const TaskKey &key, std::uint32_t run, std::int64_t nowMillis)
@@ -354,9 +418,7 @@
 
 bool Job::isComplete() const
 {
-    return std::all_of(this->runs.begin(), this->runs.end(), [](const Occurrence &occurrence) {
-        return std::all_of(occurrence.steps.begin(), occurrence.steps.end(), [](const Step &step) { return step.isDone(); });
-    });
+    return this->openSteps == 0;
 }
 
 } // namespace paddlepier::workload
--- a/paddlepier/workload/taskkey.h
+++ b/paddlepier/workload/taskkey.h
@@ -7,6 +7,7 @@
 
 #include "paddlepier/wire/workload_generated.h"
 
+#include <absl/hash/hash.h>
 #include <absl/strings/str_cat.h>
 
 #include <cstdint>
@@ -36,6 +37,14 @@
     }
 };
 
+/** For hash tables. */
+struct StepKeyHash {
+    std::size_t operator()(const StepKey &key) const
+    {
+        return absl::HashOf(key.job, key.occurrence, key.step);
+    }
+};
+
 struct TaskKey {
     std::string job;
     std::uint32_t occurrence = 0;
--- a/paddlepier/workload/workload.cpp
+++ b/paddlepier/workload/workload.cpp
@@ -35,6 +35,24 @@
     worker.reservedAccelerators += change * demand.accelerators();
 }
 
+void countRun(Worker &worker, const work::StepSpecT &step, int sign)
+{
+    const auto change = static_cast<std::uint32_t>(sign);
+    worker.servingRuns += step.targetLatencyMillis > 0 ? change : 0;
+    worker.fillingRuns += step.isFilling ? change : 0;
+}
+
+flatbuffers::Offset<work::WorkerRecord> packWorker(flatbuffers::FlatBufferBuilder &builder, const Worker &worker)
+{
+    std::vector<flatbuffers::Offset<work::CopyRecord>> copies;
+    for (const auto &[key, run] : worker.superseded) {
+        const auto task = work::CreateTaskKey(builder, builder.CreateString(key.job), key.occurrence, key.step, key.index);
+        copies.push_back(work::CreateCopyRecord(builder, task, run.run, &run.demand));
+    }
+    const auto registration = work::RegisterWorker::Pack(builder, &worker.registration);
+    return work::CreateWorkerRecord(builder, registration, worker.lastSequence, builder.CreateVector(copies));
+}
+
 } // namespace
 
 bool Worker::hasRoomFor(const work::StepSpecT &step) const
@@ -184,8 +202,10 @@
         return false;
     }
     reserve(worker->second, demandOf(step), 1);
+    countRun(worker->second, step, 1);
     worker->second.runs.insert(key);
     job->second.place(key, placement.run, placement.worker);
+    this->noteWaiting(job->second);
     return true;
 }
 
@@ -221,7 +241,9 @@
         return;
     }
     if (worker != this->workerById.end() && worker->second.runs.erase(key) > 0) {
-        const work::Demand demand = demandOf(job->second.stepSpec(key.step));
+        const work::StepSpecT &step = job->second.stepSpec(key.step);
+        const work::Demand demand = demandOf(step);
+        countRun(worker->second, step, -1);
         if (end.kind == work::RunEndKind::Superseded) {
             worker->second.superseded[key] = {end.run, demand};
         } else {
@@ -273,8 +295,18 @@
     return {};
 }
 
+void Workload::noteWaiting(const Job &job)
+{
+    if (!job.hasEnded() && job.waitingTasks() > 0) {
+        this->waiting.insert(job.id());
+    } else {
+        this->waiting.erase(job.id());
+    }
+}
+
 void Workload::noteJob(Job &job)
 {
+    this->noteWaiting(job);
     if (!job.hasEnded() || job.runsUnderWay() > 0) {
         this->active.insert(job.id());
         return;
@@ -346,6 +378,11 @@
     return this->active;
 }
 
+const std::set<std::string> &Workload::waitingJobs() const
+{
+    return this->waiting;
+}
+
 std::int64_t Workload::appliedAtMillis() const
 {
     return this->appliedAt;
@@ -353,24 +390,24 @@
 
 std::string Workload::snapshot() const
 {
-    work::SnapshotT snapshot;
-    snapshot.atMillis = this->appliedAt;
-    snapshot.configuration = std::make_unique<work::ChangeConfigurationT>(this->currentConfiguration);
+    // Packed straight from the state, without a copy of it as records.
+    constexpr std::size_t usualJobBytes = 1024;
+    flatbuffers::FlatBufferBuilder builder(usualJobBytes * (1 + this->jobById.size()));
+    std::vector<flatbuffers::Offset<work::JobRecord>> jobs;
+    jobs.reserve(this->jobById.size());
     for (const auto &[id, job] : this->jobById) {
-        snapshot.jobs.push_back(std::make_unique<work::JobRecordT>(job.record()));
+        jobs.push_back(job.pack(builder));
     }
+    std::vector<flatbuffers::Offset<work::WorkerRecord>> workers;
+    workers.reserve(this->workerById.size());
     for (const auto &[id, worker] : this->workerById) {
-        auto &record = snapshot.workers.emplace_back(std::make_unique<work::WorkerRecordT>());
-        record->registration = std::make_unique<work::RegisterWorkerT>(worker.registration);
-        record->lastSequence = worker.lastSequence;
-        for (const auto &[key, run] : worker.superseded) {
-            auto &copy = record->copies.emplace_back(std::make_unique<work::CopyRecordT>());
-            copy->task = key.record();
-            copy->run = run.run;
-            copy->demand = std::make_unique<work::Demand>(run.demand);
-        }
+        workers.push_back(packWorker(builder, worker));
     }
-    return wire::pack(snapshot);
+    const auto configuration = work::ChangeConfiguration::Pack(builder, &this->currentConfiguration);
+    const auto jobRecords = builder.CreateVector(jobs);
+    const auto workerRecords = builder.CreateVector(workers);
+    builder.Finish(work::CreateSnapshot(builder, this->appliedAt, configuration, jobRecords, workerRecords));
+    return std::string(reinterpret_cast<const char *>(builder.GetBufferPointer()), builder.GetSize());
 }
 
 void Workload::restore(const std::string &bytes)
@@ -402,6 +439,7 @@
                     if (worker != this->workerById.end()) {
                         worker->second.runs.insert({job.id(), occurrence, step, index});
                         reserve(worker->second, demandOf(job.stepSpec(step)), 1);
+                        countRun(worker->second, job.stepSpec(step), 1);
                     }
                 }
             }
