Run transfers on curl's event interface and keep their deadlines

Cause: with 350 workers the leading core's client thread walked and polled all open transfers at every event (curl_multi_perform and curl_multi_poll). New connections: none in those seconds; they come (a) from polls that time out on our side, (b) from the bound of 1000 kept connections, reached when a burst of orders opens a third one to most workers, (c) from each change of leader: 350 at once, and 1,000 to 1,300 more with its first orders. Ruled out: a connection cache of curl's easy handles (the multi handle's is used, with no new connection in steady polling), answers with "Connection: close", idle connections closed by workers (peer closed: 0 before traffic), age limits. Change: curl_multi_socket_action over epoll and an eventfd (TransferSockets); handles are used again; resting sockets stay registered; wake() writes once for each wait. The pool keeps the deadlines itself: curl gives up calls whose answers lie unread in their sockets, so that a core that was held up threw hundreds of ready answers away, with their connections. A call is given up after what its socket had brought by then was read. Kept connections are probed by TCP; after a timeout, connections to that address that have rested since before the call are shut down, so that a silence without reset costs one timeout for each worker, not one for each connection.

--- a/paddlepier/http/httpclient.cpp
+++ b/paddlepier/http/httpclient.cpp
@@ -2,12 +2,17 @@
 
 #include "paddlepier/http/httpclient.h"
 
+#include "paddlepier/http/transfersockets.h"
+
+#include <absl/container/flat_hash_map.h>
 #include <absl/strings/ascii.h>
 #include <absl/strings/match.h>
 #include <absl/strings/str_cat.h>
 #include <curl/curl.h>
+#include <unistd.h>
 
 #include <mutex>
+#include <set>
 #include <vector>
 
 namespace paddlepier::http
@@ -24,11 +29,17 @@
 
 constexpr long noContentStatus = 204;
 
-/** One transfer with everything that its handle refers to. */
+/** Ended transfers whose handles are kept for the next ones. */
+constexpr std::size_t mostSpareTransfers = 64;
+
+/** One transfer with everything that its handle refers to; used for one request after the other. */
 struct Transfer {
     OutgoingRequest request;
     TransferPool::Done done;
     TransferResult result;
+    Timestamp began;
+    Timestamp deadline;
+    TransferSockets *sockets = nullptr;
     CURL *handle = nullptr;
     curl_slist *headerList = nullptr;
     bool hasLength = false;
@@ -40,9 +51,29 @@
 
     ~Transfer()
     {
-        curl_slist_free_all(this->headerList);
+        this->clear();
         curl_easy_cleanup(this->handle);
     }
+
+    /** Lets go of the request and its answer. */
+    void clear()
+    {
+        curl_slist_free_all(this->headerList);
+        this->headerList = nullptr;
+        this->request = {};
+        std::string().swap(this->request.body); // An assignment may keep its memory.
+        this->done = nullptr;
+        this->result = {};
+        this->hasLength = false;
+        this->isChunked = false;
+    }
+
+    /** Scheme, host and port. */
+    std::string address() const
+    {
+        const std::size_t host = this->request.url.find("//");
+        return this->request.url.substr(0, host == std::string::npos ? host : this->request.url.find('/', host + 2));
+    }
 };
 
 std::size_t onBody(char *data, std::size_t size, std::size_t count, void *context)
@@ -80,41 +111,70 @@
     std::call_once(once, [] { curl_global_init(CURL_GLOBAL_DEFAULT); });
 }
 
-void prepare(Transfer &transfer)
+int onOpened(void *context, curl_socket_t socket, curlsocktype)
+{
+    static_cast<TransferSockets *>(context)->prepare(socket);
+    return CURL_SOCKOPT_OK;
+}
+
+int onClosing(void *context, curl_socket_t socket)
+{
+    static_cast<TransferSockets *>(context)->forget(socket);
+    return ::close(socket);
+}
+
+/** Makes a handle with what is the same for all requests. */
+void makeHandle(Transfer &transfer)
 {
     initializeLibrary();
-    const OutgoingRequest &request = transfer.request;
     CURL *handle = curl_easy_init();
     transfer.handle = handle;
-    for (const auto &[name, value] : request.headers) {
-        transfer.headerList = curl_slist_append(transfer.headerList, absl::StrCat(name, ": ", value).c_str());
-    }
-    transfer.headerList = curl_slist_append(transfer.headerList, "Expect:");
-    const long millis = std::max<long>(1, absl::ToInt64Milliseconds(request.timeout));
-    curl_easy_setopt(handle, CURLOPT_URL, request.url.c_str());
     curl_easy_setopt(handle, CURLOPT_PROTOCOLS_STR, "http");
     curl_easy_setopt(handle, CURLOPT_PROXY, "");
     curl_easy_setopt(handle, CURLOPT_NOSIGNAL, 1L);
-    curl_easy_setopt(handle, CURLOPT_HTTPHEADER, transfer.headerList);
-    curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS, millis);
-    curl_easy_setopt(handle, CURLOPT_CONNECTTIMEOUT_MS, std::min(millis, connectMillis));
     curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, &onBody);
     curl_easy_setopt(handle, CURLOPT_WRITEDATA, &transfer);
     curl_easy_setopt(handle, CURLOPT_HEADERFUNCTION, &onHeader);
     curl_easy_setopt(handle, CURLOPT_HEADERDATA, &transfer);
     curl_easy_setopt(handle, CURLOPT_PRIVATE, &transfer);
+    if (transfer.sockets != nullptr) {
+        curl_easy_setopt(handle, CURLOPT_SOCKOPTFUNCTION, &onOpened);
+        curl_easy_setopt(handle, CURLOPT_SOCKOPTDATA, transfer.sockets);
+        curl_easy_setopt(handle, CURLOPT_CLOSESOCKETFUNCTION, &onClosing);
+        curl_easy_setopt(handle, CURLOPT_CLOSESOCKETDATA, transfer.sockets);
+    }
+}
+
+/** Sets everything that differs between requests, since the handle may have served another. */
+void prepare(Transfer &transfer)
+{
+    if (transfer.handle == nullptr) {
+        makeHandle(transfer);
+    }
+    const OutgoingRequest &request = transfer.request;
+    CURL *handle = transfer.handle;
+    for (const auto &[name, value] : request.headers) {
+        transfer.headerList = curl_slist_append(transfer.headerList, absl::StrCat(name, ": ", value).c_str());
+    }
+    transfer.headerList = curl_slist_append(transfer.headerList, "Expect:");
+    const long millis = std::max<long>(1, absl::ToInt64Milliseconds(request.timeout));
+    curl_easy_setopt(handle, CURLOPT_URL, request.url.c_str());
+    curl_easy_setopt(handle, CURLOPT_HTTPHEADER, transfer.headerList);
+    // The pool keeps the time itself: the library gives up calls whose answers it hasn't read yet.
+    curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS, transfer.sockets == nullptr ? millis : 0L);
+    curl_easy_setopt(handle, CURLOPT_CONNECTTIMEOUT_MS, std::min(millis, connectMillis));
     if (request.method == "GET") {
         curl_easy_setopt(handle, CURLOPT_HTTPGET, 1L);
+        curl_easy_setopt(handle, CURLOPT_CUSTOMREQUEST, nullptr);
     } else {
         curl_easy_setopt(handle, CURLOPT_POST, 1L);
         curl_easy_setopt(handle, CURLOPT_CUSTOMREQUEST, request.method.c_str());
         curl_easy_setopt(handle, CURLOPT_POSTFIELDS, request.body.data());
         curl_easy_setopt(handle, CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(request.body.size()));
     }
-    if (!request.mayReuseConnection) {
-        curl_easy_setopt(handle, CURLOPT_FRESH_CONNECT, 1L);
-        curl_easy_setopt(handle, CURLOPT_FORBID_REUSE, 1L);
-    }
+    const long isOnce = request.mayReuseConnection ? 0 : 1;
+    curl_easy_setopt(handle, CURLOPT_FRESH_CONNECT, isOnce);
+    curl_easy_setopt(handle, CURLOPT_FORBID_REUSE, isOnce);
 }
 
 TransferResult conclude(Transfer &transfer, CURLcode code)
@@ -140,23 +200,162 @@
 } // namespace
 
 struct TransferPool::Implementation {
+    using Ended = std::pair<std::unique_ptr<Transfer>, CURLcode>;
+
+    Implementation();
+    ~Implementation();
+
+    Implementation(const Implementation &) = delete;
+    Implementation &operator=(const Implementation &) = delete;
+
+    static int onSocket(CURL *handle, curl_socket_t socket, int what, void *self, void *);
+    static int onTimer(CURLM *, long millis, void *self);
+
+    std::unique_ptr<Transfer> spareTransfer();
+    void serve(Duration patience);
+    std::vector<Ended> takeEnded();
+    /** Takes the calls that had to be answered by @p time. */
+    void takeLate(Timestamp time, std::vector<Ended> &ended);
+    std::unique_ptr<Transfer> remove(Transfer *transfer);
+    void finish(std::unique_ptr<Transfer> transfer, CURLcode code);
+
+    // Before the library's handle, which closes its sockets at its end.
+    TransferSockets sockets;
     CURLM *multi = nullptr;
-    std::size_t running = 0;
+    /** When the library next wants to be called, whatever happens at its sockets. */
+    Timestamp timer = absl::InfiniteFuture();
+    absl::flat_hash_map<Transfer *, std::unique_ptr<Transfer>> running;
+    // Invariant: holds exactly the keys of `running`, by deadline.
+    std::set<std::pair<Timestamp, Transfer *>> deadlines;
+    std::vector<std::unique_ptr<Transfer>> spare;
 };
 
-TransferPool::TransferPool()
-    : implementation(std::make_unique<Implementation>())
+TransferPool::Implementation::Implementation()
 {
     initializeLibrary();
-    this->implementation->multi = curl_multi_init();
-    curl_multi_setopt(this->implementation->multi, CURLMOPT_PIPELINING, CURLPIPE_NOTHING);
+    this->multi = curl_multi_init();
+    curl_multi_setopt(this->multi, CURLMOPT_PIPELINING, CURLPIPE_NOTHING);
+    curl_multi_setopt(this->multi, CURLMOPT_SOCKETFUNCTION, &Implementation::onSocket);
+    curl_multi_setopt(this->multi, CURLMOPT_SOCKETDATA, this);
+    curl_multi_setopt(this->multi, CURLMOPT_TIMERFUNCTION, &Implementation::onTimer);
+    curl_multi_setopt(this->multi, CURLMOPT_TIMERDATA, this);
+}
+
+TransferPool::Implementation::~Implementation()
+{
+    for (const auto &[transfer, owned] : this->running) {
+        curl_multi_remove_handle(this->multi, transfer->handle);
+    }
+    curl_multi_cleanup(this->multi);
 }
 
-TransferPool::~TransferPool()
+int TransferPool::Implementation::onSocket(CURL *handle, curl_socket_t socket, int what, void *self, void *)
 {
-    curl_multi_cleanup(this->implementation->multi);
+    TransferSockets &sockets = static_cast<Implementation *>(self)->sockets;
+    if (what == CURL_POLL_REMOVE) {
+        sockets.rest(socket);
+        return 0;
+    }
+    Transfer *transfer = nullptr;
+    curl_easy_getinfo(handle, CURLINFO_PRIVATE, &transfer);
+    sockets.watch(socket, transfer->address(), (what & CURL_POLL_IN) != 0, (what & CURL_POLL_OUT) != 0);
+    return 0;
+}
+
+int TransferPool::Implementation::onTimer(CURLM *, long millis, void *self)
+{
+    // The library cuts a fraction of a millisecond off; called that much too early, it would only set its timer again.
+    const Duration wait = millis > 0 ? absl::Milliseconds(millis + 1) : absl::ZeroDuration();
+    static_cast<Implementation *>(self)->timer = millis < 0 ? absl::InfiniteFuture() : controlNow() + wait;
+    return 0;
+}
+
+std::unique_ptr<Transfer> TransferPool::Implementation::spareTransfer()
+{
+    if (this->spare.empty()) {
+        auto transfer = std::make_unique<Transfer>();
+        transfer->sockets = &this->sockets;
+        return transfer;
+    }
+    std::unique_ptr<Transfer> transfer = std::move(this->spare.back());
+    this->spare.pop_back();
+    return transfer;
 }
 
+void TransferPool::Implementation::serve(Duration patience)
+{
+    int count = 0;
+    const Timestamp now = controlNow();
+    Timestamp wakeAt = std::min(this->timer, now + patience);
+    if (!this->deadlines.empty()) {
+        wakeAt = std::min(wakeAt, this->deadlines.begin()->first);
+    }
+    for (const TransferSockets::Event &event : this->sockets.wait(std::max(absl::ZeroDuration(), wakeAt - now))) {
+        const int what = (event.isReadable ? CURL_CSELECT_IN : 0) | (event.isWritable ? CURL_CSELECT_OUT : 0) | (event.hasFailed ? CURL_CSELECT_ERR : 0);
+        curl_multi_socket_action(this->multi, event.socket, what, &count);
+    }
+    if (this->timer <= controlNow()) {
+        // The library sets its timer only when it changes.
+        this->timer = absl::InfiniteFuture();
+        curl_multi_socket_action(this->multi, CURL_SOCKET_TIMEOUT, 0, &count);
+    }
+}
+
+std::unique_ptr<Transfer> TransferPool::Implementation::remove(Transfer *transfer)
+{
+    // Closes the connection if the answer isn't whole.
+    curl_multi_remove_handle(this->multi, transfer->handle);
+    this->deadlines.erase({transfer->deadline, transfer});
+    const auto found = this->running.find(transfer);
+    std::unique_ptr<Transfer> owned = std::move(found->second);
+    this->running.erase(found);
+    return owned;
+}
+
+std::vector<TransferPool::Implementation::Ended> TransferPool::Implementation::takeEnded()
+{
+    std::vector<Ended> ended;
+    int left = 0;
+    while (CURLMsg *message = curl_multi_info_read(this->multi, &left)) {
+        if (message->msg != CURLMSG_DONE) {
+            continue;
+        }
+        Transfer *transfer = nullptr;
+        const CURLcode code = message->data.result;
+        curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &transfer);
+        ended.emplace_back(this->remove(transfer), code);
+    }
+    return ended;
+}
+
+void TransferPool::Implementation::takeLate(Timestamp time, std::vector<Ended> &ended)
+{
+    while (!this->deadlines.empty() && this->deadlines.begin()->first <= time) {
+        ended.emplace_back(this->remove(this->deadlines.begin()->second), CURLE_OPERATION_TIMEDOUT);
+    }
+}
+
+void TransferPool::Implementation::finish(std::unique_ptr<Transfer> transfer, CURLcode code)
+{
+    if (code == CURLE_OPERATION_TIMEDOUT) {
+        this->sockets.retire(transfer->address(), transfer->began);
+    }
+    TransferResult result = conclude(*transfer, code);
+    const Done done = std::move(transfer->done);
+    if (this->spare.size() < mostSpareTransfers) {
+        transfer->clear();
+        this->spare.push_back(std::move(transfer));
+    }
+    done(std::move(result));
+}
+
+TransferPool::TransferPool()
+    : implementation(std::make_unique<Implementation>())
+{
+}
+
+TransferPool::~TransferPool() = default;
+
 void TransferPool::setConnectionsPerHost(std::uint32_t connections)
 {
     curl_multi_setopt(this->implementation->multi, CURLMOPT_MAX_HOST_CONNECTIONS, static_cast<long>(connections));
@@ -169,45 +368,31 @@
 
 void TransferPool::start(OutgoingRequest request, Done done)
 {
-    auto transfer = std::make_unique<Transfer>();
+    std::unique_ptr<Transfer> transfer = this->implementation->spareTransfer();
     transfer->request = std::move(request);
     transfer->done = std::move(done);
+    transfer->began = controlNow();
+    transfer->deadline = transfer->began + std::max(transfer->request.timeout, absl::Milliseconds(1));
     prepare(*transfer);
     curl_multi_add_handle(this->implementation->multi, transfer->handle);
-    [[maybe_unused]] const Transfer *handed = transfer.release(); // Owned by the handle's private pointer until run() sees its end.
-    ++this->implementation->running;
+    Transfer *key = transfer.get();
+    this->implementation->deadlines.emplace(key->deadline, key);
+    this->implementation->running.emplace(key, std::move(transfer));
 }
 
 void TransferPool::run(Duration patience)
 {
-    CURLM *multi = this->implementation->multi;
-    int running = 0;
-    curl_multi_perform(multi, &running);
-    std::vector<std::pair<std::unique_ptr<Transfer>, CURLcode>> ended;
-    int left = 0;
-    while (CURLMsg *message = curl_multi_info_read(multi, &left)) {
-        if (message->msg != CURLMSG_DONE) {
-            continue;
-        }
-        Transfer *transfer = nullptr;
-        const CURLcode code = message->data.result;
-        curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &transfer);
-        curl_multi_remove_handle(multi, message->easy_handle);
-        ended.emplace_back(transfer, code);
-        --this->implementation->running;
-    }
+    this->implementation->serve(patience);
+    std::vector<Implementation::Ended> ended = this->implementation->takeEnded();
+    this->implementation->takeLate(this->implementation->sockets.seenUntil(), ended);
     for (auto &[transfer, code] : ended) {
-        TransferResult result = conclude(*transfer, code);
-        transfer->done(std::move(result));
-    }
-    if (ended.empty()) {
-        curl_multi_poll(multi, nullptr, 0, static_cast<int>(absl::ToInt64Milliseconds(patience)), nullptr);
+        this->implementation->finish(std::move(transfer), code);
     }
 }
 
 void TransferPool::wake()
 {
-    curl_multi_wakeup(this->implementation->multi);
+    this->implementation->sockets.wake();
 }
 
 TransferResult fetch(const OutgoingRequest &request)
--- a/paddlepier/http/httpclient.h
+++ b/paddlepier/http/httpclient.h
@@ -5,6 +5,10 @@
 // A request is never sent a second time behind the caller's back: one that must not be repeated gets a fresh connection,
 // since the library would repeat it if a kept connection turned out to be closed.
 //
+// A call is given up at its timeout, but not before everything that its socket had brought by then has been read: a pool
+// that was itself held up takes the answers that came in time. The connection of a call that was given up is closed, and
+// so are those to the same address that have rested since before that call, for they may have fallen silent with it.
+//
 // Example:
 //     TransferPool pool;
 //     pool.start(std::move(outgoing), [](TransferResult result) { ... });   // runs in pool.run()
@@ -44,7 +48,7 @@
     Answer answer;
 };
 
-/** Transfers under way; costs O(1) for each event. */
+/** Transfers under way; an event costs O(log n) for n open transfers, and an open one without events costs nothing. */
 class TransferPool
 {
 public:
