Keep leases going while this process is slow itself

Change: while most workers owe an answer, or have failed to give one, polls carry a lease all the same, have 1.5 s more and wait 1 s instead of 0.5 for an end, which halves their number.

--- a/paddlepier/execution/polls.cpp
+++ b/paddlepier/execution/polls.cpp
@@ -26,7 +26,9 @@
  * Added to every poll's timeout while most workers owe an answer or have failed to give one, since this process is slow itself then;
  * otherwise as much is added as patience has grown.
  */
-constexpr Duration slowSurplus = absl::Milliseconds(650);
+constexpr Duration slowSurplus = absl::Milliseconds(1500);
+/** A slow process polls less: ends are told at once all the same, and only a silent worker is noticed later. */
+constexpr Duration slowPollWait = absl::Milliseconds(1000);
 
 /**
  * First polls under way at once: their answers tell all that a worker runs, and 350 of them at the same time would hold a core of
@@ -75,15 +77,16 @@
     const bool isReachable = view.isReachable();
     PollOrder order;
     order.lastSequence = record->lastSequence;
-    order.wait = !isReachable ? absl::ZeroDuration() : view.isContended ? contendedPollWait : pollWait;
+    order.wait = !isReachable ? absl::ZeroDuration() : view.isContended ? contendedPollWait : this->isSlow ? slowPollWait : pollWait;
     if (!view.hasListed) {
         this->freshFirstPolls.emplace(this->nextCall, now);
     }
     const Duration timeout = this->timeoutOfPoll(view);
     view.pollState = PollState::InFlight;
     view.pollSentAt = now;
-    // A silent worker may receive what it doesn't answer: offering it a lease again and again would keep its runs for ever.
-    this->send(now, worker, order, timeout, isReachable);
+    // A silent worker may receive what it doesn't answer: offering it a lease again and again would keep its runs for ever. Where most
+    // are silent it is this process that doesn't read their answers in time, and without leases sound workers would end all their runs.
+    this->send(now, worker, order, timeout, isReachable || (this->isSlow && view.isKnown()));
 }
 
 Duration Dispatcher::timeoutOfPoll(const WorkerView &view) const
