--- a/paddlepier/execution/polls.cpp
+++ b/paddlepier/execution/polls.cpp
@@ -85,8 +85,10 @@
     view.pollState = PollState::InFlight;
     view.pollSentAt = now;
     // A silent worker may receive what it doesn't answer: offering it a lease again and again would keep its runs for ever. Where most
-    // are silent it is this process that doesn't read their answers in time, and without leases sound workers would end all their runs.
-    this->send(now, worker, order, timeout, isReachable || (this->isSlow && view.isKnown()));
+    // are silent it may be this process that doesn't read their answers in time, and without leases sound workers would end all their runs;
+    // one that has answered nothing for a whole lease is silent itself.
+    const bool mayBeOurs = this->isSlow && view.isKnown() && now - view.lastAnswerAt() < this->options.longestLease;
+    this->send(now, worker, order, timeout, isReachable || mayBeOurs);
 }
 
 Duration Dispatcher::timeoutOfPoll(const WorkerView &view) const
