Look at fewer workers where a step has tickets, and claim coming room only before what may preempt

Cause: of a plan with 100 waiting steps most time went into walking all workers for each step, also where only a few have tickets, and into claiming room for urgent steps after the last that may still make others give way. Ruled out: keeping room for a step that waits on the workers it asked about alone (cheaper, but decides otherwise). Change: a step that needs advice is judged on the workers it was told about; fits() is inlined; candidates are compared without tuples; coming room isn't claimed after the last step that may preempt, nor once a plan's preemptions are used up. The benchmark takes a new planner each time, so that the search for what makes way is in each plan. Conclusion: what is left is judging some hundred workers for each step that keeps room; steps of which nothing can come at the end of the order cost nothing.

--- a/paddlepier/planning/planner.cpp
+++ b/paddlepier/planning/planner.cpp
@@ -82,9 +82,12 @@
         return plan;
     }
     this->rooms.collect(this->now, this->state, this->views, this->advice);
-    for (WantedStep &wanted : steps) {
-        this->rooms.beginStep(this->now, wanted, this->advice);
-        this->planStep(wanted, plan);
+    // Room that is coming is claimed only for those that may make others give way, and before them.
+    const auto lastPreempting = std::find_if(steps.rbegin(), steps.rend(), [this](const WantedStep &wanted) { return this->mayPreempt(wanted); });
+    const auto preempting = static_cast<std::size_t>(steps.rend() - lastPreempting);
+    for (std::size_t number = 0; number < steps.size(); ++number) {
+        this->rooms.beginStep(this->now, steps[number], this->advice);
+        this->planStep(steps[number], number < preempting, plan);
     }
     return plan;
 }
@@ -178,13 +181,21 @@
 void Planner::collectChoices(const WantedStep &wanted)
 {
     this->choices.clear();
-    const bool needsTicket = wanted.job->queue().advice != nullptr;
     const std::uint32_t service = this->rooms.serviceNumber(wanted.job->queue().service);
-    for (Room &room : this->rooms.all()) {
-        const bool isPermitted = !needsTicket || room.standing == Standing::Permitted;
-        if (isPermitted && room.fits(*wanted.step) && mayRun(room, wanted, service) && isAcceptable(room)) {
+    const auto add = [&](Room &room) {
+        if (room.fits(*wanted.step) && mayRun(room, wanted, service) && isAcceptable(room)) {
             this->judge(this->choices.emplace_back(Choice{&room, 0}), wanted);
         }
+    };
+    std::vector<Room> &all = this->rooms.all();
+    if (wanted.job->queue().advice == nullptr) {
+        std::for_each(all.begin(), all.end(), add);
+        return;
+    }
+    for (const std::uint32_t number : this->rooms.told()) {
+        if (all[number].standing == Standing::Permitted) {
+            add(all[number]);
+        }
     }
 }
 
@@ -230,7 +241,7 @@
     return made;
 }
 
-void Planner::planStep(WantedStep &wanted, Plan &plan)
+void Planner::planStep(WantedStep &wanted, bool claims, Plan &plan)
 {
     this->collectChoices(wanted);
     if (wanted.step->isGang) {
@@ -244,7 +255,7 @@
     if (wanted.job->queue().advice) {
         this->askAdvice(wanted, plan);
     }
-    if (wanted.job->queue().priority == 0) {
+    if (claims && wanted.job->queue().priority == 0 && plan.preempted.size() < mostPreemptions) {
         this->preemptFor(wanted, plan);
     }
 }
@@ -335,8 +346,11 @@
 std::vector<std::string> Planner::keepRoomFor(const WantedStep &wanted, std::vector<Candidate> candidates, bool mayAsk)
 {
     const auto isWorse = [](const Candidate &left, const Candidate &right) {
-        const auto rank = [](const Candidate &entry) { return std::tuple(!entry.hasRoom, !entry.isExpired, entry.penalty, entry.room); };
-        return rank(left) > rank(right);
+        const auto group = [](const Candidate &entry) { return (entry.hasRoom ? 0 : 2) + (entry.isExpired ? 0 : 1); };
+        if (group(left) != group(right)) {
+            return group(left) > group(right);
+        }
+        return left.penalty != right.penalty ? left.penalty > right.penalty : left.room > right.room;
     };
     // Only the first of them are needed: a heap gives them without sorting all.
     std::make_heap(candidates.begin(), candidates.end(), isWorse);
@@ -387,7 +401,7 @@
             missing -= claimComingRoom(room, wanted, missing);
         }
     }
-    if (missing > 0 && plan.preempted.size() < mostPreemptions && this->mayPreempt(wanted)) {
+    if (missing > 0 && this->mayPreempt(wanted)) {
         this->searchedAt[wanted.key] = this->now;
         this->preemptRuns(wanted, missing, plan);
     }
--- a/paddlepier/planning/planner.h
+++ b/paddlepier/planning/planner.h
@@ -77,7 +77,8 @@
     void collectOccurrence(std::vector<WantedStep> &wanted, const workload::Job &job, std::uint32_t occurrence) const;
     /** Something may come of planning it now: it may have a ticket, ask, or make others give way. */
     bool mayAct(const WantedStep &wanted) const;
-    void planStep(WantedStep &wanted, Plan &plan);
+    /** @param claims  room that is coming has to be claimed for it */
+    void planStep(WantedStep &wanted, bool claims, Plan &plan);
     void planGang(WantedStep &wanted, Plan &plan);
     /** Places the tasks on workers of @p rack, or of any if it is empty, where there is room for all. */
     bool placeGang(WantedStep &wanted, std::string_view rack, Plan &plan);
--- a/paddlepier/planning/planner_benchmark.cpp
+++ b/paddlepier/planning/planner_benchmark.cpp
@@ -19,7 +19,7 @@
 constexpr std::size_t runs = 4000;
 constexpr std::size_t steps = 100;
 
-/** Everything is decided anew; questions asked before await their answers. */
+/** Everything is decided anew, what may make way too; questions asked before await their answers. */
 void BM_PlanWithWaitingSteps(benchmark::State &state)
 {
     FakeCell cell(seed, workers);
@@ -28,7 +28,8 @@
     benchmark::DoNotOptimize(cell.plan());
     std::size_t placements = 0;
     for (auto _ : state) {
-        placements += cell.plan().placements.size();
+        Planner planner(cell.state, cell.views, cell.tracks, cell.advice, cell.usualRatios);
+        placements += planner.plan(cell.now, cell.wallMillis).placements.size();
     }
     state.counters["placements"] = benchmark::Counter(static_cast<double>(placements), benchmark::Counter::kAvgIterations);
     state.counters["runs"] = static_cast<double>(cell.tracks.size());
--- a/paddlepier/planning/rooms.cpp
+++ b/paddlepier/planning/rooms.cpp
@@ -158,6 +158,7 @@
                 this->toldOfStep.push_back(number);
             }
         });
+        std::sort(this->toldOfStep.begin(), this->toldOfStep.end());
     }
     wanted.home = this->homeOf(wanted);
 }
@@ -210,6 +211,11 @@
     return this->rooms;
 }
 
+const std::vector<std::uint32_t> &Rooms::told() const
+{
+    return this->toldOfStep;
+}
+
 Room *Rooms::find(const std::string &worker)
 {
     const auto found = this->byWorker.find(worker);
--- a/paddlepier/planning/rooms.h
+++ b/paddlepier/planning/rooms.h
@@ -44,6 +44,8 @@
     void beginStep(Timestamp now, WantedStep &wanted, const AdviceBook &book);
 
     std::vector<Room> &all();
+    /** Rooms that the policy service has told about for the step, in the order of all(). */
+    const std::vector<std::uint32_t> &told() const;
     /** Null if the worker can't be used. */
     Room *find(const std::string &worker);
     void take(Room &room, const work::StepSpecT &step, std::int64_t tasks = 1);
--- a/paddlepier/planning/suitability.cpp
+++ b/paddlepier/planning/suitability.cpp
@@ -40,13 +40,6 @@
     return labels.size() < 2 ? std::string_view() : std::string_view(labels.back());
 }
 
-bool Room::fits(const work::StepSpecT &step) const
-{
-    const work::Demand &demand = *step.demand;
-    const bool hasProcessors = step.isFilling || this->processors >= demand.milliProcessors();
-    return hasProcessors && this->memory >= demand.memoryMegabytes() && this->accelerators >= demand.accelerators();
-}
-
 std::size_t Room::tasksThatFit(const work::StepSpecT &step) const
 {
     const work::Demand &demand = *step.demand;
--- a/paddlepier/planning/suitability.h
+++ b/paddlepier/planning/suitability.h
@@ -53,7 +53,15 @@
 
     const std::string &id() const;
     std::string_view rack() const;
-    bool fits(const work::StepSpecT &step) const;
+
+    /** Asked for each worker and step of a plan, so that it is best inlined. */
+    bool fits(const work::StepSpecT &step) const
+    {
+        const work::Demand &demand = *step.demand;
+        const bool hasProcessors = step.isFilling || this->processors >= demand.milliProcessors();
+        return hasProcessors && this->memory >= demand.memoryMegabytes() && this->accelerators >= demand.accelerators();
+    }
+
     std::size_t tasksThatFit(const work::StepSpecT &step) const;
     /** Takes @p tasks of @p step into account; a negative number takes them back. */
     void take(const work::StepSpecT &step, std::int64_t tasks = 1);
