Make runs give way in plans 20 ms apart, for all steps at once

Cause: the pause between searches was kept for each step, and only where a search had found too little, so that with several urgent steps nearly each plan counted what is coming and claimed it, and none could be cut short. Ruled out: 32-bit divisions in tasksThatFit(): no difference beyond what differs from run to run (a trial, not kept). Change: one pause for the planner; a plan within it neither counts nor claims what is coming, and urgent steps that only wait for an answer don't keep it from ending early. An urgent step may wait up to 20 ms longer for others to give way. The table of steps goes.

--- a/paddlepier/planning/planner.cpp
+++ b/paddlepier/planning/planner.cpp
@@ -36,11 +36,11 @@
 /** Most preemptions of one plan, so that a burst doesn't stop more than the next plan finds needed. */
 constexpr std::size_t mostPreemptions = 24;
 
-/** A search for runs that may make way that found too few is made again only after this time: those that stop need it. */
-constexpr Duration searchPause = absl::Milliseconds(20);
-
-/** What is known of searches is dropped when there is this much of it. */
-constexpr std::size_t mostSearchesKnown = 1024;
+/**
+ * Least pause between two plans that make runs give way: those that stop need some of it, and a plan that only passes over steps
+ * which wait for an answer costs next to nothing.
+ */
+constexpr Duration preemptionPause = absl::Milliseconds(20);
 
 /** How many workers a question names at least. */
 std::size_t leastAsked(const work::AdvicePolicyT &policy)
@@ -69,9 +69,7 @@
     this->now = at;
     this->wallMillis = wall;
     this->isYieldingCollected = false;
-    if (this->searchedAt.size() > mostSearchesKnown) {
-        absl::erase_if(this->searchedAt, [at](const auto &entry) { return entry.second + searchPause <= at; });
-    }
+    this->mayPreempt = at >= this->nextPreemption;
     Plan plan;
     std::vector<WantedStep> steps = this->collectSteps();
     // What comes after the last step that may act keeps room from nobody.
@@ -82,12 +80,9 @@
         return plan;
     }
     this->rooms.collect(this->now, this->state, this->views, this->advice);
-    // Room that is coming is claimed only for those that may make others give way, and before them.
-    const auto lastPreempting = std::find_if(steps.rbegin(), steps.rend(), [this](const WantedStep &wanted) { return this->mayPreempt(wanted); });
-    const auto preempting = static_cast<std::size_t>(steps.rend() - lastPreempting);
-    for (std::size_t number = 0; number < steps.size(); ++number) {
-        this->rooms.beginStep(this->now, steps[number], this->advice);
-        this->planStep(steps[number], number < preempting, plan);
+    for (WantedStep &wanted : steps) {
+        this->rooms.beginStep(this->now, wanted, this->advice);
+        this->planStep(wanted, plan);
     }
     return plan;
 }
@@ -95,7 +90,8 @@
 bool Planner::mayAct(const WantedStep &wanted) const
 {
     const bool needsAdvice = wanted.job->queue().advice != nullptr;
-    return !needsAdvice || this->advice.mayAsk(this->now, wanted.key) || this->advice.mayHaveTicket(this->now, wanted.key) || this->mayPreempt(wanted);
+    return !needsAdvice || this->advice.mayAsk(this->now, wanted.key) || this->advice.mayHaveTicket(this->now, wanted.key)
+           || (this->mayPreempt && wanted.job->queue().priority == 0);
 }
 
 std::vector<WantedStep> Planner::collectSteps() const
@@ -241,7 +237,7 @@
     return made;
 }
 
-void Planner::planStep(WantedStep &wanted, bool claims, Plan &plan)
+void Planner::planStep(WantedStep &wanted, Plan &plan)
 {
     this->collectChoices(wanted);
     if (wanted.step->isGang) {
@@ -255,7 +251,7 @@
     if (wanted.job->queue().advice) {
         this->askAdvice(wanted, plan);
     }
-    if (claims && wanted.job->queue().priority == 0 && plan.preempted.size() < mostPreemptions) {
+    if (this->mayPreempt && wanted.job->queue().priority == 0 && plan.preempted.size() < mostPreemptions) {
         this->preemptFor(wanted, plan);
     }
 }
@@ -384,14 +380,9 @@
     return expected;
 }
 
-bool Planner::mayPreempt(const WantedStep &wanted) const
-{
-    const auto searched = this->searchedAt.find(wanted.key);
-    return wanted.job->queue().priority == 0 && (searched == this->searchedAt.end() || searched->second + searchPause <= this->now);
-}
-
 void Planner::preemptFor(const WantedStep &wanted, Plan &plan)
 {
+    this->nextPreemption = this->now + preemptionPause;
     this->rooms.countComing(this->state, this->tracks);
     std::size_t missing = wanted.tasks.size();
     const std::uint32_t service = this->rooms.serviceNumber(wanted.job->queue().service);
@@ -401,8 +392,7 @@
             missing -= claimComingRoom(room, wanted, missing);
         }
     }
-    if (missing > 0 && this->mayPreempt(wanted)) {
-        this->searchedAt[wanted.key] = this->now;
+    if (missing > 0) {
         this->preemptRuns(wanted, missing, plan);
     }
 }
--- a/paddlepier/planning/planner.h
+++ b/paddlepier/planning/planner.h
@@ -26,8 +26,6 @@
 #include "paddlepier/planning/suitability.h"
 #include "paddlepier/workload/workload.h"
 
-#include <absl/container/flat_hash_map.h>
-
 #include <cstdint>
 #include <map>
 #include <string>
@@ -77,8 +75,7 @@
     void collectOccurrence(std::vector<WantedStep> &wanted, const workload::Job &job, std::uint32_t occurrence) const;
     /** Something may come of planning it now: it may have a ticket, ask, or make others give way. */
     bool mayAct(const WantedStep &wanted) const;
-    /** @param claims  room that is coming has to be claimed for it */
-    void planStep(WantedStep &wanted, bool claims, Plan &plan);
+    void planStep(WantedStep &wanted, Plan &plan);
     void planGang(WantedStep &wanted, Plan &plan);
     /** Places the tasks on workers of @p rack, or of any if it is empty, where there is room for all. */
     bool placeGang(WantedStep &wanted, std::string_view rack, Plan &plan);
@@ -97,7 +94,6 @@
     double keepRoom(const WantedStep &wanted, Room &room, double chance);
     void preemptFor(const WantedStep &wanted, Plan &plan);
     void preemptRuns(const WantedStep &wanted, std::size_t missing, Plan &plan);
-    bool mayPreempt(const WantedStep &wanted) const;
     static bool mayMakeRoom(const Room &room, const WantedStep &wanted, std::uint32_t service);
     /** Takes room that is free or on its way for up to @p missing tasks; @return for how many there is some */
     static std::size_t claimComingRoom(Room &room, const WantedStep &wanted, std::size_t missing);
@@ -118,8 +114,9 @@
     std::vector<Choice> choices;
     YieldingRuns yielding;
     bool isYieldingCollected = false;
-    /** When a step's search for runs that may make way was last made. */
-    absl::flat_hash_map<workload::StepKey, Timestamp, workload::StepKeyHash> searchedAt;
+    /** This plan may make runs give way. */
+    bool mayPreempt = true;
+    Timestamp nextPreemption = absl::InfinitePast();
 };
 
 } // namespace paddlepier::planning
--- a/paddlepier/planning/planner_benchmark.cpp
+++ b/paddlepier/planning/planner_benchmark.cpp
@@ -55,6 +55,36 @@
 }
 BENCHMARK(BM_PlanWithoutNews);
 
+/** All steps need advice and have asked for it; none has a ticket. */
+void BM_PlanWhileAnswersAreAwaited(benchmark::State &state)
+{
+    FakeCell cell(seed, workers);
+    cell.fill(runs);
+    cell.addWaitingSteps(steps);
+    const std::set<std::string> waiting = cell.state.waitingJobs();
+    for (const std::string &id : waiting) {
+        if (!cell.state.findJob(id)->queue().advice) {
+            work::CancelJobT command;
+            command.id = id;
+            cell.apply(std::move(command));
+        }
+    }
+    cell.pass(absl::Seconds(2));
+    std::size_t questions = 0;
+    for (int round = 0; round < 3; ++round) {
+        questions += cell.plan().questions.size();
+    }
+    std::size_t decisions = 0;
+    for (auto _ : state) {
+        const Plan plan = cell.plan();
+        decisions += plan.placements.size() + plan.questions.size();
+    }
+    state.counters["asked"] = static_cast<double>(questions);
+    state.counters["waiting"] = static_cast<double>(cell.state.waitingJobs().size());
+    state.counters["decisions"] = benchmark::Counter(static_cast<double>(decisions), benchmark::Counter::kAvgIterations);
+}
+BENCHMARK(BM_PlanWhileAnswersAreAwaited);
+
 /** Runs under way, 1,000 jobs that wait, and the given number of jobs that have ended and are kept for a while. */
 class SnapshotCell : public FakeCell
 {
--- a/paddlepier/planning/planner_test.cpp
+++ b/paddlepier/planning/planner_test.cpp
@@ -202,6 +202,28 @@
     CHECK(plan.preempted.size() == 2);
 }
 
+TEST_CASE_METHOD(PlannerFixture, "urgentWork_shortlyAfterAPreemption_makesMoreGiveWayAfterAPause")
+{
+    this->configure();
+    this->addWorker("w1");
+    this->addJob("slow", "slow", 4).isCheckpointing = true;
+    this->submit();
+    this->place(this->plan());
+    this->addJob("quick", "urgent", 1);
+    this->submit();
+    const Plan first = this->plan();
+    REQUIRE(first.preempted.size() == 1);
+    this->tracks.at(first.preempted[0]).phase = execution::RunPhase::Stopping;
+    this->addJob("quicker", "urgent", 1);
+    this->submit();
+    this->now += absl::Milliseconds(10);
+    CHECK(this->plan().preempted.empty());
+    this->now += absl::Milliseconds(10);
+    const Plan next = this->plan();
+    REQUIRE(next.preempted.size() == 1);
+    CHECK_FALSE(next.preempted[0] == first.preempted[0]);
+}
+
 TEST_CASE_METHOD(PlannerFixture, "urgentWork_withoutRoom_leavesLastingAndUnsavedWorkAlone")
 {
     this->configure();
