--- a/paddlepier/planning/planner.cpp
+++ b/paddlepier/planning/planner.cpp
@@ -36,11 +36,11 @@
 /** Most preemptions of one plan, so that a burst doesn't stop more than the next plan finds needed. */
 constexpr std::size_t mostPreemptions = 24;
 
-/** A search for runs that may make way that found too few is made again only after this time: those that stop need it. */
-constexpr Duration searchPause = absl::Milliseconds(20);
-
-/** What is known of searches is dropped when there is this much of it. */
-constexpr std::size_t mostSearchesKnown = 1024;
+/**
+ * Least pause between two plans that make runs give way: those that stop need some of it, and a plan that only passes over steps
+ * which wait for an answer costs next to nothing.
+ */
+constexpr Duration preemptionPause = absl::Milliseconds(20);
 
 /** How many workers a question names at least. */
 std::size_t leastAsked(const work::AdvicePolicyT &policy)
@@ -69,9 +69,7 @@
     this->now = at;
     this->wallMillis = wall;
     this->isYieldingCollected = false;
-    if (this->searchedAt.size() > mostSearchesKnown) {
-        absl::erase_if(this->searchedAt, [at](const auto &entry) { return entry.second + searchPause <= at; });
-    }
+    this->mayPreempt = at >= this->nextPreemption;
     Plan plan;
     std::vector<WantedStep> steps = this->collectSteps();
     // What comes after the last step that may act keeps room from nobody.
@@ -92,7 +90,8 @@
 bool Planner::mayAct(const WantedStep &wanted) const
 {
     const bool needsAdvice = wanted.job->queue().advice != nullptr;
-    return !needsAdvice || this->advice.mayAsk(this->now, wanted.key) || this->advice.mayHaveTicket(this->now, wanted.key) || this->mayPreempt(wanted);
+    return !needsAdvice || this->advice.mayAsk(this->now, wanted.key) || this->advice.mayHaveTicket(this->now, wanted.key)
+           || (this->mayPreempt && wanted.job->queue().priority == 0);
 }
 
 std::vector<WantedStep> Planner::collectSteps() const
@@ -178,13 +177,21 @@
 void Planner::collectChoices(const WantedStep &wanted)
 {
     this->choices.clear();
-    const bool needsTicket = wanted.job->queue().advice != nullptr;
     const std::uint32_t service = this->rooms.serviceNumber(wanted.job->queue().service);
-    for (Room &room : this->rooms.all()) {
-        const bool isPermitted = !needsTicket || room.standing == Standing::Permitted;
-        if (isPermitted && room.fits(*wanted.step) && mayRun(room, wanted, service) && isAcceptable(room)) {
+    const auto add = [&](Room &room) {
+        if (room.fits(*wanted.step) && mayRun(room, wanted, service) && isAcceptable(room)) {
             this->judge(this->choices.emplace_back(Choice{&room, 0}), wanted);
         }
+    };
+    std::vector<Room> &all = this->rooms.all();
+    if (wanted.job->queue().advice == nullptr) {
+        std::for_each(all.begin(), all.end(), add);
+        return;
+    }
+    for (const std::uint32_t number : this->rooms.told()) {
+        if (all[number].standing == Standing::Permitted) {
+            add(all[number]);
+        }
     }
 }
 
@@ -244,7 +251,7 @@
     if (wanted.job->queue().advice) {
         this->askAdvice(wanted, plan);
     }
-    if (wanted.job->queue().priority == 0) {
+    if (this->mayPreempt && wanted.job->queue().priority == 0 && plan.preempted.size() < mostPreemptions) {
         this->preemptFor(wanted, plan);
     }
 }
@@ -335,8 +342,11 @@
 std::vector<std::string> Planner::keepRoomFor(const WantedStep &wanted, std::vector<Candidate> candidates, bool mayAsk)
 {
     const auto isWorse = [](const Candidate &left, const Candidate &right) {
-        const auto rank = [](const Candidate &entry) { return std::tuple(!entry.hasRoom, !entry.isExpired, entry.penalty, entry.room); };
-        return rank(left) > rank(right);
+        const auto group = [](const Candidate &entry) { return (entry.hasRoom ? 0 : 2) + (entry.isExpired ? 0 : 1); };
+        if (group(left) != group(right)) {
+            return group(left) > group(right);
+        }
+        return left.penalty != right.penalty ? left.penalty > right.penalty : left.room > right.room;
     };
     // Only the first of them are needed: a heap gives them without sorting all.
     std::make_heap(candidates.begin(), candidates.end(), isWorse);
@@ -370,14 +380,9 @@
     return expected;
 }
 
-bool Planner::mayPreempt(const WantedStep &wanted) const
-{
-    const auto searched = this->searchedAt.find(wanted.key);
-    return wanted.job->queue().priority == 0 && (searched == this->searchedAt.end() || searched->second + searchPause <= this->now);
-}
-
 void Planner::preemptFor(const WantedStep &wanted, Plan &plan)
 {
+    this->nextPreemption = this->now + preemptionPause;
     this->rooms.countComing(this->state, this->tracks);
     std::size_t missing = wanted.tasks.size();
     const std::uint32_t service = this->rooms.serviceNumber(wanted.job->queue().service);
@@ -387,8 +392,7 @@
             missing -= claimComingRoom(room, wanted, missing);
         }
     }
-    if (missing > 0 && plan.preempted.size() < mostPreemptions && this->mayPreempt(wanted)) {
-        this->searchedAt[wanted.key] = this->now;
+    if (missing > 0) {
         this->preemptRuns(wanted, missing, plan);
     }
 }
--- a/paddlepier/planning/planner.h
+++ b/paddlepier/planning/planner.h
@@ -26,8 +26,6 @@
 #include "paddlepier/planning/suitability.h"
 #include "paddlepier/workload/workload.h"
 
-#include <absl/container/flat_hash_map.h>
-
 #include <cstdint>
 #include <map>
 #include <string>
@@ -96,7 +94,6 @@
     double keepRoom(const WantedStep &wanted, Room &room, double chance);
     void preemptFor(const WantedStep &wanted, Plan &plan);
     void preemptRuns(const WantedStep &wanted, std::size_t missing, Plan &plan);
-    bool mayPreempt(const WantedStep &wanted) const;
     static bool mayMakeRoom(const Room &room, const WantedStep &wanted, std::uint32_t service);
     /** Takes room that is free or on its way for up to @p missing tasks; @return for how many there is some */
     static std::size_t claimComingRoom(Room &room, const WantedStep &wanted, std::size_t missing);
@@ -117,8 +114,9 @@
     std::vector<Choice> choices;
     YieldingRuns yielding;
     bool isYieldingCollected = false;
-    /** When a step's search for runs that may make way was last made. */
-    absl::flat_hash_map<workload::StepKey, Timestamp, workload::StepKeyHash> searchedAt;
+    /** This plan may make runs give way. */
+    bool mayPreempt = true;
+    Timestamp nextPreemption = absl::InfinitePast();
 };
 
 } // namespace paddlepier::planning
--- a/paddlepier/planning/planner_benchmark.cpp
+++ b/paddlepier/planning/planner_benchmark.cpp
@@ -19,7 +19,7 @@
 constexpr std::size_t runs = 4000;
 constexpr std::size_t steps = 100;
 
-/** Everything is decided anew; questions asked before await their answers. */
+/** Everything is decided anew, what may make way too; questions asked before await their answers. */
 void BM_PlanWithWaitingSteps(benchmark::State &state)
 {
     FakeCell cell(seed, workers);
@@ -28,7 +28,8 @@
     benchmark::DoNotOptimize(cell.plan());
     std::size_t placements = 0;
     for (auto _ : state) {
-        placements += cell.plan().placements.size();
+        Planner planner(cell.state, cell.views, cell.tracks, cell.advice, cell.usualRatios);
+        placements += planner.plan(cell.now, cell.wallMillis).placements.size();
     }
     state.counters["placements"] = benchmark::Counter(static_cast<double>(placements), benchmark::Counter::kAvgIterations);
     state.counters["runs"] = static_cast<double>(cell.tracks.size());
@@ -54,6 +55,36 @@
 }
 BENCHMARK(BM_PlanWithoutNews);
 
+/** All steps need advice and have asked for it; none has a ticket. */
+void BM_PlanWhileAnswersAreAwaited(benchmark::State &state)
+{
+    FakeCell cell(seed, workers);
+    cell.fill(runs);
+    cell.addWaitingSteps(steps);
+    const std::set<std::string> waiting = cell.state.waitingJobs();
+    for (const std::string &id : waiting) {
+        if (!cell.state.findJob(id)->queue().advice) {
+            work::CancelJobT command;
+            command.id = id;
+            cell.apply(std::move(command));
+        }
+    }
+    cell.pass(absl::Seconds(2));
+    std::size_t questions = 0;
+    for (int round = 0; round < 3; ++round) {
+        questions += cell.plan().questions.size();
+    }
+    std::size_t decisions = 0;
+    for (auto _ : state) {
+        const Plan plan = cell.plan();
+        decisions += plan.placements.size() + plan.questions.size();
+    }
+    state.counters["asked"] = static_cast<double>(questions);
+    state.counters["waiting"] = static_cast<double>(cell.state.waitingJobs().size());
+    state.counters["decisions"] = benchmark::Counter(static_cast<double>(decisions), benchmark::Counter::kAvgIterations);
+}
+BENCHMARK(BM_PlanWhileAnswersAreAwaited);
+
 /** Runs under way, 1,000 jobs that wait, and the given number of jobs that have ended and are kept for a while. */
 class SnapshotCell : public FakeCell
 {
