Note answers that come before there was a wait for them

Cause: connection_thatAnsweredSinceTheLateCallBegan_isKept failed once in a run of all unit tests on a busy machine, then 26 times of 60 alone. An answer over a kept connection can be there by the time the library first reads, which then never asks to wait at the socket: the socket counted as resting since its last call but one, and a late call to that address closed it though it had just answered. Ruled out: a wrong order of calls in the test; a reconnect by the library. Change: for such a call, and only for it, the library is asked for its socket, and the time of its rest is set.

--- a/paddlepier/http/httpclient.cpp
+++ b/paddlepier/http/httpclient.cpp
@@ -44,6 +44,8 @@
     curl_slist *headerList = nullptr;
     bool hasLength = false;
     bool isChunked = false;
+    /** The library asked to wait at its socket. */
+    bool wasWatched = false;
 
     Transfer() = default;
     Transfer(const Transfer &) = delete;
@@ -66,6 +68,7 @@
         this->result = {};
         this->hasLength = false;
         this->isChunked = false;
+        this->wasWatched = false;
     }
 
     /** Scheme, host and port. */
@@ -217,6 +220,8 @@
     /** Takes the calls that had to be answered by @p time. */
     void takeLate(Timestamp time, std::vector<Ended> &ended);
     std::unique_ptr<Transfer> remove(Transfer *transfer);
+    /** The answer came over a kept connection before there was a wait for it. O(connections), but rare. */
+    void noteInstantAnswer(CURL *handle);
     void finish(std::unique_ptr<Transfer> transfer, CURLcode code);
 
     // Before the library's handle, which closes its sockets at its end.
@@ -258,6 +263,7 @@
     }
     Transfer *transfer = nullptr;
     curl_easy_getinfo(handle, CURLINFO_PRIVATE, &transfer);
+    transfer->wasWatched = true;
     sockets.watch(socket, transfer->address(), (what & CURL_POLL_IN) != 0, (what & CURL_POLL_OUT) != 0);
     return 0;
 }
@@ -312,6 +318,14 @@
     return owned;
 }
 
+void TransferPool::Implementation::noteInstantAnswer(CURL *handle)
+{
+    curl_socket_t socket = CURL_SOCKET_BAD;
+    if (curl_easy_getinfo(handle, CURLINFO_ACTIVESOCKET, &socket) == CURLE_OK && socket != CURL_SOCKET_BAD) {
+        this->sockets.rest(socket);
+    }
+}
+
 std::vector<TransferPool::Implementation::Ended> TransferPool::Implementation::takeEnded()
 {
     std::vector<Ended> ended;
@@ -323,6 +337,9 @@
         Transfer *transfer = nullptr;
         const CURLcode code = message->data.result;
         curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &transfer);
+        if (code == CURLE_OK && !transfer->wasWatched) {
+            this->noteInstantAnswer(message->easy_handle);
+        }
         ended.emplace_back(this->remove(transfer), code);
     }
     return ended;
