Don't blame workers for answers that the process had no time to take

Change: after more than 50 ms without a step what is due is put off by that pause. Test: runWithCopies_afterThisProcessStoodStill_isNotSuperseded, red without the change (two starts).

--- a/paddlepier/execution/dispatcher.cpp
+++ b/paddlepier/execution/dispatcher.cpp
@@ -23,6 +23,12 @@
 /** Weight of one answer in what is usual. */
 constexpr double answerWeight = 0.1;
 
+/**
+ * Between two steps of a process that isn't held up there are some 20 ms at most. After more than this it stood still, as it does for
+ * 60 ms at a time where its share of a processor is a quota, and so did the taking of answers.
+ */
+constexpr Duration pauseMark = absl::Milliseconds(50);
+
 /**
  * How often all workers are looked through for what only time changes: many times in the shortest wait that is judged there,
  * an answer's 250 ms.
@@ -156,7 +162,7 @@
 
 DispatchEffects Dispatcher::step(Timestamp now, std::int64_t wallMillis)
 {
-    this->steppedAt = now;
+    this->allowForPause(now);
     this->syncWorkers(now);
     this->forgetEndedJobs(now);
     this->checkWorkers(now);
@@ -166,6 +172,18 @@
     return std::exchange(this->effects, DispatchEffects());
 }
 
+void Dispatcher::allowForPause(Timestamp now)
+{
+    const Duration pause = now - this->steppedAt;
+    this->steppedAt = now;
+    if (pause < pauseMark) {
+        return;
+    }
+    for (auto &[id, view] : this->views) {
+        view.delayAnswers(pause);
+    }
+}
+
 void Dispatcher::syncWorkers(Timestamp now)
 {
     const auto isSame = [](const auto &view, const auto &worker) { return view.first == worker.first; };
--- a/paddlepier/execution/dispatcher.h
+++ b/paddlepier/execution/dispatcher.h
@@ -98,6 +98,8 @@
     };
 
     void adoptRuns(Timestamp now);
+    /** A worker isn't to blame for answers that this process had no time to take. */
+    void allowForPause(Timestamp now);
     void syncWorkers(Timestamp now);
     /** What only time changes on workers: leases that run out, answers that are missing, lives that end. */
     void checkWorkers(Timestamp now);
--- a/paddlepier/execution/dispatcher_test.cpp
+++ b/paddlepier/execution/dispatcher_test.cpp
@@ -249,6 +249,22 @@
     CHECK(this->workers.starts == 10);
 }
 
+TEST_CASE_METHOD(DispatcherFixture, "runWithCopies_afterThisProcessStoodStill_isNotSuperseded")
+{
+    for (const char *id : {"w1", "w2", "w3"}) {
+        this->addWorker(id);
+    }
+    this->newLeader();
+    this->runFor(absl::Seconds(1));
+    this->answerDelay = absl::Milliseconds(450);
+    this->addJob("a", 1, 2000, 1, true);
+    REQUIRE(this->runUntil([this] { return this->workers.starts == 1; }, absl::Seconds(1)));
+    this->now += absl::Milliseconds(400);
+    this->answerDelay = absl::Milliseconds(10);
+    CHECK(this->runUntil([this] { return this->isCompleted("a"); }, absl::Seconds(5)));
+    CHECK(this->workers.starts == 1);
+}
+
 TEST_CASE("runs_throughLostAndLateOrdersCutsAndNewLeaders_neverOverlapNorRunAgain", "[proof][fuzz]")
 {
     const bool holds = rc::check("no rule is broken, and everything completes once the faults are over", [] {
--- a/paddlepier/execution/workerview.cpp
+++ b/paddlepier/execution/workerview.cpp
@@ -115,6 +115,13 @@
     this->dueAnswers.erase(call);
 }
 
+void WorkerView::delayAnswers(Duration pause)
+{
+    for (auto &[call, due] : this->dueAnswers) {
+        due += pause;
+    }
+}
+
 bool WorkerView::isOverdue(Timestamp now) const
 {
     return std::any_of(this->dueAnswers.begin(), this->dueAnswers.end(), [now](const auto &entry) { return entry.second < now; });
--- a/paddlepier/execution/workerview.h
+++ b/paddlepier/execution/workerview.h
@@ -58,6 +58,8 @@
     /** A call was sent whose answer is due by @p due. */
     void noteCall(std::uint64_t call, Timestamp due);
     void noteCallEnd(std::uint64_t call);
+    /** This process stood still for @p pause: answers are due that much later. */
+    void delayAnswers(Duration pause);
     /** An answer is overdue: the worker may be cut off, long before a call has timed out. */
     bool isOverdue(Timestamp now) const;
     bool isKnown() const;
