--- a/paddlepier/execution/dispatcher.cpp
+++ b/paddlepier/execution/dispatcher.cpp
@@ -4,8 +4,11 @@
 
 #include "paddlepier/base/log.h"
 
+#include <absl/strings/str_cat.h>
+
 #include <algorithm>
 #include <array>
+#include <functional>
 #include <set>
 
 namespace paddlepier::execution
@@ -23,6 +26,12 @@
 /** Weight of one answer in what is usual. */
 constexpr double answerWeight = 0.1;
 
+/**
+ * Between two steps of a process that isn't held up there are some 20 ms at most. After more than this it stood still, as it does for
+ * 60 ms at a time where its share of a processor is a quota, and so did the taking of answers.
+ */
+constexpr Duration pauseMark = absl::Milliseconds(50);
+
 /**
  * How often all workers are looked through for what only time changes: many times in the shortest wait that is judged there,
  * an answer's 250 ms.
@@ -156,7 +165,7 @@
 
 DispatchEffects Dispatcher::step(Timestamp now, std::int64_t wallMillis)
 {
-    this->steppedAt = now;
+    this->allowForPause(now);
     this->syncWorkers(now);
     this->forgetEndedJobs(now);
     this->checkWorkers(now);
@@ -166,6 +175,18 @@
     return std::exchange(this->effects, DispatchEffects());
 }
 
+void Dispatcher::allowForPause(Timestamp now)
+{
+    const Duration pause = now - this->steppedAt;
+    this->steppedAt = now;
+    if (pause < pauseMark) {
+        return;
+    }
+    for (auto &[id, view] : this->views) {
+        view.delayAnswers(pause);
+    }
+}
+
 void Dispatcher::syncWorkers(Timestamp now)
 {
     const auto isSame = [](const auto &view, const auto &worker) { return view.first == worker.first; };
@@ -186,11 +207,17 @@
     });
     for (const auto &[id, worker] : known) {
         if (this->views.try_emplace(id, now, this->options.longestLease).second) {
-            this->dueFirstPolls.set(id, now);
+            this->dueFirstPolls.set(id, now - this->headStart(id));
         }
     }
 }
 
+Duration Dispatcher::headStart(const std::string &worker) const
+{
+    constexpr std::size_t places = 1'000'000;
+    return absl::Nanoseconds(static_cast<std::int64_t>(std::hash<std::string>()(absl::StrCat(worker, "/", this->fence)) % places));
+}
+
 void Dispatcher::checkWorkers(Timestamp now)
 {
     if (now < this->nextWorkerCheck) {
--- a/paddlepier/execution/dispatcher.h
+++ b/paddlepier/execution/dispatcher.h
@@ -98,12 +98,19 @@
     };
 
     void adoptRuns(Timestamp now);
+    /** A worker isn't to blame for answers that this process had no time to take. */
+    void allowForPause(Timestamp now);
     void syncWorkers(Timestamp now);
     /** What only time changes on workers: leases that run out, answers that are missing, lives that end. */
     void checkWorkers(Timestamp now);
     void pollWorkers(Timestamp now);
     void pollWorker(Timestamp now, const std::string &worker);
     Duration timeoutOfPoll(const WorkerView &view) const;
+    /**
+     * Puts workers' first polls in another order in each term: where terms are too short to reach all, it isn't always the same
+     * ones that get neither stops nor leases.
+     */
+    Duration headStart(const std::string &worker) const;
     void schedulePoll(const std::string &worker, const WorkerView &view);
     void driveRuns(Timestamp now);
     /** Stops what has nothing left to do. */
