Let the forwarder delay, reset, lose one way and silence, also between network spaces

Cause: a soak has to disturb the links of real processes from outside, and these know each other by address and port. Ruled out: proxies at other addresses (an instance's name is its address and first internal port); silence by no longer reading (the proxy's kernel acknowledges, so that TCP's own time-outs never see it); preloading; rules of the machine's packet filter. Change: each process may have a network namespace of its own, in which forwarders hold the addresses of the others. What is lost or silenced is dropped by a filter on the forwarder's sockets, below TCP. A dead target refuses new connections and keeps what is under way. A process may be given variables.

--- a/testing/forwarder.cpp
+++ b/testing/forwarder.cpp
@@ -1,17 +1,19 @@
-// A TCP forwarder on loopback that a test can cut.
+// A TCP forwarder on loopback, with which a test disturbs a link.
 
 #include "testing/forwarder.h"
 
 #include "paddlepier/base/error.h"
 
 #include <arpa/inet.h>
+#include <linux/filter.h>
 #include <netinet/in.h>
-#include <poll.h>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
-#include <vector>
+#include <cerrno>
 
 namespace paddlepier::testing
 {
@@ -21,33 +23,55 @@
 
 constexpr int pollMillis = 20;
 
-sockaddr_in loopbackAddress(std::uint16_t port)
+/** A sender that runs ahead of its receiver by more is no longer read. */
+constexpr std::size_t mostWaitingBytes = 1U << 20U;
+
+sockaddr_in addressOf(const ForwarderEnd &end)
 {
     sockaddr_in address{};
     address.sin_family = AF_INET;
-    address.sin_port = htons(port);
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    address.sin_port = htons(end.port);
+    ::inet_pton(AF_INET, end.host.c_str(), &address.sin_addr);
     return address;
 }
 
-bool sendAll(int socket, const char *data, std::size_t size)
+int openSocket(const ForwarderEnd &end)
 {
-    while (size > 0) {
-        const ssize_t count = ::send(socket, data, size, MSG_NOSIGNAL);
-        if (count <= 0) {
-            return false;
-        }
-        data += count;
-        size -= static_cast<std::size_t>(count);
+    int socket = -1;
+    const auto open = [&socket] { socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0); };
+    if (end.space == nullptr) {
+        open();
+    } else {
+        end.space->inside(open);
     }
-    return true;
+    return socket;
+}
+
+/** Lets the kernel drop every segment that arrives for @p socket, before TCP sees it; or lets them in again. */
+void setDeaf(int socket, bool isDeaf)
+{
+    sock_filter dropAll{BPF_RET | BPF_K, 0, 0, 0};
+    const sock_fprog program{1, &dropAll};
+    ::setsockopt(socket, SOL_SOCKET, isDeaf ? SO_ATTACH_FILTER : SO_DETACH_FILTER, &program, sizeof(program));
+}
+
+void closeAsReset(int socket)
+{
+    const linger atOnce{1, 0};
+    ::setsockopt(socket, SOL_SOCKET, SO_LINGER, &atOnce, sizeof(atOnce));
+    ::close(socket);
 }
 
 } // namespace
 
 Forwarder::Forwarder(std::uint16_t port, std::uint16_t target)
-    : ownPort(port)
-    , targetPort(target)
+    : Forwarder(ForwarderEnd{"127.0.0.1", port}, ForwarderEnd{"127.0.0.1", target})
+{
+}
+
+Forwarder::Forwarder(ForwarderEnd listenAt, ForwarderEnd forwardTo)
+    : own(std::move(listenAt))
+    , target(std::move(forwardTo))
 {
     this->thread = std::thread([this] { this->run(); });
 }
@@ -56,7 +80,12 @@
 {
     this->stopping = true;
     this->thread.join();
-    this->close();
+    const absl::MutexLock lock(&this->mutex);
+    this->closeListener();
+    this->closeAll(false);
+    for (const int socket : this->silent) {
+        closeAsReset(socket);
+    }
 }
 
 void Forwarder::setCut(bool isCut)
@@ -69,6 +98,45 @@
     this->targetRunning = isRunning;
 }
 
+void Forwarder::setDelay(Duration time)
+{
+    const absl::MutexLock lock(&this->mutex);
+    this->delay = time;
+}
+
+void Forwarder::setLost(Way way, bool isLost)
+{
+    const absl::MutexLock lock(&this->mutex);
+    this->lost[way] = isLost;
+    for (const auto &[socket, state] : this->sockets) {
+        this->applyLoss(socket, state.isIncoming);
+    }
+    if (this->listener >= 0) {
+        setDeaf(this->listener, this->lost[Way::ToTarget] || this->lost[Way::FromTarget]);
+    }
+}
+
+void Forwarder::applyLoss(int socket, bool isIncoming)
+{
+    setDeaf(socket, this->lost[isIncoming ? Way::ToTarget : Way::FromTarget]);
+}
+
+void Forwarder::resetAll()
+{
+    const absl::MutexLock lock(&this->mutex);
+    this->closeAll(true);
+}
+
+void Forwarder::silenceAll()
+{
+    const absl::MutexLock lock(&this->mutex);
+    for (const auto &[socket, state] : this->sockets) {
+        setDeaf(socket, true);
+        this->silent.push_back(socket);
+    }
+    this->sockets.clear();
+}
+
 bool Forwarder::isOpen() const
 {
     return this->targetRunning && !this->cut;
@@ -76,85 +144,162 @@
 
 void Forwarder::listen()
 {
-    this->listener = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    this->listener = openSocket(this->own);
     const int on = 1;
     ::setsockopt(this->listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
-    const sockaddr_in address = loopbackAddress(this->ownPort);
+    const sockaddr_in address = addressOf(this->own);
     if (::bind(this->listener, reinterpret_cast<const sockaddr *>(&address), sizeof(address)) != 0 || ::listen(this->listener, SOMAXCONN) != 0) {
         throw InternalError("the forwarder can't listen");
     }
+    setDeaf(this->listener, this->lost[Way::ToTarget] || this->lost[Way::FromTarget]);
 }
 
-void Forwarder::close()
+void Forwarder::closeListener()
 {
     if (this->listener >= 0) {
         ::close(this->listener);
         this->listener = -1;
     }
-    while (!this->others.empty()) {
-        this->closePair(this->others.begin()->first);
+}
+
+void Forwarder::closeAll(bool asReset)
+{
+    while (!this->sockets.empty()) {
+        this->closePair(this->sockets.begin()->first, asReset);
     }
 }
 
 void Forwarder::run()
 {
     while (!this->stopping) {
-        if (!this->isOpen()) {
-            this->close();
-        } else if (this->listener < 0) {
-            this->listen();
-        }
-        std::vector<pollfd> waiting{{this->listener, POLLIN, 0}};
-        for (const auto &[socket, other] : this->others) {
-            waiting.push_back({socket, POLLIN, 0});
-        }
-        ::poll(waiting.data(), waiting.size(), pollMillis);
-        for (const pollfd &entry : waiting) {
-            if (entry.revents == 0) {
-                continue;
+        std::vector<pollfd> waiting;
+        int patience = pollMillis;
+        {
+            const absl::MutexLock lock(&this->mutex);
+            if (this->isOpen() && this->listener < 0) {
+                this->listen();
+            } else if (!this->isOpen()) {
+                this->closeListener();
             }
-            if (entry.fd == this->listener) {
-                this->accept();
-            } else if (this->others.contains(entry.fd)) {
-                this->pass(entry.fd);
+            if (this->cut) {
+                this->closeAll(false);
             }
+            waiting = this->waitingFor(patience);
+        }
+        ::poll(waiting.data(), waiting.size(), patience);
+        const absl::MutexLock lock(&this->mutex);
+        for (const pollfd &entry : waiting) {
+            this->handle(entry);
+        }
+    }
+}
+
+std::vector<pollfd> Forwarder::waitingFor(int &patienceMillis)
+{
+    const Timestamp now = controlNow();
+    std::vector<pollfd> waiting{{this->listener, POLLIN, 0}};
+    for (const auto &[socket, state] : this->sockets) {
+        const bool mayRead = !state.hasEnded && this->sockets.at(state.other).waitingBytes < mostWaitingBytes;
+        const bool mayWrite = !state.waiting.empty() && state.waiting.front().due <= now;
+        if (!state.waiting.empty() && !mayWrite) {
+            patienceMillis = std::min<int>(patienceMillis, 1 + static_cast<int>(absl::ToInt64Milliseconds(state.waiting.front().due - now)));
         }
+        waiting.push_back({socket, static_cast<short>((mayRead ? POLLIN : 0) | (mayWrite ? POLLOUT : 0)), 0});
+    }
+    return waiting;
+}
+
+void Forwarder::handle(const pollfd &entry)
+{
+    if (entry.revents == 0) {
+        return;
+    }
+    if (entry.fd == this->listener) {
+        this->accept();
+        return;
+    }
+    if (this->sockets.contains(entry.fd) && (entry.revents & POLLOUT) != 0 && !this->write(entry.fd)) {
+        this->closePair(entry.fd, false);
+    }
+    if (this->sockets.contains(entry.fd) && (entry.revents & (POLLERR | POLLNVAL)) != 0) {
+        this->closePair(entry.fd, true);
+    }
+    if (this->sockets.contains(entry.fd) && (entry.revents & (POLLIN | POLLHUP)) != 0) {
+        this->read(entry.fd);
     }
 }
 
 void Forwarder::accept()
 {
-    const int incoming = ::accept4(this->listener, nullptr, nullptr, SOCK_CLOEXEC);
+    const int incoming = ::accept4(this->listener, nullptr, nullptr, SOCK_CLOEXEC | SOCK_NONBLOCK);
     if (incoming < 0) {
         return;
     }
-    const int outgoing = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    const sockaddr_in address = loopbackAddress(this->targetPort);
-    if (!this->isOpen() || ::connect(outgoing, reinterpret_cast<const sockaddr *>(&address), sizeof(address)) != 0) {
-        ::close(incoming);
+    const int outgoing = openSocket(this->target);
+    const sockaddr_in address = addressOf(this->target);
+    if (!this->isOpen() || (::connect(outgoing, reinterpret_cast<const sockaddr *>(&address), sizeof(address)) != 0 && errno != EINPROGRESS)) {
+        closeAsReset(incoming);
         ::close(outgoing);
         return;
     }
-    this->others[incoming] = outgoing;
-    this->others[outgoing] = incoming;
+    const int on = 1;
+    for (const auto &[socket, other] : {std::pair(incoming, outgoing), std::pair(outgoing, incoming)}) {
+        ::setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+        this->sockets[socket] = Socket{other, socket == incoming, false, {}, 0};
+        this->applyLoss(socket, socket == incoming);
+    }
 }
 
-void Forwarder::pass(int from)
+void Forwarder::read(int from)
 {
     std::array<char, 65536> chunk{};
     const ssize_t count = ::recv(from, chunk.data(), chunk.size(), 0);
-    if (count <= 0 || !sendAll(this->others.at(from), chunk.data(), static_cast<std::size_t>(count))) {
-        this->closePair(from);
+    if (count < 0 && (errno == EAGAIN || errno == EINTR)) {
+        return;
+    }
+    if (count < 0) {
+        this->closePair(from, true);
+        return;
+    }
+    Socket &state = this->sockets.at(from);
+    const int to = state.other;
+    state.hasEnded = count == 0;
+    Socket &receiver = this->sockets.at(to);
+    receiver.waiting.push_back({controlNow() + this->delay, std::string(chunk.data(), static_cast<std::size_t>(count))});
+    receiver.waitingBytes += static_cast<std::size_t>(count);
+    if (!this->write(to)) {
+        this->closePair(from, false);
     }
 }
 
-void Forwarder::closePair(int socket)
+bool Forwarder::write(int to)
 {
-    const int other = this->others.at(socket);
-    this->others.erase(socket);
-    this->others.erase(other);
-    ::close(socket);
-    ::close(other);
+    Socket &state = this->sockets.at(to);
+    while (!state.waiting.empty() && state.waiting.front().due <= controlNow()) {
+        std::string &bytes = state.waiting.front().bytes;
+        if (bytes.empty()) {
+            return false;
+        }
+        const ssize_t count = ::send(to, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+        if (count < 0) {
+            return errno == EAGAIN || errno == EINTR || errno == ENOTCONN;
+        }
+        state.waitingBytes -= static_cast<std::size_t>(count);
+        bytes.erase(0, static_cast<std::size_t>(count));
+        if (bytes.empty()) {
+            state.waiting.pop_front();
+        }
+    }
+    return true;
+}
+
+void Forwarder::closePair(int socket, bool asReset)
+{
+    const int other = this->sockets.at(socket).other;
+    for (const int each : {socket, other}) {
+        this->sockets.erase(each);
+        asReset ? closeAsReset(each) : static_cast<void>(::close(each));
+    }
 }
 
 } // namespace paddlepier::testing
--- a/testing/harness.cpp
+++ b/testing/harness.cpp
@@ -29,6 +29,15 @@
 
 constexpr const char *cellKey = "key-of-the-test-cell";
 
+std::vector<char *> pointersTo(const std::vector<std::string> &words)
+{
+    std::vector<char *> pointers;
+    for (const std::string &word : words) {
+        pointers.push_back(const_cast<char *>(word.c_str()));
+    }
+    return pointers;
+}
+
 std::string loopback(std::uint16_t port)
 {
     return absl::StrCat("127.0.0.1:", port);
@@ -69,19 +78,20 @@
     }
 }
 
-Process::Process(const std::vector<std::string> &words, const std::string &outputPath)
+Process::Process(const std::vector<std::string> &words, const std::string &outputPath, const std::vector<std::string> &environment)
 {
-    std::vector<char *> arguments;
-    arguments.reserve(words.size() + 1);
-    for (const std::string &word : words) {
-        arguments.push_back(const_cast<char *>(word.c_str()));
-    }
+    std::vector<char *> arguments = pointersTo(words);
     arguments.push_back(nullptr);
+    std::vector<char *> variables = pointersTo(environment);
+    for (char **variable = environ; *variable != nullptr; ++variable) {
+        variables.push_back(*variable);
+    }
+    variables.push_back(nullptr);
     posix_spawn_file_actions_t actions;
     posix_spawn_file_actions_init(&actions);
     posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, outputPath.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0640);
     posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
-    const int problem = posix_spawn(&this->child, words[0].c_str(), &actions, nullptr, arguments.data(), environ);
+    const int problem = posix_spawn(&this->child, words[0].c_str(), &actions, nullptr, arguments.data(), variables.data());
     posix_spawn_file_actions_destroy(&actions);
     if (problem != 0) {
         throw InternalError(absl::StrCat("can't start ", words[0]));
@@ -111,6 +121,12 @@
     return WIFEXITED(this->status) ? WEXITSTATUS(this->status) : 128 + WTERMSIG(this->status);
 }
 
+bool Process::hasEnded()
+{
+    this->ended = this->ended || ::waitpid(this->child, &this->status, WNOHANG) == this->child;
+    return this->ended;
+}
+
 pid_t Process::pid() const
 {
     return this->child;
--- a/testing/harness.h
+++ b/testing/harness.h
@@ -35,7 +35,8 @@
 class Process
 {
 public:
-    Process(const std::vector<std::string> &words, const std::string &outputPath);
+    /** @param environment lines NAME=text in addition to this process's own */
+    Process(const std::vector<std::string> &words, const std::string &outputPath, const std::vector<std::string> &environment = {});
     ~Process();
 
     Process(const Process &) = delete;
@@ -44,6 +45,7 @@
     void signal(int number) const;
     /** Waits for the end. @return exit status, or 128 and the signal */
     int wait();
+    bool hasEnded();
     pid_t pid() const;
 
 private:
