Add a soak of the real processes under faults from outside

Change: testing/soak: a plan of faults from the seed (stops, kills, pauses, all cores at once, a lost disk, links delayed, reset, cut one way and silenced, workers that crash, drain, answer late or never, or carry orders out late), callers and operators from the same seed, and a checker of what they and the workers see.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BUILD := build
 JOBS := $(shell nproc)
 
-.PHONY: all setup build demo check lint format bench schema clean
+.PHONY: all setup build demo check soak lint format bench schema clean
 
 all: build
 
@@ -27,6 +27,10 @@
 	@if [ -s KNOWN-RED.txt ]; then sed 's/^/known red, passed over: /' KNOWN-RED.txt; fi
 	@cd $(BUILD) && ctest --no-tests=error --output-on-failure --timeout 300
 
+# `make soak` replays the seeds that ever failed, `COUNT=n` as many fresh ones after them, `SEED=n` that one alone; docs/SOAK.md.
+soak: build
+	$(BUILD)/testing/soak --programs $(BUILD) $(if $(SEED),--seed $(SEED),--list testing/soak/seeds.txt --count $(or $(COUNT),0)) $(SOAK_OPTIONS)
+
 bench: build
 	@scripts/bench.sh $(BUILD)
 
--- /dev/null
+++ b/testing/channel.h
@@ -0,0 +1,58 @@
+// An HTTP/1.1 connection of a caller that is kept open for as long as the other side keeps it, and tells exactly how each
+// call ended: a library would open another connection behind the caller's back.
+//
+// Thread safety: none; one thread, one call at a time.
+
+#ifndef PADDLEPIER_TESTING_CHANNEL_H
+#define PADDLEPIER_TESTING_CHANNEL_H
+
+#include "paddlepier/base/clock.h"
+#include "paddlepier/settings/settings.h"
+
+#include <string>
+
+namespace paddlepier::testing
+{
+
+enum class Ending {
+    Answered,
+    /** Nothing was sent. */
+    NotConnected,
+    /** The connection ended before the whole answer. */
+    Broken,
+    TimedOut
+};
+
+struct Reply {
+    Ending ending = Ending::NotConnected;
+    int status = 0;
+    std::string body;
+    /** When the last byte of the request had been sent. */
+    Timestamp sentAt;
+    Timestamp endedAt;
+};
+
+class Channel
+{
+public:
+    explicit Channel(Endpoint server);
+    ~Channel();
+
+    Channel(const Channel &) = delete;
+    Channel &operator=(const Channel &) = delete;
+
+    Reply call(const std::string &method, const std::string &path, const std::string &body, Duration patience);
+
+private:
+    bool open();
+    void close();
+    Ending exchange(const std::string &request, Timestamp end, Reply &reply);
+    bool waitFor(short events, Timestamp end) const;
+
+    const Endpoint endpoint;
+    int socket = -1;
+};
+
+} // namespace paddlepier::testing
+
+#endif
--- /dev/null
+++ b/testing/soak/cell.cpp
@@ -0,0 +1,340 @@
+// The processes, workers and links of one seed, and what each fault does to them.
+
+#include "testing/soak/cell.h"
+
+#include <absl/strings/match.h>
+#include <absl/strings/str_cat.h>
+#include <signal.h>
+
+#include <filesystem>
+#include <fstream>
+
+namespace paddlepier::testing::soak
+{
+
+namespace
+{
+
+constexpr std::uint16_t internalPort = 7720;
+constexpr std::uint16_t controlPort = 8161;
+constexpr std::uint16_t frontPort = 8162;
+constexpr std::uint16_t readyPort = 8163;
+constexpr std::uint16_t workerPort = 8000;
+
+/** `grace_s` of the platform's settings: a process that was told to stop is killed after it. */
+constexpr Duration graceTime = absl::Seconds(6);
+
+std::string workerHost(std::uint32_t worker)
+{
+    return absl::StrCat("127.7.3.", worker + 1);
+}
+
+/** Whether a run fails by its task's fault: as often as its payload says, in per cent. */
+bool fails(const std::string &payload, const workload::TaskKey &task, std::uint32_t run)
+{
+    const std::size_t rate = absl::StartsWith(payload, "hopeless") ? 100 : absl::StartsWith(payload, "flaky") ? 30 : 0;
+    return std::hash<std::string>()(absl::StrCat(task.text(), "/", run)) % 100 < rate;
+}
+
+} // namespace
+
+Cell::Cell(Sizes cellSizes, std::uint64_t seed, std::string cellFolder, std::string programFolder, Checker &judge)
+    : sizes(cellSizes)
+    , folder(std::move(cellFolder))
+    , programs(std::move(programFolder))
+    , checker(judge)
+{
+    for (std::uint32_t core = 0; core < this->sizes.cores; ++core) {
+        this->addInstance("core", absl::StrCat("127.7.1.", core + 1));
+    }
+    for (std::uint32_t entry = 0; entry < this->sizes.entries; ++entry) {
+        this->addInstance("entry", absl::StrCat("127.7.2.", entry + 1));
+    }
+    this->addLinks();
+    this->workers = std::make_unique<PlatformWorkers>(
+        [this, next = std::make_shared<std::atomic<std::uint32_t>>()] { return this->control((*next)++ % this->sizes.cores).text(); },
+        [this](const workload::TaskKey &task) -> const work::StepSpecT & { return this->checker.stepOf(task); },
+        seed);
+    this->workers->inspect([this](execution::FakeWorkers &fake) {
+        fake.observe = [this](const Checker::Event &event) { this->checker.observed(event, controlNow()); };
+        fake.fails = [this](const workload::TaskKey &task, std::uint32_t run) { return fails(this->checker.payloadOf(task.job), task, run); };
+    });
+    for (std::uint32_t worker = 0; worker < this->sizes.workers; ++worker) {
+        this->workers->add(workerHost(worker), {workerHost(worker), workerPort});
+    }
+    for (const auto &instance : this->instances) {
+        this->start(*instance);
+    }
+}
+
+Cell::~Cell()
+{
+    this->workers.reset();
+    for (const auto &instance : this->instances) {
+        instance->process.reset();
+    }
+}
+
+void Cell::addInstance(const std::string &role, const std::string &host)
+{
+    auto instance = std::make_unique<Instance>();
+    instance->node.host = host;
+    instance->node.role = role;
+    instance->node.internalPort = internalPort;
+    instance->node.isFirstStart = true;
+    for (std::uint32_t seed = 0; seed < std::min(this->sizes.cores, 3U); ++seed) {
+        instance->node.seeds.push_back(this->control(seed).text());
+    }
+    if (role == "core") {
+        instance->node.listenAddresses["control"] = Endpoint{host, controlPort}.text();
+        instance->node.dataDirectory = absl::StrCat(this->folder, "/data-", host);
+    } else {
+        instance->node.listenAddresses = {{"front", Endpoint{host, frontPort}.text()}, {"ready", Endpoint{host, readyPort}.text()}};
+    }
+    instance->space = std::make_unique<NetworkSpace>();
+    this->instances.push_back(std::move(instance));
+}
+
+void Cell::addLink(const Instance *from, const std::string &toHost, std::uint16_t port, const Instance *to)
+{
+    const ForwarderEnd listenAt{toHost, port, from == nullptr ? nullptr : from->space.get()};
+    const ForwarderEnd forwardTo{toHost, port, to == nullptr ? nullptr : to->space.get()};
+    this->links.push_back({from == nullptr ? "" : from->node.host, toHost, std::make_unique<Forwarder>(listenAt, forwardTo)});
+    this->links.back().forwarder->setTargetRunning(true);
+}
+
+void Cell::addLinks()
+{
+    for (const auto &to : this->instances) {
+        this->addLink(nullptr, to->node.host, to->node.role == "core" ? controlPort : frontPort, to.get());
+        for (const auto &from : this->instances) {
+            if (from != to) {
+                this->addLink(from.get(), to->node.host, internalPort, to.get());
+            }
+        }
+    }
+    for (std::uint32_t core = 0; core < this->sizes.cores; ++core) {
+        for (std::uint32_t worker = 0; worker < this->sizes.workers; ++worker) {
+            this->addLink(this->instances[core].get(), workerHost(worker), workerPort, nullptr);
+        }
+    }
+}
+
+void Cell::start(Instance &instance)
+{
+    const PlatformNode &node = instance.node;
+    const std::string settings = absl::StrCat(this->folder, "/", node.host, ".toml");
+    std::ofstream(settings) << settingsOf(node);
+    if (!node.dataDirectory.empty()) {
+        std::filesystem::create_directories(node.dataDirectory);
+    }
+    instance.space->inside([&] {
+        instance.process = std::make_unique<Process>(std::vector<std::string>{this->programs + "/paddlepier", node.role},
+                                                     absl::StrCat(this->folder, "/", node.host, ".log"),
+                                                     std::vector<std::string>{"PADDLEPIER_CONFIG=" + settings});
+    });
+    instance.node.isFirstStart = false;
+    instance.isKilled = false;
+    instance.isPaused = false;
+    instance.stopMicros = 0;
+    for (const Link &link : this->links) {
+        if (link.to == node.host) {
+            link.forwarder->setTargetRunning(true);
+        }
+    }
+}
+
+void Cell::stop(Instance &instance, Duration length)
+{
+    if (!instance.process->hasEnded() && instance.stopMicros == 0) {
+        instance.downUntil = controlNow() + length;
+        instance.stopMicros = absl::ToUnixMicros(controlNow());
+        instance.process->signal(SIGTERM);
+    }
+}
+
+void Cell::kill(Instance &instance, Duration length)
+{
+    instance.downUntil = std::max(instance.downUntil, controlNow() + length);
+    instance.isKilled = true;
+    instance.process->signal(SIGKILL);
+    instance.process->wait();
+}
+
+void Cell::pause(Instance &instance)
+{
+    if (!instance.process->hasEnded()) {
+        instance.isPaused = true;
+        instance.process->signal(SIGSTOP);
+    }
+}
+
+void Cell::resume(Instance &instance)
+{
+    if (!instance.process->hasEnded()) {
+        instance.process->signal(SIGCONT);
+    }
+}
+
+void Cell::watch()
+{
+    const Timestamp now = controlNow();
+    for (const auto &instance : this->instances) {
+        const bool isStopping = instance->stopMicros != 0;
+        if (!instance->process->hasEnded()) {
+            if (isStopping && now > absl::FromUnixMicros(instance->stopMicros) + graceTime) {
+                if (!instance->isPaused) {
+                    this->checker.violation(absl::StrCat(instance->node.host, " is still there at the end of the grace time"));
+                }
+                this->kill(*instance, absl::ZeroDuration());
+            }
+            continue;
+        }
+        for (const Link &link : this->links) {
+            if (link.to == instance->node.host) {
+                link.forwarder->setTargetRunning(false);
+            }
+        }
+        if (!instance->isKilled && (!isStopping || instance->process->wait() != 0)) {
+            this->checker.violation(absl::StrCat(instance->node.host, " has ended by itself with status ", instance->process->wait()));
+        }
+        if (now >= instance->downUntil) {
+            this->start(*instance);
+        }
+    }
+}
+
+void Cell::begin(const Fault &fault)
+{
+    const bool isOfEntry = fault.kind == FaultKind::StopEntry || fault.kind == FaultKind::KillEntry || fault.kind == FaultKind::PauseEntry;
+    Instance &instance = *this->instances[(fault.target + (isOfEntry ? this->sizes.cores : 0)) % this->instances.size()];
+    switch (fault.kind) {
+    case FaultKind::StopCore:
+    case FaultKind::StopEntry:
+        this->stop(instance, fault.length);
+        break;
+    case FaultKind::KillCore:
+    case FaultKind::KillEntry:
+        this->kill(instance, fault.length);
+        break;
+    case FaultKind::LoseDisk:
+        this->kill(instance, fault.length);
+        std::filesystem::remove_all(instance.node.dataDirectory);
+        break;
+    case FaultKind::KillAllCores:
+        for (std::uint32_t core = 0; core < this->sizes.cores; ++core) {
+            this->kill(*this->instances[core], fault.length);
+        }
+        break;
+    case FaultKind::PauseCore:
+    case FaultKind::PauseEntry:
+        this->pause(instance);
+        break;
+    default:
+        fault.kind >= FaultKind::CrashWorker ? this->disturbWorker(fault, false) : this->disturbLinks(fault, false);
+    }
+}
+
+void Cell::end(const Fault &fault)
+{
+    if (fault.kind == FaultKind::PauseCore || fault.kind == FaultKind::PauseEntry) {
+        this->resume(*this->instances[fault.target + (fault.kind == FaultKind::PauseEntry ? this->sizes.cores : 0)]);
+    } else if (fault.kind >= FaultKind::CrashWorker) {
+        this->disturbWorker(fault, true);
+    } else if (fault.kind >= FaultKind::DelayLinks) {
+        this->disturbLinks(fault, true);
+    }
+}
+
+void Cell::disturbLinks(const Fault &fault, bool isOver)
+{
+    const std::string &host = this->instances[fault.target]->node.host;
+    for (std::size_t index = 0; index < this->links.size(); ++index) {
+        Link &link = this->links[index];
+        const bool isOutgoing = link.from == host;
+        if ((!isOutgoing && link.to != host) || (fault.part != 0 && (index + fault.part) % 3 != 0)) {
+            continue;
+        }
+        if (fault.kind == FaultKind::DelayLinks) {
+            link.forwarder->setDelay(isOver ? absl::ZeroDuration() : absl::Milliseconds(10 + fault.part / 3));
+        } else if (fault.kind == FaultKind::CutLinks) {
+            // What the target sends is lost, or what is sent to it.
+            const bool losesOwn = fault.part % 2 == 0;
+            link.forwarder->setLost(isOutgoing == losesOwn ? Way::ToTarget : Way::FromTarget, !isOver);
+        } else if (!isOver) {
+            fault.kind == FaultKind::SilenceLinks ? link.forwarder->silenceAll() : link.forwarder->resetAll();
+        }
+    }
+}
+
+void Cell::setWorkerLinks(const std::string &host, bool isUp)
+{
+    for (const Link &link : this->links) {
+        if (link.to == host) {
+            link.forwarder->setTargetRunning(isUp);
+            isUp ? static_cast<void>(0) : link.forwarder->resetAll();
+        }
+    }
+}
+
+void Cell::disturbWorker(const Fault &fault, bool isOver)
+{
+    const std::string host = workerHost(fault.target);
+    if (fault.kind == FaultKind::CrashWorker || fault.kind == FaultKind::DrainWorker) {
+        if (isOver) {
+            this->setWorkerLinks(host, true);
+            this->workers->revive(host);
+        } else if (fault.kind == FaultKind::DrainWorker) {
+            this->workers->drain(host);
+        } else {
+            this->setWorkerLinks(host, false);
+            this->workers->crash(host, fault.part == 0 ? std::nullopt : std::optional(absl::Milliseconds(fault.part * 3)));
+        }
+        return;
+    }
+    const WorkerTrouble trouble = fault.kind == FaultKind::WorkerAnswersLate    ? WorkerTrouble::AnswersLate
+                                  : fault.kind == FaultKind::WorkerLosesAnswers ? WorkerTrouble::LosesAnswers
+                                                                                : WorkerTrouble::OrdersLate;
+    this->workers->setTrouble(host, isOver ? WorkerTrouble::None : trouble);
+}
+
+void Cell::heal()
+{
+    for (const auto &instance : this->instances) {
+        this->resume(*instance);
+        instance->downUntil = absl::InfinitePast();
+    }
+    for (const Link &link : this->links) {
+        link.forwarder->setDelay(absl::ZeroDuration());
+        link.forwarder->setLost(Way::ToTarget, false);
+        link.forwarder->setLost(Way::FromTarget, false);
+    }
+    for (std::uint32_t worker = 0; worker < this->sizes.workers; ++worker) {
+        this->workers->setTrouble(workerHost(worker), WorkerTrouble::None);
+        this->setWorkerLinks(workerHost(worker), true);
+        this->workers->revive(workerHost(worker));
+    }
+}
+
+Endpoint Cell::front(std::uint32_t entry) const
+{
+    return {absl::StrCat("127.7.2.", entry + 1), frontPort};
+}
+
+Endpoint Cell::control(std::uint32_t core) const
+{
+    return {absl::StrCat("127.7.1.", core + 1), controlPort};
+}
+
+Timestamp Cell::stopAt(std::uint32_t entry) const
+{
+    const std::int64_t micros = this->instances[this->sizes.cores + entry]->stopMicros;
+    return micros == 0 ? absl::InfiniteFuture() : absl::FromUnixMicros(micros);
+}
+
+std::vector<std::string> Cell::problems()
+{
+    return this->workers->problems();
+}
+
+} // namespace paddlepier::testing::soak
--- /dev/null
+++ b/testing/soak/main.cpp
@@ -0,0 +1,215 @@
+// Program: a soak of the real processes under faults, one seed after the other.
+//
+//     soak --programs build --seed 7              # one seed
+//     soak --programs build --count 10            # ten fresh ones
+//     soak --programs build --list testing/soak/seeds.txt
+
+#include "paddlepier/base/log.h"
+#include "testing/soak/traffic.h"
+
+#include <absl/strings/str_cat.h>
+#include <absl/time/clock.h>
+#include <signal.h>
+#include <tclap/CmdLine.h>
+#include <unistd.h>
+
+#include <filesystem>
+#include <fstream>
+#include <iostream>
+#include <map>
+#include <sstream>
+
+namespace paddlepier::testing::soak
+{
+
+namespace
+{
+
+constexpr Duration tick = absl::Milliseconds(10);
+
+/** The first group forms and takes its first configuration. */
+constexpr Duration startPatience = absl::Seconds(20);
+
+/**
+ * All that was accepted stands as it should: the longest lease (10 s), the time after which a new machine counts (4 s), and
+ * the longest chains of tasks, which fail up to twice.
+ */
+constexpr Duration settlePatience = absl::Seconds(40);
+
+/** One seed: its processes, its calls, its faults. */
+class Run
+{
+public:
+    Run(std::uint64_t seed, const Sizes &sizes, const std::string &folder, const std::string &programs)
+        : faults(planFaults(seed, sizes))
+        , log(folder + "/soak.log")
+        , cell(sizes, seed, folder, programs, this->checker)
+        , traffic(this->cell, sizes, seed, this->checker)
+    {
+    }
+
+    std::vector<std::string> run()
+    {
+        if (!this->traffic.configure(startPatience)) {
+            this->checker.violation("the first configuration is never acknowledged");
+            return this->violations();
+        }
+        this->traffic.start();
+        this->injectAll();
+        this->note("heal");
+        this->cell.heal();
+        this->traffic.stop();
+        this->settle();
+        return this->violations();
+    }
+
+    std::string summary()
+    {
+        return absl::StrCat(this->faults.size(), " faults, ", this->checker.summary(), ", settled after ", absl::FormatDuration(this->settleTime));
+    }
+
+private:
+    void note(const std::string &text)
+    {
+        this->log << absl::FormatTime("%H:%M:%E3S", absl::Now(), absl::UTCTimeZone()) << " " << text << std::endl;
+    }
+
+    void injectAll()
+    {
+        const Timestamp start = controlNow();
+        std::multimap<Duration, std::pair<const Fault *, bool>> moments;
+        for (const Fault &fault : this->faults) {
+            moments.emplace(fault.at, std::pair(&fault, true));
+            moments.emplace(fault.at + fault.length, std::pair(&fault, false));
+        }
+        for (const auto &[at, moment] : moments) {
+            this->watchUntil(start + at);
+            const auto &[fault, isBegin] = moment;
+            this->note(absl::StrCat(isBegin ? "begin " : "end ", fault->text()));
+            if (!isPlanned(fault->kind)) {
+                this->checker.disturbed();
+            }
+            isBegin ? this->cell.begin(*fault) : this->cell.end(*fault);
+        }
+    }
+
+    void watchUntil(Timestamp end)
+    {
+        do {
+            this->cell.watch();
+            for (const std::string &problem : this->cell.problems()) {
+                this->checker.violation(problem);
+            }
+            const std::vector<std::string> found = this->checker.violations();
+            for (; this->noted < found.size(); ++this->noted) {
+                this->note("VIOLATION " + found[this->noted]);
+            }
+            absl::SleepFor(std::min(tick, std::max(absl::ZeroDuration(), end - controlNow())));
+        } while (controlNow() < end);
+    }
+
+    void settle()
+    {
+        const Timestamp begin = controlNow();
+        bool isReadBack = false;
+        std::vector<std::string> reasons;
+        do {
+            this->cell.heal();
+            this->watchUntil(controlNow() + absl::Milliseconds(200));
+            this->traffic.askForAll();
+            isReadBack = isReadBack || this->traffic.readBack();
+            reasons = this->checker.unsettled();
+        } while (controlNow() < begin + settlePatience && (!isReadBack || !reasons.empty()));
+        this->settleTime = controlNow() - begin;
+        for (const std::string &reason : reasons) {
+            this->checker.violation("LOST: " + reason);
+        }
+        if (!isReadBack) {
+            this->checker.violation("CONFIG: it isn't read back");
+        }
+    }
+
+    std::vector<std::string> violations()
+    {
+        this->watchUntil(controlNow());
+        return this->checker.violations();
+    }
+
+    const std::vector<Fault> faults;
+    std::ofstream log;
+    Checker checker;
+    Cell cell;
+    Traffic traffic;
+    std::size_t noted = 0;
+    Duration settleTime;
+};
+
+std::vector<std::uint64_t> readSeeds(const std::string &path)
+{
+    std::vector<std::uint64_t> seeds;
+    std::ifstream file(path);
+    for (std::string line; std::getline(file, line);) {
+        std::uint64_t seed = 0;
+        if (std::istringstream(line) >> seed) {
+            seeds.push_back(seed);
+        }
+    }
+    return seeds;
+}
+
+/** @return whether every promise held */
+bool runSeed(std::uint64_t seed, const Sizes &sizes, const std::string &programs)
+{
+    const std::string folder = absl::StrCat(std::filesystem::temp_directory_path().string(), "/paddlepier-soak-", seed, "-", ::getpid());
+    std::filesystem::create_directories(folder);
+    Run run(seed, sizes, folder, programs);
+    const std::vector<std::string> violations = run.run();
+    std::cout << "seed " << seed << ": " << (violations.empty() ? "held" : "BROKEN") << "; " << run.summary() << std::endl;
+    for (const std::string &violation : violations) {
+        std::cout << "    " << violation << "\n";
+    }
+    if (violations.empty()) {
+        std::filesystem::remove_all(folder);
+    } else {
+        std::cout << "    lines of the processes, and the times of faults and violations (soak.log): " << folder << std::endl;
+    }
+    return violations.empty();
+}
+
+} // namespace
+
+} // namespace paddlepier::testing::soak
+
+int main(int count, char **words)
+{
+    using namespace paddlepier;
+    if (const std::optional<int> status = testing::runInOwnNetwork(words)) {
+        return *status;
+    }
+    ::signal(SIGPIPE, SIG_IGN);
+    TCLAP::CmdLine line("Runs the real processes under faults, and checks the platform's promises", ' ', "0.1.0");
+    TCLAP::ValueArg<std::string> programs("", "programs", "folder with the built programs", true, "", "folder", line);
+    TCLAP::MultiArg<std::uint64_t> seedArgument("", "seed", "a seed", false, "number", line);
+    TCLAP::ValueArg<std::string> list("", "list", "file with a seed at the start of each line", false, "", "file", line);
+    TCLAP::ValueArg<std::uint64_t> fresh("", "count", "fresh seeds", false, 0, "number", line);
+    TCLAP::ValueArg<std::uint32_t> workers("", "workers", "workers", false, 12, "number", line);
+    TCLAP::ValueArg<std::uint32_t> entries("", "entries", "entry instances", false, 3, "number", line);
+    TCLAP::ValueArg<std::uint32_t> cores("", "cores", "core instances", false, 3, "number", line);
+    TCLAP::ValueArg<std::uint32_t> seconds("", "seconds", "time with faults", false, 12, "number", line);
+    line.parse(count, words);
+    log::initialize(log::Level::Error);
+    const testing::soak::Sizes sizes{cores.getValue(), entries.getValue(), workers.getValue(), absl::Seconds(seconds.getValue())};
+    std::vector<std::uint64_t> seeds = seedArgument.getValue();
+    for (const std::uint64_t seed : testing::soak::readSeeds(list.getValue())) {
+        seeds.push_back(seed);
+    }
+    for (std::uint64_t number = 0; number < fresh.getValue(); ++number) {
+        seeds.push_back(static_cast<std::uint64_t>(paddlepier::wallMicros()) / 1000 % 100'000'000 * 100 + number);
+    }
+    std::size_t broken = 0;
+    for (const std::uint64_t seed : seeds) {
+        broken += testing::soak::runSeed(seed, sizes, programs.getValue()) ? 0 : 1;
+    }
+    std::cout << seeds.size() << " seeds, " << broken << " broken" << std::endl;
+    return broken == 0 ? 0 : 1;
+}
--- /dev/null
+++ b/testing/soak/plan.cpp
@@ -0,0 +1,155 @@
+// The faults of one seed, and when each begins and ends.
+
+#include "testing/soak/plan.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+#include <array>
+#include <random>
+
+namespace paddlepier::testing::soak
+{
+
+namespace
+{
+
+struct KindRow {
+    FaultKind kind;
+    const char *name;
+    /** How often it comes, against the others. */
+    double weight;
+    double leastSeconds;
+    double mostSeconds;
+};
+
+constexpr std::array<KindRow, 17> kinds{{{FaultKind::StopCore, "stop-core", 4, 0.1, 2},
+                                         {FaultKind::StopEntry, "stop-entry", 4, 0.1, 2},
+                                         {FaultKind::KillCore, "kill-core", 8, 0.1, 3},
+                                         {FaultKind::KillEntry, "kill-entry", 5, 0.1, 2},
+                                         {FaultKind::KillAllCores, "kill-all-cores", 2, 0.1, 1},
+                                         {FaultKind::PauseCore, "pause-core", 8, 0.1, 4},
+                                         {FaultKind::PauseEntry, "pause-entry", 4, 0.1, 3},
+                                         {FaultKind::LoseDisk, "lose-disk", 2, 0.2, 1},
+                                         {FaultKind::DelayLinks, "delay-links", 8, 0.3, 3},
+                                         {FaultKind::ResetLinks, "reset-links", 8, 0, 0},
+                                         {FaultKind::CutLinks, "cut-links", 12, 0.3, 5},
+                                         {FaultKind::SilenceLinks, "silence-links", 10, 0, 0},
+                                         {FaultKind::CrashWorker, "crash-worker", 14, 0.1, 2},
+                                         {FaultKind::DrainWorker, "drain-worker", 5, 3, 6},
+                                         {FaultKind::WorkerAnswersLate, "worker-answers-late", 5, 0.5, 4},
+                                         {FaultKind::WorkerLosesAnswers, "worker-loses-answers", 6, 0.5, 4},
+                                         {FaultKind::WorkerOrdersLate, "worker-orders-late", 8, 0.5, 4}}};
+
+/** Time in which only planned stops happen; longer than `contact_ms` of the platform. */
+constexpr double quietSeconds = 6;
+
+/** Faults of the crowded seeds come with this mean gap; the mean of all seeds lies between the two. */
+constexpr double leastGapSeconds = 0.1;
+constexpr double mostGapSeconds = 0.6;
+
+const KindRow &rowOf(FaultKind kind)
+{
+    return *std::find_if(kinds.begin(), kinds.end(), [kind](const KindRow &row) { return row.kind == kind; });
+}
+
+class Planner
+{
+public:
+    Planner(std::uint64_t seed, const Sizes &sizes)
+        : sizes(sizes)
+        , random(seed)
+    {
+    }
+
+    std::vector<Fault> plan()
+    {
+        double at = 0.5;
+        if (this->between(0, 1) < 0.4) {
+            for (at = 1; at < quietSeconds - 2; at += this->between(0.5, 2)) {
+                this->add(at, this->between(0, 1) < 0.7 ? FaultKind::StopEntry : FaultKind::StopCore);
+            }
+            at = quietSeconds;
+        }
+        const double end = at + absl::ToDoubleSeconds(this->sizes.faults);
+        const double gap = this->between(leastGapSeconds, mostGapSeconds);
+        for (; at < end; at += std::exponential_distribution<double>(1 / gap)(this->random)) {
+            this->add(at, this->anyKind());
+        }
+        return this->faults;
+    }
+
+private:
+    double between(double least, double most)
+    {
+        return std::uniform_real_distribution<double>(least, most)(this->random);
+    }
+
+    FaultKind anyKind()
+    {
+        std::vector<double> weights;
+        for (const KindRow &row : kinds) {
+            weights.push_back(row.kind == FaultKind::LoseDisk && this->hasLostDisk ? 0 : row.weight);
+        }
+        const FaultKind kind = kinds[std::discrete_distribution<std::size_t>(weights.begin(), weights.end())(this->random)].kind;
+        this->hasLostDisk = this->hasLostDisk || kind == FaultKind::LoseDisk;
+        return kind;
+    }
+
+    std::uint32_t targetsOf(FaultKind kind) const
+    {
+        switch (kind) {
+        case FaultKind::StopEntry:
+        case FaultKind::KillEntry:
+        case FaultKind::PauseEntry:
+            return this->sizes.entries;
+        case FaultKind::DelayLinks:
+        case FaultKind::ResetLinks:
+        case FaultKind::CutLinks:
+        case FaultKind::SilenceLinks:
+            return this->sizes.cores + this->sizes.entries;
+        default:
+            return kind >= FaultKind::CrashWorker ? this->sizes.workers : this->sizes.cores;
+        }
+    }
+
+    void add(double at, FaultKind kind)
+    {
+        Fault fault;
+        fault.at = absl::Milliseconds(static_cast<std::int64_t>(at * 1000));
+        fault.length = absl::Milliseconds(static_cast<std::int64_t>(this->between(rowOf(kind).leastSeconds, rowOf(kind).mostSeconds) * 1000));
+        fault.kind = kind;
+        fault.target = static_cast<std::uint32_t>(this->random() % this->targetsOf(kind));
+        fault.part = this->between(0, 1) < 0.5 ? 0 : static_cast<std::uint32_t>(1 + this->random() % 1000);
+        this->faults.push_back(fault);
+    }
+
+    const Sizes sizes;
+    std::mt19937_64 random;
+    bool hasLostDisk = false;
+    std::vector<Fault> faults;
+};
+
+} // namespace
+
+std::string nameOf(FaultKind kind)
+{
+    return rowOf(kind).name;
+}
+
+bool isPlanned(FaultKind kind)
+{
+    return kind == FaultKind::StopCore || kind == FaultKind::StopEntry;
+}
+
+std::string Fault::text() const
+{
+    return absl::StrCat(nameOf(this->kind), " ", this->target, " part ", this->part, " for ", absl::FormatDuration(this->length));
+}
+
+std::vector<Fault> planFaults(std::uint64_t seed, const Sizes &sizes)
+{
+    return Planner(seed, sizes).plan();
+}
+
+} // namespace paddlepier::testing::soak
--- /dev/null
+++ b/testing/soak/traffic.cpp
@@ -0,0 +1,284 @@
+// Callers and operators of one seed.
+
+#include "testing/soak/traffic.h"
+
+#include "platform/codec.h"
+
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_format.h>
+#include <absl/time/clock.h>
+#include <nlohmann/json.hpp>
+
+#include <memory>
+#include <optional>
+
+namespace paddlepier::testing::soak
+{
+
+namespace
+{
+
+using Json = nlohmann::json;
+
+constexpr std::uint64_t callerCount = 12;
+
+/** Every second caller calls seldom: its connection is open, and not in use, when an instance is told to stop. */
+constexpr std::uint64_t longestPauseMillis = 4000;
+constexpr std::uint64_t shortestPauseMillis = 150;
+constexpr std::uint64_t operatorCount = 2;
+constexpr std::uint64_t queueCount = 3;
+
+/** What a caller waits for an answer. */
+constexpr Duration callPatience = absl::Seconds(2);
+
+/** An operator asks the next machine after this; PROTOCOL.md. */
+constexpr Duration orderPatience = absl::Seconds(1);
+
+/** Lasting jobs of one caller: they stay till the end, and leave most of the workers to the others. */
+constexpr std::size_t mostLastingJobs = 3;
+
+std::uint64_t below(std::mt19937_64 &random, std::uint64_t bound)
+{
+    return random() % bound;
+}
+
+void pause(std::mt19937_64 &random, std::uint64_t mostMillis)
+{
+    absl::SleepFor(absl::Milliseconds(static_cast<std::int64_t>(below(random, mostMillis))));
+}
+
+Json step(std::mt19937_64 &random, std::uint64_t mostTasks)
+{
+    return {{"count", 1 + below(random, mostTasks)},
+            {"cpu", 250 * (1 + below(random, 6))},
+            {"requested_memory_mb", 100},
+            {"estimated_ms", 50 + below(random, 900)}};
+}
+
+/** A job of a kind that the seed gives: plain, of several steps, a gang, or lasting. */
+Json anyJob(std::mt19937_64 &random, bool mayLast)
+{
+    const std::uint64_t kind = below(random, 20);
+    const char *payload = below(random, 10) == 0 ? "flaky" : below(random, 40) == 0 ? "hopeless" : "plain";
+    Json job{{"task_spec", payload}, {"steps", Json::array({step(random, 5)})}};
+    if (kind < 6) {
+        for (std::uint64_t more = 1; more <= 1 + below(random, 2); ++more) {
+            job["steps"].push_back(step(random, 4));
+            job["steps"].back()["after"] = {more - 1};
+        }
+    } else if (kind < 9) {
+        job["steps"][0]["gang"] = true;
+        job["steps"][0]["count"] = 2 + below(random, 3);
+    } else if (kind < 11 && mayLast) {
+        job["steps"][0]["long_running"] = true;
+        job["steps"][0]["count"] = 1 + below(random, 2);
+        job["steps"][0]["cpu"] = 250;
+    }
+    return job;
+}
+
+std::string configuration(std::uint64_t version, std::uint64_t timeoutMillis, bool isValid)
+{
+    Json routes = Json::array();
+    for (std::uint64_t queue = 0; queue < queueCount; ++queue) {
+        routes.push_back({{"name", absl::StrCat("q", queue)},
+                          {"host", "jobs.example"},
+                          {"path_prefix", absl::StrCat("/q", queue, "/")},
+                          {"timeout_ms", timeoutMillis},
+                          {"priority", queue},
+                          {"service", "pool"},
+                          {"max_attempts", attemptsOfATask}});
+    }
+    if (version % 2 == 0) {
+        routes.push_back({{"name", "more"}, {"host", "jobs.example"}, {"path_prefix", "/more/"}, {"timeout_ms", 1000}, {"service", "pool"}});
+    }
+    if (!isValid) {
+        routes.back()["service"] = "none";
+    }
+    return Json{{"version", version}, {"routes", routes}, {"services", {{{"name", "pool"}}}}}.dump();
+}
+
+} // namespace
+
+struct Traffic::Caller {
+    std::uint64_t number = 0;
+    std::mt19937_64 random;
+    std::uint32_t entry = 0;
+    std::unique_ptr<Channel> channel;
+    std::vector<std::string> jobs;
+    std::size_t lastingJobs = 0;
+};
+
+Traffic::Traffic(const Cell &servedCell, Sizes cellSizes, std::uint64_t trafficSeed, Checker &judge)
+    : cell(servedCell)
+    , sizes(cellSizes)
+    , seed(trafficSeed)
+    , checker(judge)
+{
+}
+
+Traffic::~Traffic()
+{
+    this->stop();
+}
+
+void Traffic::start()
+{
+    for (std::uint64_t number = 0; number < callerCount; ++number) {
+        this->threads.emplace_back([this, number] {
+            Caller caller{number, std::mt19937_64(this->seed * 100 + number), static_cast<std::uint32_t>(number), nullptr, {}, 0};
+            while (!this->stopping) {
+                this->call(caller);
+                const std::uint64_t millis = below(caller.random, number % 2 == 0 ? shortestPauseMillis : longestPauseMillis);
+                waitUntil([this] { return this->stopping.load(); }, absl::Milliseconds(static_cast<std::int64_t>(millis)));
+            }
+        });
+    }
+    for (std::uint64_t number = 0; number < operatorCount; ++number) {
+        this->threads.emplace_back([this, number] { this->operate(number); });
+    }
+}
+
+void Traffic::stop()
+{
+    this->stopping = true;
+    for (std::thread &thread : this->threads) {
+        thread.join();
+    }
+    this->threads.clear();
+}
+
+Reply Traffic::send(Caller &caller, const std::string &method, const std::string &job, const std::string &body)
+{
+    if (!caller.channel) {
+        caller.entry = (caller.entry + 1) % this->sizes.entries;
+        caller.channel = std::make_unique<Channel>(this->cell.front(caller.entry));
+    }
+    const std::string path = absl::StrCat("/q", job.back() % queueCount, "/", job);
+    Reply reply = caller.channel->call(method, path, body, callPatience);
+    this->checker.callEnded(reply, this->cell.stopAt(caller.entry));
+    if (reply.ending != Ending::Answered || reply.status >= 500) {
+        caller.channel.reset();
+    }
+    return reply;
+}
+
+void Traffic::call(Caller &caller)
+{
+    const std::uint64_t choice = below(caller.random, 20);
+    if (choice < 9 || caller.jobs.empty()) {
+        this->submit(caller);
+    } else if (choice < 10) {
+        this->cancel(caller);
+    } else {
+        // Mostly one of the last jobs.
+        const std::size_t back = std::min<std::size_t>(caller.jobs.size(), 1 + below(caller.random, choice < 13 ? 100 : 6));
+        this->ask(caller, caller.jobs[caller.jobs.size() - back]);
+    }
+}
+
+void Traffic::submit(Caller &caller)
+{
+    const Json job = anyJob(caller.random, caller.lastingJobs < mostLastingJobs);
+    caller.lastingJobs += job["steps"][0].contains("long_running") ? 1 : 0;
+    const std::string id = absl::StrFormat("%08x%02x%06x", this->seed & 0xffffffffU, caller.number, caller.jobs.size());
+    const std::string body = job.dump();
+    const work::JobSpecT spec = platform::decodeJob(body);
+    caller.jobs.push_back(id);
+    const std::uint64_t tries = 1 + below(caller.random, 6);
+    const bool sendsAgain = below(caller.random, 10) == 0;
+    for (std::uint64_t attempt = 0; attempt < tries; ++attempt) {
+        this->checker.submitSent(id, spec);
+        const Reply reply = this->send(caller, "POST", id, body);
+        this->checker.submitEnded(id, reply);
+        if (reply.status == 200 && !sendsAgain) {
+            return;
+        }
+        pause(caller.random, 200);
+    }
+}
+
+void Traffic::cancel(Caller &caller)
+{
+    const std::string &job = caller.jobs[caller.jobs.size() - std::min<std::size_t>(caller.jobs.size(), 1 + below(caller.random, 10))];
+    this->checker.cancelSent(job);
+    for (int attempt = 0; attempt < 4; ++attempt) {
+        const Reply reply = this->send(caller, "DELETE", job);
+        this->checker.cancelEnded(job, reply);
+        if (reply.status == 200 || reply.status == 410) {
+            return;
+        }
+    }
+}
+
+void Traffic::ask(Caller &caller, const std::string &job)
+{
+    this->checker.stateEnded(job, this->send(caller, "GET", job));
+}
+
+void Traffic::askForAll()
+{
+    Caller caller{callerCount, std::mt19937_64(this->seed), 0, nullptr, {}, 0};
+    for (const std::string &job : this->checker.unsettledJobs()) {
+        this->ask(caller, job);
+    }
+}
+
+Reply Traffic::change(std::uint64_t version, const std::string &body, std::mt19937_64 &random)
+{
+    Channel channel(this->cell.control(static_cast<std::uint32_t>(below(random, this->sizes.cores))));
+    Reply reply = channel.call("PUT", "/api/configuration", body, orderPatience);
+    this->checker.configurationEnded(version, reply);
+    return reply;
+}
+
+bool Traffic::configure(Duration patience)
+{
+    std::mt19937_64 random(this->seed);
+    const std::string body = configuration(++this->newestVersion, 3000, true);
+    this->checker.configurationSent(this->newestVersion, body);
+    return waitUntil([&] { return this->change(this->newestVersion, body, random).status == 200; }, patience);
+}
+
+void Traffic::operate(std::uint64_t number)
+{
+    std::mt19937_64 random(this->seed * 100 + 50 + number);
+    std::vector<std::pair<std::uint64_t, std::string>> older;
+    while (!this->stopping) {
+        const bool isValid = below(random, 8) != 0;
+        std::uint64_t version = this->newestVersion += 1 + below(random, 5);
+        std::string body = configuration(version, 1000 + below(random, 3000), isValid);
+        if (!older.empty() && below(random, 5) == 0) {
+            std::tie(version, body) = older[below(random, older.size())];
+        } else if (isValid) {
+            older.emplace_back(version, body);
+            this->checker.configurationSent(version, body);
+        } else {
+            version = 0;
+        }
+        for (int attempt = 0; attempt < 4 && !this->stopping; ++attempt) {
+            const int status = this->change(version, body, random).status;
+            if (status == 200 || (status >= 400 && status < 500)) {
+                break;
+            }
+            pause(random, 300);
+        }
+        Channel reader(this->cell.control(static_cast<std::uint32_t>(below(random, this->sizes.cores))));
+        this->checker.configurationRead(reader.call("GET", "/api/configuration", "", orderPatience));
+        pause(random, 800);
+    }
+}
+
+bool Traffic::readBack()
+{
+    bool isWhole = true;
+    for (std::uint32_t core = 0; core < this->sizes.cores; ++core) {
+        Channel reader(this->cell.control(core));
+        const Reply reply = reader.call("GET", "/api/configuration", "", orderPatience);
+        this->checker.configurationRead(reply);
+        isWhole = isWhole && reply.status == 200;
+    }
+    return isWhole;
+}
+
+} // namespace paddlepier::testing::soak
