--- a/testing/forwarder_test.cpp
+++ b/testing/forwarder_test.cpp
@@ -51,7 +51,7 @@
     {
         const sockaddr_in address = addressOf(this->port);
         this->opened.push_back(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0));
-        ::connect(this->opened.back(), reinterpret_cast<const sockaddr *>(&address), sizeof(address));
+        static_cast<void>(::connect(this->opened.back(), reinterpret_cast<const sockaddr *>(&address), sizeof(address)));
         return this->opened.back();
     }
 
--- a/testing/harness.cpp
+++ b/testing/harness.cpp
@@ -32,6 +32,7 @@
 std::vector<char *> pointersTo(const std::vector<std::string> &words)
 {
     std::vector<char *> pointers;
+    pointers.reserve(words.size() + 1);
     for (const std::string &word : words) {
         pointers.push_back(const_cast<char *>(word.c_str()));
     }
--- a/testing/soak/main.cpp
+++ b/testing/soak/main.cpp
@@ -4,14 +4,15 @@
 //     soak --programs build --count 10            # ten fresh ones
 //     soak --programs build --list testing/soak/seeds.txt
 
+#include "paddlepier/base/error.h"
 #include "paddlepier/base/log.h"
 #include "testing/soak/traffic.h"
 
 #include <absl/strings/str_cat.h>
 #include <absl/time/clock.h>
 #include <signal.h>
+#include <stdlib.h>
 #include <tclap/CmdLine.h>
-#include <unistd.h>
 
 #include <filesystem>
 #include <fstream>
@@ -160,8 +161,10 @@
 /** @return whether every promise held */
 bool runSeed(std::uint64_t seed, const Sizes &sizes, const std::string &programs)
 {
-    const std::string folder = absl::StrCat(std::filesystem::temp_directory_path().string(), "/paddlepier-soak-", seed, "-", ::getpid());
-    std::filesystem::create_directories(folder);
+    std::string folder = absl::StrCat(std::filesystem::temp_directory_path().string(), "/paddlepier-soak-", seed, "-XXXXXX");
+    if (::mkdtemp(folder.data()) == nullptr) {
+        throw InternalError("no folder can be made: " + folder);
+    }
     Run run(seed, sizes, folder, programs);
     const std::vector<std::string> violations = run.run();
     std::cout << "seed " << seed << ": " << (violations.empty() ? "held" : "BROKEN") << "; " << run.summary() << std::endl;
--- a/testing/soak/plan.cpp
+++ b/testing/soak/plan.cpp
@@ -88,6 +88,7 @@
     FaultKind anyKind()
     {
         std::vector<double> weights;
+        weights.reserve(kinds.size());
         for (const KindRow &row : kinds) {
             weights.push_back(row.kind == FaultKind::LoseDisk && this->hasLostDisk ? 0 : row.weight);
         }
