--- a/testing/soak/cell.cpp
+++ b/testing/soak/cell.cpp
@@ -21,6 +21,9 @@
 constexpr std::uint16_t readyPort = 8163;
 constexpr std::uint16_t workerPort = 8000;
 
+/** Within this time of its start a process may not have got to its own code. */
+constexpr Duration startTime = absl::Milliseconds(500);
+
 /** `grace_s` of the platform's settings: a process that was told to stop is killed after it. */
 constexpr Duration graceTime = absl::Seconds(6);
 
@@ -137,6 +140,7 @@
     instance.isKilled = false;
     instance.isPaused = false;
     instance.stopMicros = 0;
+    instance.startedAt = controlNow();
     for (const Link &link : this->links) {
         if (link.to == node.host) {
             link.forwarder->setTargetRunning(true);
@@ -195,7 +199,7 @@
                 link.forwarder->setTargetRunning(false);
             }
         }
-        if (!instance->isKilled && (!isStopping || instance->process->wait() != 0)) {
+        if (!instance->isKilled && !endedAsTold(*instance)) {
             this->checker.violation(absl::StrCat(instance->node.host, " has ended by itself with status ", instance->process->wait()));
         }
         if (now >= instance->downUntil) {
@@ -204,6 +208,14 @@
     }
 }
 
+bool Cell::endedAsTold(Instance &instance)
+{
+    // A process that is told to stop before its own code runs ends by the signal.
+    const bool isEarly = absl::FromUnixMicros(instance.stopMicros) < instance.startedAt + startTime;
+    const int status = instance.process->wait();
+    return instance.stopMicros != 0 && (status == 0 || (isEarly && status == 128 + SIGTERM));
+}
+
 void Cell::begin(const Fault &fault)
 {
     const bool isOfEntry = fault.kind == FaultKind::StopEntry || fault.kind == FaultKind::KillEntry || fault.kind == FaultKind::PauseEntry;
--- a/testing/soak/cell.h
+++ b/testing/soak/cell.h
@@ -55,6 +55,7 @@
         Timestamp downUntil = absl::InfinitePast();
         bool isKilled = false;
         bool isPaused = false;
+        Timestamp startedAt;
         std::atomic<std::int64_t> stopMicros{0};
     };
     struct Link {
@@ -71,6 +72,7 @@
     void kill(Instance &instance, Duration length);
     void pause(Instance &instance);
     void resume(Instance &instance);
+    static bool endedAsTold(Instance &instance);
     void disturbLinks(const Fault &fault, bool isOver);
     void disturbWorker(const Fault &fault, bool isOver);
     void setWorkerLinks(const std::string &host, bool isUp);
--- a/testing/soak/main.cpp
+++ b/testing/soak/main.cpp
@@ -28,6 +28,9 @@
 
 constexpr Duration tick = absl::Milliseconds(10);
 
+/** A longer step of the soak itself is noted. */
+constexpr Duration heldUp = absl::Milliseconds(300);
+
 /** The first group forms and takes its first configuration. */
 constexpr Duration startPatience = absl::Seconds(20);
 
@@ -91,13 +94,26 @@
                 this->checker.disturbed();
             }
             isBegin ? this->cell.begin(*fault) : this->cell.end(*fault);
+            this->noteHoldUp("that took");
+        }
+    }
+
+    /** So that what came late isn't taken for what came early. */
+    void noteHoldUp(const std::string &what)
+    {
+        const Duration since = controlNow() - this->lastSeen;
+        if (since > heldUp) {
+            this->note(absl::StrCat("the soak was held up: ", what, " ", absl::FormatDuration(since)));
         }
+        this->lastSeen = controlNow();
     }
 
     void watchUntil(Timestamp end)
     {
         do {
+            this->noteHoldUp("a wait took");
             this->cell.watch();
+            this->noteHoldUp("to watch the processes took");
             for (const std::string &problem : this->cell.problems()) {
                 this->checker.violation(problem);
             }
@@ -142,6 +158,7 @@
     Cell cell;
     Traffic traffic;
     std::size_t noted = 0;
+    Timestamp lastSeen = controlNow();
     Duration settleTime;
 };
 
