--- a/testing/soak/main.cpp
+++ b/testing/soak/main.cpp
@@ -31,6 +31,9 @@
 /** A longer step of the soak itself is noted. */
 constexpr Duration heldUp = absl::Milliseconds(300);
 
+/** `recovery_s` of the platform's settings. */
+constexpr Duration recoveryTime = absl::Seconds(12);
+
 /** The first group forms and takes its first configuration. */
 constexpr Duration startPatience = absl::Seconds(20);
 
@@ -62,6 +65,7 @@
         this->injectAll();
         this->note("heal");
         this->cell.heal();
+        this->healedAt = controlNow();
         this->traffic.stop();
         this->settle();
         return this->violations();
@@ -125,16 +129,27 @@
         } while (controlNow() < end);
     }
 
+    void noteRecovery(Duration time)
+    {
+        this->note(absl::StrCat("every core answers ", absl::FormatDuration(time), " after the faults"));
+        if (time > recoveryTime) {
+            this->checker.violation(absl::StrCat("RECOVER: every core answers only ", absl::FormatDuration(time), " after the faults"));
+        }
+    }
+
     void settle()
     {
-        const Timestamp begin = controlNow();
+        const Timestamp begin = this->healedAt;
         bool isReadBack = false;
         std::vector<std::string> reasons;
         do {
             this->cell.heal();
             this->watchUntil(controlNow() + absl::Milliseconds(200));
+            if (!isReadBack && this->traffic.readBack()) {
+                isReadBack = true;
+                this->noteRecovery(controlNow() - begin);
+            }
             this->traffic.askForAll();
-            isReadBack = isReadBack || this->traffic.readBack();
             reasons = this->checker.unsettled();
         } while (controlNow() < begin + settlePatience && (!isReadBack || !reasons.empty()));
         this->settleTime = controlNow() - begin;
@@ -159,6 +174,7 @@
     Traffic traffic;
     std::size_t noted = 0;
     Timestamp lastSeen = controlNow();
+    Timestamp healedAt;
     Duration settleTime;
 };
 
@@ -176,7 +192,7 @@
 }
 
 /** @return whether every promise held */
-bool runSeed(std::uint64_t seed, const Sizes &sizes, const std::string &programs)
+bool runSeed(std::uint64_t seed, const Sizes &sizes, const std::string &programs, bool keepsFolder)
 {
     std::string folder = absl::StrCat(std::filesystem::temp_directory_path().string(), "/paddlepier-soak-", seed, "-XXXXXX");
     if (::mkdtemp(folder.data()) == nullptr) {
@@ -188,7 +204,7 @@
     for (const std::string &violation : violations) {
         std::cout << "    " << violation << "\n";
     }
-    if (violations.empty()) {
+    if (violations.empty() && !keepsFolder) {
         std::filesystem::remove_all(folder);
     } else {
         std::cout << "    lines of the processes, and the times of faults and violations (soak.log): " << folder << std::endl;
@@ -216,6 +232,7 @@
     TCLAP::ValueArg<std::uint32_t> entries("", "entries", "entry instances", false, 3, "number", line);
     TCLAP::ValueArg<std::uint32_t> cores("", "cores", "core instances", false, 3, "number", line);
     TCLAP::ValueArg<std::uint32_t> seconds("", "seconds", "time with faults", false, 12, "number", line);
+    TCLAP::SwitchArg keep("", "keep", "keep the folder of a seed that held, too", line);
     line.parse(count, words);
     log::initialize(log::Level::Error);
     const testing::soak::Sizes sizes{cores.getValue(), entries.getValue(), workers.getValue(), absl::Seconds(seconds.getValue())};
@@ -228,7 +245,7 @@
     }
     std::size_t broken = 0;
     for (const std::uint64_t seed : seeds) {
-        broken += testing::soak::runSeed(seed, sizes, programs.getValue()) ? 0 : 1;
+        broken += testing::soak::runSeed(seed, sizes, programs.getValue(), keep.getValue()) ? 0 : 1;
     }
     std::cout << seeds.size() << " seeds, " << broken << " broken" << std::endl;
     return broken == 0 ? 0 : 1;
