--- a/paddlepier/http/httpserver.cpp
+++ b/paddlepier/http/httpserver.cpp
@@ -29,6 +29,12 @@
     return MHD_YES;
 }
 
+/** Not 503: whether the request takes effect isn't known here. */
+Answer outcomeUnknown()
+{
+    return {504, {{"Content-Type", "application/json"}, {"Retry-After", "1"}}, "{\"error\":\"Timeout\",\"message\":\"stopping; the outcome is not known\"}"};
+}
+
 } // namespace
 
 std::string_view findHeader(const Headers &headers, std::string_view name)
@@ -184,15 +190,14 @@
     {
         const absl::MutexLock lock(&this->mutex);
         left = this->suspended;
+        this->refusing = true;
     }
     if (left.empty()) {
         return;
     }
     log::warning("http", "exchanges.refused", {{"count", left.size()}});
     for (const std::shared_ptr<Exchange> &exchange : left) {
-        // Not 503: whether the request takes effect isn't known here.
-        exchange->answer(
-            {504, {{"Content-Type", "application/json"}, {"Retry-After", "1"}}, "{\"error\":\"Timeout\",\"message\":\"stopping; the outcome is not known\"}"});
+        exchange->answer(outcomeUnknown());
     }
     this->waitForExchanges(sendPatience);
 }
@@ -223,25 +228,49 @@
     }
     if (!exchange->dispatched) {
         exchange->dispatched = true;
-        if (exchange->tooLarge) {
-            exchange->answer({413, {{"Content-Type", "application/json"}}, "{\"error\":\"BodyTooLarge\",\"message\":\"the body is over the limit\"}"});
-        } else {
-            this->handler(exchange);
-        }
-        const absl::MutexLock lock(&exchange->mutex);
-        if (!exchange->reply) {
-            exchange->suspended = true;
-            {
-                const absl::MutexLock ownLock(&this->mutex);
-                this->suspended.insert(exchange);
-            }
-            MHD_suspend_connection(connection);
+        this->dispatch(exchange);
+        if (this->suspendUnlessAnswered(exchange)) {
             return MHD_YES;
         }
     }
     return this->queueAnswer(*exchange);
 }
 
+void HttpServer::dispatch(const std::shared_ptr<Exchange> &exchange)
+{
+    bool isRefused = false;
+    {
+        const absl::MutexLock lock(&this->mutex);
+        isRefused = this->refusing;
+    }
+    if (exchange->tooLarge) {
+        exchange->answer({413, {{"Content-Type", "application/json"}}, "{\"error\":\"BodyTooLarge\",\"message\":\"the body is over the limit\"}"});
+    } else if (isRefused) {
+        exchange->answer({503, {{"Content-Type", "application/json"}, {"Retry-After", "1"}}, "{\"error\":\"Stopping\",\"message\":\"stopping; not taken\"}"});
+    } else {
+        this->handler(exchange);
+    }
+}
+
+bool HttpServer::suspendUnlessAnswered(const std::shared_ptr<Exchange> &exchange)
+{
+    const absl::MutexLock lock(&exchange->mutex);
+    if (exchange->reply) {
+        return false;
+    }
+    {
+        const absl::MutexLock ownLock(&this->mutex);
+        if (this->refusing) {
+            exchange->reply = outcomeUnknown();
+            return false;
+        }
+        this->suspended.insert(exchange);
+    }
+    exchange->suspended = true;
+    MHD_suspend_connection(exchange->connection);
+    return true;
+}
+
 int HttpServer::queueAnswer(Exchange &exchange)
 {
     const absl::MutexLock lock(&exchange.mutex);
--- a/paddlepier/http/httpserver.h
+++ b/paddlepier/http/httpserver.h
@@ -110,6 +110,9 @@
 
 private:
     int onData(MHD_Connection *connection, const char *url, const char *method, const char *data, std::size_t *size, void **context);
+    void dispatch(const std::shared_ptr<Exchange> &exchange);
+    /** @return true if the connection waits now for its answer */
+    bool suspendUnlessAnswered(const std::shared_ptr<Exchange> &exchange);
     int queueAnswer(Exchange &exchange);
     void waitForExchanges(Duration patience) const;
     void refuseSuspended();
@@ -122,6 +125,8 @@
     absl::Mutex mutex;
     // Invariant: holds every exchange whose connection is suspended; the library must not be stopped while there is one.
     std::set<std::shared_ptr<Exchange>> suspended ABSL_GUARDED_BY(mutex);
+    /** No further exchange may wait for its answer: those that did have been refused, and nobody would refuse it. */
+    bool refusing ABSL_GUARDED_BY(mutex) = false;
 };
 
 } // namespace paddlepier::http
--- a/paddlepier/http/httpserver_test.cpp
+++ b/paddlepier/http/httpserver_test.cpp
@@ -3,11 +3,15 @@
 #include "paddlepier/http/httpserver.h"
 
 #include "paddlepier/http/httpclient.h"
+#include "paddlepier/settings/socketaddress.h"
 #include "testing/harness.h"
 
 #include <absl/strings/str_cat.h>
 #include <catch2/catch.hpp>
+#include <sys/socket.h>
+#include <unistd.h>
 
+#include <array>
 #include <thread>
 
 namespace paddlepier::http
@@ -60,4 +64,34 @@
     CHECK(result.answer.header("Retry-After") == "1");
 }
 
+TEST_CASE_METHOD(HttpServerFixture, "request_readWhileTheServerStops_isRefusedAndNotRun")
+{
+    // Symptom: a process aborted in a planned stop. Sequence: requests that waited for their answer were refused; another one, whose
+    // body came after that, was given to the handler and waited in turn; the library must not be stopped while one waits.
+    const int slow = ::socket(AF_INET, SOCK_STREAM, 0);
+    const SocketAddress address = toSocketAddress(this->endpoint);
+    REQUIRE(::connect(slow, address.pointer(), address.size) == 0);
+    const std::string head = "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\n";
+    REQUIRE(::send(slow, head.data(), head.size(), 0) == static_cast<ssize_t>(head.size()));
+    ssize_t sent = 0;
+    std::thread caller([&] {
+        OutgoingRequest request;
+        request.method = "GET";
+        request.url = absl::StrCat("http://", this->endpoint.text(), "/");
+        fetch(request);
+        // The one that waited has been refused.
+        sent = ::send(slow, "body", 4, 0);
+    });
+    REQUIRE(testing::waitUntil([this] { return this->heldExchanges() == 1 && this->server->activeExchanges() == 2; }));
+    this->server->stop(absl::Milliseconds(50));
+    caller.join();
+    REQUIRE(sent == 4);
+    std::array<char, 64> answer{};
+    const ssize_t count = ::recv(slow, answer.data(), answer.size(), 0);
+    ::close(slow);
+    REQUIRE(count > 12);
+    CHECK(std::string(answer.data(), 12) == "HTTP/1.1 503");
+    CHECK(this->heldExchanges() == 1);
+}
+
 } // namespace paddlepier::http
