--- a/paddlepier/consensus/leaderpatience.cpp
+++ b/paddlepier/consensus/leaderpatience.cpp
@@ -28,7 +28,9 @@
 
 void LeaderPatience::notePause(Duration pause)
 {
-    this->longestPause = std::max(pause, this->longestPause * kept);
+    // A follower that stood still itself sees a pause of any length: beyond the bound it would only be remembered for longer.
+    const Duration counted = std::min(pause, this->least * mostSilences / pausesMissed);
+    this->longestPause = std::max(counted, this->longestPause * kept);
 }
 
 void LeaderPatience::forget()
--- a/paddlepier/consensus/leaderpatience_test.cpp
+++ b/paddlepier/consensus/leaderpatience_test.cpp
@@ -85,6 +85,16 @@
     CHECK(this->campaignsWithin(2 * least));
 }
 
+TEST_CASE("silence_afterAFollowersOwnFreeze_shrinksAgainWithMessagesInTime")
+{
+    LeaderPatience patience(least);
+    patience.notePause(absl::Seconds(60));
+    for (int message = 0; message < 13 * 5; ++message) {
+        patience.notePause(absl::Milliseconds(75));
+    }
+    CHECK(patience.silence() < 2 * least + absl::Milliseconds(50));
+}
+
 TEST_CASE("silence_afterOneLongPause_shrinksAgainWithMessagesInTime")
 {
     LeaderPatience patience(least);
--- a/paddlepier/execution/dispatcher.cpp
+++ b/paddlepier/execution/dispatcher.cpp
@@ -95,6 +95,7 @@
             track.checkpoint = task.checkpoint;
             track.placedAt = now;
             track.isAdopted = true;
+            track.pace.reset();
             this->tracks.emplace(key, std::move(track));
         }
         for (const auto &[key, run] : worker.superseded) {
@@ -224,7 +225,7 @@
         return;
     }
     this->nextWorkerCheck = now + workerCheckInterval;
-    this->isSlow = !isMinority(this->views, [now](const WorkerView &view) { return view.isOverdue(now) || view.isSilent(); });
+    this->isSlow = isMajority(this->views, [now](const WorkerView &view) { return view.isOverdue(now) || view.isSilent(); });
     this->expireLeases(now);
     this->supersedeRuns(now);
     this->drainWorkers(now);
--- a/paddlepier/execution/newterm_test.cpp
+++ b/paddlepier/execution/newterm_test.cpp
@@ -279,4 +279,57 @@
     CHECK(this->polls.empty());
 }
 
+TEST_CASE_METHOD(DispatcherFixture, "halfOfTheWorkersDie_theirRunsMoveAfterOneLease")
+{
+    constexpr std::size_t workerCount = 20;
+    for (std::size_t number = 0; number < workerCount; ++number) {
+        this->addWorker(absl::StrCat("w", number));
+    }
+    this->newLeader();
+    this->runFor(absl::Seconds(1));
+    this->addJob("a", workerCount, 60'000);
+    REQUIRE(this->runUntil([&] { return this->workers.starts == workerCount; }, absl::Seconds(2)));
+    this->runFor(absl::Seconds(1));
+    std::size_t lost = 0;
+    std::size_t dead = 0;
+    for (auto &[id, worker] : this->workers.workers) {
+        if (dead < workerCount / 2) {
+            ++dead;
+            worker.isCut = true;
+            lost += worker.runs.size();
+        }
+    }
+    CHECK(this->runUntil([&] { return this->workers.starts >= workerCount + lost; }, absl::Seconds(12)));
+    CHECK(this->workers.problems.empty());
+}
+
+TEST_CASE_METHOD(DispatcherFixture, "fillingRun_pacedDownByAnEarlierLeader_isLetGoByTheNext")
+{
+    this->addWorker("w1");
+    this->newLeader();
+    this->runFor(absl::Seconds(1));
+    work::SubmitJobT command;
+    command.id = "f";
+    command.queue = "quick";
+    command.spec = std::make_unique<work::JobSpecT>();
+    auto &step = command.spec->steps.emplace_back(std::make_unique<work::StepSpecT>());
+    step->count = 1;
+    step->estimatedMillis = 60'000;
+    step->isFilling = true;
+    step->demand = std::make_unique<work::Demand>(1000, 100, 0);
+    this->apply(std::move(command));
+    this->dispatcher->noteChange();
+    REQUIRE(this->runUntil([this] { return this->workers.starts == 1; }, absl::Seconds(2)));
+    // What the earlier leader has ordered last.
+    std::uint32_t paceAtWorker = 0;
+    this->onCall = [&paceAtWorker](const WorkerCall &call) {
+        if (const auto *pace = std::get_if<PaceOrder>(&call.order)) {
+            paceAtWorker = pace->percent;
+        }
+    };
+    this->newLeader();
+    this->runFor(absl::Seconds(5));
+    CHECK(paceAtWorker == 100);
+}
+
 } // namespace paddlepier::execution
--- a/paddlepier/execution/runtrack.h
+++ b/paddlepier/execution/runtrack.h
@@ -10,6 +10,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 
 namespace paddlepier::execution
@@ -54,7 +55,8 @@
     std::uint32_t firstPercent = 0;
     Timestamp firstPercentAt = absl::InfiniteFuture();
     std::uint32_t load = 0;
-    std::uint32_t pace = 100;
+    /** The pace that its worker has confirmed; nothing where an earlier leader, or an order without an answer, may have left another. */
+    std::optional<std::uint32_t> pace = 100;
     bool isPaceInFlight = false;
     std::string checkpoint;
 };
--- a/paddlepier/execution/watch.cpp
+++ b/paddlepier/execution/watch.cpp
@@ -157,9 +157,7 @@
         return;
     }
     track->isPaceInFlight = false;
-    if (answer.kind == AnswerKind::Accepted) {
-        track->pace = order.percent;
-    }
+    track->pace = answer.kind == AnswerKind::Accepted ? std::optional(order.percent) : std::nullopt;
 }
 
 void Dispatcher::judgeEnd(Timestamp now, WorkerView &view, const ListedEnd &end)
--- a/paddlepier/execution/workerview.h
+++ b/paddlepier/execution/workerview.h
@@ -101,15 +101,28 @@
     std::map<std::uint64_t, Timestamp> dueAnswers;
 };
 
+/** Number of @p views for which @p predicate holds. O(workers). */
+template<typename Predicate>
+std::size_t countViews(const std::map<std::string, WorkerView> &views, Predicate predicate)
+{
+    return static_cast<std::size_t>(std::count_if(views.begin(), views.end(), [&predicate](const auto &entry) { return predicate(entry.second); }));
+}
+
+/** True if @p predicate holds for fewer than half of @p views: they can be done without. */
+template<typename Predicate>
+bool isMinority(const std::map<std::string, WorkerView> &views, Predicate predicate)
+{
+    return countViews(views, predicate) * 2 < views.size();
+}
+
 /**
- * True if @p predicate holds for fewer than half of @p views. Where answers of most workers are late or missing it is this
- * process that is slow, or cut off. O(workers).
+ * True if @p predicate holds for more than half of @p views. Where answers of most workers are late or missing it is likely that
+ * this process is slow, or cut off.
  */
 template<typename Predicate>
-bool isMinority(const std::map<std::string, WorkerView> &views, Predicate predicate)
+bool isMajority(const std::map<std::string, WorkerView> &views, Predicate predicate)
 {
-    const auto count = std::count_if(views.begin(), views.end(), [&predicate](const auto &entry) { return predicate(entry.second); });
-    return static_cast<std::size_t>(count) * 2 < views.size();
+    return countViews(views, predicate) * 2 > views.size();
 }
 
 } // namespace paddlepier::execution
--- a/paddlepier/http/httpclient.cpp
+++ b/paddlepier/http/httpclient.cpp
@@ -42,6 +42,8 @@
     TransferSockets *sockets = nullptr;
     CURL *handle = nullptr;
     curl_slist *headerList = nullptr;
+    /** Connections over which the request was begun to be sent. */
+    std::uint32_t sendings = 0;
     bool hasLength = false;
     bool isChunked = false;
     /** The library asked to wait at its socket. */
@@ -66,6 +68,7 @@
         std::string().swap(this->request.body); // An assignment may keep its memory.
         this->done = nullptr;
         this->result = {};
+        this->sendings = 0;
         this->hasLength = false;
         this->isChunked = false;
         this->wasWatched = false;
@@ -108,6 +111,18 @@
     return size * count;
 }
 
+/** Called by the library right before it sends the request, also for the second time. */
+int onSending(void *context, char *, char *, int, int)
+{
+    auto *transfer = static_cast<Transfer *>(context);
+    const bool isFirst = transfer->sendings == 0;
+    if (!isFirst && !transfer->request.mayBeRepeated) {
+        return CURL_PREREQFUNC_ABORT;
+    }
+    ++transfer->sendings;
+    return CURL_PREREQFUNC_OK;
+}
+
 void initializeLibrary()
 {
     static std::once_flag once;
@@ -139,6 +154,8 @@
     curl_easy_setopt(handle, CURLOPT_WRITEDATA, &transfer);
     curl_easy_setopt(handle, CURLOPT_HEADERFUNCTION, &onHeader);
     curl_easy_setopt(handle, CURLOPT_HEADERDATA, &transfer);
+    curl_easy_setopt(handle, CURLOPT_PREREQFUNCTION, &onSending);
+    curl_easy_setopt(handle, CURLOPT_PREREQDATA, &transfer);
     curl_easy_setopt(handle, CURLOPT_PRIVATE, &transfer);
     if (transfer.sockets != nullptr) {
         curl_easy_setopt(handle, CURLOPT_SOCKOPTFUNCTION, &onOpened);
@@ -183,15 +200,13 @@
 TransferResult conclude(Transfer &transfer, CURLcode code)
 {
     long status = 0;
-    long requestBytes = 0;
     curl_easy_getinfo(transfer.handle, CURLINFO_RESPONSE_CODE, &status);
-    curl_easy_getinfo(transfer.handle, CURLINFO_REQUEST_SIZE, &requestBytes);
     TransferResult result = std::move(transfer.result);
     result.answer.status = static_cast<int>(status);
     // An answer that ends with its connection can't be told from one that was cut short.
     const bool hasProvenEnd = transfer.hasLength || transfer.isChunked || status == noContentStatus;
     result.whole = code == CURLE_OK && status != 0 && hasProvenEnd;
-    result.nothingSent = code != CURLE_OK && requestBytes == 0;
+    result.nothingSent = code != CURLE_OK && transfer.sendings == 0;
     if (code != CURLE_OK) {
         result.problem = curl_easy_strerror(code);
     } else if (!result.whole) {
--- a/paddlepier/http/httpclient.h
+++ b/paddlepier/http/httpclient.h
@@ -2,8 +2,9 @@
 //
 // What a transfer tells about its end is exact where a promise rests on it: `nothingSent` is true only if no byte of the
 // request can have reached the other side, and a body is `whole` only if its stated length or its chunked ending came.
-// A request is never sent a second time behind the caller's back: one that must not be repeated gets a fresh connection,
-// since the library would repeat it if a kept connection turned out to be closed.
+// A request is never sent a second time behind the caller's back: the library would repeat one whose kept connection turns out to
+// be closed, also when the other side had read it. Only one that may be repeated is; one that must reach the other side if it can, and
+// at most once, gets a fresh connection.
 //
 // A call is given up at its timeout, but not before everything that its socket had brought by then has been read: a pool
 // that was itself held up takes the answers that came in time. The connection of a call that was given up is closed, and
@@ -37,6 +38,8 @@
     Duration timeout = absl::Seconds(10);
     /** False: the request must reach the other side at most once. */
     bool mayReuseConnection = true;
+    /** It may be sent again over another connection where a kept one is closed without an answer: its effect is the same. */
+    bool mayBeRepeated = false;
 };
 
 struct TransferResult {
--- a/paddlepier/planning/rooms.cpp
+++ b/paddlepier/planning/rooms.cpp
@@ -28,21 +28,13 @@
     return static_cast<std::uint32_t>(names.size() - 1);
 }
 
-/** Few enough workers owe an answer to do without them. */
-bool areFewOverdue(Timestamp now, const std::map<std::string, execution::WorkerView> &views)
-{
-    const auto overdue = std::count_if(views.begin(), views.end(), [now](const auto &entry) { return entry.second.isOverdue(now); });
-    // Where most answers are late it is this process that is slow, or cut off.
-    return static_cast<std::size_t>(overdue) * 2 < views.size();
-}
-
 } // namespace
 
 void Rooms::collect(Timestamp now, const workload::Workload &state, const std::map<std::string, execution::WorkerView> &views, AdviceBook &book)
 {
     this->clear();
     this->rooms.reserve(state.workers().size());
-    const bool mayAvoidOverdue = areFewOverdue(now, views);
+    const bool mayAvoidOverdue = execution::isMinority(views, [now](const execution::WorkerView &view) { return view.isOverdue(now); });
     auto view = views.begin();
     for (const auto &[id, worker] : state.workers()) {
         while (view != views.end() && view->first < id) {
