--- a/testing/channel.cpp
+++ b/testing/channel.cpp
@@ -47,8 +47,9 @@
 
 } // namespace
 
-Channel::Channel(Endpoint server)
+Channel::Channel(Endpoint server, http::Headers sentHeaders)
     : endpoint(std::move(server))
+    , headers(std::move(sentHeaders))
 {
 }
 
@@ -94,15 +95,11 @@
         this->close();
         return reply;
     }
-    const std::string request = absl::StrCat(method,
-                                             " ",
-                                             path,
-                                             " HTTP/1.1\r\nHost: jobs.example\r\nContent-Type: application/json\r\nPaddlepier-Deadline-Remaining: ",
-                                             absl::ToInt64Milliseconds(patience),
-                                             "\r\nContent-Length: ",
-                                             body.size(),
-                                             "\r\n\r\n",
-                                             body);
+    std::string request = absl::StrCat(method, " ", path, " HTTP/1.1\r\nContent-Length: ", body.size(), "\r\n");
+    for (const auto &[name, value] : this->headers) {
+        absl::StrAppend(&request, name, ": ", value, "\r\n");
+    }
+    absl::StrAppend(&request, "\r\n", body);
     reply.ending = this->exchange(request, controlNow() + patience, reply);
     reply.endedAt = controlNow();
     if (reply.ending != Ending::Answered) {
--- a/testing/channel.h
+++ b/testing/channel.h
@@ -7,6 +7,7 @@
 #define PADDLEPIER_TESTING_CHANNEL_H
 
 #include "paddlepier/base/clock.h"
+#include "paddlepier/http/httpserver.h"
 #include "paddlepier/settings/settings.h"
 
 #include <string>
@@ -35,7 +36,8 @@
 class Channel
 {
 public:
-    explicit Channel(Endpoint server);
+    /** @param headers are sent with each call; `Host` among them */
+    Channel(Endpoint server, http::Headers headers);
     ~Channel();
 
     Channel(const Channel &) = delete;
@@ -50,6 +52,7 @@
     bool waitFor(short events, Timestamp end) const;
 
     const Endpoint endpoint;
+    const http::Headers headers;
     int socket = -1;
 };
 
--- a/testing/soak/traffic.cpp
+++ b/testing/soak/traffic.cpp
@@ -20,6 +20,8 @@
 
 using Json = nlohmann::json;
 
+const http::Headers headers{{"Host", "jobs.example"}, {"Content-Type", "application/json"}, {"Paddlepier-Deadline-Remaining", "2000"}};
+
 constexpr std::uint64_t callerCount = 12;
 
 /** Every second caller calls seldom: its connection is open, and not in use, when an instance is told to stop. */
@@ -152,7 +154,7 @@
 {
     if (!caller.channel) {
         caller.entry = (caller.entry + 1) % this->sizes.entries;
-        caller.channel = std::make_unique<Channel>(this->cell.front(caller.entry));
+        caller.channel = std::make_unique<Channel>(this->cell.front(caller.entry), headers);
     }
     const std::string path = absl::StrCat("/q", job.back() % queueCount, "/", job);
     Reply reply = caller.channel->call(method, path, body, callPatience);
@@ -226,7 +228,7 @@
 
 Reply Traffic::change(std::uint64_t version, const std::string &body, std::mt19937_64 &random)
 {
-    Channel channel(this->cell.control(static_cast<std::uint32_t>(below(random, this->sizes.cores))));
+    Channel channel(this->cell.control(static_cast<std::uint32_t>(below(random, this->sizes.cores))), headers);
     Reply reply = channel.call("PUT", "/api/configuration", body, orderPatience);
     this->checker.configurationEnded(version, reply);
     return reply;
@@ -263,7 +265,7 @@
             }
             pause(random, 300);
         }
-        Channel reader(this->cell.control(static_cast<std::uint32_t>(below(random, this->sizes.cores))));
+        Channel reader(this->cell.control(static_cast<std::uint32_t>(below(random, this->sizes.cores))), headers);
         this->checker.configurationRead(reader.call("GET", "/api/configuration", "", orderPatience));
         pause(random, 800);
     }
@@ -273,7 +275,7 @@
 {
     bool isWhole = true;
     for (std::uint32_t core = 0; core < this->sizes.cores; ++core) {
-        Channel reader(this->cell.control(core));
+        Channel reader(this->cell.control(core), headers);
         const Reply reply = reader.call("GET", "/api/configuration", "", orderPatience);
         this->checker.configurationRead(reply);
         isWhole = isWhole && reply.status == 200;
