--- a/paddlepier/cluster/carriers.cpp
+++ b/paddlepier/cluster/carriers.cpp
@@ -20,10 +20,13 @@
 
 constexpr Duration avoidedAfterFailure = absl::Seconds(2);
 
+/** Workers that weren't reached and are remembered; lives that are over are among them. */
+constexpr std::size_t mostRemembered = 4096;
+
 /** The same in every process and run. */
-std::uint64_t weightOf(const std::string &instance, const std::string &worker)
+std::uint64_t weightOf(const std::string &instance, const std::string &worker, std::uint32_t round)
 {
-    return XXH64(worker.data(), worker.size(), XXH64(instance.data(), instance.size(), 0));
+    return XXH64(worker.data(), worker.size(), XXH64(instance.data(), instance.size(), round));
 }
 
 } // namespace
@@ -43,11 +46,21 @@
     }
 }
 
+void Carriers::noteUnreached(const std::string &worker)
+{
+    if (this->unreached.size() >= mostRemembered) {
+        this->unreached.clear();
+    }
+    ++this->unreached[worker];
+}
+
 std::string Carriers::choose(Timestamp now, std::size_t workerCount, const std::string &worker, const std::string &dataCentre) const
 {
     if (workerCount <= mostWorkersOfLeader) {
         return "";
     }
+    const auto missed = this->unreached.find(worker);
+    const std::uint32_t round = missed == this->unreached.end() ? 0 : missed->second;
     const std::string *best = nullptr;
     std::uint64_t mostWeight = 0;
     bool isBestNear = false;
@@ -56,8 +69,8 @@
             continue;
         }
         // The highest weight wins, so that an instance that comes or goes moves its own workers alone.
-        const std::uint64_t weight = weightOf(instance, worker);
-        const bool isNear = carrier.dataCentre == dataCentre;
+        const std::uint64_t weight = weightOf(instance, worker, round);
+        const bool isNear = carrier.dataCentre == dataCentre && round % 2 == 0;
         if (best == nullptr || (isNear && !isBestNear) || (isNear == isBestNear && weight > mostWeight)) {
             best = &instance;
             mostWeight = weight;
--- a/paddlepier/cluster/carriers.h
+++ b/paddlepier/cluster/carriers.h
@@ -18,6 +18,7 @@
 #include "paddlepier/base/clock.h"
 
 #include <cstddef>
+#include <cstdint>
 #include <map>
 #include <string>
 
@@ -32,6 +33,9 @@
     /** It has left an order without an answer. */
     void noteFailure(Timestamp now, const std::string &instance);
 
+    /** An order to @p worker came to nothing: the next ones go another way, since the worker may be out of this one's reach alone. */
+    void noteUnreached(const std::string &worker);
+
     /** @return the instance that carries orders to @p worker, or an empty name for the leader itself */
     std::string choose(Timestamp now, std::size_t workerCount, const std::string &worker, const std::string &dataCentre) const;
 
@@ -43,6 +47,8 @@
     };
 
     std::map<std::string, Carrier> carriers;
+    /** How often workers weren't reached; each time another instance comes to be chosen, every other time of any data centre. */
+    std::map<std::string, std::uint32_t> unreached;
 };
 
 } // namespace paddlepier::cluster
--- a/paddlepier/cluster/carriers_test.cpp
+++ b/paddlepier/cluster/carriers_test.cpp
@@ -10,6 +10,7 @@
 #include <catch2/catch.hpp>
 
 #include <map>
+#include <set>
 
 namespace paddlepier::cluster
 {
@@ -78,6 +79,17 @@
     CHECK(this->shares("north").size() == 2);
 }
 
+TEST_CASE_METHOD(CarriersFixture, "choose_afterAWorkerWasNotReached_takesOtherWaysInTurn")
+{
+    std::set<std::string> ways;
+    for (int round = 0; round < 12; ++round) {
+        ways.insert(this->carriers.choose(this->now, manyWorkers, "w1", "north"));
+        this->carriers.noteUnreached("w1");
+    }
+    CHECK(ways.size() >= 3);
+    CHECK(this->shares("north").size() >= 2);
+}
+
 TEST_CASE_METHOD(CarriersFixture, "choose_whenNobodyShowsItself_isTheLeaderItself")
 {
     this->now += absl::Seconds(2);
--- a/paddlepier/cluster/coreprocess.cpp
+++ b/paddlepier/cluster/coreprocess.cpp
@@ -109,13 +109,13 @@
     }
 }
 
-void CoreProcess::advance(Timestamp now)
+void CoreProcess::advance(Timestamp now, Timestamp seenUntil)
 {
     if (now >= this->nextTick) {
         this->nextTick = now + tickInterval;
         this->node->tick(now);
         for (auto question = this->asked.begin(); question != this->asked.end();) {
-            if (question->second.deadline > now) {
+            if (question->second.deadline > seenUntil) {
                 ++question;
                 continue;
             }
@@ -124,6 +124,11 @@
             done(nullptr);
         }
     }
+    const bool isServing = this->node->isServing(now);
+    // A group that is still forming has nobody to hand over to.
+    if (this->servingWatch.note(now, this->node->replica().isLeader() && this->node->state().hasHistory(), isServing)) {
+        this->node->handOver(now);
+    }
     this->updateService(now);
     if (!this->service && now >= this->nextPresence && !this->isPresenceUnderWay && !this->isStopping()) {
         this->showPresence(now);
@@ -241,14 +246,23 @@
         this->workers.call(call, std::move(done));
         return;
     }
-    const auto take = [this, carrier, done = std::move(done)](const wire::CallReplyT *reply) {
+    const auto take = [this, carrier, call, done = std::move(done)](const wire::CallReplyT *reply) {
         execution::WorkerAnswer answer;
+        if (reply != nullptr && reply->error == ErrorCode::NotLeader) {
+            // It is stopping and has done nothing: the order goes out from here.
+            this->carriers.noteFailure(controlNow(), carrier);
+            this->workers.call(call, done);
+            return;
+        }
         if (reply == nullptr) {
             this->carriers.noteFailure(controlNow(), carrier);
             log::info("cluster", "carrier.silent", {{"instance", carrier}});
         } else if (reply->error == ErrorCode::None) {
             answer = fromCarryReply(wire::unpack<work::CarryReplyT>(reply->body));
         }
+        if (answer.kind == execution::AnswerKind::NoAnswer || answer.kind == execution::AnswerKind::NotSent) {
+            this->carriers.noteUnreached(call.worker);
+        }
         done(answer);
     };
     this->askInstance(carrier, WorkMethod::Carry, wire::pack(toCarryCall(call)), now + call.timeout + carrySlack, take);
@@ -256,9 +270,17 @@
 
 void CoreProcess::carryFor(const std::string &fromInstance, const wire::CallRequestT &request)
 {
+    if (this->isStopping()) {
+        CallResult refusal;
+        refusal.error = ErrorCode::NotLeader;
+        this->reply(fromInstance, request.id, refusal, "");
+        return;
+    }
     const execution::WorkerCall call = fromCarryCall(wire::unpack<work::CarryCallT>(request.body));
+    ++this->carriedCalls;
     this->workers.call(call, [this, fromInstance, id = request.id](const execution::WorkerAnswer &received) {
         this->post([this, fromInstance, id, received] {
+            --this->carriedCalls;
             wire::CallReplyT answer;
             answer.id = id;
             answer.body = wire::toBytes(wire::pack(toCarryReply(received)));
@@ -308,7 +330,10 @@
 {
     const Timestamp end = controlNow() + stopPatience;
     this->node->handOver(controlNow());
-    const auto isOver = [this] { return !this->node->replica().isLeader() && !this->node->replica().leader().empty() && this->leader->pendingCalls() == 0; };
+    const auto isOver = [this] {
+        const bool hasOtherLeader = !this->node->replica().isLeader() && !this->node->replica().leader().empty();
+        return hasOtherLeader && this->leader->pendingCalls() == 0 && this->carriedCalls == 0;
+    };
     while (controlNow() < end && !isOver()) {
         this->step(tickInterval);
     }
--- a/paddlepier/cluster/coreprocess.h
+++ b/paddlepier/cluster/coreprocess.h
@@ -7,6 +7,7 @@
 
 #include "paddlepier/cluster/carriers.h"
 #include "paddlepier/cluster/memberprocess.h"
+#include "paddlepier/cluster/servingwatch.h"
 #include "paddlepier/cluster/workservice.h"
 #include "paddlepier/replication/diskwriter.h"
 
@@ -33,7 +34,7 @@
     ~CoreProcess() override;
 
 protected:
-    void advance(Timestamp now) override;
+    void advance(Timestamp now, Timestamp seenUntil) override;
     void receiveCall(const std::string &fromInstance, const wire::CallRequestT &request) override;
     void receiveReply(const std::string &fromInstance, const wire::CallReplyT &answer) override;
     void receiveFrame(wire::PeerFrameT frame) override;
@@ -70,8 +71,11 @@
     consensus::Term serviceTerm = 0;
     AdviceCallers callers;
     Carriers carriers;
+    ServingWatch servingWatch;
     Timestamp nextPresence = absl::InfinitePast();
     bool isPresenceUnderWay = false;
+    /** Orders of the leader that this core is carrying out. */
+    std::size_t carriedCalls = 0;
     std::map<std::uint64_t, Asked> asked;
     std::uint64_t nextQuestion;
     Timestamp nextTick = absl::InfinitePast();
--- a/paddlepier/cluster/entryprocess.cpp
+++ b/paddlepier/cluster/entryprocess.cpp
@@ -41,7 +41,7 @@
     this->stopTransport();
 }
 
-void EntryProcess::advance(Timestamp now)
+void EntryProcess::advance(Timestamp now, Timestamp)
 {
     // A stopping instance isn't given new work by the leader.
     if (now >= this->nextPresence && !this->presenceUnderWay && !this->isStopping()) {
--- a/paddlepier/cluster/entryprocess.h
+++ b/paddlepier/cluster/entryprocess.h
@@ -19,7 +19,7 @@
     ~EntryProcess() override;
 
 protected:
-    void advance(Timestamp now) override;
+    void advance(Timestamp now, Timestamp seenUntil) override;
     void receiveCall(const std::string &fromInstance, const wire::CallRequestT &request) override;
     void receiveFrame(wire::PeerFrameT frame) override;
     void stopAsPlanned() override;
--- a/paddlepier/cluster/memberprocess.cpp
+++ b/paddlepier/cluster/memberprocess.cpp
@@ -174,6 +174,8 @@
 void MemberProcess::step(Duration patience)
 {
     const std::vector<Mailbox::Work> batch = this->mailbox.take(patience);
+    // What has come by now is in the batch; what comes while it is handled isn't, and mustn't count as missing.
+    const Timestamp takenAt = controlNow();
     const ScopeTimer whole(this->stepTimes);
     {
         const ScopeTimer events(this->eventTimes);
@@ -182,9 +184,8 @@
         }
     }
     const Duration eventTime = whole.elapsed();
-    const Timestamp now = controlNow();
-    this->leader->tick(now);
-    this->advance(now);
+    this->leader->tick(takenAt);
+    this->advance(controlNow(), takenAt);
     if (whole.elapsed() > slowStep) {
         log::warning("cluster",
                      "control.slow",
--- a/paddlepier/cluster/memberprocess.h
+++ b/paddlepier/cluster/memberprocess.h
@@ -58,8 +58,11 @@
     Counters &processCounters();
 
 protected:
-    /** On the control thread, about every tick and after every batch of events. */
-    virtual void advance(Timestamp now) = 0;
+    /**
+     * On the control thread, about every tick and after every batch of events. What came up to @p seenUntil has been handled:
+     * an answer that is missing then is late, whatever @p now is.
+     */
+    virtual void advance(Timestamp now, Timestamp seenUntil) = 0;
     virtual void receiveCall(const std::string &fromInstance, const wire::CallRequestT &request) = 0;
     virtual void receiveReply(const std::string &fromInstance, const wire::CallReplyT &answer);
     /** Frames that are no calls. */
