--- a/paddlepier/cluster/carrycodec.cpp
+++ b/paddlepier/cluster/carrycodec.cpp
@@ -32,7 +32,7 @@
         work::PollCarriedT poll;
         poll.lastSequence = order.lastSequence;
         poll.waitMillis = static_cast<std::uint32_t>(absl::ToInt64Milliseconds(order.wait));
-        this->made.Set(std::move(poll));
+        this->made.Set(poll);
     }
 
     void operator()(const execution::StartOrder &order)
--- a/paddlepier/cluster/coreprocess.cpp
+++ b/paddlepier/cluster/coreprocess.cpp
@@ -205,7 +205,7 @@
 }
 
 void CoreProcess::askInstance(
-    const std::string &instance, WorkMethod method, std::string body, Timestamp deadline, std::function<void(const wire::CallReplyT *)> done)
+    const std::string &instance, WorkMethod method, const std::string &body, Timestamp deadline, std::function<void(const wire::CallReplyT *)> done)
 {
     const std::uint64_t id = this->nextQuestion++;
     this->asked[id] = {std::move(done), deadline};
--- a/paddlepier/cluster/coreprocess.h
+++ b/paddlepier/cluster/coreprocess.h
@@ -53,7 +53,8 @@
     /** Carries an order of the leader out. */
     void carryFor(const std::string &fromInstance, const wire::CallRequestT &request);
     /** Sends a request to another instance; @p done is called once, with nothing if no answer came by @p deadline. */
-    void askInstance(const std::string &instance, WorkMethod method, std::string body, Timestamp deadline, std::function<void(const wire::CallReplyT *)> done);
+    void askInstance(
+        const std::string &instance, WorkMethod method, const std::string &body, Timestamp deadline, std::function<void(const wire::CallReplyT *)> done);
     void askThrough(const std::string &instance, const work::AdviceCallT &call, Timestamp deadline, std::function<void(execution::AdviceAnswer)> done);
 
     struct Asked {
--- a/paddlepier/http/repeatedrequest_test.cpp
+++ b/paddlepier/http/repeatedrequest_test.cpp
@@ -34,8 +34,8 @@
     {
         this->listener = ::socket(AF_INET, SOCK_STREAM, 0);
         const SocketAddress address = toSocketAddress(this->endpoint);
-        ::bind(this->listener, address.pointer(), address.size);
-        ::listen(this->listener, 8);
+        const bool isBound = ::bind(this->listener, address.pointer(), address.size) == 0;
+        REQUIRE((isBound && ::listen(this->listener, 8) == 0));
         this->thread = std::thread([this] { this->run(); });
     }
 
