Leave later wakes their effect where one comes as a wait ends; end questions to oneself by their deadline

Lines of a trial: the client's thread of two cores and of the leader waited its whole 500 ms each time, with work posted meanwhile. wake() marks that it has written; the mark was taken away before the descriptor was read, so that a call in between had its write read and its mark stay: no later call wrote again. Answers came late for good, carriers counted as silent (1,013 times), and the leader's questions through itself had no deadline: 17 of them were answered, none after 21.7 s, and their steps waited for ever. Ruled out: counts of waiting tasks, rooms taken by superseded runs (134 of 134 ended), the policy service (other callers answered). Change: the mark is taken away after the read; a question through the leader's own process takes the same way, and ends by the same deadline, as through others. Test: wake_whileAWaitEnds_leavesLaterCallsTheirEffect, red 3 of 3 before, green 3 of 3 after.

--- a/paddlepier/cluster/coreprocess.cpp
+++ b/paddlepier/cluster/coreprocess.cpp
@@ -204,15 +204,25 @@
     this->leader->call(now, method, std::move(body), patience, std::move(done));
 }
 
-void CoreProcess::askInstance(
-    const std::string &instance, WorkMethod method, const std::string &body, Timestamp deadline, std::function<void(const wire::CallReplyT *)> done)
+std::uint64_t CoreProcess::expectReply(Timestamp deadline, std::function<void(const wire::CallReplyT *)> done)
 {
     const std::uint64_t id = this->nextQuestion++;
     this->asked[id] = {std::move(done), deadline};
+    return id;
+}
+
+void CoreProcess::askInstance(
+    const std::string &instance, WorkMethod method, const std::string &body, Timestamp deadline, std::function<void(const wire::CallReplyT *)> done)
+{
     wire::CallRequestT request;
-    request.id = id;
+    request.id = this->expectReply(deadline, std::move(done));
     request.method = nameOf(method);
     request.body = wire::toBytes(body);
+    if (instance == this->options.settings.id) {
+        // The same way as for others, so that a question ends by its deadline here too.
+        this->receiveCall(instance, request);
+        return;
+    }
     wire::PeerFrameT frame;
     frame.body.Set(std::move(request));
     this->sendFrame(instance, std::move(frame));
@@ -220,10 +230,6 @@
 
 void CoreProcess::askThrough(const std::string &instance, const work::AdviceCallT &call, Timestamp deadline, std::function<void(execution::AdviceAnswer)> done)
 {
-    if (instance == this->options.settings.id) {
-        this->advice.ask(call, [this, done = std::move(done)](const execution::AdviceAnswer &received) { this->post([done, received] { done(received); }); });
-        return;
-    }
     this->askInstance(instance, WorkMethod::Advise, wire::pack(call), deadline, [done = std::move(done)](const wire::CallReplyT *reply) {
         execution::AdviceAnswer answer;
         answer.isAnswered = reply != nullptr && reply->error == ErrorCode::None;
--- a/paddlepier/cluster/coreprocess.h
+++ b/paddlepier/cluster/coreprocess.h
@@ -52,7 +52,9 @@
     void carry(const execution::WorkerCall &call, std::function<void(execution::WorkerAnswer)> done);
     /** Carries an order of the leader out. */
     void carryFor(const std::string &fromInstance, const wire::CallRequestT &request);
-    /** Sends a request to another instance; @p done is called once, with nothing if no answer came by @p deadline. */
+    /** @return the id of a request whose reply, or none by @p deadline, is given to @p done */
+    std::uint64_t expectReply(Timestamp deadline, std::function<void(const wire::CallReplyT *)> done);
+    /** Sends a request to an instance, this one included; @p done is called once, with nothing if no answer came by @p deadline. */
     void askInstance(
         const std::string &instance, WorkMethod method, const std::string &body, Timestamp deadline, std::function<void(const wire::CallReplyT *)> done);
     void askThrough(const std::string &instance, const work::AdviceCallT &call, Timestamp deadline, std::function<void(execution::AdviceAnswer)> done);
--- a/paddlepier/cluster/memberprocess.cpp
+++ b/paddlepier/cluster/memberprocess.cpp
@@ -113,6 +113,10 @@
             answer.id = id;
             answer.error = received.isAnswered ? ErrorCode::None : ErrorCode::Timeout;
             answer.body = wire::toBytes(wire::pack(reply));
+            if (instance == this->options.settings.id) {
+                this->receiveReply(instance, answer);
+                return;
+            }
             wire::PeerFrameT frame;
             frame.body.Set(std::move(answer));
             this->sendFrame(instance, std::move(frame));
--- a/paddlepier/http/transfersockets.cpp
+++ b/paddlepier/http/transfersockets.cpp
@@ -129,10 +129,11 @@
         const epoll_event &event = events[static_cast<std::size_t>(index)];
         const int socket = event.data.fd;
         if (socket == this->wakeup) {
-            // Before the descriptor is read: a call after this either writes again or comes before this wait's end.
-            this->isWoken = false;
             std::uint64_t value = 0;
             [[maybe_unused]] const ssize_t size = ::read(this->wakeup, &value, sizeof(value));
+            // Only after the descriptor was read: one who writes in between would have its write read and its mark stay, and no
+            // later call would ever write again. One who finds the mark still set comes before this wait's end.
+            this->isWoken = false;
             continue;
         }
         const auto found = this->sockets.find(socket);
