Keep room for wide tasks and make it, and ask before there is some

Ruled out: the policy service's capacity (13 callers, some two of them busy).

Change: for a step of which two tasks at most fit into any worker, the planner chooses where room comes soonest, keeps it from later steps, asks ahead, and stops less urgent runs that save their progress. A job with less slack than work left goes one priority up, never to 0, and isn't made to wait by a stop.

--- /dev/null
+++ b/paddlepier/planning/loadreplay.h
@@ -0,0 +1,415 @@
+// Replays a load pattern through the real planner, advice book and ledger in virtual time, for tests and benchmarks.
+//
+// Jobs of several kinds arrive at random moments of a seeded generator. Workers run what is placed for as long as it takes,
+// save progress while they do, and take a while to stop; the policy service answers after its stated time and permits
+// some of the workers. Nothing fails and nothing is cut off: what is measured is the decisions alone. The same seed and
+// pattern give the same replay.
+//
+// Example:
+//     LoadReplay replay(seed, pattern);
+//     replay.run(absl::Seconds(60));
+//     CHECK(replay.wait("wide", 0.95) < absl::Seconds(3));
+//
+// Thread safety: none. Cost: a plan for every step of virtual time.
+
+#ifndef PADDLEPIER_PLANNING_LOADREPLAY_H
+#define PADDLEPIER_PLANNING_LOADREPLAY_H
+
+#include "paddlepier/planning/planner.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace paddlepier::planning
+{
+
+/** One kind of job: a queue and what its jobs are made of. Spreads are uniform. */
+struct LoadKind {
+    std::string queue;
+    std::uint32_t priority = 0;
+    double stretch = 2;
+    std::uint32_t targetLatencyMillis = 1000;
+    double jobsPerSecond = 1;
+    std::uint32_t leastTasks = 1;
+    std::uint32_t mostTasks = 1;
+    std::uint32_t milliProcessors = 1000;
+    std::uint32_t memoryMegabytes = 100;
+    /** One of these for each job. */
+    std::vector<std::uint32_t> accelerators{0};
+    std::uint32_t leastMillis = 500;
+    std::uint32_t mostMillis = 1500;
+    bool isGang = false;
+    /** Share of jobs that save their progress. */
+    double saving = 0;
+    /** Time of an answer of the policy service, for the question and for each worker named; 0 for none. */
+    double decisionMillis = 0;
+    double perWorkerMillis = 0;
+    /** Share of workers that may run a job. */
+    double permitted = 1;
+};
+
+struct LoadPattern {
+    std::uint32_t workers = 12;
+    std::uint32_t dataCentres = 4;
+    std::uint32_t milliProcessors = 64'000;
+    std::uint32_t memoryMegabytes = 131'072;
+    std::uint32_t accelerators = 8;
+    std::vector<LoadKind> kinds;
+};
+
+class LoadReplay
+{
+public:
+    static constexpr Duration tick = absl::Milliseconds(10);
+    /** From the order to stop until the end is listed. */
+    static constexpr Duration stopTime = absl::Milliseconds(250);
+    /** A worker lists progress this often, and saves it. */
+    static constexpr Duration pollInterval = absl::Milliseconds(500);
+    static constexpr Duration restoreTime = absl::Milliseconds(600);
+    static constexpr std::uint32_t ticketMillis = 2000;
+
+    LoadReplay(std::uint64_t seed, LoadPattern loadPattern)
+        : random(seed)
+        , pattern(std::move(loadPattern))
+        , planner(this->state, this->views, this->tracks, this->advice, this->usualRatios)
+    {
+        this->configure();
+        for (std::uint32_t number = 0; number < this->pattern.workers; ++number) {
+            this->addWorker(number);
+        }
+        for (std::size_t kind = 0; kind < this->pattern.kinds.size(); ++kind) {
+            this->nextArrival.push_back(this->now + this->pause(kind));
+        }
+    }
+
+    void run(Duration duration)
+    {
+        for (const Timestamp end = this->now + duration; this->now < end; this->now += tick) {
+            this->arrive();
+            this->endRuns();
+            this->answerQuestions();
+            this->listProgress();
+            this->carryOut(this->planner.plan(this->now, this->wallMillis()));
+        }
+    }
+
+    /** Time from the submission of a job to its first start, at a quantile over the queue's jobs; those that wait count with their wait. */
+    Duration wait(const std::string &queue, double quantile) const
+    {
+        std::vector<Duration> waits;
+        for (const auto &[id, job] : this->jobs) {
+            if (job.queue == queue) {
+                waits.push_back(std::min(job.startedAt, this->now) - job.submittedAt);
+            }
+        }
+        std::sort(waits.begin(), waits.end());
+        return waits.empty() ? absl::ZeroDuration() : waits[std::min(waits.size() - 1, static_cast<std::size_t>(quantile * static_cast<double>(waits.size())))];
+    }
+
+    /** Share of the queue's jobs that ended within their objective; those that may still make it don't count. */
+    double inTime(const std::string &queue) const
+    {
+        double met = 0;
+        double missed = 0;
+        for (const auto &[id, job] : this->jobs) {
+            if (job.queue == queue) {
+                met += job.endedAt <= job.objective ? 1 : 0;
+                missed += job.endedAt > job.objective && this->now > job.objective ? 1 : 0;
+            }
+        }
+        return met + missed == 0 ? 1.0 : met / (met + missed);
+    }
+
+    /** Processor seconds of work that was done but not saved when its run was stopped. */
+    double lostProcessorSeconds() const
+    {
+        return this->lost;
+    }
+
+    std::size_t questions() const
+    {
+        return this->questionCount;
+    }
+
+    /** Mean share of accelerators in use. */
+    double acceleratorsInUse() const
+    {
+        return this->ticks == 0 ? 0 : this->inUse / static_cast<double>(this->ticks);
+    }
+
+private:
+    struct JobLog {
+        std::string queue;
+        Timestamp submittedAt;
+        Timestamp objective;
+        Duration work;
+        Timestamp startedAt = absl::InfiniteFuture();
+        Timestamp endedAt = absl::InfiniteFuture();
+    };
+
+    struct RunLog {
+        std::uint32_t run = 0;
+        std::string worker;
+        Timestamp workSince;
+        /** Work done in earlier runs. */
+        Duration saved;
+        Timestamp stopsAt = absl::InfiniteFuture();
+    };
+
+    struct Question {
+        execution::AdviceQuestion asked;
+        Timestamp answerAt;
+    };
+
+    std::int64_t wallMillis() const
+    {
+        return absl::ToUnixMillis(this->now);
+    }
+
+    double uniform()
+    {
+        return std::uniform_real_distribution<double>(0, 1)(this->random);
+    }
+
+    Duration pause(std::size_t kind)
+    {
+        return absl::Seconds(std::exponential_distribution<double>(this->pattern.kinds[kind].jobsPerSecond)(this->random));
+    }
+
+    template<typename Table>
+    workload::Outcome apply(Table table)
+    {
+        work::EntryT entry;
+        entry.atMillis = this->wallMillis();
+        entry.command.Set(std::move(table));
+        return this->state.apply(entry);
+    }
+
+    void configure()
+    {
+        work::ChangeConfigurationT configuration;
+        configuration.version = 1;
+        configuration.services.emplace_back(std::make_unique<work::ServiceSpecT>())->name = "pool";
+        for (const LoadKind &kind : this->pattern.kinds) {
+            auto &queue = configuration.queues.emplace_back(std::make_unique<work::QueueSpecT>());
+            queue->name = kind.queue;
+            queue->service = "pool";
+            queue->priority = kind.priority;
+            queue->maxAttempts = 3;
+            queue->stretch = kind.stretch;
+            queue->targetLatencyMillis = kind.targetLatencyMillis;
+            if (kind.decisionMillis > 0) {
+                queue->advice = std::make_unique<work::AdvicePolicyT>();
+                queue->advice->decisionMillis = kind.decisionMillis;
+                queue->advice->perWorkerMillis = kind.perWorkerMillis;
+                queue->advice->validMillis = ticketMillis;
+            }
+        }
+        this->apply(std::move(configuration));
+    }
+
+    void addWorker(std::uint32_t number)
+    {
+        work::RegisterWorkerT registration;
+        registration.id = absl::StrCat("worker-", absl::Dec(number, absl::kZeroPad4));
+        registration.zone = absl::StrCat("d", number % this->pattern.dataCentres);
+        registration.service = "pool";
+        registration.labels = {"a", absl::StrCat("r", number % this->pattern.dataCentres)};
+        registration.capacity = std::make_unique<work::Demand>(this->pattern.milliProcessors, this->pattern.memoryMegabytes, this->pattern.accelerators);
+        this->views.try_emplace(registration.id, this->now, absl::Seconds(10)).first->second.noteAnswer(this->now, 1000);
+        this->apply(std::move(registration));
+    }
+
+    void arrive()
+    {
+        for (std::size_t kind = 0; kind < this->pattern.kinds.size(); ++kind) {
+            while (this->nextArrival[kind] <= this->now) {
+                this->submit(this->pattern.kinds[kind]);
+                this->nextArrival[kind] += this->pause(kind);
+            }
+        }
+    }
+
+    void submit(const LoadKind &kind)
+    {
+        work::SubmitJobT command;
+        command.id = absl::StrCat(absl::Hex(this->random(), absl::kZeroPad16));
+        command.queue = kind.queue;
+        command.spec = std::make_unique<work::JobSpecT>();
+        auto &step = command.spec->steps.emplace_back(std::make_unique<work::StepSpecT>());
+        step->count = kind.leastTasks + static_cast<std::uint32_t>(this->random() % (kind.mostTasks - kind.leastTasks + 1));
+        step->isGang = kind.isGang;
+        step->isCheckpointing = this->uniform() < kind.saving;
+        const std::uint32_t accelerators = kind.accelerators[this->random() % kind.accelerators.size()];
+        step->demand = std::make_unique<work::Demand>(kind.milliProcessors, kind.memoryMegabytes, accelerators);
+        const Duration work = absl::Milliseconds(kind.leastMillis + this->random() % (kind.mostMillis - kind.leastMillis + 1));
+        step->estimatedMillis = static_cast<std::uint32_t>(absl::ToInt64Milliseconds(work));
+        JobLog job{kind.queue, this->now, {}, work};
+        const Duration chain = work + absl::Milliseconds(kind.decisionMillis + 30 * kind.perWorkerMillis);
+        job.objective = this->now + kind.stretch * chain + absl::Milliseconds(kind.targetLatencyMillis);
+        this->jobs[command.id] = job;
+        this->apply(std::move(command));
+    }
+
+    Duration workDone(const RunLog &run) const
+    {
+        return run.saved + std::max(absl::ZeroDuration(), std::min(this->now, run.stopsAt) - run.workSince);
+    }
+
+    void endRuns()
+    {
+        std::vector<workload::TaskKey> over;
+        for (const auto &[key, run] : this->runs) {
+            if (run.stopsAt <= this->now || this->workDone(run) >= this->jobs.at(key.job).work) {
+                over.push_back(key);
+            }
+        }
+        for (const workload::TaskKey &key : over) {
+            const RunLog run = this->runs.at(key);
+            const bool isDone = this->workDone(run) >= this->jobs.at(key.job).work;
+            const work::StepSpecT &step = this->state.findJob(key.job)->stepSpec(key.step);
+            if (!isDone && step.isCheckpointing) {
+                this->savedWork[key] = this->workDone(run);
+            } else if (!isDone) {
+                this->lost += absl::ToDoubleSeconds(this->workDone(run)) * step.demand->milliProcessors() / 1000;
+            }
+            this->runs.erase(key);
+            this->tracks.erase(key);
+            this->recordEnd(key, run, isDone);
+        }
+    }
+
+    void recordEnd(const workload::TaskKey &key, const RunLog &run, bool isDone)
+    {
+        work::RecordEndsT command;
+        command.worker = run.worker;
+        auto &end = command.ends.emplace_back(std::make_unique<work::RunEndT>());
+        end->task = key.record();
+        end->run = run.run;
+        end->kind = isDone ? work::RunEndKind::Done : work::RunEndKind::Stopped;
+        this->apply(std::move(command));
+        const workload::Job *job = this->state.findJob(key.job);
+        if (job->hasEnded()) {
+            this->jobs.at(key.job).endedAt = std::min(this->jobs.at(key.job).endedAt, this->now);
+        }
+    }
+
+    void answerQuestions()
+    {
+        std::vector<Question> due;
+        std::copy_if(this->asked.begin(), this->asked.end(), std::back_inserter(due), [this](const Question &entry) { return entry.answerAt <= this->now; });
+        std::erase_if(this->asked, [this](const Question &entry) { return entry.answerAt <= this->now; });
+        for (const Question &question : due) {
+            execution::AdviceAnswer answer;
+            answer.isAnswered = true;
+            for (const std::string &worker : question.asked.workers) {
+                if (this->isPermitted(question.asked.step.job, worker)) {
+                    answer.good.emplace_back();
+                    answer.good.back().worker = worker;
+                    answer.good.back().ticket = "ticket";
+                }
+            }
+            this->advice.answer(this->now, question.asked.id, answer);
+        }
+    }
+
+    /** The same for each question about the step. */
+    bool isPermitted(const std::string &job, const std::string &worker)
+    {
+        const auto [found, isNew] = this->permissions.try_emplace({job, worker}, false);
+        if (isNew) {
+            const std::string &queue = this->jobs.at(job).queue;
+            const auto kind =
+                std::find_if(this->pattern.kinds.begin(), this->pattern.kinds.end(), [&queue](const LoadKind &entry) { return entry.queue == queue; });
+            found->second = this->uniform() < kind->permitted;
+        }
+        return found->second;
+    }
+
+    void listProgress()
+    {
+        if (this->now >= this->nextListing) {
+            this->nextListing = this->now + pollInterval;
+            for (const auto &[key, run] : this->runs) {
+                execution::RunTrack &track = this->tracks.at(key);
+                track.percent = static_cast<std::uint32_t>(100 * absl::FDivDuration(this->workDone(run), this->jobs.at(key.job).work));
+                track.progressAt = this->now;
+            }
+        }
+        std::uint64_t reserved = 0;
+        for (const auto &[id, worker] : this->state.workers()) {
+            reserved += worker.reservedAccelerators;
+        }
+        this->inUse += static_cast<double>(reserved) / std::max(1U, this->pattern.workers * this->pattern.accelerators);
+        ++this->ticks;
+    }
+
+    void carryOut(const Plan &plan)
+    {
+        for (const workload::TaskKey &key : plan.preempted) {
+            this->tracks.at(key).phase = execution::RunPhase::Stopping;
+            this->runs.at(key).stopsAt = std::min(this->runs.at(key).stopsAt, this->now + stopTime);
+        }
+        for (const execution::AdviceQuestion &question : plan.questions) {
+            ++this->questionCount;
+            this->asked.push_back({question, this->now + question.cost});
+        }
+        work::PlaceRunsT command;
+        for (const work::PlacementT &placement : plan.placements) {
+            command.placements.push_back(std::make_unique<work::PlacementT>(placement));
+        }
+        for (const work::PlacementT &placed : this->apply(std::move(command)).placed) {
+            this->start(placed);
+        }
+    }
+
+    void start(const work::PlacementT &placed)
+    {
+        const workload::TaskKey key(*placed.task);
+        const auto saved = this->savedWork.find(key);
+        const bool isResumed = saved != this->savedWork.end();
+        this->runs[key] = {
+            placed.run, placed.worker, this->now + (isResumed ? restoreTime : absl::ZeroDuration()), isResumed ? saved->second : absl::ZeroDuration()};
+        execution::RunTrack track;
+        track.worker = placed.worker;
+        track.run = placed.run;
+        track.phase = execution::RunPhase::Running;
+        track.placedAt = track.runningSince = track.progressAt = this->now;
+        this->tracks[key] = std::move(track);
+        JobLog &job = this->jobs.at(key.job);
+        job.startedAt = std::min(job.startedAt, this->now);
+    }
+
+    std::mt19937_64 random;
+    const LoadPattern pattern;
+    Timestamp now = absl::UnixEpoch() + absl::Hours(1);
+    workload::Workload state;
+    std::map<std::string, execution::WorkerView> views;
+    execution::RunTracks tracks;
+    AdviceBook advice;
+    std::map<std::string, double> usualRatios;
+    Planner planner;
+    std::vector<Timestamp> nextArrival;
+    std::map<std::string, JobLog> jobs;
+    std::map<workload::TaskKey, RunLog> runs;
+    std::map<workload::TaskKey, Duration> savedWork;
+    std::map<std::pair<std::string, std::string>, bool> permissions;
+    std::vector<Question> asked;
+    Timestamp nextListing = absl::InfinitePast();
+    double lost = 0;
+    double inUse = 0;
+    std::size_t ticks = 0;
+    std::size_t questionCount = 0;
+};
+
+} // namespace paddlepier::planning
+
+#endif
--- a/paddlepier/planning/outlook.cpp
+++ b/paddlepier/planning/outlook.cpp
@@ -43,18 +43,18 @@
 
 } // namespace
 
-Outlook outlookOf(const workload::Job &job, std::uint32_t occurrence, std::int64_t wallMillis, double usualRatio)
+Prospect prospectOf(const workload::Job &job, std::uint32_t occurrence, std::int64_t wallMillis, double usualRatio)
 {
     const double chain = longestChain(job, usualRatio, [](std::uint32_t) { return true; });
     const std::vector<workload::Step> &steps = job.occurrences().at(occurrence).steps;
-    const double remaining = longestChain(job, usualRatio, [&steps](std::uint32_t number) { return !steps[number].isDone(); });
     const double objective = job.queue().stretch * chain + job.queue().targetLatencyMillis;
     const double age = static_cast<double>(wallMillis - std::max(job.submittedAtMillis(), job.dueMillis(occurrence)));
-    const double earliestEnd = age + remaining;
-    if (earliestEnd <= objective) {
-        return Outlook::InTime;
-    }
-    return earliestEnd <= lateFactor * objective ? Outlook::Late : Outlook::Hopeless;
+    Prospect prospect;
+    prospect.remainingMillis = longestChain(job, usualRatio, [&steps](std::uint32_t number) { return !steps[number].isDone(); });
+    const double earliestEnd = age + prospect.remainingMillis;
+    prospect.slackMillis = objective - earliestEnd;
+    prospect.outlook = prospect.slackMillis >= 0 ? Outlook::InTime : earliestEnd <= lateFactor * objective ? Outlook::Late : Outlook::Hopeless;
+    return prospect;
 }
 
 } // namespace paddlepier::planning
--- a/paddlepier/planning/outlook.h
+++ b/paddlepier/planning/outlook.h
@@ -19,11 +19,29 @@
 /** What a job can still reach if it is served at once; the first is the best. */
 enum class Outlook { InTime, Late, Hopeless };
 
+/** How an occurrence of a job stands to its objective, if it is served at once from now on. */
+struct Prospect {
+    Outlook outlook = Outlook::InTime;
+    /** How long it may still wait and meet the objective; negative if it can't any more. */
+    double slackMillis = 0;
+    /** What is left of its longest chain of steps. */
+    double remainingMillis = 0;
+
+    /**
+     * It can meet its objective, but not after waiting for as long again as it will take: the last moment at which going first
+     * is of use to it, in proportion to its length.
+     */
+    bool isPressed() const
+    {
+        return this->outlook == Outlook::InTime && this->slackMillis < this->remainingMillis;
+    }
+};
+
 /**
  * @param wallMillis  milliseconds since 1970
  * @param usualRatio  what runs of the queue take, as a ratio to their estimates
  */
-Outlook outlookOf(const workload::Job &job, std::uint32_t occurrence, std::int64_t wallMillis, double usualRatio);
+Prospect prospectOf(const workload::Job &job, std::uint32_t occurrence, std::int64_t wallMillis, double usualRatio);
 
 } // namespace paddlepier::planning
 
--- a/paddlepier/planning/planner.cpp
+++ b/paddlepier/planning/planner.cpp
@@ -42,6 +42,18 @@
  */
 constexpr Duration preemptionPause = absl::Milliseconds(20);
 
+/** Most wide steps of one plan that room is kept for; what comes after them takes what is left. */
+constexpr std::size_t mostKeptSteps = 40;
+
+/** What stopping one run is worth in waiting: it loses up to a save's interval and a restore, a part of which is used meanwhile. */
+constexpr double secondsPerStop = 0.1;
+
+/** Runs are stopped only if the room is whole this soon: sooner than a ticket ends, and before much of it has lain idle. */
+constexpr Duration longestWaitAfterStop = absl::Milliseconds(800);
+
+/** A question that renews tickets names a few workers. */
+constexpr double workersOfARenewal = 6;
+
 /** How many workers a question names at least. */
 std::size_t leastAsked(const work::AdvicePolicyT &policy)
 {
@@ -61,6 +73,7 @@
     , tracks(runTracks)
     , advice(book)
     , usualRatios(usualRatiosByQueue)
+    , keeper(workloadState, runTracks, usualRatiosByQueue)
 {
 }
 
@@ -80,6 +93,8 @@
         return plan;
     }
     this->rooms.collect(this->now, this->state, this->views, this->advice);
+    this->keeper.begin(at, wall);
+    this->keptSteps = 0;
     for (WantedStep &wanted : steps) {
         this->rooms.beginStep(this->now, wanted, this->advice);
         this->planStep(wanted, plan);
@@ -94,6 +109,13 @@
            || (this->mayPreempt && wanted.job->queue().priority == 0);
 }
 
+bool Planner::isWide(const WantedStep &wanted)
+{
+    const std::uint32_t service = this->rooms.serviceNumber(wanted.job->queue().service);
+    const std::vector<Room> &all = this->rooms.all();
+    return std::all_of(all.begin(), all.end(), [&](const Room &room) { return room.service != service || isWideFor(room, *wanted.step); });
+}
+
 std::vector<WantedStep> Planner::collectSteps() const
 {
     std::vector<WantedStep> wanted;
@@ -107,7 +129,7 @@
         }
     }
     std::stable_sort(wanted.begin(), wanted.end(), [](const WantedStep &left, const WantedStep &right) {
-        const auto rank = [](const WantedStep &entry) { return std::tuple(entry.job->queue().priority, entry.outlook, entry.job->submittedAtMillis()); };
+        const auto rank = [](const WantedStep &entry) { return std::tuple(rankOf(entry), entry.prospect.outlook, entry.job->submittedAtMillis()); };
         return rank(left) < rank(right);
     });
     return wanted;
@@ -116,7 +138,7 @@
 void Planner::collectOccurrence(std::vector<WantedStep> &wanted, const workload::Job &job, std::uint32_t occurrence) const
 {
     const std::vector<workload::Step> &steps = job.occurrences()[occurrence].steps;
-    std::optional<Outlook> outlook;
+    std::optional<Prospect> prospect;
     for (std::uint32_t number = 0; number < steps.size(); ++number) {
         const workload::Step &progress = steps[number];
         const work::StepSpecT &step = job.stepSpec(number);
@@ -130,8 +152,8 @@
         entry.progress = &progress;
         if (!step.isLasting) {
             // What is to last has no end to meet.
-            outlook = outlook ? outlook : this->outlookOfOccurrence(job, occurrence);
-            entry.outlook = *outlook;
+            prospect = prospect ? prospect : this->prospectOfOccurrence(job, occurrence);
+            entry.prospect = *prospect;
         }
         entry.tasks.reserve(progress.waitingTasks);
         for (std::uint32_t index = 0; index < progress.tasks.size(); ++index) {
@@ -143,10 +165,16 @@
     }
 }
 
-Outlook Planner::outlookOfOccurrence(const workload::Job &job, std::uint32_t occurrence) const
+std::uint32_t Planner::rankOf(const WantedStep &wanted)
+{
+    const std::uint32_t priority = wanted.job->queue().priority;
+    return priority > 1 && wanted.prospect.isPressed() ? priority - 1 : priority;
+}
+
+Prospect Planner::prospectOfOccurrence(const workload::Job &job, std::uint32_t occurrence) const
 {
     const auto usual = this->usualRatios.find(job.queue().name);
-    return outlookOf(job, occurrence, this->wallMillis, usual == this->usualRatios.end() ? 1.0 : usual->second);
+    return prospectOf(job, occurrence, this->wallMillis, usual == this->usualRatios.end() ? 1.0 : usual->second);
 }
 
 bool Planner::mayRun(const Room &room, const WantedStep &wanted, std::uint32_t service)
@@ -248,14 +276,105 @@
     if (wanted.tasks.empty()) {
         return;
     }
+    const bool isWideStep = !wanted.step->isFilling && this->isWide(wanted);
+    std::vector<ComingRoom> coming;
+    if (isWideStep && this->keptSteps < mostKeptSteps) {
+        ++this->keptSteps;
+        coming = this->keepComingRoom(wanted);
+    }
     if (wanted.job->queue().advice) {
-        this->askAdvice(wanted, plan);
+        this->askAdvice(wanted, coming, plan);
     }
-    if (this->mayPreempt && wanted.job->queue().priority == 0 && plan.preempted.size() < mostPreemptions) {
+    if (!coming.empty()) {
+        this->makeComingRoom(wanted, coming, plan);
+    } else if (this->mayPreempt && wanted.job->queue().priority == 0 && plan.preempted.size() < mostPreemptions) {
         this->preemptFor(wanted, plan);
     }
 }
 
+ComingRoom Planner::soonestRoom(const WantedStep &wanted, std::uint32_t index)
+{
+    const Task &task = wanted.progress->tasks[index];
+    const std::uint32_t service = this->rooms.serviceNumber(wanted.job->queue().service);
+    ComingRoom best;
+    double least = std::numeric_limits<double>::infinity();
+    const auto consider = [&](Room &room) {
+        if (!mayRun(room, wanted, service) || !isAcceptable(room) || !isTrusted(room, task) || !isBelowBound(room, wanted)) {
+            return;
+        }
+        ComingRoom coming = this->keeper.comingRoom(room, wanted);
+        const double slowSeconds = wanted.step->estimatedMillis / 1000.0 * std::max(0.0, room.view->slowness - 1.0);
+        const double cost = absl::ToDoubleSeconds(coming.wait) + slowSeconds + secondsPerStop * static_cast<double>(coming.stops.size());
+        if (coming.room != nullptr && cost < least) {
+            least = cost;
+            best = std::move(coming);
+        }
+    };
+    std::vector<Room> &all = this->rooms.all();
+    if (wanted.job->queue().advice == nullptr) {
+        std::for_each(all.begin(), all.end(), consider);
+        return best;
+    }
+    for (const std::uint32_t number : this->rooms.told()) {
+        if (all[number].standing == Standing::Permitted || all[number].standing == Standing::Expired) {
+            consider(all[number]);
+        }
+    }
+    return best;
+}
+
+std::vector<ComingRoom> Planner::keepComingRoom(const WantedStep &wanted)
+{
+    std::vector<ComingRoom> kept;
+    for (const std::uint32_t index : wanted.tasks) {
+        ComingRoom coming = this->soonestRoom(wanted, index);
+        if (coming.room == nullptr) {
+            break;
+        }
+        this->rooms.take(*coming.room, *wanted.step);
+        this->rooms.countTask(*coming.room, 1);
+        kept.push_back(std::move(coming));
+    }
+    if (wanted.step->isGang && kept.size() < wanted.tasks.size()) {
+        for (const ComingRoom &coming : kept) {
+            this->rooms.take(*coming.room, *wanted.step, -1);
+            this->rooms.countTask(*coming.room, -1);
+        }
+        kept.clear();
+    }
+    return kept;
+}
+
+bool Planner::mayStopFor(const WantedStep &wanted, const ComingRoom &coming) const
+{
+    const bool hasTicket = wanted.job->queue().advice == nullptr || coming.room->standing == Standing::Permitted;
+    // While an answer is awaited the ticket is there by the time that the room is.
+    return (hasTicket || !this->advice.mayAsk(this->now, wanted.key)) && coming.wait <= longestWaitAfterStop;
+}
+
+void Planner::makeComingRoom(const WantedStep &wanted, const std::vector<ComingRoom> &coming, Plan &plan)
+{
+    if (!this->mayPreempt || plan.preempted.size() >= mostPreemptions) {
+        return;
+    }
+    this->nextPreemption = this->now + preemptionPause;
+    const auto isUseful = [&](const ComingRoom &entry) { return this->mayStopFor(wanted, entry); };
+    // A gang needs the room of all its members at the same time.
+    if (wanted.step->isGang && !std::all_of(coming.begin(), coming.end(), isUseful)) {
+        return;
+    }
+    for (const ComingRoom &entry : coming) {
+        if (!isUseful(entry)) {
+            continue;
+        }
+        for (HeldRun *run : entry.stops) {
+            if (!std::exchange(run->isStopping, true)) {
+                plan.preempted.push_back(run->key);
+            }
+        }
+    }
+}
+
 void Planner::placeSingly(WantedStep &wanted, Plan &plan)
 {
     std::vector<std::uint32_t> left;
@@ -321,10 +440,25 @@
     return candidates;
 }
 
-void Planner::askAdvice(WantedStep &wanted, Plan &plan)
+void Planner::addRenewals(std::vector<Candidate> &candidates, const WantedStep &wanted, const std::vector<ComingRoom> &coming) const
+{
+    const work::AdvicePolicyT &policy = *wanted.job->queue().advice;
+    const Duration answerTime = absl::Milliseconds(static_cast<std::int64_t>(policy.decisionMillis + policy.perWorkerMillis * workersOfARenewal));
+    for (const ComingRoom &entry : coming) {
+        const bool isCandidate = std::any_of(candidates.begin(), candidates.end(), [&entry](const Candidate &known) { return known.room == entry.room; });
+        if (entry.room->standing == Standing::Expired && entry.wait <= answerTime + longestWaitAfterStop && !isCandidate) {
+            candidates.push_back({entry.room, false, true, penaltyOf(*entry.room, wanted)});
+        }
+    }
+}
+
+void Planner::askAdvice(WantedStep &wanted, const std::vector<ComingRoom> &coming, Plan &plan)
 {
     std::vector<Candidate> candidates = this->adviceCandidates(wanted, true);
-    if (candidates.empty()) {
+    this->addRenewals(candidates, wanted, coming);
+    // For a wide step room is made, or awaited: who may run it has to be known before.
+    const bool asksAhead = coming.empty() && this->isWide(wanted);
+    if (candidates.empty() && !asksAhead) {
         return;
     }
     const bool mayAsk = this->advice.mayAsk(this->now, wanted.key);
@@ -333,7 +467,7 @@
         candidates.insert(candidates.end(), full.begin(), full.end());
     }
     std::vector<std::string> asked = this->keepRoomFor(wanted, std::move(candidates), mayAsk);
-    if (mayAsk) {
+    if (!asked.empty()) {
         const work::QueueSpecT &queue = wanted.job->queue();
         plan.questions.push_back(this->advice.ask(this->now, wanted.key, queue.name, std::move(asked), *queue.advice));
     }
@@ -401,7 +535,7 @@
 {
     if (!std::exchange(this->isYieldingCollected, true)) {
         this->yielding.collect(this->state, this->tracks, this->rooms, [this](const workload::Job &job, std::uint32_t occurrence) {
-            return this->outlookOfOccurrence(job, occurrence);
+            return this->prospectOfOccurrence(job, occurrence).outlook;
         });
     }
     const std::uint32_t service = this->rooms.serviceNumber(wanted.job->queue().service);
--- a/paddlepier/planning/planner.h
+++ b/paddlepier/planning/planner.h
@@ -22,6 +22,7 @@
 #include "paddlepier/planning/advicebook.h"
 #include "paddlepier/planning/makingway.h"
 #include "paddlepier/planning/outlook.h"
+#include "paddlepier/planning/roomkeeping.h"
 #include "paddlepier/planning/rooms.h"
 #include "paddlepier/planning/suitability.h"
 #include "paddlepier/workload/workload.h"
@@ -70,7 +71,9 @@
         double penalty;
     };
 
-    Outlook outlookOfOccurrence(const workload::Job &job, std::uint32_t occurrence) const;
+    Prospect prospectOfOccurrence(const workload::Job &job, std::uint32_t occurrence) const;
+    /** Place of a step's queue in the order; a job that is about to miss its objective goes one priority up, but never to 0. */
+    static std::uint32_t rankOf(const WantedStep &wanted);
     std::vector<WantedStep> collectSteps() const;
     void collectOccurrence(std::vector<WantedStep> &wanted, const workload::Job &job, std::uint32_t occurrence) const;
     /** Something may come of planning it now: it may have a ticket, ask, or make others give way. */
@@ -85,7 +88,17 @@
     /** Takes room for one task, or gives it back. */
     void take(Choice &choice, const WantedStep &wanted, std::int32_t tasks);
     Choice *bestChoice(const WantedStep &wanted, std::uint32_t index, std::string_view rack);
-    void askAdvice(WantedStep &wanted, Plan &plan);
+    /** No more than a few of the step's tasks fit into any worker of its service. */
+    bool isWide(const WantedStep &wanted);
+    /** Keeps the room that comes soonest for the tasks of a wide step; nothing for a gang that can't have room as a whole. */
+    std::vector<ComingRoom> keepComingRoom(const WantedStep &wanted);
+    ComingRoom soonestRoom(const WantedStep &wanted, std::uint32_t index);
+    /** Makes runs give way where room for a wide step is then there while its tickets are good. */
+    void makeComingRoom(const WantedStep &wanted, const std::vector<ComingRoom> &coming, Plan &plan);
+    bool mayStopFor(const WantedStep &wanted, const ComingRoom &coming) const;
+    void askAdvice(WantedStep &wanted, const std::vector<ComingRoom> &coming, Plan &plan);
+    /** Workers whose room comes by the time that the policy service has renewed their tickets. */
+    void addRenewals(std::vector<Candidate> &candidates, const WantedStep &wanted, const std::vector<ComingRoom> &coming) const;
     /** Workers that the policy service may be asked about, with or without room for a task. */
     std::vector<Candidate> adviceCandidates(const WantedStep &wanted, bool withRoom);
     /** Keeps room for the step on the best of the candidates. @return workers to ask about; none if it may not ask */
@@ -111,6 +124,9 @@
     Timestamp now;
     std::int64_t wallMillis = 0;
     Rooms rooms;
+    RoomKeeper keeper;
+    /** Wide steps of this plan for which room was kept. */
+    std::size_t keptSteps = 0;
     std::vector<Choice> choices;
     YieldingRuns yielding;
     bool isYieldingCollected = false;
--- /dev/null
+++ b/paddlepier/planning/roomkeeping.cpp
@@ -0,0 +1,175 @@
+// Where a task that needs much of a worker will fit first.
+
+#include "paddlepier/planning/roomkeeping.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace paddlepier::planning
+{
+
+namespace
+{
+
+/** A run that is past its estimate may end at any time, but isn't over. */
+constexpr Duration leastRemaining = absl::Milliseconds(100);
+
+/** What is being stopped is listed as ended soon. */
+constexpr Duration stoppingRemaining = absl::Milliseconds(200);
+
+/** A task that was started this often, without failing, makes way no more: each start costs it a restore and a wait. */
+constexpr std::uint32_t mostStartsToYield = 4;
+
+/** What a run that makes way has to expect: the stop, a restore, and a wait for room in between; milliseconds. */
+constexpr double stopDelayMillis = 3000;
+
+constexpr double wholePercent = 100;
+
+bool mayYield(const workload::Task &task, const work::StepSpecT &step, const execution::RunTrack &track)
+{
+    const bool losesLittle = step.isCheckpointing && !step.isGang && !step.isLasting && !step.isFilling;
+    return losesLittle && track.phase == execution::RunPhase::Running && task.lastRun < mostStartsToYield + task.failures;
+}
+
+} // namespace
+
+bool isWideFor(const Room &room, const work::StepSpecT &step)
+{
+    Room empty = room;
+    const work::Demand &capacity = *room.worker->registration.capacity;
+    empty.processors = capacity.milliProcessors();
+    empty.memory = capacity.memoryMegabytes();
+    empty.accelerators = capacity.accelerators();
+    return empty.tasksThatFit(step) <= wideTasksPerWorker;
+}
+
+RoomKeeper::RoomKeeper(const workload::Workload &workloadState, const execution::RunTracks &runTracks, const std::map<std::string, double> &usualRatiosByQueue)
+    : state(workloadState)
+    , tracks(runTracks)
+    , usualRatios(usualRatiosByQueue)
+{
+}
+
+void RoomKeeper::begin(Timestamp at, std::int64_t wall)
+{
+    this->now = at;
+    this->wallMillis = wall;
+    this->held.clear();
+}
+
+double RoomKeeper::usualRatio(const std::string &queue) const
+{
+    const auto usual = this->usualRatios.find(queue);
+    return usual == this->usualRatios.end() ? 1.0 : usual->second;
+}
+
+Duration RoomKeeper::remainingOf(const execution::RunTrack &track, const work::StepSpecT &step, const std::string &queue) const
+{
+    if (track.phase == execution::RunPhase::Stopping) {
+        return stoppingRemaining;
+    }
+    if (step.isLasting || step.estimatedMillis == 0) {
+        return absl::InfiniteDuration();
+    }
+    const Duration whole = absl::Milliseconds(step.estimatedMillis) * this->usualRatio(queue);
+    if (track.phase == execution::RunPhase::Starting || track.progressAt == absl::InfinitePast()) {
+        return whole;
+    }
+    const Duration left = whole * (1.0 - track.percent / wholePercent) - (this->now - track.progressAt);
+    return std::max(left, leastRemaining);
+}
+
+HeldRun RoomKeeper::heldRun(const workload::TaskKey &key, const workload::Job &job) const
+{
+    HeldRun run;
+    run.key = key;
+    run.step = &job.stepSpec(key.step);
+    run.priority = job.queue().priority;
+    run.submittedAtMillis = job.submittedAtMillis();
+    run.remaining = absl::InfiniteDuration();
+    const auto track = this->tracks.find(key);
+    if (track != this->tracks.end()) {
+        run.remaining = this->remainingOf(track->second, *run.step, job.queue().name);
+        run.isStopping = track->second.phase == execution::RunPhase::Stopping;
+        run.mayYield = mayYield(job.task(key), *run.step, track->second);
+    }
+    if (run.mayYield) {
+        const Prospect prospect = prospectOf(job, key.occurrence, this->wallMillis, this->usualRatio(job.queue().name));
+        run.outlook = prospect.outlook;
+        run.isPressedByStop = prospect.outlook == Outlook::InTime && prospect.slackMillis < prospect.remainingMillis + stopDelayMillis;
+    }
+    return run;
+}
+
+std::vector<HeldRun> &RoomKeeper::runsOn(const Room &room)
+{
+    const auto [found, isNew] = this->held.try_emplace(room.worker);
+    if (isNew) {
+        for (const workload::TaskKey &key : room.worker->runs) {
+            found->second.push_back(this->heldRun(key, *this->state.findJob(key.job)));
+        }
+    }
+    return found->second;
+}
+
+bool RoomKeeper::yieldsTo(const HeldRun &run, const WantedStep &wanted)
+{
+    const std::uint32_t priority = wanted.job->queue().priority;
+    return run.mayYield && run.priority > priority && wanted.prospect.outlook == Outlook::InTime && (priority == 0 || !run.isPressedByStop);
+}
+
+std::vector<RoomKeeper::Release> RoomKeeper::releasesFor(std::vector<HeldRun> &runs, const WantedStep &wanted) const
+{
+    std::vector<Release> releases;
+    for (HeldRun &run : runs) {
+        if (run.isStopping) {
+            releases.push_back({&run, std::min(run.remaining, usualStopTime), false});
+            continue;
+        }
+        const bool isStop = run.remaining > usualStopTime && yieldsTo(run, wanted);
+        releases.push_back({&run, isStop ? usualStopTime : run.remaining, isStop});
+    }
+    // Of what would be stopped, jobs that have least to lose go first.
+    std::sort(releases.begin(), releases.end(), [](const Release &left, const Release &right) {
+        const auto rank = [](const Release &release) {
+            return std::tuple(release.after, release.isStop, -static_cast<int>(release.run->outlook), -release.run->submittedAtMillis);
+        };
+        return rank(left) != rank(right) ? rank(left) < rank(right) : left.run->key < right.run->key;
+    });
+    return releases;
+}
+
+ComingRoom RoomKeeper::comingRoom(Room &room, const WantedStep &wanted)
+{
+    ComingRoom coming;
+    Room later = room;
+    std::vector<Release> used;
+    for (const Release &release : this->releasesFor(this->runsOn(room), wanted)) {
+        if (later.fits(*wanted.step) || release.after == absl::InfiniteDuration()) {
+            break;
+        }
+        later.take(*release.run->step, -1);
+        used.push_back(release);
+    }
+    if (!later.fits(*wanted.step)) {
+        return coming;
+    }
+    // What was counted earlier may be needless beside what came after it; the dearest is left out first.
+    coming.room = &room;
+    coming.wait = absl::ZeroDuration();
+    std::reverse(used.begin(), used.end());
+    for (const Release &release : used) {
+        later.take(*release.run->step, 1);
+        if (later.fits(*wanted.step)) {
+            continue;
+        }
+        later.take(*release.run->step, -1);
+        coming.wait = std::max(coming.wait, release.after);
+        if (release.isStop) {
+            coming.stops.push_back(release.run);
+        }
+    }
+    return coming;
+}
+
+} // namespace paddlepier::planning
--- a/paddlepier/planning/suitability.h
+++ b/paddlepier/planning/suitability.h
@@ -73,7 +73,8 @@
     workload::StepKey key;
     const work::StepSpecT *step = nullptr;
     const workload::Step *progress = nullptr;
-    Outlook outlook = Outlook::InTime;
+    /** In time, with nothing left to do, for what is to last: it has no end to meet. */
+    Prospect prospect;
     std::vector<std::uint32_t> tasks;
     /** Data centre that its tasks had best go to. */
     std::uint32_t home = noHome;
