Split the planner into order, eligibility, room kept, asking and making way; say for whom a run makes way

New: a line run.makes-way with the step served; the outcome test now checks that what makes way has less priority than what it serves.

--- a/paddlepier/execution/dispatcher.cpp
+++ b/paddlepier/execution/dispatcher.cpp
@@ -426,9 +426,10 @@
     this->nextPlan = now + planPause;
     planning::Plan plan = this->planner.plan(now, wallMillis);
     std::move(plan.questions.begin(), plan.questions.end(), std::back_inserter(this->effects.questions));
-    for (const workload::TaskKey &key : plan.preempted) {
+    for (const auto &[key, servedStep] : plan.preempted) {
         const auto track = this->tracks.find(key);
         if (track != this->tracks.end()) {
+            log::info("dispatch", "run.makes-way", {{"task", key.text()}, {"worker", track->second.worker}, {"for", servedStep.text()}});
             this->stopRun(now, key, track->second, StopReason::Preempted);
         }
     }
--- /dev/null
+++ b/paddlepier/planning/asking.h
@@ -0,0 +1,67 @@
+// What to ask the policy service about a step, and which room to keep until it answers.
+//
+// The service is slow and takes one call at a time from each caller, and its tickets end soon. A step is therefore asked
+// about when some worker has room for it, or will have by the time of the answer; as many workers are named as make it
+// likely that enough of them are permitted, and room is kept there from the steps that come after. Who may run a wide step
+// is asked before there is room at all, since room has to be made for it at a worker that may.
+//
+// Example:
+//     if (auto question = asking.ask(now, wanted, coming)) { plan.questions.push_back(*question); }
+//
+// Thread safety: none; owned by the planner. Cost: ask() is O(workers + workers named x log workers).
+
+#ifndef PADDLEPIER_PLANNING_ASKING_H
+#define PADDLEPIER_PLANNING_ASKING_H
+
+#include "paddlepier/base/clock.h"
+#include "paddlepier/execution/orders.h"
+#include "paddlepier/planning/advicebook.h"
+#include "paddlepier/planning/roomkeeping.h"
+#include "paddlepier/planning/rooms.h"
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace paddlepier::planning
+{
+
+class AdviceAsking
+{
+public:
+    AdviceAsking(Rooms &planRooms, RoomKeeper &roomKeeper, AdviceBook &book);
+
+    /**
+     * Keeps room for what is likely to be permitted, and asks if no answer is awaited already.
+     *
+     * @param coming  room that is kept for the step anyway
+     */
+    std::optional<execution::AdviceQuestion> ask(Timestamp now, const WantedStep &wanted, const std::vector<ComingRoom> &coming);
+
+private:
+    /** A worker that the policy service may be asked about. */
+    struct Candidate {
+        Room *room;
+        bool hasRoom;
+        /** Known to be permitted; only the ticket is over. */
+        bool isExpired;
+        double penalty;
+    };
+
+    /** Workers that the policy service may be asked about, with or without room for a task. */
+    std::vector<Candidate> candidatesFor(const WantedStep &wanted, bool withRoom);
+    /** Workers whose room comes by the time that the policy service has renewed their tickets. */
+    static void addRenewals(std::vector<Candidate> &candidates, const WantedStep &wanted, const std::vector<ComingRoom> &coming);
+    /** Keeps room for the step on the best of the candidates. @return workers to ask about; none if it may not ask */
+    std::vector<std::string> keepRoomFor(const WantedStep &wanted, std::vector<Candidate> candidates, bool mayAsk);
+    /** Keeps room for the tasks that are likely to go there. @return how many, in expectation */
+    double keepRoom(const WantedStep &wanted, Room &room, double chance);
+
+    Rooms &rooms;
+    RoomKeeper &keeper;
+    AdviceBook &advice;
+};
+
+} // namespace paddlepier::planning
+
+#endif
--- /dev/null
+++ b/paddlepier/planning/eligibility.cpp
@@ -0,0 +1,33 @@
+// Whether a worker may get a task of a step at all.
+
+#include "paddlepier/planning/eligibility.h"
+
+namespace paddlepier::planning
+{
+
+bool mayRun(const Room &room, const WantedStep &wanted, std::uint32_t service)
+{
+    return room.service == service && !room.isSpare && (wanted.step->requiredLabel.empty() || room.worker->hasLabel(wanted.step->requiredLabel));
+}
+
+bool isAcceptable(const Room &room)
+{
+    if (room.view->failedInRow < suspiciousFailures) {
+        return true;
+    }
+    // After its time out a suspicious worker shows itself by one run at a time.
+    return room.isOnProbation && room.worker->runs.empty();
+}
+
+bool isTrusted(const Room &room, const workload::Task &task)
+{
+    // A task that has failed already must not use up its attempts on a worker that may be the cause.
+    return task.failures > 0 && !room.isOnProbation ? room.view->failedInRow == 0 : isAcceptable(room);
+}
+
+bool isBelowBound(const Room &room, const WantedStep &wanted)
+{
+    return wanted.step->mostPerWorker == 0 || room.stepTasks < wanted.step->mostPerWorker;
+}
+
+} // namespace paddlepier::planning
--- a/paddlepier/planning/fakecell.h
+++ b/paddlepier/planning/fakecell.h
@@ -80,7 +80,7 @@
     /** Carries a plan out: places, stops, and answers some of its questions. */
     void carryOut(const Plan &plan)
     {
-        for (const workload::TaskKey &key : plan.preempted) {
+        for (const auto &[key, servedStep] : plan.preempted) {
             this->tracks.at(key).phase = execution::RunPhase::Stopping;
         }
         work::PlaceRunsT command;
--- a/paddlepier/planning/loadreplay.h
+++ b/paddlepier/planning/loadreplay.h
@@ -354,7 +354,7 @@
 
     void carryOut(const Plan &plan)
     {
-        for (const workload::TaskKey &key : plan.preempted) {
+        for (const auto &[key, servedStep] : plan.preempted) {
             this->tracks.at(key).phase = execution::RunPhase::Stopping;
             this->runs.at(key).stopsAt = std::min(this->runs.at(key).stopsAt, this->now + stopTime);
         }
--- a/paddlepier/planning/makingway.cpp
+++ b/paddlepier/planning/makingway.cpp
@@ -2,9 +2,27 @@
 
 #include "paddlepier/planning/makingway.h"
 
+#include "paddlepier/planning/eligibility.h"
+
+#include <utility>
+
 namespace paddlepier::planning
 {
 
+namespace
+{
+
+/** Most preemptions of one plan, so that a burst doesn't stop more than the next plan finds needed. */
+constexpr std::size_t mostPreemptions = 24;
+
+/**
+ * Least pause between two plans that make runs give way: those that stop need some of it, and a plan that only passes over steps
+ * which wait for an answer costs next to nothing.
+ */
+constexpr Duration preemptionPause = absl::Milliseconds(20);
+
+} // namespace
+
 void YieldingRuns::addOccurrence(const workload::Job &job, std::uint32_t occurrence, const execution::RunTracks &tracks, Rooms &rooms)
 {
     const std::vector<workload::Step> &steps = job.occurrences()[occurrence].steps;
@@ -53,4 +71,128 @@
     return ordered;
 }
 
+MakingWay::MakingWay(
+    const workload::Workload &workloadState, const execution::RunTracks &runTracks, const Prospects &jobProspects, Rooms &planRooms, const AdviceBook &book)
+    : state(workloadState)
+    , tracks(runTracks)
+    , prospects(jobProspects)
+    , rooms(planRooms)
+    , advice(book)
+{
+}
+
+void MakingWay::begin(Timestamp at, std::int64_t wall)
+{
+    this->now = at;
+    this->wallMillis = wall;
+    this->isYieldingCollected = false;
+    this->isOpen = at >= this->nextPreemption;
+    this->preempted.clear();
+}
+
+bool MakingWay::mayServe(const WantedStep &wanted) const
+{
+    return this->isOpen && wanted.job->queue().priority == 0;
+}
+
+void MakingWay::makeRoom(const WantedStep &wanted, const std::vector<ComingRoom> &coming)
+{
+    if (!this->isOpen || this->preempted.size() >= mostPreemptions) {
+        return;
+    }
+    if (!coming.empty()) {
+        this->makeComing(wanted, coming);
+    } else if (wanted.job->queue().priority == 0) {
+        this->makeAnywhere(wanted);
+    }
+}
+
+std::vector<Preemption> MakingWay::takePreempted()
+{
+    return std::exchange(this->preempted, {});
+}
+
+bool MakingWay::mayStopFor(const WantedStep &wanted, const ComingRoom &coming) const
+{
+    const bool hasTicket = wanted.job->queue().advice == nullptr || coming.room->standing == Standing::Permitted;
+    // While an answer is awaited the ticket is there by the time that the room is.
+    return (hasTicket || !this->advice.mayAsk(this->now, wanted.key)) && coming.wait <= soonEnough;
+}
+
+void MakingWay::makeComing(const WantedStep &wanted, const std::vector<ComingRoom> &coming)
+{
+    this->nextPreemption = this->now + preemptionPause;
+    const auto isUseful = [&](const ComingRoom &entry) { return this->mayStopFor(wanted, entry); };
+    // A gang needs the room of all its members at the same time.
+    if (wanted.step->isGang && !std::all_of(coming.begin(), coming.end(), isUseful)) {
+        return;
+    }
+    for (const ComingRoom &entry : coming) {
+        if (!isUseful(entry)) {
+            continue;
+        }
+        for (HeldRun *run : entry.stops) {
+            if (!std::exchange(run->isStopping, true)) {
+                this->preempted.push_back({run->key, wanted.key});
+            }
+        }
+    }
+}
+
+void MakingWay::makeAnywhere(const WantedStep &wanted)
+{
+    this->nextPreemption = this->now + preemptionPause;
+    this->rooms.countComing(this->state, this->tracks);
+    std::size_t missing = wanted.tasks.size();
+    const std::uint32_t service = this->rooms.serviceNumber(wanted.job->queue().service);
+    for (Room &room : this->rooms.all()) {
+        // Room that is free or on its way serves first.
+        if (missing > 0 && mayMakeRoom(room, wanted, service)) {
+            missing -= claimComingRoom(room, wanted, missing);
+        }
+    }
+    if (missing > 0) {
+        this->stopRuns(wanted, missing);
+    }
+}
+
+void MakingWay::stopRuns(const WantedStep &wanted, std::size_t missing)
+{
+    if (!std::exchange(this->isYieldingCollected, true)) {
+        this->yielding.collect(this->state, this->tracks, this->rooms, [this](const workload::Job &job, std::uint32_t occurrence) {
+            return this->prospects.of(job, occurrence, this->wallMillis).outlook;
+        });
+    }
+    const std::uint32_t service = this->rooms.serviceNumber(wanted.job->queue().service);
+    for (YieldingRun *run : this->yielding.inOrder(wanted.home)) {
+        if (missing == 0 || this->preempted.size() >= mostPreemptions) {
+            return;
+        }
+        if (!mayMakeRoom(*run->room, wanted, service)) {
+            continue;
+        }
+        run->isChosen = true;
+        this->preempted.push_back({run->key, wanted.key});
+        run->room->comingProcessors += run->milliProcessors;
+        missing -= claimComingRoom(*run->room, wanted, missing);
+    }
+}
+
+bool MakingWay::mayMakeRoom(const Room &room, const WantedStep &wanted, std::uint32_t service)
+{
+    return room.standing != Standing::Forbidden && mayRun(room, wanted, service) && isBelowBound(room, wanted) && room.view->failedInRow == 0;
+}
+
+std::size_t MakingWay::claimComingRoom(Room &room, const WantedStep &wanted, std::size_t missing)
+{
+    const std::int64_t each = wanted.step->demand->milliProcessors();
+    if (each == 0) {
+        return missing;
+    }
+    const std::int64_t available = std::max<std::int64_t>(0, room.processors) + room.comingProcessors;
+    const std::size_t claimed = std::min(missing, static_cast<std::size_t>(std::max<std::int64_t>(0, available / each)));
+    room.comingProcessors -= each * static_cast<std::int64_t>(claimed);
+    return claimed;
+}
+
 } // namespace paddlepier::planning
--- a/paddlepier/planning/makingway.h
+++ b/paddlepier/planning/makingway.h
@@ -1,19 +1,23 @@
 // Runs that may make way for urgent work.
 //
-// Those near the step's other tasks go first, then what can't be served in time any more, and then the youngest: where room
-// is short some jobs end in time instead of all ending late.
+// Urgent work (priority 0) may take the place of any run that saves its progress: those near the step's other tasks go first,
+// then what can't be served in time any more, and then the youngest; where room is short some jobs end in time instead of
+// all ending late. Work of other queues makes less urgent runs give way only for wide tasks, which would find no room
+// otherwise, and only where room is chosen and kept for them (roomkeeping.h).
 //
 // Example:
-//     runs.collect(state, tracks, rooms, outlookOfOccurrence);
-//     for (YieldingRun *run : runs.inOrder(home)) { ... run->isChosen = true; }
+//     way.begin(now, wallMillis);
+//     way.makeRoom(wanted, coming);
+//     plan.preempted = way.takePreempted();
 //
-// Thread safety: none; owned by the planner. Cost: collect() O(tasks of jobs that may make way), once a plan.
+// Thread safety: none; owned by the planner. Cost: O(tasks of jobs that may make way), once a plan.
 
 #ifndef PADDLEPIER_PLANNING_MAKINGWAY_H
 #define PADDLEPIER_PLANNING_MAKINGWAY_H
 
 #include "paddlepier/execution/runtrack.h"
 #include "paddlepier/planning/outlook.h"
+#include "paddlepier/planning/roomkeeping.h"
 #include "paddlepier/planning/rooms.h"
 #include "paddlepier/workload/workload.h"
 
@@ -71,6 +75,56 @@
     std::vector<YieldingRun> runs;
 };
 
+/** A run that is to stop, and the waiting step that its room is for. */
+struct Preemption {
+    workload::TaskKey run;
+    workload::StepKey servedStep;
+};
+
+/** Decides which runs stop, once for each plan. */
+class MakingWay
+{
+public:
+    MakingWay(const workload::Workload &workloadState,
+              const execution::RunTracks &runTracks,
+              const Prospects &jobProspects,
+              Rooms &planRooms,
+              const AdviceBook &book);
+
+    /** Begins a plan. */
+    void begin(Timestamp at, std::int64_t wall);
+    /** This plan may make runs give way for the step anywhere. */
+    bool mayServe(const WantedStep &wanted) const;
+    /** Stops runs for the waiting tasks of @p wanted: those that @p coming names, or for urgent work any. */
+    void makeRoom(const WantedStep &wanted, const std::vector<ComingRoom> &coming);
+    /** Runs that make way by this plan. */
+    std::vector<Preemption> takePreempted();
+
+private:
+    /** Stops runs where room for a wide step is then there while its tickets are good. */
+    void makeComing(const WantedStep &wanted, const std::vector<ComingRoom> &coming);
+    bool mayStopFor(const WantedStep &wanted, const ComingRoom &coming) const;
+    void makeAnywhere(const WantedStep &wanted);
+    void stopRuns(const WantedStep &wanted, std::size_t missing);
+    static bool mayMakeRoom(const Room &room, const WantedStep &wanted, std::uint32_t service);
+    /** Takes room that is free or on its way for up to @p missing tasks; @return for how many there is some */
+    static std::size_t claimComingRoom(Room &room, const WantedStep &wanted, std::size_t missing);
+
+    const workload::Workload &state;
+    const execution::RunTracks &tracks;
+    const Prospects &prospects;
+    Rooms &rooms;
+    const AdviceBook &advice;
+    Timestamp now;
+    std::int64_t wallMillis = 0;
+    YieldingRuns yielding;
+    bool isYieldingCollected = false;
+    /** This plan may make runs give way. */
+    bool isOpen = true;
+    Timestamp nextPreemption = absl::InfinitePast();
+    std::vector<Preemption> preempted;
+};
+
 } // namespace paddlepier::planning
 
 #endif
--- a/paddlepier/planning/outlook.cpp
+++ b/paddlepier/planning/outlook.cpp
@@ -57,4 +57,20 @@
     return prospect;
 }
 
+Prospects::Prospects(const std::map<std::string, double> &usualRatiosByQueue)
+    : usualRatios(usualRatiosByQueue)
+{
+}
+
+double Prospects::usualRatio(const std::string &queue) const
+{
+    const auto usual = this->usualRatios.find(queue);
+    return usual == this->usualRatios.end() ? 1.0 : usual->second;
+}
+
+Prospect Prospects::of(const workload::Job &job, std::uint32_t occurrence, std::int64_t wallMillis) const
+{
+    return prospectOf(job, occurrence, wallMillis, this->usualRatio(job.queue().name));
+}
+
 } // namespace paddlepier::planning
--- a/paddlepier/planning/outlook.h
+++ b/paddlepier/planning/outlook.h
@@ -4,7 +4,7 @@
 // three times that it counts as late, and for nothing after that. Estimates are corrected by what runs of the queue
 // usually take.
 //
-// Thread safety: free functions without state. Cost: O(steps).
+// Thread safety: none; owned by the planner. Cost: O(steps).
 
 #ifndef PADDLEPIER_PLANNING_OUTLOOK_H
 #define PADDLEPIER_PLANNING_OUTLOOK_H
@@ -12,6 +12,8 @@
 #include "paddlepier/workload/job.h"
 
 #include <cstdint>
+#include <map>
+#include <string>
 
 namespace paddlepier::planning
 {
@@ -43,6 +45,20 @@
  */
 Prospect prospectOf(const workload::Job &job, std::uint32_t occurrence, std::int64_t wallMillis, double usualRatio);
 
+/** Prospects by what runs of each queue usually take, as it is learned. */
+class Prospects
+{
+public:
+    /** @param usualRatiosByQueue  see prospectOf(); a queue that isn't there is taken at its word */
+    explicit Prospects(const std::map<std::string, double> &usualRatiosByQueue);
+
+    double usualRatio(const std::string &queue) const;
+    Prospect of(const workload::Job &job, std::uint32_t occurrence, std::int64_t wallMillis) const;
+
+private:
+    const std::map<std::string, double> &usualRatios;
+};
+
 } // namespace paddlepier::planning
 
 #endif
--- a/paddlepier/planning/planner.h
+++ b/paddlepier/planning/planner.h
@@ -1,10 +1,13 @@
 // Decides which waiting tasks go to which workers, what to ask the policy service, and what makes way for urgent work.
 //
-// A plan is made from the ledger and from what the leader knows of the workers; nothing is changed by making it. Steps are
-// taken in the order of their queue's priority, and then of what their jobs can still reach and of their age. Room that a
-// step is going to need, once the policy service has answered, is kept from the steps after it in the same plan. Which of
-// the workers with room is taken is decided in suitability.h. Steps of which nothing can come now are passed over unless
-// room has to be kept for them.
+// A plan is made from the ledger and from what the leader knows of the workers; nothing is changed by making it. It is a
+// sequence of decisions, each with its own part:
+//  - in which order steps are taken (steporder.h);
+//  - who may get a task (eligibility.h), and which of the workers with room is taken (suitability.h): here;
+//  - where room for wide tasks comes soonest, and is kept (roomkeeping.h);
+//  - what to ask the policy service, and which room to keep until it answers (asking.h);
+//  - which runs make way (makingway.h).
+// Steps of which nothing can come now are passed over unless room has to be kept for them.
 //
 // Example:
 //     const Plan plan = planner.plan(now, wallMillis);
@@ -20,10 +23,12 @@
 #include "paddlepier/execution/runtrack.h"
 #include "paddlepier/execution/workerview.h"
 #include "paddlepier/planning/advicebook.h"
+#include "paddlepier/planning/asking.h"
 #include "paddlepier/planning/makingway.h"
 #include "paddlepier/planning/outlook.h"
 #include "paddlepier/planning/roomkeeping.h"
 #include "paddlepier/planning/rooms.h"
+#include "paddlepier/planning/steporder.h"
 #include "paddlepier/planning/suitability.h"
 #include "paddlepier/workload/workload.h"
 
@@ -40,7 +45,7 @@
     std::vector<work::PlacementT> placements;
     std::vector<execution::AdviceQuestion> questions;
     /** Runs that make way; their tasks go on later from their checkpoints. */
-    std::vector<workload::TaskKey> preempted;
+    std::vector<Preemption> preempted;
 };
 
 class Planner
@@ -52,6 +57,7 @@
             AdviceBook &book,
             const std::map<std::string, double> &usualRatiosByQueue);
 
+    /** @param wallMillis  milliseconds since 1970 */
     Plan plan(Timestamp now, std::int64_t wallMillis);
 
 private:
@@ -62,23 +68,9 @@
         double penalty;
     };
 
-    /** A worker that the policy service may be asked about. */
-    struct Candidate {
-        Room *room;
-        bool hasRoom;
-        /** Known to be permitted; only the ticket is over. */
-        bool isExpired;
-        double penalty;
-    };
-
-    Prospect prospectOfOccurrence(const workload::Job &job, std::uint32_t occurrence) const;
-    /** Place of a step's queue in the order; a job that is about to miss its objective goes one priority up, but never to 0. */
-    static std::uint32_t rankOf(const WantedStep &wanted);
-    std::vector<WantedStep> collectSteps() const;
-    void collectOccurrence(std::vector<WantedStep> &wanted, const workload::Job &job, std::uint32_t occurrence) const;
     /** Something may come of planning it now: it may have a ticket, ask, or make others give way. */
-    bool mayAct(const WantedStep &wanted) const;
-    void planStep(WantedStep &wanted, Plan &plan);
+    bool mayAct(Timestamp now, const WantedStep &wanted) const;
+    void planStep(Timestamp now, WantedStep &wanted, Plan &plan);
     void planGang(WantedStep &wanted, Plan &plan);
     /** Places the tasks on workers of @p rack, or of any if it is empty, where there is room for all. */
     bool placeGang(WantedStep &wanted, std::string_view rack, Plan &plan);
@@ -88,51 +80,18 @@
     /** Takes room for one task, or gives it back. */
     void take(Choice &choice, const WantedStep &wanted, std::int32_t tasks);
     Choice *bestChoice(const WantedStep &wanted, std::uint32_t index, std::string_view rack);
-    /** No more than a few of the step's tasks fit into any worker of its service. */
-    bool isWide(const WantedStep &wanted);
-    /** Keeps the room that comes soonest for the tasks of a wide step; nothing for a gang that can't have room as a whole. */
-    std::vector<ComingRoom> keepComingRoom(const WantedStep &wanted);
-    ComingRoom soonestRoom(const WantedStep &wanted, std::uint32_t index);
-    /** Makes runs give way where room for a wide step is then there while its tickets are good. */
-    void makeComingRoom(const WantedStep &wanted, const std::vector<ComingRoom> &coming, Plan &plan);
-    bool mayStopFor(const WantedStep &wanted, const ComingRoom &coming) const;
-    void askAdvice(WantedStep &wanted, const std::vector<ComingRoom> &coming, Plan &plan);
-    /** Workers whose room comes by the time that the policy service has renewed their tickets. */
-    void addRenewals(std::vector<Candidate> &candidates, const WantedStep &wanted, const std::vector<ComingRoom> &coming) const;
-    /** Workers that the policy service may be asked about, with or without room for a task. */
-    std::vector<Candidate> adviceCandidates(const WantedStep &wanted, bool withRoom);
-    /** Keeps room for the step on the best of the candidates. @return workers to ask about; none if it may not ask */
-    std::vector<std::string> keepRoomFor(const WantedStep &wanted, std::vector<Candidate> candidates, bool mayAsk);
-    /** Keeps room for the tasks that are likely to go there. @return how many, in expectation */
-    double keepRoom(const WantedStep &wanted, Room &room, double chance);
-    void preemptFor(const WantedStep &wanted, Plan &plan);
-    void preemptRuns(const WantedStep &wanted, std::size_t missing, Plan &plan);
-    static bool mayMakeRoom(const Room &room, const WantedStep &wanted, std::uint32_t service);
-    /** Takes room that is free or on its way for up to @p missing tasks; @return for how many there is some */
-    static std::size_t claimComingRoom(Room &room, const WantedStep &wanted, std::size_t missing);
-    static bool mayRun(const Room &room, const WantedStep &wanted, std::uint32_t service);
-    static bool isAcceptable(const Room &room);
-    static bool isTrusted(const Room &room, const workload::Task &task);
-    static bool isBelowBound(const Room &room, const WantedStep &wanted);
     static work::PlacementT placement(const WantedStep &wanted, std::uint32_t task, const std::string &worker);
 
     const workload::Workload &state;
     const std::map<std::string, execution::WorkerView> &views;
-    const execution::RunTracks &tracks;
     AdviceBook &advice;
-    const std::map<std::string, double> &usualRatios;
-    Timestamp now;
-    std::int64_t wallMillis = 0;
     Rooms rooms;
+    Prospects prospects;
+    StepOrder order;
     RoomKeeper keeper;
-    /** Wide steps of this plan for which room was kept. */
-    std::size_t keptSteps = 0;
+    AdviceAsking asking;
+    MakingWay makingWay;
     std::vector<Choice> choices;
-    YieldingRuns yielding;
-    bool isYieldingCollected = false;
-    /** This plan may make runs give way. */
-    bool mayPreempt = true;
-    Timestamp nextPreemption = absl::InfinitePast();
 };
 
 } // namespace paddlepier::planning
--- a/paddlepier/planning/planner_outcome_test.cpp
+++ b/paddlepier/planning/planner_outcome_test.cpp
@@ -55,7 +55,7 @@
                 absl::StrAppend(&text, worker);
             }
         }
-        for (const workload::TaskKey &key : plan.preempted) {
+        for (const auto &[key, servedStep] : plan.preempted) {
             absl::StrAppend(&text, "x", key.text(), "\n");
         }
         return text;
@@ -152,12 +152,13 @@
         }
     }
 
-    static void checkPreempted(const FakeCell &cell, const workload::TaskKey &key)
+    static void checkPreempted(const FakeCell &cell, const Preemption &entry)
     {
+        const workload::TaskKey &key = entry.run;
         const workload::Job &job = *cell.state.findJob(key.job);
         const work::StepSpecT &step = job.stepSpec(key.step);
         CHECK(cell.tracks.at(key).phase == execution::RunPhase::Running);
-        CHECK(job.queue().priority > 0);
+        CHECK(job.queue().priority > cell.state.findJob(entry.servedStep.job)->queue().priority);
         CHECK((step.isCheckpointing && !step.isGang && !step.isLasting && !step.isFilling));
     }
 };
@@ -189,7 +190,7 @@
         INFO("seed " << seed);
         play(seed, [&](const FakeCell &cell, const Plan &plan) {
             std::for_each(plan.placements.begin(), plan.placements.end(), [&cell](const work::PlacementT &placement) { checkPlacement(cell, placement); });
-            std::for_each(plan.preempted.begin(), plan.preempted.end(), [&cell](const workload::TaskKey &key) { checkPreempted(cell, key); });
+            std::for_each(plan.preempted.begin(), plan.preempted.end(), [&cell](const Preemption &entry) { checkPreempted(cell, entry); });
             checkBounds(cell, plan);
             placed += plan.placements.size();
             preempted += plan.preempted.size();
--- a/paddlepier/planning/planner_test.cpp
+++ b/paddlepier/planning/planner_test.cpp
@@ -213,7 +213,7 @@
     this->submit();
     const Plan first = this->plan();
     REQUIRE(first.preempted.size() == 1);
-    this->tracks.at(first.preempted[0]).phase = execution::RunPhase::Stopping;
+    this->tracks.at(first.preempted[0].run).phase = execution::RunPhase::Stopping;
     this->addJob("quicker", "urgent", 1);
     this->submit();
     this->now += absl::Milliseconds(10);
@@ -221,7 +221,7 @@
     this->now += absl::Milliseconds(10);
     const Plan next = this->plan();
     REQUIRE(next.preempted.size() == 1);
-    CHECK_FALSE(next.preempted[0] == first.preempted[0]);
+    CHECK_FALSE(next.preempted[0].run == first.preempted[0].run);
 }
 
 TEST_CASE_METHOD(PlannerFixture, "urgentWork_withoutRoom_leavesLastingAndUnsavedWorkAlone")
@@ -360,8 +360,8 @@
     this->submit();
     const Plan plan = this->plan();
     REQUIRE(plan.preempted.size() == 2);
-    CHECK(plan.preempted[0].job == "000000000000000b");
-    CHECK(plan.preempted[1].job == "000000000000000b");
+    CHECK(plan.preempted[0].run.job == "000000000000000b");
+    CHECK(plan.preempted[1].run.job == "000000000000000b");
 }
 
 } // namespace paddlepier::planning
--- a/paddlepier/planning/roomkeeping.cpp
+++ b/paddlepier/planning/roomkeeping.cpp
@@ -2,8 +2,12 @@
 
 #include "paddlepier/planning/roomkeeping.h"
 
+#include "paddlepier/planning/eligibility.h"
+
 #include <algorithm>
+#include <limits>
 #include <tuple>
+#include <utility>
 
 namespace paddlepier::planning
 {
@@ -23,6 +27,12 @@
 /** What a run that makes way has to expect: the stop, a restore, and a wait for room in between; milliseconds. */
 constexpr double stopDelayMillis = 3000;
 
+/** Most wide steps of one plan that room is kept for, which bounds a plan's time; what comes after them takes what is left. */
+constexpr std::size_t mostKeptSteps = 40;
+
+/** What stopping one run is worth in waiting: it loses up to a save's interval and a restore, a part of which is used meanwhile. */
+constexpr double secondsPerStop = 0.1;
+
 constexpr double wholePercent = 100;
 
 bool mayYield(const workload::Task &task, const work::StepSpecT &step, const execution::RunTrack &track)
@@ -43,10 +53,11 @@
     return empty.tasksThatFit(step) <= wideTasksPerWorker;
 }
 
-RoomKeeper::RoomKeeper(const workload::Workload &workloadState, const execution::RunTracks &runTracks, const std::map<std::string, double> &usualRatiosByQueue)
+RoomKeeper::RoomKeeper(const workload::Workload &workloadState, const execution::RunTracks &runTracks, const Prospects &jobProspects, Rooms &planRooms)
     : state(workloadState)
     , tracks(runTracks)
-    , usualRatios(usualRatiosByQueue)
+    , prospects(jobProspects)
+    , rooms(planRooms)
 {
 }
 
@@ -55,12 +66,7 @@
     this->now = at;
     this->wallMillis = wall;
     this->held.clear();
-}
-
-double RoomKeeper::usualRatio(const std::string &queue) const
-{
-    const auto usual = this->usualRatios.find(queue);
-    return usual == this->usualRatios.end() ? 1.0 : usual->second;
+    this->keptSteps = 0;
 }
 
 Duration RoomKeeper::remainingOf(const execution::RunTrack &track, const work::StepSpecT &step, const std::string &queue) const
@@ -71,7 +77,7 @@
     if (step.isLasting || step.estimatedMillis == 0) {
         return absl::InfiniteDuration();
     }
-    const Duration whole = absl::Milliseconds(step.estimatedMillis) * this->usualRatio(queue);
+    const Duration whole = absl::Milliseconds(step.estimatedMillis) * this->prospects.usualRatio(queue);
     if (track.phase == execution::RunPhase::Starting || track.progressAt == absl::InfinitePast()) {
         return whole;
     }
@@ -94,7 +100,7 @@
         run.mayYield = mayYield(job.task(key), *run.step, track->second);
     }
     if (run.mayYield) {
-        const Prospect prospect = prospectOf(job, key.occurrence, this->wallMillis, this->usualRatio(job.queue().name));
+        const Prospect prospect = this->prospects.of(job, key.occurrence, this->wallMillis);
         run.outlook = prospect.outlook;
         run.isPressedByStop = prospect.outlook == Outlook::InTime && prospect.slackMillis < prospect.remainingMillis + stopDelayMillis;
     }
@@ -172,4 +178,68 @@
     return coming;
 }
 
+bool RoomKeeper::isWide(const WantedStep &wanted)
+{
+    const std::uint32_t service = this->rooms.serviceNumber(wanted.job->queue().service);
+    const std::vector<Room> &all = this->rooms.all();
+    return std::all_of(all.begin(), all.end(), [&](const Room &room) { return room.service != service || isWideFor(room, *wanted.step); });
+}
+
+ComingRoom RoomKeeper::soonestRoom(const WantedStep &wanted, std::uint32_t index)
+{
+    const workload::Task &task = wanted.progress->tasks[index];
+    const std::uint32_t service = this->rooms.serviceNumber(wanted.job->queue().service);
+    ComingRoom best;
+    double least = std::numeric_limits<double>::infinity();
+    const auto consider = [&](Room &room) {
+        if (!mayRun(room, wanted, service) || !isAcceptable(room) || !isTrusted(room, task) || !isBelowBound(room, wanted)) {
+            return;
+        }
+        ComingRoom coming = this->comingRoom(room, wanted);
+        const double slowSeconds = wanted.step->estimatedMillis / 1000.0 * std::max(0.0, room.view->slowness - 1.0);
+        const double cost = absl::ToDoubleSeconds(coming.wait) + slowSeconds + secondsPerStop * static_cast<double>(coming.stops.size());
+        if (coming.room != nullptr && cost < least) {
+            least = cost;
+            best = std::move(coming);
+        }
+    };
+    std::vector<Room> &all = this->rooms.all();
+    if (wanted.job->queue().advice == nullptr) {
+        std::for_each(all.begin(), all.end(), consider);
+        return best;
+    }
+    for (const std::uint32_t number : this->rooms.told()) {
+        if (all[number].standing == Standing::Permitted || all[number].standing == Standing::Expired) {
+            consider(all[number]);
+        }
+    }
+    return best;
+}
+
+std::vector<ComingRoom> RoomKeeper::keepFor(const WantedStep &wanted)
+{
+    if (wanted.step->isFilling || this->keptSteps >= mostKeptSteps || !this->isWide(wanted)) {
+        return {};
+    }
+    ++this->keptSteps;
+    std::vector<ComingRoom> kept;
+    for (const std::uint32_t index : wanted.tasks) {
+        ComingRoom coming = this->soonestRoom(wanted, index);
+        if (coming.room == nullptr) {
+            break;
+        }
+        this->rooms.take(*coming.room, *wanted.step);
+        this->rooms.countTask(*coming.room, 1);
+        kept.push_back(std::move(coming));
+    }
+    if (wanted.step->isGang && kept.size() < wanted.tasks.size()) {
+        for (const ComingRoom &coming : kept) {
+            this->rooms.take(*coming.room, *wanted.step, -1);
+            this->rooms.countTask(*coming.room, -1);
+        }
+        kept.clear();
+    }
+    return kept;
+}
+
 } // namespace paddlepier::planning
--- a/paddlepier/planning/roomkeeping.h
+++ b/paddlepier/planning/roomkeeping.h
@@ -11,17 +11,18 @@
 //
 // Example:
 //     keeper.begin(now, wallMillis);
-//     const ComingRoom coming = keeper.comingRoom(room, wanted);
-//     if (coming.room != nullptr) { rooms.take(*coming.room, *wanted.step); }
+//     for (const ComingRoom &coming : keeper.keepFor(wanted)) { ... coming.stops ... }
 //
-// Thread safety: none; owned by the planner. Cost: comingRoom() is O(runs on the worker x log of it), the first for a worker
-// in a plan O(runs on it x log of all runs).
+// Thread safety: none; owned by the planner. Cost: keepFor() is O(tasks x permitted workers x runs on each x log of it), and
+// once a plan O(runs x log of all runs) for each worker that is looked at.
 
 #ifndef PADDLEPIER_PLANNING_ROOMKEEPING_H
 #define PADDLEPIER_PLANNING_ROOMKEEPING_H
 
 #include "paddlepier/base/clock.h"
 #include "paddlepier/execution/runtrack.h"
+#include "paddlepier/planning/outlook.h"
+#include "paddlepier/planning/rooms.h"
 #include "paddlepier/planning/suitability.h"
 #include "paddlepier/workload/workload.h"
 
@@ -62,6 +63,9 @@
 /** Time from the order to stop a run until its room is free, in an ordinary case: the order, the save, the listed end. */
 constexpr Duration usualStopTime = absl::Milliseconds(350);
 
+/** Room is made, and tickets renewed, only if it is whole this soon: sooner than a ticket ends, and before much of it has lain idle. */
+constexpr Duration soonEnough = absl::Milliseconds(800);
+
 /** At most this many tasks of a wide step fit into a worker that runs nothing else. */
 constexpr std::size_t wideTasksPerWorker = 2;
 
@@ -71,12 +75,14 @@
 class RoomKeeper
 {
 public:
-    RoomKeeper(const workload::Workload &workloadState, const execution::RunTracks &runTracks, const std::map<std::string, double> &usualRatiosByQueue);
+    RoomKeeper(const workload::Workload &workloadState, const execution::RunTracks &runTracks, const Prospects &jobProspects, Rooms &planRooms);
 
     /** Begins a plan: what was known of the runs is dropped. */
     void begin(Timestamp at, std::int64_t wall);
-    /** When @p room fits one more task of @p wanted, and what makes way for it. */
-    ComingRoom comingRoom(Room &room, const WantedStep &wanted);
+    /** No more than a few of the step's tasks fit into any worker of its service. */
+    bool isWide(const WantedStep &wanted);
+    /** Keeps the room that comes soonest for the tasks of a wide step; none for a gang that can't have room as a whole. */
+    std::vector<ComingRoom> keepFor(const WantedStep &wanted);
 
 private:
     /** A run of the room in the order in which it gives its room back. */
@@ -86,19 +92,24 @@
         bool isStop;
     };
 
+    ComingRoom soonestRoom(const WantedStep &wanted, std::uint32_t index);
+    /** When @p room fits one more task of @p wanted, and what makes way for it. */
+    ComingRoom comingRoom(Room &room, const WantedStep &wanted);
     std::vector<HeldRun> &runsOn(const Room &room);
     HeldRun heldRun(const workload::TaskKey &key, const workload::Job &job) const;
     Duration remainingOf(const execution::RunTrack &track, const work::StepSpecT &step, const std::string &queue) const;
-    double usualRatio(const std::string &queue) const;
     static bool yieldsTo(const HeldRun &run, const WantedStep &wanted);
     std::vector<Release> releasesFor(std::vector<HeldRun> &runs, const WantedStep &wanted) const;
 
     const workload::Workload &state;
     const execution::RunTracks &tracks;
-    const std::map<std::string, double> &usualRatios;
+    const Prospects &prospects;
+    Rooms &rooms;
     Timestamp now;
     std::int64_t wallMillis = 0;
     std::map<const workload::Worker *, std::vector<HeldRun>> held;
+    /** Wide steps of this plan for which room was kept. */
+    std::size_t keptSteps = 0;
 };
 
 } // namespace paddlepier::planning
--- a/paddlepier/planning/rooms.cpp
+++ b/paddlepier/planning/rooms.cpp
@@ -2,6 +2,8 @@
 
 #include "paddlepier/planning/rooms.h"
 
+#include "paddlepier/planning/eligibility.h"
+
 #include <algorithm>
 #include <iterator>
 #include <limits>
@@ -13,9 +15,6 @@
 namespace
 {
 
-/** Failed ends in a row after which a worker gets no work for a while. */
-constexpr std::uint32_t suspiciousFailures = 2;
-
 constexpr std::uint32_t noRoom = std::numeric_limits<std::uint32_t>::max();
 
 std::uint32_t numberIn(std::vector<std::string_view> &names, std::string_view name)
