--- a/paddlepier/planning/loadreplay.h
+++ b/paddlepier/planning/loadreplay.h
@@ -65,6 +65,51 @@
     std::vector<LoadKind> kinds;
 };
 
+/**
+ * Accelerators at some 80 % use if @p load is 1: gangs of one or two tasks that need two, four or all eight accelerators of a worker, and
+ * many small tasks of less urgent jobs that need one.
+ */
+inline LoadPattern wideTasksPattern(double load)
+{
+    LoadKind wide;
+    wide.queue = "wide";
+    wide.priority = 1;
+    wide.stretch = 2.2;
+    wide.jobsPerSecond = 1.84 * load;
+    wide.mostTasks = 2;
+    wide.milliProcessors = 31'000;
+    wide.memoryMegabytes = 45'000;
+    wide.accelerators = {2, 4, 8, 8};
+    wide.leastMillis = 1800;
+    wide.mostMillis = 5400;
+    wide.isGang = true;
+    wide.saving = 0.9;
+    wide.decisionMillis = 490;
+    wide.perWorkerMillis = 7;
+    wide.permitted = 0.35;
+    LoadKind small;
+    small.queue = "small";
+    small.priority = 2;
+    small.stretch = 4;
+    small.targetLatencyMillis = 3000;
+    small.jobsPerSecond = 1.9 * load;
+    small.leastTasks = 1;
+    small.mostTasks = 7;
+    small.milliProcessors = 5600;
+    small.memoryMegabytes = 11'000;
+    small.accelerators = {1};
+    small.leastMillis = 1900;
+    small.mostMillis = 5700;
+    small.saving = 0.8;
+    small.decisionMillis = 140;
+    small.perWorkerMillis = 2;
+    small.permitted = 0.45;
+    LoadPattern made;
+    made.workers = 13;
+    made.kinds = {wide, small};
+    return made;
+}
+
 class LoadReplay
 {
 public:
--- a/paddlepier/planning/planner_benchmark.cpp
+++ b/paddlepier/planning/planner_benchmark.cpp
@@ -1,6 +1,7 @@
 // One plan at the size of a grown cell: 350 workers, some 4,000 runs under way, 100 steps that wait.
 
 #include "paddlepier/planning/fakecell.h"
+#include "paddlepier/planning/loadreplay.h"
 
 #include <benchmark/benchmark.h>
 
@@ -85,6 +86,33 @@
 }
 BENCHMARK(BM_PlanWhileAnswersAreAwaited);
 
+/** A minute of wide tasks beside small ones, at the given percentage of the pattern's load: what comes of it for those who wait. */
+void BM_WideTasksReplay(benchmark::State &state)
+{
+    double wide = 0;
+    double small = 0;
+    double inUse = 0;
+    Duration median;
+    Duration tail;
+    std::uint64_t replays = 0;
+    for (auto _ : state) {
+        LoadReplay replay(++replays, wideTasksPattern(static_cast<double>(state.range(0)) / 100));
+        replay.run(absl::Minutes(1));
+        wide += replay.inTime("wide");
+        small += replay.inTime("small");
+        inUse += replay.acceleratorsInUse();
+        median += replay.wait("wide", 0.5);
+        tail += replay.wait("wide", 0.95);
+    }
+    const auto runs = static_cast<double>(replays);
+    state.counters["wideInTime"] = wide / runs;
+    state.counters["smallInTime"] = small / runs;
+    state.counters["acceleratorsInUse"] = inUse / runs;
+    state.counters["wideWaitP50Millis"] = absl::ToDoubleMilliseconds(median) / runs;
+    state.counters["wideWaitP95Millis"] = absl::ToDoubleMilliseconds(tail) / runs;
+}
+BENCHMARK(BM_WideTasksReplay)->Arg(100)->Arg(120)->Arg(140)->Iterations(8)->Unit(benchmark::kMillisecond);
+
 /** Runs under way, 1,000 jobs that wait, and the given number of jobs that have ended and are kept for a while. */
 class SnapshotCell : public FakeCell
 {
