--- a/paddlepier/planning/makingway.cpp
+++ b/paddlepier/planning/makingway.cpp
@@ -1,4 +1,4 @@
-// Runs that may make way for urgent work.
+// Which runs make way, for urgent work and for wide tasks.
 
 #include "paddlepier/planning/makingway.h"
 
--- a/paddlepier/planning/makingway.h
+++ b/paddlepier/planning/makingway.h
@@ -1,4 +1,4 @@
-// Runs that may make way for urgent work.
+// Runs that may make way for other work, and which of them do.
 //
 // Urgent work (priority 0) may take the place of any run that saves its progress: those near the step's other tasks go first,
 // then what can't be served in time any more, and then the youngest; where room is short some jobs end in time instead of
