Let a task that failed go back to a worker with one failure after its time out

Cause: a task with a failure trusted no worker whose last run had failed, and the time out counted only from two failures in a row on; a worker with one failure, to which nothing else went, was never trusted again. Ruled out by reading: room kept by others (the step's own question and room were kept, no start was tried).

--- a/paddlepier/planning/planner_test.cpp
+++ b/paddlepier/planning/planner_test.cpp
@@ -273,6 +273,28 @@
     CHECK(this->plan().placements.size() >= 5);
 }
 
+TEST_CASE_METHOD(PlannerFixture, "failedTask_onTheOnlyWorkerWhereOneRunFailed_goesThereAgainAfterATimeOut")
+{
+    this->configure();
+    this->addWorker("w1");
+    this->addJob("0000000000000001", "slow", 1);
+    this->submit();
+    this->place(this->plan());
+    work::RecordEndsT failed;
+    failed.worker = "w1";
+    auto &end = failed.ends.emplace_back(std::make_unique<work::RunEndT>());
+    end->task = workload::TaskKey("0000000000000001", 0, 0, 0).record();
+    end->run = 1;
+    end->kind = work::RunEndKind::Failed;
+    this->apply(std::move(failed));
+    this->tracks.clear();
+    this->views.at("w1").noteFailedRun(this->now);
+    CHECK(this->plan().placements.empty());
+    // Nothing else runs there that could show the worker to be sound.
+    this->now += absl::Seconds(30);
+    CHECK(this->plan().placements.size() == 1);
+}
+
 TEST_CASE_METHOD(PlannerFixture, "finiteStep_thatFitsIntoOneDataCentre_staysThere")
 {
     this->configure();
--- a/paddlepier/planning/rooms.cpp
+++ b/paddlepier/planning/rooms.cpp
@@ -88,7 +88,7 @@
     room.view = &view;
     room.service = numberIn(this->services, worker.registration.service);
     room.dataCentre = numberIn(this->dataCentres, worker.registration.zone);
-    room.isOnProbation = view.failedInRow >= suspiciousFailures && view.suspectUntil <= now;
+    room.isOnProbation = view.failedInRow > 0 && view.suspectUntil <= now;
     room.processors = worker.freeMilliProcessors();
     room.memory = static_cast<std::int64_t>(capacity.memoryMegabytes()) - static_cast<std::int64_t>(worker.reservedMemoryMegabytes);
     room.accelerators = static_cast<std::int64_t>(capacity.accelerators()) - static_cast<std::int64_t>(worker.reservedAccelerators);
--- a/paddlepier/planning/suitability.h
+++ b/paddlepier/planning/suitability.h
@@ -39,7 +39,7 @@
     std::uint32_t adviceNumber = 0;
     /** Its machine is off. */
     bool isSpare = false;
-    /** It failed too much, but its time out is over. */
+    /** Its last runs failed, but its time out is over. */
     bool isOnProbation = false;
     std::int64_t processors = 0;
     std::int64_t memory = 0;
