--- a/paddlepier/execution/dispatcher_benchmark.cpp
+++ b/paddlepier/execution/dispatcher_benchmark.cpp
@@ -5,6 +5,7 @@
 
 #include "paddlepier/base/log.h"
 #include "paddlepier/execution/fakeworkers.h"
+#include "paddlepier/workload/applycommand.h"
 
 #include <absl/strings/str_cat.h>
 #include <benchmark/benchmark.h>
@@ -107,10 +108,7 @@
     template<typename Table>
     workload::Outcome apply(Table table)
     {
-        work::EntryT entry;
-        entry.atMillis = absl::ToUnixMillis(this->now);
-        entry.command.Set(std::move(table));
-        return this->state.apply(entry);
+        return workload::applyCommand(this->state, absl::ToUnixMillis(this->now), std::move(table));
     }
 
     void configure()
--- a/paddlepier/execution/dispatcherfixture.h
+++ b/paddlepier/execution/dispatcherfixture.h
@@ -10,6 +10,7 @@
 
 #include "paddlepier/execution/dispatcher.h"
 #include "paddlepier/execution/fakeworkers.h"
+#include "paddlepier/workload/applycommand.h"
 
 #include <algorithm>
 #include <deque>
@@ -48,10 +49,7 @@
     template<typename Table>
     workload::Outcome apply(Table table)
     {
-        work::EntryT entry;
-        entry.atMillis = absl::ToUnixMillis(this->now);
-        entry.command.Set(std::move(table));
-        return this->state.apply(entry);
+        return workload::applyCommand(this->state, absl::ToUnixMillis(this->now), std::move(table));
     }
 
     void addWorker(const std::string &id, std::uint32_t processors = 4000, const std::string &address = "")
--- a/paddlepier/execution/overload_test.cpp
+++ b/paddlepier/execution/overload_test.cpp
@@ -13,6 +13,7 @@
 #include "paddlepier/execution/dispatcher.h"
 
 #include "paddlepier/execution/fakeworkers.h"
+#include "paddlepier/workload/applycommand.h"
 
 #include <absl/strings/str_cat.h>
 #include <catch2/catch.hpp>
@@ -92,10 +93,7 @@
     template<typename Table>
     workload::Outcome apply(Table table)
     {
-        work::EntryT entry;
-        entry.atMillis = absl::ToUnixMillis(this->now);
-        entry.command.Set(std::move(table));
-        return this->state.apply(entry);
+        return workload::applyCommand(this->state, absl::ToUnixMillis(this->now), std::move(table));
     }
 
     workload::Workload state;
--- a/paddlepier/execution/workerview.cpp
+++ b/paddlepier/execution/workerview.cpp
@@ -90,11 +90,6 @@
     return now > this->clockReadAt + slowed(left) + leaseMargin;
 }
 
-bool WorkerView::isReachable(Timestamp) const
-{
-    return this->isReachable();
-}
-
 bool WorkerView::isReachable() const
 {
     return this->isKnown() && this->silences == 0 && !this->isFenced;
--- a/paddlepier/execution/workerview.h
+++ b/paddlepier/execution/workerview.h
@@ -50,8 +50,6 @@
     bool leaseIsOver(Timestamp now) const;
 
     bool isReachable() const;
-    /** The same; the time makes no difference. */
-    bool isReachable(Timestamp now) const;
     /** The newest call to it got no answer. */
     bool isSilent() const;
 
--- a/paddlepier/planning/asking.cpp
+++ b/paddlepier/planning/asking.cpp
@@ -51,8 +51,7 @@
     std::vector<Candidate> candidates = this->candidatesFor(wanted, true);
     addRenewals(candidates, wanted, coming);
     // For a wide step room is made, or awaited: who may run it has to be known before.
-    const bool asksAhead = coming.empty() && this->keeper.isWide(wanted);
-    if (candidates.empty() && !asksAhead) {
+    if (candidates.empty() && !(coming.empty() && this->keeper.isWide(wanted))) {
         return std::nullopt;
     }
     const bool mayAsk = this->advice.mayAsk(now, wanted.key);
--- a/paddlepier/planning/eligibility.cpp
+++ b/paddlepier/planning/eligibility.cpp
@@ -31,4 +31,9 @@
     return wanted.step->mostPerWorker == 0 || room.stepTasks < wanted.step->mostPerWorker;
 }
 
+bool losesLittleByAStop(const work::StepSpecT &step)
+{
+    return step.isCheckpointing && !step.isGang && !step.isLasting && !step.isFilling;
+}
+
 } // namespace paddlepier::planning
--- a/paddlepier/planning/eligibility.h
+++ b/paddlepier/planning/eligibility.h
@@ -31,6 +31,9 @@
 /** One more task of the step keeps to the step's bound for each worker. */
 bool isBelowBound(const Room &room, const WantedStep &wanted);
 
+/** A run of the step can be stopped and go on later without losing much: it saves its progress, and nothing depends on its staying. */
+bool losesLittleByAStop(const work::StepSpecT &step);
+
 } // namespace paddlepier::planning
 
 #endif
--- a/paddlepier/planning/fakecell.h
+++ b/paddlepier/planning/fakecell.h
@@ -16,6 +16,7 @@
 #define PADDLEPIER_PLANNING_FAKECELL_H
 
 #include "paddlepier/planning/planner.h"
+#include "paddlepier/workload/applycommand.h"
 
 #include <absl/strings/str_cat.h>
 
@@ -131,10 +132,7 @@
     template<typename Table>
     workload::Outcome apply(Table table)
     {
-        work::EntryT entry;
-        entry.atMillis = this->wallMillis;
-        entry.command.Set(std::move(table));
-        return this->state.apply(entry);
+        return workload::applyCommand(this->state, this->wallMillis, std::move(table));
     }
 
     std::mt19937_64 random;
--- a/paddlepier/planning/makingway.cpp
+++ b/paddlepier/planning/makingway.cpp
@@ -28,7 +28,7 @@
     const std::vector<workload::Step> &steps = job.occurrences()[occurrence].steps;
     for (std::uint32_t number = 0; number < steps.size(); ++number) {
         const work::StepSpecT &step = job.stepSpec(number);
-        if (steps[number].runningTasks == 0 || !step.isCheckpointing || step.isGang || step.isLasting || step.isFilling) {
+        if (steps[number].runningTasks == 0 || !losesLittleByAStop(step)) {
             continue;
         }
         for (std::uint32_t index = 0; index < steps[number].tasks.size(); ++index) {
--- a/paddlepier/planning/planner.cpp
+++ b/paddlepier/planning/planner.cpp
@@ -12,13 +12,6 @@
 namespace paddlepier::planning
 {
 
-namespace
-{
-
-using workload::Task;
-
-} // namespace
-
 Planner::Planner(const workload::Workload &workloadState,
                  const std::map<std::string, execution::WorkerView> &workerViews,
                  const execution::RunTracks &runTracks,
@@ -99,7 +92,7 @@
 
 Planner::Choice *Planner::bestChoice(const WantedStep &wanted, std::uint32_t index, std::string_view rack)
 {
-    const Task &task = wanted.progress->tasks[index];
+    const workload::Task &task = wanted.progress->tasks[index];
     Choice *best = nullptr;
     double least = std::numeric_limits<double>::infinity();
     for (Choice &choice : this->choices) {
--- a/paddlepier/planning/planner_test.cpp
+++ b/paddlepier/planning/planner_test.cpp
@@ -1,6 +1,7 @@
 // Where waiting tasks go, what is asked first, and what makes way.
 
 #include "paddlepier/planning/planner.h"
+#include "paddlepier/workload/applycommand.h"
 
 #include <catch2/catch.hpp>
 
@@ -23,10 +24,7 @@
     template<typename Table>
     workload::Outcome apply(Table table)
     {
-        work::EntryT entry;
-        entry.atMillis = this->wallMillis;
-        entry.command.Set(std::move(table));
-        return this->state.apply(entry);
+        return workload::applyCommand(this->state, this->wallMillis, std::move(table));
     }
 
     /** Queues `urgent` (priority 0), `slow` (priority 2) and `advised` (priority 1, with a policy). */
--- a/paddlepier/planning/roomkeeping.cpp
+++ b/paddlepier/planning/roomkeeping.cpp
@@ -37,8 +37,7 @@
 
 bool mayYield(const workload::Task &task, const work::StepSpecT &step, const execution::RunTrack &track)
 {
-    const bool losesLittle = step.isCheckpointing && !step.isGang && !step.isLasting && !step.isFilling;
-    return losesLittle && track.phase == execution::RunPhase::Running && task.lastRun < mostStartsToYield + task.failures;
+    return losesLittleByAStop(step) && track.phase == execution::RunPhase::Running && task.lastRun < mostStartsToYield + task.failures;
 }
 
 } // namespace
--- a/paddlepier/planning/rooms.cpp
+++ b/paddlepier/planning/rooms.cpp
@@ -39,7 +39,7 @@
         while (view != views.end() && view->first < id) {
             ++view;
         }
-        const bool isUsable = view != views.end() && view->first == id && view->second.isReachable(now) && !worker.registration.isDraining
+        const bool isUsable = view != views.end() && view->first == id && view->second.isReachable() && !worker.registration.isDraining
                               && view->second.startsBlockedUntil <= now && !(mayAvoidOverdue && view->second.isOverdue(now));
         if (isUsable) {
             this->add(worker, view->second, now);
