--- /dev/null
+++ b/paddlepier/cluster/announcementfault.h
@@ -0,0 +1,52 @@
+// Why a worker's announcement isn't believed.
+//
+// Announcements come from outside, and some from other writers than workers. One with a fault changes nothing: no worker is
+// added, changed, drained or removed by it. Its sender gets a typed refusal, and a counter for each fault tells how many came.
+//
+// Example:
+//     throw InvalidAnnouncementError(AnnouncementFault::FieldMissing, "state: missing");
+//
+// Thread safety: values without shared state.
+
+#ifndef PADDLEPIER_CLUSTER_ANNOUNCEMENTFAULT_H
+#define PADDLEPIER_CLUSTER_ANNOUNCEMENTFAULT_H
+
+#include "paddlepier/base/counters.h"
+#include "paddlepier/base/error.h"
+
+#include <string>
+
+namespace paddlepier::cluster
+{
+
+enum class AnnouncementFault {
+    /** The bytes are no record at all. */
+    Unreadable,
+    FieldMissing,
+    /** A field is of another type or out of its range. */
+    FieldInvalid,
+    UnknownState,
+    /** The configuration in force names no such service. */
+    UnknownService,
+    /** Far beyond what one life of a worker can have counted since its last announcement. */
+    ImplausibleSequence
+};
+const char *nameOf(AnnouncementFault fault);
+
+class InvalidAnnouncementError : public InvalidArgumentError
+{
+public:
+    InvalidAnnouncementError(AnnouncementFault why, const std::string &message);
+
+    AnnouncementFault fault() const;
+
+private:
+    AnnouncementFault reason;
+};
+
+/** Counts a refused announcement, and writes one line about it. */
+void noteRefusedAnnouncement(Counters &counters, const std::string &worker, AnnouncementFault fault, const std::string &problem);
+
+} // namespace paddlepier::cluster
+
+#endif
--- a/paddlepier/cluster/workservice.cpp
+++ b/paddlepier/cluster/workservice.cpp
@@ -78,6 +78,7 @@
     , askThroughInstance(std::move(askThrough))
     , postToControl(std::move(post))
     , callers(adviceCallers)
+    , counters(processCounters)
     , submittedJobs(processCounters.counter("jobs_submitted_total"))
     , workerCalls(processCounters.counter("worker_calls_total"))
     , adviceCalls(processCounters.counter("advice_calls_total"))
@@ -229,9 +230,29 @@
     this->proposeFor(toCommand(std::move(command)), answer(work::CallOutcome::Accepted).reply, done);
 }
 
+std::optional<AnnouncementFault> WorkService::faultOf(const work::AnnounceCallT &call) const
+{
+    const work::RegisterWorkerT &registration = *call.registration;
+    const workload::Worker *known = this->node.state().findWorker(registration.id);
+    // Before the first configuration any worker may come; it counts once a configuration names its service.
+    const bool mayNameAny = this->node.state().configuration().version == 0 || (known != nullptr && known->registration.service == registration.service);
+    if (!mayNameAny && this->node.state().findService(registration.service) == nullptr) {
+        return AnnouncementFault::UnknownService;
+    }
+    if (known != nullptr && this->dispatcher.isImplausibleAnnouncement(registration.id, call.sequence)) {
+        return AnnouncementFault::ImplausibleSequence;
+    }
+    return std::nullopt;
+}
+
 void WorkService::announce(Timestamp now, const work::AnnounceCallT &call, const CallDone &done)
 {
     const work::RegisterWorkerT &registration = *call.registration;
+    if (const std::optional<AnnouncementFault> fault = this->faultOf(call)) {
+        noteRefusedAnnouncement(this->counters, registration.id, *fault, registration.service);
+        done(answer(work::CallOutcome::Refused, nameOf(*fault)));
+        return;
+    }
     const workload::Worker *known = this->node.state().findWorker(registration.id);
     if (known != nullptr && this->dispatcher.isStaleAnnouncement(registration.id, call.sequence)) {
         done(answer(work::CallOutcome::Accepted));
--- a/paddlepier/cluster/workservice.h
+++ b/paddlepier/cluster/workservice.h
@@ -10,6 +10,7 @@
 
 #include "paddlepier/base/counters.h"
 #include "paddlepier/cluster/advicecallers.h"
+#include "paddlepier/cluster/announcementfault.h"
 #include "paddlepier/cluster/ports.h"
 #include "paddlepier/cluster/workcalls.h"
 #include "paddlepier/execution/dispatcher.h"
@@ -18,6 +19,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace paddlepier::cluster
@@ -57,6 +59,8 @@
     void submit(const work::QueueSpecT &queue, const std::string &id, const work::JobCallT &call, const CallDone &done);
     void show(const work::QueueSpecT &queue, const std::string &id, const CallDone &done);
     void cancel(const std::string &id, const CallDone &done);
+    /** What keeps an announcement from being believed, of what only the leader can tell. */
+    std::optional<AnnouncementFault> faultOf(const work::AnnounceCallT &call) const;
     void announce(Timestamp now, const work::AnnounceCallT &call, const CallDone &done);
     void withdraw(const work::WithdrawCallT &call, const CallDone &done);
     void configure(work::ConfigureCallT call, const CallDone &done);
@@ -73,6 +77,7 @@
     const AskThrough askThroughInstance;
     const Post postToControl;
     AdviceCallers &callers;
+    Counters &counters;
     Counter &submittedJobs;
     Counter &workerCalls;
     Counter &adviceCalls;
--- a/paddlepier/execution/dispatcher.cpp
+++ b/paddlepier/execution/dispatcher.cpp
@@ -55,6 +55,12 @@
 /** A plan is made at least this often, for what only time changes: due occurrences, tickets, waiting periods. */
 constexpr Duration planInterval = absl::Milliseconds(200);
 
+/**
+ * Most that a worker's announcements can have counted on between two that arrive: a thousand times more than announcements lost in a
+ * year, and enough for one that counts milliseconds. A greater number would make all later announcements of the life look old.
+ */
+constexpr std::uint64_t mostSequenceStep = 40'000'000'000;
+
 /** How often what is known of ended jobs is dropped. */
 constexpr Duration forgetInterval = absl::Seconds(2);
 
@@ -130,6 +136,12 @@
     return view != this->views.end() && sequence < view->second.announcedSequence;
 }
 
+bool Dispatcher::isImplausibleAnnouncement(const std::string &worker, std::uint64_t sequence) const
+{
+    const auto view = this->views.find(worker);
+    return view != this->views.end() && view->second.announcedSequence > 0 && sequence > view->second.announcedSequence + mostSequenceStep;
+}
+
 bool Dispatcher::hasBegun(const workload::Job &job) const
 {
     if (job.hasBegun()) {
--- a/paddlepier/execution/dispatcher.h
+++ b/paddlepier/execution/dispatcher.h
@@ -76,6 +76,8 @@
     void noteAnnouncement(Timestamp now, const std::string &worker, std::uint64_t sequence, Duration drainRemaining);
     /** True if a later announcement of the same life has been seen. */
     bool isStaleAnnouncement(const std::string &worker, std::uint64_t sequence) const;
+    /** So far beyond the last one of the same life that no worker can have counted on to there. */
+    bool isImplausibleAnnouncement(const std::string &worker, std::uint64_t sequence) const;
     /** The ledger has changed by something else than a proposal of this dispatcher. */
     void noteChange();
 
@@ -105,6 +107,8 @@
     void checkWorkers(Timestamp now);
     void pollWorkers(Timestamp now);
     void pollWorker(Timestamp now, const std::string &worker);
+    /** A configuration names its service, or it holds runs: until then nothing is sent to its address. */
+    bool countsYet(const workload::Worker &worker) const;
     Duration timeoutOfPoll(const WorkerView &view) const;
     /**
      * Puts workers' first polls in another order in each term: where terms are too short to reach all, it isn't always the same
--- a/paddlepier/execution/polls.cpp
+++ b/paddlepier/execution/polls.cpp
@@ -35,6 +35,8 @@
  * 0.4 of a processor up for longer than an election waits. At some 10 ms a round trip 350 workers still take a tenth of a second.
  */
 constexpr std::size_t mostFirstPolls = 32;
+/** How soon a worker that no configuration names so far is polled once one does. */
+constexpr Duration uncountedPause = absl::Milliseconds(300);
 /** A first poll that isn't answered by then makes way for others: its worker may be cut off. */
 constexpr Duration firstPollPatience = absl::Milliseconds(250);
 
@@ -48,6 +50,12 @@
     (view.hasListed ? this->duePolls : this->dueFirstPolls).set(worker, view.nextPoll);
 }
 
+bool Dispatcher::countsYet(const workload::Worker &worker) const
+{
+    const bool holdsNothing = worker.runs.empty() && worker.superseded.empty();
+    return !holdsNothing || this->state.findService(worker.registration.service) != nullptr;
+}
+
 void Dispatcher::pollWorkers(Timestamp now)
 {
     while (const std::optional<std::string> worker = this->duePolls.take(now)) {
@@ -74,6 +82,11 @@
         return;
     }
     WorkerView &view = found->second;
+    if (!this->countsYet(*record)) {
+        view.nextPoll = now + uncountedPause;
+        this->schedulePoll(worker, view);
+        return;
+    }
     const bool isReachable = view.isReachable();
     PollOrder order;
     order.lastSequence = record->lastSequence;
