--- a/paddlepier/cluster/leaderclient.cpp
+++ b/paddlepier/cluster/leaderclient.cpp
@@ -99,12 +99,16 @@
 
 void LeaderClient::receiveReply(Timestamp now, const std::string &fromInstance, const wire::CallReplyT &reply)
 {
+    const std::string before = this->leader;
     if (reply.error == ErrorCode::None) {
         this->leader = fromInstance;
         this->answeredAt = now;
     } else if (this->leader == fromInstance || this->leader.empty()) {
         this->leader = reply.leader == fromInstance ? "" : reply.leader;
     }
+    if (!this->leader.empty() && this->leader != before) {
+        this->sendToNewLeader(now);
+    }
     const auto found = this->pendings.find(reply.id);
     if (found == this->pendings.end()) {
         return;
@@ -122,6 +126,15 @@
     pending.nextTry = this->leader.empty() || this->leader == pending.target ? now + noLeaderPause : now;
 }
 
+void LeaderClient::sendToNewLeader(Timestamp now)
+{
+    for (auto &[id, pending] : this->pendings) {
+        if (pending.target != this->leader) {
+            pending.nextTry = now;
+        }
+    }
+}
+
 void LeaderClient::tick(Timestamp now)
 {
     std::vector<std::uint64_t> late;
--- a/paddlepier/cluster/leaderclient.h
+++ b/paddlepier/cluster/leaderclient.h
@@ -63,6 +63,8 @@
 
     void attempt(Timestamp now, std::uint64_t id, Pending &pending);
     void sendTo(const std::string &instance, std::uint64_t id, Pending &pending);
+    /** Calls that wait for an answer of others needn't: in an outage's last moments callers' time budgets are nearly over. */
+    void sendToNewLeader(Timestamp now);
     std::string nextTarget();
     void end(std::uint64_t id, const CallResult &result);
 
--- a/paddlepier/cluster/leaderclient_test.cpp
+++ b/paddlepier/cluster/leaderclient_test.cpp
@@ -6,6 +6,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <set>
 
 namespace paddlepier::cluster
@@ -146,4 +147,22 @@
     CHECK(this->results.size() == 1);
 }
 
+TEST_CASE_METHOD(LeaderClientFixture, "pendingCall_onceALeaderShowsItself_isSentToItAtOnce")
+{
+    this->call(absl::Seconds(2));
+    this->pass(absl::Milliseconds(40));
+    REQUIRE(this->sent.size() == 1);
+    // Another call finds the leader while the first one waits for an instance that is gone.
+    this->call(absl::Seconds(2), WorkMethod::Presence);
+    const auto shown = std::find_if(this->sent.begin() + 1, this->sent.end(), [this](const Sent &entry) { return entry.to != this->sent[0].to; });
+    REQUIRE(shown != this->sent.end());
+    const Sent found = *shown;
+    this->reply(found, ErrorCode::None);
+    const std::size_t before = this->sent.size();
+    this->pass(absl::Milliseconds(40));
+    REQUIRE(this->sent.size() == before + 1);
+    CHECK(this->sent.back().to == found.to);
+    CHECK(this->sent.back().id == this->sent[0].id);
+}
+
 } // namespace paddlepier::cluster
--- a/paddlepier/cluster/memberprocess.cpp
+++ b/paddlepier/cluster/memberprocess.cpp
@@ -16,7 +16,10 @@
 /** Events that may wait for the control thread; far beyond what a second brings. */
 constexpr std::size_t mailboxLimit = 20'000;
 
-/** A step that takes longer is written to the log: two of them in a row bring elections near. */
+/**
+ * A step that takes longer, or that begins so much too late because other threads or processes had the processor, is written to the log:
+ * two of them in a row bring elections near.
+ */
 constexpr Duration slowStep = absl::Milliseconds(100);
 
 } // namespace
@@ -150,6 +153,11 @@
     return this->ready && !this->stopRequested;
 }
 
+const std::string &MemberProcess::dataCentre() const
+{
+    return this->options.zone;
+}
+
 bool MemberProcess::isStopping() const
 {
     return this->stopRequested;
@@ -177,9 +185,13 @@
 
 void MemberProcess::step(Duration patience)
 {
+    const Timestamp waitsSince = controlNow();
     const std::vector<Mailbox::Work> batch = this->mailbox.take(patience);
     // What has come by now is in the batch; what comes while it is handled isn't, and mustn't count as missing.
     const Timestamp takenAt = controlNow();
+    if (takenAt - waitsSince > patience + slowStep) {
+        log::warning("cluster", "control.late", {{"millis", absl::ToInt64Milliseconds(takenAt - waitsSince)}, {"events", batch.size()}});
+    }
     const ScopeTimer whole(this->stepTimes);
     {
         const ScopeTimer events(this->eventTimes);
--- a/paddlepier/cluster/memberprocess.h
+++ b/paddlepier/cluster/memberprocess.h
@@ -54,6 +54,8 @@
 
     /** True if callers are to be sent here. */
     bool isReady() const;
+    /** Where this process stands. */
+    const std::string &dataCentre() const;
     bool isStopping() const;
     Counters &processCounters();
 
--- a/paddlepier/cluster/workservice.cpp
+++ b/paddlepier/cluster/workservice.cpp
@@ -197,7 +197,11 @@
     }
     log::info("jobs",
               "job.submitted",
-              {{"job", id}, {"queue", queue.name}, {"steps", call.spec->steps.size()}, {"configuration", this->node.state().configuration().version}});
+              {{"job", id},
+               {"queue", queue.name},
+               {"steps", call.spec->steps.size()},
+               {"callers", call.spec->callersDataCentre},
+               {"configuration", this->node.state().configuration().version}});
     this->submittedJobs.add();
     work::SubmitJobT command;
     command.id = id;
--- a/paddlepier/wire/workload_generated.h
+++ b/paddlepier/wire/workload_generated.h
@@ -1035,6 +1035,7 @@
   uint32_t repetitions = 0;
   int64_t firstDueMillis = 0;
   int64_t intervalMillis = 0;
+  std::string callersDataCentre{};
   JobSpecT() = default;
   JobSpecT(const JobSpecT &o);
   JobSpecT(JobSpecT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -1053,7 +1054,8 @@
     VT_STEPS = 6,
     VT_REPETITIONS = 8,
     VT_FIRSTDUEMILLIS = 10,
-    VT_INTERVALMILLIS = 12
+    VT_INTERVALMILLIS = 12,
+    VT_CALLERSDATACENTRE = 14
   };
   const flatbuffers::String *payload() const {
     return GetPointer<const flatbuffers::String *>(VT_PAYLOAD);
@@ -1071,6 +1073,10 @@
   int64_t intervalMillis() const {
     return GetField<int64_t>(VT_INTERVALMILLIS, 0);
   }
+  /// Data centre whose callers wait for the job, as the instance says that took it; empty if it isn't known.
+  const flatbuffers::String *callersDataCentre() const {
+    return GetPointer<const flatbuffers::String *>(VT_CALLERSDATACENTRE);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_PAYLOAD) &&
@@ -1081,6 +1087,8 @@
            VerifyField<uint32_t>(verifier, VT_REPETITIONS, 4) &&
            VerifyField<int64_t>(verifier, VT_FIRSTDUEMILLIS, 8) &&
            VerifyField<int64_t>(verifier, VT_INTERVALMILLIS, 8) &&
+           VerifyOffset(verifier, VT_CALLERSDATACENTRE) &&
+           verifier.VerifyString(callersDataCentre()) &&
            verifier.EndTable();
   }
   JobSpecT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1107,6 +1115,9 @@
   void add_intervalMillis(int64_t intervalMillis) {
     fbb_.AddElement<int64_t>(JobSpec::VT_INTERVALMILLIS, intervalMillis, 0);
   }
+  void add_callersDataCentre(flatbuffers::Offset<flatbuffers::String> callersDataCentre) {
+    fbb_.AddOffset(JobSpec::VT_CALLERSDATACENTRE, callersDataCentre);
+  }
   explicit JobSpecBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1124,10 +1135,12 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<paddlepier::work::StepSpec>>> steps = 0,
     uint32_t repetitions = 0,
     int64_t firstDueMillis = 0,
-    int64_t intervalMillis = 0) {
+    int64_t intervalMillis = 0,
+    flatbuffers::Offset<flatbuffers::String> callersDataCentre = 0) {
   JobSpecBuilder builder_(_fbb);
   builder_.add_intervalMillis(intervalMillis);
   builder_.add_firstDueMillis(firstDueMillis);
+  builder_.add_callersDataCentre(callersDataCentre);
   builder_.add_repetitions(repetitions);
   builder_.add_steps(steps);
   builder_.add_payload(payload);
@@ -1145,16 +1158,19 @@
     const std::vector<flatbuffers::Offset<paddlepier::work::StepSpec>> *steps = nullptr,
     uint32_t repetitions = 0,
     int64_t firstDueMillis = 0,
-    int64_t intervalMillis = 0) {
+    int64_t intervalMillis = 0,
+    const char *callersDataCentre = nullptr) {
   auto payload__ = payload ? _fbb.CreateString(payload) : 0;
   auto steps__ = steps ? _fbb.CreateVector<flatbuffers::Offset<paddlepier::work::StepSpec>>(*steps) : 0;
+  auto callersDataCentre__ = callersDataCentre ? _fbb.CreateString(callersDataCentre) : 0;
   return paddlepier::work::CreateJobSpec(
       _fbb,
       payload__,
       steps__,
       repetitions,
       firstDueMillis,
-      intervalMillis);
+      intervalMillis,
+      callersDataCentre__);
 }
 
 flatbuffers::Offset<JobSpec> CreateJobSpec(flatbuffers::FlatBufferBuilder &_fbb, const JobSpecT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -5467,7 +5483,8 @@
       : payload(o.payload),
         repetitions(o.repetitions),
         firstDueMillis(o.firstDueMillis),
-        intervalMillis(o.intervalMillis) {
+        intervalMillis(o.intervalMillis),
+        callersDataCentre(o.callersDataCentre) {
   steps.reserve(o.steps.size());
   for (const auto &steps_ : o.steps) { steps.emplace_back((steps_) ? new paddlepier::work::StepSpecT(*steps_) : nullptr); }
 }
@@ -5478,6 +5495,7 @@
   std::swap(repetitions, o.repetitions);
   std::swap(firstDueMillis, o.firstDueMillis);
   std::swap(intervalMillis, o.intervalMillis);
+  std::swap(callersDataCentre, o.callersDataCentre);
   return *this;
 }
 
@@ -5495,6 +5513,7 @@
   { auto _e = repetitions(); _o->repetitions = _e; }
   { auto _e = firstDueMillis(); _o->firstDueMillis = _e; }
   { auto _e = intervalMillis(); _o->intervalMillis = _e; }
+  { auto _e = callersDataCentre(); if (_e) _o->callersDataCentre = _e->str(); }
 }
 
 inline flatbuffers::Offset<JobSpec> JobSpec::Pack(flatbuffers::FlatBufferBuilder &_fbb, const JobSpecT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -5510,13 +5529,15 @@
   auto _repetitions = _o->repetitions;
   auto _firstDueMillis = _o->firstDueMillis;
   auto _intervalMillis = _o->intervalMillis;
+  auto _callersDataCentre = _o->callersDataCentre.empty() ? 0 : _fbb.CreateString(_o->callersDataCentre);
   return paddlepier::work::CreateJobSpec(
       _fbb,
       _payload,
       _steps,
       _repetitions,
       _firstDueMillis,
-      _intervalMillis);
+      _intervalMillis,
+      _callersDataCentre);
 }
 
 inline AdvicePolicyT *AdvicePolicy::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
