Judge a carrier by whether it answers at all; send late starts and stops a second time, directly

Found by counting lines by second: carrier.silent of carriers in data centres that weren't cut, then placements. Change: cluster/ordercarrying.* (out of CoreProcess): a carrier is avoided only if it has answered nothing at all since the late order was sent, and that is judged after 250 ms instead of the order's time out (1.05 s). A start or a stop without an answer after 250 ms goes out a second time directly, at most 100 at a time; a refusal counts only when the first order can't be carried out any more. Tests: ordercarrying_test.cpp in virtual time (lost, slow, stopping carriers, refusals while the other way is open, bound). Ruled out: scattering of jobs over data centres (pairs without difference), steps of the control thread over 0.1 s (no line).

--- a/paddlepier/cluster/carriers.cpp
+++ b/paddlepier/cluster/carriers.cpp
@@ -38,12 +38,14 @@
     carrier.aliveAt = now;
 }
 
-void Carriers::noteFailure(Timestamp now, const std::string &instance)
+bool Carriers::noteFailure(Timestamp now, const std::string &instance)
 {
     const auto carrier = this->carriers.find(instance);
-    if (carrier != this->carriers.end()) {
-        carrier->second.avoidedUntil = now + avoidedAfterFailure;
+    if (carrier == this->carriers.end() || carrier->second.avoidedUntil > now) {
+        return false;
     }
+    carrier->second.avoidedUntil = now + avoidedAfterFailure;
+    return true;
 }
 
 void Carriers::noteUnreached(const std::string &worker)
--- a/paddlepier/cluster/carriers.h
+++ b/paddlepier/cluster/carriers.h
@@ -30,8 +30,8 @@
 public:
     /** Another core instance has shown that it is there. */
     void noteAlive(Timestamp now, const std::string &instance, const std::string &dataCentre);
-    /** It has left an order without an answer. */
-    void noteFailure(Timestamp now, const std::string &instance);
+    /** It has left an order without an answer. @return false if it is avoided already */
+    bool noteFailure(Timestamp now, const std::string &instance);
 
     /** An order to @p worker came to nothing: the next ones go another way, since the worker may be out of this one's reach alone. */
     void noteUnreached(const std::string &worker);
--- a/paddlepier/cluster/coreprocess.cpp
+++ b/paddlepier/cluster/coreprocess.cpp
@@ -31,13 +31,12 @@
 /** Longest wait of a planned stop for another leader and for calls under way. */
 constexpr Duration stopPatience = absl::Seconds(2);
 
+constexpr Duration loadReportInterval = absl::Seconds(1);
+
 /** How often a core shows itself to the leader, and how long it waits for the answer. */
 constexpr Duration presenceInterval = absl::Milliseconds(200);
 constexpr Duration presencePatience = absl::Milliseconds(600);
 
-/** Beyond the time that a worker has: the way over another core, some ten round trips of the slowest link. */
-constexpr Duration carrySlack = absl::Milliseconds(150);
-
 replication::GroupOptions groupOptions(const MemberOptions &member, const CoreOptions &core)
 {
     replication::GroupOptions options;
@@ -63,6 +62,7 @@
     , workers(std::move(workerPort))
     , dispatchTimes(this->counters.histogram("control_dispatch"))
     , ledgerTimes(this->counters.histogram("control_ledger"))
+    , carrying(this->carryingWays())
     , nextQuestion(randomSeed())
 {
     const auto send = [this](const std::string &instance, wire::PeerFrameT frame) { this->sendFrame(instance, std::move(frame)); };
@@ -109,6 +109,25 @@
     }
 }
 
+void CoreProcess::reportLoad(Timestamp now)
+{
+    if (now < this->nextLoadReport) {
+        return;
+    }
+    this->nextLoadReport = now + loadReportInterval;
+    const LoadTimes whole{this->stepTimes.sum(), this->eventTimes.sum(), this->dispatchTimes.sum(), this->ledgerTimes.sum(), this->stepTimes.count()};
+    const LoadTimes &last = this->reportedLoad;
+    log::info("cluster",
+              "service.load",
+              {{"steps", whole.stepCount - last.stepCount},
+               {"stepMillis", absl::ToInt64Milliseconds(whole.steps - last.steps)},
+               {"eventMillis", absl::ToInt64Milliseconds(whole.events - last.events)},
+               {"dispatchMillis", absl::ToInt64Milliseconds(whole.dispatch - last.dispatch)},
+               {"ledgerMillis", absl::ToInt64Milliseconds(whole.ledger - last.ledger)},
+               {"asked", this->asked.size()}});
+    this->reportedLoad = whole;
+}
+
 void CoreProcess::advance(Timestamp now, Timestamp seenUntil)
 {
     if (now >= this->nextTick) {
@@ -138,6 +157,7 @@
         this->callers.noteAlive(now, this->options.settings.id);
         const ScopeTimer timer(this->dispatchTimes);
         this->service->step(now);
+        this->reportLoad(now);
     }
     {
         const ScopeTimer timer(this->ledgerTimes);
@@ -244,34 +264,33 @@
 
 void CoreProcess::carry(const execution::WorkerCall &call, std::function<void(execution::WorkerAnswer)> done)
 {
-    const Timestamp now = controlNow();
     const workload::Workload &state = this->node->state();
     const workload::Worker *worker = state.findWorker(call.worker);
-    const std::string carrier = worker == nullptr ? "" : this->carriers.choose(now, state.workers().size(), call.worker, worker->registration.zone);
-    if (carrier.empty()) {
-        this->workers.call(call, std::move(done));
-        return;
-    }
-    const auto take = [this, carrier, call, done = std::move(done)](const wire::CallReplyT *reply) {
-        execution::WorkerAnswer answer;
-        if (reply != nullptr && reply->error == ErrorCode::NotLeader) {
-            // It is stopping and has done nothing: the order goes out from here.
-            this->carriers.noteFailure(controlNow(), carrier);
-            this->workers.call(call, done);
-            return;
-        }
-        if (reply == nullptr) {
-            this->carriers.noteFailure(controlNow(), carrier);
-            log::info("cluster", "carrier.silent", {{"instance", carrier}});
-        } else if (reply->error == ErrorCode::None) {
-            answer = fromCarryReply(wire::unpack<work::CarryReplyT>(reply->body));
-        }
-        if (answer.kind == execution::AnswerKind::NoAnswer || answer.kind == execution::AnswerKind::NotSent) {
-            this->carriers.noteUnreached(call.worker);
-        }
-        done(answer);
+    this->carrying.carry({worker == nullptr ? 0 : state.workers().size(), worker == nullptr ? "" : worker->registration.zone}, call, std::move(done));
+}
+
+CarryingWays CoreProcess::carryingWays()
+{
+    CarryingWays ways;
+    ways.direct = [this](const execution::WorkerCall &call, const OrderCarrying::Done &done) {
+        this->workers.call(call, [this, done](const execution::WorkerAnswer &answer) { this->post([done, answer] { done(answer); }); });
     };
-    this->askInstance(carrier, WorkMethod::Carry, wire::pack(toCarryCall(call)), now + call.timeout + carrySlack, take);
+    ways.through =
+        [this](const std::string &instance, const execution::WorkerCall &call, Timestamp deadline, const std::function<void(const Carried &)> &done) {
+            this->askInstance(instance, WorkMethod::Carry, wire::pack(toCarryCall(call)), deadline, [done](const wire::CallReplyT *reply) {
+                Carried carried;
+                if (reply != nullptr && reply->error == ErrorCode::NotLeader) {
+                    carried.outcome = CarriedOutcome::Declined;
+                } else if (reply != nullptr) {
+                    carried.outcome = CarriedOutcome::Answered;
+                    carried.answer = reply->error == ErrorCode::None ? fromCarryReply(wire::unpack<work::CarryReplyT>(reply->body)) : execution::WorkerAnswer();
+                }
+                done(carried);
+            });
+        };
+    ways.later = [this](Timestamp at, const std::function<void()> &action) { this->expectReply(at, [action](const wire::CallReplyT *) { action(); }); };
+    ways.now = [] { return controlNow(); };
+    return ways;
 }
 
 void CoreProcess::carryFor(const std::string &fromInstance, const wire::CallRequestT &request)
@@ -301,7 +320,7 @@
 {
     const std::vector<std::string> cores = this->node->knownInstances();
     if (std::find(cores.begin(), cores.end(), instance) != cores.end()) {
-        this->carriers.noteAlive(now, instance, wire::unpack<work::PresenceCallT>(wire::toString(request.body)).zone);
+        this->carrying.noteAlive(now, instance, wire::unpack<work::PresenceCallT>(wire::toString(request.body)).zone);
     }
 }
 
--- a/paddlepier/cluster/coreprocess.h
+++ b/paddlepier/cluster/coreprocess.h
@@ -5,8 +5,8 @@
 #ifndef PADDLEPIER_CLUSTER_COREPROCESS_H
 #define PADDLEPIER_CLUSTER_COREPROCESS_H
 
-#include "paddlepier/cluster/carriers.h"
 #include "paddlepier/cluster/memberprocess.h"
+#include "paddlepier/cluster/ordercarrying.h"
 #include "paddlepier/cluster/servingwatch.h"
 #include "paddlepier/cluster/workservice.h"
 #include "paddlepier/replication/diskwriter.h"
@@ -26,6 +26,15 @@
     std::size_t voters = 3;
 };
 
+/** Sums of what the control thread has spent its time on, and how many steps and events that were. */
+struct LoadTimes {
+    Duration steps;
+    Duration events;
+    Duration dispatch;
+    Duration ledger;
+    std::int64_t stepCount = 0;
+};
+
 class CoreProcess : public MemberProcess
 {
 public:
@@ -43,6 +52,8 @@
 
 private:
     void updateService(Timestamp now);
+    /** Tells once a second what the leader's time goes into. */
+    void reportLoad(Timestamp now);
     void handleAsLeader(Timestamp now, const std::string &fromInstance, WorkMethod method, const std::string &body, const CallDone &done);
     /** Shows a core that doesn't lead to the leader: it may ask for advice and carry orders. */
     void showPresence(Timestamp now);
@@ -50,6 +61,7 @@
     void noteCore(Timestamp now, const std::string &instance, const wire::CallRequestT &request);
     /** Brings an order to its worker, by itself or through another core. */
     void carry(const execution::WorkerCall &call, std::function<void(execution::WorkerAnswer)> done);
+    CarryingWays carryingWays();
     /** Carries an order of the leader out. */
     void carryFor(const std::string &fromInstance, const wire::CallRequestT &request);
     /** @return the id of a request whose reply, or none by @p deadline, is given to @p done */
@@ -73,7 +85,7 @@
     std::unique_ptr<WorkService> service;
     consensus::Term serviceTerm = 0;
     AdviceCallers callers;
-    Carriers carriers;
+    OrderCarrying carrying;
     ServingWatch servingWatch;
     Timestamp nextPresence = absl::InfinitePast();
     bool isPresenceUnderWay = false;
@@ -82,6 +94,8 @@
     std::map<std::uint64_t, Asked> asked;
     std::uint64_t nextQuestion;
     Timestamp nextTick = absl::InfinitePast();
+    Timestamp nextLoadReport = absl::InfinitePast();
+    LoadTimes reportedLoad;
 };
 
 } // namespace paddlepier::cluster
