Serve only connections between instances with something to do

Cause: the transport's thread looked at every outgoing connection after every event; one that is opening costs two system calls each time. With 150 peers, of which a zone's can't be reached, that is most of what the thread does, on the instance whose decisions everybody waits for. Change: connections with bytes to send or an event at their socket are served; all of them every 20 ms while one is opening, else every 200 ms.

--- a/paddlepier/peer/transport.cpp
+++ b/paddlepier/peer/transport.cpp
@@ -23,6 +23,8 @@
 #include <cerrno>
 #include <cstring>
 #include <thread>
+#include <utility>
+#include <vector>
 
 namespace paddlepier::peer
 {
@@ -30,6 +32,13 @@
 namespace
 {
 
+/**
+ * How often all connections are looked through. With 150 peers, of which a zone's can't be reached, to do so at every event cost a leader
+ * two system calls for each of them some thousand times a second.
+ */
+constexpr Duration roundInterval = absl::Milliseconds(20);
+/** Longest wait for an event while a connection is opening, or is to be opened after a pause; otherwise. */
+constexpr int openingPollMillis = 20;
 constexpr int pollMillis = 200;
 constexpr std::size_t readBytes = 65536;
 constexpr Duration reconnectPause = absl::Milliseconds(50);
@@ -68,6 +77,8 @@
         std::string buffer;
         /** Length of the Hello at the beginning of `buffer`, until the connection is open. */
         std::size_t greetingBytes = 0;
+        /** It is in the list of those to serve. */
+        bool isWanted = false;
     };
 
     struct Incoming {
@@ -87,7 +98,13 @@
     /** Gives an attempt up for a new one; what waits goes out with it. */
     void reconnect(Outgoing &outgoing);
     void closeOutgoing(Outgoing &outgoing);
-    void noteClosedByPeer(int socket);
+    /** Something has happened at an outgoing connection: it is open, takes bytes again, or was closed by its peer. */
+    void noteOutgoing(int socket, bool isClosed);
+    /** Serves the connections with something to do: which have bytes to send, or at whose sockets something has happened. */
+    void serveWanted();
+    /** Serves all, for what only time changes: late connects, pauses that are over, peers that say nothing. */
+    void serveAll();
+    void want(Outgoing &connection);
     void flush(Outgoing &outgoing);
     void accept();
     void readIncoming(int socket);
@@ -113,6 +130,11 @@
     absl::flat_hash_map<std::string, std::string> waiting ABSL_GUARDED_BY(mutex);
     // Of the transport's thread once it runs.
     absl::flat_hash_map<std::string, std::unique_ptr<Outgoing>> outgoing;
+    absl::flat_hash_map<int, Outgoing *> bySocket;
+    std::vector<Outgoing *> wanted;
+    Timestamp nextRound = absl::InfinitePast();
+    /** Some connection is opening, or waits for its next try. */
+    bool isOpening = true;
     absl::flat_hash_map<int, Incoming> incoming;
     /** What one read brings; kept, since to clear it anew costs more than the read of a short frame. */
     std::vector<char> chunk = std::vector<char>(readBytes);
@@ -220,7 +242,7 @@
 {
     std::array<epoll_event, 64> events{};
     while (!this->stopping) {
-        const int count = ::epoll_wait(this->epoll, events.data(), static_cast<int>(events.size()), pollMillis);
+        const int count = ::epoll_wait(this->epoll, events.data(), static_cast<int>(events.size()), this->isOpening ? openingPollMillis : pollMillis);
         for (int index = 0; index < count; ++index) {
             const int descriptor = events[static_cast<std::size_t>(index)].data.fd;
             if (descriptor == this->listener) {
@@ -230,15 +252,43 @@
                 [[maybe_unused]] const ssize_t size = ::read(this->wakeup, &value, sizeof(value));
             } else if (this->incoming.contains(descriptor)) {
                 this->readIncoming(descriptor);
-            } else if ((events[static_cast<std::size_t>(index)].events & (EPOLLRDHUP | EPOLLHUP | EPOLLERR)) != 0) {
-                this->noteClosedByPeer(descriptor);
+            } else {
+                this->noteOutgoing(descriptor, (events[static_cast<std::size_t>(index)].events & (EPOLLRDHUP | EPOLLHUP | EPOLLERR)) != 0);
             }
         }
         this->takeWaiting();
-        for (auto &[name, connection] : this->outgoing) {
-            this->serveOutgoing(*connection);
+        this->serveWanted();
+        if (controlNow() >= this->nextRound) {
+            this->nextRound = controlNow() + roundInterval;
+            this->serveAll();
         }
-        this->dropSilent();
+    }
+}
+
+void Transport::Implementation::serveWanted()
+{
+    std::vector<Outgoing *> wanted;
+    wanted.swap(this->wanted);
+    for (Outgoing *connection : wanted) {
+        connection->isWanted = false;
+        this->serveOutgoing(*connection);
+    }
+}
+
+void Transport::Implementation::serveAll()
+{
+    this->isOpening = false;
+    for (auto &[name, connection] : this->outgoing) {
+        this->serveOutgoing(*connection);
+        this->isOpening = this->isOpening || (connection->socket >= 0 ? !connection->isConnected : !connection->buffer.empty());
+    }
+    this->dropSilent();
+}
+
+void Transport::Implementation::want(Outgoing &connection)
+{
+    if (!std::exchange(connection.isWanted, true)) {
+        this->wanted.push_back(&connection);
     }
 }
 
@@ -274,6 +324,8 @@
             continue;
         }
         connection.buffer += bytes;
+        this->isOpening = this->isOpening || connection.socket < 0;
+        this->want(connection);
     }
 }
 
@@ -305,6 +357,8 @@
 void Transport::Implementation::connect(Outgoing &connection)
 {
     connection.socket = openSocket(connection.endpoint);
+    this->bySocket[connection.socket] = &connection;
+    this->isOpening = true;
     connection.connectingSince = controlNow();
     setOutgoingOptions(connection.socket);
     const SocketAddress address = toSocketAddress(connection.endpoint);
@@ -324,6 +378,7 @@
 
 void Transport::Implementation::reconnect(Outgoing &connection)
 {
+    this->bySocket.erase(connection.socket);
     ::close(connection.socket);
     connection.buffer.erase(0, connection.greetingBytes);
     this->connect(connection);
@@ -332,6 +387,7 @@
 void Transport::Implementation::closeOutgoing(Outgoing &connection)
 {
     if (connection.socket >= 0) {
+        this->bySocket.erase(connection.socket);
         ::close(connection.socket);
     }
     connection.socket = -1;
@@ -341,16 +397,19 @@
     connection.buffer.clear();
 }
 
-void Transport::Implementation::noteClosedByPeer(int socket)
+void Transport::Implementation::noteOutgoing(int socket, bool isClosed)
 {
+    const auto found = this->bySocket.find(socket);
+    if (found == this->bySocket.end()) {
+        return;
+    }
+    Outgoing &connection = *found->second;
+    this->want(connection);
     // Peers send nothing over this connection, so that its end is the only thing that it tells. What is sent next opens
     // a new one at once, instead of being lost in this one.
-    for (auto &[name, connection] : this->outgoing) {
-        if (connection->socket == socket && connection->isConnected) {
-            this->closeOutgoing(*connection);
-            connection->nextTry = controlNow();
-            return;
-        }
+    if (isClosed && connection.isConnected) {
+        this->closeOutgoing(connection);
+        connection.nextTry = controlNow();
     }
 }
 
