Choose a step's data centre once, and a reserve

Hypothesis: the data centre of a step was chosen anew in each plan, so that rooms were kept in one and asked about in another; chosen once, at the callers' for urgent work, a cut hits fewer jobs.

--- a/paddlepier/planning/loadreplay.h
+++ b/paddlepier/planning/loadreplay.h
@@ -2,8 +2,8 @@
 //
 // Jobs of several kinds arrive at random moments of a seeded generator. Workers run what is placed for as long as it takes,
 // save progress while they do, and take a while to stop; the policy service answers after its stated time and permits
-// some of the workers. Nothing fails and nothing is cut off: what is measured is the decisions alone. The same seed and
-// pattern give the same replay.
+// some of the workers. Nothing fails; a data centre may be cut off for a while, and what ends there is then heard of after the
+// cut. What is measured is the decisions alone. The same seed and pattern give the same replay.
 //
 // Example:
 //     LoadReplay replay(seed, pattern);
@@ -57,6 +57,13 @@
     double permitted = 1;
 };
 
+/** A data centre whose workers can't be reached for a while, and go on with what they run. */
+struct LoadCut {
+    std::uint32_t dataCentre = 0;
+    Duration at = absl::InfiniteDuration();
+    Duration duration = absl::Seconds(5);
+};
+
 struct LoadPattern {
     std::uint32_t workers = 12;
     std::uint32_t dataCentres = 4;
@@ -64,8 +71,53 @@
     std::uint32_t memoryMegabytes = 131'072;
     std::uint32_t accelerators = 8;
     std::vector<LoadKind> kinds;
+    LoadCut cut;
 };
 
+/**
+ * Workers of 16 processors in five data centres, seven tenths of them in use at @p load 1: quick jobs of many tasks whose callers wait in one
+ * of the data centres, and long jobs that save their progress beside them.
+ */
+inline LoadPattern quickBesideLongPattern(double load)
+{
+    LoadKind quick;
+    quick.queue = "quick";
+    quick.stretch = 1.5;
+    quick.targetLatencyMillis = 250;
+    quick.jobsPerSecond = 21.8 * load;
+    quick.leastTasks = 4;
+    quick.mostTasks = 22;
+    quick.milliProcessors = 3500;
+    quick.leastMillis = 600;
+    quick.mostMillis = 1400;
+    quick.decisionMillis = 33;
+    quick.perWorkerMillis = 0.47;
+    quick.permitted = 0.7;
+    LoadKind longJobs;
+    longJobs.queue = "long";
+    longJobs.priority = 2;
+    longJobs.stretch = 2.2;
+    longJobs.targetLatencyMillis = 1200;
+    longJobs.jobsPerSecond = 4.2 * load;
+    longJobs.leastTasks = 8;
+    longJobs.mostTasks = 44;
+    longJobs.milliProcessors = 4500;
+    longJobs.leastMillis = 3600;
+    longJobs.mostMillis = 8400;
+    longJobs.saving = 0.8;
+    longJobs.decisionMillis = 430;
+    longJobs.perWorkerMillis = 6.1;
+    longJobs.permitted = 0.7;
+    LoadPattern made;
+    made.workers = 350;
+    made.dataCentres = 5;
+    made.milliProcessors = 16'000;
+    made.memoryMegabytes = 32'768;
+    made.accelerators = 0;
+    made.kinds = {quick, longJobs};
+    return made;
+}
+
 /**
  * Accelerators at some 80 % use if @p load is 1: gangs of one or two tasks that need two, four or all eight accelerators of a worker, and
  * many small tasks of less urgent jobs that need one.
@@ -140,6 +192,7 @@
     {
         for (const Timestamp end = this->now + duration; this->now < end; this->now += tick) {
             this->arrive();
+            this->playCut();
             this->endRuns();
             this->answerQuestions();
             this->listProgress();
@@ -174,6 +227,32 @@
         return met + missed == 0 ? 1.0 : met / (met + missed);
     }
 
+    /** The same for jobs that were submitted in a span of the replay's time. */
+    double inTime(const std::string &queue, Duration from, Duration to) const
+    {
+        double met = 0;
+        double all = 0;
+        for (const auto &[id, job] : this->jobs) {
+            const bool isMeant = job.queue == queue && job.submittedAt >= this->begin + from && job.submittedAt < this->begin + to;
+            all += isMeant ? 1 : 0;
+            met += isMeant && job.endedAt <= job.objective ? 1 : 0;
+        }
+        return all == 0 ? 1.0 : met / all;
+    }
+
+    /** Mean number of data centres in which the tasks of a job of the queue have run. */
+    double dataCentresTouched(const std::string &queue) const
+    {
+        double touched = 0;
+        double started = 0;
+        for (const auto &[id, job] : this->jobs) {
+            const bool isMeant = job.queue == queue && !job.dataCentres.empty();
+            started += isMeant ? 1 : 0;
+            touched += isMeant ? static_cast<double>(job.dataCentres.size()) : 0;
+        }
+        return started == 0 ? 0.0 : touched / started;
+    }
+
     /** Processor seconds of work that was done but not saved when its run was stopped. */
     double lostProcessorSeconds() const
     {
@@ -199,6 +278,7 @@
         Duration work;
         Timestamp startedAt = absl::InfiniteFuture();
         Timestamp endedAt = absl::InfiniteFuture();
+        std::set<std::string> dataCentres = {};
     };
 
     struct RunLog {
@@ -287,6 +367,7 @@
         command.id = absl::StrCat(absl::Hex(this->random(), absl::kZeroPad16));
         command.queue = kind.queue;
         command.spec = std::make_unique<work::JobSpecT>();
+        command.spec->callersDataCentre = absl::StrCat("d", this->random() % this->pattern.dataCentres);
         auto &step = command.spec->steps.emplace_back(std::make_unique<work::StepSpecT>());
         step->count = kind.leastTasks + static_cast<std::uint32_t>(this->random() % (kind.mostTasks - kind.leastTasks + 1));
         step->isGang = kind.isGang;
@@ -307,10 +388,33 @@
         return run.saved + std::max(absl::ZeroDuration(), std::min(this->now, run.stopsAt) - run.workSince);
     }
 
+    bool isCut(const std::string &worker) const
+    {
+        const bool isTime = this->now >= this->begin + this->pattern.cut.at && this->now < this->begin + this->pattern.cut.at + this->pattern.cut.duration;
+        return isTime && this->state.findWorker(worker)->registration.zone == absl::StrCat("d", this->pattern.cut.dataCentre);
+    }
+
+    /** The leader finds silent workers after an answer's patience, and hears of them again when the cut is over. */
+    void playCut()
+    {
+        for (auto &[id, view] : this->views) {
+            const bool isCutNow = this->isCut(id);
+            const bool isFound = isCutNow && this->now >= this->begin + this->pattern.cut.at + execution::answerPatience;
+            if (isFound && !view.isSilent()) {
+                view.noteSilence(this->now);
+            } else if (!isCutNow && view.isSilent()) {
+                view.noteAnswer(this->now, std::nullopt);
+            }
+        }
+    }
+
     void endRuns()
     {
         std::vector<workload::TaskKey> over;
         for (const auto &[key, run] : this->runs) {
+            if (this->isCut(run.worker)) {
+                continue;
+            }
             if (run.stopsAt <= this->now || this->workDone(run) >= this->jobs.at(key.job).work) {
                 over.push_back(key);
             }
@@ -429,11 +533,13 @@
         this->tracks[key] = std::move(track);
         JobLog &job = this->jobs.at(key.job);
         job.startedAt = std::min(job.startedAt, this->now);
+        job.dataCentres.insert(this->state.findWorker(placed.worker)->registration.zone);
     }
 
     std::mt19937_64 random;
     const LoadPattern pattern;
-    Timestamp now = absl::UnixEpoch() + absl::Hours(1);
+    const Timestamp begin = absl::UnixEpoch() + absl::Hours(1);
+    Timestamp now = begin;
     workload::Workload state;
     std::map<std::string, execution::WorkerView> views;
     execution::RunTracks tracks;
--- a/paddlepier/planning/loadreplay_test.cpp
+++ b/paddlepier/planning/loadreplay_test.cpp
@@ -35,8 +35,50 @@
     }
 };
 
+class CutFixture
+{
+public:
+    static constexpr Duration cutAt = absl::Seconds(14);
+
+    struct Served {
+        double dataCentres = 0;
+        /** Of the quick jobs submitted within a second and a half before the cut. */
+        double beforeCut = 0;
+        double all = 0;
+        double longJobs = 0;
+    };
+
+    static Served serve()
+    {
+        constexpr int seeds = 5;
+        Served served;
+        for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+            LoadPattern pattern = quickBesideLongPattern(1.0);
+            pattern.cut.at = cutAt;
+            LoadReplay replay(seed, pattern);
+            replay.run(absl::Seconds(24));
+            served.dataCentres += replay.dataCentresTouched("quick") / seeds;
+            served.beforeCut += replay.inTime("quick", cutAt - absl::Milliseconds(1500), cutAt) / seeds;
+            served.all += replay.inTime("quick") / seeds;
+            served.longJobs += replay.inTime("long") / seeds;
+        }
+        return served;
+    }
+};
+
 } // namespace
 
+TEST_CASE_METHOD(CutFixture, "quickJobs_whenADataCentreIsCutOff_areMostlyElsewhereAsAWhole")
+{
+    const Served served = serve();
+    INFO("data centres a job " << served.dataCentres << ", in time before the cut " << served.beforeCut << ", all " << served.all << ", long "
+                               << served.longJobs);
+    CHECK(served.dataCentres < 1.2);
+    CHECK(served.beforeCut > 0.87);
+    CHECK(served.all > 0.9);
+    CHECK(served.longJobs > 0.95);
+}
+
 TEST_CASE_METHOD(WideTasksFixture, "wideTasks_besideManySmallOnes_areServedInTime")
 {
     const Served served = serve(1.0);
--- a/paddlepier/planning/planner.cpp
+++ b/paddlepier/planning/planner.cpp
@@ -44,6 +44,10 @@
     this->keeper.begin(now, wallMillis);
     for (WantedStep &wanted : steps) {
         this->rooms.beginStep(now, wanted, this->advice);
+        const work::QueueSpecT &queue = wanted.job->queue();
+        const Home home = this->homes.of(wanted, this->rooms, queue.advice ? this->advice.permittedShare(queue.name) : 1.0);
+        wanted.home = home.first;
+        wanted.reserve = home.reserve;
         this->planStep(now, wanted, plan);
     }
     plan.preempted = this->makingWay.takePreempted();
--- a/paddlepier/planning/planner.h
+++ b/paddlepier/planning/planner.h
@@ -24,6 +24,7 @@
 #include "paddlepier/execution/workerview.h"
 #include "paddlepier/planning/advicebook.h"
 #include "paddlepier/planning/asking.h"
+#include "paddlepier/planning/homes.h"
 #include "paddlepier/planning/makingway.h"
 #include "paddlepier/planning/outlook.h"
 #include "paddlepier/planning/roomkeeping.h"
@@ -60,6 +61,13 @@
     /** @param wallMillis  milliseconds since 1970 */
     Plan plan(Timestamp now, std::int64_t wallMillis);
 
+    /** Drops what is known of jobs that @p isOver says to have ended; O(steps). */
+    template<typename Predicate>
+    void forgetJobs(Predicate isOver)
+    {
+        this->homes.forgetJobs(isOver);
+    }
+
 private:
     /** A worker that a step may use now. */
     struct Choice {
@@ -86,6 +94,7 @@
     const std::map<std::string, execution::WorkerView> &views;
     AdviceBook &advice;
     Rooms rooms;
+    Homes homes;
     Prospects prospects;
     StepOrder order;
     RoomKeeper keeper;
--- a/paddlepier/planning/rooms.cpp
+++ b/paddlepier/planning/rooms.cpp
@@ -52,6 +52,7 @@
     }
     this->indexAdviceNumbers();
     this->numberDataCentres();
+    this->countWorkers(state);
 }
 
 void Rooms::clear()
@@ -108,10 +109,23 @@
         return static_cast<std::uint32_t>(std::lower_bound(sorted.begin(), sorted.end(), name) - sorted.begin());
     });
     this->dataCentres = std::move(sorted);
-    this->freeProcessors.assign(this->dataCentres.size(), 0);
     for (Room &room : this->rooms) {
         room.dataCentre = numbers[room.dataCentre];
-        this->freeOf(room) += std::max<std::int64_t>(0, room.processors);
+    }
+}
+
+void Rooms::countWorkers(const workload::Workload &state)
+{
+    this->knownWorkers.assign(this->dataCentres.size(), 0);
+    this->usableWorkers.assign(this->dataCentres.size(), 0);
+    for (const auto &[id, worker] : state.workers()) {
+        const std::uint32_t dataCentre = this->dataCentreNamed(worker.registration.zone);
+        if (dataCentre != noHome) {
+            ++this->knownWorkers[dataCentre];
+        }
+    }
+    for (const Room &room : this->rooms) {
+        ++this->usableWorkers[room.dataCentre];
     }
 }
 
@@ -129,7 +143,7 @@
     }
 }
 
-void Rooms::beginStep(Timestamp now, WantedStep &wanted, const AdviceBook &book)
+void Rooms::beginStep(Timestamp now, const WantedStep &wanted, const AdviceBook &book)
 {
     for (const std::uint32_t number : this->ofStep) {
         this->rooms[number].stepTasks = 0;
@@ -151,7 +165,6 @@
         });
         std::sort(this->toldOfStep.begin(), this->toldOfStep.end());
     }
-    wanted.home = this->homeOf(wanted);
 }
 
 void Rooms::countTasks(const WantedStep &wanted)
@@ -177,13 +190,10 @@
     }
 }
 
-std::uint32_t Rooms::homeOf(const WantedStep &wanted) const
+std::uint32_t Rooms::dataCentreOfStep() const
 {
-    if (!wanted.isServedAsAWhole() || this->rooms.empty()) {
-        return noHome;
-    }
     if (this->ofStep.empty()) {
-        return static_cast<std::uint32_t>(std::max_element(this->freeProcessors.begin(), this->freeProcessors.end()) - this->freeProcessors.begin());
+        return noHome;
     }
     std::vector<std::uint32_t> tasks(this->dataCentres.size());
     for (const std::uint32_t number : this->ofStep) {
@@ -192,9 +202,40 @@
     return static_cast<std::uint32_t>(std::max_element(tasks.begin(), tasks.end()) - tasks.begin());
 }
 
-std::int64_t &Rooms::freeOf(const Room &room)
+std::uint32_t Rooms::dataCentreNamed(std::string_view name) const
+{
+    const auto found = std::lower_bound(this->dataCentres.begin(), this->dataCentres.end(), name);
+    return found == this->dataCentres.end() || *found != name ? noHome : static_cast<std::uint32_t>(found - this->dataCentres.begin());
+}
+
+std::uint32_t Rooms::dataCentreOfRack(std::string_view rack) const
+{
+    const auto found =
+        rack.empty() ? this->rooms.end() : std::find_if(this->rooms.begin(), this->rooms.end(), [rack](const Room &room) { return room.rack() == rack; });
+    return found == this->rooms.end() ? noHome : found->dataCentre;
+}
+
+std::string_view Rooms::dataCentreName(std::uint32_t dataCentre) const
+{
+    return this->dataCentres.at(dataCentre);
+}
+
+bool Rooms::isSound(std::uint32_t dataCentre) const
+{
+    return dataCentre != noHome && this->usableWorkers[dataCentre] * 2 >= this->knownWorkers[dataCentre];
+}
+
+std::vector<std::int64_t> Rooms::slotsFor(const WantedStep &wanted) const
 {
-    return this->freeProcessors[room.dataCentre];
+    const std::uint32_t service = this->serviceNumber(wanted.job->queue().service);
+    std::vector<std::int64_t> slots(this->dataCentres.size());
+    for (const Room &room : this->rooms) {
+        if (room.fits(*wanted.step) && mayRun(room, wanted, service) && isAcceptable(room)) {
+            const std::size_t bound = wanted.step->mostPerWorker == 0 ? std::numeric_limits<std::size_t>::max() : wanted.step->mostPerWorker;
+            slots[room.dataCentre] += static_cast<std::int64_t>(std::min(room.tasksThatFit(*wanted.step), bound));
+        }
+    }
+    return slots;
 }
 
 std::vector<Room> &Rooms::all()
@@ -215,9 +256,7 @@
 
 void Rooms::take(Room &room, const work::StepSpecT &step, std::int64_t tasks)
 {
-    this->freeOf(room) -= std::max<std::int64_t>(0, room.processors);
     room.take(step, tasks);
-    this->freeOf(room) += std::max<std::int64_t>(0, room.processors);
 }
 
 void Rooms::countTask(Room &room, std::int32_t tasks)
--- a/paddlepier/planning/rooms.h
+++ b/paddlepier/planning/rooms.h
@@ -40,8 +40,8 @@
     /** Counts what stopping runs are about to give back; once a plan. */
     void countComing(const workload::Workload &state, const execution::RunTracks &tracks);
 
-    /** Notes what there is of a step on each worker, and what the policy service has said; sets the step's home. */
-    void beginStep(Timestamp now, WantedStep &wanted, const AdviceBook &book);
+    /** Notes what there is of a step on each worker, and what the policy service has said. */
+    void beginStep(Timestamp now, const WantedStep &wanted, const AdviceBook &book);
 
     std::vector<Room> &all();
     /** Rooms that the policy service has told about for the step, in the order of all(). */
@@ -51,6 +51,16 @@
     void take(Room &room, const work::StepSpecT &step, std::int64_t tasks = 1);
     /** Counts a task of the step that is being planned; -1 takes it back. */
     void countTask(Room &room, std::int32_t tasks);
+    /** Where most tasks of the step are that is being planned; noHome if it has none on a worker. */
+    std::uint32_t dataCentreOfStep() const;
+    /** noHome if no worker of that name, or rack, can be used. */
+    std::uint32_t dataCentreNamed(std::string_view name) const;
+    std::uint32_t dataCentreOfRack(std::string_view rack) const;
+    std::string_view dataCentreName(std::uint32_t dataCentre) const;
+    /** At least half of its workers can be used: it isn't cut off. */
+    bool isSound(std::uint32_t dataCentre) const;
+    /** Tasks of the step that fit into each data centre, whatever the policy service says; O(workers). */
+    std::vector<std::int64_t> slotsFor(const WantedStep &wanted) const;
     /** Number of a service; one that no worker offers has none of the workers' numbers. */
     std::uint32_t serviceNumber(std::string_view service) const;
     /** In the order of their names. */
@@ -58,22 +68,20 @@
 
 private:
     void add(const workload::Worker &worker, const execution::WorkerView &view, Timestamp now);
+    void countWorkers(const workload::Workload &state);
     void clear();
     void indexAdviceNumbers();
     void numberDataCentres();
     void countTasks(const WantedStep &wanted);
-    /** Where most of the step's tasks are already, and otherwise where there is most room for it. */
-    std::uint32_t homeOf(const WantedStep &wanted) const;
-    std::int64_t &freeOf(const Room &room);
-
     std::vector<Room> rooms;
     absl::flat_hash_map<std::string_view, std::uint32_t> byWorker;
     std::vector<std::uint32_t> byAdviceNumber;
     std::vector<std::string_view> services;
     std::vector<std::string_view> dataCentres;
     std::vector<std::string_view> rackNames;
-    /** Processors free in each data centre, not counting workers that are over their room. */
-    std::vector<std::int64_t> freeProcessors;
+    /** Workers of each data centre, and those of them that can be used. */
+    std::vector<std::uint32_t> knownWorkers;
+    std::vector<std::uint32_t> usableWorkers;
     /** Rooms with superseded runs. */
     std::vector<std::uint32_t> withSuperseded;
     /** Rooms that hold something of the step that is being planned. */
--- a/paddlepier/planning/suitability.cpp
+++ b/paddlepier/planning/suitability.cpp
@@ -18,7 +18,8 @@
 constexpr double contentionPenalty = 1.0;
 
 /** Above any difference in how full two workers are: one cut must not reach jobs of two data centres. */
-constexpr double awayPenalty = 1.2;
+constexpr double reservePenalty = 1.2;
+constexpr double awayPenalty = 2.4;
 
 /** For a worker that has no task of the step yet, and for each share of the step that it couldn't take. */
 constexpr double otherWorkerPenalty = 0.4;
@@ -73,7 +74,7 @@
         const double taken = std::min(1.0, static_cast<double>(room.tasksThatFit(step)) / waiting);
         penalty += splitPenalty * (1.0 - taken);
         penalty += room.isOfStep ? 0.0 : otherWorkerPenalty;
-        penalty += wanted.home == noHome || wanted.home == room.dataCentre ? 0.0 : awayPenalty;
+        penalty += wanted.home == noHome || wanted.home == room.dataCentre ? 0.0 : wanted.reserve == room.dataCentre ? reservePenalty : awayPenalty;
     }
     if (!step.dataRack.empty() && step.dataRack != room.rack()) {
         penalty += farDataPenalty;
--- a/paddlepier/planning/suitability.h
+++ b/paddlepier/planning/suitability.h
@@ -78,6 +78,8 @@
     std::vector<std::uint32_t> tasks;
     /** Data centre that its tasks had best go to. */
     std::uint32_t home = noHome;
+    /** Data centre for those that don't fit there. */
+    std::uint32_t reserve = noHome;
 
     /** Its tasks are best kept together. */
     bool isServedAsAWhole() const;
