Stop gangs that can't become whole, ask the gone seldom, tell of done steps in one line

Workers that were taken away were asked some 250 times a second for 20 s: one that said when it leaves, or was silent for 10 s, is asked every 2 s, and at once when it announces itself. run.ended was cut at 1,000 lines a second at this size: done runs are told by one line a step (step.ended: age, runs, the last one and its worker).

--- a/paddlepier/execution/dispatcher.cpp
+++ b/paddlepier/execution/dispatcher.cpp
@@ -75,7 +75,8 @@
 
 const char *nameOf(StopReason reason)
 {
-    static constexpr std::array<const char *, 7> names{"none", "job-ended", "preempted", "stands-still", "worker-leaves", "start-unsettled", "disturbs"};
+    static constexpr std::array<const char *, 8> names{
+        "none", "job-ended", "preempted", "stands-still", "worker-leaves", "start-unsettled", "disturbs", "gang-incomplete"};
     return names.at(static_cast<std::size_t>(reason));
 }
 
@@ -124,6 +125,11 @@
         return;
     }
     view->second.announcedAt = now;
+    if (view->second.isSilent() && view->second.pollState == PollState::Idle) {
+        // It is there: it needn't wait for the pause between polls of a silent worker.
+        view->second.nextPoll = now;
+        this->schedulePoll(worker, view->second);
+    }
     view->second.announcedSequence = std::max(view->second.announcedSequence, sequence);
     if (drainRemaining < absl::InfiniteDuration()) {
         view->second.leavesAt = std::min(view->second.leavesAt, now + drainRemaining);
@@ -182,7 +188,9 @@
     this->syncWorkers(now);
     this->forgetEndedJobs(now);
     this->checkWorkers(now);
+    this->stopIncompleteGangs(now);
     this->driveRuns(now);
+    this->reportSteps(now);
     this->planWork(now, wallMillis);
     this->pollWorkers(now);
     return std::exchange(this->effects, DispatchEffects());
@@ -249,7 +257,9 @@
         return;
     }
     this->nextForget = now + forgetInterval;
-    this->advice.forgetJobs([this](const std::string &job) { return !this->state.activeJobs().contains(job); });
+    const auto isOver = [this](const std::string &job) { return !this->state.activeJobs().contains(job); };
+    this->advice.forgetJobs(isOver);
+    this->planner.forgetJobs(isOver);
     std::erase_if(this->supersededTracks, [this](const auto &entry) {
         const auto &[id, key, run] = entry.first;
         const workload::Worker *worker = this->state.findWorker(id);
--- a/paddlepier/execution/dispatcher.h
+++ b/paddlepier/execution/dispatcher.h
@@ -26,6 +26,7 @@
 #include "paddlepier/execution/duequeue.h"
 #include "paddlepier/execution/orders.h"
 #include "paddlepier/execution/runtrack.h"
+#include "paddlepier/execution/stepreport.h"
 #include "paddlepier/execution/workerview.h"
 #include "paddlepier/planning/advicebook.h"
 #include "paddlepier/planning/planner.h"
@@ -125,6 +126,10 @@
     void driveRun(Timestamp now, const workload::TaskKey &key, RunTrack &track, UnsentRuns &unsent);
     void driveStart(Timestamp now, const workload::TaskKey &key, RunTrack &track, UnsentRuns &unsent);
     void driveStop(Timestamp now, const workload::TaskKey &key, RunTrack &track);
+    /** Stops members of gangs that wait for others in vain. */
+    void stopIncompleteGangs(Timestamp now);
+    /** @param isLate  a member hasn't begun for too long */
+    bool isIncompleteGang(const workload::StepKey &key, bool isLate) const;
     /** Gives up waiting for runs on workers that may be cut off, where the step allows a copy elsewhere. */
     void supersedeRuns(Timestamp now);
     bool maySupersede(const workload::TaskKey &key) const;
@@ -154,6 +159,8 @@
         Timestamp now, const std::string &worker, WorkerView &view, const std::vector<ServingLoad> &serving, const std::vector<workload::TaskKey> &filling);
     void takePace(const PendingCall &call, const PaceOrder &order, const WorkerAnswer &answer);
     void takeEnded(Timestamp now, const std::string &worker, WorkerView &view, const WorkerAnswer &answer);
+    /** Writes lines about steps that are done. */
+    void reportSteps(Timestamp now);
     void judgeEnd(Timestamp now, WorkerView &view, const ListedEnd &end);
     void takeStart(Timestamp now, const PendingCall &call, const StartOrder &order, const WorkerAnswer &answer);
     void takeStop(Timestamp now, const PendingCall &call, const StopOrder &order, const WorkerAnswer &answer);
@@ -205,6 +212,9 @@
     bool isSlow = false;
     Timestamp nextWorkerCheck = absl::InfinitePast();
     Timestamp nextNeedlessCheck = absl::InfinitePast();
+    Timestamp nextGangCheck = absl::InfinitePast();
+    Timestamp nextReport = absl::InfinitePast();
+    StepReports reports;
     bool mayBeNeedless = true;
     bool mayHaveOtherWorkers = true;
     /** What runs of a queue take, as a ratio to their estimates. */
--- /dev/null
+++ b/paddlepier/execution/gangs_test.cpp
@@ -0,0 +1,125 @@
+// Gangs whose members can't all begin, and workers that are gone, in virtual time.
+
+#include "paddlepier/execution/dispatcherfixture.h"
+
+#include <absl/strings/match.h>
+#include <absl/strings/str_cat.h>
+#include <catch2/catch.hpp>
+
+namespace paddlepier::execution
+{
+
+namespace
+{
+
+class GangFixture : public DispatcherFixture
+{
+public:
+    GangFixture()
+    {
+        for (const char *id : {"w1", "w2", "w3"}) {
+            this->addWorker(id, 1000);
+        }
+        this->workers.observe = [this](const FakeWorkers::Event &event) {
+            const bool isEnd = event.kind == FakeWorkers::EventKind::Ended;
+            this->aloneEnds += isEnd && event.end == work::RunEndKind::GangIncomplete ? 1 : 0;
+        };
+        this->newLeader();
+    }
+
+    /** The first start of a run on @p id is treated by @p action before it arrives. */
+    void atFirstStartOn(const std::string &id, const std::function<void(const StartOrder &)> &action)
+    {
+        this->onCall = [this, id, action](const WorkerCall &call) {
+            const auto *start = std::get_if<StartOrder>(&call.order);
+            if (start != nullptr && call.worker == id && !std::exchange(this->isTreated, true)) {
+                action(*start);
+            }
+        };
+    }
+
+    bool isTreated = false;
+    int aloneEnds = 0;
+};
+
+class GoneWorkerFixture : public DispatcherFixture
+{
+public:
+    GoneWorkerFixture()
+    {
+        this->addWorker("w1");
+        this->addWorker("gone");
+        this->newLeader();
+        this->runFor(absl::Seconds(1));
+        this->onCall = [this](const WorkerCall &call) { this->callsToGone += call.worker == "gone" ? 1 : 0; };
+    }
+
+    int callsIn(Duration time)
+    {
+        const int before = this->callsToGone;
+        this->runFor(time);
+        return this->callsToGone - before;
+    }
+
+    int callsToGone = 0;
+};
+
+} // namespace
+
+TEST_CASE_METHOD(GangFixture, "gang_withAMemberThatIsRefused_leavesNobodyWaiting")
+{
+    // As if that run had been stopped there already.
+    this->atFirstStartOn("w3", [this](const StartOrder &start) { this->workers.workers["w3"].highest[start.task] = start.run; });
+    this->addJob("a", 3, 400, 1, false, true);
+    CHECK(this->runUntil([this] { return this->isCompleted("a"); }, absl::Seconds(4)));
+    CHECK(this->aloneEnds == 0);
+    CHECK(this->workers.problems.empty());
+}
+
+TEST_CASE_METHOD(GangFixture, "gang_withAMemberOnASilentWorker_leavesNobodyWaiting")
+{
+    this->atFirstStartOn("w3", [this](const StartOrder &) { this->workers.workers["w3"].isCut = true; });
+    this->addJob("a", 3, 400, 1, false, true);
+    this->runFor(absl::Seconds(4));
+    CHECK(this->aloneEnds == 0);
+    CHECK(this->workers.workers["w1"].runs.empty());
+    this->workers.workers["w3"].isCut = false;
+    CHECK(this->runUntil([this] { return this->isCompleted("a"); }));
+    CHECK(this->aloneEnds == 0);
+    CHECK(this->workers.problems.empty());
+}
+
+TEST_CASE_METHOD(GangFixture, "gang_acrossAChangeOfLeader_beginsAgainAsAWhole")
+{
+    // The leader is gone before one of the starts has left it.
+    this->atFirstStartOn("w3", [this](const StartOrder &) { this->workers.workers["w3"].isCut = true; });
+    this->addJob("a", 3, 400, 1, false, true);
+    REQUIRE(this->runUntil([this] { return this->workers.workers["w1"].runs.size() == 1 && this->isTreated; }, absl::Seconds(1)));
+    this->workers.workers["w3"].isCut = false;
+    this->newLeader();
+    CHECK(this->runUntil([this] { return this->isCompleted("a"); }, absl::Seconds(4)));
+    CHECK(this->aloneEnds == 0);
+    CHECK(this->workers.problems.empty());
+}
+
+TEST_CASE_METHOD(GoneWorkerFixture, "worker_thatHasLeft_isAskedSeldom")
+{
+    this->dispatcher->noteAnnouncement(this->now, "gone", 7, absl::Milliseconds(500));
+    this->runFor(absl::Milliseconds(500));
+    this->workers.workers["gone"].isCut = true;
+    this->runFor(absl::Seconds(3));
+    CHECK(this->callsIn(absl::Seconds(10)) <= 5);
+}
+
+TEST_CASE_METHOD(GoneWorkerFixture, "worker_silentForLong_isAskedSeldomUntilItAnnouncesItself")
+{
+    this->workers.workers["gone"].isCut = true;
+    CHECK(this->callsIn(absl::Seconds(5)) > 5);
+    this->runFor(absl::Seconds(7));
+    CHECK(this->callsIn(absl::Seconds(5)) <= 3);
+    this->workers.workers["gone"].isCut = false;
+    this->dispatcher->noteAnnouncement(this->now, "gone", 9, absl::InfiniteDuration());
+    CHECK(this->callsIn(absl::Milliseconds(600)) >= 1);
+}
+
+} // namespace paddlepier::execution
--- a/paddlepier/execution/runtrack.h
+++ b/paddlepier/execution/runtrack.h
@@ -24,7 +24,7 @@
     Stopping
 };
 
-enum class StopReason { None, JobEnded, Preempted, StandsStill, WorkerLeaves, StartUnsettled, Disturbs };
+enum class StopReason { None, JobEnded, Preempted, StandsStill, WorkerLeaves, StartUnsettled, Disturbs, GangIncomplete };
 const char *nameOf(StopReason reason);
 
 struct RunTrack {
--- a/paddlepier/execution/watch.cpp
+++ b/paddlepier/execution/watch.cpp
@@ -39,6 +39,9 @@
 
 constexpr std::uint32_t atWorkPercent = 100;
 
+/** How often steps are looked through whose runs have ended: late enough for the commit, soon enough for who follows the log. */
+constexpr Duration reportInterval = absl::Milliseconds(100);
+
 Duration patienceWith(const work::StepSpecT &step)
 {
     return step.isLasting ? lastingStandstill : step.isGang ? gangStandstill : standstill;
@@ -164,15 +167,20 @@
 {
     const auto track = this->tracks.find(end.task);
     const bool isKnown = track != this->tracks.end() && track->second.run == end.run;
-    log::info(
-        "dispatch",
-        "run.ended",
-        {{"task", end.task.text()},
-         {"run", end.run},
-         {"how", work::EnumNameRunEndKind(end.kind)},
-         {"startMillis",
-          isKnown && track->second.runningSince < absl::InfiniteFuture() ? absl::ToInt64Milliseconds(track->second.runningSince - track->second.placedAt) : -1},
-         {"millis", isKnown ? absl::ToInt64Milliseconds(now - track->second.placedAt) : -1}});
+    const bool hasBegun = isKnown && track->second.runningSince < absl::InfiniteFuture();
+    const Duration startTime = hasBegun ? track->second.runningSince - track->second.placedAt : absl::Milliseconds(-1);
+    const Duration wholeTime = isKnown ? now - track->second.placedAt : absl::Milliseconds(-1);
+    if (end.kind == work::RunEndKind::Done && isKnown) {
+        this->reports.noteDone(end.task, {track->second.worker, end.run, startTime, wholeTime});
+    } else {
+        log::info("dispatch",
+                  "run.ended",
+                  {{"task", end.task.text()},
+                   {"run", end.run},
+                   {"how", work::EnumNameRunEndKind(end.kind)},
+                   {"startMillis", absl::ToInt64Milliseconds(startTime)},
+                   {"millis", absl::ToInt64Milliseconds(wholeTime)}});
+    }
     if (end.kind == work::RunEndKind::Failed) {
         view.noteFailedRun(now);
     } else if (end.kind == work::RunEndKind::Done) {
@@ -180,4 +188,12 @@
     }
 }
 
+void Dispatcher::reportSteps(Timestamp now)
+{
+    if (now >= this->nextReport) {
+        this->nextReport = now + reportInterval;
+        this->reports.writeEnded(this->state);
+    }
+}
+
 } // namespace paddlepier::execution
--- a/paddlepier/execution/workerview.cpp
+++ b/paddlepier/execution/workerview.cpp
@@ -17,6 +17,15 @@
 constexpr Duration silencePause = absl::Milliseconds(100);
 constexpr Duration longestSilencePause = absl::Milliseconds(300);
 
+/**
+ * A worker that has said when it leaves, and is silent after that, is gone; so is probably one that has neither answered nor announced
+ * itself for twice as long as a cut usually lasts (5 s). It is asked seldom: 77 of 1,100 workers that were taken away cost 250 polls a
+ * second otherwise, on the instance whose decisions everybody waits for. Its next announcement has it asked at once.
+ */
+constexpr Duration leftPatience = absl::Seconds(1);
+constexpr Duration gonePatience = absl::Seconds(10);
+constexpr Duration gonePause = absl::Seconds(2);
+
 /** A worker that fails its runs gets none for this time, doubled with each further failure. */
 constexpr Duration shortestTimeOut = absl::Milliseconds(500);
 constexpr std::uint32_t mostDoublings = 4;
@@ -62,7 +71,14 @@
 void WorkerView::noteSilence(Timestamp now)
 {
     ++this->silences;
-    this->nextPoll = now + std::min(longestSilencePause, silencePause * this->silences);
+    const Duration pause = std::min(longestSilencePause, silencePause * this->silences);
+    this->nextPoll = now + (this->isGone(now) ? gonePause : pause);
+}
+
+bool WorkerView::isGone(Timestamp now) const
+{
+    const bool hasLeft = this->leavesAt + leftPatience < now;
+    return hasLeft || std::max({this->knownSince, this->announcedAt, this->answeredAt}) + gonePatience < now;
 }
 
 std::int64_t WorkerView::leaseEnd(Timestamp now, Duration lease) const
--- a/paddlepier/execution/workerview.h
+++ b/paddlepier/execution/workerview.h
@@ -89,6 +89,9 @@
     bool isContended = false;
 
 private:
+    /** Silent, and unlikely to answer again. */
+    bool isGone(Timestamp now) const;
+
     Timestamp oldLeasesOverAt;
     std::int64_t longestGivenEnd = 0;
     std::optional<std::int64_t> clockMillis;
