Pause between plans by the size of the cell; count a data centre's workers in the same pass

Change: the pause is 15 us a worker, 6 ms at least, so that cells of up to 400 workers are planned as before; the workers of a data centre are counted where rooms are collected, not in a pass of their own. Tests: 259 unit tests pass, the recorded plans are the same.

--- a/paddlepier/execution/dispatcher.cpp
+++ b/paddlepier/execution/dispatcher.cpp
@@ -49,8 +49,13 @@
 /** How long a count of waiting jobs may be given as the answer; the users allow two seconds. */
 constexpr Duration countingInterval = absl::Milliseconds(200);
 
-/** Least pause between two plans, so that what comes at nearly the same time is decided together. */
+/**
+ * Least pause between two plans, so that what comes at nearly the same time is decided together. A plan looks at every worker: with 1,100 of
+ * them one takes some 3.5 ms on 0.6 of a processor, and a plan every 6 ms left the leader no time for answers (88 % of each second in its
+ * control thread). The pause grows with the cell, so that planning takes a quarter of the time at the most.
+ */
 constexpr Duration planPause = absl::Milliseconds(6);
+constexpr Duration planPausePerWorker = absl::Microseconds(15);
 
 /** A plan is made at least this often, for what only time changes: due occurrences, tickets, waiting periods. */
 constexpr Duration planInterval = absl::Milliseconds(200);
@@ -445,7 +450,7 @@
         return;
     }
     this->changed = false;
-    this->nextPlan = now + planPause;
+    this->nextPlan = now + std::max(planPause, planPausePerWorker * this->views.size());
     planning::Plan plan = this->planner.plan(now, wallMillis);
     std::move(plan.questions.begin(), plan.questions.end(), std::back_inserter(this->effects.questions));
     for (const auto &[key, servedStep] : plan.preempted) {
--- a/paddlepier/planning/rooms.cpp
+++ b/paddlepier/planning/rooms.cpp
@@ -41,8 +41,10 @@
         }
         const bool isUsable = view != views.end() && view->first == id && view->second.isReachable() && !worker.registration.isDraining
                               && view->second.startsBlockedUntil <= now && !(mayAvoidOverdue && view->second.isOverdue(now));
+        const std::uint32_t dataCentre = this->noteWorker(worker, isUsable);
         if (isUsable) {
             this->add(worker, view->second, now);
+            this->rooms.back().dataCentre = dataCentre;
         }
     }
     for (Room &room : this->rooms) {
@@ -52,7 +54,6 @@
     }
     this->indexAdviceNumbers();
     this->numberDataCentres();
-    this->countWorkers(state);
 }
 
 void Rooms::clear()
@@ -61,6 +62,8 @@
     this->byWorker.clear();
     this->services.clear();
     this->dataCentres.clear();
+    this->knownWorkers.clear();
+    this->usableWorkers.clear();
     this->rackNames.clear();
     this->withSuperseded.clear();
     this->ofStep.clear();
@@ -80,6 +83,16 @@
     }
 }
 
+std::uint32_t Rooms::noteWorker(const workload::Worker &worker, bool isUsable)
+{
+    const std::uint32_t dataCentre = numberIn(this->dataCentres, worker.registration.zone);
+    this->knownWorkers.resize(this->dataCentres.size());
+    this->usableWorkers.resize(this->dataCentres.size());
+    ++this->knownWorkers[dataCentre];
+    this->usableWorkers[dataCentre] += isUsable ? 1 : 0;
+    return dataCentre;
+}
+
 void Rooms::add(const workload::Worker &worker, const execution::WorkerView &view, Timestamp now)
 {
     const work::Demand &capacity = *worker.registration.capacity;
@@ -88,7 +101,6 @@
     room.worker = &worker;
     room.view = &view;
     room.service = numberIn(this->services, worker.registration.service);
-    room.dataCentre = numberIn(this->dataCentres, worker.registration.zone);
     room.isOnProbation = view.failedInRow > 0 && view.suspectUntil <= now;
     room.processors = worker.freeMilliProcessors();
     room.memory = static_cast<std::int64_t>(capacity.memoryMegabytes()) - static_cast<std::int64_t>(worker.reservedMemoryMegabytes);
@@ -108,27 +120,21 @@
     std::transform(this->dataCentres.begin(), this->dataCentres.end(), std::back_inserter(numbers), [&sorted](std::string_view name) {
         return static_cast<std::uint32_t>(std::lower_bound(sorted.begin(), sorted.end(), name) - sorted.begin());
     });
+    const auto inOrder = [&numbers](const std::vector<std::uint32_t> &counts) {
+        std::vector<std::uint32_t> ordered(counts.size());
+        for (std::size_t number = 0; number < counts.size(); ++number) {
+            ordered[numbers[number]] = counts[number];
+        }
+        return ordered;
+    };
+    this->knownWorkers = inOrder(this->knownWorkers);
+    this->usableWorkers = inOrder(this->usableWorkers);
     this->dataCentres = std::move(sorted);
     for (Room &room : this->rooms) {
         room.dataCentre = numbers[room.dataCentre];
     }
 }
 
-void Rooms::countWorkers(const workload::Workload &state)
-{
-    this->knownWorkers.assign(this->dataCentres.size(), 0);
-    this->usableWorkers.assign(this->dataCentres.size(), 0);
-    for (const auto &[id, worker] : state.workers()) {
-        const std::uint32_t dataCentre = this->dataCentreNamed(worker.registration.zone);
-        if (dataCentre != noHome) {
-            ++this->knownWorkers[dataCentre];
-        }
-    }
-    for (const Room &room : this->rooms) {
-        ++this->usableWorkers[room.dataCentre];
-    }
-}
-
 void Rooms::countComing(const workload::Workload &state, const execution::RunTracks &tracks)
 {
     if (std::exchange(this->isComingCounted, true)) {
--- a/paddlepier/planning/rooms.h
+++ b/paddlepier/planning/rooms.h
@@ -68,7 +68,8 @@
 
 private:
     void add(const workload::Worker &worker, const execution::WorkerView &view, Timestamp now);
-    void countWorkers(const workload::Workload &state);
+    /** Counts a worker in its data centre. @return that one's number, before numberDataCentres() */
+    std::uint32_t noteWorker(const workload::Worker &worker, bool isUsable);
     void clear();
     void indexAdviceNumbers();
     void numberDataCentres();
