Walk what may make way without copying it; space and bound preemptions by the size of the cell

Cause: for each urgent step without room a list of all runs that may yield was made and partitioned (12,000 runs at 1,100 workers), and all runs were collected anew every 20 ms. Change: the sorted runs are walked until enough is found; collecting is spaced by 50 us a worker (55 ms at 1,100), and a plan may stop one run for each 25 workers, so that as many can make way.

--- a/paddlepier/planning/makingway.cpp
+++ b/paddlepier/planning/makingway.cpp
@@ -4,6 +4,7 @@
 
 #include "paddlepier/planning/eligibility.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace paddlepier::planning
@@ -12,14 +13,20 @@
 namespace
 {
 
-/** Most preemptions of one plan, so that a burst doesn't stop more than the next plan finds needed. */
-constexpr std::size_t mostPreemptions = 24;
+/**
+ * Most preemptions of one plan, so that a burst doesn't stop more than the next plan finds needed; beyond some 600 workers one for each
+ * so many, since more work comes in the same time.
+ */
+constexpr std::size_t leastPreemptions = 24;
+constexpr std::size_t workersPerPreemption = 25;
 
 /**
  * Least pause between two plans that make runs give way: those that stop need some of it, and a plan that only passes over steps
- * which wait for an answer costs next to nothing.
+ * which wait for an answer costs next to nothing. To collect what may yield looks at every run: with 12,000 of them some milliseconds,
+ * so that the pause grows with the cell.
  */
 constexpr Duration preemptionPause = absl::Milliseconds(20);
+constexpr Duration preemptionPausePerWorker = absl::Microseconds(50);
 
 } // namespace
 
@@ -58,19 +65,6 @@
     });
 }
 
-std::vector<YieldingRun *> YieldingRuns::inOrder(std::uint32_t home)
-{
-    std::vector<YieldingRun *> ordered;
-    ordered.reserve(this->runs.size());
-    for (YieldingRun &run : this->runs) {
-        if (!run.isChosen) {
-            ordered.push_back(&run);
-        }
-    }
-    std::stable_partition(ordered.begin(), ordered.end(), [home](const YieldingRun *run) { return home == noHome || run->room->dataCentre == home; });
-    return ordered;
-}
-
 MakingWay::MakingWay(
     const workload::Workload &workloadState, const execution::RunTracks &runTracks, const Prospects &jobProspects, Rooms &planRooms, const AdviceBook &book)
     : state(workloadState)
@@ -95,9 +89,14 @@
     return this->isOpen && wanted.job->queue().priority == 0;
 }
 
+std::size_t MakingWay::mostPreemptions() const
+{
+    return std::max(leastPreemptions, this->rooms.all().size() / workersPerPreemption);
+}
+
 void MakingWay::makeRoom(const WantedStep &wanted, const std::vector<ComingRoom> &coming)
 {
-    if (!this->isOpen || this->preempted.size() >= mostPreemptions) {
+    if (!this->isOpen || this->preempted.size() >= this->mostPreemptions()) {
         return;
     }
     if (!coming.empty()) {
@@ -121,7 +120,7 @@
 
 void MakingWay::makeComing(const WantedStep &wanted, const std::vector<ComingRoom> &coming)
 {
-    this->nextPreemption = this->now + preemptionPause;
+    this->nextPreemption = this->now + std::max(preemptionPause, preemptionPausePerWorker * this->rooms.all().size());
     const auto isUseful = [&](const ComingRoom &entry) { return this->mayStopFor(wanted, entry); };
     // A gang needs the room of all its members at the same time.
     if (wanted.step->isGang && !std::all_of(coming.begin(), coming.end(), isUseful)) {
@@ -141,7 +140,7 @@
 
 void MakingWay::makeAnywhere(const WantedStep &wanted)
 {
-    this->nextPreemption = this->now + preemptionPause;
+    this->nextPreemption = this->now + std::max(preemptionPause, preemptionPausePerWorker * this->rooms.all().size());
     this->rooms.countComing(this->state, this->tracks);
     std::size_t missing = wanted.tasks.size();
     const std::uint32_t service = this->rooms.serviceNumber(wanted.job->queue().service);
@@ -164,18 +163,15 @@
         });
     }
     const std::uint32_t service = this->rooms.serviceNumber(wanted.job->queue().service);
-    for (YieldingRun *run : this->yielding.inOrder(wanted.home)) {
-        if (missing == 0 || this->preempted.size() >= mostPreemptions) {
-            return;
+    this->yielding.visitInOrder(wanted.home, [&](YieldingRun &run) {
+        if (mayMakeRoom(*run.room, wanted, service)) {
+            run.isChosen = true;
+            this->preempted.push_back({run.key, wanted.key});
+            run.room->comingProcessors += run.milliProcessors;
+            missing -= claimComingRoom(*run.room, wanted, missing);
         }
-        if (!mayMakeRoom(*run->room, wanted, service)) {
-            continue;
-        }
-        run->isChosen = true;
-        this->preempted.push_back({run->key, wanted.key});
-        run->room->comingProcessors += run->milliProcessors;
-        missing -= claimComingRoom(*run->room, wanted, missing);
-    }
+        return missing > 0 && this->preempted.size() < this->mostPreemptions();
+    });
 }
 
 bool MakingWay::mayMakeRoom(const Room &room, const WantedStep &wanted, std::uint32_t service)
--- a/paddlepier/planning/makingway.h
+++ b/paddlepier/planning/makingway.h
@@ -65,8 +65,19 @@
         this->sort();
     }
 
-    /** All that may make way, those in the data centre @p home first; O(runs). */
-    std::vector<YieldingRun *> inOrder(std::uint32_t home);
+    /** Gives all that may make way to @p visit, those in the data centre @p home first, until that returns false. */
+    template<typename Visit>
+    void visitInOrder(std::uint32_t home, Visit visit)
+    {
+        for (const bool atHome : {true, false}) {
+            for (YieldingRun &run : this->runs) {
+                const bool isAtHome = home == noHome || run.room->dataCentre == home;
+                if (!run.isChosen && isAtHome == atHome && !visit(run)) {
+                    return;
+                }
+            }
+        }
+    }
 
 private:
     void addOccurrence(const workload::Job &job, std::uint32_t occurrence, const execution::RunTracks &tracks, Rooms &rooms);
@@ -106,6 +117,7 @@
     bool mayStopFor(const WantedStep &wanted, const ComingRoom &coming) const;
     void makeAnywhere(const WantedStep &wanted);
     void stopRuns(const WantedStep &wanted, std::size_t missing);
+    std::size_t mostPreemptions() const;
     static bool mayMakeRoom(const Room &room, const WantedStep &wanted, std::uint32_t service);
     /** Takes room that is free or on its way for up to @p missing tasks; @return for how many there is some */
     static std::size_t claimComingRoom(Room &room, const WantedStep &wanted, std::size_t missing);
--- a/paddlepier/planning/planner_benchmark.cpp
+++ b/paddlepier/planning/planner_benchmark.cpp
@@ -1,4 +1,4 @@
-// One plan at the size of a grown cell: 350 workers, some 4,000 runs under way, 100 steps that wait.
+// One plan at the size of a grown cell: 350 workers, some 4,000 runs under way, 100 steps that wait; and of larger ones.
 
 #include "paddlepier/planning/fakecell.h"
 #include "paddlepier/planning/loadreplay.h"
@@ -23,8 +23,9 @@
 /** Everything is decided anew, what may make way too; questions asked before await their answers. */
 void BM_PlanWithWaitingSteps(benchmark::State &state)
 {
-    FakeCell cell(seed, workers);
-    cell.fill(runs);
+    const auto workerCount = static_cast<std::uint32_t>(state.range(0));
+    FakeCell cell(seed, workerCount);
+    cell.fill(runs * workerCount / workers);
     cell.addWaitingSteps(steps);
     benchmark::DoNotOptimize(cell.plan());
     std::size_t placements = 0;
@@ -35,7 +36,7 @@
     state.counters["placements"] = benchmark::Counter(static_cast<double>(placements), benchmark::Counter::kAvgIterations);
     state.counters["runs"] = static_cast<double>(cell.tracks.size());
 }
-BENCHMARK(BM_PlanWithWaitingSteps);
+BENCHMARK(BM_PlanWithWaitingSteps)->Arg(workers)->Arg(1100)->Arg(3300);
 
 /** The same, with a short time between the plans; what can be placed was placed. */
 void BM_PlanWithoutNews(benchmark::State &state)
