--- a/platform/jsonfields.cpp
+++ b/paddlepier/base/jsonfields.cpp
@@ -1,12 +1,12 @@
-// Reads fields of the platform's JSON bodies with their types and bounds.
+// Reads fields of JSON bodies with their types and bounds.
 
-#include "platform/jsonfields.h"
+#include "paddlepier/base/jsonfields.h"
 
 #include "paddlepier/base/error.h"
 
 #include <absl/strings/str_cat.h>
 
-namespace paddlepier::platform::detail
+namespace paddlepier::json
 {
 
 namespace
@@ -119,9 +119,16 @@
     return value == nullptr ? empty : *value;
 }
 
-std::unique_ptr<work::Demand> demandOf(const Json &object)
+std::vector<std::string> textsOf(const Json &object, const char *name)
 {
-    return std::make_unique<work::Demand>(smallNumberOf(object, "cpu"), smallNumberOf(object, "requested_memory_mb"), smallNumberOf(object, "gpu"));
+    std::vector<std::string> texts;
+    for (const Json &entry : listOf(object, name)) {
+        if (!entry.is_string()) {
+            throw InvalidArgumentError(absl::StrCat(name, ": not a list of texts"));
+        }
+        texts.push_back(entry.get<std::string>());
+    }
+    return texts;
 }
 
 std::string textIn(const Json &value)
@@ -140,4 +147,4 @@
     return wholePartOf(value);
 }
 
-} // namespace paddlepier::platform::detail
+} // namespace paddlepier::json
--- a/platform/jsonfields.h
+++ b/paddlepier/base/jsonfields.h
@@ -1,7 +1,7 @@
-// Reads fields of the platform's JSON bodies with their types and bounds.
+// Reads fields of JSON bodies with their types and bounds.
 //
 // A field that is missing gives its fallback; one of another type, negative, fractional or beyond its bounds is an
-// InvalidArgumentError with the field's name. Bytes that are no JSON, and rows that aren't as the platform states them,
+// InvalidArgumentError with the field's name. Bytes that are no JSON, and rows that aren't as their reader states them,
 // are a MalformedBodyError.
 //
 // Example:
@@ -10,19 +10,17 @@
 //
 // Thread safety: free functions without state. Cost: parsing is O(bytes) and doesn't recurse, however deep the nesting is.
 
-#ifndef PLATFORM_JSONFIELDS_H
-#define PLATFORM_JSONFIELDS_H
-
-#include "paddlepier/wire/workload_generated.h"
+#ifndef PADDLEPIER_BASE_JSONFIELDS_H
+#define PADDLEPIER_BASE_JSONFIELDS_H
 
 #include <nlohmann/json.hpp>
 
 #include <cstdint>
 #include <limits>
-#include <memory>
 #include <string>
+#include <vector>
 
-namespace paddlepier::platform::detail
+namespace paddlepier::json
 {
 
 using Json = nlohmann::json;
@@ -44,12 +42,13 @@
 /** @throws InvalidArgumentError also if the text is missing or empty */
 std::string requiredTextOf(const Json &object, const char *name);
 const Json &listOf(const Json &object, const char *name);
-std::unique_ptr<work::Demand> demandOf(const Json &object);
+/** A list of texts. */
+std::vector<std::string> textsOf(const Json &object, const char *name);
 
 /** An entry of a row. @throws MalformedBodyError if it is of another type, or a number below 0 or above @p most */
 std::string textIn(const Json &value);
 std::uint64_t numberIn(const Json &value, std::uint64_t most = mostSmallNumber);
 
-} // namespace paddlepier::platform::detail
+} // namespace paddlepier::json
 
 #endif
--- a/paddlepier/cluster/announcementfault.h
+++ b/paddlepier/cluster/announcementfault.h
@@ -13,6 +13,7 @@
 
 #include "paddlepier/base/counters.h"
 #include "paddlepier/base/error.h"
+#include "paddlepier/wire/workload_generated.h"
 
 #include <string>
 
@@ -44,6 +45,9 @@
     AnnouncementFault reason;
 };
 
+/** @throws InvalidAnnouncementError if a name, the address or the number of an announcement can't be a worker's */
+void checkAnnouncement(const work::AnnounceCallT &call);
+
 /** Counts a refused announcement, and writes one line about it. */
 void noteRefusedAnnouncement(Counters &counters, const std::string &worker, AnnouncementFault fault, const std::string &problem);
 
--- a/paddlepier/planning/makingway.cpp
+++ b/paddlepier/planning/makingway.cpp
@@ -4,7 +4,6 @@
 
 #include "paddlepier/planning/eligibility.h"
 
-#include <algorithm>
 #include <utility>
 
 namespace paddlepier::planning
@@ -13,20 +12,14 @@
 namespace
 {
 
-/**
- * Most preemptions of one plan, so that a burst doesn't stop more than the next plan finds needed; beyond some 600 workers one for each
- * so many, since more work comes in the same time.
- */
-constexpr std::size_t leastPreemptions = 24;
-constexpr std::size_t workersPerPreemption = 25;
+/** Most preemptions of one plan, so that a burst doesn't stop more than the next plan finds needed. */
+constexpr std::size_t mostPreemptions = 24;
 
 /**
  * Least pause between two plans that make runs give way: those that stop need some of it, and a plan that only passes over steps
- * which wait for an answer costs next to nothing. To collect what may yield looks at every run: with 12,000 of them some milliseconds,
- * so that the pause grows with the cell.
+ * which wait for an answer costs next to nothing.
  */
 constexpr Duration preemptionPause = absl::Milliseconds(20);
-constexpr Duration preemptionPausePerWorker = absl::Microseconds(50);
 
 } // namespace
 
@@ -89,14 +82,9 @@
     return this->isOpen && wanted.job->queue().priority == 0;
 }
 
-std::size_t MakingWay::mostPreemptions() const
-{
-    return std::max(leastPreemptions, this->rooms.all().size() / workersPerPreemption);
-}
-
 void MakingWay::makeRoom(const WantedStep &wanted, const std::vector<ComingRoom> &coming)
 {
-    if (!this->isOpen || this->preempted.size() >= this->mostPreemptions()) {
+    if (!this->isOpen || this->preempted.size() >= mostPreemptions) {
         return;
     }
     if (!coming.empty()) {
@@ -120,7 +108,7 @@
 
 void MakingWay::makeComing(const WantedStep &wanted, const std::vector<ComingRoom> &coming)
 {
-    this->nextPreemption = this->now + std::max(preemptionPause, preemptionPausePerWorker * this->rooms.all().size());
+    this->nextPreemption = this->now + preemptionPause;
     const auto isUseful = [&](const ComingRoom &entry) { return this->mayStopFor(wanted, entry); };
     // A gang needs the room of all its members at the same time.
     if (wanted.step->isGang && !std::all_of(coming.begin(), coming.end(), isUseful)) {
@@ -140,7 +128,7 @@
 
 void MakingWay::makeAnywhere(const WantedStep &wanted)
 {
-    this->nextPreemption = this->now + std::max(preemptionPause, preemptionPausePerWorker * this->rooms.all().size());
+    this->nextPreemption = this->now + preemptionPause;
     this->rooms.countComing(this->state, this->tracks);
     std::size_t missing = wanted.tasks.size();
     const std::uint32_t service = this->rooms.serviceNumber(wanted.job->queue().service);
@@ -170,7 +158,7 @@
             run.room->comingProcessors += run.milliProcessors;
             missing -= claimComingRoom(*run.room, wanted, missing);
         }
-        return missing > 0 && this->preempted.size() < this->mostPreemptions();
+        return missing > 0 && this->preempted.size() < mostPreemptions;
     });
 }
 
--- a/paddlepier/planning/makingway.h
+++ b/paddlepier/planning/makingway.h
@@ -117,7 +117,6 @@
     bool mayStopFor(const WantedStep &wanted, const ComingRoom &coming) const;
     void makeAnywhere(const WantedStep &wanted);
     void stopRuns(const WantedStep &wanted, std::size_t missing);
-    std::size_t mostPreemptions() const;
     static bool mayMakeRoom(const Room &room, const WantedStep &wanted, std::uint32_t service);
     /** Takes room that is free or on its way for up to @p missing tasks; @return for how many there is some */
     static std::size_t claimComingRoom(Room &room, const WantedStep &wanted, std::size_t missing);
