--- /dev/null
+++ b/paddlepier/planning/loadpatterns.h
@@ -0,0 +1,153 @@
+// Load patterns that are hard to serve, for replays: which jobs come how often, on which workers, and what is cut off.
+//
+// Example:
+//     LoadReplay replay(seed, quickBesideLongPattern(1.0));
+//
+// Thread safety: plain values.
+
+#ifndef PADDLEPIER_PLANNING_LOADPATTERNS_H
+#define PADDLEPIER_PLANNING_LOADPATTERNS_H
+
+#include "paddlepier/base/clock.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace paddlepier::planning
+{
+
+/** One kind of job: a queue and what its jobs are made of. Spreads are uniform. */
+struct LoadKind {
+    std::string queue;
+    std::uint32_t priority = 0;
+    double stretch = 2;
+    std::uint32_t targetLatencyMillis = 1000;
+    double jobsPerSecond = 1;
+    std::uint32_t leastTasks = 1;
+    std::uint32_t mostTasks = 1;
+    std::uint32_t milliProcessors = 1000;
+    std::uint32_t memoryMegabytes = 100;
+    /** One of these for each job. */
+    std::vector<std::uint32_t> accelerators{0};
+    std::uint32_t leastMillis = 500;
+    std::uint32_t mostMillis = 1500;
+    bool isGang = false;
+    /** Share of jobs that save their progress. */
+    double saving = 0;
+    /** Time of an answer of the policy service, for the question and for each worker named; 0 for none. */
+    double decisionMillis = 0;
+    double perWorkerMillis = 0;
+    /** Share of workers that may run a job. */
+    double permitted = 1;
+};
+
+/** A data centre whose workers can't be reached for a while, and go on with what they run. */
+struct LoadCut {
+    std::uint32_t dataCentre = 0;
+    Duration at = absl::InfiniteDuration();
+    Duration duration = absl::Seconds(5);
+};
+
+struct LoadPattern {
+    std::uint32_t workers = 12;
+    std::uint32_t dataCentres = 4;
+    std::uint32_t milliProcessors = 64'000;
+    std::uint32_t memoryMegabytes = 131'072;
+    std::uint32_t accelerators = 8;
+    std::vector<LoadKind> kinds;
+    LoadCut cut;
+};
+
+/**
+ * Workers of 16 processors in five data centres, seven tenths of them in use at @p load 1: quick jobs of many tasks whose callers wait in one
+ * of the data centres, and long jobs that save their progress beside them.
+ */
+inline LoadPattern quickBesideLongPattern(double load)
+{
+    LoadKind quick;
+    quick.queue = "quick";
+    quick.stretch = 1.5;
+    quick.targetLatencyMillis = 250;
+    quick.jobsPerSecond = 21.8 * load;
+    quick.leastTasks = 4;
+    quick.mostTasks = 22;
+    quick.milliProcessors = 3500;
+    quick.leastMillis = 600;
+    quick.mostMillis = 1400;
+    quick.decisionMillis = 33;
+    quick.perWorkerMillis = 0.47;
+    quick.permitted = 0.7;
+    LoadKind longJobs;
+    longJobs.queue = "long";
+    longJobs.priority = 2;
+    longJobs.stretch = 2.2;
+    longJobs.targetLatencyMillis = 1200;
+    longJobs.jobsPerSecond = 4.2 * load;
+    longJobs.leastTasks = 8;
+    longJobs.mostTasks = 44;
+    longJobs.milliProcessors = 4500;
+    longJobs.leastMillis = 3600;
+    longJobs.mostMillis = 8400;
+    longJobs.saving = 0.8;
+    longJobs.decisionMillis = 430;
+    longJobs.perWorkerMillis = 6.1;
+    longJobs.permitted = 0.7;
+    LoadPattern made;
+    made.workers = 350;
+    made.dataCentres = 5;
+    made.milliProcessors = 16'000;
+    made.memoryMegabytes = 32'768;
+    made.accelerators = 0;
+    made.kinds = {quick, longJobs};
+    return made;
+}
+
+/**
+ * Accelerators at some 80 % use if @p load is 1: gangs of one or two tasks that need two, four or all eight accelerators of a worker, and
+ * many small tasks of less urgent jobs that need one.
+ */
+inline LoadPattern wideTasksPattern(double load)
+{
+    LoadKind wide;
+    wide.queue = "wide";
+    wide.priority = 1;
+    wide.stretch = 2.2;
+    wide.jobsPerSecond = 1.84 * load;
+    wide.mostTasks = 2;
+    wide.milliProcessors = 31'000;
+    wide.memoryMegabytes = 45'000;
+    wide.accelerators = {2, 4, 8, 8};
+    wide.leastMillis = 1800;
+    wide.mostMillis = 5400;
+    wide.isGang = true;
+    wide.saving = 0.9;
+    wide.decisionMillis = 490;
+    wide.perWorkerMillis = 7;
+    wide.permitted = 0.35;
+    LoadKind small;
+    small.queue = "small";
+    small.priority = 2;
+    small.stretch = 4;
+    small.targetLatencyMillis = 3000;
+    small.jobsPerSecond = 1.9 * load;
+    small.leastTasks = 1;
+    small.mostTasks = 7;
+    small.milliProcessors = 5600;
+    small.memoryMegabytes = 11'000;
+    small.accelerators = {1};
+    small.leastMillis = 1900;
+    small.mostMillis = 5700;
+    small.saving = 0.8;
+    small.decisionMillis = 140;
+    small.perWorkerMillis = 2;
+    small.permitted = 0.45;
+    LoadPattern made;
+    made.workers = 13;
+    made.kinds = {wide, small};
+    return made;
+}
+
+} // namespace paddlepier::planning
+
+#endif
