--- a/paddlepier/execution/dispatcher.cpp
+++ b/paddlepier/execution/dispatcher.cpp
@@ -331,7 +331,7 @@
     view->second.noteCallEnd(callId);
     if (answer.kind == AnswerKind::OtherLife) {
         log::info("dispatch", "worker.other-life", {{"worker", call.worker}});
-        this->removeWorker(call.worker);
+        this->removeWorker(now, call.worker, LifeEnd::Replaced);
         return;
     }
     if (answer.kind == AnswerKind::Fenced && !view->second.isFenced) {
@@ -339,7 +339,7 @@
         log::warning("dispatch", "worker.fenced", {{"worker", call.worker}, {"fence", this->fence}});
     }
     if (!view->second.hasListed && answer.kind == AnswerKind::Accepted && std::holds_alternative<PollOrder>(call.order)) {
-        this->removeOtherLives(call.worker, call.sentAt);
+        this->removeOtherLives(now, call.worker, call.sentAt);
     }
     if (answer.kind != AnswerKind::NoAnswer && answer.kind != AnswerKind::NotSent) {
         view->second.noteAnswer(now, answer.hasClock ? std::optional(answer.clockMillis) : std::nullopt);
--- a/paddlepier/execution/dispatcher.h
+++ b/paddlepier/execution/dispatcher.h
@@ -168,12 +168,14 @@
     /** Ends runs that a poll's answer, taken at @p now, didn't list and that can't begin any more. */
     void settleVanished(Timestamp now, const std::string &worker, Timestamp pollSentAt);
     void endRuns(const std::string &worker, const std::vector<std::pair<workload::TaskKey, RunTrack>> &ended, work::RunEndKind kind);
-    void removeWorker(const std::string &worker);
+    void removeWorker(Timestamp now, const std::string &worker, LifeEnd why);
+    /** One line that names the runs that went with a worker: what they have in common shows across such lines. */
+    void logLoss(Timestamp now, const std::string &worker, LifeEnd why) const;
     /**
      * @p worker has answered a poll for the first time: other lives at its address or of its machine are over. An announcement
      * proves nothing of the kind, since it may have been held up until after its sender's end.
      */
-    void removeOtherLives(const std::string &worker, Timestamp pollSentAt);
+    void removeOtherLives(Timestamp now, const std::string &worker, Timestamp pollSentAt);
     void dropTracks(const work::RecordEndsT &command);
 
     /** How long an answer may take before its worker is taken to be cut off, or slowed. */
--- a/paddlepier/execution/lives.cpp
+++ b/paddlepier/execution/lives.cpp
@@ -3,7 +3,10 @@
 #include "paddlepier/base/log.h"
 #include "paddlepier/execution/dispatcher.h"
 
+#include <absl/strings/str_cat.h>
+
 #include <algorithm>
+#include <array>
 
 namespace paddlepier::execution
 {
@@ -11,6 +14,9 @@
 namespace
 {
 
+/** Runs that the line of a lost worker names; a worker holds some ten. */
+constexpr std::size_t mostNamedRuns = 40;
+
 /** A life that neither answers nor announces itself for this long, and holds no runs, is over. */
 constexpr Duration forgottenAfter = absl::Seconds(20);
 
@@ -19,6 +25,18 @@
 
 } // namespace
 
+const char *nameOf(LifeEnd why)
+{
+    static constexpr std::array<const char *, 2> names{"replaced", "forgotten"};
+    return names.at(static_cast<std::size_t>(why));
+}
+
+const char *nameOf(RunPhase phase)
+{
+    static constexpr std::array<const char *, 3> names{"starting", "running", "stopping"};
+    return names.at(static_cast<std::size_t>(phase));
+}
+
 void Dispatcher::expireLeases(Timestamp now)
 {
     for (auto &[id, view] : this->views) {
@@ -37,13 +55,40 @@
         const bool isSilent = now - std::max(view.announcedAt, view.lastAnswerAt()) > forgottenAfter;
         if (isSilent && this->state.findWorker(id)->runs.empty()) {
             log::info("dispatch", "worker.forgotten", {{"worker", id}});
-            this->removeWorker(id);
+            this->removeWorker(now, id, LifeEnd::Forgotten);
+        }
+    }
+}
+
+void Dispatcher::logLoss(Timestamp now, const std::string &worker, LifeEnd why) const
+{
+    const auto view = this->views.find(worker);
+    const workload::Worker *record = this->state.findWorker(worker);
+    if (view == this->views.end() || record == nullptr) {
+        return;
+    }
+    const Timestamp answeredAt = view->second.lastAnswerAt();
+    std::string runs;
+    std::size_t named = 0;
+    for (const workload::TaskKey &key : record->runs) {
+        const auto track = this->tracks.find(key);
+        if (track == this->tracks.end() || track->second.worker != worker || ++named > mostNamedRuns) {
+            continue;
         }
+        absl::StrAppend(
+            &runs, " ", key.text(), "#", track->second.run, "/", nameOf(track->second.phase), "/", absl::ToInt64Milliseconds(now - track->second.placedAt));
     }
+    log::info("dispatch",
+              "worker.lost",
+              {{"worker", worker},
+               {"why", nameOf(why)},
+               {"silentMillis", absl::ToInt64Milliseconds(std::min(now - answeredAt, absl::Hours(1)))},
+               {"runs", runs}});
 }
 
-void Dispatcher::removeWorker(const std::string &worker)
+void Dispatcher::removeWorker(Timestamp now, const std::string &worker, LifeEnd why)
 {
+    this->logLoss(now, worker, why);
     for (auto track = this->tracks.begin(); track != this->tracks.end();) {
         track = track->second.worker == worker ? this->tracks.erase(track) : std::next(track);
     }
@@ -58,7 +103,7 @@
     this->propose(ProposalKind::RemoveWorker, worker, std::move(made));
 }
 
-void Dispatcher::removeOtherLives(const std::string &worker, Timestamp pollSentAt)
+void Dispatcher::removeOtherLives(Timestamp now, const std::string &worker, Timestamp pollSentAt)
 {
     const work::RegisterWorkerT &alive = this->state.findWorker(worker)->registration;
     std::vector<std::string> over;
@@ -76,7 +121,7 @@
         }
     }
     for (const std::string &id : over) {
-        this->removeWorker(id);
+        this->removeWorker(now, id, LifeEnd::Replaced);
     }
 }
 
--- a/paddlepier/execution/runtrack.h
+++ b/paddlepier/execution/runtrack.h
@@ -24,6 +24,17 @@
     Stopping
 };
 
+const char *nameOf(RunPhase phase);
+
+/** How the leader came to take a worker's life as over. */
+enum class LifeEnd {
+    /** Another life has answered at its address, or from its machine. */
+    Replaced,
+    /** Silent for long beyond its lease. */
+    Forgotten
+};
+const char *nameOf(LifeEnd why);
+
 enum class StopReason { None, JobEnded, Preempted, StandsStill, WorkerLeaves, StartUnsettled, Disturbs, GangIncomplete };
 const char *nameOf(StopReason reason);
 
