--- a/paddlepier/execution/copies.cpp
+++ b/paddlepier/execution/copies.cpp
@@ -30,6 +30,10 @@
     if (!step.mayRunCopies || step.isGang || step.isLasting || job.hasEnded() || job.task(key).isDone) {
         return false;
     }
+    // Its worker may be silent because the task has taken it down: a copy at once would take the next one down.
+    if (job.task(key).isSuspect()) {
+        return false;
+    }
     const auto &workers = this->state.workers();
     return std::count_if(workers.begin(), workers.end(), [&key](const auto &entry) { return entry.second.superseded.contains(key); }) < mostSuperseded;
 }
@@ -104,6 +108,7 @@
 {
     RunTrack track;
     track.run = run.run;
+    track.isAdopted = true; // whether it has begun isn't known
     return {key, std::move(track)};
 }
 
--- a/paddlepier/execution/crashes_test.cpp
+++ b/paddlepier/execution/crashes_test.cpp
@@ -44,6 +44,48 @@
         this->runFor(absl::Seconds(1));
     }
 
+    /** A job of one step; @p change sets what is special about it. */
+    template<typename Change>
+    void submit(const std::string &id, std::uint32_t tasks, std::uint32_t millis, Change change)
+    {
+        work::SubmitJobT command;
+        command.id = id;
+        command.queue = "quick";
+        command.spec = std::make_unique<work::JobSpecT>();
+        auto &step = command.spec->steps.emplace_back(std::make_unique<work::StepSpecT>());
+        step->count = tasks;
+        step->estimatedMillis = millis;
+        step->demand = std::make_unique<work::Demand>(1000, 100, 0);
+        change(*command.spec, *step);
+        this->apply(std::move(command));
+        this->dispatcher->noteChange();
+    }
+
+    /** Crashes the worker that runs @p task as an accident would. */
+    void crashWorkerOf(const workload::TaskKey &task)
+    {
+        FakeWorkers::Worker &worker = this->workers.workers[this->state.findJob(task.job)->task(task).worker];
+        worker.isCut = true;
+        worker.crashedAt = this->now;
+        this->workers.crash(this->state.findJob(task.job)->task(task).worker);
+    }
+
+    bool isAtWork(const workload::TaskKey &task)
+    {
+        const std::string &worker = this->state.findJob(task.job)->task(task).worker;
+        return !worker.empty() && this->workers.workers[worker].runs.contains(task);
+    }
+
+    /** The job ends as failed, and no task was started more often than it may be. */
+    void checkGivenUp(const std::string &job, Duration patience = absl::Seconds(60))
+    {
+        CHECK(this->runUntil([&] { return this->hasEnded(job); }, patience));
+        this->runFor(absl::Seconds(15));
+        CHECK(this->stateOf(job) == work::JobState::Failed);
+        CHECK(this->state.findJob(job)->failure().reason == work::JobFailureReason::WorkersLost);
+        CHECK(this->workers.problems.empty());
+    }
+
     work::JobState stateOf(const std::string &job) const
     {
         return this->state.findJob(job)->state();
@@ -110,4 +152,193 @@
     CHECK(this->workers.problems.empty());
 }
 
+TEST_CASE_METHOD(CrashFixture, "stepOfManyTasksThatCrash_onManyWorkersAtOnce_isGivenUp")
+{
+    this->addCell(12);
+    this->crashing = {"bad"};
+    this->addJob("bad", 20, 800);
+    this->addJob("good", 20, 800);
+    this->checkGivenUp("bad");
+    CHECK(this->runUntil([this] { return this->isCompleted("good"); }));
+}
+
+TEST_CASE_METHOD(CrashFixture, "taskWithCopiesThatCrashes_isGivenUp")
+{
+    this->addCell(12);
+    this->crashing = {"bad"};
+    this->addJob("bad", 2, 800, 1, true);
+    this->checkGivenUp("bad");
+}
+
+TEST_CASE_METHOD(CrashFixture, "gangWhoseMembersCrashTogether_isGivenUp")
+{
+    this->addCell(12);
+    this->crashing = {"bad"};
+    this->workers.crashesAfter = absl::Milliseconds(500);
+    this->addJob("bad", 5, 1000, 1, false, true);
+    this->checkGivenUp("bad");
+}
+
+TEST_CASE_METHOD(CrashFixture, "repeatedJobThatCrashes_inEachOccurrence_isGivenUp")
+{
+    this->addCell(12);
+    this->crashing = {"bad"};
+    this->submit("bad", 1, 800, [this](work::JobSpecT &spec, work::StepSpecT &) {
+        spec.repetitions = 5;
+        spec.firstDueMillis = absl::ToUnixMillis(this->now);
+        spec.intervalMillis = 4000;
+    });
+    this->checkGivenUp("bad");
+}
+
+TEST_CASE_METHOD(CrashFixture, "lastingTaskThatCrashes_isGivenUp")
+{
+    this->addCell(12);
+    this->crashing = {"bad"};
+    this->submit("bad", 2, 400, [](work::JobSpecT &, work::StepSpecT &step) { step.isLasting = true; });
+    this->checkGivenUp("bad");
+}
+
+TEST_CASE_METHOD(CrashFixture, "taskThatCrashesLate_isGivenUp")
+{
+    this->addCell(12);
+    this->crashing = {"bad"};
+    this->workers.crashesAfter = absl::Seconds(6);
+    this->addJob("bad", 1, 8000);
+    this->checkGivenUp("bad");
+}
+
+TEST_CASE_METHOD(CrashFixture, "taskThatCrashes_whileOrdersGoAstray_isGivenUp")
+{
+    this->addCell(12);
+    this->crashing = {"bad"};
+    this->weather.late = 40;
+    this->weather.lostAfter = 20;
+    this->addJob("bad", 2, 800);
+    this->addJob("good", 12, 800);
+    this->checkGivenUp("bad", absl::Seconds(120));
+}
+
+TEST_CASE_METHOD(CrashFixture, "taskWhoseWorkersNeverComeBack_isGivenUp")
+{
+    this->addCell(12);
+    this->crashing = {"bad"};
+    this->backAfter = absl::Hours(10);
+    this->addJob("bad", 1, 800);
+    this->checkGivenUp("bad", absl::Minutes(5));
+    CHECK(this->workers.starts <= 5);
+}
+
+TEST_CASE_METHOD(CrashFixture, "taskThatCrashes_throughSnapshotsBetweenCrashes_isGivenUp")
+{
+    this->addCell(12);
+    this->crashing = {"bad"};
+    this->addJob("bad", 1, 800);
+    for (int term = 0; term < 6 && !this->hasEnded("bad"); ++term) {
+        this->runFor(absl::Milliseconds(2500));
+        this->state.restore(std::string(this->state.snapshot()));
+        this->newLeader();
+    }
+    this->checkGivenUp("bad");
+}
+
+TEST_CASE_METHOD(CrashFixture, "failedJob_afterASnapshot_stillTellsWhichWorkersWereLost")
+{
+    this->addCell(12);
+    this->crashing = {"bad"};
+    this->addJob("bad", 1, 800);
+    this->checkGivenUp("bad");
+    const std::vector<std::string> lost = this->state.findJob("bad")->failure().lostWorkers;
+    CHECK(lost.size() == workload::enoughLosses);
+    this->state.restore(std::string(this->state.snapshot()));
+    CHECK(this->state.findJob("bad")->failure().lostWorkers == lost);
+    CHECK(this->state.findJob("bad")->failure().text().find(lost.front()) != std::string::npos);
+}
+
+// A job that could be done and is shown as failed is a broken promise.
+TEST_CASE_METHOD(CrashFixture, "lastingTask_whoseWorkersAreLostAfterLongWork_isNeverGivenUp")
+{
+    this->addCell(6);
+    this->submit("watch", 1, 400, [](work::JobSpecT &, work::StepSpecT &step) { step.isLasting = true; });
+    const workload::TaskKey watch("watch", 0, 0, 0);
+    for (int loss = 0; loss < 10; ++loss) {
+        REQUIRE(this->runUntil([&] { return this->isAtWork(watch); }, absl::Seconds(20)));
+        // Twice just after the start, then after long work.
+        this->runFor(loss % 3 == 2 ? absl::Seconds(8) : absl::Milliseconds(500));
+        this->crashWorkerOf(watch);
+        this->runFor(absl::Milliseconds(20));
+    }
+    CHECK(this->runUntil([&] { return this->isAtWork(watch); }, absl::Seconds(20)));
+    CHECK(this->stateOf("watch") == work::JobState::Running);
+}
+
+TEST_CASE_METHOD(CrashFixture, "jobs_besideTasksThatCrash_complete")
+{
+    this->addCell(16);
+    for (int number = 0; number < 6; ++number) {
+        const std::string bad = absl::StrCat("bad-", number);
+        this->crashing.insert(bad);
+        this->addJob(bad, 2, 800);
+        this->addJob(absl::StrCat("good-", number), 8, 1500);
+        this->runFor(absl::Milliseconds(900));
+    }
+    for (int number = 0; number < 6; ++number) {
+        CHECK(this->runUntil([&] { return this->hasEnded(absl::StrCat("bad-", number)); }));
+        CHECK(this->runUntil([&] { return this->hasEnded(absl::StrCat("good-", number)); }));
+        CHECK(this->isCompleted(absl::StrCat("good-", number)));
+    }
+    CHECK(this->workers.problems.empty());
+}
+
+TEST_CASE_METHOD(CrashFixture, "jobs_throughTheLossOfTwoRacks_complete")
+{
+    this->addCell(20);
+    this->addJob("long", 20, 12'000);
+    this->addJob("short", 40, 3000);
+    for (int rack = 0; rack < 2; ++rack) {
+        this->runFor(absl::Seconds(2));
+        for (int number = 0; number < 8; ++number) {
+            const std::string id = absl::StrCat("w", rack * 8 + number);
+            this->workers.workers[id].isCut = true;
+            this->workers.workers[id].crashedAt = this->now;
+            this->workers.crash(id);
+        }
+    }
+    CHECK(this->runUntil([this] { return this->isCompleted("long") && this->isCompleted("short"); }, absl::Seconds(90)));
+    CHECK(this->workers.problems.empty());
+}
+
+TEST_CASE_METHOD(CrashFixture, "workerThatIsDrainedAndLeaves_saysNothingAboutItsTasks")
+{
+    this->addCell(2);
+    this->submit("watch", 1, 400, [](work::JobSpecT &, work::StepSpecT &step) { step.isLasting = true; });
+    const workload::TaskKey watch("watch", 0, 0, 0);
+    REQUIRE(this->runUntil([&] { return this->isAtWork(watch); }, absl::Seconds(5)));
+    const std::string worker = this->state.findJob("watch")->task(watch).worker;
+    work::RegisterWorkerT registration = this->state.findWorker(worker)->registration;
+    registration.isDraining = true;
+    this->apply(std::move(registration));
+    this->crashWorkerOf(watch);
+    CHECK(this->runUntil([&] { return this->state.findWorker(worker) == nullptr; }, absl::Seconds(5)));
+    CHECK(this->state.findJob("watch")->task(watch).lostWorkers.empty());
+}
+
+TEST_CASE_METHOD(CrashFixture, "runsOnAWorkerThatIsCutOff_untilItAnswersAgain_areInDoubtOnly")
+{
+    this->addCell(2);
+    this->addJob("a", 1, 30'000);
+    const workload::TaskKey task("a", 0, 0, 0);
+    REQUIRE(this->runUntil([&] { return this->isAtWork(task); }, absl::Seconds(2)));
+    const std::string worker = this->state.findJob("a")->task(task).worker;
+    this->workers.workers[worker].isCut = true;
+    REQUIRE(this->runUntil([&] { return this->state.findWorker(worker)->lapsed.contains(task); }, absl::Seconds(20)));
+    CHECK(this->state.findJob("a")->task(task).doubtfulWorkers == 1);
+    this->state.restore(std::string(this->state.snapshot()));
+    CHECK(this->state.findJob("a")->task(task).doubtfulWorkers == 1);
+    this->workers.workers[worker].isCut = false;
+    CHECK(this->runUntil([&] { return this->state.findJob("a")->task(task).doubtfulWorkers == 0; }, absl::Seconds(10)));
+    CHECK(this->state.findJob("a")->task(task).lostWorkers.empty());
+    CHECK(this->state.suspects().empty());
+}
+
 } // namespace paddlepier::execution
--- a/paddlepier/execution/dispatcher.cpp
+++ b/paddlepier/execution/dispatcher.cpp
@@ -331,7 +331,7 @@
     view->second.noteCallEnd(callId);
     if (answer.kind == AnswerKind::OtherLife) {
         log::info("dispatch", "worker.other-life", {{"worker", call.worker}});
-        this->removeWorker(now, call.worker, LifeEnd::Replaced);
+        this->removeWorker(now, call.worker, work::LifeEnd::Crashed);
         return;
     }
     if (answer.kind == AnswerKind::Fenced && !view->second.isFenced) {
@@ -369,6 +369,7 @@
         end->run = track.run;
         end->kind = kind;
         end->checkpoint = track.checkpoint;
+        end->atLoss = kind == work::RunEndKind::Expired ? this->atLoss(key, track) : work::RunAtLoss::NotBegun;
     }
     this->dropTracks(record);
     work::CommandUnion command;
@@ -395,6 +396,7 @@
         return;
     }
     if (proposal.kind != ProposalKind::Place) {
+        this->logGivenUp(outcome.givenUp);
         this->mayHaveOtherWorkers = true;
         return;
     }
--- a/paddlepier/execution/dispatcher.h
+++ b/paddlepier/execution/dispatcher.h
@@ -34,6 +34,7 @@
 
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <set>
 #include <string>
 #include <tuple>
@@ -168,9 +169,15 @@
     /** Ends runs that a poll's answer, taken at @p now, didn't list and that can't begin any more. */
     void settleVanished(Timestamp now, const std::string &worker, Timestamp pollSentAt);
     void endRuns(const std::string &worker, const std::vector<std::pair<workload::TaskKey, RunTrack>> &ended, work::RunEndKind kind);
-    void removeWorker(Timestamp now, const std::string &worker, LifeEnd why);
+    /** A life is over; @p how  unless it had said that it would leave. */
+    void removeWorker(Timestamp now, const std::string &worker, work::LifeEnd how);
+    /** What is known of a run whose worker may be lost. */
+    work::RunAtLoss atLoss(const workload::TaskKey &key, const RunTrack &track) const;
+    /** The runs that go with @p worker. */
+    std::vector<std::unique_ptr<work::RunEndT>> lostRuns(const std::string &worker) const;
     /** One line that names the runs that went with a worker: what they have in common shows across such lines. */
-    void logLoss(Timestamp now, const std::string &worker, LifeEnd why) const;
+    void logLoss(Timestamp now, const work::RemoveWorkerT &command) const;
+    void logGivenUp(const std::vector<workload::TaskKey> &tasks) const;
     /**
      * @p worker has answered a poll for the first time: other lives at its address or of its machine are over. An announcement
      * proves nothing of the kind, since it may have been held up until after its sender's end.
--- a/paddlepier/execution/fakeworkers.h
+++ b/paddlepier/execution/fakeworkers.h
@@ -38,9 +38,14 @@
         Timestamp aloneAt = absl::InfiniteFuture();
         /** Another member of its gang has ended. */
         bool isBroken = false;
+        /** Of a lasting task: when it is at work; infinite for any other. */
+        Timestamp atWorkFrom = absl::InfiniteFuture();
 
         std::uint32_t percentAt(Timestamp now) const
         {
+            if (this->atWorkFrom <= now) {
+                return 100;
+            }
             return static_cast<std::uint32_t>(100 * absl::FDivDuration(now - this->startedAt, this->endsAt - this->startedAt));
         }
     };
@@ -299,6 +304,9 @@
         Run run{order.run, now, now + absl::Milliseconds(step.estimatedMillis), absl::InfiniteFuture(), step.demand->milliProcessors()};
         const bool failsInTime = step.isLasting && this->fails && this->fails(order.task, order.run);
         run.endsAt = worker.stalls || (step.isLasting && !failsInTime) ? now + absl::Hours(1000) : run.endsAt;
+        if (step.isLasting) {
+            run.atWorkFrom = now + absl::Milliseconds(step.estimatedMillis);
+        }
         worker.runs[order.task] = run;
         ++this->starts;
         this->noteStartAfterCrashes(order.task);
--- a/paddlepier/execution/lives.cpp
+++ b/paddlepier/execution/lives.cpp
@@ -4,9 +4,11 @@
 #include "paddlepier/execution/dispatcher.h"
 
 #include <absl/strings/str_cat.h>
+#include <absl/strings/str_join.h>
 
 #include <algorithm>
 #include <array>
+#include <iterator>
 
 namespace paddlepier::execution
 {
@@ -25,12 +27,6 @@
 
 } // namespace
 
-const char *nameOf(LifeEnd why)
-{
-    static constexpr std::array<const char *, 2> names{"replaced", "forgotten"};
-    return names.at(static_cast<std::size_t>(why));
-}
-
 const char *nameOf(RunPhase phase)
 {
     static constexpr std::array<const char *, 3> names{"starting", "running", "stopping"};
@@ -55,38 +51,75 @@
         const bool isSilent = now - std::max(view.announcedAt, view.lastAnswerAt()) > forgottenAfter;
         if (isSilent && this->state.findWorker(id)->runs.empty()) {
             log::info("dispatch", "worker.forgotten", {{"worker", id}});
-            this->removeWorker(now, id, LifeEnd::Forgotten);
+            this->removeWorker(now, id, work::LifeEnd::Forgotten);
         }
     }
 }
 
-void Dispatcher::logLoss(Timestamp now, const std::string &worker, LifeEnd why) const
+work::RunAtLoss Dispatcher::atLoss(const workload::TaskKey &key, const RunTrack &track) const
 {
-    const auto view = this->views.find(worker);
+    if (!track.isAdopted && track.startCalls == 0) {
+        return work::RunAtLoss::NotBegun;
+    }
+    const auto view = this->views.find(track.worker);
+    if (view == this->views.end() || !track.isSettledAt(view->second.lastAnswerAt())) {
+        return work::RunAtLoss::Fresh;
+    }
+    return this->state.findJob(key.job)->stepSpec(key.step).isLasting ? work::RunAtLoss::Settled : work::RunAtLoss::AtWork;
+}
+
+std::vector<std::unique_ptr<work::RunEndT>> Dispatcher::lostRuns(const std::string &worker) const
+{
+    std::vector<std::unique_ptr<work::RunEndT>> lost;
+    const auto add = [&lost](const workload::TaskKey &key, std::uint32_t run, work::RunAtLoss atLoss) {
+        auto &end = lost.emplace_back(std::make_unique<work::RunEndT>());
+        end->task = key.record();
+        end->run = run;
+        end->kind = work::RunEndKind::WorkerLost;
+        end->atLoss = atLoss;
+    };
     const workload::Worker *record = this->state.findWorker(worker);
-    if (view == this->views.end() || record == nullptr) {
-        return;
+    if (record == nullptr) {
+        return lost;
     }
-    const Timestamp answeredAt = view->second.lastAnswerAt();
-    std::string runs;
-    std::size_t named = 0;
     for (const workload::TaskKey &key : record->runs) {
         const auto track = this->tracks.find(key);
-        if (track == this->tracks.end() || track->second.worker != worker || ++named > mostNamedRuns) {
-            continue;
+        if (track != this->tracks.end() && track->second.worker == worker) {
+            add(key, track->second.run, this->atLoss(key, track->second));
         }
-        absl::StrAppend(
-            &runs, " ", key.text(), "#", track->second.run, "/", nameOf(track->second.phase), "/", absl::ToInt64Milliseconds(now - track->second.placedAt));
     }
-    log::info(
-        "dispatch",
-        "worker.lost",
-        {{"worker", worker}, {"why", nameOf(why)}, {"silentMillis", absl::ToInt64Milliseconds(std::min(now - answeredAt, absl::Hours(1)))}, {"runs", runs}});
+    for (const auto &[key, run] : record->superseded) {
+        add(key, run.run, work::RunAtLoss::AtWork);
+    }
+    return lost;
+}
+
+void Dispatcher::logLoss(Timestamp now, const work::RemoveWorkerT &command) const
+{
+    std::string runs;
+    for (std::size_t number = 0; number < std::min(command.lost.size(), mostNamedRuns); ++number) {
+        const work::RunEndT &end = *command.lost[number];
+        absl::StrAppend(&runs, " ", workload::TaskKey(*end.task).text(), "#", end.run, "/", work::EnumNameRunAtLoss(end.atLoss));
+    }
+    const auto view = this->views.find(command.id);
+    const Timestamp answeredAt = view == this->views.end() ? now : view->second.lastAnswerAt();
+    log::info("dispatch",
+              "worker.lost",
+              {{"worker", command.id},
+               {"how", work::EnumNameLifeEnd(command.end)},
+               {"silentMillis", absl::ToInt64Milliseconds(std::min(now - answeredAt, absl::Hours(1)))},
+               {"runs", runs}});
 }
 
-void Dispatcher::removeWorker(Timestamp now, const std::string &worker, LifeEnd why)
+void Dispatcher::removeWorker(Timestamp now, const std::string &worker, work::LifeEnd how)
 {
-    this->logLoss(now, worker, why);
+    const workload::Worker *record = this->state.findWorker(worker);
+    const bool hasSaidSo = record != nullptr && record->registration.isDraining;
+    work::RemoveWorkerT command;
+    command.id = worker;
+    command.end = hasSaidSo ? work::LifeEnd::Left : how;
+    command.lost = this->lostRuns(worker);
+    this->logLoss(now, command);
     for (auto track = this->tracks.begin(); track != this->tracks.end();) {
         track = track->second.worker == worker ? this->tracks.erase(track) : std::next(track);
     }
@@ -94,13 +127,19 @@
     if (view != this->views.end()) {
         view->second.isFenced = true; // no more calls to a life that is over
     }
-    work::RemoveWorkerT command;
-    command.id = worker;
     work::CommandUnion made;
     made.Set(std::move(command));
     this->propose(ProposalKind::RemoveWorker, worker, std::move(made));
 }
 
+void Dispatcher::logGivenUp(const std::vector<workload::TaskKey> &tasks) const
+{
+    for (const workload::TaskKey &key : tasks) {
+        const workload::JobFailure &failure = this->state.findJob(key.job)->failure();
+        log::warning("dispatch", "task.given-up", {{"task", key.text()}, {"lostWorkers", absl::StrJoin(failure.lostWorkers, " ")}});
+    }
+}
+
 void Dispatcher::removeOtherLives(Timestamp now, const std::string &worker, Timestamp pollSentAt)
 {
     const work::RegisterWorkerT &alive = this->state.findWorker(worker)->registration;
@@ -119,7 +158,7 @@
         }
     }
     for (const std::string &id : over) {
-        this->removeWorker(now, id, LifeEnd::Replaced);
+        this->removeWorker(now, id, work::LifeEnd::Crashed);
     }
 }
 
--- a/paddlepier/execution/polls.cpp
+++ b/paddlepier/execution/polls.cpp
@@ -144,7 +144,9 @@
 {
     work::RecordEndsT record;
     record.worker = worker;
-    const std::uint64_t recorded = this->state.findWorker(worker)->lastSequence;
+    record.hasAnswered = true;
+    const workload::Worker &known = *this->state.findWorker(worker);
+    const std::uint64_t recorded = known.lastSequence;
     for (const ListedEnd &listed : answer.ended) {
         if (listed.sequence <= recorded) {
             continue;
@@ -157,7 +159,7 @@
         end->checkpoint = listed.checkpoint;
         end->sequence = listed.sequence;
     }
-    if (record.ends.empty()) {
+    if (record.ends.empty() && known.lapsed.empty()) {
         return;
     }
     this->dropTracks(record);
--- a/paddlepier/execution/runtrack.h
+++ b/paddlepier/execution/runtrack.h
@@ -26,14 +26,11 @@
 
 const char *nameOf(RunPhase phase);
 
-/** How the leader came to take a worker's life as over. */
-enum class LifeEnd {
-    /** Another life has answered at its address, or from its machine. */
-    Replaced,
-    /** Silent for long beyond its lease. */
-    Forgotten
-};
-const char *nameOf(LifeEnd why);
+/**
+ * A run that its worker has answered for this long with, since it began, didn't take it down by starting. Longer than the
+ * start-up of a lasting task (4 s), and short enough to keep other work off a worker meanwhile.
+ */
+constexpr Duration settledAfter = absl::Seconds(5);
 
 enum class StopReason { None, JobEnded, Preempted, StandsStill, WorkerLeaves, StartUnsettled, Disturbs, GangIncomplete };
 const char *nameOf(StopReason reason);
@@ -70,6 +67,12 @@
     std::optional<std::uint32_t> pace = 100;
     bool isPaceInFlight = false;
     std::string checkpoint;
+
+    /** It has run for settledAfter at @p then. */
+    bool isSettledAt(Timestamp then) const
+    {
+        return this->runningSince < absl::InfiniteFuture() && then - this->runningSince >= settledAfter;
+    }
 };
 
 using RunTracks = std::map<workload::TaskKey, RunTrack>;
--- a/paddlepier/planning/eligibility.cpp
+++ b/paddlepier/planning/eligibility.cpp
@@ -12,6 +12,9 @@
 
 bool isAcceptable(const Room &room)
 {
+    if (room.isKeptApart) {
+        return false;
+    }
     if (room.view->failedInRow < suspiciousFailures) {
         return true;
     }
--- a/paddlepier/planning/eligibility.h
+++ b/paddlepier/planning/eligibility.h
@@ -24,7 +24,7 @@
 
 /** @param service  number of the step's service among the rooms */
 bool mayRun(const Room &room, const WantedStep &wanted, std::uint32_t service);
-/** It hasn't failed too much lately, or is to show itself. */
+/** It hasn't failed too much lately, or is to show itself; and no task is proving itself there. */
 bool isAcceptable(const Room &room);
 /** The same for a task that may have failed before. */
 bool isTrusted(const Room &room, const workload::Task &task);
--- a/paddlepier/planning/planner.cpp
+++ b/paddlepier/planning/planner.cpp
@@ -20,6 +20,7 @@
     : state(workloadState)
     , views(workerViews)
     , advice(book)
+    , probation(workloadState, runTracks, this->rooms)
     , prospects(usualRatiosByQueue)
     , order(workloadState, this->prospects)
     , keeper(workloadState, runTracks, this->prospects, this->rooms)
@@ -41,6 +42,7 @@
         return plan;
     }
     this->rooms.collect(now, this->state, this->views, this->advice);
+    this->probation.begin(now);
     this->keeper.begin(now, wallMillis);
     for (WantedStep &wanted : steps) {
         this->rooms.beginStep(now, wanted, this->advice);
@@ -100,7 +102,9 @@
     Choice *best = nullptr;
     double least = std::numeric_limits<double>::infinity();
     for (Choice &choice : this->choices) {
-        if (choice.penalty >= least || (!rack.empty() && choice.room->rack() != rack) || !isTrusted(*choice.room, task)) {
+        const double penalty = choice.penalty + Probation::penalty(*choice.room, task);
+        if (penalty >= least || (!rack.empty() && choice.room->rack() != rack) || !isTrusted(*choice.room, task)
+            || !this->probation.mayStart(*choice.room, task, *wanted.step)) {
             continue;
         }
         const auto &superseded = choice.room->worker->superseded;
@@ -108,7 +112,7 @@
             continue;
         }
         best = &choice;
-        least = choice.penalty;
+        least = penalty;
     }
     return best;
 }
@@ -154,6 +158,7 @@
             continue;
         }
         this->take(*choice, wanted, 1);
+        this->probation.noteStart(*choice->room, wanted.progress->tasks[index], *wanted.step);
         plan.placements.push_back(placement(wanted, index, choice->room->id()));
     }
     wanted.tasks = std::move(left);
--- a/paddlepier/planning/planner.h
+++ b/paddlepier/planning/planner.h
@@ -3,7 +3,7 @@
 // A plan is made from the ledger and from what the leader knows of the workers; nothing is changed by making it. It is a
 // sequence of decisions, each with its own part:
 //  - in which order steps are taken (steporder.h);
-//  - who may get a task (eligibility.h), and which of the workers with room is taken (suitability.h): here;
+//  - who may get a task (eligibility.h, and probation.h for one that may take workers down), and which of the workers with room is taken (suitability.h): here;
 //  - where room for wide tasks comes soonest, and is kept (roomkeeping.h);
 //  - what to ask the policy service, and which room to keep until it answers (asking.h);
 //  - which runs make way (makingway.h).
@@ -27,6 +27,7 @@
 #include "paddlepier/planning/homes.h"
 #include "paddlepier/planning/makingway.h"
 #include "paddlepier/planning/outlook.h"
+#include "paddlepier/planning/probation.h"
 #include "paddlepier/planning/roomkeeping.h"
 #include "paddlepier/planning/rooms.h"
 #include "paddlepier/planning/steporder.h"
@@ -94,6 +95,7 @@
     const std::map<std::string, execution::WorkerView> &views;
     AdviceBook &advice;
     Rooms rooms;
+    Probation probation;
     Homes homes;
     Prospects prospects;
     StepOrder order;
--- a/paddlepier/planning/suitability.h
+++ b/paddlepier/planning/suitability.h
@@ -41,6 +41,10 @@
     bool isSpare = false;
     /** Its last runs failed, but its time out is over. */
     bool isOnProbation = false;
+    /** Runs there that haven't worked for long yet, of tasks under which workers were lost. */
+    std::uint32_t suspects = 0;
+    /** One of them is to show whether its task is the cause: nothing else goes there meanwhile. */
+    bool isKeptApart = false;
     std::int64_t processors = 0;
     std::int64_t memory = 0;
     std::int64_t accelerators = 0;
--- a/paddlepier/wire/workload_generated.h
+++ b/paddlepier/wire/workload_generated.h
@@ -94,6 +94,10 @@
 struct OccurrenceRecordBuilder;
 struct OccurrenceRecordT;
 
+struct JobFailure;
+struct JobFailureBuilder;
+struct JobFailureT;
+
 struct JobRecord;
 struct JobRecordBuilder;
 struct JobRecordT;
@@ -237,6 +241,119 @@
   return EnumNamesRunEndKind()[index];
 }
 
+/// What is known of a run when its worker is lost.
+enum class RunAtLoss : uint8_t {
+  /// No start of it was sent, or nothing is known: it says nothing about its task.
+  NotBegun = 0,
+  /// A lasting run that had been at work: losses of workers before it weren't its task's doing.
+  Settled = 1,
+  /// It had been at work for a while: the loss counts, but doesn't show its cause.
+  AtWork = 2,
+  /// It had just been started, as far as is known.
+  Fresh = 3,
+  MIN = NotBegun,
+  MAX = Fresh
+};
+
+inline const RunAtLoss (&EnumValuesRunAtLoss())[4] {
+  static const RunAtLoss values[] = {
+    RunAtLoss::NotBegun,
+    RunAtLoss::Settled,
+    RunAtLoss::AtWork,
+    RunAtLoss::Fresh
+  };
+  return values;
+}
+
+inline const char * const *EnumNamesRunAtLoss() {
+  static const char * const names[5] = {
+    "NotBegun",
+    "Settled",
+    "AtWork",
+    "Fresh",
+    nullptr
+  };
+  return names;
+}
+
+inline const char *EnumNameRunAtLoss(RunAtLoss e) {
+  if (flatbuffers::IsOutRange(e, RunAtLoss::NotBegun, RunAtLoss::Fresh)) return "";
+  const size_t index = static_cast<size_t>(e);
+  return EnumNamesRunAtLoss()[index];
+}
+
+/// How a worker's life came to its end.
+enum class LifeEnd : uint8_t {
+  /// It had said that it would leave; also what an entry without this field means.
+  Left = 0,
+  /// Another life has answered at its address, or on its machine.
+  Crashed = 1,
+  /// Silent for long beyond its lease.
+  Forgotten = 2,
+  MIN = Left,
+  MAX = Forgotten
+};
+
+inline const LifeEnd (&EnumValuesLifeEnd())[3] {
+  static const LifeEnd values[] = {
+    LifeEnd::Left,
+    LifeEnd::Crashed,
+    LifeEnd::Forgotten
+  };
+  return values;
+}
+
+inline const char * const *EnumNamesLifeEnd() {
+  static const char * const names[4] = {
+    "Left",
+    "Crashed",
+    "Forgotten",
+    nullptr
+  };
+  return names;
+}
+
+inline const char *EnumNameLifeEnd(LifeEnd e) {
+  if (flatbuffers::IsOutRange(e, LifeEnd::Left, LifeEnd::Forgotten)) return "";
+  const size_t index = static_cast<size_t>(e);
+  return EnumNamesLifeEnd()[index];
+}
+
+enum class JobFailureReason : uint8_t {
+  None = 0,
+  /// A task, or a gang, has failed as often as its queue allows.
+  AttemptsUsedUp = 1,
+  /// Worker after worker was lost under a task.
+  WorkersLost = 2,
+  MIN = None,
+  MAX = WorkersLost
+};
+
+inline const JobFailureReason (&EnumValuesJobFailureReason())[3] {
+  static const JobFailureReason values[] = {
+    JobFailureReason::None,
+    JobFailureReason::AttemptsUsedUp,
+    JobFailureReason::WorkersLost
+  };
+  return values;
+}
+
+inline const char * const *EnumNamesJobFailureReason() {
+  static const char * const names[4] = {
+    "None",
+    "AttemptsUsedUp",
+    "WorkersLost",
+    nullptr
+  };
+  return names;
+}
+
+inline const char *EnumNameJobFailureReason(JobFailureReason e) {
+  if (flatbuffers::IsOutRange(e, JobFailureReason::None, JobFailureReason::WorkersLost)) return "";
+  const size_t index = static_cast<size_t>(e);
+  return EnumNamesJobFailureReason()[index];
+}
+
 enum class JobState : uint8_t {
   Queued = 0,
   Running = 1,
@@ -2181,6 +2298,7 @@
   paddlepier::work::RunEndKind kind = paddlepier::work::RunEndKind::Done;
   std::string checkpoint{};
   uint64_t sequence = 0;
+  paddlepier::work::RunAtLoss atLoss = paddlepier::work::RunAtLoss::NotBegun;
   RunEndT() = default;
   RunEndT(const RunEndT &o);
   RunEndT(RunEndT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -2199,7 +2317,8 @@
     VT_RUN = 6,
     VT_KIND = 8,
     VT_CHECKPOINT = 10,
-    VT_SEQUENCE = 12
+    VT_SEQUENCE = 12,
+    VT_ATLOSS = 14
   };
   const paddlepier::work::TaskKey *task() const {
     return GetPointer<const paddlepier::work::TaskKey *>(VT_TASK);
@@ -2217,6 +2336,10 @@
   uint64_t sequence() const {
     return GetField<uint64_t>(VT_SEQUENCE, 0);
   }
+  /// Of an end that the leader found on a worker that doesn't answer.
+  paddlepier::work::RunAtLoss atLoss() const {
+    return static_cast<paddlepier::work::RunAtLoss>(GetField<uint8_t>(VT_ATLOSS, 0));
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_TASK) &&
@@ -2226,6 +2349,7 @@
            VerifyOffset(verifier, VT_CHECKPOINT) &&
            verifier.VerifyString(checkpoint()) &&
            VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
+           VerifyField<uint8_t>(verifier, VT_ATLOSS, 1) &&
            verifier.EndTable();
   }
   RunEndT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2252,6 +2376,9 @@
   void add_sequence(uint64_t sequence) {
     fbb_.AddElement<uint64_t>(RunEnd::VT_SEQUENCE, sequence, 0);
   }
+  void add_atLoss(paddlepier::work::RunAtLoss atLoss) {
+    fbb_.AddElement<uint8_t>(RunEnd::VT_ATLOSS, static_cast<uint8_t>(atLoss), 0);
+  }
   explicit RunEndBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2269,12 +2396,14 @@
     uint32_t run = 0,
     paddlepier::work::RunEndKind kind = paddlepier::work::RunEndKind::Done,
     flatbuffers::Offset<flatbuffers::String> checkpoint = 0,
-    uint64_t sequence = 0) {
+    uint64_t sequence = 0,
+    paddlepier::work::RunAtLoss atLoss = paddlepier::work::RunAtLoss::NotBegun) {
   RunEndBuilder builder_(_fbb);
   builder_.add_sequence(sequence);
   builder_.add_checkpoint(checkpoint);
   builder_.add_run(run);
   builder_.add_task(task);
+  builder_.add_atLoss(atLoss);
   builder_.add_kind(kind);
   return builder_.Finish();
 }
@@ -2290,7 +2419,8 @@
     uint32_t run = 0,
     paddlepier::work::RunEndKind kind = paddlepier::work::RunEndKind::Done,
     const char *checkpoint = nullptr,
-    uint64_t sequence = 0) {
+    uint64_t sequence = 0,
+    paddlepier::work::RunAtLoss atLoss = paddlepier::work::RunAtLoss::NotBegun) {
   auto checkpoint__ = checkpoint ? _fbb.CreateString(checkpoint) : 0;
   return paddlepier::work::CreateRunEnd(
       _fbb,
@@ -2298,7 +2428,8 @@
       run,
       kind,
       checkpoint__,
-      sequence);
+      sequence,
+      atLoss);
 }
 
 flatbuffers::Offset<RunEnd> CreateRunEnd(flatbuffers::FlatBufferBuilder &_fbb, const RunEndT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -2310,6 +2441,7 @@
   }
   std::string worker{};
   std::vector<std::unique_ptr<paddlepier::work::RunEndT>> ends{};
+  bool hasAnswered = false;
   RecordEndsT() = default;
   RecordEndsT(const RecordEndsT &o);
   RecordEndsT(RecordEndsT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -2325,7 +2457,8 @@
   }
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_WORKER = 4,
-    VT_ENDS = 6
+    VT_ENDS = 6,
+    VT_HASANSWERED = 8
   };
   const flatbuffers::String *worker() const {
     return GetPointer<const flatbuffers::String *>(VT_WORKER);
@@ -2333,6 +2466,10 @@
   const flatbuffers::Vector<flatbuffers::Offset<paddlepier::work::RunEnd>> *ends() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<paddlepier::work::RunEnd>> *>(VT_ENDS);
   }
+  /// The worker itself has answered: it wasn't lost.
+  bool hasAnswered() const {
+    return GetField<uint8_t>(VT_HASANSWERED, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_WORKER) &&
@@ -2340,6 +2477,7 @@
            VerifyOffset(verifier, VT_ENDS) &&
            verifier.VerifyVector(ends()) &&
            verifier.VerifyVectorOfTables(ends()) &&
+           VerifyField<uint8_t>(verifier, VT_HASANSWERED, 1) &&
            verifier.EndTable();
   }
   RecordEndsT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2357,6 +2495,9 @@
   void add_ends(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<paddlepier::work::RunEnd>>> ends) {
     fbb_.AddOffset(RecordEnds::VT_ENDS, ends);
   }
+  void add_hasAnswered(bool hasAnswered) {
+    fbb_.AddElement<uint8_t>(RecordEnds::VT_HASANSWERED, static_cast<uint8_t>(hasAnswered), 0);
+  }
   explicit RecordEndsBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2371,10 +2512,12 @@
 inline flatbuffers::Offset<RecordEnds> CreateRecordEnds(
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::String> worker = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<paddlepier::work::RunEnd>>> ends = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<paddlepier::work::RunEnd>>> ends = 0,
+    bool hasAnswered = false) {
   RecordEndsBuilder builder_(_fbb);
   builder_.add_ends(ends);
   builder_.add_worker(worker);
+  builder_.add_hasAnswered(hasAnswered);
   return builder_.Finish();
 }
 
@@ -2386,13 +2529,15 @@
 inline flatbuffers::Offset<RecordEnds> CreateRecordEndsDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     const char *worker = nullptr,
-    const std::vector<flatbuffers::Offset<paddlepier::work::RunEnd>> *ends = nullptr) {
+    const std::vector<flatbuffers::Offset<paddlepier::work::RunEnd>> *ends = nullptr,
+    bool hasAnswered = false) {
   auto worker__ = worker ? _fbb.CreateString(worker) : 0;
   auto ends__ = ends ? _fbb.CreateVector<flatbuffers::Offset<paddlepier::work::RunEnd>>(*ends) : 0;
   return paddlepier::work::CreateRecordEnds(
       _fbb,
       worker__,
-      ends__);
+      ends__,
+      hasAnswered);
 }
 
 flatbuffers::Offset<RecordEnds> CreateRecordEnds(flatbuffers::FlatBufferBuilder &_fbb, const RecordEndsT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -2584,6 +2729,12 @@
     return "paddlepier.work.RemoveWorkerT";
   }
   std::string id{};
+  paddlepier::work::LifeEnd end = paddlepier::work::LifeEnd::Left;
+  std::vector<std::unique_ptr<paddlepier::work::RunEndT>> lost{};
+  RemoveWorkerT() = default;
+  RemoveWorkerT(const RemoveWorkerT &o);
+  RemoveWorkerT(RemoveWorkerT&&) FLATBUFFERS_NOEXCEPT = default;
+  RemoveWorkerT &operator=(RemoveWorkerT o) FLATBUFFERS_NOEXCEPT;
 };
 
 /// The life is over: nothing of it runs any more.
@@ -2595,15 +2746,28 @@
     return "paddlepier.work.RemoveWorker";
   }
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_ID = 4
+    VT_ID = 4,
+    VT_END = 6,
+    VT_LOST = 8
   };
   const flatbuffers::String *id() const {
     return GetPointer<const flatbuffers::String *>(VT_ID);
   }
+  paddlepier::work::LifeEnd end() const {
+    return static_cast<paddlepier::work::LifeEnd>(GetField<uint8_t>(VT_END, 0));
+  }
+  /// What is known of the runs that went with it.
+  const flatbuffers::Vector<flatbuffers::Offset<paddlepier::work::RunEnd>> *lost() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<paddlepier::work::RunEnd>> *>(VT_LOST);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_ID) &&
            verifier.VerifyString(id()) &&
+           VerifyField<uint8_t>(verifier, VT_END, 1) &&
+           VerifyOffset(verifier, VT_LOST) &&
+           verifier.VerifyVector(lost()) &&
+           verifier.VerifyVectorOfTables(lost()) &&
            verifier.EndTable();
   }
   RemoveWorkerT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2618,6 +2782,12 @@
   void add_id(flatbuffers::Offset<flatbuffers::String> id) {
     fbb_.AddOffset(RemoveWorker::VT_ID, id);
   }
+  void add_end(paddlepier::work::LifeEnd end) {
+    fbb_.AddElement<uint8_t>(RemoveWorker::VT_END, static_cast<uint8_t>(end), 0);
+  }
+  void add_lost(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<paddlepier::work::RunEnd>>> lost) {
+    fbb_.AddOffset(RemoveWorker::VT_LOST, lost);
+  }
   explicit RemoveWorkerBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2631,9 +2801,13 @@
 
 inline flatbuffers::Offset<RemoveWorker> CreateRemoveWorker(
     flatbuffers::FlatBufferBuilder &_fbb,
-    flatbuffers::Offset<flatbuffers::String> id = 0) {
+    flatbuffers::Offset<flatbuffers::String> id = 0,
+    paddlepier::work::LifeEnd end = paddlepier::work::LifeEnd::Left,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<paddlepier::work::RunEnd>>> lost = 0) {
   RemoveWorkerBuilder builder_(_fbb);
+  builder_.add_lost(lost);
   builder_.add_id(id);
+  builder_.add_end(end);
   return builder_.Finish();
 }
 
@@ -2644,11 +2818,16 @@
 
 inline flatbuffers::Offset<RemoveWorker> CreateRemoveWorkerDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
-    const char *id = nullptr) {
+    const char *id = nullptr,
+    paddlepier::work::LifeEnd end = paddlepier::work::LifeEnd::Left,
+    const std::vector<flatbuffers::Offset<paddlepier::work::RunEnd>> *lost = nullptr) {
   auto id__ = id ? _fbb.CreateString(id) : 0;
+  auto lost__ = lost ? _fbb.CreateVector<flatbuffers::Offset<paddlepier::work::RunEnd>>(*lost) : 0;
   return paddlepier::work::CreateRemoveWorker(
       _fbb,
-      id__);
+      id__,
+      end,
+      lost__);
 }
 
 flatbuffers::Offset<RemoveWorker> CreateRemoveWorker(flatbuffers::FlatBufferBuilder &_fbb, const RemoveWorkerT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -2802,6 +2981,7 @@
   uint32_t failures = 0;
   std::string checkpoint{};
   bool everStarted = false;
+  std::vector<std::string> lostWorkers{};
 };
 
 struct TaskRecord FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -2818,7 +2998,8 @@
     VT_WORKER = 10,
     VT_FAILURES = 12,
     VT_CHECKPOINT = 14,
-    VT_EVERSTARTED = 16
+    VT_EVERSTARTED = 16,
+    VT_LOSTWORKERS = 18
   };
   uint32_t index() const {
     return GetField<uint32_t>(VT_INDEX, 0);
@@ -2843,6 +3024,10 @@
   bool everStarted() const {
     return GetField<uint8_t>(VT_EVERSTARTED, 0) != 0;
   }
+  /// Workers lost under it; none are known of where an older snapshot leaves them out.
+  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *lostWorkers() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_LOSTWORKERS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint32_t>(verifier, VT_INDEX, 4) &&
@@ -2854,6 +3039,9 @@
            VerifyOffset(verifier, VT_CHECKPOINT) &&
            verifier.VerifyString(checkpoint()) &&
            VerifyField<uint8_t>(verifier, VT_EVERSTARTED, 1) &&
+           VerifyOffset(verifier, VT_LOSTWORKERS) &&
+           verifier.VerifyVector(lostWorkers()) &&
+           verifier.VerifyVectorOfStrings(lostWorkers()) &&
            verifier.EndTable();
   }
   TaskRecordT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2886,6 +3074,9 @@
   void add_everStarted(bool everStarted) {
     fbb_.AddElement<uint8_t>(TaskRecord::VT_EVERSTARTED, static_cast<uint8_t>(everStarted), 0);
   }
+  void add_lostWorkers(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> lostWorkers) {
+    fbb_.AddOffset(TaskRecord::VT_LOSTWORKERS, lostWorkers);
+  }
   explicit TaskRecordBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2905,8 +3096,10 @@
     flatbuffers::Offset<flatbuffers::String> worker = 0,
     uint32_t failures = 0,
     flatbuffers::Offset<flatbuffers::String> checkpoint = 0,
-    bool everStarted = false) {
+    bool everStarted = false,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> lostWorkers = 0) {
   TaskRecordBuilder builder_(_fbb);
+  builder_.add_lostWorkers(lostWorkers);
   builder_.add_checkpoint(checkpoint);
   builder_.add_failures(failures);
   builder_.add_worker(worker);
@@ -2930,9 +3123,11 @@
     const char *worker = nullptr,
     uint32_t failures = 0,
     const char *checkpoint = nullptr,
-    bool everStarted = false) {
+    bool everStarted = false,
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *lostWorkers = nullptr) {
   auto worker__ = worker ? _fbb.CreateString(worker) : 0;
   auto checkpoint__ = checkpoint ? _fbb.CreateString(checkpoint) : 0;
+  auto lostWorkers__ = lostWorkers ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*lostWorkers) : 0;
   return paddlepier::work::CreateTaskRecord(
       _fbb,
       index,
@@ -2941,7 +3136,8 @@
       worker__,
       failures,
       checkpoint__,
-      everStarted);
+      everStarted,
+      lostWorkers__);
 }
 
 flatbuffers::Offset<TaskRecord> CreateTaskRecord(flatbuffers::FlatBufferBuilder &_fbb, const TaskRecordT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -3131,6 +3327,113 @@
 
 flatbuffers::Offset<OccurrenceRecord> CreateOccurrenceRecord(flatbuffers::FlatBufferBuilder &_fbb, const OccurrenceRecordT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct JobFailureT : public flatbuffers::NativeTable {
+  typedef JobFailure TableType;
+  static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
+    return "paddlepier.work.JobFailureT";
+  }
+  paddlepier::work::JobFailureReason reason = paddlepier::work::JobFailureReason::None;
+  std::unique_ptr<paddlepier::work::TaskKeyT> task{};
+  std::vector<std::string> lostWorkers{};
+  JobFailureT() = default;
+  JobFailureT(const JobFailureT &o);
+  JobFailureT(JobFailureT&&) FLATBUFFERS_NOEXCEPT = default;
+  JobFailureT &operator=(JobFailureT o) FLATBUFFERS_NOEXCEPT;
+};
+
+/// Why a job has failed.
+struct JobFailure FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef JobFailureT NativeTableType;
+  typedef JobFailureBuilder Builder;
+  struct Traits;
+  static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
+    return "paddlepier.work.JobFailure";
+  }
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_REASON = 4,
+    VT_TASK = 6,
+    VT_LOSTWORKERS = 8
+  };
+  paddlepier::work::JobFailureReason reason() const {
+    return static_cast<paddlepier::work::JobFailureReason>(GetField<uint8_t>(VT_REASON, 0));
+  }
+  const paddlepier::work::TaskKey *task() const {
+    return GetPointer<const paddlepier::work::TaskKey *>(VT_TASK);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *lostWorkers() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_LOSTWORKERS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint8_t>(verifier, VT_REASON, 1) &&
+           VerifyOffset(verifier, VT_TASK) &&
+           verifier.VerifyTable(task()) &&
+           VerifyOffset(verifier, VT_LOSTWORKERS) &&
+           verifier.VerifyVector(lostWorkers()) &&
+           verifier.VerifyVectorOfStrings(lostWorkers()) &&
+           verifier.EndTable();
+  }
+  JobFailureT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(JobFailureT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<JobFailure> Pack(flatbuffers::FlatBufferBuilder &_fbb, const JobFailureT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct JobFailureBuilder {
+  typedef JobFailure Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_reason(paddlepier::work::JobFailureReason reason) {
+    fbb_.AddElement<uint8_t>(JobFailure::VT_REASON, static_cast<uint8_t>(reason), 0);
+  }
+  void add_task(flatbuffers::Offset<paddlepier::work::TaskKey> task) {
+    fbb_.AddOffset(JobFailure::VT_TASK, task);
+  }
+  void add_lostWorkers(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> lostWorkers) {
+    fbb_.AddOffset(JobFailure::VT_LOSTWORKERS, lostWorkers);
+  }
+  explicit JobFailureBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<JobFailure> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<JobFailure>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<JobFailure> CreateJobFailure(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    paddlepier::work::JobFailureReason reason = paddlepier::work::JobFailureReason::None,
+    flatbuffers::Offset<paddlepier::work::TaskKey> task = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> lostWorkers = 0) {
+  JobFailureBuilder builder_(_fbb);
+  builder_.add_lostWorkers(lostWorkers);
+  builder_.add_task(task);
+  builder_.add_reason(reason);
+  return builder_.Finish();
+}
+
+struct JobFailure::Traits {
+  using type = JobFailure;
+  static auto constexpr Create = CreateJobFailure;
+};
+
+inline flatbuffers::Offset<JobFailure> CreateJobFailureDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    paddlepier::work::JobFailureReason reason = paddlepier::work::JobFailureReason::None,
+    flatbuffers::Offset<paddlepier::work::TaskKey> task = 0,
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *lostWorkers = nullptr) {
+  auto lostWorkers__ = lostWorkers ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*lostWorkers) : 0;
+  return paddlepier::work::CreateJobFailure(
+      _fbb,
+      reason,
+      task,
+      lostWorkers__);
+}
+
+flatbuffers::Offset<JobFailure> CreateJobFailure(flatbuffers::FlatBufferBuilder &_fbb, const JobFailureT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct JobRecordT : public flatbuffers::NativeTable {
   typedef JobRecord TableType;
   static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
@@ -3144,6 +3447,7 @@
   int64_t submittedAtMillis = 0;
   int64_t endedAtMillis = 0;
   std::vector<std::unique_ptr<paddlepier::work::OccurrenceRecordT>> occurrences{};
+  std::unique_ptr<paddlepier::work::JobFailureT> failure{};
   JobRecordT() = default;
   JobRecordT(const JobRecordT &o);
   JobRecordT(JobRecordT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -3165,7 +3469,8 @@
     VT_ISCANCELLED = 12,
     VT_SUBMITTEDATMILLIS = 14,
     VT_ENDEDATMILLIS = 16,
-    VT_OCCURRENCES = 18
+    VT_OCCURRENCES = 18,
+    VT_FAILURE = 20
   };
   const flatbuffers::String *id() const {
     return GetPointer<const flatbuffers::String *>(VT_ID);
@@ -3192,6 +3497,10 @@
   const flatbuffers::Vector<flatbuffers::Offset<paddlepier::work::OccurrenceRecord>> *occurrences() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<paddlepier::work::OccurrenceRecord>> *>(VT_OCCURRENCES);
   }
+  /// Missing while the job hasn't failed, and in older snapshots.
+  const paddlepier::work::JobFailure *failure() const {
+    return GetPointer<const paddlepier::work::JobFailure *>(VT_FAILURE);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_ID) &&
@@ -3207,6 +3516,8 @@
            VerifyOffset(verifier, VT_OCCURRENCES) &&
            verifier.VerifyVector(occurrences()) &&
            verifier.VerifyVectorOfTables(occurrences()) &&
+           VerifyOffset(verifier, VT_FAILURE) &&
+           verifier.VerifyTable(failure()) &&
            verifier.EndTable();
   }
   JobRecordT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3242,6 +3553,9 @@
   void add_occurrences(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<paddlepier::work::OccurrenceRecord>>> occurrences) {
     fbb_.AddOffset(JobRecord::VT_OCCURRENCES, occurrences);
   }
+  void add_failure(flatbuffers::Offset<paddlepier::work::JobFailure> failure) {
+    fbb_.AddOffset(JobRecord::VT_FAILURE, failure);
+  }
   explicit JobRecordBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3262,10 +3576,12 @@
     bool isCancelled = false,
     int64_t submittedAtMillis = 0,
     int64_t endedAtMillis = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<paddlepier::work::OccurrenceRecord>>> occurrences = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<paddlepier::work::OccurrenceRecord>>> occurrences = 0,
+    flatbuffers::Offset<paddlepier::work::JobFailure> failure = 0) {
   JobRecordBuilder builder_(_fbb);
   builder_.add_endedAtMillis(endedAtMillis);
   builder_.add_submittedAtMillis(submittedAtMillis);
+  builder_.add_failure(failure);
   builder_.add_occurrences(occurrences);
   builder_.add_spec(spec);
   builder_.add_queue(queue);
@@ -3289,7 +3605,8 @@
     bool isCancelled = false,
     int64_t submittedAtMillis = 0,
     int64_t endedAtMillis = 0,
-    const std::vector<flatbuffers::Offset<paddlepier::work::OccurrenceRecord>> *occurrences = nullptr) {
+    const std::vector<flatbuffers::Offset<paddlepier::work::OccurrenceRecord>> *occurrences = nullptr,
+    flatbuffers::Offset<paddlepier::work::JobFailure> failure = 0) {
   auto id__ = id ? _fbb.CreateString(id) : 0;
   auto occurrences__ = occurrences ? _fbb.CreateVector<flatbuffers::Offset<paddlepier::work::OccurrenceRecord>>(*occurrences) : 0;
   return paddlepier::work::CreateJobRecord(
@@ -3301,7 +3618,8 @@
       isCancelled,
       submittedAtMillis,
       endedAtMillis,
-      occurrences__);
+      occurrences__,
+      failure);
 }
 
 flatbuffers::Offset<JobRecord> CreateJobRecord(flatbuffers::FlatBufferBuilder &_fbb, const JobRecordT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -3406,6 +3724,7 @@
   std::unique_ptr<paddlepier::work::RegisterWorkerT> registration{};
   uint64_t lastSequence = 0;
   std::vector<std::unique_ptr<paddlepier::work::CopyRecordT>> copies{};
+  std::vector<std::unique_ptr<paddlepier::work::TaskKeyT>> lapsed{};
   WorkerRecordT() = default;
   WorkerRecordT(const WorkerRecordT &o);
   WorkerRecordT(WorkerRecordT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -3422,7 +3741,8 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_REGISTRATION = 4,
     VT_LASTSEQUENCE = 6,
-    VT_COPIES = 8
+    VT_COPIES = 8,
+    VT_LAPSED = 10
   };
   const paddlepier::work::RegisterWorker *registration() const {
     return GetPointer<const paddlepier::work::RegisterWorker *>(VT_REGISTRATION);
@@ -3433,6 +3753,10 @@
   const flatbuffers::Vector<flatbuffers::Offset<paddlepier::work::CopyRecord>> *copies() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<paddlepier::work::CopyRecord>> *>(VT_COPIES);
   }
+  /// Tasks whose run there was given up with its lease, while it isn't known whether the worker is lost or cut off.
+  const flatbuffers::Vector<flatbuffers::Offset<paddlepier::work::TaskKey>> *lapsed() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<paddlepier::work::TaskKey>> *>(VT_LAPSED);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_REGISTRATION) &&
@@ -3441,6 +3765,9 @@
            VerifyOffset(verifier, VT_COPIES) &&
            verifier.VerifyVector(copies()) &&
            verifier.VerifyVectorOfTables(copies()) &&
+           VerifyOffset(verifier, VT_LAPSED) &&
+           verifier.VerifyVector(lapsed()) &&
+           verifier.VerifyVectorOfTables(lapsed()) &&
            verifier.EndTable();
   }
   WorkerRecordT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3461,6 +3788,9 @@
   void add_copies(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<paddlepier::work::CopyRecord>>> copies) {
     fbb_.AddOffset(WorkerRecord::VT_COPIES, copies);
   }
+  void add_lapsed(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<paddlepier::work::TaskKey>>> lapsed) {
+    fbb_.AddOffset(WorkerRecord::VT_LAPSED, lapsed);
+  }
   explicit WorkerRecordBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3476,9 +3806,11 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<paddlepier::work::RegisterWorker> registration = 0,
     uint64_t lastSequence = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<paddlepier::work::CopyRecord>>> copies = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<paddlepier::work::CopyRecord>>> copies = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<paddlepier::work::TaskKey>>> lapsed = 0) {
   WorkerRecordBuilder builder_(_fbb);
   builder_.add_lastSequence(lastSequence);
+  builder_.add_lapsed(lapsed);
   builder_.add_copies(copies);
   builder_.add_registration(registration);
   return builder_.Finish();
@@ -3493,13 +3825,16 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<paddlepier::work::RegisterWorker> registration = 0,
     uint64_t lastSequence = 0,
-    const std::vector<flatbuffers::Offset<paddlepier::work::CopyRecord>> *copies = nullptr) {
+    const std::vector<flatbuffers::Offset<paddlepier::work::CopyRecord>> *copies = nullptr,
+    const std::vector<flatbuffers::Offset<paddlepier::work::TaskKey>> *lapsed = nullptr) {
   auto copies__ = copies ? _fbb.CreateVector<flatbuffers::Offset<paddlepier::work::CopyRecord>>(*copies) : 0;
+  auto lapsed__ = lapsed ? _fbb.CreateVector<flatbuffers::Offset<paddlepier::work::TaskKey>>(*lapsed) : 0;
   return paddlepier::work::CreateWorkerRecord(
       _fbb,
       registration,
       lastSequence,
-      copies__);
+      copies__,
+      lapsed__);
 }
 
 flatbuffers::Offset<WorkerRecord> CreateWorkerRecord(flatbuffers::FlatBufferBuilder &_fbb, const WorkerRecordT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -5928,7 +6263,8 @@
         run(o.run),
         kind(o.kind),
         checkpoint(o.checkpoint),
-        sequence(o.sequence) {
+        sequence(o.sequence),
+        atLoss(o.atLoss) {
 }
 
 inline RunEndT &RunEndT::operator=(RunEndT o) FLATBUFFERS_NOEXCEPT {
@@ -5937,6 +6273,7 @@
   std::swap(kind, o.kind);
   std::swap(checkpoint, o.checkpoint);
   std::swap(sequence, o.sequence);
+  std::swap(atLoss, o.atLoss);
   return *this;
 }
 
@@ -5954,6 +6291,7 @@
   { auto _e = kind(); _o->kind = _e; }
   { auto _e = checkpoint(); if (_e) _o->checkpoint = _e->str(); }
   { auto _e = sequence(); _o->sequence = _e; }
+  { auto _e = atLoss(); _o->atLoss = _e; }
 }
 
 inline flatbuffers::Offset<RunEnd> RunEnd::Pack(flatbuffers::FlatBufferBuilder &_fbb, const RunEndT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -5969,17 +6307,20 @@
   auto _kind = _o->kind;
   auto _checkpoint = _o->checkpoint.empty() ? 0 : _fbb.CreateString(_o->checkpoint);
   auto _sequence = _o->sequence;
+  auto _atLoss = _o->atLoss;
   return paddlepier::work::CreateRunEnd(
       _fbb,
       _task,
       _run,
       _kind,
       _checkpoint,
-      _sequence);
+      _sequence,
+      _atLoss);
 }
 
 inline RecordEndsT::RecordEndsT(const RecordEndsT &o)
-      : worker(o.worker) {
+      : worker(o.worker),
+        hasAnswered(o.hasAnswered) {
   ends.reserve(o.ends.size());
   for (const auto &ends_ : o.ends) { ends.emplace_back((ends_) ? new paddlepier::work::RunEndT(*ends_) : nullptr); }
 }
@@ -5987,6 +6328,7 @@
 inline RecordEndsT &RecordEndsT::operator=(RecordEndsT o) FLATBUFFERS_NOEXCEPT {
   std::swap(worker, o.worker);
   std::swap(ends, o.ends);
+  std::swap(hasAnswered, o.hasAnswered);
   return *this;
 }
 
@@ -6001,6 +6343,7 @@
   (void)_resolver;
   { auto _e = worker(); if (_e) _o->worker = _e->str(); }
   { auto _e = ends(); if (_e) { _o->ends.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->ends[_i] = std::unique_ptr<paddlepier::work::RunEndT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = hasAnswered(); _o->hasAnswered = _e; }
 }
 
 inline flatbuffers::Offset<RecordEnds> RecordEnds::Pack(flatbuffers::FlatBufferBuilder &_fbb, const RecordEndsT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -6013,10 +6356,12 @@
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const RecordEndsT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _worker = _o->worker.empty() ? 0 : _fbb.CreateString(_o->worker);
   auto _ends = _o->ends.size() ? _fbb.CreateVector<flatbuffers::Offset<paddlepier::work::RunEnd>> (_o->ends.size(), [](size_t i, _VectorArgs *__va) { return CreateRunEnd(*__va->__fbb, __va->__o->ends[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _hasAnswered = _o->hasAnswered;
   return paddlepier::work::CreateRecordEnds(
       _fbb,
       _worker,
-      _ends);
+      _ends,
+      _hasAnswered);
 }
 
 inline RegisterWorkerT::RegisterWorkerT(const RegisterWorkerT &o)
@@ -6089,6 +6434,20 @@
       _isDraining);
 }
 
+inline RemoveWorkerT::RemoveWorkerT(const RemoveWorkerT &o)
+      : id(o.id),
+        end(o.end) {
+  lost.reserve(o.lost.size());
+  for (const auto &lost_ : o.lost) { lost.emplace_back((lost_) ? new paddlepier::work::RunEndT(*lost_) : nullptr); }
+}
+
+inline RemoveWorkerT &RemoveWorkerT::operator=(RemoveWorkerT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(id, o.id);
+  std::swap(end, o.end);
+  std::swap(lost, o.lost);
+  return *this;
+}
+
 inline RemoveWorkerT *RemoveWorker::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::make_unique<RemoveWorkerT>();
   UnPackTo(_o.get(), _resolver);
@@ -6099,6 +6458,8 @@
   (void)_o;
   (void)_resolver;
   { auto _e = id(); if (_e) _o->id = _e->str(); }
+  { auto _e = end(); _o->end = _e; }
+  { auto _e = lost(); if (_e) { _o->lost.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->lost[_i] = std::unique_ptr<paddlepier::work::RunEndT>(_e->Get(_i)->UnPack(_resolver)); } } }
 }
 
 inline flatbuffers::Offset<RemoveWorker> RemoveWorker::Pack(flatbuffers::FlatBufferBuilder &_fbb, const RemoveWorkerT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -6110,9 +6471,13 @@
   (void)_o;
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const RemoveWorkerT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _id = _o->id.empty() ? 0 : _fbb.CreateString(_o->id);
+  auto _end = _o->end;
+  auto _lost = _o->lost.size() ? _fbb.CreateVector<flatbuffers::Offset<paddlepier::work::RunEnd>> (_o->lost.size(), [](size_t i, _VectorArgs *__va) { return CreateRunEnd(*__va->__fbb, __va->__o->lost[i].get(), __va->__rehasher); }, &_va ) : 0;
   return paddlepier::work::CreateRemoveWorker(
       _fbb,
-      _id);
+      _id,
+      _end,
+      _lost);
 }
 
 inline EntryT *Entry::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -6163,6 +6528,7 @@
   { auto _e = failures(); _o->failures = _e; }
   { auto _e = checkpoint(); if (_e) _o->checkpoint = _e->str(); }
   { auto _e = everStarted(); _o->everStarted = _e; }
+  { auto _e = lostWorkers(); if (_e) { _o->lostWorkers.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->lostWorkers[_i] = _e->Get(_i)->str(); } } }
 }
 
 inline flatbuffers::Offset<TaskRecord> TaskRecord::Pack(flatbuffers::FlatBufferBuilder &_fbb, const TaskRecordT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -6180,6 +6546,7 @@
   auto _failures = _o->failures;
   auto _checkpoint = _o->checkpoint.empty() ? 0 : _fbb.CreateString(_o->checkpoint);
   auto _everStarted = _o->everStarted;
+  auto _lostWorkers = _o->lostWorkers.size() ? _fbb.CreateVectorOfStrings(_o->lostWorkers) : 0;
   return paddlepier::work::CreateTaskRecord(
       _fbb,
       _index,
@@ -6188,7 +6555,8 @@
       _worker,
       _failures,
       _checkpoint,
-      _everStarted);
+      _everStarted,
+      _lostWorkers);
 }
 
 inline StepRecordT::StepRecordT(const StepRecordT &o)
@@ -6273,6 +6641,51 @@
       _steps);
 }
 
+inline JobFailureT::JobFailureT(const JobFailureT &o)
+      : reason(o.reason),
+        task((o.task) ? new paddlepier::work::TaskKeyT(*o.task) : nullptr),
+        lostWorkers(o.lostWorkers) {
+}
+
+inline JobFailureT &JobFailureT::operator=(JobFailureT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(reason, o.reason);
+  std::swap(task, o.task);
+  std::swap(lostWorkers, o.lostWorkers);
+  return *this;
+}
+
+inline JobFailureT *JobFailure::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<JobFailureT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void JobFailure::UnPackTo(JobFailureT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = reason(); _o->reason = _e; }
+  { auto _e = task(); if (_e) _o->task = std::unique_ptr<paddlepier::work::TaskKeyT>(_e->UnPack(_resolver)); }
+  { auto _e = lostWorkers(); if (_e) { _o->lostWorkers.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->lostWorkers[_i] = _e->Get(_i)->str(); } } }
+}
+
+inline flatbuffers::Offset<JobFailure> JobFailure::Pack(flatbuffers::FlatBufferBuilder &_fbb, const JobFailureT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateJobFailure(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<JobFailure> CreateJobFailure(flatbuffers::FlatBufferBuilder &_fbb, const JobFailureT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const JobFailureT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _reason = _o->reason;
+  auto _task = _o->task ? CreateTaskKey(_fbb, _o->task.get(), _rehasher) : 0;
+  auto _lostWorkers = _o->lostWorkers.size() ? _fbb.CreateVectorOfStrings(_o->lostWorkers) : 0;
+  return paddlepier::work::CreateJobFailure(
+      _fbb,
+      _reason,
+      _task,
+      _lostWorkers);
+}
+
 inline JobRecordT::JobRecordT(const JobRecordT &o)
       : id(o.id),
         queue((o.queue) ? new paddlepier::work::QueueSpecT(*o.queue) : nullptr),
@@ -6280,7 +6693,8 @@
         state(o.state),
         isCancelled(o.isCancelled),
         submittedAtMillis(o.submittedAtMillis),
-        endedAtMillis(o.endedAtMillis) {
+        endedAtMillis(o.endedAtMillis),
+        failure((o.failure) ? new paddlepier::work::JobFailureT(*o.failure) : nullptr) {
   occurrences.reserve(o.occurrences.size());
   for (const auto &occurrences_ : o.occurrences) { occurrences.emplace_back((occurrences_) ? new paddlepier::work::OccurrenceRecordT(*occurrences_) : nullptr); }
 }
@@ -6294,6 +6708,7 @@
   std::swap(submittedAtMillis, o.submittedAtMillis);
   std::swap(endedAtMillis, o.endedAtMillis);
   std::swap(occurrences, o.occurrences);
+  std::swap(failure, o.failure);
   return *this;
 }
 
@@ -6314,6 +6729,7 @@
   { auto _e = submittedAtMillis(); _o->submittedAtMillis = _e; }
   { auto _e = endedAtMillis(); _o->endedAtMillis = _e; }
   { auto _e = occurrences(); if (_e) { _o->occurrences.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->occurrences[_i] = std::unique_ptr<paddlepier::work::OccurrenceRecordT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = failure(); if (_e) _o->failure = std::unique_ptr<paddlepier::work::JobFailureT>(_e->UnPack(_resolver)); }
 }
 
 inline flatbuffers::Offset<JobRecord> JobRecord::Pack(flatbuffers::FlatBufferBuilder &_fbb, const JobRecordT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -6332,6 +6748,7 @@
   auto _submittedAtMillis = _o->submittedAtMillis;
   auto _endedAtMillis = _o->endedAtMillis;
   auto _occurrences = _o->occurrences.size() ? _fbb.CreateVector<flatbuffers::Offset<paddlepier::work::OccurrenceRecord>> (_o->occurrences.size(), [](size_t i, _VectorArgs *__va) { return CreateOccurrenceRecord(*__va->__fbb, __va->__o->occurrences[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _failure = _o->failure ? CreateJobFailure(_fbb, _o->failure.get(), _rehasher) : 0;
   return paddlepier::work::CreateJobRecord(
       _fbb,
       _id,
@@ -6341,7 +6758,8 @@
       _isCancelled,
       _submittedAtMillis,
       _endedAtMillis,
-      _occurrences);
+      _occurrences,
+      _failure);
 }
 
 inline CopyRecordT::CopyRecordT(const CopyRecordT &o)
@@ -6394,12 +6812,15 @@
         lastSequence(o.lastSequence) {
   copies.reserve(o.copies.size());
   for (const auto &copies_ : o.copies) { copies.emplace_back((copies_) ? new paddlepier::work::CopyRecordT(*copies_) : nullptr); }
+  lapsed.reserve(o.lapsed.size());
+  for (const auto &lapsed_ : o.lapsed) { lapsed.emplace_back((lapsed_) ? new paddlepier::work::TaskKeyT(*lapsed_) : nullptr); }
 }
 
 inline WorkerRecordT &WorkerRecordT::operator=(WorkerRecordT o) FLATBUFFERS_NOEXCEPT {
   std::swap(registration, o.registration);
   std::swap(lastSequence, o.lastSequence);
   std::swap(copies, o.copies);
+  std::swap(lapsed, o.lapsed);
   return *this;
 }
 
@@ -6415,6 +6836,7 @@
   { auto _e = registration(); if (_e) _o->registration = std::unique_ptr<paddlepier::work::RegisterWorkerT>(_e->UnPack(_resolver)); }
   { auto _e = lastSequence(); _o->lastSequence = _e; }
   { auto _e = copies(); if (_e) { _o->copies.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->copies[_i] = std::unique_ptr<paddlepier::work::CopyRecordT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = lapsed(); if (_e) { _o->lapsed.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->lapsed[_i] = std::unique_ptr<paddlepier::work::TaskKeyT>(_e->Get(_i)->UnPack(_resolver)); } } }
 }
 
 inline flatbuffers::Offset<WorkerRecord> WorkerRecord::Pack(flatbuffers::FlatBufferBuilder &_fbb, const WorkerRecordT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -6428,11 +6850,13 @@
   auto _registration = _o->registration ? CreateRegisterWorker(_fbb, _o->registration.get(), _rehasher) : 0;
   auto _lastSequence = _o->lastSequence;
   auto _copies = _o->copies.size() ? _fbb.CreateVector<flatbuffers::Offset<paddlepier::work::CopyRecord>> (_o->copies.size(), [](size_t i, _VectorArgs *__va) { return CreateCopyRecord(*__va->__fbb, __va->__o->copies[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _lapsed = _o->lapsed.size() ? _fbb.CreateVector<flatbuffers::Offset<paddlepier::work::TaskKey>> (_o->lapsed.size(), [](size_t i, _VectorArgs *__va) { return CreateTaskKey(*__va->__fbb, __va->__o->lapsed[i].get(), __va->__rehasher); }, &_va ) : 0;
   return paddlepier::work::CreateWorkerRecord(
       _fbb,
       _registration,
       _lastSequence,
-      _copies);
+      _copies,
+      _lapsed);
 }
 
 inline SnapshotT::SnapshotT(const SnapshotT &o)
--- a/paddlepier/workload/job.cpp
+++ b/paddlepier/workload/job.cpp
@@ -3,6 +3,7 @@
 #include "paddlepier/workload/job.h"
 
 #include <absl/strings/str_cat.h>
+#include <absl/strings/str_join.h>
 
 #include <algorithm>
 
@@ -40,7 +41,18 @@
 {
     const auto worker = builder.CreateString(task.worker);
     const auto checkpoint = builder.CreateString(task.checkpoint);
-    return work::CreateTaskRecord(builder, index, task.isDone, task.lastRun, worker, task.failures, checkpoint, task.everStarted);
+    const auto lostWorkers = task.lostWorkers.empty() ? 0 : builder.CreateVectorOfStrings(task.lostWorkers);
+    return work::CreateTaskRecord(builder, index, task.isDone, task.lastRun, worker, task.failures, checkpoint, task.everStarted, lostWorkers);
+}
+
+flatbuffers::Offset<work::JobFailure> packFailure(flatbuffers::FlatBufferBuilder &builder, const JobFailure &failure)
+{
+    if (failure.reason == work::JobFailureReason::None) {
+        return 0;
+    }
+    const TaskKey &key = failure.task;
+    const auto task = work::CreateTaskKey(builder, builder.CreateString(key.job), key.occurrence, key.step, key.index);
+    return work::CreateJobFailure(builder, failure.reason, task, builder.CreateVectorOfStrings(failure.lostWorkers));
 }
 
 /** Only tasks that differ from a new one are stored. */
@@ -76,6 +88,19 @@
     return "";
 }
 
+std::string JobFailure::text() const
+{
+    switch (this->reason) {
+    case work::JobFailureReason::None:
+        break;
+    case work::JobFailureReason::AttemptsUsedUp:
+        return absl::StrCat("task ", this->task.text(), " has failed as often as its queue allows");
+    case work::JobFailureReason::WorkersLost:
+        return absl::StrCat("workers were lost one after the other under task ", this->task.text(), ": ", absl::StrJoin(this->lostWorkers, ", "));
+    }
+    return "";
+}
+
 Job::Job(std::string id, work::QueueSpecT queue, work::JobSpecT spec, std::int64_t nowMillis)
     : jobId(std::move(id))
     , queueSpec(std::move(queue))
@@ -97,6 +122,9 @@
     this->jobState = record.state;
     this->cancelled = record.isCancelled;
     this->endedAt = record.endedAtMillis;
+    if (record.failure) {
+        this->jobFailure = {record.failure->reason, TaskKey(*record.failure->task), record.failure->lostWorkers};
+    }
     for (std::size_t number = 0; number < record.occurrences.size(); ++number) {
         for (std::size_t index = 0; index < this->runs[number].steps.size(); ++index) {
             Step &step = this->runs[number].steps[index];
@@ -104,7 +132,8 @@
             step.gangFailures = stored.gangFailures;
             step.lastFailedRun = stored.lastFailedRun;
             for (const auto &entry : stored.tasks) {
-                step.tasks[entry->index] = Task{entry->isDone, entry->everStarted, entry->lastRun, entry->failures, entry->worker, entry->checkpoint};
+                step.tasks[entry->index] =
+                    Task{entry->isDone, entry->everStarted, entry->lastRun, entry->failures, entry->worker, entry->checkpoint, entry->lostWorkers, 0};
                 this->anyStarted = this->anyStarted || entry->everStarted;
             }
         }
@@ -176,7 +205,8 @@
     const auto queue = work::QueueSpec::Pack(builder, &this->queueSpec);
     const auto spec = work::JobSpec::Pack(builder, &this->jobSpec);
     const auto stored = builder.CreateVector(occurrences);
-    return work::CreateJobRecord(builder, id, queue, spec, this->jobState, this->cancelled, this->submittedAt, this->endedAt, stored);
+    const auto failure = packFailure(builder, this->jobFailure);
+    return work::CreateJobRecord(builder, id, queue, spec, this->jobState, this->cancelled, this->submittedAt, this->endedAt, stored, failure);
 }
 
 const std::string &Job::id() const
@@ -392,8 +422,49 @@
         failures = ++this->taskOf(key).failures;
     }
     if (!this->task(key).isDone && !this->hasEnded() && failures >= std::max<std::uint32_t>(1, this->queueSpec.maxAttempts)) {
-        this->end(work::JobState::Failed, nowMillis);
+        this->fail(work::JobFailureReason::AttemptsUsedUp, key, nowMillis);
+    }
+}
+
+bool Job::noteLoss(const TaskKey &key, const std::string &worker, bool isOnlySuspect, std::int64_t nowMillis)
+{
+    if (!this->hasTask(key) || this->hasEnded() || this->task(key).isDone) {
+        return false;
+    }
+    std::vector<std::string> &lost = this->taskOf(key).lostWorkers;
+    lost.push_back(worker);
+    if (lost.size() < (isOnlySuspect ? enoughLosses : mostLosses)) {
+        return false;
     }
+    this->fail(work::JobFailureReason::WorkersLost, key, nowMillis);
+    return true;
+}
+
+void Job::forgetLosses(const TaskKey &key)
+{
+    if (this->hasTask(key)) {
+        this->taskOf(key).lostWorkers.clear();
+    }
+}
+
+void Job::countDoubt(const TaskKey &key, std::int32_t change)
+{
+    if (this->hasTask(key)) {
+        std::uint32_t &doubtful = this->taskOf(key).doubtfulWorkers;
+        // The job may be a new one under the id of one that was forgotten.
+        doubtful += change < 0 && doubtful == 0 ? 0 : static_cast<std::uint32_t>(change);
+    }
+}
+
+const JobFailure &Job::failure() const
+{
+    return this->jobFailure;
+}
+
+void Job::fail(work::JobFailureReason reason, const TaskKey &key, std::int64_t nowMillis)
+{
+    this->jobFailure = {reason, key, this->task(key).lostWorkers};
+    this->end(work::JobState::Failed, nowMillis);
 }
 
 void Job::dropPayload()
--- a/paddlepier/workload/job.h
+++ b/paddlepier/workload/job.h
@@ -4,6 +4,11 @@
 // a task at most one run is under way; runs are numbered from 1. A gang runs and ends as a whole: all members carry the
 // same run number.
 //
+// A task under which worker after worker is lost is given up, and its job fails: every start of it would cost a worker and
+// all that runs there. A loss counts for each task that ran on the worker. After enoughLosses the task is given up if the
+// last of these workers ran nothing else that can have been the cause, after mostLosses in any case. What is known of losses
+// is part of the replicated state, so that it outlives leaders, restarts and snapshots.
+//
 // Invariants:
 //  - a task has a worker exactly while a run of it may be under way there;
 //  - a job that has ended has no new runs, but may have runs that aren't known to be over.
@@ -16,13 +21,23 @@
 #include "paddlepier/wire/workload_generated.h"
 #include "paddlepier/workload/taskkey.h"
 
+#include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
 namespace paddlepier::workload
 {
 
+/**
+ * Workers lost under one task after which it's given up if nothing else can have taken the last of them down. Each further one would
+ * cost its neighbours their work; fewer would let two accidents end a job that could be done.
+ */
+constexpr std::size_t enoughLosses = 3;
+/** The same whatever else ran there: the callers' bound is five starts, and one may be under way that isn't known to have crashed. */
+constexpr std::size_t mostLosses = 4;
+
 struct Task {
     bool isDone = false;
     bool everStarted = false;
@@ -32,11 +47,37 @@
     /** Worker of the run that may be under way; empty if there is none. */
     std::string worker;
     std::string checkpoint;
+    /** Workers that were lost while it ran there; mostLosses at most. */
+    std::vector<std::string> lostWorkers;
+    /** Workers on which a run of it was given up with its lease, and which may be lost or cut off; kept by the workload. */
+    std::uint32_t doubtfulWorkers = 0;
 
     bool hasRun() const
     {
         return !this->worker.empty();
     }
+
+    /** A worker was lost under it: it may be the cause. */
+    bool isSuspect() const
+    {
+        return !this->lostWorkers.empty();
+    }
+
+    /** Losses, those counted that may turn out to be cuts. */
+    std::size_t possibleLosses() const
+    {
+        return this->lostWorkers.size() + this->doubtfulWorkers;
+    }
+};
+
+/** Why a job has failed. */
+struct JobFailure {
+    work::JobFailureReason reason = work::JobFailureReason::None;
+    TaskKey task;
+    std::vector<std::string> lostWorkers;
+
+    /** For callers and operators; empty while there is no failure. */
+    std::string text() const;
 };
 
 struct Step {
@@ -106,6 +147,19 @@
     void endSupersededRun(const TaskKey &key, std::uint32_t run, work::RunEndKind kind, std::int64_t nowMillis);
     void cancel(std::int64_t nowMillis);
 
+    /**
+     * A worker was lost while a run of the task was there.
+     *
+     * @param isOnlySuspect  nothing else on it can have been the cause
+     * @return whether the task is given up with that
+     */
+    bool noteLoss(const TaskKey &key, const std::string &worker, bool isOnlySuspect, std::int64_t nowMillis);
+    /** The task has shown that losses before weren't its doing. */
+    void forgetLosses(const TaskKey &key);
+    /** One worker more, or less, of which it isn't known whether it was lost under the task. */
+    void countDoubt(const TaskKey &key, std::int32_t change);
+    const JobFailure &failure() const;
+
     /** Of an ended job: frees what only a start needs. */
     void dropPayload();
 
@@ -125,6 +179,7 @@
     void releaseFollowers(Occurrence &occurrence, std::uint32_t step) const;
     void countFailure(const TaskKey &key, std::uint32_t run, std::int64_t nowMillis);
     void end(work::JobState endState, std::int64_t nowMillis);
+    void fail(work::JobFailureReason reason, const TaskKey &key, std::int64_t nowMillis);
     bool isComplete() const;
 
     std::string jobId;
@@ -134,6 +189,7 @@
     bool cancelled = false;
     std::int64_t submittedAt = 0;
     std::int64_t endedAt = 0;
+    JobFailure jobFailure;
     std::vector<Occurrence> runs;
     // Derived:
     std::uint32_t underWay = 0;
--- /dev/null
+++ b/paddlepier/workload/losses.cpp
@@ -0,0 +1,154 @@
+// A region's workload as a replicated state machine: workers that are lost, and the tasks that may have been the cause.
+//
+// A worker that says so before it leaves says nothing about its tasks. One that crashes counts as a loss for each task that
+// ran there, since any of them may have been the cause; that a rack or a data centre went shows only later, by the tasks'
+// running elsewhere. A worker whose lease has run out may be lost or cut off: its tasks are in doubt until it answers again, or its
+// end is known.
+
+#include "paddlepier/workload/workload.h"
+
+#include <algorithm>
+
+namespace paddlepier::workload
+{
+
+namespace
+{
+
+bool isCounted(work::RunAtLoss atLoss)
+{
+    return atLoss == work::RunAtLoss::AtWork || atLoss == work::RunAtLoss::Fresh;
+}
+
+} // namespace
+
+Outcome Workload::removeWorker(const work::RemoveWorkerT &command)
+{
+    const auto found = this->workerById.find(command.id);
+    if (found == this->workerById.end()) {
+        return {};
+    }
+    Outcome outcome;
+    const std::set<TaskKey> lost = found->second.runs;
+    if (command.end != work::LifeEnd::Left) {
+        outcome.givenUp = this->countLosses(found->second, command);
+    }
+    this->settleLapses(found->second);
+    for (const TaskKey &key : lost) {
+        work::RunEndT end;
+        end.task = key.record();
+        end.run = this->jobById.at(key.job).task(key).lastRun;
+        end.kind = work::RunEndKind::WorkerLost;
+        this->endRun(command.id, end);
+    }
+    this->workerById.erase(command.id);
+    return outcome;
+}
+
+std::vector<TaskKey> Workload::countLosses(const Worker &worker, const work::RemoveWorkerT &command)
+{
+    // Nothing is placed beside a task that has to prove itself, so that one just started is the cause if it's the only suspect.
+    const auto isSuspect = [this](const std::unique_ptr<work::RunEndT> &run) {
+        return run->atLoss == work::RunAtLoss::Fresh && this->suspectTasks.contains(TaskKey(*run->task));
+    };
+    const bool hasOneSuspect = std::count_if(command.lost.begin(), command.lost.end(), isSuspect) == 1;
+    std::vector<TaskKey> givenUp;
+    const auto count = [&](const TaskKey &key, bool isOnlySuspect) {
+        const auto job = this->jobById.find(key.job);
+        if (job == this->jobById.end()) {
+            return;
+        }
+        if (job->second.noteLoss(key, command.id, isOnlySuspect, this->appliedAt)) {
+            givenUp.push_back(key);
+        }
+        this->noteSuspect(key);
+        this->noteJob(job->second);
+    };
+    for (const auto &run : command.lost) {
+        const TaskKey key(*run->task);
+        if (!worker.runs.contains(key) && !worker.superseded.contains(key)) {
+            continue;
+        }
+        if (isCounted(run->atLoss)) {
+            count(key, hasOneSuspect && run->atLoss == work::RunAtLoss::Fresh);
+        } else if (run->atLoss == work::RunAtLoss::Settled) {
+            this->clearLosses(key);
+        }
+    }
+    for (const TaskKey &key : worker.lapsed) {
+        count(key, false);
+    }
+    return givenUp;
+}
+
+void Workload::noteLapse(Worker &worker, const TaskKey &key, work::RunAtLoss atLoss)
+{
+    if (atLoss == work::RunAtLoss::Settled) {
+        this->clearLosses(key);
+    }
+    const auto job = this->jobById.find(key.job);
+    if (job != this->jobById.end() && isCounted(atLoss) && worker.lapsed.insert(key).second) {
+        job->second.countDoubt(key, 1);
+        this->noteSuspect(key);
+    }
+}
+
+void Workload::clearLosses(const TaskKey &key)
+{
+    const auto job = this->jobById.find(key.job);
+    if (job != this->jobById.end()) {
+        job->second.forgetLosses(key);
+        this->noteSuspect(key);
+    }
+}
+
+void Workload::settleLapses(Worker &worker)
+{
+    for (const TaskKey &key : worker.lapsed) {
+        const auto job = this->jobById.find(key.job);
+        if (job != this->jobById.end()) {
+            job->second.countDoubt(key, -1);
+            this->noteSuspect(key);
+        }
+    }
+    worker.lapsed.clear();
+}
+
+void Workload::noteSuspect(const TaskKey &key)
+{
+    const Job &job = this->jobById.at(key.job);
+    const bool isOpen = !job.hasEnded() && job.hasTask(key) && !job.task(key).isDone;
+    if (isOpen && job.task(key).possibleLosses() > 0) {
+        this->suspectTasks.insert(key);
+    } else {
+        this->suspectTasks.erase(key);
+    }
+}
+
+void Workload::restoreSuspects()
+{
+    for (const auto &[id, worker] : this->workerById) {
+        for (const TaskKey &key : worker.lapsed) {
+            const auto job = this->jobById.find(key.job);
+            if (job != this->jobById.end()) {
+                job->second.countDoubt(key, 1);
+                this->noteSuspect(key);
+            }
+        }
+    }
+    for (const std::string &id : this->active) {
+        const std::vector<Occurrence> &occurrences = this->jobById.at(id).occurrences();
+        for (std::uint32_t occurrence = 0; occurrence < occurrences.size(); ++occurrence) {
+            for (std::uint32_t step = 0; step < occurrences[occurrence].steps.size(); ++step) {
+                const std::vector<Task> &tasks = occurrences[occurrence].steps[step].tasks;
+                for (std::uint32_t index = 0; index < tasks.size(); ++index) {
+                    if (tasks[index].isSuspect()) {
+                        this->noteSuspect({id, occurrence, step, index});
+                    }
+                }
+            }
+        }
+    }
+}
+
+} // namespace paddlepier::workload
--- a/paddlepier/workload/workload.cpp
+++ b/paddlepier/workload/workload.cpp
@@ -40,17 +40,26 @@
     const auto change = static_cast<std::uint32_t>(sign);
     worker.servingRuns += step.targetLatencyMillis > 0 ? change : 0;
     worker.fillingRuns += step.isFilling ? change : 0;
+    worker.costlyRuns += step.isLasting || step.isGang ? change : 0;
+}
+
+flatbuffers::Offset<work::TaskKey> packKey(flatbuffers::FlatBufferBuilder &builder, const TaskKey &key)
+{
+    return work::CreateTaskKey(builder, builder.CreateString(key.job), key.occurrence, key.step, key.index);
 }
 
 flatbuffers::Offset<work::WorkerRecord> packWorker(flatbuffers::FlatBufferBuilder &builder, const Worker &worker)
 {
     std::vector<flatbuffers::Offset<work::CopyRecord>> copies;
     for (const auto &[key, run] : worker.superseded) {
-        const auto task = work::CreateTaskKey(builder, builder.CreateString(key.job), key.occurrence, key.step, key.index);
-        copies.push_back(work::CreateCopyRecord(builder, task, run.run, &run.demand));
+        copies.push_back(work::CreateCopyRecord(builder, packKey(builder, key), run.run, &run.demand));
+    }
+    std::vector<flatbuffers::Offset<work::TaskKey>> lapsed;
+    for (const TaskKey &key : worker.lapsed) {
+        lapsed.push_back(packKey(builder, key));
     }
     const auto registration = work::RegisterWorker::Pack(builder, &worker.registration);
-    return work::CreateWorkerRecord(builder, registration, worker.lastSequence, builder.CreateVector(copies));
+    return work::CreateWorkerRecord(builder, registration, worker.lastSequence, builder.CreateVector(copies), builder.CreateVector(lapsed));
 }
 
 } // namespace
@@ -78,7 +87,7 @@
 
 Outcome Workload::failure(ErrorCode error, const std::string &message)
 {
-    return {error, message, {}};
+    return {error, message, {}, {}};
 }
 
 Outcome Workload::apply(const std::vector<std::uint8_t> &command)
@@ -220,6 +229,10 @@
 
 Outcome Workload::recordEnds(const work::RecordEndsT &command)
 {
+    const auto worker = this->workerById.find(command.worker);
+    if (command.hasAnswered && worker != this->workerById.end()) {
+        this->settleLapses(worker->second);
+    }
     for (const auto &end : command.ends) {
         this->endRun(command.worker, *end);
     }
@@ -249,6 +262,12 @@
         } else {
             reserve(worker->second, demand, -1);
         }
+        if (end.kind == work::RunEndKind::Expired) {
+            this->noteLapse(worker->second, key, end.atLoss);
+        }
+    }
+    if (!this->suspectTasks.empty()) {
+        this->noteSuspect(key);
     }
     this->noteJob(job->second);
 }
@@ -264,6 +283,9 @@
     const auto job = this->jobById.find(key.job);
     if (job != this->jobById.end()) {
         job->second.endSupersededRun(key, end.run, end.kind, this->appliedAt);
+        if (end.kind == work::RunEndKind::Expired) {
+            this->noteLapse(worker, key, end.atLoss);
+        }
         this->noteJob(job->second);
     }
 }
@@ -277,24 +299,6 @@
     return {};
 }
 
-Outcome Workload::removeWorker(const work::RemoveWorkerT &command)
-{
-    const auto found = this->workerById.find(command.id);
-    if (found == this->workerById.end()) {
-        return {};
-    }
-    const std::set<TaskKey> lost = found->second.runs;
-    for (const TaskKey &key : lost) {
-        work::RunEndT end;
-        end.task = key.record();
-        end.run = this->jobById.at(key.job).task(key).lastRun;
-        end.kind = work::RunEndKind::WorkerLost;
-        this->endRun(command.id, end);
-    }
-    this->workerById.erase(command.id);
-    return {};
-}
-
 void Workload::noteWaiting(const Job &job)
 {
     if (!job.hasEnded() && job.waitingTasks() > 0) {
@@ -307,6 +311,11 @@
 void Workload::noteJob(Job &job)
 {
     this->noteWaiting(job);
+    if (job.hasEnded()) {
+        const auto first = this->suspectTasks.lower_bound({job.id(), 0, 0, 0});
+        const auto last = std::find_if(first, this->suspectTasks.end(), [&job](const TaskKey &key) { return key.job != job.id(); });
+        this->suspectTasks.erase(first, last);
+    }
     if (!job.hasEnded() || job.runsUnderWay() > 0) {
         this->active.insert(job.id());
         return;
@@ -383,6 +392,11 @@
     return this->waiting;
 }
 
+const std::set<TaskKey> &Workload::suspects() const
+{
+    return this->suspectTasks;
+}
+
 std::int64_t Workload::appliedAtMillis() const
 {
     return this->appliedAt;
@@ -426,6 +440,9 @@
             worker.superseded[TaskKey(*copy->task)] = {copy->run, *copy->demand};
             reserve(worker, *copy->demand, 1);
         }
+        for (const auto &key : record->lapsed) {
+            worker.lapsed.emplace(*key);
+        }
     }
     for (const auto &record : snapshot.jobs) {
         Job &job = this->jobById.emplace(record->id, Job(*record)).first->second;
@@ -445,6 +462,7 @@
             }
         }
     }
+    this->restoreSuspects();
     std::sort(this->ended.begin(), this->ended.end(), [this](const std::string &left, const std::string &right) {
         return this->jobById.at(left).endedAtMillis() < this->jobById.at(right).endedAtMillis();
     });
--- a/paddlepier/workload/workload.h
+++ b/paddlepier/workload/workload.h
@@ -38,6 +38,8 @@
     std::string message;
     /** Of PlaceRuns: what was taken. */
     std::vector<work::PlacementT> placed;
+    /** Of RemoveWorker: tasks that are given up since this worker was lost under them too. */
+    std::vector<TaskKey> givenUp;
 };
 
 /** A run that was superseded by a copy of its task elsewhere, while it isn't known whether it is still under way. */
@@ -56,12 +58,16 @@
     std::set<TaskKey> runs;
     /** Invariant: no task is in both `runs` and `superseded`. */
     std::map<TaskKey, SupersededRun> superseded;
+    /** Tasks whose run here was given up with its lease, while it isn't known whether the worker is lost or cut off. */
+    std::set<TaskKey> lapsed;
     std::uint64_t reservedMilliProcessors = 0;
     std::uint64_t reservedMemoryMegabytes = 0;
     std::uint64_t reservedAccelerators = 0;
     /** Of `runs`: those that owe their users a latency, and those that may disturb them. */
     std::uint32_t servingRuns = 0;
     std::uint32_t fillingRuns = 0;
+    /** Of `runs`: those whose end costs more than their own work: of lasting steps, and of gangs. */
+    std::uint32_t costlyRuns = 0;
 
     bool hasRoomFor(const work::StepSpecT &step) const;
     std::int64_t freeMilliProcessors() const;
@@ -93,6 +99,8 @@
     const std::set<std::string> &activeJobs() const;
     /** Of these, the ones that haven't ended and have tasks without a run. */
     const std::set<std::string> &waitingJobs() const;
+    /** Tasks that aren't over and under which workers were lost, or may have been. */
+    const std::set<TaskKey> &suspects() const;
     std::int64_t appliedAtMillis() const;
 
 private:
@@ -110,6 +118,18 @@
     void undoPlacement(const work::PlacementT &placement);
     void endRun(const std::string &worker, const work::RunEndT &end);
     void endSupersededRun(Worker &worker, const TaskKey &key, const work::RunEndT &end);
+    /** Counts the loss of a worker for the tasks that it took along. @return those that are given up with that */
+    std::vector<TaskKey> countLosses(const Worker &worker, const work::RemoveWorkerT &command);
+    /** A run was given up with its lease. */
+    void noteLapse(Worker &worker, const TaskKey &key, work::RunAtLoss atLoss);
+    /** The task has shown that it doesn't take workers down. */
+    void clearLosses(const TaskKey &key);
+    /** It is known now what became of a worker on which runs were given up with their lease. */
+    void settleLapses(Worker &worker);
+    /** Finds the suspects, and what is in doubt of them, in the jobs and workers of a snapshot. */
+    void restoreSuspects();
+    /** Keeps `suspectTasks` true for one task. */
+    void noteSuspect(const TaskKey &key);
     void noteJob(Job &job);
     void noteWaiting(const Job &job);
     void forgetEndedJobs();
@@ -122,6 +142,7 @@
     // Derived, rebuilt by restore():
     std::set<std::string> active;
     std::set<std::string> waiting;
+    std::set<TaskKey> suspectTasks;
     /** Ended jobs without runs, in the order in which they came to that. */
     std::deque<std::string> ended;
 };
