--- a/paddlepier/cli/tables.cpp
+++ b/paddlepier/cli/tables.cpp
@@ -104,13 +104,14 @@
     out << job.job << " (" << job.name << ", " << wire::EnumNameJobKind(job.kind) << " of " << job.partner << "): " << wire::EnumNameTaskState(job.state)
         << "\n"
         << "reason: " << wire::EnumNameWaitReason(reply.reason) << ": " << reply.reasonText << "\n";
-    std::vector<std::vector<std::string>> rows{{"TASK", "STATE", "WORKER", "EPOCH", "FAILED ATTEMPTS"}};
+    std::vector<std::vector<std::string>> rows{{"TASK", "STATE", "WORKER", "EPOCH", "FAILED ATTEMPTS", "LOST WORKERS"}};
     for (const auto &task : reply.tasks) {
         rows.push_back({absl::StrCat(task->index),
                         wire::EnumNameTaskState(task->state),
                         task->worker.empty() ? "-" : task->worker,
                         absl::StrCat(task->epoch),
-                        absl::StrCat(task->attempts)});
+                        absl::StrCat(task->attempts),
+                        absl::StrCat(task->losses)});
     }
     printTable(out, rows);
 }
--- a/paddlepier/cluster/workservice.cpp
+++ b/paddlepier/cluster/workservice.cpp
@@ -258,7 +258,9 @@
         return;
     }
     const workload::Worker *known = this->node.state().findWorker(registration.id);
-    if (known != nullptr && this->dispatcher.isStaleAnnouncement(registration.id, call.sequence)) {
+    const bool isStale =
+        known != nullptr && (call.sequence < known->registration.sequence || this->dispatcher.isStaleAnnouncement(registration.id, call.sequence));
+    if (isStale) {
         done(answer(work::CallOutcome::Accepted));
         return;
     }
@@ -275,8 +277,13 @@
                {"service", registration.service},
                {"draining", registration.isDraining},
                {"drainRemainingMillis", call.drainRemainingMillis},
+               {"milliProcessors", registration.capacity->milliProcessors()},
+               {"memoryMegabytes", registration.capacity->memoryMegabytes()},
+               {"accelerators", registration.capacity->accelerators()},
                {"sequence", call.sequence}});
-    this->proposeFor(toCommand(registration), answer(work::CallOutcome::Accepted).reply, done);
+    work::RegisterWorkerT command = registration;
+    command.sequence = call.sequence;
+    this->proposeFor(toCommand(std::move(command)), answer(work::CallOutcome::Accepted).reply, done);
 }
 
 void WorkService::withdraw(const work::WithdrawCallT &call, const CallDone &done)
--- a/paddlepier/execution/dispatcher.cpp
+++ b/paddlepier/execution/dispatcher.cpp
@@ -80,8 +80,8 @@
 
 const char *nameOf(StopReason reason)
 {
-    static constexpr std::array<const char *, 8> names{
-        "none", "job-ended", "preempted", "stands-still", "worker-leaves", "start-unsettled", "disturbs", "gang-incomplete"};
+    static constexpr std::array<const char *, 9> names{
+        "none", "job-ended", "preempted", "stands-still", "worker-leaves", "start-unsettled", "disturbs", "gang-incomplete", "room-shrunk"};
     return names.at(static_cast<std::size_t>(reason));
 }
 
--- a/paddlepier/execution/runs.cpp
+++ b/paddlepier/execution/runs.cpp
@@ -116,6 +116,15 @@
         }
         return;
     }
+    if (this->state.findWorker(track.worker)->isOverRoom()) {
+        // Its room has shrunk since the task was placed, and a worker that doesn't guard its room would take the task all the same.
+        if (track.startCalls == 0) {
+            unsent.emplace_back(key, track);
+        } else {
+            this->stopRun(now, key, track, StopReason::RoomShrunk);
+        }
+        return;
+    }
     const bool isTicketOver = now > track.ticketValidUntil;
     if (track.startCalls >= mostStartCalls || (isTicketOver && track.startCalls > 0) || track.ticketValidUntil == absl::InfinitePast()) {
         this->stopRun(now, key, track, StopReason::StartUnsettled);
--- a/paddlepier/execution/runtrack.h
+++ b/paddlepier/execution/runtrack.h
@@ -32,7 +32,7 @@
  */
 constexpr Duration settledAfter = absl::Seconds(5);
 
-enum class StopReason { None, JobEnded, Preempted, StandsStill, WorkerLeaves, StartUnsettled, Disturbs, GangIncomplete };
+enum class StopReason { None, JobEnded, Preempted, StandsStill, WorkerLeaves, StartUnsettled, Disturbs, GangIncomplete, RoomShrunk };
 const char *nameOf(StopReason reason);
 
 struct RunTrack {
--- a/paddlepier/instance/ledgercalls.cpp
+++ b/paddlepier/instance/ledgercalls.cpp
@@ -157,12 +157,16 @@
     reply.reason = this->ensureTerm().scheduler.explain(this->node.state(), job, wallMicros());
     reply.reasonText = reasonText(reply.reason);
     for (const wire::TaskRecordT &task : job.tasks()) {
+        if (task.state == TaskState::Failed && task.losses >= ledger::mostLosses) {
+            reply.reasonText = absl::StrCat("given up: ", task.losses, " workers were lost under task ", task.index);
+        }
         auto detail = std::make_unique<wire::TaskDetailT>();
         detail->index = task.index;
         detail->state = task.state;
         detail->worker = task.worker;
         detail->epoch = task.epoch;
         detail->attempts = task.attempts;
+        detail->losses = task.losses;
         detail->reason = task.state == TaskState::Queued ? reply.reason : wire::WaitReason::None;
         reply.tasks.push_back(std::move(detail));
     }
--- a/paddlepier/ledger/job.cpp
+++ b/paddlepier/ledger/job.cpp
@@ -17,6 +17,9 @@
 constexpr std::int64_t microsPerSecond = 1'000'000;
 constexpr std::uint32_t longestBackoffExponent = 6;
 
+/** A service that ran for this long, the time until its loss was noticed included, didn't take its worker down by starting. */
+constexpr std::int64_t settledMicros = 60 * microsPerSecond;
+
 /** Wait before the next attempt after @p attempts failed ones: 1 s, doubling up to 64 s. */
 std::int64_t backoffMicros(std::uint32_t attempts)
 {
@@ -144,6 +147,7 @@
     this->setState(task, TaskState::Placed);
     task.worker = worker;
     task.epoch = epoch;
+    task.startedAtMicros = 0;
 }
 
 bool Job::holds(std::uint32_t index, std::uint64_t epoch) const
@@ -158,6 +162,7 @@
     }
     if (this->taskList[index].state == TaskState::Placed) {
         this->setState(this->taskList[index], TaskState::Running);
+        this->taskList[index].startedAtMicros = atMicros;
         this->data.firstStartAtMicros = this->data.firstStartAtMicros == 0 ? atMicros : this->data.firstStartAtMicros;
     }
     return true;
@@ -181,6 +186,20 @@
     this->setState(task, TaskState::Queued);
 }
 
+void Job::requeueAfterLoss(wire::TaskRecordT &task, std::int64_t atMicros)
+{
+    const bool isService = this->spec().kind == JobKind::Service;
+    const bool hasSettled = task.startedAtMicros > 0 && atMicros - task.startedAtMicros >= settledMicros;
+    task.losses = isService && hasSettled ? 1 : task.losses + 1;
+    if (!isService && task.losses >= mostLosses) {
+        this->setState(task, TaskState::Failed);
+        return;
+    }
+    // One loss says little: the task moves at once.
+    task.notBeforeMicros = task.losses > 1 ? atMicros + backoffMicros(task.losses - 1) : atMicros;
+    this->setState(task, TaskState::Queued);
+}
+
 void Job::endTask(wire::TaskRecordT &task, AttemptEnd end, std::int64_t atMicros)
 {
     const bool isService = this->spec().kind == JobKind::Service;
@@ -199,8 +218,10 @@
     } else if (this->spec().atMostOnce) {
         // Whatever the state says: a worker that reports an end has run the task.
         this->setState(task, TaskState::Failed);
+    } else if (end == AttemptEnd::Unknown && task.state != TaskState::Stopping) {
+        this->requeueAfterLoss(task, atMicros);
     } else {
-        // A stop that was asked for, and a worker that was lost, are not the task's own fault.
+        // A stop that was asked for isn't the task's own fault.
         this->requeue(task, atMicros, end == AttemptEnd::Failed || end == AttemptEnd::Succeeded);
     }
 }
@@ -227,6 +248,8 @@
 {
     bool anyActive = false;
     std::uint32_t attempts = 0;
+    std::uint32_t losses = 0;
+    std::int64_t notBefore = 0;
     bool anyLost = false;
     bool anyCancelled = false;
     for (wire::TaskRecordT &task : this->taskList) {
@@ -235,6 +258,8 @@
             this->setState(task, TaskState::Stopping);
         }
         attempts = std::max(attempts, task.attempts);
+        losses = std::max(losses, task.losses);
+        notBefore = std::max(notBefore, task.notBeforeMicros);
         anyLost = anyLost || task.state == TaskState::Lost;
         anyCancelled = anyCancelled || task.cancelled;
     }
@@ -242,11 +267,11 @@
         return;
     }
     this->data.gangRestarting = false;
-    const bool mayRestart = !anyLost && !anyCancelled && !this->spec().atMostOnce && attempts < this->spec().maxAttempts;
+    const bool mayRestart = !anyLost && !anyCancelled && !this->spec().atMostOnce && attempts < this->spec().maxAttempts && losses < mostLosses;
     for (wire::TaskRecordT &task : this->taskList) {
         task.attempts = attempts;
         if (mayRestart) {
-            task.notBeforeMicros = attempts > 0 ? atMicros + backoffMicros(attempts) : atMicros;
+            task.notBeforeMicros = std::max(notBefore, attempts > 0 ? atMicros + backoffMicros(attempts) : atMicros);
             this->setState(task, TaskState::Queued);
         } else if (task.state == TaskState::Queued) {
             this->setState(task, anyCancelled ? TaskState::Cancelled : TaskState::Failed);
--- a/paddlepier/ledger/job.h
+++ b/paddlepier/ledger/job.h
@@ -8,6 +8,9 @@
 //        ^         |         |
 //        +---------+---------+   attempt ended otherwise; after a backoff
 //
+// A task may be what takes its workers down. One under which worker after worker is lost is given up; a service is started
+// again, but ever more seldom, until it has run for long.
+//
 // Thread safety: none; owned by the ledger.
 
 #ifndef PADDLEPIER_LEDGER_JOB_H
@@ -23,6 +26,12 @@
 namespace paddlepier::ledger
 {
 
+/**
+ * Workers lost under one task after which it is given up, unless it is a service: each start may cost a worker and all that runs
+ * there. Not fewer, since a cut can't be told from a loss here.
+ */
+constexpr std::uint32_t mostLosses = 4;
+
 /** How an attempt ended, as far as the ledger can know. */
 enum class AttemptEnd { Succeeded, Failed, Stopped, NeverStarted, Unknown };
 
@@ -77,6 +86,8 @@
     void endTask(wire::TaskRecordT &task, AttemptEnd end, std::int64_t atMicros);
     void restartGang(std::int64_t atMicros);
     void requeue(wire::TaskRecordT &task, std::int64_t atMicros, bool countAttempt);
+    /** The worker was lost, or cut off, while the task may have run there. */
+    void requeueAfterLoss(wire::TaskRecordT &task, std::int64_t atMicros);
     void noteEnd(std::int64_t atMicros);
     bool mayRetry(const wire::TaskRecordT &task) const;
 
--- a/paddlepier/ledger/job_test.cpp
+++ b/paddlepier/ledger/job_test.cpp
@@ -54,4 +54,40 @@
     CHECK(job.state() == wire::TaskState::Failed);
 }
 
+TEST_CASE_METHOD(LedgerJobFixture, "gangWhoseWorkersAreLost_isGivenUpWithinItsBound")
+{
+    Job job = make(wire::JobKind::Gang);
+    CHECK(this->loseWorkers(job, 20) <= 5);
+    CHECK(job.state() == wire::TaskState::Failed);
+}
+
+TEST_CASE_METHOD(LedgerJobFixture, "serviceWhoseWorkersAreLost_isStartedEverMoreSeldom")
+{
+    Job job = make(wire::JobKind::Service);
+    CHECK(this->loseWorkers(job, 10) == 10);
+    CHECK(this->now > 60 * microsPerSecond);
+}
+
+TEST_CASE_METHOD(LedgerJobFixture, "serviceThatRanForLong_afterALoss_isStartedAtOnce")
+{
+    Job job = make(wire::JobKind::Service);
+    this->loseWorkers(job, 6);
+    this->now = std::max(this->now, job.nextPlaceableAt());
+    job.place(0, "w", 100);
+    job.started(0, 100, this->now);
+    this->now += 120 * microsPerSecond;
+    job.ended(0, 100, AttemptEnd::Unknown, this->now);
+    CHECK(job.nextPlaceableAt() <= this->now);
+}
+
+TEST_CASE_METHOD(LedgerJobFixture, "attemptThatWasToStop_gone_isNoLoss")
+{
+    Job job = make(wire::JobKind::Batch);
+    job.place(0, "w", 1);
+    job.move(0);
+    job.ended(0, 1, AttemptEnd::Unknown, this->now);
+    CHECK(job.tasks()[0].losses == 0);
+    CHECK(job.state() == wire::TaskState::Queued);
+}
+
 } // namespace paddlepier::ledger
--- a/paddlepier/ledger/leasetable.cpp
+++ b/paddlepier/ledger/leasetable.cpp
@@ -182,15 +182,13 @@
     if (task.state != TaskState::Placed || worker.isDraining()) {
         return false;
     }
-    if (!job.spec().atMostOnce) {
-        return true;
-    }
-    // Offered before: only a worker that says which reply it took last can rule out that the attempt began.
+    // Offered before: only a worker that says which reply it took last can rule out that the attempt began. One that has been
+    // restarted since may have been taken down by it, and would be again.
     const auto offered = contact.offered.find(task.epoch);
     if (offered != contact.offered.end()) {
         return request.replySequence > 0 && request.replySequence < offered->second;
     }
-    return this->wasNeverOffered(task, contact);
+    return !job.spec().atMostOnce || this->wasNeverOffered(task, contact);
 }
 
 void LeaseTable::compareTasks(const wire::AnnounceRequestT &request, const Ledger &ledger, const Contact &contact, wire::ReportTasksT &report) const
@@ -211,7 +209,7 @@
         }
         const bool isReported = contains(finished, task, record.epoch);
         if (mayConclude && !isReported && !this->mayOffer(worker, job, record, request, contact)) {
-            auto &list = job.spec().atMostOnce && this->wasNeverOffered(record, contact) ? report.unstarted : report.gone;
+            auto &list = this->wasNeverOffered(record, contact) ? report.unstarted : report.gone;
             list.push_back(lease);
         }
     }
@@ -262,9 +260,7 @@
         assignment->runSeconds = job.spec().runSeconds;
         assignment->command = job.spec().command;
         reply.started.push_back(std::move(assignment));
-        if (job.spec().atMostOnce) {
-            offered[record.epoch] = request.sequence;
-        }
+        offered[record.epoch] = request.sequence;
     }
     contact.offered = std::move(offered);
     contact.withdrawn = std::move(withdrawn);
--- a/paddlepier/ledger/leasetable.h
+++ b/paddlepier/ledger/leasetable.h
@@ -95,7 +95,7 @@
         /** Until then the worker may run tasks; on the leader's clock. */
         Timestamp leaseEnd;
         bool expiryProposed = false;
-        /** At-most-once attempts offered to the worker under this leader: epoch to the newest offering reply. */
+        /** Attempts offered to the worker under this leader: epoch to the newest offering reply. */
         absl::flat_hash_map<std::uint64_t, std::uint64_t> offered;
         /**
          * Epochs whose end was proposed but perhaps not applied yet. Invariant: none of them is ever renewed or offered
--- a/paddlepier/ledger/leasetable_test.cpp
+++ b/paddlepier/ledger/leasetable_test.cpp
@@ -123,6 +123,19 @@
     REQUIRE(table.announce(this->start, next, this->ledger).reply.started.size() == 1);
 }
 
+TEST_CASE_METHOD(LeaseTableFixture, "announce_offeredTaskMissingAfterARestart_isNotOfferedAgain")
+{
+    // A task that takes its worker down before its start is reported was offered to the next life again, without end.
+    LeaseTable table(this->timing, 1, this->ledger.upcomingEpoch(), this->start);
+    const std::uint64_t job = this->placeJob(false);
+    REQUIRE(table.announce(this->start, this->announcement(1), this->ledger).reply.started.size() == 1);
+    const AnnouncementResult second = table.announce(this->start, this->announcement(2), this->ledger);
+    REQUIRE(second.reply.started.empty());
+    this->apply(*second.commands.at(0).AsReportTasks());
+    REQUIRE(this->ledger.findJob(job)->tasks()[0].losses == 1);
+    REQUIRE(this->ledger.findJob(job)->state() == wire::TaskState::Queued);
+}
+
 TEST_CASE_METHOD(LeaseTableFixture, "announce_finishReportedBeforeStart_endsOnceOnlyTask")
 {
     // Found by fuzzing: the task was queued again, since its start had not been recorded yet.
--- a/paddlepier/planning/makingway.cpp
+++ b/paddlepier/planning/makingway.cpp
@@ -173,7 +173,9 @@
     if (each == 0) {
         return missing;
     }
-    const std::int64_t available = std::max<std::int64_t>(0, room.processors) + room.comingProcessors;
+    // What a room has shrunk by is given back before anything is free.
+    const std::int64_t shortage = std::min<std::int64_t>(0, room.worker->freeMilliProcessors());
+    const std::int64_t available = std::max<std::int64_t>(0, room.processors) + room.comingProcessors + shortage;
     const std::size_t claimed = std::min(missing, static_cast<std::size_t>(std::max<std::int64_t>(0, available / each)));
     room.comingProcessors -= each * static_cast<std::int64_t>(claimed);
     return claimed;
--- a/paddlepier/wire/api_generated.h
+++ b/paddlepier/wire/api_generated.h
@@ -1500,6 +1500,7 @@
   uint64_t epoch = 0;
   uint32_t attempts = 0;
   paddlepier::wire::WaitReason reason = paddlepier::wire::WaitReason::None;
+  uint32_t losses = 0;
 };
 
 struct TaskDetail FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -1515,7 +1516,8 @@
     VT_WORKER = 8,
     VT_EPOCH = 10,
     VT_ATTEMPTS = 12,
-    VT_REASON = 14
+    VT_REASON = 14,
+    VT_LOSSES = 16
   };
   uint32_t index() const {
     return GetField<uint32_t>(VT_INDEX, 0);
@@ -1535,6 +1537,10 @@
   paddlepier::wire::WaitReason reason() const {
     return static_cast<paddlepier::wire::WaitReason>(GetField<uint8_t>(VT_REASON, 0));
   }
+  /// Workers lost under it.
+  uint32_t losses() const {
+    return GetField<uint32_t>(VT_LOSSES, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint32_t>(verifier, VT_INDEX, 4) &&
@@ -1544,6 +1550,7 @@
            VerifyField<uint64_t>(verifier, VT_EPOCH, 8) &&
            VerifyField<uint32_t>(verifier, VT_ATTEMPTS, 4) &&
            VerifyField<uint8_t>(verifier, VT_REASON, 1) &&
+           VerifyField<uint32_t>(verifier, VT_LOSSES, 4) &&
            verifier.EndTable();
   }
   TaskDetailT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1573,6 +1580,9 @@
   void add_reason(paddlepier::wire::WaitReason reason) {
     fbb_.AddElement<uint8_t>(TaskDetail::VT_REASON, static_cast<uint8_t>(reason), 0);
   }
+  void add_losses(uint32_t losses) {
+    fbb_.AddElement<uint32_t>(TaskDetail::VT_LOSSES, losses, 0);
+  }
   explicit TaskDetailBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1591,9 +1601,11 @@
     flatbuffers::Offset<flatbuffers::String> worker = 0,
     uint64_t epoch = 0,
     uint32_t attempts = 0,
-    paddlepier::wire::WaitReason reason = paddlepier::wire::WaitReason::None) {
+    paddlepier::wire::WaitReason reason = paddlepier::wire::WaitReason::None,
+    uint32_t losses = 0) {
   TaskDetailBuilder builder_(_fbb);
   builder_.add_epoch(epoch);
+  builder_.add_losses(losses);
   builder_.add_attempts(attempts);
   builder_.add_worker(worker);
   builder_.add_index(index);
@@ -1614,7 +1626,8 @@
     const char *worker = nullptr,
     uint64_t epoch = 0,
     uint32_t attempts = 0,
-    paddlepier::wire::WaitReason reason = paddlepier::wire::WaitReason::None) {
+    paddlepier::wire::WaitReason reason = paddlepier::wire::WaitReason::None,
+    uint32_t losses = 0) {
   auto worker__ = worker ? _fbb.CreateString(worker) : 0;
   return paddlepier::wire::CreateTaskDetail(
       _fbb,
@@ -1623,7 +1636,8 @@
       worker__,
       epoch,
       attempts,
-      reason);
+      reason,
+      losses);
 }
 
 flatbuffers::Offset<TaskDetail> CreateTaskDetail(flatbuffers::FlatBufferBuilder &_fbb, const TaskDetailT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -5468,6 +5482,7 @@
   { auto _e = epoch(); _o->epoch = _e; }
   { auto _e = attempts(); _o->attempts = _e; }
   { auto _e = reason(); _o->reason = _e; }
+  { auto _e = losses(); _o->losses = _e; }
 }
 
 inline flatbuffers::Offset<TaskDetail> TaskDetail::Pack(flatbuffers::FlatBufferBuilder &_fbb, const TaskDetailT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -5484,6 +5499,7 @@
   auto _epoch = _o->epoch;
   auto _attempts = _o->attempts;
   auto _reason = _o->reason;
+  auto _losses = _o->losses;
   return paddlepier::wire::CreateTaskDetail(
       _fbb,
       _index,
@@ -5491,7 +5507,8 @@
       _worker,
       _epoch,
       _attempts,
-      _reason);
+      _reason,
+      _losses);
 }
 
 inline ExplainRequestT *ExplainRequest::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/paddlepier/wire/ledger_generated.h
+++ b/paddlepier/wire/ledger_generated.h
@@ -1994,6 +1994,8 @@
   uint32_t attempts = 0;
   int64_t notBeforeMicros = 0;
   bool cancelled = false;
+  uint32_t losses = 0;
+  int64_t startedAtMicros = 0;
 };
 
 struct TaskRecord FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -2010,7 +2012,9 @@
     VT_EPOCH = 10,
     VT_ATTEMPTS = 12,
     VT_NOTBEFOREMICROS = 14,
-    VT_CANCELLED = 16
+    VT_CANCELLED = 16,
+    VT_LOSSES = 18,
+    VT_STARTEDATMICROS = 20
   };
   uint32_t index() const {
     return GetField<uint32_t>(VT_INDEX, 0);
@@ -2034,6 +2038,14 @@
   bool cancelled() const {
     return GetField<uint8_t>(VT_CANCELLED, 0) != 0;
   }
+  /// Workers lost under it; of a service, those since it last ran for long. Older snapshots know of none.
+  uint32_t losses() const {
+    return GetField<uint32_t>(VT_LOSSES, 0);
+  }
+  /// When the attempt under way was reported as started; 0 if it wasn't.
+  int64_t startedAtMicros() const {
+    return GetField<int64_t>(VT_STARTEDATMICROS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint32_t>(verifier, VT_INDEX, 4) &&
@@ -2044,6 +2056,8 @@
            VerifyField<uint32_t>(verifier, VT_ATTEMPTS, 4) &&
            VerifyField<int64_t>(verifier, VT_NOTBEFOREMICROS, 8) &&
            VerifyField<uint8_t>(verifier, VT_CANCELLED, 1) &&
+           VerifyField<uint32_t>(verifier, VT_LOSSES, 4) &&
+           VerifyField<int64_t>(verifier, VT_STARTEDATMICROS, 8) &&
            verifier.EndTable();
   }
   TaskRecordT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2076,6 +2090,12 @@
   void add_cancelled(bool cancelled) {
     fbb_.AddElement<uint8_t>(TaskRecord::VT_CANCELLED, static_cast<uint8_t>(cancelled), 0);
   }
+  void add_losses(uint32_t losses) {
+    fbb_.AddElement<uint32_t>(TaskRecord::VT_LOSSES, losses, 0);
+  }
+  void add_startedAtMicros(int64_t startedAtMicros) {
+    fbb_.AddElement<int64_t>(TaskRecord::VT_STARTEDATMICROS, startedAtMicros, 0);
+  }
   explicit TaskRecordBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2095,10 +2115,14 @@
     uint64_t epoch = 0,
     uint32_t attempts = 0,
     int64_t notBeforeMicros = 0,
-    bool cancelled = false) {
+    bool cancelled = false,
+    uint32_t losses = 0,
+    int64_t startedAtMicros = 0) {
   TaskRecordBuilder builder_(_fbb);
+  builder_.add_startedAtMicros(startedAtMicros);
   builder_.add_notBeforeMicros(notBeforeMicros);
   builder_.add_epoch(epoch);
+  builder_.add_losses(losses);
   builder_.add_attempts(attempts);
   builder_.add_worker(worker);
   builder_.add_index(index);
@@ -2120,7 +2144,9 @@
     uint64_t epoch = 0,
     uint32_t attempts = 0,
     int64_t notBeforeMicros = 0,
-    bool cancelled = false) {
+    bool cancelled = false,
+    uint32_t losses = 0,
+    int64_t startedAtMicros = 0) {
   auto worker__ = worker ? _fbb.CreateString(worker) : 0;
   return paddlepier::wire::CreateTaskRecord(
       _fbb,
@@ -2130,7 +2156,9 @@
       epoch,
       attempts,
       notBeforeMicros,
-      cancelled);
+      cancelled,
+      losses,
+      startedAtMicros);
 }
 
 flatbuffers::Offset<TaskRecord> CreateTaskRecord(flatbuffers::FlatBufferBuilder &_fbb, const TaskRecordT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -3209,6 +3237,8 @@
   { auto _e = attempts(); _o->attempts = _e; }
   { auto _e = notBeforeMicros(); _o->notBeforeMicros = _e; }
   { auto _e = cancelled(); _o->cancelled = _e; }
+  { auto _e = losses(); _o->losses = _e; }
+  { auto _e = startedAtMicros(); _o->startedAtMicros = _e; }
 }
 
 inline flatbuffers::Offset<TaskRecord> TaskRecord::Pack(flatbuffers::FlatBufferBuilder &_fbb, const TaskRecordT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -3226,6 +3256,8 @@
   auto _attempts = _o->attempts;
   auto _notBeforeMicros = _o->notBeforeMicros;
   auto _cancelled = _o->cancelled;
+  auto _losses = _o->losses;
+  auto _startedAtMicros = _o->startedAtMicros;
   return paddlepier::wire::CreateTaskRecord(
       _fbb,
       _index,
@@ -3234,7 +3266,9 @@
       _epoch,
       _attempts,
       _notBeforeMicros,
-      _cancelled);
+      _cancelled,
+      _losses,
+      _startedAtMicros);
 }
 
 inline JobRecordT::JobRecordT(const JobRecordT &o)
--- a/paddlepier/wire/workload_generated.h
+++ b/paddlepier/wire/workload_generated.h
@@ -2555,6 +2555,7 @@
   std::unique_ptr<paddlepier::work::Demand> capacity{};
   std::vector<std::string> labels{};
   bool isDraining = false;
+  uint64_t sequence = 0;
   RegisterWorkerT() = default;
   RegisterWorkerT(const RegisterWorkerT &o);
   RegisterWorkerT(RegisterWorkerT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -2577,7 +2578,8 @@
     VT_ZONE = 12,
     VT_CAPACITY = 14,
     VT_LABELS = 16,
-    VT_ISDRAINING = 18
+    VT_ISDRAINING = 18,
+    VT_SEQUENCE = 20
   };
   const flatbuffers::String *id() const {
     return GetPointer<const flatbuffers::String *>(VT_ID);
@@ -2603,6 +2605,10 @@
   bool isDraining() const {
     return GetField<uint8_t>(VT_ISDRAINING, 0) != 0;
   }
+  /// Number of the announcement that this stands for; an older one changes nothing. 0 in older entries.
+  uint64_t sequence() const {
+    return GetField<uint64_t>(VT_SEQUENCE, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_ID) &&
@@ -2620,6 +2626,7 @@
            verifier.VerifyVector(labels()) &&
            verifier.VerifyVectorOfStrings(labels()) &&
            VerifyField<uint8_t>(verifier, VT_ISDRAINING, 1) &&
+           VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
            verifier.EndTable();
   }
   RegisterWorkerT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2655,6 +2662,9 @@
   void add_isDraining(bool isDraining) {
     fbb_.AddElement<uint8_t>(RegisterWorker::VT_ISDRAINING, static_cast<uint8_t>(isDraining), 0);
   }
+  void add_sequence(uint64_t sequence) {
+    fbb_.AddElement<uint64_t>(RegisterWorker::VT_SEQUENCE, sequence, 0);
+  }
   explicit RegisterWorkerBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2675,8 +2685,10 @@
     flatbuffers::Offset<flatbuffers::String> zone = 0,
     const paddlepier::work::Demand *capacity = nullptr,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> labels = 0,
-    bool isDraining = false) {
+    bool isDraining = false,
+    uint64_t sequence = 0) {
   RegisterWorkerBuilder builder_(_fbb);
+  builder_.add_sequence(sequence);
   builder_.add_labels(labels);
   builder_.add_capacity(capacity);
   builder_.add_zone(zone);
@@ -2702,7 +2714,8 @@
     const char *zone = nullptr,
     const paddlepier::work::Demand *capacity = nullptr,
     const std::vector<flatbuffers::Offset<flatbuffers::String>> *labels = nullptr,
-    bool isDraining = false) {
+    bool isDraining = false,
+    uint64_t sequence = 0) {
   auto id__ = id ? _fbb.CreateString(id) : 0;
   auto machine__ = machine ? _fbb.CreateString(machine) : 0;
   auto service__ = service ? _fbb.CreateString(service) : 0;
@@ -2718,7 +2731,8 @@
       zone__,
       capacity,
       labels__,
-      isDraining);
+      isDraining,
+      sequence);
 }
 
 flatbuffers::Offset<RegisterWorker> CreateRegisterWorker(flatbuffers::FlatBufferBuilder &_fbb, const RegisterWorkerT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -6372,7 +6386,8 @@
         zone(o.zone),
         capacity((o.capacity) ? new paddlepier::work::Demand(*o.capacity) : nullptr),
         labels(o.labels),
-        isDraining(o.isDraining) {
+        isDraining(o.isDraining),
+        sequence(o.sequence) {
 }
 
 inline RegisterWorkerT &RegisterWorkerT::operator=(RegisterWorkerT o) FLATBUFFERS_NOEXCEPT {
@@ -6384,6 +6399,7 @@
   std::swap(capacity, o.capacity);
   std::swap(labels, o.labels);
   std::swap(isDraining, o.isDraining);
+  std::swap(sequence, o.sequence);
   return *this;
 }
 
@@ -6404,6 +6420,7 @@
   { auto _e = capacity(); if (_e) _o->capacity = std::unique_ptr<paddlepier::work::Demand>(new paddlepier::work::Demand(*_e)); }
   { auto _e = labels(); if (_e) { _o->labels.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->labels[_i] = _e->Get(_i)->str(); } } }
   { auto _e = isDraining(); _o->isDraining = _e; }
+  { auto _e = sequence(); _o->sequence = _e; }
 }
 
 inline flatbuffers::Offset<RegisterWorker> RegisterWorker::Pack(flatbuffers::FlatBufferBuilder &_fbb, const RegisterWorkerT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -6422,6 +6439,7 @@
   auto _capacity = _o->capacity ? _o->capacity.get() : nullptr;
   auto _labels = _o->labels.size() ? _fbb.CreateVectorOfStrings(_o->labels) : 0;
   auto _isDraining = _o->isDraining;
+  auto _sequence = _o->sequence;
   return paddlepier::work::CreateRegisterWorker(
       _fbb,
       _id,
@@ -6431,7 +6449,8 @@
       _zone,
       _capacity,
       _labels,
-      _isDraining);
+      _isDraining,
+      _sequence);
 }
 
 inline RemoveWorkerT::RemoveWorkerT(const RemoveWorkerT &o)
--- a/paddlepier/workload/workload.cpp
+++ b/paddlepier/workload/workload.cpp
@@ -74,6 +74,13 @@
            && this->reservedAccelerators + demand.accelerators() <= capacity.accelerators();
 }
 
+bool Worker::isOverRoom() const
+{
+    const work::Demand &capacity = *this->registration.capacity;
+    return this->reservedMilliProcessors > capacity.milliProcessors() || this->reservedMemoryMegabytes > capacity.memoryMegabytes()
+           || this->reservedAccelerators > capacity.accelerators();
+}
+
 std::int64_t Worker::freeMilliProcessors() const
 {
     return static_cast<std::int64_t>(this->registration.capacity->milliProcessors()) - static_cast<std::int64_t>(this->reservedMilliProcessors);
@@ -293,6 +300,10 @@
 Outcome Workload::registerWorker(const work::RegisterWorkerT &command)
 {
     Worker &worker = this->workerById[command.id];
+    // Held up on its way: a later announcement, of a smaller room perhaps, is in force.
+    if (command.sequence < worker.registration.sequence) {
+        return {};
+    }
     const bool wasDraining = worker.registration.isDraining;
     worker.registration = command;
     worker.registration.isDraining = command.isDraining || wasDraining;
--- a/paddlepier/workload/workload.h
+++ b/paddlepier/workload/workload.h
@@ -70,6 +70,8 @@
     std::uint32_t costlyRuns = 0;
 
     bool hasRoomFor(const work::StepSpecT &step) const;
+    /** It has promised more room than it has: the room has shrunk since. Starts that wait would make that worse. */
+    bool isOverRoom() const;
     std::int64_t freeMilliProcessors() const;
     bool hasLabel(std::string_view label) const;
 };
