--- a/paddlepier/execution/crashes_test.cpp
+++ b/paddlepier/execution/crashes_test.cpp
@@ -308,6 +308,58 @@
     CHECK(this->workers.problems.empty());
 }
 
+// After the loss of racks most suspects are innocent, and there are more of them than workers.
+TEST_CASE_METHOD(CrashFixture, "tasksOfRacksLostTwice_whereThereIsRoom_startAtOnce")
+{
+    this->addCell(24);
+    this->addJob("many", 40, 30'000);
+    this->submit("watch", 8, 400, [](work::JobSpecT &, work::StepSpecT &step) { step.isLasting = true; });
+    const auto runs = [this] {
+        std::size_t count = 0;
+        for (const auto &[id, worker] : this->workers.workers) {
+            count += worker.runs.size();
+        }
+        return count;
+    };
+    REQUIRE(this->runUntil([&] { return runs() == 48; }, absl::Seconds(2)));
+    for (int loss = 0; loss < 2; ++loss) {
+        std::vector<std::string> busy;
+        for (const auto &[id, worker] : this->workers.workers) {
+            if (!worker.runs.empty() && busy.size() < 8) {
+                busy.push_back(id);
+            }
+        }
+        for (const std::string &id : busy) {
+            this->workers.workers[id].isCut = true;
+            this->workers.workers[id].crashedAt = this->now;
+            this->workers.crash(id);
+        }
+        // They are back after two seconds.
+        CHECK(this->runUntil([&] { return runs() == 48; }, absl::Milliseconds(3200)));
+    }
+    CHECK(this->stateOf("many") == work::JobState::Running);
+    CHECK(this->workers.problems.empty());
+}
+
+TEST_CASE_METHOD(CrashFixture, "taskUnderWhichTwoWorkersWereLost_startsOnAWorkerOfItsOwn")
+{
+    this->addCell(6);
+    this->addJob("long", 8, 20'000);
+    this->crashing = {"bad"};
+    this->addJob("bad", 1, 800);
+    const workload::TaskKey bad("bad", 0, 0, 0);
+    const auto losses = [&] { return this->state.findJob("bad")->task(bad).lostWorkers.size(); };
+    REQUIRE(this->runUntil([&] { return losses() == 2; }, absl::Seconds(10)));
+    REQUIRE(this->runUntil([&] { return this->state.findJob("bad")->task(bad).hasRun(); }, absl::Seconds(2)));
+    this->addJob("more", 8, 500);
+    const std::string worker = this->state.findJob("bad")->task(bad).worker;
+    CHECK(this->state.findWorker(worker)->runs.size() == 1);
+    this->runFor(absl::Milliseconds(300));
+    CHECK(this->state.findWorker(worker)->runs.size() == 1);
+    this->checkGivenUp("bad");
+    CHECK(this->state.findJob("bad")->failure().lostWorkers.size() == workload::enoughLosses);
+}
+
 TEST_CASE_METHOD(CrashFixture, "workerThatIsDrainedAndLeaves_saysNothingAboutItsTasks")
 {
     this->addCell(2);
--- a/paddlepier/planning/planner.cpp
+++ b/paddlepier/planning/planner.cpp
@@ -103,8 +103,7 @@
     double least = std::numeric_limits<double>::infinity();
     for (Choice &choice : this->choices) {
         const double penalty = choice.penalty + Probation::penalty(*choice.room, task);
-        if (penalty >= least || (!rack.empty() && choice.room->rack() != rack) || !isTrusted(*choice.room, task)
-            || !this->probation.mayStart(*choice.room, task, *wanted.step)) {
+        if (penalty >= least || (!rack.empty() && choice.room->rack() != rack) || !isTrusted(*choice.room, task)) {
             continue;
         }
         const auto &superseded = choice.room->worker->superseded;
@@ -129,6 +128,10 @@
 
 void Planner::planStep(Timestamp now, WantedStep &wanted, Plan &plan)
 {
+    Probation::holdBack(wanted);
+    if (wanted.tasks.empty()) {
+        return;
+    }
     this->collectChoices(wanted);
     if (wanted.step->isGang) {
         this->planGang(wanted, plan);
--- a/paddlepier/planning/probation.cpp
+++ b/paddlepier/planning/probation.cpp
@@ -13,9 +13,12 @@
 /** Losses after which a task proves itself on a worker of its own: one may well be an accident. */
 constexpr std::size_t lossesForProof = 2;
 
-/** Each try may cost a worker for some seconds; so many of them are put at stake at a time, but two always. */
-constexpr std::size_t workersPerTry = 8;
-constexpr std::size_t leastTries = 2;
+/** What takes its worker down by starting does so within some tenths of a second; the answer may be a second late. */
+constexpr Duration apartFor = absl::Seconds(2);
+
+/** One worker of so many is kept apart at the most, so that a lost rack's tasks don't keep the rest of the cell empty. */
+constexpr std::size_t workersPerRoomApart = 6;
+constexpr std::size_t leastRoomsApart = 2;
 
 /** Penalties of a suspect's placement, in units of a wholly free worker; the first outweighs the preference for fuller workers. */
 constexpr double crowdPenalty = 2.5;
@@ -31,38 +34,44 @@
 {
 }
 
-bool Probation::needsProof(const workload::Task &task, const work::StepSpecT &step)
-{
-    return !step.isGang && task.possibleLosses() >= lossesForProof;
-}
-
 void Probation::begin(Timestamp now)
 {
-    this->tries = 0;
-    this->mostTries = std::max(leastTries, this->rooms.all().size() / workersPerTry);
+    this->roomsApart = 0;
+    this->mostRoomsApart = std::max(leastRoomsApart, this->rooms.all().size() / workersPerRoomApart);
     for (const workload::TaskKey &key : this->state.suspects()) {
         const workload::Job &job = *this->state.findJob(key.job);
         const workload::Task &task = job.task(key);
         const auto track = this->tracks.find(key);
-        const bool isSettled = track != this->tracks.end() && track->second.isSettledAt(now);
-        if (!task.hasRun() || isSettled) {
+        Room *room = task.hasRun() ? this->rooms.find(task.worker) : nullptr;
+        if (room == nullptr || track == this->tracks.end() || track->second.isSettledAt(now)) {
             continue;
         }
-        this->tries += needsProof(task, job.stepSpec(key.step)) ? 1 : 0;
-        Room *room = this->rooms.find(task.worker);
-        if (room != nullptr) {
-            ++room->suspects;
-            room->isKeptApart = room->isKeptApart || needsProof(task, job.stepSpec(key.step));
+        ++room->suspects;
+        if (now - track->second.placedAt < apartFor) {
+            this->keepApart(*room, task, job.stepSpec(key.step));
         }
     }
 }
 
-bool Probation::mayStart(const Room &room, const workload::Task &task, const work::StepSpecT &step) const
+void Probation::keepApart(Room &room, const workload::Task &task, const work::StepSpecT &step)
+{
+    // A gang needs many workers at once, most of which its other members share with it.
+    if (step.isGang || task.possibleLosses() < lossesForProof || this->roomsApart >= this->mostRoomsApart) {
+        return;
+    }
+    this->roomsApart += room.isKeptApart ? 0 : 1;
+    room.isKeptApart = true;
+}
+
+void Probation::holdBack(WantedStep &wanted)
 {
-    if (room.isKeptApart || task.possibleLosses() >= workload::mostLosses) {
-        return false;
+    const auto isHeld = [&wanted](std::uint32_t index) { return wanted.progress->tasks[index].possibleLosses() >= workload::mostLosses; };
+    const bool holdsSome = std::any_of(wanted.tasks.begin(), wanted.tasks.end(), isHeld);
+    if (holdsSome && wanted.step->isGang) {
+        wanted.tasks.clear();
+    } else if (holdsSome) {
+        std::erase_if(wanted.tasks, isHeld);
     }
-    return !needsProof(task, step) || (room.suspects == 0 && this->tries < this->mostTries);
 }
 
 double Probation::penalty(const Room &room, const workload::Task &task)
@@ -77,10 +86,9 @@
 
 void Probation::noteStart(Room &room, const workload::Task &task, const work::StepSpecT &step)
 {
-    room.suspects += task.isSuspect() ? 1 : 0;
-    if (needsProof(task, step)) {
-        room.isKeptApart = true;
-        ++this->tries;
+    if (task.isSuspect()) {
+        ++room.suspects;
+        this->keepApart(room, task, step);
     }
 }
 
