--- a/paddlepier/execution/dispatcher.cpp
+++ b/paddlepier/execution/dispatcher.cpp
@@ -70,7 +70,7 @@
     : state(workloadState)
     , options(dispatchOptions)
     , fence(fenceToken)
-    , planner(this->state, this->views, this->tracks, this->advice, this->usualRatios)
+    , planner(this->state, this->views, this->tracks, this->setbacks, this->advice, this->usualRatios)
     , steppedAt(now)
 {
     this->syncWorkers(now);
@@ -246,6 +246,7 @@
     const auto isOver = [this](const std::string &job) { return !this->state.activeJobs().contains(job); };
     this->advice.forgetJobs(isOver);
     this->planner.forgetJobs(isOver);
+    this->setbacks.forgetJobs(isOver);
     std::erase_if(this->supersededTracks, [this](const auto &entry) {
         const auto &[id, key, run] = entry.first;
         const workload::Worker *worker = this->state.findWorker(id);
--- a/paddlepier/execution/dispatcher.h
+++ b/paddlepier/execution/dispatcher.h
@@ -26,6 +26,7 @@
 #include "paddlepier/execution/duequeue.h"
 #include "paddlepier/execution/orders.h"
 #include "paddlepier/execution/runtrack.h"
+#include "paddlepier/execution/setbacks.h"
 #include "paddlepier/execution/stepreport.h"
 #include "paddlepier/execution/workerview.h"
 #include "paddlepier/planning/advicebook.h"
@@ -230,6 +231,7 @@
     bool mayHaveOtherWorkers = true;
     /** What runs of a queue take, as a ratio to their estimates. */
     std::map<std::string, double> usualRatios;
+    Setbacks setbacks;
     planning::AdviceBook advice;
     planning::Planner planner;
     std::map<std::uint64_t, PendingCall> calls;
--- a/paddlepier/execution/fakeworkers.h
+++ b/paddlepier/execution/fakeworkers.h
@@ -178,6 +178,8 @@
     std::function<void(const Event &)> observe;
     /** Whether a run fails by the task's own fault; empty: none does. */
     std::function<bool(const workload::TaskKey &, std::uint32_t)> fails;
+    /** Whether a worker refuses the start of a task as invalid; empty: none does. */
+    std::function<bool(const workload::TaskKey &)> refuses;
     /** Whether a run takes its worker down; empty: none does. */
     std::function<bool(const workload::TaskKey &, std::uint32_t)> crashes;
     /** How long after its start. */
@@ -292,6 +294,9 @@
         if (call.leaseEndOnWorkerClock <= clock(now)) {
             return AnswerKind::LeaseOver;
         }
+        if (this->refuses && this->refuses(order.task)) {
+            return AnswerKind::Invalid;
+        }
         const work::StepSpecT &step = this->lookup(order.task);
         for (const auto &[id, other] : this->workers) {
             if (other.runs.contains(order.task) && !step.mayRunCopies) {
--- a/paddlepier/execution/runs.cpp
+++ b/paddlepier/execution/runs.cpp
@@ -176,8 +176,10 @@
     case AnswerKind::BadTicket:
         this->advice.rejectTicket(order.task.stepKey(), call.worker);
         break;
-    case AnswerKind::NoRoom:
     case AnswerKind::Invalid:
+        this->setbacks.noteRefusal(now, order.task);
+        break;
+    case AnswerKind::NoRoom:
         break;
     case AnswerKind::Fenced:
     case AnswerKind::OtherLife:
--- a/paddlepier/execution/watch.cpp
+++ b/paddlepier/execution/watch.cpp
@@ -118,7 +118,9 @@
         return;
     }
     if (now - track.progressAt > patienceWith(step)) {
-        view.noteFailedRun(now);
+        if (this->setbacks.noteStandstill(key)) {
+            view.noteFailedRun(now);
+        }
         this->stopRun(now, key, track, StopReason::StandsStill);
         return;
     }
--- a/paddlepier/planning/fakecell.h
+++ b/paddlepier/planning/fakecell.h
@@ -35,7 +35,7 @@
 public:
     FakeCell(std::uint64_t seed, std::uint32_t workerCount)
         : random(seed)
-        , planner(this->state, this->views, this->tracks, this->advice, this->usualRatios)
+        , planner(this->state, this->views, this->tracks, this->setbacks, this->advice, this->usualRatios)
     {
         this->configure();
         for (std::uint32_t number = 0; number < workerCount; ++number) {
@@ -141,6 +141,7 @@
     workload::Workload state;
     std::map<std::string, execution::WorkerView> views;
     execution::RunTracks tracks;
+    execution::Setbacks setbacks;
     AdviceBook advice;
     std::map<std::string, double> usualRatios;
     Planner planner;
--- a/paddlepier/planning/loadreplay.h
+++ b/paddlepier/planning/loadreplay.h
@@ -47,7 +47,7 @@
     LoadReplay(std::uint64_t seed, LoadPattern loadPattern)
         : random(seed)
         , pattern(std::move(loadPattern))
-        , planner(this->state, this->views, this->tracks, this->advice, this->usualRatios)
+        , planner(this->state, this->views, this->tracks, this->setbacks, this->advice, this->usualRatios)
     {
         this->configure();
         for (std::uint32_t number = 0; number < this->pattern.workers; ++number) {
@@ -413,6 +413,7 @@
     workload::Workload state;
     std::map<std::string, execution::WorkerView> views;
     execution::RunTracks tracks;
+    execution::Setbacks setbacks;
     AdviceBook advice;
     std::map<std::string, double> usualRatios;
     Planner planner;
--- a/paddlepier/planning/planner.cpp
+++ b/paddlepier/planning/planner.cpp
@@ -15,12 +15,13 @@
 Planner::Planner(const workload::Workload &workloadState,
                  const std::map<std::string, execution::WorkerView> &workerViews,
                  const execution::RunTracks &runTracks,
+                 const execution::Setbacks &setbacks,
                  AdviceBook &book,
                  const std::map<std::string, double> &usualRatiosByQueue)
     : state(workloadState)
     , views(workerViews)
     , advice(book)
-    , probation(workloadState, runTracks, this->rooms)
+    , probation(workloadState, runTracks, setbacks, this->rooms)
     , prospects(usualRatiosByQueue)
     , order(workloadState, this->prospects)
     , keeper(workloadState, runTracks, this->prospects, this->rooms)
@@ -128,7 +129,7 @@
 
 void Planner::planStep(Timestamp now, WantedStep &wanted, Plan &plan)
 {
-    Probation::holdBack(wanted);
+    this->probation.holdBack(now, wanted);
     if (wanted.tasks.empty()) {
         return;
     }
--- a/paddlepier/planning/planner.h
+++ b/paddlepier/planning/planner.h
@@ -56,6 +56,7 @@
     Planner(const workload::Workload &workloadState,
             const std::map<std::string, execution::WorkerView> &workerViews,
             const execution::RunTracks &runTracks,
+            const execution::Setbacks &setbacks,
             AdviceBook &book,
             const std::map<std::string, double> &usualRatiosByQueue);
 
--- a/paddlepier/planning/planner_benchmark.cpp
+++ b/paddlepier/planning/planner_benchmark.cpp
@@ -30,7 +30,7 @@
     benchmark::DoNotOptimize(cell.plan());
     std::size_t placements = 0;
     for (auto _ : state) {
-        Planner planner(cell.state, cell.views, cell.tracks, cell.advice, cell.usualRatios);
+        Planner planner(cell.state, cell.views, cell.tracks, cell.setbacks, cell.advice, cell.usualRatios);
         placements += planner.plan(cell.now, cell.wallMillis).placements.size();
     }
     state.counters["placements"] = benchmark::Counter(static_cast<double>(placements), benchmark::Counter::kAvgIterations);
--- a/paddlepier/planning/planner_test.cpp
+++ b/paddlepier/planning/planner_test.cpp
@@ -17,7 +17,7 @@
 {
 public:
     PlannerFixture()
-        : planner(this->state, this->views, this->tracks, this->advice, this->usualRatios)
+        : planner(this->state, this->views, this->tracks, this->setbacks, this->advice, this->usualRatios)
     {
     }
 
@@ -103,6 +103,7 @@
     workload::Workload state;
     std::map<std::string, execution::WorkerView> views;
     execution::RunTracks tracks;
+    execution::Setbacks setbacks;
     AdviceBook advice;
     std::map<std::string, double> usualRatios;
     Planner planner;
--- a/paddlepier/planning/probation.cpp
+++ b/paddlepier/planning/probation.cpp
@@ -27,9 +27,10 @@
 
 } // namespace
 
-Probation::Probation(const workload::Workload &workloadState, const execution::RunTracks &runTracks, Rooms &planRooms)
+Probation::Probation(const workload::Workload &workloadState, const execution::RunTracks &runTracks, const execution::Setbacks &taskSetbacks, Rooms &planRooms)
     : state(workloadState)
     , tracks(runTracks)
+    , setbacks(taskSetbacks)
     , rooms(planRooms)
 {
 }
@@ -63,9 +64,12 @@
     room.isKeptApart = true;
 }
 
-void Probation::holdBack(WantedStep &wanted)
+void Probation::holdBack(Timestamp now, WantedStep &wanted) const
 {
-    const auto isHeld = [&wanted](std::uint32_t index) { return wanted.progress->tasks[index].possibleLosses() >= workload::mostLosses; };
+    const auto isHeld = [this, now, &wanted](std::uint32_t index) {
+        const bool mayCostNoMore = wanted.progress->tasks[index].possibleLosses() >= workload::mostLosses;
+        return mayCostNoMore || this->setbacks.isPaused(now, {wanted.key.job, wanted.key.occurrence, wanted.key.step, index});
+    };
     const bool holdsSome = std::any_of(wanted.tasks.begin(), wanted.tasks.end(), isHeld);
     if (holdsSome && wanted.step->isGang) {
         wanted.tasks.clear();
--- a/paddlepier/planning/probation.h
+++ b/paddlepier/planning/probation.h
@@ -5,9 +5,11 @@
 // worker, apart from other suspects, away from what is lasting or begins as a whole. After two losses nothing else is placed on
 // its worker for a while, so that the next loss shows its cause; only a part of the workers is kept apart at a time.
 //
+// Tasks that workers refuse as invalid pause; so do those that may have cost as many workers as one task may.
+//
 // Example:
 //     probation.begin(now);
-//     probation.holdBack(wanted);
+//     probation.holdBack(now, wanted);
 //     const double cost = penaltyOf(room, wanted) + Probation::penalty(room, task);
 //     probation.noteStart(room, task, step);
 //
@@ -18,6 +20,7 @@
 
 #include "paddlepier/base/clock.h"
 #include "paddlepier/execution/runtrack.h"
+#include "paddlepier/execution/setbacks.h"
 #include "paddlepier/planning/rooms.h"
 #include "paddlepier/workload/workload.h"
 
@@ -29,12 +32,15 @@
 class Probation
 {
 public:
-    Probation(const workload::Workload &workloadState, const execution::RunTracks &runTracks, Rooms &planRooms);
+    Probation(const workload::Workload &workloadState, const execution::RunTracks &runTracks, const execution::Setbacks &taskSetbacks, Rooms &planRooms);
 
     /** Begins a plan: marks the rooms in which suspects are proving themselves. */
     void begin(Timestamp now);
-    /** Takes tasks out that may have cost as many workers as one task may: what became of some of those isn't known yet. */
-    static void holdBack(WantedStep &wanted);
+    /**
+     * Takes tasks out that pause, and those that may have cost as many workers as one task may: what became of some of these isn't
+     * known yet. A gang is taken out as a whole.
+     */
+    void holdBack(Timestamp now, WantedStep &wanted) const;
     /** What a loss of the worker would cost besides; 0 for a task that is no suspect. */
     static double penalty(const Room &room, const workload::Task &task);
     /** The task is placed there by this plan. */
@@ -46,6 +52,7 @@
 
     const workload::Workload &state;
     const execution::RunTracks &tracks;
+    const execution::Setbacks &setbacks;
     Rooms &rooms;
     std::size_t roomsApart = 0;
     std::size_t mostRoomsApart = 0;
