--- a/paddlepier/execution/lives.cpp
+++ b/paddlepier/execution/lives.cpp
@@ -22,6 +22,9 @@
 /** A life that neither answers nor announces itself for this long, and holds no runs, is over. */
 constexpr Duration forgottenAfter = absl::Seconds(20);
 
+/** A sound worker that is polled without a pause answers at least this often. */
+constexpr Duration longestPollPause = absl::Milliseconds(1000);
+
 /** Part of a draining worker's remaining time in which its runs are stopped, beyond the stop itself. */
 constexpr Duration leavingMargin = absl::Milliseconds(700);
 
@@ -62,10 +65,16 @@
         return work::RunAtLoss::NotBegun;
     }
     const auto view = this->views.find(track.worker);
-    if (view == this->views.end() || !track.isSettledAt(view->second.lastAnswerAt())) {
-        return work::RunAtLoss::Fresh;
+    if (view == this->views.end()) {
+        return work::RunAtLoss::Unclear;
+    }
+    const Timestamp answeredAt = view->second.lastAnswerAt();
+    if (track.isSettledAt(answeredAt)) {
+        return this->state.findJob(key.job)->stepSpec(key.step).isLasting ? work::RunAtLoss::Settled : work::RunAtLoss::Unclear;
     }
-    return this->state.findJob(key.job)->stepSpec(key.step).isLasting ? work::RunAtLoss::Settled : work::RunAtLoss::AtWork;
+    // Of a worker that was silent before the start, or hasn't answered this leader, it isn't known whether the run was still there.
+    const bool wasThere = !track.isAdopted && answeredAt + longestPollPause >= track.placedAt;
+    return wasThere ? work::RunAtLoss::Fresh : work::RunAtLoss::Unclear;
 }
 
 std::vector<std::unique_ptr<work::RunEndT>> Dispatcher::lostRuns(const std::string &worker) const
@@ -89,7 +98,7 @@
         }
     }
     for (const auto &[key, run] : record->superseded) {
-        add(key, run.run, work::RunAtLoss::AtWork);
+        add(key, run.run, work::RunAtLoss::Unclear);
     }
     return lost;
 }
--- a/paddlepier/execution/setbacks.cpp
+++ b/paddlepier/execution/setbacks.cpp
@@ -14,8 +14,8 @@
 constexpr Duration shortestPause = absl::Milliseconds(200);
 constexpr std::uint32_t mostDoublings = 6;
 
-/** Runs of one task that may stand still before its further workers aren't blamed: two workers in trouble at a time are usual. */
-constexpr std::uint32_t blamedStandstills = 2;
+/** Bad runs of one task for which their workers are blamed: that it meets two workers in trouble is usual. */
+constexpr std::uint32_t blamedRuns = 2;
 
 } // namespace
 
@@ -26,9 +26,9 @@
     ++setback.refusals;
 }
 
-bool Setbacks::noteStandstill(const workload::TaskKey &task)
+bool Setbacks::noteBadRun(const workload::TaskKey &task)
 {
-    return ++this->byTask[task].standstills <= blamedStandstills;
+    return ++this->byTask[task].badRuns <= blamedRuns;
 }
 
 bool Setbacks::isPaused(Timestamp now, const workload::TaskKey &task) const
--- a/paddlepier/execution/setbacks.h
+++ b/paddlepier/execution/setbacks.h
@@ -1,8 +1,8 @@
 // Tasks whose starts come to nothing without anybody being to blame for certain.
 //
 // A start that its worker refuses as invalid will hardly be valid elsewhere: without a pause it would be placed again with every
-// plan, for ever. A run that stands still is most often its worker's fault; a task that has stood still on several is more likely to
-// be at fault itself, and further workers aren't blamed for it.
+// plan, for ever. A run that stands still or fails is most often its worker's fault; a task to which that has happened on several is
+// more likely to be at fault itself, and further workers aren't blamed for it: a lasting one would put all of them under suspicion.
 //
 // Example:
 //     setbacks.noteRefusal(now, task);
@@ -27,8 +27,8 @@
 public:
     /** A worker has refused a start of the task as invalid. */
     void noteRefusal(Timestamp now, const workload::TaskKey &task);
-    /** A run of the task was stopped since it stood still. @return whether its worker is to blame */
-    bool noteStandstill(const workload::TaskKey &task);
+    /** A run of the task has failed, or was stopped since it stood still. @return whether its worker may be to blame */
+    bool noteBadRun(const workload::TaskKey &task);
     /** The task isn't to be started yet. */
     bool isPaused(Timestamp now, const workload::TaskKey &task) const;
 
@@ -42,7 +42,7 @@
 private:
     struct Setback {
         std::uint32_t refusals = 0;
-        std::uint32_t standstills = 0;
+        std::uint32_t badRuns = 0;
         Timestamp pausedUntil = absl::InfinitePast();
     };
 
--- a/paddlepier/execution/watch.cpp
+++ b/paddlepier/execution/watch.cpp
@@ -118,7 +118,7 @@
         return;
     }
     if (now - track.progressAt > patienceWith(step)) {
-        if (this->setbacks.noteStandstill(key)) {
+        if (this->setbacks.noteBadRun(key)) {
             view.noteFailedRun(now);
         }
         this->stopRun(now, key, track, StopReason::StandsStill);
@@ -184,7 +184,9 @@
                    {"millis", absl::ToInt64Milliseconds(wholeTime)}});
     }
     if (end.kind == work::RunEndKind::Failed) {
-        view.noteFailedRun(now);
+        if (this->setbacks.noteBadRun(end.task)) {
+            view.noteFailedRun(now);
+        }
     } else if (end.kind == work::RunEndKind::Done) {
         view.noteDoneRun();
     }
--- a/paddlepier/wire/workload_generated.h
+++ b/paddlepier/wire/workload_generated.h
@@ -247,9 +247,9 @@
   NotBegun = 0,
   /// A lasting run that had been at work: losses of workers before it weren't its task's doing.
   Settled = 1,
-  /// It had been at work for a while: the loss counts, but doesn't show its cause.
-  AtWork = 2,
-  /// It had just been started, as far as is known.
+  /// It may have been there, at work for a while, or ended unseen: the loss counts, but doesn't show its cause.
+  Unclear = 2,
+  /// It had just been started on a worker that answered.
   Fresh = 3,
   MIN = NotBegun,
   MAX = Fresh
@@ -259,7 +259,7 @@
   static const RunAtLoss values[] = {
     RunAtLoss::NotBegun,
     RunAtLoss::Settled,
-    RunAtLoss::AtWork,
+    RunAtLoss::Unclear,
     RunAtLoss::Fresh
   };
   return values;
@@ -269,7 +269,7 @@
   static const char * const names[5] = {
     "NotBegun",
     "Settled",
-    "AtWork",
+    "Unclear",
     "Fresh",
     nullptr
   };
@@ -2996,6 +2996,8 @@
   std::string checkpoint{};
   bool everStarted = false;
   std::vector<std::string> lostWorkers{};
+  uint32_t freshLosses = 0;
+  int64_t placedAtMillis = 0;
 };
 
 struct TaskRecord FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -3013,7 +3015,9 @@
     VT_FAILURES = 12,
     VT_CHECKPOINT = 14,
     VT_EVERSTARTED = 16,
-    VT_LOSTWORKERS = 18
+    VT_LOSTWORKERS = 18,
+    VT_FRESHLOSSES = 20,
+    VT_PLACEDATMILLIS = 22
   };
   uint32_t index() const {
     return GetField<uint32_t>(VT_INDEX, 0);
@@ -3042,6 +3046,14 @@
   const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *lostWorkers() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_LOSTWORKERS);
   }
+  /// Of these, the ones on which it had just been started.
+  uint32_t freshLosses() const {
+    return GetField<uint32_t>(VT_FRESHLOSSES, 0);
+  }
+  /// When the newest run was placed.
+  int64_t placedAtMillis() const {
+    return GetField<int64_t>(VT_PLACEDATMILLIS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint32_t>(verifier, VT_INDEX, 4) &&
@@ -3056,6 +3068,8 @@
            VerifyOffset(verifier, VT_LOSTWORKERS) &&
            verifier.VerifyVector(lostWorkers()) &&
            verifier.VerifyVectorOfStrings(lostWorkers()) &&
+           VerifyField<uint32_t>(verifier, VT_FRESHLOSSES, 4) &&
+           VerifyField<int64_t>(verifier, VT_PLACEDATMILLIS, 8) &&
            verifier.EndTable();
   }
   TaskRecordT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3091,6 +3105,12 @@
   void add_lostWorkers(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> lostWorkers) {
     fbb_.AddOffset(TaskRecord::VT_LOSTWORKERS, lostWorkers);
   }
+  void add_freshLosses(uint32_t freshLosses) {
+    fbb_.AddElement<uint32_t>(TaskRecord::VT_FRESHLOSSES, freshLosses, 0);
+  }
+  void add_placedAtMillis(int64_t placedAtMillis) {
+    fbb_.AddElement<int64_t>(TaskRecord::VT_PLACEDATMILLIS, placedAtMillis, 0);
+  }
   explicit TaskRecordBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3111,8 +3131,12 @@
     uint32_t failures = 0,
     flatbuffers::Offset<flatbuffers::String> checkpoint = 0,
     bool everStarted = false,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> lostWorkers = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> lostWorkers = 0,
+    uint32_t freshLosses = 0,
+    int64_t placedAtMillis = 0) {
   TaskRecordBuilder builder_(_fbb);
+  builder_.add_placedAtMillis(placedAtMillis);
+  builder_.add_freshLosses(freshLosses);
   builder_.add_lostWorkers(lostWorkers);
   builder_.add_checkpoint(checkpoint);
   builder_.add_failures(failures);
@@ -3138,7 +3162,9 @@
     uint32_t failures = 0,
     const char *checkpoint = nullptr,
     bool everStarted = false,
-    const std::vector<flatbuffers::Offset<flatbuffers::String>> *lostWorkers = nullptr) {
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *lostWorkers = nullptr,
+    uint32_t freshLosses = 0,
+    int64_t placedAtMillis = 0) {
   auto worker__ = worker ? _fbb.CreateString(worker) : 0;
   auto checkpoint__ = checkpoint ? _fbb.CreateString(checkpoint) : 0;
   auto lostWorkers__ = lostWorkers ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*lostWorkers) : 0;
@@ -3151,7 +3177,9 @@
       failures,
       checkpoint__,
       everStarted,
-      lostWorkers__);
+      lostWorkers__,
+      freshLosses,
+      placedAtMillis);
 }
 
 flatbuffers::Offset<TaskRecord> CreateTaskRecord(flatbuffers::FlatBufferBuilder &_fbb, const TaskRecordT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -6548,6 +6576,8 @@
   { auto _e = checkpoint(); if (_e) _o->checkpoint = _e->str(); }
   { auto _e = everStarted(); _o->everStarted = _e; }
   { auto _e = lostWorkers(); if (_e) { _o->lostWorkers.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->lostWorkers[_i] = _e->Get(_i)->str(); } } }
+  { auto _e = freshLosses(); _o->freshLosses = _e; }
+  { auto _e = placedAtMillis(); _o->placedAtMillis = _e; }
 }
 
 inline flatbuffers::Offset<TaskRecord> TaskRecord::Pack(flatbuffers::FlatBufferBuilder &_fbb, const TaskRecordT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -6566,6 +6596,8 @@
   auto _checkpoint = _o->checkpoint.empty() ? 0 : _fbb.CreateString(_o->checkpoint);
   auto _everStarted = _o->everStarted;
   auto _lostWorkers = _o->lostWorkers.size() ? _fbb.CreateVectorOfStrings(_o->lostWorkers) : 0;
+  auto _freshLosses = _o->freshLosses;
+  auto _placedAtMillis = _o->placedAtMillis;
   return paddlepier::work::CreateTaskRecord(
       _fbb,
       _index,
@@ -6575,7 +6607,9 @@
       _failures,
       _checkpoint,
       _everStarted,
-      _lostWorkers);
+      _lostWorkers,
+      _freshLosses,
+      _placedAtMillis);
 }
 
 inline StepRecordT::StepRecordT(const StepRecordT &o)
--- a/paddlepier/workload/job.cpp
+++ b/paddlepier/workload/job.cpp
@@ -42,7 +42,23 @@
     const auto worker = builder.CreateString(task.worker);
     const auto checkpoint = builder.CreateString(task.checkpoint);
     const auto lostWorkers = task.lostWorkers.empty() ? 0 : builder.CreateVectorOfStrings(task.lostWorkers);
-    return work::CreateTaskRecord(builder, index, task.isDone, task.lastRun, worker, task.failures, checkpoint, task.everStarted, lostWorkers);
+    return work::CreateTaskRecord(
+        builder, index, task.isDone, task.lastRun, worker, task.failures, checkpoint, task.everStarted, lostWorkers, task.freshLosses, task.placedAtMillis);
+}
+
+Task unpackTask(const work::TaskRecordT &record)
+{
+    Task task;
+    task.isDone = record.isDone;
+    task.everStarted = record.everStarted;
+    task.lastRun = record.lastRun;
+    task.failures = record.failures;
+    task.worker = record.worker;
+    task.checkpoint = record.checkpoint;
+    task.lostWorkers = record.lostWorkers;
+    task.freshLosses = record.freshLosses;
+    task.placedAtMillis = record.placedAtMillis;
+    return task;
 }
 
 flatbuffers::Offset<work::JobFailure> packFailure(flatbuffers::FlatBufferBuilder &builder, const JobFailure &failure)
@@ -132,8 +148,7 @@
             step.gangFailures = stored.gangFailures;
             step.lastFailedRun = stored.lastFailedRun;
             for (const auto &entry : stored.tasks) {
-                step.tasks[entry->index] =
-                    Task{entry->isDone, entry->everStarted, entry->lastRun, entry->failures, entry->worker, entry->checkpoint, entry->lostWorkers, 0};
+                step.tasks[entry->index] = unpackTask(*entry);
                 this->anyStarted = this->anyStarted || entry->everStarted;
             }
         }
@@ -331,13 +346,14 @@
     return !wanted.isDone && !wanted.hasRun() && run > wanted.lastRun;
 }
 
-void Job::place(const TaskKey &key, std::uint32_t run, const std::string &worker)
+void Job::place(const TaskKey &key, std::uint32_t run, const std::string &worker, std::int64_t nowMillis)
 {
     Step &step = this->stepOf(key);
     Task &placed = step.tasks.at(key.index);
     this->countWaiting(step, placed.isDone || placed.hasRun() ? 0 : -1);
     placed.lastRun = run;
     placed.worker = worker;
+    placed.placedAtMillis = nowMillis;
     ++step.runningTasks;
     ++this->underWay;
     this->jobState = work::JobState::Running;
@@ -426,14 +442,20 @@
     }
 }
 
-bool Job::noteLoss(const TaskKey &key, const std::string &worker, bool isOnlySuspect, std::int64_t nowMillis)
+bool Job::noteLoss(const TaskKey &key, const std::string &worker, bool isFresh, bool isOnlySuspect, std::int64_t nowMillis)
 {
     if (!this->hasTask(key) || this->hasEnded() || this->task(key).isDone) {
         return false;
     }
-    std::vector<std::string> &lost = this->taskOf(key).lostWorkers;
-    lost.push_back(worker);
-    if (lost.size() < (isOnlySuspect ? enoughLosses : mostLosses)) {
+    Task &task = this->taskOf(key);
+    if (this->stepSpec(key.step).isLasting && nowMillis - task.placedAtMillis >= settledAfterMillis) {
+        this->forgetLosses(key);
+        return false;
+    }
+    task.lostWorkers.push_back(worker);
+    task.freshLosses += isFresh ? 1 : 0;
+    const bool isShown = isOnlySuspect && task.lostWorkers.size() >= enoughLosses && task.freshLosses >= enoughFreshLosses;
+    if (!isShown && task.lostWorkers.size() < mostLosses) {
         return false;
     }
     this->fail(work::JobFailureReason::WorkersLost, key, nowMillis);
@@ -444,6 +466,7 @@
 {
     if (this->hasTask(key)) {
         this->taskOf(key).lostWorkers.clear();
+        this->taskOf(key).freshLosses = 0;
     }
 }
 
--- a/paddlepier/workload/job.h
+++ b/paddlepier/workload/job.h
@@ -5,8 +5,8 @@
 // same run number.
 //
 // A task under which worker after worker is lost is given up, and its job fails: every start of it would cost a worker and
-// all that runs there. A loss counts for each task that ran on the worker. After enoughLosses the task is given up if the
-// last of these workers ran nothing else that can have been the cause, after mostLosses in any case. What is known of losses
+// all that runs there. A loss counts for each task that may have run on the worker. After enoughLosses the task is given up if
+// the last of these workers ran nothing else that can have been the cause, after mostLosses in any case. What is known of losses
 // is part of the replicated state, so that it outlives leaders, restarts and snapshots.
 //
 // Invariants:
@@ -31,12 +31,20 @@
 {
 
 /**
- * Workers lost under one task after which it's given up if nothing else can have taken the last of them down. Each further one would
- * cost its neighbours their work; fewer would let two accidents end a job that could be done.
+ * Workers lost under one task after which it's given up, if nothing else can have taken the last of them down and another one was lost
+ * just after the task's start, too. Each further one would cost its neighbours their work; fewer would let two accidents end a job that
+ * could be done.
  */
 constexpr std::size_t enoughLosses = 3;
-/** The same whatever else ran there: the callers' bound is five starts, and one may be under way that isn't known to have crashed. */
-constexpr std::size_t mostLosses = 4;
+constexpr std::size_t enoughFreshLosses = 2;
+/** The same whatever is known of the losses: after three crashes a task may be started twice more. */
+constexpr std::size_t mostLosses = 5;
+
+/**
+ * A lasting task that was placed so long before its worker was known to be lost had been at work: a loss is known within a lease and the
+ * time after which silent workers are forgotten (10 s and 20 s), and a task that takes its worker down once a minute is worth keeping.
+ */
+constexpr std::int64_t settledAfterMillis = 60'000;
 
 struct Task {
     bool isDone = false;
@@ -49,6 +57,9 @@
     std::string checkpoint;
     /** Workers that were lost while it ran there; mostLosses at most. */
     std::vector<std::string> lostWorkers;
+    /** Of these, the ones on which it had just been started. */
+    std::uint32_t freshLosses = 0;
+    std::int64_t placedAtMillis = 0;
     /** Workers on which a run of it was given up with its lease, and which may be lost or cut off; kept by the workload. */
     std::uint32_t doubtfulWorkers = 0;
 
@@ -140,7 +151,7 @@
 
     /** A run with this number may begin now. */
     bool mayPlace(const TaskKey &key, std::uint32_t run) const;
-    void place(const TaskKey &key, std::uint32_t run, const std::string &worker);
+    void place(const TaskKey &key, std::uint32_t run, const std::string &worker, std::int64_t nowMillis);
     /** Ends the run that is under way; an end of any other run changes nothing. @return whether it was that run */
     bool endRun(const TaskKey &key, std::uint32_t run, const std::string &worker, work::RunEndKind kind, const std::string &checkpoint, std::int64_t nowMillis);
     /** A run that was superseded has ended: done counts as the task's end, failed as an attempt. */
@@ -148,12 +159,13 @@
     void cancel(std::int64_t nowMillis);
 
     /**
-     * A worker was lost while a run of the task was there.
+     * A worker was lost while a run of the task may have been there.
      *
-     * @param isOnlySuspect  nothing else on it can have been the cause
+     * @param isFresh        the run had just been started
+     * @param isOnlySuspect  nothing else on the worker can have been the cause
      * @return whether the task is given up with that
      */
-    bool noteLoss(const TaskKey &key, const std::string &worker, bool isOnlySuspect, std::int64_t nowMillis);
+    bool noteLoss(const TaskKey &key, const std::string &worker, bool isFresh, bool isOnlySuspect, std::int64_t nowMillis);
     /** The task has shown that losses before weren't its doing. */
     void forgetLosses(const TaskKey &key);
     /** One worker more, or less, of which it isn't known whether it was lost under the task. */
--- a/paddlepier/workload/losses.cpp
+++ b/paddlepier/workload/losses.cpp
@@ -17,7 +17,7 @@
 
 bool isCounted(work::RunAtLoss atLoss)
 {
-    return atLoss == work::RunAtLoss::AtWork || atLoss == work::RunAtLoss::Fresh;
+    return atLoss == work::RunAtLoss::Unclear || atLoss == work::RunAtLoss::Fresh;
 }
 
 } // namespace
@@ -53,12 +53,12 @@
     };
     const bool hasOneSuspect = std::count_if(command.lost.begin(), command.lost.end(), isSuspect) == 1;
     std::vector<TaskKey> givenUp;
-    const auto count = [&](const TaskKey &key, bool isOnlySuspect) {
+    const auto count = [&](const TaskKey &key, bool isFresh, bool isOnlySuspect) {
         const auto job = this->jobById.find(key.job);
         if (job == this->jobById.end()) {
             return;
         }
-        if (job->second.noteLoss(key, command.id, isOnlySuspect, this->appliedAt)) {
+        if (job->second.noteLoss(key, command.id, isFresh, isOnlySuspect, this->appliedAt)) {
             givenUp.push_back(key);
         }
         this->noteSuspect(key);
@@ -70,13 +70,14 @@
             continue;
         }
         if (isCounted(run->atLoss)) {
-            count(key, hasOneSuspect && run->atLoss == work::RunAtLoss::Fresh);
+            const bool isFresh = run->atLoss == work::RunAtLoss::Fresh;
+            count(key, isFresh, isFresh && hasOneSuspect);
         } else if (run->atLoss == work::RunAtLoss::Settled) {
             this->clearLosses(key);
         }
     }
     for (const TaskKey &key : worker.lapsed) {
-        count(key, false);
+        count(key, false, false);
     }
     return givenUp;
 }
--- a/paddlepier/workload/workload.cpp
+++ b/paddlepier/workload/workload.cpp
@@ -220,7 +220,7 @@
     reserve(worker->second, demandOf(step), 1);
     countRun(worker->second, step, 1);
     worker->second.runs.insert(key);
-    job->second.place(key, placement.run, placement.worker);
+    job->second.place(key, placement.run, placement.worker, this->appliedAt);
     this->noteWaiting(job->second);
     return true;
 }
