--- a/paddlepier/cluster/workservice.cpp
+++ b/paddlepier/cluster/workservice.cpp
@@ -376,7 +376,7 @@
         this->lostWorkers.add(removal != nullptr && removal->end != work::LifeEnd::Left ? 1 : 0);
         this->propose(std::move(proposal.command), [this, alive = this->isAlive, id = proposal.id](const workload::Outcome &outcome) {
             if (*alive) {
-                this->givenUpTasks.add(outcome.givenUp.size());
+                this->givenUpTasks.add(static_cast<std::int64_t>(outcome.givenUp.size()));
                 this->dispatcher.takeOutcome(controlNow(), id, outcome);
             }
         });
--- a/paddlepier/execution/crashes_test.cpp
+++ b/paddlepier/execution/crashes_test.cpp
@@ -44,23 +44,6 @@
         this->runFor(absl::Seconds(1));
     }
 
-    /** A job of one step; @p change sets what is special about it. */
-    template<typename Change>
-    void submit(const std::string &id, std::uint32_t tasks, std::uint32_t millis, Change change)
-    {
-        work::SubmitJobT command;
-        command.id = id;
-        command.queue = "quick";
-        command.spec = std::make_unique<work::JobSpecT>();
-        auto &step = command.spec->steps.emplace_back(std::make_unique<work::StepSpecT>());
-        step->count = tasks;
-        step->estimatedMillis = millis;
-        step->demand = std::make_unique<work::Demand>(1000, 100, 0);
-        change(*command.spec, *step);
-        this->apply(std::move(command));
-        this->dispatcher->noteChange();
-    }
-
     /** Crashes the worker that runs @p task as an accident would. */
     void crashWorkerOf(const workload::TaskKey &task)
     {
--- a/paddlepier/execution/newterm_test.cpp
+++ b/paddlepier/execution/newterm_test.cpp
@@ -308,17 +308,7 @@
     this->addWorker("w1");
     this->newLeader();
     this->runFor(absl::Seconds(1));
-    work::SubmitJobT command;
-    command.id = "f";
-    command.queue = "quick";
-    command.spec = std::make_unique<work::JobSpecT>();
-    auto &step = command.spec->steps.emplace_back(std::make_unique<work::StepSpecT>());
-    step->count = 1;
-    step->estimatedMillis = 60'000;
-    step->isFilling = true;
-    step->demand = std::make_unique<work::Demand>(1000, 100, 0);
-    this->apply(std::move(command));
-    this->dispatcher->noteChange();
+    this->submit("f", 1, 60'000, [](work::JobSpecT &, work::StepSpecT &step) { step.isFilling = true; });
     REQUIRE(this->runUntil([this] { return this->workers.starts == 1; }, absl::Seconds(2)));
     // What the earlier leader has ordered last.
     std::uint32_t paceAtWorker = 0;
--- a/paddlepier/execution/setbacks_test.cpp
+++ b/paddlepier/execution/setbacks_test.cpp
@@ -62,17 +62,7 @@
     this->workers.fails = [](const workload::TaskKey &task, std::uint32_t) { return task.job == "watch"; };
     this->newLeader();
     this->runFor(absl::Seconds(1));
-    work::SubmitJobT command;
-    command.id = "watch";
-    command.queue = "quick";
-    command.spec = std::make_unique<work::JobSpecT>();
-    auto &step = command.spec->steps.emplace_back(std::make_unique<work::StepSpecT>());
-    step->count = 2;
-    step->estimatedMillis = 250;
-    step->isLasting = true;
-    step->demand = std::make_unique<work::Demand>(500, 100, 0);
-    this->apply(std::move(command));
-    this->dispatcher->noteChange();
+    this->submit("watch", 2, 250, [](work::JobSpecT &, work::StepSpecT &step) { step.isLasting = true; });
     this->runFor(absl::Seconds(10));
     this->addJob("good", 12, 300);
     CHECK(this->runUntil([this] { return this->isCompleted("good"); }, absl::Milliseconds(700)));
