--- a/paddlepier/planning/eligibility.cpp
+++ b/paddlepier/planning/eligibility.cpp
@@ -24,12 +24,10 @@
 
 bool isTrusted(const Room &room, const workload::Task &task)
 {
-    if (room.isKeptApart) {
-        return false;
-    }
     // A task that has failed already must not use up its attempts on a worker that may be the cause. After the time out it may go there:
     // where no other worker is permitted and nothing else runs to show this one sound, it would otherwise wait for ever.
-    return task.failures > 0 && !room.isOnProbation ? room.view->failedInRow == 0 : isAcceptable(room);
+    const bool isUnlikelyCause = task.failures == 0 || room.isOnProbation || room.view->failedInRow == 0;
+    return isUnlikelyCause && isAcceptable(room);
 }
 
 bool isBelowBound(const Room &room, const WantedStep &wanted)
--- a/paddlepier/workload/job.cpp
+++ b/paddlepier/workload/job.cpp
@@ -37,52 +37,6 @@
     return "";
 }
 
-flatbuffers::Offset<work::TaskRecord> packTask(flatbuffers::FlatBufferBuilder &builder, const Task &task, std::uint32_t index)
-{
-    const auto worker = builder.CreateString(task.worker);
-    const auto checkpoint = builder.CreateString(task.checkpoint);
-    const auto lostWorkers = task.lostWorkers.empty() ? 0 : builder.CreateVectorOfStrings(task.lostWorkers);
-    return work::CreateTaskRecord(
-        builder, index, task.isDone, task.lastRun, worker, task.failures, checkpoint, task.everStarted, lostWorkers, task.freshLosses, task.placedAtMillis);
-}
-
-Task unpackTask(const work::TaskRecordT &record)
-{
-    Task task;
-    task.isDone = record.isDone;
-    task.everStarted = record.everStarted;
-    task.lastRun = record.lastRun;
-    task.failures = record.failures;
-    task.worker = record.worker;
-    task.checkpoint = record.checkpoint;
-    task.lostWorkers = record.lostWorkers;
-    task.freshLosses = record.freshLosses;
-    task.placedAtMillis = record.placedAtMillis;
-    return task;
-}
-
-flatbuffers::Offset<work::JobFailure> packFailure(flatbuffers::FlatBufferBuilder &builder, const JobFailure &failure)
-{
-    if (failure.reason == work::JobFailureReason::None) {
-        return 0;
-    }
-    const TaskKey &key = failure.task;
-    const auto task = work::CreateTaskKey(builder, builder.CreateString(key.job), key.occurrence, key.step, key.index);
-    return work::CreateJobFailure(builder, failure.reason, task, builder.CreateVectorOfStrings(failure.lostWorkers));
-}
-
-/** Only tasks that differ from a new one are stored. */
-flatbuffers::Offset<work::StepRecord> packStep(flatbuffers::FlatBufferBuilder &builder, const Step &step)
-{
-    std::vector<flatbuffers::Offset<work::TaskRecord>> tasks;
-    for (std::uint32_t index = 0; index < step.tasks.size(); ++index) {
-        if (step.tasks[index].isDone || step.tasks[index].lastRun > 0) {
-            tasks.push_back(packTask(builder, step.tasks[index], index));
-        }
-    }
-    return work::CreateStepRecord(builder, builder.CreateVector(tasks), step.gangFailures, step.lastFailedRun);
-}
-
 } // namespace
 
 std::string problemOf(const work::JobSpecT &spec)
@@ -132,30 +86,6 @@
     this->countAnew();
 }
 
-Job::Job(const work::JobRecordT &record)
-    : Job(record.id, *record.queue, *record.spec, record.submittedAtMillis)
-{
-    this->jobState = record.state;
-    this->cancelled = record.isCancelled;
-    this->endedAt = record.endedAtMillis;
-    if (record.failure) {
-        this->jobFailure = {record.failure->reason, TaskKey(*record.failure->task), record.failure->lostWorkers};
-    }
-    for (std::size_t number = 0; number < record.occurrences.size(); ++number) {
-        for (std::size_t index = 0; index < this->runs[number].steps.size(); ++index) {
-            Step &step = this->runs[number].steps[index];
-            const work::StepRecordT &stored = *record.occurrences[number]->steps[index];
-            step.gangFailures = stored.gangFailures;
-            step.lastFailedRun = stored.lastFailedRun;
-            for (const auto &entry : stored.tasks) {
-                step.tasks[entry->index] = unpackTask(*entry);
-                this->anyStarted = this->anyStarted || entry->everStarted;
-            }
-        }
-    }
-    this->countAnew();
-}
-
 void Job::countAnew()
 {
     this->underWay = 0;
@@ -196,34 +126,6 @@
     }
 }
 
-work::JobRecordT Job::record() const
-{
-    flatbuffers::FlatBufferBuilder builder;
-    builder.Finish(this->pack(builder));
-    work::JobRecordT made;
-    flatbuffers::GetRoot<work::JobRecord>(builder.GetBufferPointer())->UnPackTo(&made);
-    return made;
-}
-
-flatbuffers::Offset<work::JobRecord> Job::pack(flatbuffers::FlatBufferBuilder &builder) const
-{
-    std::vector<flatbuffers::Offset<work::OccurrenceRecord>> occurrences;
-    // Of a job that is over only what its users may ask for is needed.
-    for (std::size_t number = 0; !this->isOver() && number < this->runs.size(); ++number) {
-        std::vector<flatbuffers::Offset<work::StepRecord>> steps;
-        for (const Step &step : this->runs[number].steps) {
-            steps.push_back(packStep(builder, step));
-        }
-        occurrences.push_back(work::CreateOccurrenceRecord(builder, builder.CreateVector(steps)));
-    }
-    const auto id = builder.CreateString(this->jobId);
-    const auto queue = work::QueueSpec::Pack(builder, &this->queueSpec);
-    const auto spec = work::JobSpec::Pack(builder, &this->jobSpec);
-    const auto stored = builder.CreateVector(occurrences);
-    const auto failure = packFailure(builder, this->jobFailure);
-    return work::CreateJobRecord(builder, id, queue, spec, this->jobState, this->cancelled, this->submittedAt, this->endedAt, stored, failure);
-}
-
 const std::string &Job::id() const
 {
     return this->jobId;
--- a/paddlepier/workload/job.h
+++ b/paddlepier/workload/job.h
@@ -23,7 +23,6 @@
 
 #include <cstddef>
 #include <cstdint>
-#include <optional>
 #include <string>
 #include <vector>
 
