--- a/paddlepier/execution/crashes_test.cpp
+++ b/paddlepier/execution/crashes_test.cpp
@@ -162,6 +162,19 @@
     this->checkGivenUp("bad");
 }
 
+// A member is often broken off by another one's crash before it takes its own worker down: its start counts all the same.
+TEST_CASE_METHOD(CrashFixture, "gangWhoseMembersCrashInTurn_isGivenUp")
+{
+    this->addCell(2);
+    this->workers.crashes = [](const workload::TaskKey &key, std::uint32_t run) {
+        constexpr std::uint32_t runsOfTheFirst = 3;
+        return key.job == "bad" && key.index == (run <= runsOfTheFirst ? 0 : 7);
+    };
+    this->backAfter = absl::Milliseconds(300);
+    this->addJob("bad", 8, 1000, 1, false, true);
+    this->checkGivenUp("bad");
+}
+
 TEST_CASE_METHOD(CrashFixture, "repeatedJobThatCrashes_inEachOccurrence_isGivenUp")
 {
     this->addCell(12);
--- a/paddlepier/execution/dispatcher.cpp
+++ b/paddlepier/execution/dispatcher.cpp
@@ -369,6 +369,7 @@
     this->proposals.erase(found);
     this->changed = true;
     this->mayBeNeedless = true;
+    this->logGivenUp(outcome.givenUp);
     if (proposal.kind == ProposalKind::RecordEnds) {
         const auto view = this->views.find(proposal.worker);
         if (view != this->views.end()) {
@@ -378,7 +379,6 @@
         return;
     }
     if (proposal.kind != ProposalKind::Place) {
-        this->logGivenUp(outcome.givenUp);
         this->mayHaveOtherWorkers = true;
         return;
     }
--- a/paddlepier/wire/workload_generated.h
+++ b/paddlepier/wire/workload_generated.h
@@ -2998,6 +2998,7 @@
   std::vector<std::string> lostWorkers{};
   uint32_t freshLosses = 0;
   int64_t placedAtMillis = 0;
+  uint32_t lastTries = 0;
 };
 
 struct TaskRecord FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -3017,7 +3018,8 @@
     VT_EVERSTARTED = 16,
     VT_LOSTWORKERS = 18,
     VT_FRESHLOSSES = 20,
-    VT_PLACEDATMILLIS = 22
+    VT_PLACEDATMILLIS = 22,
+    VT_LASTTRIES = 24
   };
   uint32_t index() const {
     return GetField<uint32_t>(VT_INDEX, 0);
@@ -3054,6 +3056,10 @@
   int64_t placedAtMillis() const {
     return GetField<int64_t>(VT_PLACEDATMILLIS, 0);
   }
+  /// Placements since so many workers were lost under it that it may be started only twice more.
+  uint32_t lastTries() const {
+    return GetField<uint32_t>(VT_LASTTRIES, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint32_t>(verifier, VT_INDEX, 4) &&
@@ -3070,6 +3076,7 @@
            verifier.VerifyVectorOfStrings(lostWorkers()) &&
            VerifyField<uint32_t>(verifier, VT_FRESHLOSSES, 4) &&
            VerifyField<int64_t>(verifier, VT_PLACEDATMILLIS, 8) &&
+           VerifyField<uint32_t>(verifier, VT_LASTTRIES, 4) &&
            verifier.EndTable();
   }
   TaskRecordT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3111,6 +3118,9 @@
   void add_placedAtMillis(int64_t placedAtMillis) {
     fbb_.AddElement<int64_t>(TaskRecord::VT_PLACEDATMILLIS, placedAtMillis, 0);
   }
+  void add_lastTries(uint32_t lastTries) {
+    fbb_.AddElement<uint32_t>(TaskRecord::VT_LASTTRIES, lastTries, 0);
+  }
   explicit TaskRecordBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3133,9 +3143,11 @@
     bool everStarted = false,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> lostWorkers = 0,
     uint32_t freshLosses = 0,
-    int64_t placedAtMillis = 0) {
+    int64_t placedAtMillis = 0,
+    uint32_t lastTries = 0) {
   TaskRecordBuilder builder_(_fbb);
   builder_.add_placedAtMillis(placedAtMillis);
+  builder_.add_lastTries(lastTries);
   builder_.add_freshLosses(freshLosses);
   builder_.add_lostWorkers(lostWorkers);
   builder_.add_checkpoint(checkpoint);
@@ -3164,7 +3176,8 @@
     bool everStarted = false,
     const std::vector<flatbuffers::Offset<flatbuffers::String>> *lostWorkers = nullptr,
     uint32_t freshLosses = 0,
-    int64_t placedAtMillis = 0) {
+    int64_t placedAtMillis = 0,
+    uint32_t lastTries = 0) {
   auto worker__ = worker ? _fbb.CreateString(worker) : 0;
   auto checkpoint__ = checkpoint ? _fbb.CreateString(checkpoint) : 0;
   auto lostWorkers__ = lostWorkers ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*lostWorkers) : 0;
@@ -3179,7 +3192,8 @@
       everStarted,
       lostWorkers__,
       freshLosses,
-      placedAtMillis);
+      placedAtMillis,
+      lastTries);
 }
 
 flatbuffers::Offset<TaskRecord> CreateTaskRecord(flatbuffers::FlatBufferBuilder &_fbb, const TaskRecordT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -6578,6 +6592,7 @@
   { auto _e = lostWorkers(); if (_e) { _o->lostWorkers.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->lostWorkers[_i] = _e->Get(_i)->str(); } } }
   { auto _e = freshLosses(); _o->freshLosses = _e; }
   { auto _e = placedAtMillis(); _o->placedAtMillis = _e; }
+  { auto _e = lastTries(); _o->lastTries = _e; }
 }
 
 inline flatbuffers::Offset<TaskRecord> TaskRecord::Pack(flatbuffers::FlatBufferBuilder &_fbb, const TaskRecordT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -6598,6 +6613,7 @@
   auto _lostWorkers = _o->lostWorkers.size() ? _fbb.CreateVectorOfStrings(_o->lostWorkers) : 0;
   auto _freshLosses = _o->freshLosses;
   auto _placedAtMillis = _o->placedAtMillis;
+  auto _lastTries = _o->lastTries;
   return paddlepier::work::CreateTaskRecord(
       _fbb,
       _index,
@@ -6609,7 +6625,8 @@
       _everStarted,
       _lostWorkers,
       _freshLosses,
-      _placedAtMillis);
+      _placedAtMillis,
+      _lastTries);
 }
 
 inline StepRecordT::StepRecordT(const StepRecordT &o)
--- a/paddlepier/workload/job.cpp
+++ b/paddlepier/workload/job.cpp
@@ -256,6 +256,7 @@
     placed.lastRun = run;
     placed.worker = worker;
     placed.placedAtMillis = nowMillis;
+    placed.lastTries += placed.lostWorkers.size() >= enoughLosses ? 1 : 0;
     ++step.runningTasks;
     ++this->underWay;
     this->jobState = work::JobState::Running;
@@ -301,6 +302,13 @@
     } else if (kind == work::RunEndKind::Failed && !isLasting) {
         this->countFailure(key, run, nowMillis);
     }
+    const bool wasLost = kind == work::RunEndKind::WorkerLost || kind == work::RunEndKind::Expired;
+    if (!wasLost && nowMillis - this->task(key).placedAtMillis >= settledAfterMillis) {
+        this->forgetLosses(key);
+    }
+    if (!this->hasEnded() && !this->task(key).isDone && this->task(key).lastTries >= mostLastTries) {
+        this->fail(work::JobFailureReason::WorkersLost, key, nowMillis);
+    }
     if (!this->hasEnded() && this->isComplete()) {
         this->end(work::JobState::Completed, nowMillis);
     }
@@ -369,6 +377,7 @@
     if (this->hasTask(key)) {
         this->taskOf(key).lostWorkers.clear();
         this->taskOf(key).freshLosses = 0;
+        this->taskOf(key).lastTries = 0;
     }
 }
 
--- a/paddlepier/workload/job.h
+++ b/paddlepier/workload/job.h
@@ -6,7 +6,7 @@
 //
 // A task under which worker after worker is lost is given up, and its job fails: every start of it would cost a worker and
 // all that runs there. A loss counts for each task that may have run on the worker. After enoughLosses the task is given up if
-// the last of these workers ran nothing else that can have been the cause, after mostLosses in any case. What is known of losses
+// the last of these workers ran nothing else that can have been the cause, after mostLastTries more in any case. What is known of losses
 // is part of the replicated state, so that it outlives leaders, restarts and snapshots.
 //
 // Invariants:
@@ -36,8 +36,10 @@
  */
 constexpr std::size_t enoughLosses = 3;
 constexpr std::size_t enoughFreshLosses = 2;
-/** The same whatever is known of the losses: after three crashes a task may be started twice more. */
-constexpr std::size_t mostLosses = 5;
+/** Starts after enoughLosses, however they end: a member of a gang may be broken off by another one before it takes its worker down. */
+constexpr std::uint32_t mostLastTries = 2;
+/** The same whatever is known of the losses. */
+constexpr std::size_t mostLosses = enoughLosses + mostLastTries;
 
 /**
  * A lasting task that was placed so long before its worker was known to be lost had been at work: a loss is known within a lease and the
@@ -59,6 +61,8 @@
     /** Of these, the ones on which it had just been started. */
     std::uint32_t freshLosses = 0;
     std::int64_t placedAtMillis = 0;
+    /** Placements since it had enoughLosses. */
+    std::uint32_t lastTries = 0;
     /** Workers on which a run of it was given up with its lease, and which may be lost or cut off; kept by the workload. */
     std::uint32_t doubtfulWorkers = 0;
 
--- a/paddlepier/workload/jobrecord.cpp
+++ b/paddlepier/workload/jobrecord.cpp
@@ -13,8 +13,18 @@
     const auto worker = builder.CreateString(task.worker);
     const auto checkpoint = builder.CreateString(task.checkpoint);
     const auto lostWorkers = task.lostWorkers.empty() ? 0 : builder.CreateVectorOfStrings(task.lostWorkers);
-    return work::CreateTaskRecord(
-        builder, index, task.isDone, task.lastRun, worker, task.failures, checkpoint, task.everStarted, lostWorkers, task.freshLosses, task.placedAtMillis);
+    return work::CreateTaskRecord(builder,
+                                  index,
+                                  task.isDone,
+                                  task.lastRun,
+                                  worker,
+                                  task.failures,
+                                  checkpoint,
+                                  task.everStarted,
+                                  lostWorkers,
+                                  task.freshLosses,
+                                  task.placedAtMillis,
+                                  task.lastTries);
 }
 
 Task unpackTask(const work::TaskRecordT &record)
@@ -29,6 +39,7 @@
     task.lostWorkers = record.lostWorkers;
     task.freshLosses = record.freshLosses;
     task.placedAtMillis = record.placedAtMillis;
+    task.lastTries = record.lastTries;
     return task;
 }
 
--- a/paddlepier/workload/losses.cpp
+++ b/paddlepier/workload/losses.cpp
@@ -39,7 +39,9 @@
         end.task = key.record();
         end.run = this->jobById.at(key.job).task(key).lastRun;
         end.kind = work::RunEndKind::WorkerLost;
-        this->endRun(command.id, end);
+        if (this->endRun(command.id, end)) {
+            outcome.givenUp.push_back(key);
+        }
     }
     this->workerById.erase(command.id);
     return outcome;
--- a/paddlepier/workload/workload.cpp
+++ b/paddlepier/workload/workload.cpp
@@ -240,13 +240,16 @@
     if (command.hasAnswered && worker != this->workerById.end()) {
         this->settleLapses(worker->second);
     }
+    Outcome outcome;
     for (const auto &end : command.ends) {
-        this->endRun(command.worker, *end);
+        if (this->endRun(command.worker, *end)) {
+            outcome.givenUp.emplace_back(*end->task);
+        }
     }
-    return {};
+    return outcome;
 }
 
-void Workload::endRun(const std::string &workerId, const work::RunEndT &end)
+bool Workload::endRun(const std::string &workerId, const work::RunEndT &end)
 {
     const auto worker = this->workerById.find(workerId);
     if (worker != this->workerById.end()) {
@@ -257,8 +260,9 @@
         this->endSupersededRun(worker->second, key, end);
     }
     const auto job = this->jobById.find(key.job);
+    const bool hadEnded = job == this->jobById.end() || job->second.hasEnded();
     if (job == this->jobById.end() || !job->second.endRun(key, end.run, workerId, end.kind, end.checkpoint, this->appliedAt)) {
-        return;
+        return false;
     }
     if (worker != this->workerById.end() && worker->second.runs.erase(key) > 0) {
         const work::StepSpecT &step = job->second.stepSpec(key.step);
@@ -277,6 +281,7 @@
         this->noteSuspect(key);
     }
     this->noteJob(job->second);
+    return !hadEnded && job->second.failure().reason == work::JobFailureReason::WorkersLost;
 }
 
 void Workload::endSupersededRun(Worker &worker, const TaskKey &key, const work::RunEndT &end)
--- a/paddlepier/workload/workload.h
+++ b/paddlepier/workload/workload.h
@@ -38,7 +38,7 @@
     std::string message;
     /** Of PlaceRuns: what was taken. */
     std::vector<work::PlacementT> placed;
-    /** Of RemoveWorker: tasks that are given up since this worker was lost under them too. */
+    /** Of RemoveWorker and RecordEnds: tasks that are given up since worker after worker was lost under them. */
     std::vector<TaskKey> givenUp;
 };
 
@@ -118,7 +118,8 @@
     std::size_t groupLength(const std::vector<std::unique_ptr<work::PlacementT>> &placements, std::size_t begin) const;
     bool placeOne(const work::PlacementT &placement);
     void undoPlacement(const work::PlacementT &placement);
-    void endRun(const std::string &worker, const work::RunEndT &end);
+    /** @return whether the task is given up with that */
+    bool endRun(const std::string &worker, const work::RunEndT &end);
     void endSupersededRun(Worker &worker, const TaskKey &key, const work::RunEndT &end);
     /** Counts the loss of a worker for the tasks that it took along. @return those that are given up with that */
     std::vector<TaskKey> countLosses(const Worker &worker, const work::RemoveWorkerT &command);
