--- a/testing/platformworkers.cpp
+++ b/testing/platformworkers.cpp
@@ -203,14 +203,16 @@
     const absl::MutexLock lock(&this->mutex);
     Seat &seat = this->seats.at(name);
     seat.milliProcessors = milliProcessors;
+    const std::uint32_t change = ++seat.roomChanges;
     std::uint32_t &counted = this->workers.workers[seat.life].capacity;
     if (milliProcessors >= counted) {
         counted = milliProcessors;
         return;
     }
-    this->later(shrinkingCountsAfter, shrinkingCountsAfter, [this, name, life = seat.life, milliProcessors] {
+    this->later(shrinkingCountsAfter, shrinkingCountsAfter, [this, name, life = seat.life, change, milliProcessors] {
         this->mutex.AssertHeld();
-        if (this->seats.at(name).life == life && this->seats.at(name).milliProcessors == milliProcessors) {
+        // A room that grew and shrank again meanwhile counts from its last announcement.
+        if (this->seats.at(name).life == life && this->seats.at(name).roomChanges == change) {
             this->workers.workers[life].capacity = milliProcessors;
         }
     });
--- a/testing/platformworkers.h
+++ b/testing/platformworkers.h
@@ -81,6 +81,8 @@
         WorkerTrouble trouble = WorkerTrouble::None;
         /** As it announces it; each life begins with the whole of it. */
         std::uint32_t milliProcessors = wholeRoom;
+        /** How often it has announced another room. */
+        std::uint32_t roomChanges = 0;
         Timestamp nextHeartbeat = absl::InfinitePast();
         bool isDraining = false;
         Timestamp leavesAt = absl::InfiniteFuture();
