--- a/paddlepier/execution/crashes_test.cpp
+++ b/paddlepier/execution/crashes_test.cpp
@@ -47,10 +47,7 @@
     /** Crashes the worker that runs @p task as an accident would. */
     void crashWorkerOf(const workload::TaskKey &task)
     {
-        FakeWorkers::Worker &worker = this->workers.workers[this->state.findJob(task.job)->task(task).worker];
-        worker.isCut = true;
-        worker.crashedAt = this->now;
-        this->workers.crash(this->state.findJob(task.job)->task(task).worker);
+        this->workers.crashSilently(this->now, this->state.findJob(task.job)->task(task).worker);
     }
 
     bool isAtWork(const workload::TaskKey &task)
@@ -295,9 +292,7 @@
         this->runFor(absl::Seconds(2));
         for (int number = 0; number < 8; ++number) {
             const std::string id = absl::StrCat("w", rack * 8 + number);
-            this->workers.workers[id].isCut = true;
-            this->workers.workers[id].crashedAt = this->now;
-            this->workers.crash(id);
+            this->workers.crashSilently(this->now, id);
         }
     }
     CHECK(this->runUntil([this] { return this->isCompleted("long") && this->isCompleted("short"); }, absl::Seconds(90)));
@@ -326,9 +321,7 @@
             }
         }
         for (const std::string &id : busy) {
-            this->workers.workers[id].isCut = true;
-            this->workers.workers[id].crashedAt = this->now;
-            this->workers.crash(id);
+            this->workers.crashSilently(this->now, id);
         }
         // They are back after two seconds.
         CHECK(this->runUntil([&] { return runs() == 48; }, absl::Milliseconds(3200)));
--- a/paddlepier/execution/fakeworkers.h
+++ b/paddlepier/execution/fakeworkers.h
@@ -164,6 +164,14 @@
         }
     }
 
+    /** The same, and nothing answers at its address until a test says so. */
+    void crashSilently(Timestamp now, const std::string &id)
+    {
+        this->workers[id].isCut = true;
+        this->workers[id].crashedAt = now;
+        this->crash(id);
+    }
+
     /** Workers that have crashed under a task; kept for tasks that `crashes` names. */
     std::uint32_t crashesUnder(const workload::TaskKey &task) const
     {
@@ -211,9 +219,7 @@
             for (const workload::TaskKey &task : causes) {
                 ++this->crashCounts[task];
             }
-            worker.isCut = true;
-            worker.crashedAt = now;
-            this->crash(id);
+            this->crashSilently(now, id);
         }
     }
 
--- a/paddlepier/execution/lives.cpp
+++ b/paddlepier/execution/lives.cpp
@@ -7,7 +7,6 @@
 #include <absl/strings/str_join.h>
 
 #include <algorithm>
-#include <array>
 #include <iterator>
 
 namespace paddlepier::execution
@@ -30,12 +29,6 @@
 
 } // namespace
 
-const char *nameOf(RunPhase phase)
-{
-    static constexpr std::array<const char *, 3> names{"starting", "running", "stopping"};
-    return names.at(static_cast<std::size_t>(phase));
-}
-
 void Dispatcher::expireLeases(Timestamp now)
 {
     for (auto &[id, view] : this->views) {
--- a/paddlepier/execution/runtrack.h
+++ b/paddlepier/execution/runtrack.h
@@ -24,8 +24,6 @@
     Stopping
 };
 
-const char *nameOf(RunPhase phase);
-
 /**
  * A run that its worker has answered for this long with, since it began, didn't take it down by starting. Longer than the
  * start-up of a lasting task (4 s), and short enough to keep other work off a worker meanwhile.
--- a/paddlepier/execution/setbacks.cpp
+++ b/paddlepier/execution/setbacks.cpp
@@ -24,6 +24,12 @@
     Setback &setback = this->byTask[task];
     setback.pausedUntil = now + shortestPause * (1U << std::min(setback.refusals, mostDoublings));
     ++setback.refusals;
+    this->lastPauseEnd = std::max(this->lastPauseEnd, setback.pausedUntil);
+}
+
+bool Setbacks::hasPauses(Timestamp now) const
+{
+    return now < this->lastPauseEnd;
 }
 
 bool Setbacks::noteBadRun(const workload::TaskKey &task)
--- a/paddlepier/execution/setbacks.h
+++ b/paddlepier/execution/setbacks.h
@@ -29,6 +29,8 @@
     void noteRefusal(Timestamp now, const workload::TaskKey &task);
     /** A run of the task has failed, or was stopped since it stood still. @return whether its worker may be to blame */
     bool noteBadRun(const workload::TaskKey &task);
+    /** Some task may pause: spares plans the look-up of each waiting task. */
+    bool hasPauses(Timestamp now) const;
     /** The task isn't to be started yet. */
     bool isPaused(Timestamp now, const workload::TaskKey &task) const;
 
@@ -47,6 +49,8 @@
     };
 
     std::map<workload::TaskKey, Setback> byTask;
+    /** No task pauses for longer. */
+    Timestamp lastPauseEnd = absl::InfinitePast();
 };
 
 } // namespace paddlepier::execution
--- a/paddlepier/planning/planner.h
+++ b/paddlepier/planning/planner.h
@@ -3,7 +3,8 @@
 // A plan is made from the ledger and from what the leader knows of the workers; nothing is changed by making it. It is a
 // sequence of decisions, each with its own part:
 //  - in which order steps are taken (steporder.h);
-//  - who may get a task (eligibility.h, and probation.h for one that may take workers down), and which of the workers with room is taken (suitability.h): here;
+//  - who may get a task (eligibility.h, and probation.h for one that may take workers down), and which of the workers with
+//    room is taken (suitability.h): here;
 //  - where room for wide tasks comes soonest, and is kept (roomkeeping.h);
 //  - what to ask the policy service, and which room to keep until it answers (asking.h);
 //  - which runs make way (makingway.h).
--- a/paddlepier/planning/probation.cpp
+++ b/paddlepier/planning/probation.cpp
@@ -66,9 +66,10 @@
 
 void Probation::holdBack(Timestamp now, WantedStep &wanted) const
 {
-    const auto isHeld = [this, now, &wanted](std::uint32_t index) {
+    const bool hasPauses = this->setbacks.hasPauses(now);
+    const auto isHeld = [this, now, hasPauses, &wanted](std::uint32_t index) {
         const bool mayCostNoMore = wanted.progress->tasks[index].possibleLosses() >= workload::mostLosses;
-        return mayCostNoMore || this->setbacks.isPaused(now, {wanted.key.job, wanted.key.occurrence, wanted.key.step, index});
+        return mayCostNoMore || (hasPauses && this->setbacks.isPaused(now, {wanted.key.job, wanted.key.occurrence, wanted.key.step, index}));
     };
     const bool holdsSome = std::any_of(wanted.tasks.begin(), wanted.tasks.end(), isHeld);
     if (holdsSome && wanted.step->isGang) {
--- a/paddlepier/workload/jobrecord.cpp
+++ b/paddlepier/workload/jobrecord.cpp
@@ -48,8 +48,7 @@
     if (failure.reason == work::JobFailureReason::None) {
         return 0;
     }
-    const TaskKey &key = failure.task;
-    const auto task = work::CreateTaskKey(builder, builder.CreateString(key.job), key.occurrence, key.step, key.index);
+    const auto task = failure.task.pack(builder);
     return work::CreateJobFailure(builder, failure.reason, task, builder.CreateVectorOfStrings(failure.lostWorkers));
 }
 
--- a/paddlepier/workload/taskkey.h
+++ b/paddlepier/workload/taskkey.h
@@ -88,6 +88,11 @@
         return made;
     }
 
+    flatbuffers::Offset<work::TaskKey> pack(flatbuffers::FlatBufferBuilder &builder) const
+    {
+        return work::CreateTaskKey(builder, builder.CreateString(this->job), this->occurrence, this->step, this->index);
+    }
+
     std::string text() const
     {
         return absl::StrCat(this->job, ".", this->occurrence, ".", this->step, ".", this->index);
--- a/paddlepier/workload/workload.cpp
+++ b/paddlepier/workload/workload.cpp
@@ -43,20 +43,15 @@
     worker.costlyRuns += step.isLasting || step.isGang ? change : 0;
 }
 
-flatbuffers::Offset<work::TaskKey> packKey(flatbuffers::FlatBufferBuilder &builder, const TaskKey &key)
-{
-    return work::CreateTaskKey(builder, builder.CreateString(key.job), key.occurrence, key.step, key.index);
-}
-
 flatbuffers::Offset<work::WorkerRecord> packWorker(flatbuffers::FlatBufferBuilder &builder, const Worker &worker)
 {
     std::vector<flatbuffers::Offset<work::CopyRecord>> copies;
     for (const auto &[key, run] : worker.superseded) {
-        copies.push_back(work::CreateCopyRecord(builder, packKey(builder, key), run.run, &run.demand));
+        copies.push_back(work::CreateCopyRecord(builder, key.pack(builder), run.run, &run.demand));
     }
     std::vector<flatbuffers::Offset<work::TaskKey>> lapsed;
     for (const TaskKey &key : worker.lapsed) {
-        lapsed.push_back(packKey(builder, key));
+        lapsed.push_back(key.pack(builder));
     }
     const auto registration = work::RegisterWorker::Pack(builder, &worker.registration);
     return work::CreateWorkerRecord(builder, registration, worker.lastSequence, builder.CreateVector(copies), builder.CreateVector(lapsed));
