--- a/paddlepier/execution/dispatcherfixture.h
+++ b/paddlepier/execution/dispatcherfixture.h
@@ -63,6 +63,15 @@
         this->apply(std::move(registration));
     }
 
+    /** The worker starts again under its id, and announces itself. */
+    void restartWorker(const std::string &id)
+    {
+        const work::RegisterWorkerT registration = this->state.findWorker(id)->registration;
+        this->workers.restart(id);
+        this->apply(registration);
+        this->dispatcher->noteChange();
+    }
+
     void addJob(const std::string &id, std::uint32_t tasks, std::uint32_t millis, std::uint32_t steps = 1, bool mayRunCopies = false, bool isGang = false)
     {
         work::SubmitJobT command;
--- a/paddlepier/execution/fakeworkers.h
+++ b/paddlepier/execution/fakeworkers.h
@@ -164,6 +164,15 @@
         }
     }
 
+    /** The life is over, and the next one begins at once, under the same id: it knows nothing of before and counts from 1. */
+    void restart(const std::string &id)
+    {
+        this->crash(id);
+        const std::uint32_t capacity = this->workers[id].capacity;
+        this->workers[id] = Worker();
+        this->workers[id].capacity = capacity;
+    }
+
     /** The same, and nothing answers at its address until a test says so. */
     void crashSilently(Timestamp now, const std::string &id)
     {
--- a/paddlepier/execution/polls.cpp
+++ b/paddlepier/execution/polls.cpp
@@ -191,6 +191,8 @@
             vanished.emplace_back(key, track->second);
         } else if (track->second.phase == RunPhase::Running && track->second.runningSince < pollSentAt) {
             // It ran and is gone without an end that is still listed: make sure that it stays gone.
+            const std::uint64_t recorded = this->state.findWorker(worker)->lastSequence;
+            log::warning("dispatch", "run.vanished", {{"task", key.text()}, {"run", track->second.run}, {"worker", worker}, {"recordedEnds", recorded}});
             this->stopRun(now, key, track->second, StopReason::StartUnsettled);
         }
     }
