--- a/paddlepier/cluster/announcementfault.cpp
+++ b/paddlepier/cluster/announcementfault.cpp
@@ -32,8 +32,8 @@
 
 const char *nameOf(AnnouncementFault fault)
 {
-    static constexpr std::array<const char *, 6> names{
-        "unreadable", "field-missing", "field-invalid", "unknown-state", "unknown-service", "implausible-sequence"};
+    static constexpr std::array<const char *, 7> names{
+        "unreadable", "field-missing", "field-invalid", "unknown-state", "unknown-service", "implausible-sequence", "implausible-birth"};
     return names.at(static_cast<std::size_t>(fault));
 }
 
--- a/paddlepier/cluster/announcementfault.h
+++ b/paddlepier/cluster/announcementfault.h
@@ -30,7 +30,9 @@
     /** The configuration in force names no such service. */
     UnknownService,
     /** Far beyond what one life of a worker can have counted since its last announcement. */
-    ImplausibleSequence
+    ImplausibleSequence,
+    /** Its sender was born in the future. */
+    ImplausibleBirth
 };
 const char *nameOf(AnnouncementFault fault);
 
--- a/paddlepier/cluster/carriers.h
+++ b/paddlepier/cluster/carriers.h
@@ -47,7 +47,8 @@
     };
 
     std::map<std::string, Carrier> carriers;
-    /** How often workers weren't reached; each time another instance comes to be chosen, every other time of any data centre. */
+    /** By id, since it is about the way to a worker, whichever of its lives is there: how often it wasn't reached; each time another instance comes to be
+     * chosen, every other time of any data centre. */
     std::map<std::string, std::uint32_t> unreached;
 };
 
--- a/paddlepier/cluster/carriers_test.cpp
+++ b/paddlepier/cluster/carriers_test.cpp
@@ -100,7 +100,7 @@
 {
     const workload::TaskKey task("a", 1, 2, 3);
     execution::WorkerCall call;
-    call.worker = "w";
+    call.worker = {"w", 1234};
     call.address = "127.0.0.1:1";
     call.fence = 7;
     call.leaseEndOnWorkerClock = 12345;
--- a/paddlepier/cluster/carrycodec.cpp
+++ b/paddlepier/cluster/carrycodec.cpp
@@ -86,7 +86,8 @@
 work::CarryCallT toCarryCall(const execution::WorkerCall &call)
 {
     work::CarryCallT made;
-    made.worker = call.worker;
+    made.worker = call.worker.id;
+    made.born = call.worker.born;
     made.address = call.address;
     made.fence = call.fence;
     made.leaseEndOnWorkerClock = call.leaseEndOnWorkerClock;
@@ -98,7 +99,7 @@
 execution::WorkerCall fromCarryCall(const work::CarryCallT &call)
 {
     execution::WorkerCall made;
-    made.worker = call.worker;
+    made.worker = {call.worker, call.born};
     made.address = call.address;
     made.fence = call.fence;
     made.leaseEndOnWorkerClock = call.leaseEndOnWorkerClock;
@@ -111,6 +112,7 @@
 {
     work::CarryReplyT made;
     made.kind = static_cast<std::uint8_t>(answer.kind);
+    made.born = answer.born;
     made.hasClock = answer.hasClock;
     made.clockMillis = answer.clockMillis;
     for (const execution::ListedRun &run : answer.running) {
@@ -139,6 +141,7 @@
     }
     execution::WorkerAnswer made;
     made.kind = static_cast<execution::AnswerKind>(reply.kind);
+    made.born = reply.born;
     made.hasClock = reply.hasClock;
     made.clockMillis = reply.clockMillis;
     for (const auto &run : reply.running) {
--- a/paddlepier/cluster/ordercarrying.cpp
+++ b/paddlepier/cluster/ordercarrying.cpp
@@ -67,7 +67,7 @@
 void OrderCarrying::carry(const CarryingPlace &place, const execution::WorkerCall &call, const Done &done)
 {
     const Timestamp now = this->ways.now();
-    const std::string carrier = this->carriers.choose(now, place.workerCount, call.worker, place.dataCentre);
+    const std::string carrier = this->carriers.choose(now, place.workerCount, call.worker.id, place.dataCentre);
     const Pending pending = std::make_shared<OnItsWay>(OnItsWay{call, carrier, now, done, {true}, {}});
     if (carrier.empty()) {
         this->ways.direct(call, [pending](const execution::WorkerAnswer &answer) { close(pending, pending->first, answer); });
@@ -105,7 +105,7 @@
     }
     const execution::AnswerKind kind = carried.answer.kind;
     if (kind == execution::AnswerKind::NoAnswer || kind == execution::AnswerKind::NotSent) {
-        this->carriers.noteUnreached(pending->call.worker);
+        this->carriers.noteUnreached(pending->call.worker.id);
     }
     close(pending, pending->first, carried.answer);
 }
@@ -118,7 +118,7 @@
         return;
     }
     if (this->carriers.noteFailure(this->ways.now(), order.carrier)) {
-        log::info("cluster", "carrier.silent", {{"instance", order.carrier}, {"worker", order.call.worker}});
+        log::info("cluster", "carrier.silent", {{"instance", order.carrier}, {"worker", order.call.worker.text()}});
     }
 }
 
--- a/paddlepier/cluster/ordercarrying_test.cpp
+++ b/paddlepier/cluster/ordercarrying_test.cpp
@@ -42,7 +42,7 @@
     void order(execution::Order order = execution::StartOrder{{"a", 0, 0, 0}, 1, "", "", ""})
     {
         execution::WorkerCall call;
-        call.worker = "w";
+        call.worker = {"w"};
         call.timeout = absl::Milliseconds(900);
         call.order = std::move(order);
         this->carrying.carry({this->workerCount, "north"}, call, [this](const execution::WorkerAnswer &answer) { this->answers.push_back(answer.kind); });
--- a/paddlepier/cluster/workservice.cpp
+++ b/paddlepier/cluster/workservice.cpp
@@ -8,6 +8,7 @@
 #include <absl/strings/ascii.h>
 
 #include <algorithm>
+#include <iterator>
 
 namespace paddlepier::cluster
 {
@@ -17,6 +18,9 @@
 
 constexpr std::size_t jobIdDigits = 16;
 
+/** Clocks of sound machines differ by seconds. */
+constexpr Duration mostClockDifference = absl::Hours(1);
+
 /** When a refused caller should come back: about an election. */
 constexpr std::uint32_t retryAfterMillis = 1000;
 
@@ -139,7 +143,7 @@
     case WorkMethod::Announce:
         return this->announce(now, wire::unpack<work::AnnounceCallT>(body), done);
     case WorkMethod::Withdraw:
-        return this->withdraw(wire::unpack<work::WithdrawCallT>(body), done);
+        return this->withdraw(now, wire::unpack<work::WithdrawCallT>(body), done);
     case WorkMethod::Configure:
         return this->configure(wire::unpack<work::ConfigureCallT>(body), done);
     case WorkMethod::ReadConfiguration:
@@ -240,15 +244,23 @@
 std::optional<AnnouncementFault> WorkService::faultOf(const work::AnnounceCallT &call) const
 {
     const work::RegisterWorkerT &registration = *call.registration;
-    const workload::Worker *known = this->node.state().findWorker(registration.id);
+    const workload::Worker *known = this->node.state().findLatestWorker(registration.id);
     // Before the first configuration any worker may come; it counts once a configuration names its service.
     const bool mayNameAny = this->node.state().configuration().version == 0 || (known != nullptr && known->registration.service == registration.service);
     if (!mayNameAny && this->node.state().findService(registration.service) == nullptr) {
         return AnnouncementFault::UnknownService;
     }
-    if (known != nullptr && this->dispatcher.isImplausibleAnnouncement(registration.id, call.sequence)) {
+    if (this->dispatcher.isImplausibleAnnouncement(workload::lifeOf(registration), call.sequence)) {
         return AnnouncementFault::ImplausibleSequence;
     }
+    // A worker that has once told when it was born always does.
+    if (registration.born == 0 && known != nullptr && known->registration.born > 0) {
+        return AnnouncementFault::FieldMissing;
+    }
+    // Every true record of its worker would look like an earlier life's after it.
+    if (absl::FromUnixMillis(static_cast<std::int64_t>(registration.born)) > absl::FromUnixMicros(wallMicros()) + mostClockDifference) {
+        return AnnouncementFault::ImplausibleBirth;
+    }
     return std::nullopt;
 }
 
@@ -260,22 +272,26 @@
         done(answer(work::CallOutcome::Refused, nameOf(*fault)));
         return;
     }
-    const workload::Worker *known = this->node.state().findWorker(registration.id);
-    const bool isStale =
-        known != nullptr && (call.sequence < known->registration.sequence || this->dispatcher.isStaleAnnouncement(registration.id, call.sequence));
-    if (isStale) {
+    const workload::Life life = workload::lifeOf(registration);
+    const workload::Worker *known = this->node.state().findWorker(life);
+    const workload::Worker *latest = this->node.state().findLatestWorker(life.id);
+    const bool isOver = latest != nullptr && workload::lifeOf(latest->registration).isAfter(life);
+    const bool isStale = known != nullptr && (call.sequence < known->registration.sequence || this->dispatcher.isStaleAnnouncement(life, call.sequence));
+    if (isOver || isStale) {
         done(answer(work::CallOutcome::Accepted));
         return;
     }
     const Duration drainRemaining = registration.isDraining ? absl::Milliseconds(call.drainRemainingMillis) : absl::InfiniteDuration();
-    this->dispatcher.noteAnnouncement(now, registration.id, call.sequence, drainRemaining);
+    this->dispatcher.noteAnnouncement(now, life, call.sequence, drainRemaining);
     if (known != nullptr && (isSameRegistration(known->registration, registration) || (known->registration.isDraining && !registration.isDraining))) {
         done(answer(work::CallOutcome::Accepted));
         return;
     }
     log::info("workers",
-              known == nullptr ? "worker.joined" : "worker.changed",
-              {{"worker", registration.id},
+              known != nullptr    ? "worker.changed"
+              : latest != nullptr ? "worker.restarted"
+                                  : "worker.joined",
+              {{"worker", life.text()},
                {"address", registration.address},
                {"service", registration.service},
                {"draining", registration.isDraining},
@@ -289,11 +305,29 @@
     this->proposeFor(toCommand(std::move(command)), answer(work::CallOutcome::Accepted).reply, done);
 }
 
-void WorkService::withdraw(const work::WithdrawCallT &call, const CallDone &done)
+std::optional<workload::Life> WorkService::leavingLife(Timestamp now, const work::WithdrawCallT &call) const
+{
+    const workload::Worker *latest = this->node.state().findLatestWorker(call.id);
+    if (call.born > 0 || latest == nullptr || latest->registration.born == 0) {
+        return workload::Life{call.id, call.born};
+    }
+    // It may be late, from an earlier life: only one that was about to leave can have sent it.
+    const workload::Life life = workload::lifeOf(latest->registration);
+    return this->dispatcher.mayHaveLeft(now, life) ? std::optional(life) : std::nullopt;
+}
+
+void WorkService::withdraw(Timestamp now, const work::WithdrawCallT &call, const CallDone &done)
 {
-    log::info("workers", "worker.left", {{"worker", call.id}});
+    const std::optional<workload::Life> life = this->leavingLife(now, call);
+    if (!life) {
+        log::info("workers", "worker.left-before", {{"worker", call.id}, {"born", call.born}});
+        done(answer(work::CallOutcome::Accepted));
+        return;
+    }
+    log::info("workers", "worker.left", {{"worker", life->text()}});
     work::RemoveWorkerT command;
-    command.id = call.id;
+    command.id = life->id;
+    command.born = life->born;
     this->proposeFor(toCommand(std::move(command)), answer(work::CallOutcome::Accepted).reply, done);
 }
 
@@ -344,7 +378,7 @@
     }
     work::AdviceCallT call;
     call.step = question.step.text();
-    call.workers = question.workers;
+    std::transform(question.workers.begin(), question.workers.end(), std::back_inserter(call.workers), [](const workload::Life &life) { return life.id; });
     this->adviceCalls.add();
     const Timestamp deadline = choice.expectedAt + adviceSlack + question.cost / 2;
     this->askThroughInstance(caller, call, deadline, [this, alive = this->isAlive, caller, now, question](const execution::AdviceAnswer &received) {
--- a/paddlepier/execution/copies.cpp
+++ b/paddlepier/execution/copies.cpp
@@ -43,25 +43,25 @@
     if (this->isSlow) {
         return;
     }
-    for (const auto &[id, view] : this->views) {
+    for (const auto &[life, view] : this->views) {
         if (!view.isOverdue(now) && !view.isSilent()) {
             continue;
         }
         std::vector<std::pair<workload::TaskKey, RunTrack>> superseded;
-        for (const workload::TaskKey &key : this->state.findWorker(id)->runs) {
+        for (const workload::TaskKey &key : this->state.findWorker(life)->runs) {
             const auto track = this->tracks.find(key);
-            if (track != this->tracks.end() && track->second.worker == id && this->maySupersede(key)) {
+            if (track != this->tracks.end() && track->second.worker == life && this->maySupersede(key)) {
                 superseded.emplace_back(key, track->second);
             }
         }
         for (const auto &[key, track] : superseded) {
-            this->supersededTracks[{id, key, track.run}].isAdopted = track.isAdopted;
+            this->supersededTracks[{life, key, track.run}].isAdopted = track.isAdopted;
         }
-        this->endRuns(id, superseded, work::RunEndKind::Superseded);
+        this->endRuns(life, superseded, work::RunEndKind::Superseded);
     }
 }
 
-bool Dispatcher::takeSupersededRun(Timestamp now, const std::string &worker, const ListedRun &listed)
+bool Dispatcher::takeSupersededRun(Timestamp now, const workload::Life &worker, const ListedRun &listed)
 {
     const workload::Worker &record = *this->state.findWorker(worker);
     const auto found = record.superseded.find(listed.task);
@@ -75,7 +75,7 @@
     return true;
 }
 
-void Dispatcher::stopSuperseded(Timestamp now, const std::string &worker, const workload::TaskKey &key, std::uint32_t run)
+void Dispatcher::stopSuperseded(Timestamp now, const workload::Life &worker, const workload::TaskKey &key, std::uint32_t run)
 {
     SupersededTrack &track = this->supersededTracks[{worker, key, run}];
     if (!track.isStopInFlight) {
@@ -84,7 +84,7 @@
     }
 }
 
-void Dispatcher::settleSuperseded(Timestamp now, const std::string &worker, Timestamp pollSentAt, const WorkerAnswer &answer)
+void Dispatcher::settleSuperseded(Timestamp now, const workload::Life &worker, Timestamp pollSentAt, const WorkerAnswer &answer)
 {
     std::vector<std::pair<workload::TaskKey, RunTrack>> over;
     for (const auto &[key, run] : this->state.findWorker(worker)->superseded) {
@@ -112,7 +112,7 @@
     return {key, std::move(track)};
 }
 
-void Dispatcher::expireSuperseded(const std::string &worker)
+void Dispatcher::expireSuperseded(const workload::Life &worker)
 {
     std::vector<std::pair<workload::TaskKey, RunTrack>> expired;
     for (const auto &[key, run] : this->state.findWorker(worker)->superseded) {
--- a/paddlepier/execution/crashes_test.cpp
+++ b/paddlepier/execution/crashes_test.cpp
@@ -47,12 +47,12 @@
     /** Crashes the worker that runs @p task as an accident would. */
     void crashWorkerOf(const workload::TaskKey &task)
     {
-        this->workers.crashSilently(this->now, this->state.findJob(task.job)->task(task).worker);
+        this->workers.crashSilently(this->now, this->state.findJob(task.job)->task(task).worker.id);
     }
 
     bool isAtWork(const workload::TaskKey &task)
     {
-        const std::string &worker = this->state.findJob(task.job)->task(task).worker;
+        const std::string &worker = this->state.findJob(task.job)->task(task).worker.id;
         return !worker.empty() && this->workers.workers[worker].runs.contains(task);
     }
 
@@ -341,7 +341,7 @@
     REQUIRE(this->runUntil([&] { return losses() == 2; }, absl::Seconds(10)));
     REQUIRE(this->runUntil([&] { return this->state.findJob("bad")->task(bad).hasRun(); }, absl::Seconds(2)));
     this->addJob("more", 8, 500);
-    const std::string worker = this->state.findJob("bad")->task(bad).worker;
+    const workload::Life worker = this->state.findJob("bad")->task(bad).worker;
     CHECK(this->state.findWorker(worker)->runs.size() == 1);
     this->runFor(absl::Milliseconds(300));
     CHECK(this->state.findWorker(worker)->runs.size() == 1);
@@ -355,7 +355,7 @@
     this->submit("watch", 1, 400, [](work::JobSpecT &, work::StepSpecT &step) { step.isLasting = true; });
     const workload::TaskKey watch("watch", 0, 0, 0);
     REQUIRE(this->runUntil([&] { return this->isAtWork(watch); }, absl::Seconds(5)));
-    const std::string worker = this->state.findJob("watch")->task(watch).worker;
+    const workload::Life worker = this->state.findJob("watch")->task(watch).worker;
     work::RegisterWorkerT registration = this->state.findWorker(worker)->registration;
     registration.isDraining = true;
     this->apply(std::move(registration));
@@ -370,13 +370,13 @@
     this->addJob("a", 1, 30'000);
     const workload::TaskKey task("a", 0, 0, 0);
     REQUIRE(this->runUntil([&] { return this->isAtWork(task); }, absl::Seconds(2)));
-    const std::string worker = this->state.findJob("a")->task(task).worker;
-    this->workers.workers[worker].isCut = true;
+    const workload::Life worker = this->state.findJob("a")->task(task).worker;
+    this->workers.workers[worker.id].isCut = true;
     REQUIRE(this->runUntil([&] { return this->state.findWorker(worker)->lapsed.contains(task); }, absl::Seconds(20)));
     CHECK(this->state.findJob("a")->task(task).doubtfulWorkers == 1);
     this->state.restore(std::string(this->state.snapshot()));
     CHECK(this->state.findJob("a")->task(task).doubtfulWorkers == 1);
-    this->workers.workers[worker].isCut = false;
+    this->workers.workers[worker.id].isCut = false;
     CHECK(this->runUntil([&] { return this->state.findJob("a")->task(task).doubtfulWorkers == 0; }, absl::Seconds(10)));
     CHECK(this->state.findJob("a")->task(task).lostWorkers.empty());
     CHECK(this->state.suspects().empty());
--- a/paddlepier/execution/dispatcher.cpp
+++ b/paddlepier/execution/dispatcher.cpp
@@ -9,6 +9,7 @@
 #include <algorithm>
 #include <array>
 #include <functional>
+#include <iterator>
 #include <set>
 
 namespace paddlepier::execution
@@ -66,10 +67,10 @@
     return names.at(static_cast<std::size_t>(reason));
 }
 
-Dispatcher::Dispatcher(const workload::Workload &workloadState, DispatchOptions dispatchOptions, std::uint64_t fenceToken, Timestamp now)
+Dispatcher::Dispatcher(const workload::Workload &workloadState, DispatchOptions dispatchOptions, std::uint64_t leaderTerm, Timestamp now)
     : state(workloadState)
     , options(dispatchOptions)
-    , fence(fenceToken)
+    , term(leaderTerm)
     , planner(this->state, this->views, this->tracks, this->setbacks, this->advice, this->usualRatios)
     , steppedAt(now)
 {
@@ -79,12 +80,12 @@
 
 void Dispatcher::adoptRuns(Timestamp now)
 {
-    for (const auto &[id, worker] : this->state.workers()) {
+    for (const auto &[life, worker] : this->state.workers()) {
         for (const workload::TaskKey &key : worker.runs) {
             const workload::Task &task = this->state.findJob(key.job)->task(key);
             RunTrack track;
             track.run = task.lastRun;
-            track.worker = id;
+            track.worker = life;
             track.checkpoint = task.checkpoint;
             track.placedAt = now;
             track.isAdopted = true;
@@ -92,7 +93,7 @@
             this->tracks.emplace(key, std::move(track));
         }
         for (const auto &[key, run] : worker.superseded) {
-            this->supersededTracks[{id, key, run.run}].isAdopted = true;
+            this->supersededTracks[{life, key, run.run}].isAdopted = true;
         }
     }
 }
@@ -104,7 +105,7 @@
     this->mayHaveOtherWorkers = true;
 }
 
-void Dispatcher::noteAnnouncement(Timestamp now, const std::string &worker, std::uint64_t sequence, Duration drainRemaining)
+void Dispatcher::noteAnnouncement(Timestamp now, const workload::Life &worker, std::uint64_t sequence, Duration drainRemaining)
 {
     const auto view = this->views.find(worker);
     if (view == this->views.end()) {
@@ -122,13 +123,19 @@
     }
 }
 
-bool Dispatcher::isStaleAnnouncement(const std::string &worker, std::uint64_t sequence) const
+bool Dispatcher::mayHaveLeft(Timestamp now, const workload::Life &worker) const
+{
+    const auto view = this->views.find(worker);
+    return view != this->views.end() && view->second.leavesAt <= now;
+}
+
+bool Dispatcher::isStaleAnnouncement(const workload::Life &worker, std::uint64_t sequence) const
 {
     const auto view = this->views.find(worker);
     return view != this->views.end() && sequence < view->second.announcedSequence;
 }
 
-bool Dispatcher::isImplausibleAnnouncement(const std::string &worker, std::uint64_t sequence) const
+bool Dispatcher::isImplausibleAnnouncement(const workload::Life &worker, std::uint64_t sequence) const
 {
     const auto view = this->views.find(worker);
     return view != this->views.end() && view->second.announcedSequence > 0 && sequence > view->second.announcedSequence + mostSequenceStep;
@@ -189,7 +196,7 @@
     if (pause < pauseMark) {
         return;
     }
-    for (auto &[id, view] : this->views) {
+    for (auto &[life, view] : this->views) {
         view.delayAnswers(pause);
     }
 }
@@ -212,17 +219,24 @@
         }
         return isOver;
     });
-    for (const auto &[id, worker] : known) {
-        if (this->views.try_emplace(id, now, this->options.longestLease).second) {
-            this->dueFirstPolls.set(id, now - this->headStart(id));
+    for (const auto &[life, worker] : known) {
+        const auto [view, isNew] = this->views.try_emplace(life, now, this->options.longestLease);
+        if (!isNew) {
+            continue;
+        }
+        view->second.fence = fencingToken(this->term, this->livesById[life.id]++);
+        this->dueFirstPolls.set(life, now - this->headStart(life));
+        // Lives under one id follow each other.
+        if (view != this->views.begin() && life.isAfter(std::prev(view)->first)) {
+            std::prev(view)->second.noteLaterLife(now, this->options.longestLease);
         }
     }
 }
 
-Duration Dispatcher::headStart(const std::string &worker) const
+Duration Dispatcher::headStart(const workload::Life &worker) const
 {
     constexpr std::size_t places = 1'000'000;
-    return absl::Nanoseconds(static_cast<std::int64_t>(std::hash<std::string>()(absl::StrCat(worker, "/", this->fence)) % places));
+    return absl::Nanoseconds(static_cast<std::int64_t>(std::hash<std::string>()(absl::StrCat(worker.text(), "/", this->term)) % places));
 }
 
 void Dispatcher::checkWorkers(Timestamp now)
@@ -248,20 +262,20 @@
     this->planner.forgetJobs(isOver);
     this->setbacks.forgetJobs(isOver);
     std::erase_if(this->supersededTracks, [this](const auto &entry) {
-        const auto &[id, key, run] = entry.first;
-        const workload::Worker *worker = this->state.findWorker(id);
+        const auto &[life, key, run] = entry.first;
+        const workload::Worker *worker = this->state.findWorker(life);
         return worker == nullptr || !worker->superseded.contains(key);
     });
 }
 
-void Dispatcher::send(Timestamp now, const std::string &worker, Order order, Duration timeout, bool withLease)
+void Dispatcher::send(Timestamp now, const workload::Life &worker, Order order, Duration timeout, bool withLease)
 {
     WorkerView &view = this->views.at(worker);
     WorkerCall call;
     call.id = this->nextCall++;
     call.worker = worker;
     call.address = this->state.findWorker(worker)->registration.address;
-    call.fence = this->fence;
+    call.fence = view.fence;
     call.leaseEndOnWorkerClock = withLease ? view.leaseEnd(now, this->options.longestLease) : 0;
     call.timeout = timeout;
     call.order = std::move(order);
@@ -287,7 +301,7 @@
     }
 }
 
-void Dispatcher::propose(ProposalKind kind, const std::string &worker, work::CommandUnion command)
+void Dispatcher::propose(ProposalKind kind, const workload::Life &worker, work::CommandUnion command)
 {
     const std::uint64_t id = this->nextProposal++;
     this->proposals[id] = {kind, worker};
@@ -311,17 +325,26 @@
         return;
     }
     view->second.noteCallEnd(callId);
+    if (this->isOfOtherLife(now, call, answer)) {
+        return this->takeAnswerOf(now, call, {});
+    }
+    this->takeAnswerOf(now, call, answer);
+}
+
+void Dispatcher::takeAnswerOf(Timestamp now, const PendingCall &call, const WorkerAnswer &answer)
+{
+    const auto view = this->views.find(call.worker);
     if (answer.kind == AnswerKind::OtherLife) {
-        log::info("dispatch", "worker.other-life", {{"worker", call.worker}});
+        log::info("dispatch", "worker.other-life", {{"worker", call.worker.text()}});
         this->removeWorker(now, call.worker, work::LifeEnd::Crashed);
         return;
     }
     if (answer.kind == AnswerKind::Fenced && !view->second.isFenced) {
         view->second.isFenced = true;
-        log::warning("dispatch", "worker.fenced", {{"worker", call.worker}, {"fence", this->fence}});
+        log::warning("dispatch", "worker.fenced", {{"worker", call.worker.text()}, {"fence", view->second.fence}});
     }
     if (!view->second.hasListed && answer.kind == AnswerKind::Accepted && std::holds_alternative<PollOrder>(call.order)) {
-        this->removeOtherLives(now, call.worker, call.sentAt);
+        this->removeOtherLives(now, call.worker, call.sentAt, answer);
     }
     if (answer.kind != AnswerKind::NoAnswer && answer.kind != AnswerKind::NotSent) {
         view->second.noteAnswer(now, answer.hasClock ? std::optional(answer.clockMillis) : std::nullopt);
@@ -337,15 +360,16 @@
     }
 }
 
-void Dispatcher::endRuns(const std::string &worker, const std::vector<std::pair<workload::TaskKey, RunTrack>> &ended, work::RunEndKind kind)
+void Dispatcher::endRuns(const workload::Life &worker, const std::vector<std::pair<workload::TaskKey, RunTrack>> &ended, work::RunEndKind kind)
 {
     if (ended.empty()) {
         return;
     }
     work::RecordEndsT record;
-    record.worker = worker;
+    record.worker = worker.id;
+    record.born = worker.born;
     for (const auto &[key, track] : ended) {
-        log::info("dispatch", "run.ended", {{"task", key.text()}, {"run", track.run}, {"how", work::EnumNameRunEndKind(kind)}, {"worker", worker}});
+        log::info("dispatch", "run.ended", {{"task", key.text()}, {"run", track.run}, {"how", work::EnumNameRunEndKind(kind)}, {"worker", worker.text()}});
         auto &end = record.ends.emplace_back(std::make_unique<work::RunEndT>());
         end->task = key.record();
         end->run = track.run;
@@ -356,7 +380,7 @@
     this->dropTracks(record);
     work::CommandUnion command;
     command.Set(std::move(record));
-    this->propose(ProposalKind::RecordEnds, "", std::move(command));
+    this->propose(ProposalKind::RecordEnds, {}, std::move(command));
 }
 
 void Dispatcher::takeOutcome(Timestamp now, std::uint64_t proposalId, const workload::Outcome &outcome)
@@ -391,7 +415,7 @@
     this->changed = true;
 }
 
-RunTrack *Dispatcher::findTrack(const workload::TaskKey &key, std::uint32_t run, const std::string &worker)
+RunTrack *Dispatcher::findTrack(const workload::TaskKey &key, std::uint32_t run, const workload::Life &worker)
 {
     const auto found = this->tracks.find(key);
     const bool isThatRun = found != this->tracks.end() && found->second.run == run && found->second.worker == worker;
--- a/paddlepier/execution/dispatcher.h
+++ b/paddlepier/execution/dispatcher.h
@@ -63,10 +63,17 @@
     std::vector<AdviceQuestion> questions;
 };
 
+/** What a later life under its id tells about the end of a life. */
+struct NextLife {
+    std::uint64_t born = 0;
+    /** Runs meant for the life that is over, and begun on the later one. */
+    std::vector<workload::TaskKey> moved;
+};
+
 class Dispatcher
 {
 public:
-    Dispatcher(const workload::Workload &workloadState, DispatchOptions dispatchOptions, std::uint64_t fenceToken, Timestamp now);
+    Dispatcher(const workload::Workload &workloadState, DispatchOptions dispatchOptions, std::uint64_t leaderTerm, Timestamp now);
 
     /** What is to be done now; call it after every batch of events. */
     DispatchEffects step(Timestamp now, std::int64_t wallMillis);
@@ -76,11 +83,13 @@
     void takeOutcome(Timestamp now, std::uint64_t proposal, const workload::Outcome &outcome);
 
     /** The worker has announced itself; @p drainRemaining is the least time left, infinite if it isn't draining. */
-    void noteAnnouncement(Timestamp now, const std::string &worker, std::uint64_t sequence, Duration drainRemaining);
+    void noteAnnouncement(Timestamp now, const workload::Life &worker, std::uint64_t sequence, Duration drainRemaining);
     /** True if a later announcement of the same life has been seen. */
-    bool isStaleAnnouncement(const std::string &worker, std::uint64_t sequence) const;
+    bool isStaleAnnouncement(const workload::Life &worker, std::uint64_t sequence) const;
     /** So far beyond the last one of the same life that no worker can have counted on to there. */
-    bool isImplausibleAnnouncement(const std::string &worker, std::uint64_t sequence) const;
+    bool isImplausibleAnnouncement(const workload::Life &worker, std::uint64_t sequence) const;
+    /** The worker has said when it would leave, and that time is over. */
+    bool mayHaveLeft(Timestamp now, const workload::Life &worker) const;
     /** The ledger has changed by something else than a proposal of this dispatcher. */
     void noteChange();
 
@@ -94,10 +103,10 @@
     enum class ProposalKind { Place, RecordEnds, RemoveWorker };
     struct PendingProposal {
         ProposalKind kind = ProposalKind::Place;
-        std::string worker;
+        workload::Life worker;
     };
     struct PendingCall {
-        std::string worker;
+        workload::Life worker;
         Order order;
         Timestamp sentAt;
     };
@@ -109,7 +118,7 @@
     /** What only time changes on workers: leases that run out, answers that are missing, lives that end. */
     void checkWorkers(Timestamp now);
     void pollWorkers(Timestamp now);
-    void pollWorker(Timestamp now, const std::string &worker);
+    void pollWorker(Timestamp now, const workload::Life &worker);
     /** A configuration names its service, or it holds runs: until then nothing is sent to its address. */
     bool countsYet(const workload::Worker &worker) const;
     Duration timeoutOfPoll(const WorkerView &view) const;
@@ -117,8 +126,8 @@
      * Puts workers' first polls in another order in each term: where terms are too short to reach all, it isn't always the same
      * ones that get neither stops nor leases.
      */
-    Duration headStart(const std::string &worker) const;
-    void schedulePoll(const std::string &worker, const WorkerView &view);
+    Duration headStart(const workload::Life &worker) const;
+    void schedulePoll(const workload::Life &worker, const WorkerView &view);
     void driveRuns(Timestamp now);
     /** Stops what has nothing left to do. */
     void stopNeedlessRuns(Timestamp now);
@@ -136,13 +145,13 @@
     void supersedeRuns(Timestamp now);
     bool maySupersede(const workload::TaskKey &key) const;
     /** A superseded run is listed; it goes on unless its task is done. @return false if it isn't one */
-    bool takeSupersededRun(Timestamp now, const std::string &worker, const ListedRun &listed);
+    bool takeSupersededRun(Timestamp now, const workload::Life &worker, const ListedRun &listed);
     /** Ends superseded runs that a worker lists no longer, and can't start any more. */
-    void settleSuperseded(Timestamp now, const std::string &worker, Timestamp pollSentAt, const WorkerAnswer &answer);
-    void expireSuperseded(const std::string &worker);
+    void settleSuperseded(Timestamp now, const workload::Life &worker, Timestamp pollSentAt, const WorkerAnswer &answer);
+    void expireSuperseded(const workload::Life &worker);
     /** What endRuns() needs of a superseded run. */
     static std::pair<workload::TaskKey, RunTrack> trackOf(const workload::TaskKey &key, const workload::SupersededRun &run);
-    void stopSuperseded(Timestamp now, const std::string &worker, const workload::TaskKey &key, std::uint32_t run);
+    void stopSuperseded(Timestamp now, const workload::Life &worker, const workload::TaskKey &key, std::uint32_t run);
     void forgetEndedJobs(Timestamp now);
     void expireLeases(Timestamp now);
     void drainWorkers(Timestamp now);
@@ -155,14 +164,14 @@
     void takePlacements(Timestamp now, const std::vector<work::PlacementT> &placed);
     void logPlacements(const std::vector<work::PlacementT> &placed) const;
     void takePoll(Timestamp now, const PendingCall &call, const WorkerAnswer &answer);
-    void takeRunning(Timestamp now, const std::string &worker, const WorkerAnswer &answer);
+    void takeRunning(Timestamp now, const workload::Life &worker, const WorkerAnswer &answer);
     /** Judges the runs on a worker after a poll: which stand still, which disturb, how fast the worker is. */
-    void watchRuns(Timestamp now, const std::string &worker, WorkerView &view);
+    void watchRuns(Timestamp now, const workload::Life &worker, WorkerView &view);
     void watchProgress(Timestamp now, const workload::TaskKey &key, RunTrack &track, WorkerView &view);
     void paceFilling(
-        Timestamp now, const std::string &worker, WorkerView &view, const std::vector<ServingLoad> &serving, const std::vector<workload::TaskKey> &filling);
+        Timestamp now, const workload::Life &worker, WorkerView &view, const std::vector<ServingLoad> &serving, const std::vector<workload::TaskKey> &filling);
     void takePace(const PendingCall &call, const PaceOrder &order, const WorkerAnswer &answer);
-    void takeEnded(Timestamp now, const std::string &worker, WorkerView &view, const WorkerAnswer &answer);
+    void takeEnded(Timestamp now, const workload::Life &worker, WorkerView &view, const WorkerAnswer &answer);
     /** Writes lines about steps that are done. */
     void reportSteps(Timestamp now);
     void judgeEnd(Timestamp now, WorkerView &view, const ListedEnd &end);
@@ -170,36 +179,46 @@
     void takeStop(Timestamp now, const PendingCall &call, const StopOrder &order, const WorkerAnswer &answer);
     void stopRun(Timestamp now, const workload::TaskKey &key, RunTrack &track, StopReason reason);
     /** Ends runs that a poll's answer, taken at @p now, didn't list and that can't begin any more. */
-    void settleVanished(Timestamp now, const std::string &worker, Timestamp pollSentAt);
-    void endRuns(const std::string &worker, const std::vector<std::pair<workload::TaskKey, RunTrack>> &ended, work::RunEndKind kind);
+    void settleVanished(Timestamp now, const workload::Life &worker, Timestamp pollSentAt);
+    void endRuns(const workload::Life &worker, const std::vector<std::pair<workload::TaskKey, RunTrack>> &ended, work::RunEndKind kind);
     /** A life is over; @p how  unless it had said that it would leave. */
-    void removeWorker(Timestamp now, const std::string &worker, work::LifeEnd how);
+    void removeWorker(Timestamp now, const workload::Life &worker, work::LifeEnd how, const NextLife &next = {});
     /** What is known of a run whose worker may be lost. */
     work::RunAtLoss atLoss(const workload::TaskKey &key, const RunTrack &track) const;
     /** The runs that go with @p worker. */
-    std::vector<std::unique_ptr<work::RunEndT>> lostRuns(const std::string &worker) const;
+    std::vector<std::unique_ptr<work::RunEndT>> lostRuns(const workload::Life &worker) const;
     /** One line that names the runs that went with a worker: what they have in common shows across such lines. */
     void logLoss(Timestamp now, const work::RemoveWorkerT &command) const;
     void logGivenUp(const std::vector<workload::TaskKey> &tasks) const;
     /**
-     * @p worker has answered a poll for the first time: other lives at its address or of its machine are over. An announcement
-     * proves nothing of the kind, since it may have been held up until after its sender's end.
+     * @p worker has answered a poll for the first time: earlier lives under its id are over, and other lives at its address or of its
+     * machine. An announcement proves nothing of these, since it may have been held up until after its sender's end.
+     */
+    void removeOtherLives(Timestamp now, const workload::Life &worker, Timestamp pollSentAt, const WorkerAnswer &answer);
+    /**
+     * Starts that were meant for @p earlier, the life before under its id, and have reached @p worker: nothing kept them away until it had
+     * seen its own fencing token. They are its runs from now on.
      */
-    void removeOtherLives(Timestamp now, const std::string &worker, Timestamp pollSentAt);
+    std::vector<workload::TaskKey> takeOverRuns(const workload::Life &worker, const workload::Life &earlier, const WorkerAnswer &answer);
+    /** An answer that isn't of the life that was called: nothing it says is taken for that life's. @return whether it was one */
+    bool isOfOtherLife(Timestamp now, const PendingCall &call, const WorkerAnswer &answer);
+    void takeAnswerOf(Timestamp now, const PendingCall &call, const WorkerAnswer &answer);
     void dropTracks(const work::RecordEndsT &command);
 
     /** How long an answer may take before its worker is taken to be cut off, or slowed. */
     Duration patience() const;
     void noteAnswerTime(Timestamp now, const PendingCall &call, AnswerKind kind);
-    void send(Timestamp now, const std::string &worker, Order order, Duration timeout, bool withLease);
-    void propose(ProposalKind kind, const std::string &worker, work::CommandUnion command);
+    void send(Timestamp now, const workload::Life &worker, Order order, Duration timeout, bool withLease);
+    void propose(ProposalKind kind, const workload::Life &worker, work::CommandUnion command);
     bool hasBegun(const workload::Job &job) const;
-    RunTrack *findTrack(const workload::TaskKey &key, std::uint32_t run, const std::string &worker);
+    RunTrack *findTrack(const workload::TaskKey &key, std::uint32_t run, const workload::Life &worker);
 
     const workload::Workload &state;
     const DispatchOptions options;
-    const std::uint64_t fence;
-    std::map<std::string, WorkerView> views;
+    const std::uint64_t term;
+    /** Lives under each id that this term has known. */
+    std::map<std::string, std::uint64_t> livesById;
+    WorkerViews views;
     /** What was done about a superseded run that its worker doesn't list. */
     struct SupersededTrack {
         bool isStopInFlight = false;
@@ -209,15 +228,15 @@
         Timestamp settledAt = absl::InfiniteFuture();
     };
     /** By worker, task and run. */
-    using SupersededKey = std::tuple<std::string, workload::TaskKey, std::uint32_t>;
+    using SupersededKey = std::tuple<workload::Life, workload::TaskKey, std::uint32_t>;
     std::map<SupersededKey, SupersededTrack> supersededTracks;
     // Invariant: holds exactly the runs that the ledger has under way, but for those whose end is being recorded.
     RunTracks tracks;
     /** Runs that are starting or stopping and wait for no answer; some may have settled since. */
     DueQueue<workload::TaskKey> dueRuns;
     /** Workers without a poll under way, but for those whose ends are being recorded; apart: those that haven't answered one. */
-    DueQueue<std::string> duePolls;
-    DueQueue<std::string> dueFirstPolls;
+    DueQueue<workload::Life> duePolls;
+    DueQueue<workload::Life> dueFirstPolls;
     /** First polls that may still be answered in time. */
     std::map<std::uint64_t, Timestamp> freshFirstPolls;
     /** Most workers owe an answer or have failed to give one: it is this process that is slow, or cut off. */
--- a/paddlepier/execution/dispatcher_benchmark.cpp
+++ b/paddlepier/execution/dispatcher_benchmark.cpp
@@ -164,7 +164,7 @@
                 placement->run = 1;
                 placement->worker = worker;
                 const Timestamp end = this->now + absl::Milliseconds(runMillis) * (begun + index + 1) / runsUnderWay;
-                this->workers.workers[worker].leaseEnd = FakeWorkers::clock(this->now) + 10'000;
+                this->workers.workers[worker].leaseEnd = FakeWorkers::clock(this->workers.workers[worker], this->now) + 10'000;
                 if ((begun + index) % startedOf == 0) {
                     this->workers.workers[worker].runs[key] = {1, end - absl::Milliseconds(runMillis), end, absl::InfiniteFuture(), 1000};
                 }
@@ -207,7 +207,7 @@
     void releasePolls()
     {
         std::erase_if(this->held, [this](const HeldPoll &poll) {
-            const auto &ended = this->workers.workers[poll.call.worker].ended;
+            const auto &ended = this->workers.workers[poll.call.worker.id].ended;
             const bool hasNews = !ended.empty() && ended.back().sequence > std::get<PollOrder>(poll.call.order).lastSequence;
             if (hasNews || poll.until <= this->now) {
                 this->answers.push_back({this->now + answerDelay, poll.call.id, this->workers.carryOut(this->now, poll.call)});
--- a/paddlepier/execution/dispatcher_test.cpp
+++ b/paddlepier/execution/dispatcher_test.cpp
@@ -156,8 +156,8 @@
     this->addWorker("first", 4000, "host:1");
     this->workers.workers["first"].isOver = true;
     this->dispatcher->noteChange();
-    CHECK(this->runUntil([this] { return this->state.findWorker("first") == nullptr; }, absl::Seconds(2)));
-    CHECK(this->state.findWorker("second") != nullptr);
+    CHECK(this->runUntil([this] { return this->state.findWorker({"first"}) == nullptr; }, absl::Seconds(2)));
+    CHECK(this->state.findWorker({"second"}) != nullptr);
     CHECK(this->runUntil([this] { return this->isCompleted("a"); }));
     CHECK(this->workers.starts == 2);
     CHECK(this->workers.problems.empty());
@@ -178,9 +178,9 @@
     this->workers.workers["second"].isCut = true;
     this->dispatcher->noteChange();
     this->runFor(absl::Seconds(1));
-    CHECK(this->state.findWorker("first") != nullptr);
+    CHECK(this->state.findWorker({"first"}) != nullptr);
     this->workers.workers["second"].isCut = false;
-    CHECK(this->runUntil([this] { return this->state.findWorker("first") == nullptr; }, absl::Seconds(2)));
+    CHECK(this->runUntil([this] { return this->state.findWorker({"first"}) == nullptr; }, absl::Seconds(2)));
     CHECK(this->runUntil([this] { return this->isCompleted("a"); }, absl::Seconds(5)));
     CHECK(this->workers.problems.empty());
 }
@@ -191,10 +191,10 @@
     this->workers.workers["w1"].isCut = true;
     // Well before the lease of the cut worker is over.
     CHECK(this->runUntil([this] { return this->isCompleted("a"); }, absl::Seconds(4)));
-    CHECK(this->state.findWorker("w1")->superseded.size() == 2);
+    CHECK(this->state.findWorker({"w1"})->superseded.size() == 2);
     this->workers.workers["w1"].isCut = false;
-    CHECK(this->runUntil([this] { return this->state.findWorker("w1")->superseded.empty(); }, absl::Seconds(4)));
-    CHECK(this->state.findWorker("w1")->freeMilliProcessors() == 4000);
+    CHECK(this->runUntil([this] { return this->state.findWorker({"w1"})->superseded.empty(); }, absl::Seconds(4)));
+    CHECK(this->state.findWorker({"w1"})->freeMilliProcessors() == 4000);
     CHECK(this->workers.problems.empty());
 }
 
@@ -214,9 +214,9 @@
 {
     this->startOnFirstWorker(4, 8000);
     this->workers.workers["w1"].isCut = true;
-    REQUIRE(this->runUntil([this] { return this->state.findWorker("w1")->superseded.size() == 4; }, absl::Seconds(2)));
+    REQUIRE(this->runUntil([this] { return this->state.findWorker({"w1"})->superseded.size() == 4; }, absl::Seconds(2)));
     this->state.restore(std::string(this->state.snapshot()));
-    CHECK(this->state.findWorker("w1")->freeMilliProcessors() == 0);
+    CHECK(this->state.findWorker({"w1"})->freeMilliProcessors() == 0);
     this->newLeader();
     this->workers.workers["w1"].isCut = false;
     this->addJob("b", 12, 2000);
@@ -229,7 +229,7 @@
     this->startOnFirstWorker(2, 1000, false);
     this->workers.workers["w1"].isCut = true;
     this->runFor(absl::Seconds(4));
-    CHECK(this->state.findWorker("w1")->superseded.empty());
+    CHECK(this->state.findWorker({"w1"})->superseded.empty());
     CHECK_FALSE(this->isCompleted("a"));
 }
 
--- a/paddlepier/execution/dispatcherfixture.h
+++ b/paddlepier/execution/dispatcherfixture.h
@@ -52,10 +52,13 @@
         return workload::applyCommand(this->state, absl::ToUnixMillis(this->now), std::move(table));
     }
 
-    void addWorker(const std::string &id, std::uint32_t processors = 4000, const std::string &address = "")
+    /** @param tellsBirth  as it will when it has started again */
+    void addWorker(const std::string &id, std::uint32_t processors = 4000, const std::string &address = "", bool tellsBirth = false)
     {
         work::RegisterWorkerT registration;
         registration.id = id;
+        registration.born = tellsBirth ? static_cast<std::uint64_t>(absl::ToUnixMillis(this->now)) : 0;
+        this->workers.workers[id].born = registration.born;
         registration.service = "pool";
         registration.address = address.empty() ? id : address;
         registration.capacity = std::make_unique<work::Demand>(processors, 10'000, 0);
@@ -66,12 +69,25 @@
     /** The worker starts again under its id, and announces itself. */
     void restartWorker(const std::string &id)
     {
-        const work::RegisterWorkerT registration = this->state.findWorker(id)->registration;
-        this->workers.restart(id);
+        this->workers.restart(this->now, id);
+        this->announce(id);
+    }
+
+    /** The life that is there now announces itself. */
+    void announce(const std::string &id)
+    {
+        work::RegisterWorkerT registration = this->state.findLatestWorker(id)->registration;
+        registration.born = this->workers.workers[id].born;
         this->apply(registration);
         this->dispatcher->noteChange();
     }
 
+    /** The life under @p id that was announced last. */
+    workload::Life lifeOf(const std::string &id) const
+    {
+        return workload::lifeOf(this->state.findLatestWorker(id)->registration);
+    }
+
     void addJob(const std::string &id, std::uint32_t tasks, std::uint32_t millis, std::uint32_t steps = 1, bool mayRunCopies = false, bool isGang = false)
     {
         work::SubmitJobT command;
@@ -158,6 +174,8 @@
     struct Late {
         Timestamp at;
         WorkerCall call;
+        /** Of the life that has it: what a worker holds back ends with it. */
+        std::uint64_t born = 0;
     };
     struct Answer {
         Timestamp at;
@@ -198,10 +216,10 @@
         this->onCall(call);
         const bool isPoll = std::holds_alternative<PollOrder>(call.order);
         const WorkerAnswer silence;
-        if (this->workers.workers[call.worker].isCut || this->chance(this->weather.lostBefore)) {
+        if (this->workers.workers[call.worker.id].isCut || this->chance(this->weather.lostBefore)) {
             this->answers.push_back({this->now + call.timeout, call.id, silence});
         } else if (!isPoll && this->chance(this->weather.late)) {
-            this->late.push_back({this->now + absl::Milliseconds(2000 + this->random() % 10'000), call});
+            this->late.push_back({this->now + absl::Milliseconds(2000 + this->random() % 10'000), call, this->workers.workers[call.worker.id].born});
             this->answers.push_back({this->now + call.timeout, call.id, silence});
         } else {
             const WorkerAnswer answer = this->workers.carryOut(this->now, call);
@@ -217,7 +235,8 @@
                 ++order;
                 continue;
             }
-            if (!this->workers.workers[order->call.worker].isCut) {
+            const FakeWorkers::Worker &worker = this->workers.workers[order->call.worker.id];
+            if (!worker.isCut && worker.born == order->born) {
                 this->workers.carryOut(this->now, order->call);
             }
             order = this->late.erase(order);
--- a/paddlepier/execution/fakeworkers.h
+++ b/paddlepier/execution/fakeworkers.h
@@ -51,6 +51,9 @@
     };
 
     struct Worker {
+        /** Unix millisecond of its start; 0 if it doesn't tell it. */
+        std::uint64_t born = 0;
+        Timestamp clockBegan = absl::UnixEpoch();
         std::uint64_t fence = 0;
         std::int64_t leaseEnd = 0;
         std::uint64_t lastEnd = 0;
@@ -92,36 +95,36 @@
     {
     }
 
-    /** A worker's own clock, in milliseconds; it runs two per cent slow. */
-    static std::int64_t clock(Timestamp now)
+    /** A worker's own clock, in milliseconds; it runs two per cent slow and begins anew with each life. */
+    static std::int64_t clock(const Worker &worker, Timestamp now)
     {
-        return absl::ToInt64Milliseconds((now - absl::UnixEpoch()) * 98 / 100);
+        return absl::ToInt64Milliseconds((now - worker.clockBegan) * 98 / 100);
     }
 
     /** Carries an order out now. */
     WorkerAnswer carryOut(Timestamp now, const WorkerCall &call)
     {
-        Worker &worker = this->workers[call.worker];
+        Worker &worker = this->workers[call.worker.id];
         WorkerAnswer answer;
         if (worker.isOver) {
             answer.kind = AnswerKind::OtherLife;
             return answer;
         }
         answer.hasClock = true;
-        answer.clockMillis = clock(now);
+        answer.clockMillis = clock(worker, now);
         if (call.fence < worker.fence) {
             answer.kind = AnswerKind::Fenced;
             return answer;
         }
         worker.fence = call.fence;
         answer.kind = AnswerKind::Accepted;
-        worker.leaseEnd = std::max(worker.leaseEnd, std::min(call.leaseEndOnWorkerClock, clock(now) + 10'000));
+        worker.leaseEnd = std::max(worker.leaseEnd, std::min(call.leaseEndOnWorkerClock, clock(worker, now) + 10'000));
         if (const auto *start = std::get_if<StartOrder>(&call.order)) {
             answer.kind = this->start(now, call, worker, *start);
         } else if (const auto *stop = std::get_if<StopOrder>(&call.order)) {
             this->stop(now, worker, *stop);
         } else if (const auto *poll = std::get_if<PollOrder>(&call.order)) {
-            this->poll(now, call.worker, worker, *poll, answer);
+            this->poll(now, call.worker.id, worker, *poll, answer);
         }
         return answer;
     }
@@ -131,7 +134,7 @@
     {
         this->crashDue(now);
         for (auto &[id, worker] : this->workers) {
-            if (clock(now) >= worker.leaseEnd) {
+            if (clock(worker, now) >= worker.leaseEnd) {
                 worker.lapsedEnd = worker.lastEnd;
             }
             for (auto run = worker.runs.begin(); run != worker.runs.end();) {
@@ -165,12 +168,14 @@
     }
 
     /** The life is over, and the next one begins at once, under the same id: it knows nothing of before and counts from 1. */
-    void restart(const std::string &id)
+    void restart(Timestamp now, const std::string &id)
     {
         this->crash(id);
         const std::uint32_t capacity = this->workers[id].capacity;
         this->workers[id] = Worker();
         this->workers[id].capacity = capacity;
+        this->workers[id].born = static_cast<std::uint64_t>(absl::ToUnixMillis(now));
+        this->workers[id].clockBegan = now;
     }
 
     /** The same, and nothing answers at its address until a test says so. */
@@ -248,7 +253,7 @@
         if (run.stopsAt <= now) {
             return work::RunEndKind::Stopped;
         }
-        if (clock(now) >= worker.leaseEnd) {
+        if (clock(worker, now) >= worker.leaseEnd) {
             return work::RunEndKind::Expired;
         }
         if (run.isBroken) {
@@ -306,7 +311,7 @@
         if (order.run <= worker.highest[order.task]) {
             return AnswerKind::OldRun;
         }
-        if (call.leaseEndOnWorkerClock <= clock(now)) {
+        if (call.leaseEndOnWorkerClock <= clock(worker, now)) {
             return AnswerKind::LeaseOver;
         }
         if (this->refuses && this->refuses(order.task)) {
@@ -333,13 +338,13 @@
         if (step.isGang) {
             this->joinGang(now, order.task, order.run, step);
         }
-        this->tell({EventKind::Started, call.worker, order.task, order.run, {}});
+        this->tell({EventKind::Started, call.worker.id, order.task, order.run, {}});
         std::uint32_t used = 0;
         for (const auto &[task, other] : worker.runs) {
             used += other.processors;
         }
         if (used > worker.capacity) {
-            this->problems.push_back("over capacity: " + call.worker);
+            this->problems.push_back("over capacity: " + call.worker.id);
         }
         return AnswerKind::Accepted;
     }
@@ -355,6 +360,7 @@
 
     void poll(Timestamp now, const std::string &id, Worker &worker, const PollOrder &order, WorkerAnswer &answer)
     {
+        answer.born = worker.born;
         const auto isNoted = [&](const ListedEnd &end) { return end.sequence <= order.lastSequence; };
         for (const ListedEnd &end : worker.ended) {
             if (!isNoted(end) || end.sequence <= worker.lapsedEnd) {
--- a/paddlepier/execution/gangs_test.cpp
+++ b/paddlepier/execution/gangs_test.cpp
@@ -32,7 +32,7 @@
     {
         this->onCall = [this, id, action](const WorkerCall &call) {
             const auto *start = std::get_if<StartOrder>(&call.order);
-            if (start != nullptr && call.worker == id && !std::exchange(this->isTreated, true)) {
+            if (start != nullptr && call.worker.id == id && !std::exchange(this->isTreated, true)) {
                 action(*start);
             }
         };
@@ -51,7 +51,7 @@
         this->addWorker("gone");
         this->newLeader();
         this->runFor(absl::Seconds(1));
-        this->onCall = [this](const WorkerCall &call) { this->callsToGone += call.worker == "gone" ? 1 : 0; };
+        this->onCall = [this](const WorkerCall &call) { this->callsToGone += call.worker.id == "gone" ? 1 : 0; };
     }
 
     int callsIn(Duration time)
@@ -104,7 +104,7 @@
 
 TEST_CASE_METHOD(GoneWorkerFixture, "worker_thatHasLeft_isAskedSeldom")
 {
-    this->dispatcher->noteAnnouncement(this->now, "gone", 7, absl::Milliseconds(500));
+    this->dispatcher->noteAnnouncement(this->now, {"gone"}, 7, absl::Milliseconds(500));
     this->runFor(absl::Milliseconds(500));
     this->workers.workers["gone"].isCut = true;
     this->runFor(absl::Seconds(3));
@@ -118,7 +118,7 @@
     this->runFor(absl::Seconds(7));
     CHECK(this->callsIn(absl::Seconds(5)) <= 3);
     this->workers.workers["gone"].isCut = false;
-    this->dispatcher->noteAnnouncement(this->now, "gone", 9, absl::InfiniteDuration());
+    this->dispatcher->noteAnnouncement(this->now, {"gone"}, 9, absl::InfiniteDuration());
     CHECK(this->callsIn(absl::Milliseconds(600)) >= 1);
 }
 
--- a/paddlepier/execution/lives.cpp
+++ b/paddlepier/execution/lives.cpp
@@ -31,23 +31,23 @@
 
 void Dispatcher::expireLeases(Timestamp now)
 {
-    for (auto &[id, view] : this->views) {
+    for (auto &[life, view] : this->views) {
         if (view.isReachable() || !view.leaseIsOver(now)) {
             continue;
         }
         std::vector<std::pair<workload::TaskKey, RunTrack>> expired;
-        for (const workload::TaskKey &key : this->state.findWorker(id)->runs) {
+        for (const workload::TaskKey &key : this->state.findWorker(life)->runs) {
             const auto track = this->tracks.find(key);
-            if (track != this->tracks.end() && track->second.worker == id) {
+            if (track != this->tracks.end() && track->second.worker == life) {
                 expired.emplace_back(key, track->second);
             }
         }
-        this->endRuns(id, expired, work::RunEndKind::Expired);
-        this->expireSuperseded(id);
+        this->endRuns(life, expired, work::RunEndKind::Expired);
+        this->expireSuperseded(life);
         const bool isSilent = now - std::max(view.announcedAt, view.lastAnswerAt()) > forgottenAfter;
-        if (isSilent && this->state.findWorker(id)->runs.empty()) {
-            log::info("dispatch", "worker.forgotten", {{"worker", id}});
-            this->removeWorker(now, id, work::LifeEnd::Forgotten);
+        if (isSilent && this->state.findWorker(life)->runs.empty()) {
+            log::info("dispatch", "worker.forgotten", {{"worker", life.text()}});
+            this->removeWorker(now, life, work::LifeEnd::Forgotten);
         }
     }
 }
@@ -70,7 +70,7 @@
     return wasThere ? work::RunAtLoss::Fresh : work::RunAtLoss::Unclear;
 }
 
-std::vector<std::unique_ptr<work::RunEndT>> Dispatcher::lostRuns(const std::string &worker) const
+std::vector<std::unique_ptr<work::RunEndT>> Dispatcher::lostRuns(const workload::Life &worker) const
 {
     std::vector<std::unique_ptr<work::RunEndT>> lost;
     const auto add = [&lost](const workload::TaskKey &key, std::uint32_t run, work::RunAtLoss atLoss) {
@@ -103,22 +103,29 @@
         const work::RunEndT &end = *command.lost[number];
         absl::StrAppend(&runs, " ", workload::TaskKey(*end.task).text(), "#", end.run, "/", work::EnumNameRunAtLoss(end.atLoss));
     }
-    const auto view = this->views.find(command.id);
+    const auto view = this->views.find({command.id, command.born});
     const Timestamp answeredAt = view == this->views.end() ? now : view->second.lastAnswerAt();
     log::info("dispatch",
               "worker.lost",
-              {{"worker", command.id},
+              {{"worker", workload::Life{command.id, command.born}.text()},
                {"how", work::EnumNameLifeEnd(command.end)},
                {"silentMillis", absl::ToInt64Milliseconds(std::min(now - answeredAt, absl::Hours(1)))},
                {"runs", runs}});
 }
 
-void Dispatcher::removeWorker(Timestamp now, const std::string &worker, work::LifeEnd how)
+void Dispatcher::removeWorker(Timestamp now, const workload::Life &worker, work::LifeEnd how, const NextLife &next)
 {
     const workload::Worker *record = this->state.findWorker(worker);
     const bool hasSaidSo = record != nullptr && record->registration.isDraining;
     work::RemoveWorkerT command;
-    command.id = worker;
+    command.id = worker.id;
+    command.born = worker.born;
+    command.nextBorn = next.born;
+    for (const workload::TaskKey &key : next.moved) {
+        auto &run = command.moved.emplace_back(std::make_unique<work::RunEndT>());
+        run->task = key.record();
+        run->run = this->state.findJob(key.job)->task(key).lastRun;
+    }
     command.end = hasSaidSo ? work::LifeEnd::Left : how;
     command.lost = this->lostRuns(worker);
     this->logLoss(now, command);
@@ -142,35 +149,73 @@
     }
 }
 
-void Dispatcher::removeOtherLives(Timestamp now, const std::string &worker, Timestamp pollSentAt)
+bool Dispatcher::isOfOtherLife(Timestamp now, const PendingCall &call, const WorkerAnswer &answer)
+{
+    const bool isList = std::holds_alternative<PollOrder>(call.order) && answer.kind == AnswerKind::Accepted;
+    if (answer.born == call.worker.born || (answer.born == 0 && !isList)) {
+        return false;
+    }
+    log::info("dispatch", "worker.other-life", {{"worker", call.worker.text()}, {"born", answer.born}});
+    // An earlier life's answer is late, and one that doesn't say whose it is isn't a worker's that has told its birth.
+    if (answer.born > call.worker.born) {
+        this->views.at(call.worker).noteLaterLife(now, this->options.longestLease);
+    }
+    return true;
+}
+
+void Dispatcher::removeOtherLives(Timestamp now, const workload::Life &worker, Timestamp pollSentAt, const WorkerAnswer &answer)
 {
     const work::RegisterWorkerT &alive = this->state.findWorker(worker)->registration;
-    std::vector<std::string> over;
-    for (const auto &[id, other] : this->state.workers()) {
+    std::vector<std::pair<workload::Life, NextLife>> over;
+    for (const auto &[life, other] : this->state.workers()) {
+        if (worker.isAfter(life)) {
+            over.push_back({life, {worker.born, this->takeOverRuns(worker, life, answer)}});
+            continue;
+        }
         const bool isSameMachine = !alive.machine.empty() && other.registration.machine == alive.machine;
-        if (id == worker || (!isSameMachine && other.registration.address != alive.address)) {
+        if (life.id == worker.id || (!isSameMachine && other.registration.address != alive.address)) {
             continue;
         }
-        const auto view = this->views.find(id);
+        const auto view = this->views.find(life);
         // One that joined after the poll was sent may be a later life.
         const bool isEarlier = view == this->views.end() || view->second.knownSince < pollSentAt;
         if (isEarlier) {
-            log::info("dispatch", "worker.replaced", {{"worker", id}, {"by", worker}, {"runs", other.runs.size()}});
-            over.push_back(id);
+            over.push_back({life, {}});
         }
     }
-    for (const std::string &id : over) {
-        this->removeWorker(now, id, work::LifeEnd::Crashed);
+    for (const auto &[life, next] : over) {
+        const std::size_t runs = this->state.findWorker(life)->runs.size();
+        log::info("dispatch", "worker.replaced", {{"worker", life.text()}, {"by", worker.text()}, {"runs", runs}, {"moved", next.moved.size()}});
+        this->removeWorker(now, life, work::LifeEnd::Crashed, next);
+    }
+}
+
+std::vector<workload::TaskKey> Dispatcher::takeOverRuns(const workload::Life &worker, const workload::Life &earlier, const WorkerAnswer &answer)
+{
+    std::vector<workload::TaskKey> moved;
+    const auto take = [&](const workload::TaskKey &key, std::uint32_t run) {
+        RunTrack *track = this->findTrack(key, run, earlier);
+        if (track != nullptr) {
+            track->worker = worker;
+            moved.push_back(key);
+        }
+    };
+    for (const ListedRun &listed : answer.running) {
+        take(listed.task, listed.run);
+    }
+    for (const ListedEnd &listed : answer.ended) {
+        take(listed.task, listed.run);
     }
+    return moved;
 }
 
 void Dispatcher::drainWorkers(Timestamp now)
 {
-    for (const auto &[id, view] : this->views) {
+    for (const auto &[life, view] : this->views) {
         if (view.leavesAt == absl::InfiniteFuture() || now + this->options.stopGrace + leavingMargin < view.leavesAt) {
             continue;
         }
-        for (const workload::TaskKey &key : this->state.findWorker(id)->runs) {
+        for (const workload::TaskKey &key : this->state.findWorker(life)->runs) {
             const auto track = this->tracks.find(key);
             if (track == this->tracks.end() || track->second.phase == RunPhase::Stopping) {
                 continue;
--- a/paddlepier/execution/newterm_test.cpp
+++ b/paddlepier/execution/newterm_test.cpp
@@ -27,7 +27,7 @@
                 this->polls.insert(call.id);
                 // A worker that hasn't answered yet is asked without a wait.
                 this->firstPolls += poll->wait == absl::ZeroDuration() ? 1 : 0;
-                this->polledFirst.insert(poll->wait == absl::ZeroDuration() ? call.worker : "");
+                this->polledFirst.insert(poll->wait == absl::ZeroDuration() ? call.worker.id : "");
                 this->pollTimeouts.push_back(call.timeout);
             }
             if (std::holds_alternative<StartOrder>(call.order)) {
@@ -49,7 +49,7 @@
         this->runFor(absl::Seconds(1));
         this->weather.lostBefore = 100;
         this->addJob("a", tasks, 1000, 1, mayRunCopies);
-        REQUIRE(this->runUntil([this, tasks] { return this->state.findWorker("w1")->runs.size() == tasks; }, absl::Seconds(1)));
+        REQUIRE(this->runUntil([this, tasks] { return this->state.findWorker({"w1"})->runs.size() == tasks; }, absl::Seconds(1)));
         this->weather.lostBefore = 0;
         this->newLeader();
     }
@@ -100,7 +100,7 @@
     this->workers.workers["w1"].isCut = true;
     this->addWorker("w2");
     this->runFor(absl::Seconds(8));
-    CHECK(this->state.findWorker("w1")->runs.size() == 4);
+    CHECK(this->state.findWorker({"w1"})->runs.size() == 4);
     CHECK(this->workers.starts == 0);
 }
 
@@ -130,12 +130,12 @@
     this->adoptRunsThatNeverBegan(4, true);
     this->workers.workers["w1"].isCut = true;
     this->runFor(absl::Seconds(1));
-    REQUIRE(this->state.findWorker("w1")->superseded.size() == 4);
+    REQUIRE(this->state.findWorker({"w1"})->superseded.size() == 4);
     this->newLeader();
     this->workers.workers["w1"].isCut = false;
-    CHECK(this->runUntil([this] { return this->state.findWorker("w1")->superseded.empty(); }, absl::Seconds(1)));
+    CHECK(this->runUntil([this] { return this->state.findWorker({"w1"})->superseded.empty(); }, absl::Seconds(1)));
     CHECK(this->stops == 0);
-    CHECK(this->state.findWorker("w1")->freeMilliProcessors() == 4000);
+    CHECK(this->state.findWorker({"w1"})->freeMilliProcessors() == 4000);
     CHECK(this->workers.problems.empty());
 }
 
@@ -148,7 +148,7 @@
     this->newLeader();
     this->runFor(absl::Milliseconds(1200));
     this->addJob("a", 1, 3000, 1, true);
-    const std::map<workload::TaskKey, workload::SupersededRun> &superseded = this->state.findWorker("w1")->superseded;
+    const std::map<workload::TaskKey, workload::SupersededRun> &superseded = this->state.findWorker({"w1"})->superseded;
     for (const std::uint32_t run : {1U, 2U}) {
         this->weather.late = 100;
         REQUIRE(this->runUntil([&] { return !superseded.empty(); }, absl::Seconds(2)));
@@ -199,8 +199,9 @@
     }
     this->newLeader();
     const auto areReached = [this] {
-        return std::all_of(
-            this->workers.workers.begin(), this->workers.workers.end(), [](const auto &entry) { return entry.second.isCut || entry.second.fence == 1; });
+        return std::all_of(this->workers.workers.begin(), this->workers.workers.end(), [](const auto &entry) {
+            return entry.second.isCut || entry.second.fence == fencingToken(1, 0);
+        });
     };
     CHECK(this->runUntil(areReached, absl::Seconds(2)));
 }
--- a/paddlepier/execution/orders.h
+++ b/paddlepier/execution/orders.h
@@ -10,6 +10,7 @@
 
 #include "paddlepier/base/clock.h"
 #include "paddlepier/wire/workload_generated.h"
+#include "paddlepier/workload/life.h"
 #include "paddlepier/workload/taskkey.h"
 
 #include <cstdint>
@@ -20,6 +21,19 @@
 namespace paddlepier::execution
 {
 
+/** Part of a fencing token that counts the lives under one id in one term; a worker that starts again each second for half a day counts less. */
+constexpr unsigned int fencedLifeBits = 16;
+constexpr std::uint64_t mostFencedLives = (std::uint64_t{1} << fencedLifeBits) - 1;
+
+/**
+ * Fencing token of orders to the life that follows @p earlierLives others under its id in @p term: what was sent to these is refused by
+ * it once it has been called, like what was sent in earlier terms.
+ */
+constexpr std::uint64_t fencingToken(std::uint64_t term, std::uint64_t earlierLives)
+{
+    return (term << fencedLifeBits) + (earlierLives < mostFencedLives ? earlierLives : mostFencedLives);
+}
+
 /** Starts a run; sending it again changes nothing. */
 struct StartOrder {
     workload::TaskKey task;
@@ -38,7 +52,7 @@
 
 /** Asks for runs and ends, extends the lease, and waits up to `wait` for the next end. */
 struct PollOrder {
-    /** The worker may forget ends up to this number. */
+    /** The worker may forget ends up to this number; 0 while another life may be the one that hears it. */
     std::uint64_t lastSequence = 0;
     Duration wait;
 };
@@ -54,9 +68,10 @@
 
 struct WorkerCall {
     std::uint64_t id = 0;
-    std::string worker;
+    /** The life that is meant; another one under the same id can't tell that it isn't. */
+    workload::Life worker;
     std::string address;
-    /** Fencing token: the term of the leader that orders. */
+    /** Fencing token: rises with the leader's term and, within it, with each life of a worker. */
     std::uint64_t fence = 0;
     /** End of the lease for everything on the worker; 0 leaves it as it is. */
     std::int64_t leaseEndOnWorkerClock = 0;
@@ -108,6 +123,8 @@
 
 struct WorkerAnswer {
     AnswerKind kind = AnswerKind::NoAnswer;
+    /** Birth of the life that answered, as it says; 0 if it doesn't. */
+    std::uint64_t born = 0;
     bool hasClock = false;
     std::int64_t clockMillis = 0;
     std::vector<ListedRun> running;
@@ -118,7 +135,7 @@
 struct AdviceQuestion {
     std::uint64_t id = 0;
     workload::StepKey step;
-    std::vector<std::string> workers;
+    std::vector<workload::Life> workers;
     /** How long the answer takes by the queue's policy. */
     Duration cost;
 };
--- a/paddlepier/execution/overload_test.cpp
+++ b/paddlepier/execution/overload_test.cpp
@@ -224,7 +224,7 @@
     this->isStuck = true;
     this->runFor(absl::Milliseconds(500));
     this->isStuck = false;
-    REQUIRE(this->state.findWorker("w0")->runs.size() == 1);
+    REQUIRE(this->state.findWorker({"w0"})->runs.size() == 1);
     this->newLeader();
     this->runFor(absl::Seconds(5));
     CHECK(this->stops == 0);
--- a/paddlepier/execution/placing.cpp
+++ b/paddlepier/execution/placing.cpp
@@ -51,7 +51,7 @@
     for (const auto &[key, servedStep] : plan.preempted) {
         const auto track = this->tracks.find(key);
         if (track != this->tracks.end()) {
-            log::info("dispatch", "run.makes-way", {{"task", key.text()}, {"worker", track->second.worker}, {"for", servedStep.text()}});
+            log::info("dispatch", "run.makes-way", {{"task", key.text()}, {"worker", track->second.worker.text()}, {"for", servedStep.text()}});
             this->stopRun(now, key, track->second, StopReason::Preempted);
         }
     }
@@ -66,7 +66,7 @@
     work::CommandUnion made;
     made.Set(std::move(command));
     this->placing = true;
-    this->propose(ProposalKind::Place, "", std::move(made));
+    this->propose(ProposalKind::Place, {}, std::move(made));
 }
 
 void Dispatcher::limitPlacements(std::vector<work::PlacementT> &placements) const
@@ -92,12 +92,12 @@
         const workload::TaskKey key(*placement.task);
         RunTrack track;
         track.run = placement.run;
-        track.worker = placement.worker;
+        track.worker = workload::lifeOf(placement);
         track.placedAt = now;
         const workload::Job &job = *this->state.findJob(key.job);
         track.checkpoint = job.task(key).checkpoint;
         if (job.queue().advice) {
-            const planning::Ticket *ticket = this->advice.validTicket(absl::InfinitePast(), key.stepKey(), placement.worker);
+            const planning::Ticket *ticket = this->advice.validTicket(absl::InfinitePast(), key.stepKey(), track.worker);
             track.ticket = ticket == nullptr ? "" : ticket->text;
             track.ticketValidUntil = ticket == nullptr ? absl::InfinitePast() : ticket->validUntil;
         }
@@ -111,7 +111,7 @@
     // One line for each step; what became of each run stands in the line of its end.
     std::map<workload::StepKey, std::string> workersByStep;
     for (const work::PlacementT &placement : placed) {
-        absl::StrAppend(&workersByStep[workload::TaskKey(*placement.task).stepKey()], " ", placement.task->index, "@", placement.worker);
+        absl::StrAppend(&workersByStep[workload::TaskKey(*placement.task).stepKey()], " ", placement.task->index, "@", workload::lifeOf(placement).text());
     }
     for (const auto &[step, workers] : workersByStep) {
         const workload::Job &job = *this->state.findJob(step.job);
--- a/paddlepier/execution/polls.cpp
+++ b/paddlepier/execution/polls.cpp
@@ -45,7 +45,7 @@
 
 } // namespace
 
-void Dispatcher::schedulePoll(const std::string &worker, const WorkerView &view)
+void Dispatcher::schedulePoll(const workload::Life &worker, const WorkerView &view)
 {
     (view.hasListed ? this->duePolls : this->dueFirstPolls).set(worker, view.nextPoll);
 }
@@ -58,7 +58,7 @@
 
 void Dispatcher::pollWorkers(Timestamp now)
 {
-    while (const std::optional<std::string> worker = this->duePolls.take(now)) {
+    while (const std::optional<workload::Life> worker = this->duePolls.take(now)) {
         this->pollWorker(now, *worker);
     }
     // Calls are numbered in the order in which they are sent.
@@ -66,7 +66,7 @@
         this->freshFirstPolls.erase(this->freshFirstPolls.begin());
     }
     while (this->freshFirstPolls.size() < mostFirstPolls) {
-        const std::optional<std::string> worker = this->dueFirstPolls.take(now);
+        const std::optional<workload::Life> worker = this->dueFirstPolls.take(now);
         if (!worker) {
             return;
         }
@@ -74,7 +74,7 @@
     }
 }
 
-void Dispatcher::pollWorker(Timestamp now, const std::string &worker)
+void Dispatcher::pollWorker(Timestamp now, const workload::Life &worker)
 {
     const auto found = this->views.find(worker);
     const workload::Worker *record = this->state.findWorker(worker);
@@ -89,7 +89,7 @@
     }
     const bool isReachable = view.isReachable();
     PollOrder order;
-    order.lastSequence = record->lastSequence;
+    order.lastSequence = view.isSurelySame(now) ? record->lastSequence : 0;
     order.wait = !isReachable ? absl::ZeroDuration() : view.isContended ? contendedPollWait : this->isSlow ? slowPollWait : pollWait;
     if (!view.hasListed) {
         this->freshFirstPolls.emplace(this->nextCall, now);
@@ -118,10 +118,11 @@
     if (answer.kind != AnswerKind::Accepted) {
         view.noteSilence(now);
         this->schedulePoll(call.worker, view);
-        log::info("dispatch", "poll.failed", {{"worker", call.worker}, {"answer", nameOf(answer.kind)}});
+        log::info("dispatch", "poll.failed", {{"worker", call.worker.text()}, {"answer", nameOf(answer.kind)}});
         return;
     }
     view.nextPoll = now;
+    view.noteList(now);
     if (!view.hasListed) {
         view.hasListed = true;
         for (const workload::TaskKey &key : this->state.findWorker(call.worker)->runs) {
@@ -140,10 +141,11 @@
     }
 }
 
-void Dispatcher::takeEnded(Timestamp now, const std::string &worker, WorkerView &view, const WorkerAnswer &answer)
+void Dispatcher::takeEnded(Timestamp now, const workload::Life &worker, WorkerView &view, const WorkerAnswer &answer)
 {
     work::RecordEndsT record;
-    record.worker = worker;
+    record.worker = worker.id;
+    record.born = worker.born;
     record.hasAnswered = true;
     const workload::Worker &known = *this->state.findWorker(worker);
     const std::uint64_t recorded = known.lastSequence;
@@ -173,13 +175,13 @@
 {
     for (const auto &end : command.ends) {
         const auto track = this->tracks.find(workload::TaskKey(*end->task));
-        if (track != this->tracks.end() && track->second.run == end->run && track->second.worker == command.worker) {
+        if (track != this->tracks.end() && track->second.run == end->run && track->second.worker == workload::Life{command.worker, command.born}) {
             this->tracks.erase(track);
         }
     }
 }
 
-void Dispatcher::settleVanished(Timestamp now, const std::string &worker, Timestamp pollSentAt)
+void Dispatcher::settleVanished(Timestamp now, const workload::Life &worker, Timestamp pollSentAt)
 {
     std::vector<std::pair<workload::TaskKey, RunTrack>> vanished;
     for (const workload::TaskKey &key : this->state.findWorker(worker)->runs) {
@@ -192,7 +194,7 @@
         } else if (track->second.phase == RunPhase::Running && track->second.runningSince < pollSentAt) {
             // It ran and is gone without an end that is still listed: make sure that it stays gone.
             const std::uint64_t recorded = this->state.findWorker(worker)->lastSequence;
-            log::warning("dispatch", "run.vanished", {{"task", key.text()}, {"run", track->second.run}, {"worker", worker}, {"recordedEnds", recorded}});
+            log::warning("dispatch", "run.vanished", {{"task", key.text()}, {"run", track->second.run}, {"worker", worker.text()}, {"recordedEnds", recorded}});
             this->stopRun(now, key, track->second, StopReason::StartUnsettled);
         }
     }
--- a/paddlepier/execution/restart_test.cpp
+++ b/paddlepier/execution/restart_test.cpp
@@ -8,6 +8,7 @@
 
 #include <absl/strings/str_cat.h>
 #include <catch2/catch.hpp>
+#include <rapidcheck.h>
 
 namespace paddlepier::execution
 {
@@ -59,4 +60,172 @@
     CHECK(this->workers.problems.empty());
 }
 
+TEST_CASE_METHOD(RestartFixture, "worker_startedAgainTwice_runsEachTaskOnce")
+{
+    this->addWorkerWithHistory(40);
+    for (const char *job : {"first", "second"}) {
+        this->restart("w0");
+        this->addJob(job, 6, 300);
+        CHECK(this->runUntil([&] { return this->isCompleted(job); }, absl::Seconds(5)));
+    }
+    CHECK(this->workers.starts == 40 + 12);
+    CHECK(this->workers.problems.empty());
+}
+
+TEST_CASE_METHOD(RestartFixture, "startsThatReachTheNextLife_beforeItIsAnnounced_areItsRunsAndRunOnce")
+{
+    this->addWorkerWithHistory(40);
+    this->workers.workers["w0"].isCut = true;
+    this->runFor(absl::Milliseconds(300));
+    this->workers.restart(this->now, "w0");
+    // Nobody has told the leader yet: it goes on giving work to the life that is over.
+    this->addJob("short", 2, 100);
+    this->addJob("long", 2, 4000);
+    this->runFor(absl::Milliseconds(1200));
+    this->announce("w0");
+    CHECK(this->runUntil([this] { return this->isCompleted("short") && this->isCompleted("long"); }, absl::Seconds(10)));
+    CHECK(this->workers.problems.empty());
+}
+
+TEST_CASE_METHOD(RestartFixture, "lifeThatHasGoneOn_afterAStartReachedIt_keepsTheRunAcrossItsAnnouncement")
+{
+    this->addWorkerWithHistory(3);
+    const workload::Life before = this->lifeOf("w0");
+    this->addJob("long", 1, 4000);
+    REQUIRE(this->runUntil([this] { return !this->workers.workers["w0"].runs.empty(); }, absl::Seconds(1)));
+    // As if the start had reached the next life alone.
+    const auto runs = this->workers.workers["w0"].runs;
+    this->workers.workers["w0"].isCut = true;
+    this->runFor(absl::Milliseconds(300));
+    this->workers.restart(this->now, "w0");
+    this->workers.workers["w0"].runs = runs;
+    this->workers.workers["w0"].leaseEnd = FakeWorkers::clock(this->workers.workers["w0"], this->now) + 9000;
+    this->announce("w0");
+    this->runFor(absl::Seconds(1));
+    CHECK(this->state.findWorker(before) == nullptr);
+    CHECK(this->state.findJob("long")->task({"long", 0, 0, 0}).worker == this->lifeOf("w0"));
+    CHECK(this->state.findWorker(this->lifeOf("w0"))->reservedMilliProcessors == 1000);
+    CHECK(this->runUntil([this] { return this->isCompleted("long"); }, absl::Seconds(10)));
+    CHECK(this->workers.starts == 4);
+    CHECK(this->workers.problems.empty());
+}
+
+TEST_CASE_METHOD(RestartFixture, "worker_startedAgainUnderItsId_countsAsOneLossForWhatRanThere")
+{
+    this->addWorker("w0", 4000, "", true);
+    this->newLeader();
+    this->runFor(absl::Seconds(1));
+    this->addJob("a", 1, 60'000);
+    const workload::TaskKey task("a", 0, 0, 0);
+    for (std::size_t losses = 1; losses <= 2; ++losses) {
+        REQUIRE(this->runUntil([&] { return !this->workers.workers["w0"].runs.empty(); }, absl::Seconds(2)));
+        const std::string lost = this->lifeOf("w0").text();
+        this->runFor(absl::Milliseconds(200));
+        this->restart("w0");
+        this->runFor(absl::Milliseconds(500));
+        CHECK(this->state.findJob("a")->task(task).lostWorkers.size() == losses);
+        CHECK(this->state.findJob("a")->task(task).lostWorkers.back() == lost);
+    }
+    CHECK(this->state.workers().size() == 1);
+}
+
+TEST_CASE_METHOD(RestartFixture, "ordersToTheNextLife_carryAHigherFencingToken")
+{
+    this->addWorkerWithHistory(3);
+    const std::uint64_t before = this->workers.workers["w0"].fence;
+    this->restart("w0");
+    CHECK(this->workers.workers["w0"].fence > before);
+    this->newLeader();
+    this->runFor(absl::Seconds(1));
+    CHECK(this->workers.workers["w0"].fence == fencingToken(2, 0));
+}
+
+TEST_CASE_METHOD(RestartFixture, "poll_afterOneWithoutAnAnswer_acknowledgesNothing")
+{
+    this->addWorkerWithHistory(3);
+    std::vector<std::uint64_t> acknowledged;
+    this->onCall = [&](const WorkerCall &call) {
+        const auto *poll = std::get_if<PollOrder>(&call.order);
+        if (poll != nullptr) {
+            acknowledged.push_back(poll->lastSequence);
+        }
+    };
+    this->runFor(absl::Milliseconds(100));
+    REQUIRE(acknowledged.back() == 3);
+    this->workers.workers["w0"].isCut = true;
+    this->runFor(absl::Seconds(2));
+    CHECK(acknowledged.back() == 0);
+    this->workers.workers["w0"].isCut = false;
+    this->runFor(absl::Seconds(1));
+    CHECK(acknowledged.back() == 3);
+    acknowledged.clear();
+    this->newLeader();
+    this->runFor(absl::Milliseconds(10));
+    REQUIRE(!acknowledged.empty());
+    CHECK(acknowledged.front() == 0);
+}
+
+TEST_CASE_METHOD(RestartFixture, "listWithoutABirth_ofALifeThatHasToldIt_isNoAnswer")
+{
+    this->addWorker("w0", 4000, "", true);
+    this->newLeader();
+    this->runFor(absl::Seconds(1));
+    this->addJob("a", 1, 500);
+    REQUIRE(this->runUntil([this] { return !this->workers.workers["w0"].runs.empty(); }, absl::Seconds(1)));
+    this->workers.workers["w0"].born = 0;
+    this->runFor(absl::Seconds(3));
+    CHECK_FALSE(this->isCompleted("a"));
+    this->workers.workers["w0"].born = this->lifeOf("w0").born;
+    CHECK(this->runUntil([this] { return this->isCompleted("a"); }, absl::Seconds(3)));
+    CHECK(this->workers.starts == 1);
+}
+
+TEST_CASE("runs_onWorkersThatStartAgainUnderTheirIds_neverOverlapNorRunAgain", "[proof][fuzz]")
+{
+    const bool holds = rc::check("no rule is broken, and no task waits for long once the faults are over", [] {
+        constexpr unsigned int workers = 4;
+        RestartFixture fixture;
+        fixture.random.seed(*rc::gen::arbitrary<std::uint32_t>());
+        for (unsigned int number = 0; number < workers; ++number) {
+            fixture.addWorker(absl::StrCat("w", number), 4000, "", number % 2 == 0);
+        }
+        fixture.newLeader();
+        fixture.weather.lostAfter = *rc::gen::inRange(0U, 20U);
+        fixture.weather.late = *rc::gen::inRange(0U, 20U);
+        std::vector<work::RegisterWorkerT> earlier;
+        const int events = *rc::gen::inRange(2, 12);
+        for (int event = 0; event < events; ++event) {
+            fixture.addJob(absl::StrCat("job", event), 1 + fixture.random() % 8, 50 + fixture.random() % 2000, 1 + fixture.random() % 2);
+            fixture.runFor(absl::Milliseconds(fixture.random() % 3000));
+            const std::string id = absl::StrCat("w", fixture.random() % workers);
+            earlier.push_back(fixture.state.findLatestWorker(id)->registration);
+            fixture.workers.workers[id].isCut = true;
+            fixture.runFor(absl::Milliseconds(300 + fixture.random() % 2000));
+            fixture.workers.restart(fixture.now, id);
+            if (fixture.random() % 3 == 0) {
+                fixture.newLeader();
+            }
+            fixture.runFor(absl::Milliseconds(fixture.random() % 1500));
+            fixture.announce(id);
+            if (fixture.random() % 2 == 0) {
+                fixture.apply(earlier[fixture.random() % earlier.size()]); // a heartbeat that was held up
+            }
+        }
+        fixture.weather = Weather();
+        const bool isOver = fixture.runUntil(
+            [&] {
+                for (int job = 0; job < events; ++job) {
+                    if (!fixture.state.findJob(absl::StrCat("job", job))->hasEnded()) {
+                        return false;
+                    }
+                }
+                return true;
+            },
+            absl::Seconds(40));
+        RC_ASSERT(fixture.workers.problems == std::vector<std::string>());
+        RC_ASSERT(isOver);
+    });
+    CHECK(holds);
+}
+
 } // namespace paddlepier::execution
--- a/paddlepier/execution/runs.cpp
+++ b/paddlepier/execution/runs.cpp
@@ -145,9 +145,10 @@
     track->callInFlight = false;
     this->dueRuns.set(order.task, now);
     if (answer.kind != AnswerKind::Accepted) {
-        log::info("dispatch",
-                  "start.refused",
-                  {{"task", order.task.text()}, {"run", order.run}, {"worker", call.worker}, {"answer", nameOf(answer.kind)}, {"calls", track->startCalls}});
+        log::info(
+            "dispatch",
+            "start.refused",
+            {{"task", order.task.text()}, {"run", order.run}, {"worker", call.worker.text()}, {"answer", nameOf(answer.kind)}, {"calls", track->startCalls}});
     }
     WorkerView &view = this->views.at(call.worker);
     switch (answer.kind) {
@@ -198,8 +199,9 @@
     if (track.phase == RunPhase::Stopping) {
         return;
     }
-    log::info(
-        "dispatch", "run.stop", {{"task", key.text()}, {"run", track.run}, {"worker", track.worker}, {"reason", nameOf(reason)}, {"percent", track.percent}});
+    log::info("dispatch",
+              "run.stop",
+              {{"task", key.text()}, {"run", track.run}, {"worker", track.worker.text()}, {"reason", nameOf(reason)}, {"percent", track.percent}});
     track.phase = RunPhase::Stopping;
     track.nextCall = now;
     this->dueRuns.set(key, now);
--- a/paddlepier/execution/runtrack.h
+++ b/paddlepier/execution/runtrack.h
@@ -6,6 +6,7 @@
 #define PADDLEPIER_EXECUTION_RUNTRACK_H
 
 #include "paddlepier/base/clock.h"
+#include "paddlepier/workload/life.h"
 #include "paddlepier/workload/taskkey.h"
 
 #include <cstdint>
@@ -35,7 +36,7 @@
 
 struct RunTrack {
     std::uint32_t run = 0;
-    std::string worker;
+    workload::Life worker;
     RunPhase phase = RunPhase::Starting;
     std::string ticket;
     Timestamp ticketValidUntil = absl::InfiniteFuture();
--- a/paddlepier/execution/shrinkingroom_test.cpp
+++ b/paddlepier/execution/shrinkingroom_test.cpp
@@ -17,7 +17,7 @@
     /** The worker says so; from then on the stand-in holds starts to it. */
     void setRoom(const std::string &worker, std::uint32_t processors)
     {
-        work::RegisterWorkerT registration = this->state.findWorker(worker)->registration;
+        work::RegisterWorkerT registration = this->state.findWorker({worker})->registration;
         registration.capacity = std::make_unique<work::Demand>(processors, 10'000, 0);
         registration.sequence = ++this->sequence;
         this->apply(std::move(registration));
@@ -57,7 +57,7 @@
     this->runFor(absl::Seconds(1));
     this->weather.lostBefore = 100;
     this->addJob("a", 4, 800);
-    REQUIRE(this->runUntil([this] { return this->state.findWorker("w1")->runs.size() == 4; }, absl::Seconds(1)));
+    REQUIRE(this->runUntil([this] { return this->state.findWorker({"w1"})->runs.size() == 4; }, absl::Seconds(1)));
     this->setRoom("w1", 1500);
     this->weather.lostBefore = 0;
     this->addWorker("w2");
@@ -75,7 +75,7 @@
     this->runFor(absl::Seconds(1));
     this->weather.lostBefore = 60;
     this->addJob("a", 4, 800, 1, false, true);
-    REQUIRE(this->runUntil([this] { return this->state.findWorker("w1")->runs.size() == 2; }, absl::Seconds(1)));
+    REQUIRE(this->runUntil([this] { return this->state.findWorker({"w1"})->runs.size() == 2; }, absl::Seconds(1)));
     this->setRoom("w1", 1000);
     this->weather.lostBefore = 0;
     this->addWorker("w3", 4000);
@@ -101,10 +101,10 @@
 {
     this->addWorker("w1");
     this->newLeader();
-    const work::RegisterWorkerT former = this->state.findWorker("w1")->registration;
+    const work::RegisterWorkerT former = this->state.findWorker({"w1"})->registration;
     this->setRoom("w1", 1000);
     this->apply(work::RegisterWorkerT(former));
-    CHECK(this->state.findWorker("w1")->registration.capacity->milliProcessors() == 1000);
+    CHECK(this->state.findWorker({"w1"})->registration.capacity->milliProcessors() == 1000);
 }
 
 TEST_CASE_METHOD(ShrinkingRoomFixture, "roomsThatShrinkAndGrowAtRandom_whileOrdersGoAstray_areKeptTo")
--- a/paddlepier/execution/stepreport.cpp
+++ b/paddlepier/execution/stepreport.cpp
@@ -42,7 +42,7 @@
                {"runs", tally.runs},
                {"repeated", tally.repeated},
                {"meanMillis", absl::ToInt64Milliseconds(tally.total) / tally.runs},
-               {"last", absl::StrCat(tally.lastTask, "@", tally.lastRun.worker)},
+               {"last", absl::StrCat(tally.lastTask, "@", tally.lastRun.worker.text())},
                {"lastRun", tally.lastRun.run},
                {"lastStartMillis", absl::ToInt64Milliseconds(tally.lastRun.startTime)},
                {"lastMillis", absl::ToInt64Milliseconds(tally.lastRun.wholeTime)},
--- a/paddlepier/execution/stepreport.h
+++ b/paddlepier/execution/stepreport.h
@@ -14,6 +14,7 @@
 #define PADDLEPIER_EXECUTION_STEPREPORT_H
 
 #include "paddlepier/base/clock.h"
+#include "paddlepier/workload/life.h"
 #include "paddlepier/workload/workload.h"
 
 #include <cstdint>
@@ -25,7 +26,7 @@
 
 /** A run that ended as done, as the leader saw it; negative times where it was placed by an earlier leader. */
 struct DoneRun {
-    std::string worker;
+    workload::Life worker;
     std::uint32_t run = 0;
     /** From its placement until its worker had begun it. */
     Duration startTime;
--- a/paddlepier/execution/watch.cpp
+++ b/paddlepier/execution/watch.cpp
@@ -49,7 +49,7 @@
 
 } // namespace
 
-void Dispatcher::takeRunning(Timestamp now, const std::string &worker, const WorkerAnswer &answer)
+void Dispatcher::takeRunning(Timestamp now, const workload::Life &worker, const WorkerAnswer &answer)
 {
     for (const ListedRun &listed : answer.running) {
         const auto found = this->tracks.find(listed.task);
@@ -63,7 +63,7 @@
         }
         if (track == nullptr) {
             // A late start of a run that was settled otherwise, or one that the ledger has given up.
-            log::warning("dispatch", "run.unknown", {{"task", listed.task.text()}, {"run", listed.run}, {"worker", worker}});
+            log::warning("dispatch", "run.unknown", {{"task", listed.task.text()}, {"run", listed.run}, {"worker", worker.text()}});
             this->send(now, worker, StopOrder{listed.task, listed.run}, paceTimeout, false);
             continue;
         }
@@ -87,7 +87,7 @@
     }
 }
 
-void Dispatcher::watchRuns(Timestamp now, const std::string &worker, WorkerView &view)
+void Dispatcher::watchRuns(Timestamp now, const workload::Life &worker, WorkerView &view)
 {
     std::vector<ServingLoad> serving;
     std::vector<workload::TaskKey> filling;
@@ -140,7 +140,7 @@
 }
 
 void Dispatcher::paceFilling(
-    Timestamp now, const std::string &worker, WorkerView &view, const std::vector<ServingLoad> &serving, const std::vector<workload::TaskKey> &filling)
+    Timestamp now, const workload::Life &worker, WorkerView &view, const std::vector<ServingLoad> &serving, const std::vector<workload::TaskKey> &filling)
 {
     const std::uint32_t pace = view.paceControl.update(now, serving);
     for (const workload::TaskKey &key : filling) {
@@ -149,7 +149,7 @@
             this->stopRun(now, key, track, StopReason::Disturbs);
         } else if (track.pace != pace && !track.isPaceInFlight) {
             track.isPaceInFlight = true;
-            log::info("dispatch", "run.pace", {{"task", key.text()}, {"run", track.run}, {"worker", worker}, {"percent", pace}});
+            log::info("dispatch", "run.pace", {{"task", key.text()}, {"run", track.run}, {"worker", worker.text()}, {"percent", pace}});
             this->send(now, worker, PaceOrder{key, track.run, pace}, paceTimeout, false);
         }
     }
--- a/paddlepier/execution/workerview.cpp
+++ b/paddlepier/execution/workerview.cpp
@@ -13,6 +13,12 @@
 /** Added to every wait for a lease to run out, for rounding and the way of the order. */
 constexpr Duration leaseMargin = absl::Milliseconds(300);
 
+/**
+ * A reading of the clock so far before an earlier one isn't just an answer that was overtaken: every life has a clock of its own, and
+ * another one may be there.
+ */
+constexpr std::int64_t strangeClockMillis = 3000;
+
 /** Pause after a silent call, times the number in a row. */
 constexpr Duration silencePause = absl::Milliseconds(100);
 constexpr Duration longestSilencePause = absl::Milliseconds(300);
@@ -61,6 +67,9 @@
 {
     this->answeredAt = now;
     this->silences = 0;
+    if (clock && this->clockMillis && *clock + strangeClockMillis < *this->clockMillis) {
+        this->listedAt = absl::InfinitePast();
+    }
     // Answers may overtake each other; the greatest reading relative to its age is the nearest to the truth.
     if (clock && (!this->clockMillis || *clock >= *this->clockMillis)) {
         this->clockMillis = clock;
@@ -68,8 +77,25 @@
     }
 }
 
+void WorkerView::noteList(Timestamp now)
+{
+    this->listedAt = now;
+}
+
+void WorkerView::noteLaterLife(Timestamp now, Duration longestLease)
+{
+    this->isFenced = true;
+    this->oldLeasesOverAt = std::max(this->oldLeasesOverAt, now + slowed(longestLease) + leaseMargin);
+}
+
+bool WorkerView::isSurelySame(Timestamp now) const
+{
+    return this->listedAt + sameLifeFor >= now;
+}
+
 void WorkerView::noteSilence(Timestamp now)
 {
+    this->listedAt = absl::InfinitePast();
     ++this->silences;
     const Duration pause = std::min(longestSilencePause, silencePause * this->silences);
     this->nextPoll = now + (this->isGone(now) ? gonePause : pause);
--- a/paddlepier/execution/workerview.h
+++ b/paddlepier/execution/workerview.h
@@ -11,6 +11,7 @@
 
 #include "paddlepier/base/clock.h"
 #include "paddlepier/execution/pacecontrol.h"
+#include "paddlepier/workload/life.h"
 
 #include <algorithm>
 #include <cstddef>
@@ -30,6 +31,12 @@
 
 enum class PollState { Idle, InFlight, RecordingEnds };
 
+/**
+ * An answer proves for this long that the same life will hear the next poll: much shorter than a worker takes to start again, to be given a
+ * task and to end it.
+ */
+constexpr Duration sameLifeFor = absl::Milliseconds(250);
+
 class WorkerView
 {
 public:
@@ -41,8 +48,18 @@
     void noteDoneRun();
     /** A whole answer has come. */
     void noteAnswer(Timestamp now, std::optional<std::int64_t> clockMillis);
+    /** It has listed its runs, so that it was this life that answered. */
+    void noteList(Timestamp now);
     /** A call has ended without a whole answer. */
     void noteSilence(Timestamp now);
+    /** A later life under its id is known: no more calls; orders under way, and leases that they give, may reach that one. */
+    void noteLaterLife(Timestamp now, Duration longestLease);
+
+    /**
+     * What is sent now will be heard by this life and no later one under its id, so that ends may be acknowledged to it. A later life
+     * would forget ends of its own by those numbers, and nobody would hear of them.
+     */
+    bool isSurelySame(Timestamp now) const;
 
     /** The end that a lease of @p lease from now has on the worker's clock; 0 while that clock isn't known. */
     std::int64_t leaseEnd(Timestamp now, Duration lease) const;
@@ -68,7 +85,9 @@
     Timestamp pollSentAt = absl::InfinitePast();
     /** It has answered a poll of this term: it keeps the term's fencing token, and what it runs is known. */
     bool hasListed = false;
-    /** A higher fencing token was seen there: no more orders from this term. */
+    /** Fencing token of orders to this life. */
+    std::uint64_t fence = 0;
+    /** A higher fencing token was seen there, or a later life is known: no more orders. */
     bool isFenced = false;
     /** No starts before this time: it has refused work as unhealthy. */
     Timestamp startsBlockedUntil = absl::InfinitePast();
@@ -97,21 +116,25 @@
     std::optional<std::int64_t> clockMillis;
     Timestamp clockReadAt;
     Timestamp answeredAt = absl::InfinitePast();
+    /** When it last listed its runs; infinitely long ago since anything made it doubtful which life is there. */
+    Timestamp listedAt = absl::InfinitePast();
     std::uint32_t silences = 0;
     /** Calls under way and when their answers are due. */
     std::map<std::uint64_t, Timestamp> dueAnswers;
 };
 
+using WorkerViews = std::map<workload::Life, WorkerView>;
+
 /** Number of @p views for which @p predicate holds. O(workers). */
 template<typename Predicate>
-std::size_t countViews(const std::map<std::string, WorkerView> &views, Predicate predicate)
+std::size_t countViews(const WorkerViews &views, Predicate predicate)
 {
     return static_cast<std::size_t>(std::count_if(views.begin(), views.end(), [&predicate](const auto &entry) { return predicate(entry.second); }));
 }
 
 /** True if @p predicate holds for fewer than half of @p views: they can be done without. */
 template<typename Predicate>
-bool isMinority(const std::map<std::string, WorkerView> &views, Predicate predicate)
+bool isMinority(const WorkerViews &views, Predicate predicate)
 {
     return countViews(views, predicate) * 2 < views.size();
 }
@@ -121,7 +144,7 @@
  * this process is slow, or cut off.
  */
 template<typename Predicate>
-bool isMajority(const std::map<std::string, WorkerView> &views, Predicate predicate)
+bool isMajority(const WorkerViews &views, Predicate predicate)
 {
     return countViews(views, predicate) * 2 > views.size();
 }
--- a/paddlepier/execution/workerview_test.cpp
+++ b/paddlepier/execution/workerview_test.cpp
@@ -61,13 +61,13 @@
 TEST_CASE_METHOD(WorkerViewFixture, "isMinority_withHalfOfTheViewsOrMore_isFalse")
 {
     const auto isSilent = [](const WorkerView &candidate) { return candidate.isSilent(); };
-    std::map<std::string, WorkerView> views;
+    WorkerViews views;
     for (const char *id : {"w1", "w2", "w3", "w4"}) {
-        views.try_emplace(id, this->begin, lease);
+        views.try_emplace({id}, this->begin, lease);
     }
-    views.at("w1").noteSilence(this->begin);
+    views.at({"w1"}).noteSilence(this->begin);
     CHECK(isMinority(views, isSilent));
-    views.at("w2").noteSilence(this->begin);
+    views.at({"w2"}).noteSilence(this->begin);
     CHECK_FALSE(isMinority(views, isSilent));
 }
 
--- a/paddlepier/planning/advicebook.cpp
+++ b/paddlepier/planning/advicebook.cpp
@@ -26,7 +26,7 @@
 
 } // namespace
 
-std::uint32_t AdviceBook::numberOf(const std::string &worker)
+std::uint32_t AdviceBook::numberOf(const workload::Life &worker)
 {
     return this->numbers.try_emplace(worker, static_cast<std::uint32_t>(this->numbers.size())).first->second;
 }
@@ -45,7 +45,7 @@
     return found != this->steps.end() && found->second.ticketsUntil > now;
 }
 
-const Ticket *AdviceBook::validTicket(Timestamp now, const workload::StepKey &step, const std::string &worker) const
+const Ticket *AdviceBook::validTicket(Timestamp now, const workload::StepKey &step, const workload::Life &worker) const
 {
     const auto found = this->steps.find(step);
     const auto number = this->numbers.find(worker);
@@ -63,7 +63,7 @@
 }
 
 execution::AdviceQuestion
-AdviceBook::ask(Timestamp now, const workload::StepKey &step, const std::string &queue, std::vector<std::string> workers, const work::AdvicePolicyT &policy)
+AdviceBook::ask(Timestamp now, const workload::StepKey &step, const std::string &queue, std::vector<workload::Life> workers, const work::AdvicePolicyT &policy)
 {
     execution::AdviceQuestion question;
     question.id = this->nextId++;
@@ -94,8 +94,8 @@
         return;
     }
     Share &share = this->shares[asked.queue];
-    for (const std::string &worker : asked.workers) {
-        const auto good = std::find_if(answer.good.begin(), answer.good.end(), [&](const work::AdviceTicketT &entry) { return entry.worker == worker; });
+    for (const workload::Life &worker : asked.workers) {
+        const auto good = std::find_if(answer.good.begin(), answer.good.end(), [&](const work::AdviceTicketT &entry) { return entry.worker == worker.id; });
         share.permitted = share.permitted * shareMemory + (good != answer.good.end() ? 1 : 0);
         share.asked = share.asked * shareMemory + 1;
         if (good != answer.good.end()) {
@@ -108,7 +108,7 @@
     }
 }
 
-void AdviceBook::rejectTicket(const workload::StepKey &step, const std::string &worker)
+void AdviceBook::rejectTicket(const workload::StepKey &step, const workload::Life &worker)
 {
     const auto found = this->steps.find(step);
     const auto number = this->numbers.find(worker);
--- a/paddlepier/planning/advicebook.h
+++ b/paddlepier/planning/advicebook.h
@@ -1,7 +1,7 @@
 // What the policy service has said about which workers may run which step.
 //
 // The service is slow and takes one call at a time from each caller, so that answers are kept: that a worker may run a
-// step never changes, but its ticket ends after a while and has to be asked for again.
+// step never changes during a life of the worker, but its ticket ends after a while and has to be asked for again.
 //
 // Example:
 //     const auto question = book.ask(now, step, workers, policy);
@@ -39,7 +39,7 @@
 {
 public:
     /** Number of @p worker in this book; it stays the same. */
-    std::uint32_t numberOf(const std::string &worker);
+    std::uint32_t numberOf(const workload::Life &worker);
     /** Calls @p visit(number, standing) for each worker that the service has told about; O(1) each. */
     template<typename Visit>
     void visitStandings(Timestamp now, const workload::StepKey &step, Visit visit) const
@@ -54,15 +54,15 @@
     /** There may be a worker with a ticket that is still good. */
     bool mayHaveTicket(Timestamp now, const workload::StepKey &step) const;
     /** Null unless the worker may run the step and the ticket is still good. */
-    const Ticket *validTicket(Timestamp now, const workload::StepKey &step, const std::string &worker) const;
+    const Ticket *validTicket(Timestamp now, const workload::StepKey &step, const workload::Life &worker) const;
     /** False while an answer is awaited, and for a short while after a question that got none. */
     bool mayAsk(Timestamp now, const workload::StepKey &step) const;
 
     execution::AdviceQuestion
-    ask(Timestamp now, const workload::StepKey &step, const std::string &queue, std::vector<std::string> workers, const work::AdvicePolicyT &policy);
+    ask(Timestamp now, const workload::StepKey &step, const std::string &queue, std::vector<workload::Life> workers, const work::AdvicePolicyT &policy);
     void answer(Timestamp now, std::uint64_t id, const execution::AdviceAnswer &answer);
     /** A worker has refused the ticket. */
-    void rejectTicket(const workload::StepKey &step, const std::string &worker);
+    void rejectTicket(const workload::StepKey &step, const workload::Life &worker);
     /** Drops what is known for jobs that @p isOver says to have ended; O(steps). */
     template<typename Predicate>
     void forgetJobs(Predicate isOver)
@@ -77,7 +77,7 @@
     struct Pending {
         workload::StepKey step;
         std::string queue;
-        std::vector<std::string> workers;
+        std::vector<workload::Life> workers;
         Timestamp askedAt;
         Duration valid;
     };
@@ -100,7 +100,7 @@
 
     static Standing standingOf(Timestamp now, const Word &word);
 
-    absl::flat_hash_map<std::string, std::uint32_t> numbers;
+    absl::flat_hash_map<workload::Life, std::uint32_t> numbers;
     absl::flat_hash_map<workload::StepKey, StepAdvice, workload::StepKeyHash> steps;
     std::map<std::uint64_t, Pending> pending;
     std::map<std::string, Share> shares;
--- a/paddlepier/planning/asking.cpp
+++ b/paddlepier/planning/asking.cpp
@@ -59,7 +59,7 @@
         const std::vector<Candidate> full = this->candidatesFor(wanted, false);
         candidates.insert(candidates.end(), full.begin(), full.end());
     }
-    std::vector<std::string> asked = this->keepRoomFor(wanted, std::move(candidates), mayAsk);
+    std::vector<workload::Life> asked = this->keepRoomFor(wanted, std::move(candidates), mayAsk);
     if (asked.empty()) {
         return std::nullopt;
     }
@@ -93,7 +93,7 @@
     }
 }
 
-std::vector<std::string> AdviceAsking::keepRoomFor(const WantedStep &wanted, std::vector<Candidate> candidates, bool mayAsk)
+std::vector<workload::Life> AdviceAsking::keepRoomFor(const WantedStep &wanted, std::vector<Candidate> candidates, bool mayAsk)
 {
     const auto isWorse = [](const Candidate &left, const Candidate &right) {
         const auto group = [](const Candidate &entry) { return (entry.hasRoom ? 0 : 2) + (entry.isExpired ? 0 : 1); };
@@ -108,13 +108,13 @@
     const double share = this->advice.permittedShare(wanted.job->queue().name);
     const double needed = static_cast<double>(wanted.tasks.size()) * askedSurplus;
     double expected = 0;
-    std::vector<std::string> asked;
+    std::vector<workload::Life> asked;
     for (std::size_t count = 0; !candidates.empty() && count < mostWorkersAsked && (expected < needed || count < least); ++count) {
         std::pop_heap(candidates.begin(), candidates.end(), isWorse);
         const Candidate candidate = candidates.back();
         candidates.pop_back();
         if (mayAsk) {
-            asked.push_back(candidate.room->id());
+            asked.push_back(candidate.room->life());
         }
         if (expected < needed && candidate.hasRoom) {
             expected += this->keepRoom(wanted, *candidate.room, candidate.isExpired ? 1.0 : share);
--- a/paddlepier/planning/asking.h
+++ b/paddlepier/planning/asking.h
@@ -53,7 +53,7 @@
     /** Workers whose room comes by the time that the policy service has renewed their tickets. */
     static void addRenewals(std::vector<Candidate> &candidates, const WantedStep &wanted, const std::vector<ComingRoom> &coming);
     /** Keeps room for the step on the best of the candidates. @return workers to ask about; none if it may not ask */
-    std::vector<std::string> keepRoomFor(const WantedStep &wanted, std::vector<Candidate> candidates, bool mayAsk);
+    std::vector<workload::Life> keepRoomFor(const WantedStep &wanted, std::vector<Candidate> candidates, bool mayAsk);
     /** Keeps room for the tasks that are likely to go there. @return how many, in expectation */
     double keepRoom(const WantedStep &wanted, Room &room, double chance);
 
--- a/paddlepier/planning/fakecell.h
+++ b/paddlepier/planning/fakecell.h
@@ -120,7 +120,7 @@
     void endRun(const workload::TaskKey &key, const execution::RunTrack &track, work::RunEndKind kind)
     {
         work::RecordEndsT command;
-        command.worker = track.worker;
+        command.worker = track.worker.id;
         auto &end = command.ends.emplace_back(std::make_unique<work::RunEndT>());
         end->task = key.record();
         end->run = track.run;
@@ -139,7 +139,7 @@
     Timestamp now = absl::UnixEpoch() + absl::Hours(1);
     std::int64_t wallMillis = 1'000'000;
     workload::Workload state;
-    std::map<std::string, execution::WorkerView> views;
+    execution::WorkerViews views;
     execution::RunTracks tracks;
     execution::Setbacks setbacks;
     AdviceBook advice;
@@ -196,7 +196,7 @@
         registration.labels = {number % 3 == 0 ? "b" : "a", absl::StrCat("r", number % 3, "-", number / 36)};
         registration.capacity = std::make_unique<work::Demand>(this->chance(0.5) ? 16'000 : 8000 * this->between(1, 4), 65'536, 0);
         registration.isDraining = this->chance(0.02);
-        auto &view = this->views.try_emplace(registration.id, this->now, absl::Seconds(10)).first->second;
+        auto &view = this->views.try_emplace(workload::lifeOf(registration), this->now, absl::Seconds(10)).first->second;
         view.noteAnswer(this->now, 1000);
         view.slowness = this->chance(0.1) ? 1.5 : 1.0;
         if (this->chance(0.03)) {
@@ -268,7 +268,7 @@
                 break;
             }
         }
-        return worker->first;
+        return worker->first.id;
     }
 
     std::size_t placeAnywhere(const std::string &id, double share)
@@ -293,7 +293,7 @@
         for (const work::PlacementT &placed : outcome.placed) {
             const workload::TaskKey key(*placed.task);
             execution::RunTrack track;
-            track.worker = placed.worker;
+            track.worker = workload::lifeOf(placed);
             track.run = placed.run;
             track.phase = this->chance(0.85) ? execution::RunPhase::Running : this->chance(0.5) ? execution::RunPhase::Starting : execution::RunPhase::Stopping;
             this->tracks[key] = track;
@@ -307,10 +307,10 @@
 
     std::uint64_t ask(const workload::Job &job)
     {
-        std::vector<std::string> workers;
-        for (const auto &[id, worker] : this->state.workers()) {
+        std::vector<workload::Life> workers;
+        for (const auto &[life, worker] : this->state.workers()) {
             if (this->chance(24.0 / static_cast<double>(this->state.workers().size()))) {
-                workers.push_back(id);
+                workers.push_back(life);
             }
         }
         const execution::AdviceQuestion question = this->advice.ask(this->now, {job.id(), 0, 0}, job.queue().name, workers, *job.queue().advice);
@@ -322,17 +322,17 @@
     {
         execution::AdviceAnswer answer;
         answer.isAnswered = this->chance(0.9);
-        for (const std::string &worker : this->asked[question]) {
+        for (const workload::Life &worker : this->asked[question]) {
             if (this->chance(0.6)) {
                 answer.good.emplace_back();
-                answer.good.back().worker = worker;
+                answer.good.back().worker = worker.id;
                 answer.good.back().ticket = "ticket";
             }
         }
         this->advice.answer(this->now, question, answer);
     }
 
-    std::map<std::uint64_t, std::vector<std::string>> asked;
+    std::map<std::uint64_t, std::vector<workload::Life>> asked;
 };
 
 } // namespace paddlepier::planning
--- a/paddlepier/planning/loadreplay.h
+++ b/paddlepier/planning/loadreplay.h
@@ -153,7 +153,7 @@
 
     struct RunLog {
         std::uint32_t run = 0;
-        std::string worker;
+        workload::Life worker;
         Timestamp workSince;
         /** Work done in earlier runs. */
         Duration saved;
@@ -217,7 +217,7 @@
         registration.service = "pool";
         registration.labels = {"a", absl::StrCat("r", number % this->pattern.dataCentres)};
         registration.capacity = std::make_unique<work::Demand>(this->pattern.milliProcessors, this->pattern.memoryMegabytes, this->pattern.accelerators);
-        this->views.try_emplace(registration.id, this->now, absl::Seconds(10)).first->second.noteAnswer(this->now, 1000);
+        this->views.try_emplace(workload::lifeOf(registration), this->now, absl::Seconds(10)).first->second.noteAnswer(this->now, 1000);
         this->apply(std::move(registration));
     }
 
@@ -258,7 +258,7 @@
         return run.saved + std::max(absl::ZeroDuration(), std::min(this->now, run.stopsAt) - run.workSince);
     }
 
-    bool isCut(const std::string &worker) const
+    bool isCut(const workload::Life &worker) const
     {
         const bool isTime = this->now >= this->begin + this->pattern.cut.at && this->now < this->begin + this->pattern.cut.at + this->pattern.cut.duration;
         return isTime && this->state.findWorker(worker)->registration.zone == absl::StrCat("d", this->pattern.cut.dataCentre);
@@ -307,7 +307,7 @@
     void recordEnd(const workload::TaskKey &key, const RunLog &run, bool isDone)
     {
         work::RecordEndsT command;
-        command.worker = run.worker;
+        command.worker = run.worker.id;
         auto &end = command.ends.emplace_back(std::make_unique<work::RunEndT>());
         end->task = key.record();
         end->run = run.run;
@@ -327,10 +327,10 @@
         for (const Question &question : due) {
             execution::AdviceAnswer answer;
             answer.isAnswered = true;
-            for (const std::string &worker : question.asked.workers) {
-                if (this->isPermitted(question.asked.step.job, worker)) {
+            for (const workload::Life &worker : question.asked.workers) {
+                if (this->isPermitted(question.asked.step.job, worker.id)) {
                     answer.good.emplace_back();
-                    answer.good.back().worker = worker;
+                    answer.good.back().worker = worker.id;
                     answer.good.back().ticket = "ticket";
                 }
             }
@@ -393,17 +393,19 @@
         const workload::TaskKey key(*placed.task);
         const auto saved = this->savedWork.find(key);
         const bool isResumed = saved != this->savedWork.end();
-        this->runs[key] = {
-            placed.run, placed.worker, this->now + (isResumed ? restoreTime : absl::ZeroDuration()), isResumed ? saved->second : absl::ZeroDuration()};
+        this->runs[key] = {placed.run,
+                           workload::lifeOf(placed),
+                           this->now + (isResumed ? restoreTime : absl::ZeroDuration()),
+                           isResumed ? saved->second : absl::ZeroDuration()};
         execution::RunTrack track;
-        track.worker = placed.worker;
+        track.worker = workload::lifeOf(placed);
         track.run = placed.run;
         track.phase = execution::RunPhase::Running;
         track.placedAt = track.runningSince = track.progressAt = this->now;
         this->tracks[key] = std::move(track);
         JobLog &job = this->jobs.at(key.job);
         job.startedAt = std::min(job.startedAt, this->now);
-        job.dataCentres.insert(this->state.findWorker(placed.worker)->registration.zone);
+        job.dataCentres.insert(this->state.findWorker(workload::lifeOf(placed))->registration.zone);
     }
 
     std::mt19937_64 random;
@@ -411,7 +413,7 @@
     const Timestamp begin = absl::UnixEpoch() + absl::Hours(1);
     Timestamp now = begin;
     workload::Workload state;
-    std::map<std::string, execution::WorkerView> views;
+    execution::WorkerViews views;
     execution::RunTracks tracks;
     execution::Setbacks setbacks;
     AdviceBook advice;
--- a/paddlepier/planning/outlook_test.cpp
+++ b/paddlepier/planning/outlook_test.cpp
@@ -50,8 +50,8 @@
 TEST_CASE_METHOD(OutlookFixture, "outlook_withAStepDone_countsOnlyWhatIsLeft")
 {
     workload::Job job = this->job();
-    job.place({job.id(), 0, 0, 0}, 1, "w1", 1000);
-    job.endRun({job.id(), 0, 0, 0}, 1, "w1", work::RunEndKind::Done, "", 11'000);
+    job.place({job.id(), 0, 0, 0}, 1, {"w1"}, 1000);
+    job.endRun({job.id(), 0, 0, 0}, 1, {"w1"}, work::RunEndKind::Done, "", 11'000);
     CHECK(prospectOf(job, 0, 10'000 + 4500, 1.0).outlook == Outlook::InTime);
     CHECK(prospectOf(job, 0, 10'000 + 4501, 1.0).outlook == Outlook::Late);
 }
--- a/paddlepier/planning/planner.cpp
+++ b/paddlepier/planning/planner.cpp
@@ -13,7 +13,7 @@
 {
 
 Planner::Planner(const workload::Workload &workloadState,
-                 const std::map<std::string, execution::WorkerView> &workerViews,
+                 const execution::WorkerViews &workerViews,
                  const execution::RunTracks &runTracks,
                  const execution::Setbacks &setbacks,
                  AdviceBook &book,
@@ -117,13 +117,14 @@
     return best;
 }
 
-work::PlacementT Planner::placement(const WantedStep &wanted, std::uint32_t task, const std::string &worker)
+work::PlacementT Planner::placement(const WantedStep &wanted, std::uint32_t task, const workload::Life &worker)
 {
     const workload::TaskKey key(wanted.key.job, wanted.key.occurrence, wanted.key.step, task);
     work::PlacementT made;
     made.task = key.record();
     made.run = wanted.job->nextRun(key);
-    made.worker = worker;
+    made.worker = worker.id;
+    made.born = worker.born;
     return made;
 }
 
@@ -163,7 +164,7 @@
         }
         this->take(*choice, wanted, 1);
         this->probation.noteStart(*choice->room, wanted.progress->tasks[index], *wanted.step);
-        plan.placements.push_back(placement(wanted, index, choice->room->id()));
+        plan.placements.push_back(placement(wanted, index, choice->room->life()));
     }
     wanted.tasks = std::move(left);
 }
@@ -198,7 +199,7 @@
         return false;
     }
     for (std::size_t number = 0; number < taken.size(); ++number) {
-        plan.placements.push_back(placement(wanted, wanted.tasks[number], taken[number]->room->id()));
+        plan.placements.push_back(placement(wanted, wanted.tasks[number], taken[number]->room->life()));
     }
     wanted.tasks.clear();
     return true;
--- a/paddlepier/planning/planner.h
+++ b/paddlepier/planning/planner.h
@@ -55,7 +55,7 @@
 {
 public:
     Planner(const workload::Workload &workloadState,
-            const std::map<std::string, execution::WorkerView> &workerViews,
+            const execution::WorkerViews &workerViews,
             const execution::RunTracks &runTracks,
             const execution::Setbacks &setbacks,
             AdviceBook &book,
@@ -91,10 +91,10 @@
     /** Takes room for one task, or gives it back. */
     void take(Choice &choice, const WantedStep &wanted, std::int32_t tasks);
     Choice *bestChoice(const WantedStep &wanted, std::uint32_t index, std::string_view rack);
-    static work::PlacementT placement(const WantedStep &wanted, std::uint32_t task, const std::string &worker);
+    static work::PlacementT placement(const WantedStep &wanted, std::uint32_t task, const workload::Life &worker);
 
     const workload::Workload &state;
-    const std::map<std::string, execution::WorkerView> &views;
+    const execution::WorkerViews &views;
     AdviceBook &advice;
     Rooms rooms;
     Probation probation;
--- a/paddlepier/planning/planner_benchmark.cpp
+++ b/paddlepier/planning/planner_benchmark.cpp
@@ -186,7 +186,7 @@
         auto &placement = command.placements.emplace_back(std::make_unique<work::PlacementT>());
         placement->task = key.record();
         placement->run = ++track.run;
-        placement->worker = track.worker;
+        placement->worker = track.worker.id;
         cell.apply(std::move(command));
     }
 }
--- a/paddlepier/planning/planner_outcome_test.cpp
+++ b/paddlepier/planning/planner_outcome_test.cpp
@@ -51,8 +51,8 @@
         }
         for (const execution::AdviceQuestion &question : plan.questions) {
             absl::StrAppend(&text, "q", question.step.text(), "\n");
-            for (const std::string &worker : question.workers) {
-                absl::StrAppend(&text, worker);
+            for (const workload::Life &worker : question.workers) {
+                absl::StrAppend(&text, worker.id);
             }
         }
         for (const auto &[key, servedStep] : plan.preempted) {
@@ -75,14 +75,14 @@
     {
         const workload::TaskKey key(*placement.task);
         const workload::Job &job = *cell.state.findJob(key.job);
-        const workload::Worker &worker = *cell.state.findWorker(placement.worker);
+        const workload::Worker &worker = *cell.state.findWorker(workload::lifeOf(placement));
         const work::StepSpecT &step = job.stepSpec(key.step);
         CHECK(job.mayPlace(key, placement.run));
         CHECK_FALSE(worker.registration.isDraining);
         CHECK_FALSE(worker.superseded.contains(key));
         CHECK(worker.registration.service == job.queue().service);
         CHECK((step.requiredLabel.empty() || worker.hasLabel(step.requiredLabel)));
-        CHECK((!job.queue().advice || cell.advice.validTicket(cell.now, key.stepKey(), placement.worker) != nullptr));
+        CHECK((!job.queue().advice || cell.advice.validTicket(cell.now, key.stepKey(), workload::lifeOf(placement)) != nullptr));
     }
 
     /** Runs of a step on a worker, those that were superseded too. */
@@ -114,10 +114,10 @@
         }
         for (const auto &[place, count] : onWorker) {
             const std::uint32_t most = cell.state.findJob(place.first.job)->stepSpec(place.first.step).mostPerWorker;
-            CHECK((most == 0 || count + runsOfStep(*cell.state.findWorker(place.second), place.first) <= most));
+            CHECK((most == 0 || count + runsOfStep(*cell.state.findWorker({place.second}), place.first) <= most));
         }
         for (const auto &[id, taken] : processors) {
-            const workload::Worker &worker = *cell.state.findWorker(id);
+            const workload::Worker &worker = *cell.state.findWorker({id});
             CHECK(static_cast<std::int64_t>(taken) <= std::max<std::int64_t>(0, worker.freeMilliProcessors()));
             CHECK(memory[id] + worker.reservedMemoryMegabytes <= worker.registration.capacity->memoryMegabytes());
         }
--- a/paddlepier/planning/planner_test.cpp
+++ b/paddlepier/planning/planner_test.cpp
@@ -57,7 +57,7 @@
         registration.labels = {"a", rack};
         registration.capacity = std::make_unique<work::Demand>(processors, 10'000, 0);
         this->apply(std::move(registration));
-        this->views.try_emplace(id, this->now, absl::Seconds(10)).first->second.noteAnswer(this->now, 1000);
+        this->views.try_emplace({id}, this->now, absl::Seconds(10)).first->second.noteAnswer(this->now, 1000);
     }
 
     work::StepSpecT &addJob(const std::string &id, const std::string &queue, std::uint32_t tasks)
@@ -89,7 +89,7 @@
         work::PlaceRunsT command;
         for (work::PlacementT &placement : plan.placements) {
             execution::RunTrack track;
-            track.worker = placement.worker;
+            track.worker = workload::lifeOf(placement);
             track.run = placement.run;
             track.phase = execution::RunPhase::Running;
             this->tracks[workload::TaskKey(*placement.task)] = track;
@@ -101,7 +101,7 @@
     Timestamp now = absl::UnixEpoch() + absl::Hours(1);
     std::int64_t wallMillis = 1'000'000;
     workload::Workload state;
-    std::map<std::string, execution::WorkerView> views;
+    execution::WorkerViews views;
     execution::RunTracks tracks;
     execution::Setbacks setbacks;
     AdviceBook advice;
@@ -177,12 +177,12 @@
     execution::AdviceAnswer answer;
     answer.isAnswered = true;
     answer.good.emplace_back();
-    answer.good.back().worker = plan.questions[0].workers[0];
+    answer.good.back().worker = plan.questions[0].workers[0].id;
     answer.good.back().ticket = "t";
     this->advice.answer(this->now, plan.questions[0].id, answer);
     const Plan next = this->plan();
     REQUIRE(next.placements.size() == 2);
-    CHECK(next.placements[0].worker == plan.questions[0].workers[0]);
+    CHECK(next.placements[0].worker == plan.questions[0].workers[0].id);
     this->now += absl::Seconds(3);
     CHECK(this->plan().placements.empty());
 }
@@ -257,9 +257,9 @@
     this->addWorker("w1");
     this->addWorker("w2");
     this->addWorker("w3");
-    this->views.at("w1").noteFailedRun(this->now);
-    this->views.at("w1").noteFailedRun(this->now);
-    work::RegisterWorkerT draining = this->state.findWorker("w2")->registration;
+    this->views.at({"w1"}).noteFailedRun(this->now);
+    this->views.at({"w1"}).noteFailedRun(this->now);
+    work::RegisterWorkerT draining = this->state.findWorker({"w2"})->registration;
     draining.isDraining = true;
     this->apply(std::move(draining));
     this->addJob("a", "slow", 12);
@@ -287,7 +287,7 @@
     end->kind = work::RunEndKind::Failed;
     this->apply(std::move(failed));
     this->tracks.clear();
-    this->views.at("w1").noteFailedRun(this->now);
+    this->views.at({"w1"}).noteFailedRun(this->now);
     CHECK(this->plan().placements.empty());
     // Nothing else runs there that could show the worker to be sound.
     this->now += absl::Seconds(30);
--- a/paddlepier/planning/rooms.cpp
+++ b/paddlepier/planning/rooms.cpp
@@ -29,28 +29,28 @@
 
 } // namespace
 
-void Rooms::collect(Timestamp now, const workload::Workload &state, const std::map<std::string, execution::WorkerView> &views, AdviceBook &book)
+void Rooms::collect(Timestamp now, const workload::Workload &state, const execution::WorkerViews &views, AdviceBook &book)
 {
     this->clear();
     this->rooms.reserve(state.workers().size());
     const bool mayAvoidOverdue = execution::isMinority(views, [now](const execution::WorkerView &view) { return view.isOverdue(now); });
     auto view = views.begin();
-    for (const auto &[id, worker] : state.workers()) {
-        while (view != views.end() && view->first < id) {
+    for (const auto &[life, worker] : state.workers()) {
+        while (view != views.end() && view->first < life) {
             ++view;
         }
-        const bool isUsable = view != views.end() && view->first == id && view->second.isReachable() && !worker.registration.isDraining
+        const bool isUsable = view != views.end() && view->first == life && view->second.isReachable() && !worker.registration.isDraining
                               && view->second.startsBlockedUntil <= now && !(mayAvoidOverdue && view->second.isOverdue(now));
         const std::uint32_t dataCentre = this->noteWorker(worker, isUsable);
         if (isUsable) {
-            this->add(worker, view->second, now);
+            this->add(life, worker, view->second, now);
             this->rooms.back().dataCentre = dataCentre;
         }
     }
     for (Room &room : this->rooms) {
         const work::ServiceSpecT *service = state.findService(this->services[room.service]);
         room.isSpare = service != nullptr && service->isSpare;
-        room.adviceNumber = book.numberOf(room.id());
+        room.adviceNumber = book.numberOf(room.life());
     }
     this->indexAdviceNumbers();
     this->numberDataCentres();
@@ -93,11 +93,12 @@
     return dataCentre;
 }
 
-void Rooms::add(const workload::Worker &worker, const execution::WorkerView &view, Timestamp now)
+void Rooms::add(const workload::Life &life, const workload::Worker &worker, const execution::WorkerView &view, Timestamp now)
 {
     const work::Demand &capacity = *worker.registration.capacity;
     const auto number = static_cast<std::uint32_t>(this->rooms.size());
     Room &room = this->rooms.emplace_back();
+    room.lifeOfWorker = &life;
     room.worker = &worker;
     room.view = &view;
     room.service = numberIn(this->services, worker.registration.service);
@@ -105,7 +106,7 @@
     room.processors = worker.freeMilliProcessors();
     room.memory = static_cast<std::int64_t>(capacity.memoryMegabytes()) - static_cast<std::int64_t>(worker.reservedMemoryMegabytes);
     room.accelerators = static_cast<std::int64_t>(capacity.accelerators()) - static_cast<std::int64_t>(worker.reservedAccelerators);
-    this->byWorker[worker.registration.id] = number;
+    this->byWorker[life] = number;
     if (!worker.superseded.empty()) {
         this->withSuperseded.push_back(number);
     }
@@ -254,7 +255,7 @@
     return this->toldOfStep;
 }
 
-Room *Rooms::find(const std::string &worker)
+Room *Rooms::find(const workload::Life &worker)
 {
     const auto found = this->byWorker.find(worker);
     return found == this->byWorker.end() ? nullptr : &this->rooms[found->second];
--- a/paddlepier/planning/rooms.h
+++ b/paddlepier/planning/rooms.h
@@ -36,7 +36,7 @@
 {
 public:
     /** Begins a plan; what was known of the plan before is dropped. */
-    void collect(Timestamp now, const workload::Workload &state, const std::map<std::string, execution::WorkerView> &views, AdviceBook &book);
+    void collect(Timestamp now, const workload::Workload &state, const execution::WorkerViews &views, AdviceBook &book);
     /** Counts what stopping runs are about to give back; once a plan. */
     void countComing(const workload::Workload &state, const execution::RunTracks &tracks);
 
@@ -47,7 +47,7 @@
     /** Rooms that the policy service has told about for the step, in the order of all(). */
     const std::vector<std::uint32_t> &told() const;
     /** Null if the worker can't be used. */
-    Room *find(const std::string &worker);
+    Room *find(const workload::Life &worker);
     void take(Room &room, const work::StepSpecT &step, std::int64_t tasks = 1);
     /** Counts a task of the step that is being planned; -1 takes it back. */
     void countTask(Room &room, std::int32_t tasks);
@@ -67,7 +67,7 @@
     const std::vector<std::string_view> &racks();
 
 private:
-    void add(const workload::Worker &worker, const execution::WorkerView &view, Timestamp now);
+    void add(const workload::Life &life, const workload::Worker &worker, const execution::WorkerView &view, Timestamp now);
     /** Counts a worker in its data centre. @return that one's number, before numberDataCentres() */
     std::uint32_t noteWorker(const workload::Worker &worker, bool isUsable);
     void clear();
@@ -75,7 +75,7 @@
     void numberDataCentres();
     void countTasks(const WantedStep &wanted);
     std::vector<Room> rooms;
-    absl::flat_hash_map<std::string_view, std::uint32_t> byWorker;
+    absl::flat_hash_map<workload::Life, std::uint32_t> byWorker;
     std::vector<std::uint32_t> byAdviceNumber;
     std::vector<std::string_view> services;
     std::vector<std::string_view> dataCentres;
--- a/paddlepier/planning/suitability.cpp
+++ b/paddlepier/planning/suitability.cpp
@@ -30,9 +30,9 @@
 
 } // namespace
 
-const std::string &Room::id() const
+const workload::Life &Room::life() const
 {
-    return this->worker->registration.id;
+    return *this->lifeOfWorker;
 }
 
 std::string_view Room::rack() const
--- a/paddlepier/planning/suitability.h
+++ b/paddlepier/planning/suitability.h
@@ -31,6 +31,8 @@
 
 /** One worker as a plan sees it: what is left of it after the placements decided so far. */
 struct Room {
+    /** Key of `worker` in the ledger. */
+    const workload::Life *lifeOfWorker = nullptr;
     const workload::Worker *worker = nullptr;
     const execution::WorkerView *view = nullptr;
     /** Numbers of the rooms' data centres and services, and of the worker in the advice book. */
@@ -55,7 +57,7 @@
     bool isOfStep = false;
     Standing standing = Standing::Unasked;
 
-    const std::string &id() const;
+    const workload::Life &life() const;
     std::string_view rack() const;
 
     /** Asked for each worker and step of a plan, so that it is best inlined. */
--- a/paddlepier/wire/workload_generated.h
+++ b/paddlepier/wire/workload_generated.h
@@ -2112,12 +2112,14 @@
   std::unique_ptr<paddlepier::work::TaskKeyT> task{};
   uint32_t run = 0;
   std::string worker{};
+  uint64_t born = 0;
   PlacementT() = default;
   PlacementT(const PlacementT &o);
   PlacementT(PlacementT&&) FLATBUFFERS_NOEXCEPT = default;
   PlacementT &operator=(PlacementT o) FLATBUFFERS_NOEXCEPT;
 };
 
+/// Beside each worker's id stands when its life was born, in milliseconds since 1970; 0 where it has never said, and in older entries.
 struct Placement FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef PlacementT NativeTableType;
   typedef PlacementBuilder Builder;
@@ -2128,7 +2130,8 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_TASK = 4,
     VT_RUN = 6,
-    VT_WORKER = 8
+    VT_WORKER = 8,
+    VT_BORN = 10
   };
   const paddlepier::work::TaskKey *task() const {
     return GetPointer<const paddlepier::work::TaskKey *>(VT_TASK);
@@ -2139,6 +2142,9 @@
   const flatbuffers::String *worker() const {
     return GetPointer<const flatbuffers::String *>(VT_WORKER);
   }
+  uint64_t born() const {
+    return GetField<uint64_t>(VT_BORN, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_TASK) &&
@@ -2146,6 +2152,7 @@
            VerifyField<uint32_t>(verifier, VT_RUN, 4) &&
            VerifyOffset(verifier, VT_WORKER) &&
            verifier.VerifyString(worker()) &&
+           VerifyField<uint64_t>(verifier, VT_BORN, 8) &&
            verifier.EndTable();
   }
   PlacementT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2166,6 +2173,9 @@
   void add_worker(flatbuffers::Offset<flatbuffers::String> worker) {
     fbb_.AddOffset(Placement::VT_WORKER, worker);
   }
+  void add_born(uint64_t born) {
+    fbb_.AddElement<uint64_t>(Placement::VT_BORN, born, 0);
+  }
   explicit PlacementBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2181,8 +2191,10 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<paddlepier::work::TaskKey> task = 0,
     uint32_t run = 0,
-    flatbuffers::Offset<flatbuffers::String> worker = 0) {
+    flatbuffers::Offset<flatbuffers::String> worker = 0,
+    uint64_t born = 0) {
   PlacementBuilder builder_(_fbb);
+  builder_.add_born(born);
   builder_.add_worker(worker);
   builder_.add_run(run);
   builder_.add_task(task);
@@ -2198,13 +2210,15 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<paddlepier::work::TaskKey> task = 0,
     uint32_t run = 0,
-    const char *worker = nullptr) {
+    const char *worker = nullptr,
+    uint64_t born = 0) {
   auto worker__ = worker ? _fbb.CreateString(worker) : 0;
   return paddlepier::work::CreatePlacement(
       _fbb,
       task,
       run,
-      worker__);
+      worker__,
+      born);
 }
 
 flatbuffers::Offset<Placement> CreatePlacement(flatbuffers::FlatBufferBuilder &_fbb, const PlacementT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -2442,6 +2456,7 @@
   std::string worker{};
   std::vector<std::unique_ptr<paddlepier::work::RunEndT>> ends{};
   bool hasAnswered = false;
+  uint64_t born = 0;
   RecordEndsT() = default;
   RecordEndsT(const RecordEndsT &o);
   RecordEndsT(RecordEndsT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -2458,7 +2473,8 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_WORKER = 4,
     VT_ENDS = 6,
-    VT_HASANSWERED = 8
+    VT_HASANSWERED = 8,
+    VT_BORN = 10
   };
   const flatbuffers::String *worker() const {
     return GetPointer<const flatbuffers::String *>(VT_WORKER);
@@ -2470,6 +2486,9 @@
   bool hasAnswered() const {
     return GetField<uint8_t>(VT_HASANSWERED, 0) != 0;
   }
+  uint64_t born() const {
+    return GetField<uint64_t>(VT_BORN, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_WORKER) &&
@@ -2478,6 +2497,7 @@
            verifier.VerifyVector(ends()) &&
            verifier.VerifyVectorOfTables(ends()) &&
            VerifyField<uint8_t>(verifier, VT_HASANSWERED, 1) &&
+           VerifyField<uint64_t>(verifier, VT_BORN, 8) &&
            verifier.EndTable();
   }
   RecordEndsT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2498,6 +2518,9 @@
   void add_hasAnswered(bool hasAnswered) {
     fbb_.AddElement<uint8_t>(RecordEnds::VT_HASANSWERED, static_cast<uint8_t>(hasAnswered), 0);
   }
+  void add_born(uint64_t born) {
+    fbb_.AddElement<uint64_t>(RecordEnds::VT_BORN, born, 0);
+  }
   explicit RecordEndsBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2513,8 +2536,10 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::String> worker = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<paddlepier::work::RunEnd>>> ends = 0,
-    bool hasAnswered = false) {
+    bool hasAnswered = false,
+    uint64_t born = 0) {
   RecordEndsBuilder builder_(_fbb);
+  builder_.add_born(born);
   builder_.add_ends(ends);
   builder_.add_worker(worker);
   builder_.add_hasAnswered(hasAnswered);
@@ -2530,14 +2555,16 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     const char *worker = nullptr,
     const std::vector<flatbuffers::Offset<paddlepier::work::RunEnd>> *ends = nullptr,
-    bool hasAnswered = false) {
+    bool hasAnswered = false,
+    uint64_t born = 0) {
   auto worker__ = worker ? _fbb.CreateString(worker) : 0;
   auto ends__ = ends ? _fbb.CreateVector<flatbuffers::Offset<paddlepier::work::RunEnd>>(*ends) : 0;
   return paddlepier::work::CreateRecordEnds(
       _fbb,
       worker__,
       ends__,
-      hasAnswered);
+      hasAnswered,
+      born);
 }
 
 flatbuffers::Offset<RecordEnds> CreateRecordEnds(flatbuffers::FlatBufferBuilder &_fbb, const RecordEndsT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -2556,6 +2583,7 @@
   std::vector<std::string> labels{};
   bool isDraining = false;
   uint64_t sequence = 0;
+  uint64_t born = 0;
   RegisterWorkerT() = default;
   RegisterWorkerT(const RegisterWorkerT &o);
   RegisterWorkerT(RegisterWorkerT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -2579,7 +2607,8 @@
     VT_CAPACITY = 14,
     VT_LABELS = 16,
     VT_ISDRAINING = 18,
-    VT_SEQUENCE = 20
+    VT_SEQUENCE = 20,
+    VT_BORN = 22
   };
   const flatbuffers::String *id() const {
     return GetPointer<const flatbuffers::String *>(VT_ID);
@@ -2605,10 +2634,13 @@
   bool isDraining() const {
     return GetField<uint8_t>(VT_ISDRAINING, 0) != 0;
   }
-  /// Number of the announcement that this stands for; an older one changes nothing. 0 in older entries.
+  /// Number of the announcement that this stands for; an older one of the same life changes nothing. 0 in older entries.
   uint64_t sequence() const {
     return GetField<uint64_t>(VT_SEQUENCE, 0);
   }
+  uint64_t born() const {
+    return GetField<uint64_t>(VT_BORN, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_ID) &&
@@ -2627,6 +2659,7 @@
            verifier.VerifyVectorOfStrings(labels()) &&
            VerifyField<uint8_t>(verifier, VT_ISDRAINING, 1) &&
            VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
+           VerifyField<uint64_t>(verifier, VT_BORN, 8) &&
            verifier.EndTable();
   }
   RegisterWorkerT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2665,6 +2698,9 @@
   void add_sequence(uint64_t sequence) {
     fbb_.AddElement<uint64_t>(RegisterWorker::VT_SEQUENCE, sequence, 0);
   }
+  void add_born(uint64_t born) {
+    fbb_.AddElement<uint64_t>(RegisterWorker::VT_BORN, born, 0);
+  }
   explicit RegisterWorkerBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2686,8 +2722,10 @@
     const paddlepier::work::Demand *capacity = nullptr,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> labels = 0,
     bool isDraining = false,
-    uint64_t sequence = 0) {
+    uint64_t sequence = 0,
+    uint64_t born = 0) {
   RegisterWorkerBuilder builder_(_fbb);
+  builder_.add_born(born);
   builder_.add_sequence(sequence);
   builder_.add_labels(labels);
   builder_.add_capacity(capacity);
@@ -2715,7 +2753,8 @@
     const paddlepier::work::Demand *capacity = nullptr,
     const std::vector<flatbuffers::Offset<flatbuffers::String>> *labels = nullptr,
     bool isDraining = false,
-    uint64_t sequence = 0) {
+    uint64_t sequence = 0,
+    uint64_t born = 0) {
   auto id__ = id ? _fbb.CreateString(id) : 0;
   auto machine__ = machine ? _fbb.CreateString(machine) : 0;
   auto service__ = service ? _fbb.CreateString(service) : 0;
@@ -2732,7 +2771,8 @@
       capacity,
       labels__,
       isDraining,
-      sequence);
+      sequence,
+      born);
 }
 
 flatbuffers::Offset<RegisterWorker> CreateRegisterWorker(flatbuffers::FlatBufferBuilder &_fbb, const RegisterWorkerT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -2745,6 +2785,9 @@
   std::string id{};
   paddlepier::work::LifeEnd end = paddlepier::work::LifeEnd::Left;
   std::vector<std::unique_ptr<paddlepier::work::RunEndT>> lost{};
+  uint64_t born = 0;
+  uint64_t nextBorn = 0;
+  std::vector<std::unique_ptr<paddlepier::work::RunEndT>> moved{};
   RemoveWorkerT() = default;
   RemoveWorkerT(const RemoveWorkerT &o);
   RemoveWorkerT(RemoveWorkerT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -2762,7 +2805,10 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_ID = 4,
     VT_END = 6,
-    VT_LOST = 8
+    VT_LOST = 8,
+    VT_BORN = 10,
+    VT_NEXTBORN = 12,
+    VT_MOVED = 14
   };
   const flatbuffers::String *id() const {
     return GetPointer<const flatbuffers::String *>(VT_ID);
@@ -2774,6 +2820,17 @@
   const flatbuffers::Vector<flatbuffers::Offset<paddlepier::work::RunEnd>> *lost() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<paddlepier::work::RunEnd>> *>(VT_LOST);
   }
+  uint64_t born() const {
+    return GetField<uint64_t>(VT_BORN, 0);
+  }
+  /// Birth of the next life under this id, where that one is why this one is over; 0 otherwise.
+  uint64_t nextBorn() const {
+    return GetField<uint64_t>(VT_NEXTBORN, 0);
+  }
+  /// Starts that reached the next life, which runs them: they are its runs now. Of each, the task and the run count.
+  const flatbuffers::Vector<flatbuffers::Offset<paddlepier::work::RunEnd>> *moved() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<paddlepier::work::RunEnd>> *>(VT_MOVED);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_ID) &&
@@ -2782,6 +2839,11 @@
            VerifyOffset(verifier, VT_LOST) &&
            verifier.VerifyVector(lost()) &&
            verifier.VerifyVectorOfTables(lost()) &&
+           VerifyField<uint64_t>(verifier, VT_BORN, 8) &&
+           VerifyField<uint64_t>(verifier, VT_NEXTBORN, 8) &&
+           VerifyOffset(verifier, VT_MOVED) &&
+           verifier.VerifyVector(moved()) &&
+           verifier.VerifyVectorOfTables(moved()) &&
            verifier.EndTable();
   }
   RemoveWorkerT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2802,6 +2864,15 @@
   void add_lost(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<paddlepier::work::RunEnd>>> lost) {
     fbb_.AddOffset(RemoveWorker::VT_LOST, lost);
   }
+  void add_born(uint64_t born) {
+    fbb_.AddElement<uint64_t>(RemoveWorker::VT_BORN, born, 0);
+  }
+  void add_nextBorn(uint64_t nextBorn) {
+    fbb_.AddElement<uint64_t>(RemoveWorker::VT_NEXTBORN, nextBorn, 0);
+  }
+  void add_moved(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<paddlepier::work::RunEnd>>> moved) {
+    fbb_.AddOffset(RemoveWorker::VT_MOVED, moved);
+  }
   explicit RemoveWorkerBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2817,8 +2888,14 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::String> id = 0,
     paddlepier::work::LifeEnd end = paddlepier::work::LifeEnd::Left,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<paddlepier::work::RunEnd>>> lost = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<paddlepier::work::RunEnd>>> lost = 0,
+    uint64_t born = 0,
+    uint64_t nextBorn = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<paddlepier::work::RunEnd>>> moved = 0) {
   RemoveWorkerBuilder builder_(_fbb);
+  builder_.add_nextBorn(nextBorn);
+  builder_.add_born(born);
+  builder_.add_moved(moved);
   builder_.add_lost(lost);
   builder_.add_id(id);
   builder_.add_end(end);
@@ -2834,14 +2911,21 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     const char *id = nullptr,
     paddlepier::work::LifeEnd end = paddlepier::work::LifeEnd::Left,
-    const std::vector<flatbuffers::Offset<paddlepier::work::RunEnd>> *lost = nullptr) {
+    const std::vector<flatbuffers::Offset<paddlepier::work::RunEnd>> *lost = nullptr,
+    uint64_t born = 0,
+    uint64_t nextBorn = 0,
+    const std::vector<flatbuffers::Offset<paddlepier::work::RunEnd>> *moved = nullptr) {
   auto id__ = id ? _fbb.CreateString(id) : 0;
   auto lost__ = lost ? _fbb.CreateVector<flatbuffers::Offset<paddlepier::work::RunEnd>>(*lost) : 0;
+  auto moved__ = moved ? _fbb.CreateVector<flatbuffers::Offset<paddlepier::work::RunEnd>>(*moved) : 0;
   return paddlepier::work::CreateRemoveWorker(
       _fbb,
       id__,
       end,
-      lost__);
+      lost__,
+      born,
+      nextBorn,
+      moved__);
 }
 
 flatbuffers::Offset<RemoveWorker> CreateRemoveWorker(flatbuffers::FlatBufferBuilder &_fbb, const RemoveWorkerT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -2999,6 +3083,7 @@
   uint32_t freshLosses = 0;
   int64_t placedAtMillis = 0;
   uint32_t lastTries = 0;
+  uint64_t born = 0;
 };
 
 struct TaskRecord FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -3019,7 +3104,8 @@
     VT_LOSTWORKERS = 18,
     VT_FRESHLOSSES = 20,
     VT_PLACEDATMILLIS = 22,
-    VT_LASTTRIES = 24
+    VT_LASTTRIES = 24,
+    VT_BORN = 26
   };
   uint32_t index() const {
     return GetField<uint32_t>(VT_INDEX, 0);
@@ -3060,6 +3146,10 @@
   uint32_t lastTries() const {
     return GetField<uint32_t>(VT_LASTTRIES, 0);
   }
+  /// Of the worker of the run under way.
+  uint64_t born() const {
+    return GetField<uint64_t>(VT_BORN, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint32_t>(verifier, VT_INDEX, 4) &&
@@ -3077,6 +3167,7 @@
            VerifyField<uint32_t>(verifier, VT_FRESHLOSSES, 4) &&
            VerifyField<int64_t>(verifier, VT_PLACEDATMILLIS, 8) &&
            VerifyField<uint32_t>(verifier, VT_LASTTRIES, 4) &&
+           VerifyField<uint64_t>(verifier, VT_BORN, 8) &&
            verifier.EndTable();
   }
   TaskRecordT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3121,6 +3212,9 @@
   void add_lastTries(uint32_t lastTries) {
     fbb_.AddElement<uint32_t>(TaskRecord::VT_LASTTRIES, lastTries, 0);
   }
+  void add_born(uint64_t born) {
+    fbb_.AddElement<uint64_t>(TaskRecord::VT_BORN, born, 0);
+  }
   explicit TaskRecordBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3144,8 +3238,10 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> lostWorkers = 0,
     uint32_t freshLosses = 0,
     int64_t placedAtMillis = 0,
-    uint32_t lastTries = 0) {
+    uint32_t lastTries = 0,
+    uint64_t born = 0) {
   TaskRecordBuilder builder_(_fbb);
+  builder_.add_born(born);
   builder_.add_placedAtMillis(placedAtMillis);
   builder_.add_lastTries(lastTries);
   builder_.add_freshLosses(freshLosses);
@@ -3177,7 +3273,8 @@
     const std::vector<flatbuffers::Offset<flatbuffers::String>> *lostWorkers = nullptr,
     uint32_t freshLosses = 0,
     int64_t placedAtMillis = 0,
-    uint32_t lastTries = 0) {
+    uint32_t lastTries = 0,
+    uint64_t born = 0) {
   auto worker__ = worker ? _fbb.CreateString(worker) : 0;
   auto checkpoint__ = checkpoint ? _fbb.CreateString(checkpoint) : 0;
   auto lostWorkers__ = lostWorkers ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*lostWorkers) : 0;
@@ -3193,7 +3290,8 @@
       lostWorkers__,
       freshLosses,
       placedAtMillis,
-      lastTries);
+      lastTries,
+      born);
 }
 
 flatbuffers::Offset<TaskRecord> CreateTaskRecord(flatbuffers::FlatBufferBuilder &_fbb, const TaskRecordT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -4234,6 +4332,7 @@
     return "paddlepier.work.WithdrawCallT";
   }
   std::string id{};
+  uint64_t born = 0;
 };
 
 struct WithdrawCall FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -4244,15 +4343,20 @@
     return "paddlepier.work.WithdrawCall";
   }
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_ID = 4
+    VT_ID = 4,
+    VT_BORN = 6
   };
   const flatbuffers::String *id() const {
     return GetPointer<const flatbuffers::String *>(VT_ID);
   }
+  uint64_t born() const {
+    return GetField<uint64_t>(VT_BORN, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_ID) &&
            verifier.VerifyString(id()) &&
+           VerifyField<uint64_t>(verifier, VT_BORN, 8) &&
            verifier.EndTable();
   }
   WithdrawCallT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -4267,6 +4371,9 @@
   void add_id(flatbuffers::Offset<flatbuffers::String> id) {
     fbb_.AddOffset(WithdrawCall::VT_ID, id);
   }
+  void add_born(uint64_t born) {
+    fbb_.AddElement<uint64_t>(WithdrawCall::VT_BORN, born, 0);
+  }
   explicit WithdrawCallBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -4280,8 +4387,10 @@
 
 inline flatbuffers::Offset<WithdrawCall> CreateWithdrawCall(
     flatbuffers::FlatBufferBuilder &_fbb,
-    flatbuffers::Offset<flatbuffers::String> id = 0) {
+    flatbuffers::Offset<flatbuffers::String> id = 0,
+    uint64_t born = 0) {
   WithdrawCallBuilder builder_(_fbb);
+  builder_.add_born(born);
   builder_.add_id(id);
   return builder_.Finish();
 }
@@ -4293,11 +4402,13 @@
 
 inline flatbuffers::Offset<WithdrawCall> CreateWithdrawCallDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
-    const char *id = nullptr) {
+    const char *id = nullptr,
+    uint64_t born = 0) {
   auto id__ = id ? _fbb.CreateString(id) : 0;
   return paddlepier::work::CreateWithdrawCall(
       _fbb,
-      id__);
+      id__,
+      born);
 }
 
 flatbuffers::Offset<WithdrawCall> CreateWithdrawCall(flatbuffers::FlatBufferBuilder &_fbb, const WithdrawCallT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -5161,6 +5272,7 @@
   int64_t leaseEndOnWorkerClock = 0;
   uint32_t timeoutMillis = 0;
   paddlepier::work::CarriedOrderUnion order{};
+  uint64_t born = 0;
 };
 
 struct CarryCall FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -5177,7 +5289,8 @@
     VT_LEASEENDONWORKERCLOCK = 10,
     VT_TIMEOUTMILLIS = 12,
     VT_ORDER_TYPE = 14,
-    VT_ORDER = 16
+    VT_ORDER = 16,
+    VT_BORN = 18
   };
   const flatbuffers::String *worker() const {
     return GetPointer<const flatbuffers::String *>(VT_WORKER);
@@ -5213,6 +5326,9 @@
   const paddlepier::work::PaceCarried *order_as_PaceCarried() const {
     return order_type() == paddlepier::work::CarriedOrder::PaceCarried ? static_cast<const paddlepier::work::PaceCarried *>(order()) : nullptr;
   }
+  uint64_t born() const {
+    return GetField<uint64_t>(VT_BORN, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_WORKER) &&
@@ -5225,6 +5341,7 @@
            VerifyField<uint8_t>(verifier, VT_ORDER_TYPE, 1) &&
            VerifyOffset(verifier, VT_ORDER) &&
            VerifyCarriedOrder(verifier, order(), order_type()) &&
+           VerifyField<uint64_t>(verifier, VT_BORN, 8) &&
            verifier.EndTable();
   }
   CarryCallT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -5273,6 +5390,9 @@
   void add_order(flatbuffers::Offset<void> order) {
     fbb_.AddOffset(CarryCall::VT_ORDER, order);
   }
+  void add_born(uint64_t born) {
+    fbb_.AddElement<uint64_t>(CarryCall::VT_BORN, born, 0);
+  }
   explicit CarryCallBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -5292,8 +5412,10 @@
     int64_t leaseEndOnWorkerClock = 0,
     uint32_t timeoutMillis = 0,
     paddlepier::work::CarriedOrder order_type = paddlepier::work::CarriedOrder::NONE,
-    flatbuffers::Offset<void> order = 0) {
+    flatbuffers::Offset<void> order = 0,
+    uint64_t born = 0) {
   CarryCallBuilder builder_(_fbb);
+  builder_.add_born(born);
   builder_.add_leaseEndOnWorkerClock(leaseEndOnWorkerClock);
   builder_.add_fence(fence);
   builder_.add_order(order);
@@ -5317,7 +5439,8 @@
     int64_t leaseEndOnWorkerClock = 0,
     uint32_t timeoutMillis = 0,
     paddlepier::work::CarriedOrder order_type = paddlepier::work::CarriedOrder::NONE,
-    flatbuffers::Offset<void> order = 0) {
+    flatbuffers::Offset<void> order = 0,
+    uint64_t born = 0) {
   auto worker__ = worker ? _fbb.CreateString(worker) : 0;
   auto address__ = address ? _fbb.CreateString(address) : 0;
   return paddlepier::work::CreateCarryCall(
@@ -5328,7 +5451,8 @@
       leaseEndOnWorkerClock,
       timeoutMillis,
       order_type,
-      order);
+      order,
+      born);
 }
 
 flatbuffers::Offset<CarryCall> CreateCarryCall(flatbuffers::FlatBufferBuilder &_fbb, const CarryCallT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -5474,6 +5598,7 @@
   int64_t clockMillis = 0;
   std::vector<std::unique_ptr<paddlepier::work::CarriedRunT>> running{};
   std::vector<std::unique_ptr<paddlepier::work::RunEndT>> ended{};
+  uint64_t born = 0;
   CarryReplyT() = default;
   CarryReplyT(const CarryReplyT &o);
   CarryReplyT(CarryReplyT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -5492,7 +5617,8 @@
     VT_HASCLOCK = 6,
     VT_CLOCKMILLIS = 8,
     VT_RUNNING = 10,
-    VT_ENDED = 12
+    VT_ENDED = 12,
+    VT_BORN = 14
   };
   /// Number of the kind of answer, in the order of the product's own enumeration.
   uint8_t kind() const {
@@ -5510,6 +5636,10 @@
   const flatbuffers::Vector<flatbuffers::Offset<paddlepier::work::RunEnd>> *ended() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<paddlepier::work::RunEnd>> *>(VT_ENDED);
   }
+  /// Of the life that answered; 0 if the answer doesn't say.
+  uint64_t born() const {
+    return GetField<uint64_t>(VT_BORN, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_KIND, 1) &&
@@ -5521,6 +5651,7 @@
            VerifyOffset(verifier, VT_ENDED) &&
            verifier.VerifyVector(ended()) &&
            verifier.VerifyVectorOfTables(ended()) &&
+           VerifyField<uint64_t>(verifier, VT_BORN, 8) &&
            verifier.EndTable();
   }
   CarryReplyT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -5547,6 +5678,9 @@
   void add_ended(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<paddlepier::work::RunEnd>>> ended) {
     fbb_.AddOffset(CarryReply::VT_ENDED, ended);
   }
+  void add_born(uint64_t born) {
+    fbb_.AddElement<uint64_t>(CarryReply::VT_BORN, born, 0);
+  }
   explicit CarryReplyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -5564,8 +5698,10 @@
     bool hasClock = false,
     int64_t clockMillis = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<paddlepier::work::CarriedRun>>> running = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<paddlepier::work::RunEnd>>> ended = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<paddlepier::work::RunEnd>>> ended = 0,
+    uint64_t born = 0) {
   CarryReplyBuilder builder_(_fbb);
+  builder_.add_born(born);
   builder_.add_clockMillis(clockMillis);
   builder_.add_ended(ended);
   builder_.add_running(running);
@@ -5585,7 +5721,8 @@
     bool hasClock = false,
     int64_t clockMillis = 0,
     const std::vector<flatbuffers::Offset<paddlepier::work::CarriedRun>> *running = nullptr,
-    const std::vector<flatbuffers::Offset<paddlepier::work::RunEnd>> *ended = nullptr) {
+    const std::vector<flatbuffers::Offset<paddlepier::work::RunEnd>> *ended = nullptr,
+    uint64_t born = 0) {
   auto running__ = running ? _fbb.CreateVector<flatbuffers::Offset<paddlepier::work::CarriedRun>>(*running) : 0;
   auto ended__ = ended ? _fbb.CreateVector<flatbuffers::Offset<paddlepier::work::RunEnd>>(*ended) : 0;
   return paddlepier::work::CreateCarryReply(
@@ -5594,7 +5731,8 @@
       hasClock,
       clockMillis,
       running__,
-      ended__);
+      ended__,
+      born);
 }
 
 flatbuffers::Offset<CarryReply> CreateCarryReply(flatbuffers::FlatBufferBuilder &_fbb, const CarryReplyT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -6236,13 +6374,15 @@
 inline PlacementT::PlacementT(const PlacementT &o)
       : task((o.task) ? new paddlepier::work::TaskKeyT(*o.task) : nullptr),
         run(o.run),
-        worker(o.worker) {
+        worker(o.worker),
+        born(o.born) {
 }
 
 inline PlacementT &PlacementT::operator=(PlacementT o) FLATBUFFERS_NOEXCEPT {
   std::swap(task, o.task);
   std::swap(run, o.run);
   std::swap(worker, o.worker);
+  std::swap(born, o.born);
   return *this;
 }
 
@@ -6258,6 +6398,7 @@
   { auto _e = task(); if (_e) _o->task = std::unique_ptr<paddlepier::work::TaskKeyT>(_e->UnPack(_resolver)); }
   { auto _e = run(); _o->run = _e; }
   { auto _e = worker(); if (_e) _o->worker = _e->str(); }
+  { auto _e = born(); _o->born = _e; }
 }
 
 inline flatbuffers::Offset<Placement> Placement::Pack(flatbuffers::FlatBufferBuilder &_fbb, const PlacementT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -6271,11 +6412,13 @@
   auto _task = _o->task ? CreateTaskKey(_fbb, _o->task.get(), _rehasher) : 0;
   auto _run = _o->run;
   auto _worker = _o->worker.empty() ? 0 : _fbb.CreateString(_o->worker);
+  auto _born = _o->born;
   return paddlepier::work::CreatePlacement(
       _fbb,
       _task,
       _run,
-      _worker);
+      _worker,
+      _born);
 }
 
 inline PlaceRunsT::PlaceRunsT(const PlaceRunsT &o) {
@@ -6376,7 +6519,8 @@
 
 inline RecordEndsT::RecordEndsT(const RecordEndsT &o)
       : worker(o.worker),
-        hasAnswered(o.hasAnswered) {
+        hasAnswered(o.hasAnswered),
+        born(o.born) {
   ends.reserve(o.ends.size());
   for (const auto &ends_ : o.ends) { ends.emplace_back((ends_) ? new paddlepier::work::RunEndT(*ends_) : nullptr); }
 }
@@ -6385,6 +6529,7 @@
   std::swap(worker, o.worker);
   std::swap(ends, o.ends);
   std::swap(hasAnswered, o.hasAnswered);
+  std::swap(born, o.born);
   return *this;
 }
 
@@ -6400,6 +6545,7 @@
   { auto _e = worker(); if (_e) _o->worker = _e->str(); }
   { auto _e = ends(); if (_e) { _o->ends.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->ends[_i] = std::unique_ptr<paddlepier::work::RunEndT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = hasAnswered(); _o->hasAnswered = _e; }
+  { auto _e = born(); _o->born = _e; }
 }
 
 inline flatbuffers::Offset<RecordEnds> RecordEnds::Pack(flatbuffers::FlatBufferBuilder &_fbb, const RecordEndsT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -6413,11 +6559,13 @@
   auto _worker = _o->worker.empty() ? 0 : _fbb.CreateString(_o->worker);
   auto _ends = _o->ends.size() ? _fbb.CreateVector<flatbuffers::Offset<paddlepier::work::RunEnd>> (_o->ends.size(), [](size_t i, _VectorArgs *__va) { return CreateRunEnd(*__va->__fbb, __va->__o->ends[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _hasAnswered = _o->hasAnswered;
+  auto _born = _o->born;
   return paddlepier::work::CreateRecordEnds(
       _fbb,
       _worker,
       _ends,
-      _hasAnswered);
+      _hasAnswered,
+      _born);
 }
 
 inline RegisterWorkerT::RegisterWorkerT(const RegisterWorkerT &o)
@@ -6429,7 +6577,8 @@
         capacity((o.capacity) ? new paddlepier::work::Demand(*o.capacity) : nullptr),
         labels(o.labels),
         isDraining(o.isDraining),
-        sequence(o.sequence) {
+        sequence(o.sequence),
+        born(o.born) {
 }
 
 inline RegisterWorkerT &RegisterWorkerT::operator=(RegisterWorkerT o) FLATBUFFERS_NOEXCEPT {
@@ -6442,6 +6591,7 @@
   std::swap(labels, o.labels);
   std::swap(isDraining, o.isDraining);
   std::swap(sequence, o.sequence);
+  std::swap(born, o.born);
   return *this;
 }
 
@@ -6463,6 +6613,7 @@
   { auto _e = labels(); if (_e) { _o->labels.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->labels[_i] = _e->Get(_i)->str(); } } }
   { auto _e = isDraining(); _o->isDraining = _e; }
   { auto _e = sequence(); _o->sequence = _e; }
+  { auto _e = born(); _o->born = _e; }
 }
 
 inline flatbuffers::Offset<RegisterWorker> RegisterWorker::Pack(flatbuffers::FlatBufferBuilder &_fbb, const RegisterWorkerT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -6482,6 +6633,7 @@
   auto _labels = _o->labels.size() ? _fbb.CreateVectorOfStrings(_o->labels) : 0;
   auto _isDraining = _o->isDraining;
   auto _sequence = _o->sequence;
+  auto _born = _o->born;
   return paddlepier::work::CreateRegisterWorker(
       _fbb,
       _id,
@@ -6492,20 +6644,28 @@
       _capacity,
       _labels,
       _isDraining,
-      _sequence);
+      _sequence,
+      _born);
 }
 
 inline RemoveWorkerT::RemoveWorkerT(const RemoveWorkerT &o)
       : id(o.id),
-        end(o.end) {
+        end(o.end),
+        born(o.born),
+        nextBorn(o.nextBorn) {
   lost.reserve(o.lost.size());
   for (const auto &lost_ : o.lost) { lost.emplace_back((lost_) ? new paddlepier::work::RunEndT(*lost_) : nullptr); }
+  moved.reserve(o.moved.size());
+  for (const auto &moved_ : o.moved) { moved.emplace_back((moved_) ? new paddlepier::work::RunEndT(*moved_) : nullptr); }
 }
 
 inline RemoveWorkerT &RemoveWorkerT::operator=(RemoveWorkerT o) FLATBUFFERS_NOEXCEPT {
   std::swap(id, o.id);
   std::swap(end, o.end);
   std::swap(lost, o.lost);
+  std::swap(born, o.born);
+  std::swap(nextBorn, o.nextBorn);
+  std::swap(moved, o.moved);
   return *this;
 }
 
@@ -6521,6 +6681,9 @@
   { auto _e = id(); if (_e) _o->id = _e->str(); }
   { auto _e = end(); _o->end = _e; }
   { auto _e = lost(); if (_e) { _o->lost.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->lost[_i] = std::unique_ptr<paddlepier::work::RunEndT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = born(); _o->born = _e; }
+  { auto _e = nextBorn(); _o->nextBorn = _e; }
+  { auto _e = moved(); if (_e) { _o->moved.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->moved[_i] = std::unique_ptr<paddlepier::work::RunEndT>(_e->Get(_i)->UnPack(_resolver)); } } }
 }
 
 inline flatbuffers::Offset<RemoveWorker> RemoveWorker::Pack(flatbuffers::FlatBufferBuilder &_fbb, const RemoveWorkerT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -6534,11 +6697,17 @@
   auto _id = _o->id.empty() ? 0 : _fbb.CreateString(_o->id);
   auto _end = _o->end;
   auto _lost = _o->lost.size() ? _fbb.CreateVector<flatbuffers::Offset<paddlepier::work::RunEnd>> (_o->lost.size(), [](size_t i, _VectorArgs *__va) { return CreateRunEnd(*__va->__fbb, __va->__o->lost[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _born = _o->born;
+  auto _nextBorn = _o->nextBorn;
+  auto _moved = _o->moved.size() ? _fbb.CreateVector<flatbuffers::Offset<paddlepier::work::RunEnd>> (_o->moved.size(), [](size_t i, _VectorArgs *__va) { return CreateRunEnd(*__va->__fbb, __va->__o->moved[i].get(), __va->__rehasher); }, &_va ) : 0;
   return paddlepier::work::CreateRemoveWorker(
       _fbb,
       _id,
       _end,
-      _lost);
+      _lost,
+      _born,
+      _nextBorn,
+      _moved);
 }
 
 inline EntryT *Entry::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -6593,6 +6762,7 @@
   { auto _e = freshLosses(); _o->freshLosses = _e; }
   { auto _e = placedAtMillis(); _o->placedAtMillis = _e; }
   { auto _e = lastTries(); _o->lastTries = _e; }
+  { auto _e = born(); _o->born = _e; }
 }
 
 inline flatbuffers::Offset<TaskRecord> TaskRecord::Pack(flatbuffers::FlatBufferBuilder &_fbb, const TaskRecordT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -6614,6 +6784,7 @@
   auto _freshLosses = _o->freshLosses;
   auto _placedAtMillis = _o->placedAtMillis;
   auto _lastTries = _o->lastTries;
+  auto _born = _o->born;
   return paddlepier::work::CreateTaskRecord(
       _fbb,
       _index,
@@ -6626,7 +6797,8 @@
       _lostWorkers,
       _freshLosses,
       _placedAtMillis,
-      _lastTries);
+      _lastTries,
+      _born);
 }
 
 inline StepRecordT::StepRecordT(const StepRecordT &o)
@@ -7086,6 +7258,7 @@
   (void)_o;
   (void)_resolver;
   { auto _e = id(); if (_e) _o->id = _e->str(); }
+  { auto _e = born(); _o->born = _e; }
 }
 
 inline flatbuffers::Offset<WithdrawCall> WithdrawCall::Pack(flatbuffers::FlatBufferBuilder &_fbb, const WithdrawCallT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -7097,9 +7270,11 @@
   (void)_o;
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const WithdrawCallT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _id = _o->id.empty() ? 0 : _fbb.CreateString(_o->id);
+  auto _born = _o->born;
   return paddlepier::work::CreateWithdrawCall(
       _fbb,
-      _id);
+      _id,
+      _born);
 }
 
 inline ConfigureCallT::ConfigureCallT(const ConfigureCallT &o)
@@ -7470,6 +7645,7 @@
   { auto _e = timeoutMillis(); _o->timeoutMillis = _e; }
   { auto _e = order_type(); _o->order.type = _e; }
   { auto _e = order(); if (_e) _o->order.value = paddlepier::work::CarriedOrderUnion::UnPack(_e, order_type(), _resolver); }
+  { auto _e = born(); _o->born = _e; }
 }
 
 inline flatbuffers::Offset<CarryCall> CarryCall::Pack(flatbuffers::FlatBufferBuilder &_fbb, const CarryCallT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -7487,6 +7663,7 @@
   auto _timeoutMillis = _o->timeoutMillis;
   auto _order_type = _o->order.type;
   auto _order = _o->order.Pack(_fbb);
+  auto _born = _o->born;
   return paddlepier::work::CreateCarryCall(
       _fbb,
       _worker,
@@ -7495,7 +7672,8 @@
       _leaseEndOnWorkerClock,
       _timeoutMillis,
       _order_type,
-      _order);
+      _order,
+      _born);
 }
 
 inline CarriedRunT::CarriedRunT(const CarriedRunT &o)
@@ -7556,7 +7734,8 @@
 inline CarryReplyT::CarryReplyT(const CarryReplyT &o)
       : kind(o.kind),
         hasClock(o.hasClock),
-        clockMillis(o.clockMillis) {
+        clockMillis(o.clockMillis),
+        born(o.born) {
   running.reserve(o.running.size());
   for (const auto &running_ : o.running) { running.emplace_back((running_) ? new paddlepier::work::CarriedRunT(*running_) : nullptr); }
   ended.reserve(o.ended.size());
@@ -7569,6 +7748,7 @@
   std::swap(clockMillis, o.clockMillis);
   std::swap(running, o.running);
   std::swap(ended, o.ended);
+  std::swap(born, o.born);
   return *this;
 }
 
@@ -7586,6 +7766,7 @@
   { auto _e = clockMillis(); _o->clockMillis = _e; }
   { auto _e = running(); if (_e) { _o->running.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->running[_i] = std::unique_ptr<paddlepier::work::CarriedRunT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = ended(); if (_e) { _o->ended.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->ended[_i] = std::unique_ptr<paddlepier::work::RunEndT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = born(); _o->born = _e; }
 }
 
 inline flatbuffers::Offset<CarryReply> CarryReply::Pack(flatbuffers::FlatBufferBuilder &_fbb, const CarryReplyT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -7601,13 +7782,15 @@
   auto _clockMillis = _o->clockMillis;
   auto _running = _o->running.size() ? _fbb.CreateVector<flatbuffers::Offset<paddlepier::work::CarriedRun>> (_o->running.size(), [](size_t i, _VectorArgs *__va) { return CreateCarriedRun(*__va->__fbb, __va->__o->running[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _ended = _o->ended.size() ? _fbb.CreateVector<flatbuffers::Offset<paddlepier::work::RunEnd>> (_o->ended.size(), [](size_t i, _VectorArgs *__va) { return CreateRunEnd(*__va->__fbb, __va->__o->ended[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _born = _o->born;
   return paddlepier::work::CreateCarryReply(
       _fbb,
       _kind,
       _hasClock,
       _clockMillis,
       _running,
-      _ended);
+      _ended,
+      _born);
 }
 
 inline WorkReplyT::WorkReplyT(const WorkReplyT &o)
--- a/paddlepier/workload/job.cpp
+++ b/paddlepier/workload/job.cpp
@@ -248,7 +248,7 @@
     return !wanted.isDone && !wanted.hasRun() && run > wanted.lastRun;
 }
 
-void Job::place(const TaskKey &key, std::uint32_t run, const std::string &worker, std::int64_t nowMillis)
+void Job::place(const TaskKey &key, std::uint32_t run, const Life &worker, std::int64_t nowMillis)
 {
     Step &step = this->stepOf(key);
     Task &placed = step.tasks.at(key.index);
@@ -262,7 +262,16 @@
     this->jobState = work::JobState::Running;
 }
 
-bool Job::endRun(const TaskKey &key, std::uint32_t run, const std::string &worker, work::RunEndKind kind, const std::string &checkpoint, std::int64_t nowMillis)
+bool Job::moveRun(const TaskKey &key, std::uint32_t run, const Life &from, const Life &to)
+{
+    if (!this->hasTask(key) || this->task(key).worker != from || this->task(key).lastRun != run) {
+        return false;
+    }
+    this->taskOf(key).worker = to;
+    return true;
+}
+
+bool Job::endRun(const TaskKey &key, std::uint32_t run, const Life &worker, work::RunEndKind kind, const std::string &checkpoint, std::int64_t nowMillis)
 {
     if (!this->hasTask(key)) {
         return false;
@@ -271,7 +280,7 @@
     if (ended.worker != worker || ended.lastRun != run) {
         return false;
     }
-    ended.worker.clear();
+    ended.worker = {};
     Step &step = this->stepOf(key);
     --step.runningTasks;
     --this->underWay;
@@ -352,7 +361,7 @@
     }
 }
 
-bool Job::noteLoss(const TaskKey &key, const std::string &worker, bool isFresh, bool isOnlySuspect, std::int64_t nowMillis)
+bool Job::noteLoss(const TaskKey &key, const Life &worker, bool isFresh, bool isOnlySuspect, std::int64_t nowMillis)
 {
     if (!this->hasTask(key) || this->hasEnded() || this->task(key).isDone) {
         return false;
@@ -362,7 +371,7 @@
         this->forgetLosses(key);
         return false;
     }
-    task.lostWorkers.push_back(worker);
+    task.lostWorkers.push_back(worker.text());
     task.freshLosses += isFresh ? 1 : 0;
     const bool isShown = isOnlySuspect && task.lostWorkers.size() >= enoughLosses && task.freshLosses >= enoughFreshLosses;
     if (!isShown && task.lostWorkers.size() < mostLosses) {
--- a/paddlepier/workload/job.h
+++ b/paddlepier/workload/job.h
@@ -19,6 +19,7 @@
 #define PADDLEPIER_WORKLOAD_JOB_H
 
 #include "paddlepier/wire/workload_generated.h"
+#include "paddlepier/workload/life.h"
 #include "paddlepier/workload/taskkey.h"
 
 #include <cstddef>
@@ -53,8 +54,8 @@
     /** Highest run given out; 0 before the first. */
     std::uint32_t lastRun = 0;
     std::uint32_t failures = 0;
-    /** Worker of the run that may be under way; empty if there is none. */
-    std::string worker;
+    /** Life of the worker of the run that may be under way; without an id if there is none. */
+    Life worker;
     std::string checkpoint;
     /** Workers that were lost while it ran there; mostLosses at most. */
     std::vector<std::string> lostWorkers;
@@ -68,7 +69,7 @@
 
     bool hasRun() const
     {
-        return !this->worker.empty();
+        return !this->worker.id.empty();
     }
 
     /** A worker was lost under it: it may be the cause. */
@@ -154,9 +155,11 @@
 
     /** A run with this number may begin now. */
     bool mayPlace(const TaskKey &key, std::uint32_t run) const;
-    void place(const TaskKey &key, std::uint32_t run, const std::string &worker, std::int64_t nowMillis);
+    void place(const TaskKey &key, std::uint32_t run, const Life &worker, std::int64_t nowMillis);
+    /** The run that is under way at @p from turns out to be on the next life of that worker. @return whether it was that run */
+    bool moveRun(const TaskKey &key, std::uint32_t run, const Life &from, const Life &to);
     /** Ends the run that is under way; an end of any other run changes nothing. @return whether it was that run */
-    bool endRun(const TaskKey &key, std::uint32_t run, const std::string &worker, work::RunEndKind kind, const std::string &checkpoint, std::int64_t nowMillis);
+    bool endRun(const TaskKey &key, std::uint32_t run, const Life &worker, work::RunEndKind kind, const std::string &checkpoint, std::int64_t nowMillis);
     /** A run that was superseded has ended: done counts as the task's end, failed as an attempt. */
     void endSupersededRun(const TaskKey &key, std::uint32_t run, work::RunEndKind kind, std::int64_t nowMillis);
     void cancel(std::int64_t nowMillis);
@@ -168,7 +171,7 @@
      * @param isOnlySuspect  nothing else on the worker can have been the cause
      * @return whether the task is given up with that
      */
-    bool noteLoss(const TaskKey &key, const std::string &worker, bool isFresh, bool isOnlySuspect, std::int64_t nowMillis);
+    bool noteLoss(const TaskKey &key, const Life &worker, bool isFresh, bool isOnlySuspect, std::int64_t nowMillis);
     /** The task has shown that losses before weren't its doing. */
     void forgetLosses(const TaskKey &key);
     /** One worker more, or less, of which it isn't known whether it was lost under the task. */
--- a/paddlepier/workload/job_test.cpp
+++ b/paddlepier/workload/job_test.cpp
@@ -39,8 +39,8 @@
     {
         const std::uint32_t number = job.nextRun(task);
         REQUIRE(job.mayPlace(task, number));
-        job.place(task, number, "w1", 1000);
-        REQUIRE(job.endRun(task, number, "w1", end, "", 2000));
+        job.place(task, number, {"w1"}, 1000);
+        REQUIRE(job.endRun(task, number, {"w1"}, end, "", 2000));
     }
 
     work::JobSpecT spec;
@@ -65,11 +65,11 @@
     this->spec.steps.push_back(step(1));
     Job made = this->job();
     run(made, key(0, 0), work::RunEndKind::Superseded);
-    made.place(key(0, 0), 2, "w2", 1000);
+    made.place(key(0, 0), 2, {"w2"}, 1000);
     made.endSupersededRun(key(0, 0), 1, work::RunEndKind::Done, 3000);
     CHECK(made.state() == work::JobState::Completed);
     CHECK(made.runsUnderWay() == 1);
-    CHECK(made.endRun(key(0, 0), 2, "w2", work::RunEndKind::Stopped, "", 3100));
+    CHECK(made.endRun(key(0, 0), 2, {"w2"}, work::RunEndKind::Stopped, "", 3100));
     CHECK(made.state() == work::JobState::Completed);
     CHECK(made.runsUnderWay() == 0);
 }
@@ -100,10 +100,10 @@
 {
     this->spec.steps.push_back(step(1));
     Job made = this->job();
-    made.place(key(0, 0), 1, "w1", 1000);
+    made.place(key(0, 0), 1, {"w1"}, 1000);
     CHECK_FALSE(made.mayPlace(key(0, 0), 2));
-    CHECK_FALSE(made.endRun(key(0, 0), 1, "w2", work::RunEndKind::Done, "", 2000));
-    CHECK_FALSE(made.endRun(key(0, 0), 2, "w1", work::RunEndKind::Done, "", 2000));
+    CHECK_FALSE(made.endRun(key(0, 0), 1, {"w2"}, work::RunEndKind::Done, "", 2000));
+    CHECK_FALSE(made.endRun(key(0, 0), 2, {"w1"}, work::RunEndKind::Done, "", 2000));
     CHECK_FALSE(made.mayPlace(key(0, 0), 2));
 }
 
@@ -125,9 +125,9 @@
     this->spec.steps[0]->isGang = true;
     Job made = this->job();
     for (std::uint32_t index = 0; index < 3; ++index) {
-        made.place(key(0, index), 1, "w1", 1000);
+        made.place(key(0, index), 1, {"w1"}, 1000);
     }
-    CHECK(made.endRun(key(0, 1), 1, "w1", work::RunEndKind::Done, "", 2000));
+    CHECK(made.endRun(key(0, 1), 1, {"w1"}, work::RunEndKind::Done, "", 2000));
     CHECK(made.state() == work::JobState::Completed);
     CHECK(made.runsUnderWay() == 2);
 }
@@ -137,10 +137,10 @@
     this->spec.steps.push_back(step(2));
     this->spec.steps[0]->isGang = true;
     Job made = this->job();
-    made.place(key(0, 0), 1, "w1", 1000);
-    made.place(key(0, 1), 1, "w2", 1000);
-    made.endRun(key(0, 0), 1, "w1", work::RunEndKind::Failed, "", 2000);
-    made.endRun(key(0, 1), 1, "w2", work::RunEndKind::Failed, "", 2000);
+    made.place(key(0, 0), 1, {"w1"}, 1000);
+    made.place(key(0, 1), 1, {"w2"}, 1000);
+    made.endRun(key(0, 0), 1, {"w1"}, work::RunEndKind::Failed, "", 2000);
+    made.endRun(key(0, 1), 1, {"w2"}, work::RunEndKind::Failed, "", 2000);
     CHECK(made.state() == work::JobState::Running);
     CHECK(made.nextRun(key(0, 0)) == 2);
 }
@@ -165,12 +165,12 @@
     Job made = this->job();
     run(made, key(0, 0), work::RunEndKind::Done);
     run(made, key(0, 1), work::RunEndKind::Failed);
-    made.place(key(0, 2), 1, "w3", 1000);
+    made.place(key(0, 2), 1, {"w3"}, 1000);
     const Job again(made.record());
     CHECK(again.record().occurrences[0]->steps[0]->tasks.size() == 3);
     CHECK(again.task(key(0, 0)).isDone);
     CHECK(again.task(key(0, 1)).failures == 1);
-    CHECK(again.task(key(0, 2)).worker == "w3");
+    CHECK(again.task(key(0, 2)).worker.id == "w3");
     CHECK(again.runsUnderWay() == 1);
     CHECK(again.hasBegun());
 }
@@ -181,12 +181,12 @@
     Job made = this->job();
     CHECK(made.waitingTasks() == 3);
     run(made, key(0, 0), work::RunEndKind::Superseded);
-    made.place(key(0, 0), 2, "w2", 1000);
+    made.place(key(0, 0), 2, {"w2"}, 1000);
     CHECK(made.waitingTasks() == 2);
     made.endSupersededRun(key(0, 0), 1, work::RunEndKind::Done, 3000);
     // It is done and has a run.
     CHECK(made.waitingTasks() == 2);
-    CHECK(made.endRun(key(0, 0), 2, "w2", work::RunEndKind::Stopped, "", 3100));
+    CHECK(made.endRun(key(0, 0), 2, {"w2"}, work::RunEndKind::Stopped, "", 3100));
     CHECK(made.waitingTasks() == 2);
     run(made, key(0, 1), work::RunEndKind::Failed);
     CHECK(made.waitingTasks() == 2);
@@ -215,12 +215,12 @@
 {
     this->spec.steps.push_back(step(2));
     Job made = this->job();
-    made.place(key(0, 0), 1, "w1", 1000);
+    made.place(key(0, 0), 1, {"w1"}, 1000);
     run(made, key(0, 1), work::RunEndKind::Done);
     made.cancel(2500);
     // A run is under way: what is known of it is still needed.
     CHECK(Job(made.record()).runsUnderWay() == 1);
-    CHECK(made.endRun(key(0, 0), 1, "w1", work::RunEndKind::Stopped, "", 2600));
+    CHECK(made.endRun(key(0, 0), 1, {"w1"}, work::RunEndKind::Stopped, "", 2600));
     Job again(made.record());
     CHECK(again.state() == work::JobState::Cancelled);
     CHECK(again.isCancelled());
@@ -228,7 +228,7 @@
     CHECK(again.record().occurrences.empty());
     // What comes late changes it no more than the one that was never stored.
     CHECK_FALSE(again.mayPlace(key(0, 0), 2));
-    CHECK_FALSE(again.endRun(key(0, 0), 1, "w1", work::RunEndKind::Done, "", 2700));
+    CHECK_FALSE(again.endRun(key(0, 0), 1, {"w1"}, work::RunEndKind::Done, "", 2700));
     again.endSupersededRun(key(0, 0), 1, work::RunEndKind::Done, 2800);
     made.endSupersededRun(key(0, 0), 1, work::RunEndKind::Done, 2800);
     CHECK(again.state() == made.state());
--- a/paddlepier/workload/jobrecord.cpp
+++ b/paddlepier/workload/jobrecord.cpp
@@ -10,7 +10,7 @@
 
 flatbuffers::Offset<work::TaskRecord> packTask(flatbuffers::FlatBufferBuilder &builder, const Task &task, std::uint32_t index)
 {
-    const auto worker = builder.CreateString(task.worker);
+    const auto worker = builder.CreateString(task.worker.id);
     const auto checkpoint = builder.CreateString(task.checkpoint);
     const auto lostWorkers = task.lostWorkers.empty() ? 0 : builder.CreateVectorOfStrings(task.lostWorkers);
     return work::CreateTaskRecord(builder,
@@ -24,7 +24,8 @@
                                   lostWorkers,
                                   task.freshLosses,
                                   task.placedAtMillis,
-                                  task.lastTries);
+                                  task.lastTries,
+                                  task.worker.born);
 }
 
 Task unpackTask(const work::TaskRecordT &record)
@@ -34,7 +35,7 @@
     task.everStarted = record.everStarted;
     task.lastRun = record.lastRun;
     task.failures = record.failures;
-    task.worker = record.worker;
+    task.worker = {record.worker, record.born};
     task.checkpoint = record.checkpoint;
     task.lostWorkers = record.lostWorkers;
     task.freshLosses = record.freshLosses;
--- a/paddlepier/workload/losses.cpp
+++ b/paddlepier/workload/losses.cpp
@@ -24,11 +24,15 @@
 
 Outcome Workload::removeWorker(const work::RemoveWorkerT &command)
 {
-    const auto found = this->workerById.find(command.id);
-    if (found == this->workerById.end()) {
+    const Life life{command.id, command.born};
+    const auto found = this->workerByLife.find(life);
+    if (found == this->workerByLife.end()) {
         return {};
     }
     Outcome outcome;
+    for (const auto &run : command.moved) {
+        this->moveRun(life, {command.id, command.nextBorn}, *run);
+    }
     const std::set<TaskKey> lost = found->second.runs;
     if (command.end != work::LifeEnd::Left) {
         outcome.givenUp = this->countLosses(found->second, command);
@@ -39,11 +43,11 @@
         end.task = key.record();
         end.run = this->jobById.at(key.job).task(key).lastRun;
         end.kind = work::RunEndKind::WorkerLost;
-        if (this->endRun(command.id, end)) {
+        if (this->endRun(life, end)) {
             outcome.givenUp.push_back(key);
         }
     }
-    this->workerById.erase(command.id);
+    this->workerByLife.erase(life);
     return outcome;
 }
 
@@ -60,7 +64,7 @@
         if (job == this->jobById.end()) {
             return;
         }
-        if (job->second.noteLoss(key, command.id, isFresh, isOnlySuspect, this->appliedAt)) {
+        if (job->second.noteLoss(key, lifeOf(worker.registration), isFresh, isOnlySuspect, this->appliedAt)) {
             givenUp.push_back(key);
         }
         this->noteSuspect(key);
@@ -130,7 +134,7 @@
 
 void Workload::restoreSuspects()
 {
-    for (const auto &[id, worker] : this->workerById) {
+    for (const auto &[id, worker] : this->workerByLife) {
         for (const TaskKey &key : worker.lapsed) {
             const auto job = this->jobById.find(key.job);
             if (job != this->jobById.end()) {
--- a/paddlepier/workload/workload.cpp
+++ b/paddlepier/workload/workload.cpp
@@ -9,6 +9,8 @@
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
+#include <iterator>
+#include <limits>
 
 namespace paddlepier::workload
 {
@@ -204,8 +206,8 @@
 {
     const TaskKey key(*placement.task);
     const auto job = this->jobById.find(key.job);
-    const auto worker = this->workerById.find(placement.worker);
-    if (job == this->jobById.end() || worker == this->workerById.end() || !job->second.mayPlace(key, placement.run)) {
+    const auto worker = this->workerByLife.find(lifeOf(placement));
+    if (job == this->jobById.end() || worker == this->workerByLife.end() || !job->second.mayPlace(key, placement.run)) {
         return false;
     }
     const work::StepSpecT &step = job->second.stepSpec(key.step);
@@ -215,7 +217,7 @@
     reserve(worker->second, demandOf(step), 1);
     countRun(worker->second, step, 1);
     worker->second.runs.insert(key);
-    job->second.place(key, placement.run, placement.worker, this->appliedAt);
+    job->second.place(key, placement.run, worker->first, this->appliedAt);
     this->noteWaiting(job->second);
     return true;
 }
@@ -226,40 +228,41 @@
     end.task = std::make_unique<work::TaskKeyT>(*placement.task);
     end.run = placement.run;
     end.kind = work::RunEndKind::Void;
-    this->endRun(placement.worker, end);
+    this->endRun(lifeOf(placement), end);
 }
 
 Outcome Workload::recordEnds(const work::RecordEndsT &command)
 {
-    const auto worker = this->workerById.find(command.worker);
-    if (command.hasAnswered && worker != this->workerById.end()) {
+    const Life life{command.worker, command.born};
+    const auto worker = this->workerByLife.find(life);
+    if (command.hasAnswered && worker != this->workerByLife.end()) {
         this->settleLapses(worker->second);
     }
     Outcome outcome;
     for (const auto &end : command.ends) {
-        if (this->endRun(command.worker, *end)) {
+        if (this->endRun(life, *end)) {
             outcome.givenUp.emplace_back(*end->task);
         }
     }
     return outcome;
 }
 
-bool Workload::endRun(const std::string &workerId, const work::RunEndT &end)
+bool Workload::endRun(const Life &life, const work::RunEndT &end)
 {
-    const auto worker = this->workerById.find(workerId);
-    if (worker != this->workerById.end()) {
+    const auto worker = this->workerByLife.find(life);
+    if (worker != this->workerByLife.end()) {
         worker->second.lastSequence = std::max(worker->second.lastSequence, end.sequence);
     }
     const TaskKey key(*end.task);
-    if (worker != this->workerById.end()) {
+    if (worker != this->workerByLife.end()) {
         this->endSupersededRun(worker->second, key, end);
     }
     const auto job = this->jobById.find(key.job);
     const bool hadEnded = job == this->jobById.end() || job->second.hasEnded();
-    if (job == this->jobById.end() || !job->second.endRun(key, end.run, workerId, end.kind, end.checkpoint, this->appliedAt)) {
+    if (job == this->jobById.end() || !job->second.endRun(key, end.run, life, end.kind, end.checkpoint, this->appliedAt)) {
         return false;
     }
-    if (worker != this->workerById.end() && worker->second.runs.erase(key) > 0) {
+    if (worker != this->workerByLife.end() && worker->second.runs.erase(key) > 0) {
         const work::StepSpecT &step = job->second.stepSpec(key.step);
         const work::Demand demand = demandOf(step);
         countRun(worker->second, step, -1);
@@ -279,6 +282,26 @@
     return !hadEnded && job->second.failure().reason == work::JobFailureReason::WorkersLost;
 }
 
+void Workload::moveRun(const Life &from, const Life &to, const work::RunEndT &run)
+{
+    const TaskKey key(*run.task);
+    const auto source = this->workerByLife.find(from);
+    const auto target = this->workerByLife.find(to);
+    const auto job = this->jobById.find(key.job);
+    if (target == this->workerByLife.end() || job == this->jobById.end() || !job->second.moveRun(key, run.run, from, to)) {
+        return;
+    }
+    const work::StepSpecT &step = job->second.stepSpec(key.step);
+    const work::Demand demand = demandOf(step);
+    source->second.runs.erase(key);
+    reserve(source->second, demand, -1);
+    countRun(source->second, step, -1);
+    target->second.runs.insert(key);
+    // It is there already, whether there is room or not.
+    reserve(target->second, demand, 1);
+    countRun(target->second, step, 1);
+}
+
 void Workload::endSupersededRun(Worker &worker, const TaskKey &key, const work::RunEndT &end)
 {
     const auto found = worker.superseded.find(key);
@@ -299,7 +322,13 @@
 
 Outcome Workload::registerWorker(const work::RegisterWorkerT &command)
 {
-    Worker &worker = this->workerById[command.id];
+    const Life life = lifeOf(command);
+    const Worker *latest = this->findLatestWorker(command.id);
+    // Of a life that is over: its worker has started again since.
+    if (latest != nullptr && lifeOf(latest->registration).isAfter(life)) {
+        return {};
+    }
+    Worker &worker = this->workerByLife[life];
     // Held up on its way: a later announcement, of a smaller room perhaps, is in force.
     if (command.sequence < worker.registration.sequence) {
         return {};
@@ -382,15 +411,24 @@
     return found == this->jobById.end() ? nullptr : &found->second;
 }
 
-const Worker *Workload::findWorker(const std::string &id) const
+const Worker *Workload::findWorker(const Life &life) const
+{
+    const auto found = this->workerByLife.find(life);
+    return found == this->workerByLife.end() ? nullptr : &found->second;
+}
+
+const Worker *Workload::findLatestWorker(const std::string &id) const
 {
-    const auto found = this->workerById.find(id);
-    return found == this->workerById.end() ? nullptr : &found->second;
+    const auto next = this->workerByLife.upper_bound({id, std::numeric_limits<std::uint64_t>::max()});
+    if (next == this->workerByLife.begin() || std::prev(next)->first.id != id) {
+        return nullptr;
+    }
+    return &std::prev(next)->second;
 }
 
-const std::map<std::string, Worker> &Workload::workers() const
+const std::map<Life, Worker> &Workload::workers() const
 {
-    return this->workerById;
+    return this->workerByLife;
 }
 
 const std::set<std::string> &Workload::activeJobs() const
@@ -424,8 +462,8 @@
         jobs.push_back(job.pack(builder));
     }
     std::vector<flatbuffers::Offset<work::WorkerRecord>> workers;
-    workers.reserve(this->workerById.size());
-    for (const auto &[id, worker] : this->workerById) {
+    workers.reserve(this->workerByLife.size());
+    for (const auto &[life, worker] : this->workerByLife) {
         workers.push_back(packWorker(builder, worker));
     }
     const auto configuration = work::ChangeConfiguration::Pack(builder, &this->currentConfiguration);
@@ -444,7 +482,7 @@
         this->currentConfiguration = *snapshot.configuration;
     }
     for (const auto &record : snapshot.workers) {
-        Worker &worker = this->workerById[record->registration->id];
+        Worker &worker = this->workerByLife[lifeOf(*record->registration)];
         worker.registration = *record->registration;
         worker.lastSequence = record->lastSequence;
         for (const auto &copy : record->copies) {
@@ -463,8 +501,8 @@
             for (std::uint32_t step = 0; step < job.occurrences()[occurrence].steps.size(); ++step) {
                 const std::vector<Task> &tasks = job.occurrences()[occurrence].steps[step].tasks;
                 for (std::uint32_t index = 0; index < tasks.size(); ++index) {
-                    const auto worker = this->workerById.find(tasks[index].worker);
-                    if (worker != this->workerById.end()) {
+                    const auto worker = this->workerByLife.find(tasks[index].worker);
+                    if (worker != this->workerByLife.end()) {
                         worker->second.runs.insert({job.id(), occurrence, step, index});
                         reserve(worker->second, demandOf(job.stepSpec(step)), 1);
                         countRun(worker->second, job.stepSpec(step), 1);
--- a/paddlepier/workload/workload.h
+++ b/paddlepier/workload/workload.h
@@ -16,6 +16,7 @@
 #include "paddlepier/base/error.h"
 #include "paddlepier/wire/workload_generated.h"
 #include "paddlepier/workload/job.h"
+#include "paddlepier/workload/life.h"
 
 #include <cstdint>
 #include <deque>
@@ -95,8 +96,10 @@
     const work::QueueSpecT *findQueue(std::string_view host, std::string_view path) const;
     const work::ServiceSpecT *findService(std::string_view name) const;
     const Job *findJob(const std::string &id) const;
-    const Worker *findWorker(const std::string &id) const;
-    const std::map<std::string, Worker> &workers() const;
+    const Worker *findWorker(const Life &life) const;
+    /** The latest life under @p id; null if there is none. O(log workers). */
+    const Worker *findLatestWorker(const std::string &id) const;
+    const std::map<Life, Worker> &workers() const;
     /** Jobs with tasks to run or runs under way. */
     const std::set<std::string> &activeJobs() const;
     /** Of these, the ones that haven't ended and have tasks without a run. */
@@ -119,7 +122,9 @@
     bool placeOne(const work::PlacementT &placement);
     void undoPlacement(const work::PlacementT &placement);
     /** @return whether the task is given up with that */
-    bool endRun(const std::string &worker, const work::RunEndT &end);
+    bool endRun(const Life &worker, const work::RunEndT &end);
+    /** A start meant for @p from has reached the next life of that worker. */
+    void moveRun(const Life &from, const Life &to, const work::RunEndT &run);
     void endSupersededRun(Worker &worker, const TaskKey &key, const work::RunEndT &end);
     /** Counts the loss of a worker for the tasks that it took along. @return those that are given up with that */
     std::vector<TaskKey> countLosses(const Worker &worker, const work::RemoveWorkerT &command);
@@ -139,7 +144,7 @@
 
     work::ChangeConfigurationT currentConfiguration;
     std::map<std::string, Job> jobById;
-    std::map<std::string, Worker> workerById;
+    std::map<Life, Worker> workerByLife;
     std::int64_t appliedAt = 0;
 
     // Derived, rebuilt by restore():
