--- a/testing/platformworkers.cpp
+++ b/testing/platformworkers.cpp
@@ -42,7 +42,7 @@
 
 constexpr const char *lifeHeader = "Paddlepier-Expected-Instance";
 
-execution::WorkerCall decode(const std::string &life, const http::Request &request)
+execution::WorkerCall decode(const workload::Life &life, const http::Request &request)
 {
     const Json body = Json::parse(request.body);
     execution::WorkerCall call;
@@ -73,6 +73,9 @@
     static const std::map<execution::AnswerKind, std::string> refusals{
         {execution::AnswerKind::Fenced, "fence"}, {execution::AnswerKind::OldRun, "old"}, {execution::AnswerKind::LeaseOver, "late"}};
     Json body;
+    if (answer.born > 0) {
+        body["born"] = answer.born;
+    }
     body["clock_ms"] = answer.clockMillis;
     body["running"] = Json::array();
     body["ended"] = Json::array();
@@ -116,7 +119,7 @@
     {
         const absl::MutexLock lock(&this->mutex);
         for (const Received &received : this->held) {
-            write(*received.exchange, this->workers.carryOut(controlNow(), received.call));
+            write(*received.exchange, this->carryOut(received));
         }
         for (auto &[name, seat] : this->seats) {
             servers.push_back(std::move(seat.server));
@@ -129,10 +132,11 @@
     }
 }
 
-void PlatformWorkers::add(const std::string &seat, const Endpoint &address)
+void PlatformWorkers::add(const std::string &seat, const Endpoint &address, bool keepsId)
 {
     const absl::MutexLock lock(&this->mutex);
     this->seats[seat].address = address;
+    this->seats[seat].keepsId = keepsId;
     this->begin(this->seats[seat], seat);
 }
 
@@ -148,10 +152,17 @@
 {
     LimitSettings limits;
     limits.trafficThreads = 1;
-    seat.life = absl::StrCat("i-", name, "-", ++seat.lives);
+    ++seat.lives;
+    if (seat.keepsId) {
+        seat.life = {absl::StrCat("i-", name), static_cast<std::uint64_t>(wallMicros() / 1000)};
+        this->workers.restart(controlNow(), seat.life.id);
+        this->workers.workers[seat.life.id].born = seat.life.born;
+    } else {
+        seat.life = {absl::StrCat("i-", name, "-", seat.lives)};
+    }
     seat.sequence = 0;
     seat.milliProcessors = wholeRoom;
-    this->workers.workers[seat.life].capacity = wholeRoom;
+    this->workers.workers[seat.life.id].capacity = wholeRoom;
     seat.isDraining = false;
     seat.leavesAt = absl::InfiniteFuture();
     seat.nextHeartbeat = absl::InfinitePast();
@@ -161,7 +172,7 @@
 
 std::unique_ptr<http::HttpServer> PlatformWorkers::end(Seat &seat)
 {
-    this->workers.crash(seat.life);
+    this->workers.crash(seat.life.id);
     return std::move(seat.server);
 }
 
@@ -204,7 +215,7 @@
     Seat &seat = this->seats.at(name);
     seat.milliProcessors = milliProcessors;
     const std::uint32_t change = ++seat.roomChanges;
-    std::uint32_t &counted = this->workers.workers[seat.life].capacity;
+    std::uint32_t &counted = this->workers.workers[seat.life.id].capacity;
     if (milliProcessors >= counted) {
         counted = milliProcessors;
         return;
@@ -213,7 +224,7 @@
         this->mutex.AssertHeld();
         // A room that grew and shrank again meanwhile counts from its last announcement.
         if (this->seats.at(name).life == life && this->seats.at(name).roomChanges == change) {
-            this->workers.workers[life].capacity = milliProcessors;
+            this->workers.workers[life.id].capacity = milliProcessors;
         }
     });
 }
@@ -242,7 +253,7 @@
     const Seat &seat = this->seats.at(name);
     const std::string_view meant = exchange->request().header(lifeHeader);
     // Nothing may wait at a server that is being stopped.
-    if (!seat.server || (!meant.empty() && meant != seat.life)) {
+    if (!seat.server || (!meant.empty() && meant != seat.life.id)) {
         exchange->answer({421, {}, ""});
         return;
     }
@@ -254,11 +265,21 @@
     }
 }
 
+execution::WorkerAnswer PlatformWorkers::carryOut(const Received &received)
+{
+    if (this->workers.workers[received.life.id].born != received.life.born) {
+        execution::WorkerAnswer answer;
+        answer.kind = execution::AnswerKind::OtherLife;
+        return answer;
+    }
+    return this->workers.carryOut(controlNow(), received.call);
+}
+
 void PlatformWorkers::handle(const Received &received)
 {
     const Timestamp now = controlNow();
     this->workers.advance(now);
-    const execution::WorkerAnswer answer = this->workers.carryOut(now, received.call);
+    const execution::WorkerAnswer answer = this->carryOut(received);
     const auto *poll = std::get_if<execution::PollOrder>(&received.call.order);
     if (poll != nullptr && answer.ended.empty() && answer.kind == execution::AnswerKind::Accepted) {
         this->held.push_back(received);
@@ -273,12 +294,12 @@
     if (trouble == WorkerTrouble::OrdersLate) {
         this->later(absl::ZeroDuration(), absl::Seconds(3), [this, received] {
             this->mutex.AssertHeld();
-            write(*received.exchange, this->workers.carryOut(controlNow(), received.call));
+            write(*received.exchange, this->carryOut(received));
         });
         return;
     }
     this->workers.advance(controlNow());
-    const execution::WorkerAnswer answer = this->workers.carryOut(controlNow(), received.call);
+    const execution::WorkerAnswer answer = this->carryOut(received);
     const bool isLost = trouble == WorkerTrouble::LosesAnswers;
     this->later(
         isLost ? lostFor : absl::Milliseconds(50), isLost ? lostFor : absl::Milliseconds(1500), [received, answer] { write(*received.exchange, answer); });
@@ -313,7 +334,7 @@
     this->announceDue();
     for (auto &[name, seat] : this->seats) {
         if (seat.server && seat.leavesAt <= controlNow()) {
-            this->send("DELETE", name, seat.life, "", heartbeatTries);
+            this->send("DELETE", name, seat.life, seat.keepsId ? Json{{"born", seat.life.born}}.dump() : "", heartbeatTries);
             ended.push_back(this->end(seat));
         }
     }
@@ -322,7 +343,7 @@
 void PlatformWorkers::endCrashed(std::vector<std::unique_ptr<http::HttpServer>> &ended)
 {
     for (auto &[name, seat] : this->seats) {
-        if (!seat.server || !this->workers.workers[seat.life].isOver) {
+        if (!seat.server || !this->workers.workers[seat.life.id].isOver) {
             continue;
         }
         ended.push_back(std::move(seat.server));
@@ -339,9 +360,9 @@
 {
     const std::vector<Received> waiting = std::exchange(this->held, {});
     for (const Received &received : waiting) {
-        const execution::FakeWorkers::Worker &worker = this->workers.workers[received.life];
-        if (worker.isOver || !worker.ended.empty() || received.due <= controlNow()) {
-            write(*received.exchange, this->workers.carryOut(controlNow(), received.call));
+        const execution::FakeWorkers::Worker &worker = this->workers.workers[received.life.id];
+        if (worker.isOver || worker.born != received.life.born || !worker.ended.empty() || received.due <= controlNow()) {
+            write(*received.exchange, this->carryOut(received));
         } else {
             this->held.push_back(received);
         }
@@ -370,19 +391,22 @@
               {"cold_remaining_ms", 0},
               {"capacity", {{"cpu", seat.milliProcessors}, {"requested_memory_mb", 100'000}}},
               {"labels", {"a", "r1"}},
-              {"clock_ms", execution::FakeWorkers::clock(controlNow())},
+              {"clock_ms", execution::FakeWorkers::clock(this->workers.workers[seat.life.id], controlNow())},
               {"sequence", ++seat.sequence}};
+    if (seat.keepsId) {
+        body["born"] = seat.life.born;
+    }
     if (seat.isDraining) {
         body["drain_remaining_ms"] = absl::ToInt64Milliseconds(drainTime);
     }
     return body.dump();
 }
 
-void PlatformWorkers::send(const std::string &method, const std::string &name, const std::string &life, const std::string &body, int tries)
+void PlatformWorkers::send(const std::string &method, const std::string &name, const workload::Life &life, const std::string &body, int tries)
 {
     http::OutgoingRequest request;
     request.method = method;
-    request.url = absl::StrCat("http://", this->control(), "/api/instances/", life);
+    request.url = absl::StrCat("http://", this->control(), "/api/instances/", life.id);
     request.body = body;
     request.timeout = heartbeatPatience;
     this->pool.start(request, [this, method, name, life, body, tries](const http::TransferResult &result) {
--- a/testing/platformworkers.h
+++ b/testing/platformworkers.h
@@ -1,7 +1,8 @@
 // Stand-ins of the platform's workers, over HTTP: each announces itself and keeps the rules of runs, leases and fencing
 // tokens (paddlepier/execution/fakeworkers.h), or is in one stated kind of trouble.
 //
-// A seat is an address; the lives of workers at one seat follow each other under new ids.
+// A seat is an address, at which one life of a worker follows another: under a new id each, or, where the seat keeps its id, under the
+// same one, told apart by when they were born.
 //
 // Example:
 //     PlatformWorkers workers([] { return "127.0.7.1:8161"; }, [](const auto &task) -> const auto & { return step; });
@@ -55,7 +56,7 @@
     PlatformWorkers &operator=(const PlatformWorkers &) = delete;
 
     /** Begins the first life at a seat. */
-    void add(const std::string &seat, const Endpoint &address);
+    void add(const std::string &seat, const Endpoint &address, bool keepsId = false);
     void revive(const std::string &seat);
     /** Ends the life at a seat; a heartbeat that it had sent arrives @p heartbeatLag later, if there is one. */
     void crash(const std::string &seat, std::optional<Duration> heartbeatLag);
@@ -75,7 +76,8 @@
 private:
     struct Seat {
         Endpoint address;
-        std::string life;
+        bool keepsId = false;
+        workload::Life life;
         std::uint32_t lives = 0;
         std::uint64_t sequence = 0;
         WorkerTrouble trouble = WorkerTrouble::None;
@@ -90,13 +92,15 @@
     };
 
     struct Received {
-        std::string life;
+        workload::Life life;
         execution::WorkerCall call;
         std::shared_ptr<http::Exchange> exchange;
         /** Of a poll: until when it waits for an end. */
         Timestamp due = absl::InfinitePast();
     };
 
+    /** An order that comes to be carried out later finds its life over; nothing of it reaches the next one. */
+    execution::WorkerAnswer carryOut(const Received &received) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     void begin(Seat &seat, const std::string &name) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     std::unique_ptr<http::HttpServer> end(Seat &seat) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     void receive(const std::string &name, const std::shared_ptr<http::Exchange> &exchange);
@@ -110,7 +114,7 @@
     void answerHeld() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     void announceDue() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     std::string announcementOf(Seat &seat) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
-    void send(const std::string &method, const std::string &name, const std::string &life, const std::string &body, int tries);
+    void send(const std::string &method, const std::string &name, const workload::Life &life, const std::string &body, int tries);
 
     const std::function<std::string()> control;
     absl::Mutex mutex;
