--- a/paddlepier/base/jsonfields.cpp
+++ b/paddlepier/base/jsonfields.cpp
@@ -65,6 +65,18 @@
     return number;
 }
 
+std::uint64_t strictNumberOf(const Json &object, const char *name, std::uint64_t most)
+{
+    const Json *value = find(object, name);
+    if (value == nullptr) {
+        return 0;
+    }
+    if (!value->is_number_unsigned() || value->get<std::uint64_t>() == 0 || value->get<std::uint64_t>() > most) {
+        throw InvalidArgumentError(absl::StrCat(name, ": not a whole number from 1 to ", most));
+    }
+    return value->get<std::uint64_t>();
+}
+
 std::uint32_t smallNumberOf(const Json &object, const char *name, std::uint32_t fallback)
 {
     return static_cast<std::uint32_t>(numberOf(object, name, fallback));
--- a/paddlepier/base/jsonfields.h
+++ b/paddlepier/base/jsonfields.h
@@ -35,6 +35,8 @@
 const Json *find(const Json &object, const char *name);
 
 std::uint64_t numberOf(const Json &object, const char *name, std::uint64_t fallback = 0, std::uint64_t most = mostSmallNumber);
+/** The same without a fraction, however it is written, and from 1; 0 if it is missing. */
+std::uint64_t strictNumberOf(const Json &object, const char *name, std::uint64_t most);
 std::uint32_t smallNumberOf(const Json &object, const char *name, std::uint32_t fallback = 0);
 double realOf(const Json &object, const char *name, double fallback);
 bool flagOf(const Json &object, const char *name);
--- a/paddlepier/cluster/announcementfault.h
+++ b/paddlepier/cluster/announcementfault.h
@@ -47,6 +47,25 @@
     AnnouncementFault reason;
 };
 
+/**
+ * What @p read gives.
+ *
+ * @throws InvalidAnnouncementError with the fault that its failure stands for
+ */
+template<typename Read>
+auto readAnnouncement(Read read)
+{
+    try {
+        return read();
+    } catch (const MalformedBodyError &error) {
+        throw InvalidAnnouncementError(AnnouncementFault::Unreadable, error.what());
+    } catch (const InvalidAnnouncementError &) {
+        throw;
+    } catch (const InvalidArgumentError &error) {
+        throw InvalidAnnouncementError(AnnouncementFault::FieldInvalid, error.what());
+    }
+}
+
 /** @throws InvalidAnnouncementError if a name, the address or the number of an announcement can't be a worker's */
 void checkAnnouncement(const work::AnnounceCallT &call);
 
--- a/paddlepier/workload/workload.cpp
+++ b/paddlepier/workload/workload.cpp
@@ -23,72 +23,8 @@
     return {text.data(), text.size()};
 }
 
-/** Room that a task takes; what fills uses processors that others leave. */
-work::Demand demandOf(const work::StepSpecT &step)
-{
-    return {step.isFilling ? 0 : step.demand->milliProcessors(), step.demand->memoryMegabytes(), step.demand->accelerators()};
-}
-
-void reserve(Worker &worker, const work::Demand &demand, int sign)
-{
-    const auto change = static_cast<std::uint64_t>(static_cast<std::int64_t>(sign));
-    worker.reservedMilliProcessors += change * demand.milliProcessors();
-    worker.reservedMemoryMegabytes += change * demand.memoryMegabytes();
-    worker.reservedAccelerators += change * demand.accelerators();
-}
-
-void countRun(Worker &worker, const work::StepSpecT &step, int sign)
-{
-    const auto change = static_cast<std::uint32_t>(sign);
-    worker.servingRuns += step.targetLatencyMillis > 0 ? change : 0;
-    worker.fillingRuns += step.isFilling ? change : 0;
-    worker.costlyRuns += step.isLasting || step.isGang ? change : 0;
-}
-
-flatbuffers::Offset<work::WorkerRecord> packWorker(flatbuffers::FlatBufferBuilder &builder, const Worker &worker)
-{
-    std::vector<flatbuffers::Offset<work::CopyRecord>> copies;
-    for (const auto &[key, run] : worker.superseded) {
-        copies.push_back(work::CreateCopyRecord(builder, key.pack(builder), run.run, &run.demand));
-    }
-    std::vector<flatbuffers::Offset<work::TaskKey>> lapsed;
-    for (const TaskKey &key : worker.lapsed) {
-        lapsed.push_back(key.pack(builder));
-    }
-    const auto registration = work::RegisterWorker::Pack(builder, &worker.registration);
-    return work::CreateWorkerRecord(builder, registration, worker.lastSequence, builder.CreateVector(copies), builder.CreateVector(lapsed));
-}
-
 } // namespace
 
-bool Worker::hasRoomFor(const work::StepSpecT &step) const
-{
-    const work::Demand &demand = *step.demand;
-    const work::Demand &capacity = *this->registration.capacity;
-    const std::uint64_t processors = step.isFilling ? 0 : demand.milliProcessors();
-    return this->reservedMilliProcessors + processors <= capacity.milliProcessors()
-           && this->reservedMemoryMegabytes + demand.memoryMegabytes() <= capacity.memoryMegabytes()
-           && this->reservedAccelerators + demand.accelerators() <= capacity.accelerators();
-}
-
-bool Worker::isOverRoom() const
-{
-    const work::Demand &capacity = *this->registration.capacity;
-    return this->reservedMilliProcessors > capacity.milliProcessors() || this->reservedMemoryMegabytes > capacity.memoryMegabytes()
-           || this->reservedAccelerators > capacity.accelerators();
-}
-
-std::int64_t Worker::freeMilliProcessors() const
-{
-    return static_cast<std::int64_t>(this->registration.capacity->milliProcessors()) - static_cast<std::int64_t>(this->reservedMilliProcessors);
-}
-
-bool Worker::hasLabel(std::string_view label) const
-{
-    const std::vector<std::string> &labels = this->registration.labels;
-    return std::find(labels.begin(), labels.end(), label) != labels.end();
-}
-
 Outcome Workload::failure(ErrorCode error, const std::string &message)
 {
     return {error, message, {}, {}};
@@ -214,9 +150,7 @@
     if (!worker->second.hasRoomFor(step) || worker->second.superseded.contains(key)) {
         return false;
     }
-    reserve(worker->second, demandOf(step), 1);
-    countRun(worker->second, step, 1);
-    worker->second.runs.insert(key);
+    worker->second.addRun(key, step);
     job->second.place(key, placement.run, worker->first, this->appliedAt);
     this->noteWaiting(job->second);
     return true;
@@ -262,14 +196,10 @@
     if (job == this->jobById.end() || !job->second.endRun(key, end.run, life, end.kind, end.checkpoint, this->appliedAt)) {
         return false;
     }
-    if (worker != this->workerByLife.end() && worker->second.runs.erase(key) > 0) {
-        const work::StepSpecT &step = job->second.stepSpec(key.step);
-        const work::Demand demand = demandOf(step);
-        countRun(worker->second, step, -1);
+    const work::StepSpecT &step = job->second.stepSpec(key.step);
+    if (worker != this->workerByLife.end() && worker->second.removeRun(key, step)) {
         if (end.kind == work::RunEndKind::Superseded) {
-            worker->second.superseded[key] = {end.run, demand};
-        } else {
-            reserve(worker->second, demand, -1);
+            worker->second.addSuperseded(key, {end.run, demandOf(step)});
         }
         if (end.kind == work::RunEndKind::Expired) {
             this->noteLapse(worker->second, key, end.atLoss);
@@ -292,14 +222,9 @@
         return;
     }
     const work::StepSpecT &step = job->second.stepSpec(key.step);
-    const work::Demand demand = demandOf(step);
-    source->second.runs.erase(key);
-    reserve(source->second, demand, -1);
-    countRun(source->second, step, -1);
-    target->second.runs.insert(key);
+    source->second.removeRun(key, step);
     // It is there already, whether there is room or not.
-    reserve(target->second, demand, 1);
-    countRun(target->second, step, 1);
+    target->second.addRun(key, step);
 }
 
 void Workload::endSupersededRun(Worker &worker, const TaskKey &key, const work::RunEndT &end)
@@ -308,8 +233,7 @@
     if (found == worker.superseded.end() || found->second.run != end.run) {
         return;
     }
-    reserve(worker, found->second.demand, -1);
-    worker.superseded.erase(found);
+    worker.removeSuperseded(key);
     const auto job = this->jobById.find(key.job);
     if (job != this->jobById.end()) {
         job->second.endSupersededRun(key, end.run, end.kind, this->appliedAt);
@@ -451,70 +375,4 @@
     return this->appliedAt;
 }
 
-std::string Workload::snapshot() const
-{
-    // Packed straight from the state, without a copy of it as records.
-    constexpr std::size_t usualJobBytes = 1024;
-    flatbuffers::FlatBufferBuilder builder(usualJobBytes * (1 + this->jobById.size()));
-    std::vector<flatbuffers::Offset<work::JobRecord>> jobs;
-    jobs.reserve(this->jobById.size());
-    for (const auto &[id, job] : this->jobById) {
-        jobs.push_back(job.pack(builder));
-    }
-    std::vector<flatbuffers::Offset<work::WorkerRecord>> workers;
-    workers.reserve(this->workerByLife.size());
-    for (const auto &[life, worker] : this->workerByLife) {
-        workers.push_back(packWorker(builder, worker));
-    }
-    const auto configuration = work::ChangeConfiguration::Pack(builder, &this->currentConfiguration);
-    const auto jobRecords = builder.CreateVector(jobs);
-    const auto workerRecords = builder.CreateVector(workers);
-    builder.Finish(work::CreateSnapshot(builder, this->appliedAt, configuration, jobRecords, workerRecords));
-    return std::string(reinterpret_cast<const char *>(builder.GetBufferPointer()), builder.GetSize());
-}
-
-void Workload::restore(const std::string &bytes)
-{
-    const auto snapshot = wire::unpack<work::SnapshotT>(bytes);
-    *this = Workload();
-    this->appliedAt = snapshot.atMillis;
-    if (snapshot.configuration) {
-        this->currentConfiguration = *snapshot.configuration;
-    }
-    for (const auto &record : snapshot.workers) {
-        Worker &worker = this->workerByLife[lifeOf(*record->registration)];
-        worker.registration = *record->registration;
-        worker.lastSequence = record->lastSequence;
-        for (const auto &copy : record->copies) {
-            worker.superseded[TaskKey(*copy->task)] = {copy->run, *copy->demand};
-            reserve(worker, *copy->demand, 1);
-        }
-        for (const auto &key : record->lapsed) {
-            worker.lapsed.emplace(*key);
-        }
-    }
-    for (const auto &record : snapshot.jobs) {
-        Job &job = this->jobById.emplace(record->id, Job(*record)).first->second;
-        this->active.insert(job.id());
-        this->noteJob(job);
-        for (std::uint32_t occurrence = 0; occurrence < job.occurrences().size(); ++occurrence) {
-            for (std::uint32_t step = 0; step < job.occurrences()[occurrence].steps.size(); ++step) {
-                const std::vector<Task> &tasks = job.occurrences()[occurrence].steps[step].tasks;
-                for (std::uint32_t index = 0; index < tasks.size(); ++index) {
-                    const auto worker = this->workerByLife.find(tasks[index].worker);
-                    if (worker != this->workerByLife.end()) {
-                        worker->second.runs.insert({job.id(), occurrence, step, index});
-                        reserve(worker->second, demandOf(job.stepSpec(step)), 1);
-                        countRun(worker->second, job.stepSpec(step), 1);
-                    }
-                }
-            }
-        }
-    }
-    this->restoreSuspects();
-    std::sort(this->ended.begin(), this->ended.end(), [this](const std::string &left, const std::string &right) {
-        return this->jobById.at(left).endedAtMillis() < this->jobById.at(right).endedAtMillis();
-    });
-}
-
 } // namespace paddlepier::workload
--- a/paddlepier/workload/workload.h
+++ b/paddlepier/workload/workload.h
@@ -17,6 +17,7 @@
 #include "paddlepier/wire/workload_generated.h"
 #include "paddlepier/workload/job.h"
 #include "paddlepier/workload/life.h"
+#include "paddlepier/workload/worker.h"
 
 #include <cstdint>
 #include <deque>
@@ -43,40 +44,6 @@
     std::vector<TaskKey> givenUp;
 };
 
-/** A run that was superseded by a copy of its task elsewhere, while it isn't known whether it is still under way. */
-struct SupersededRun {
-    std::uint32_t run = 0;
-    /** Room that it may still take. */
-    work::Demand demand;
-};
-
-/** One life of a worker. */
-struct Worker {
-    work::RegisterWorkerT registration;
-    /** Newest end that is recorded; the worker may forget ends up to it. */
-    std::uint64_t lastSequence = 0;
-    /** Runs that may be under way there. */
-    std::set<TaskKey> runs;
-    /** Invariant: no task is in both `runs` and `superseded`. */
-    std::map<TaskKey, SupersededRun> superseded;
-    /** Tasks whose run here was given up with its lease, while it isn't known whether the worker is lost or cut off. */
-    std::set<TaskKey> lapsed;
-    std::uint64_t reservedMilliProcessors = 0;
-    std::uint64_t reservedMemoryMegabytes = 0;
-    std::uint64_t reservedAccelerators = 0;
-    /** Of `runs`: those that owe their users a latency, and those that may disturb them. */
-    std::uint32_t servingRuns = 0;
-    std::uint32_t fillingRuns = 0;
-    /** Of `runs`: those whose end costs more than their own work: of lasting steps, and of gangs. */
-    std::uint32_t costlyRuns = 0;
-
-    bool hasRoomFor(const work::StepSpecT &step) const;
-    /** It has promised more room than it has: the room has shrunk since. Starts that wait would make that worse. */
-    bool isOverRoom() const;
-    std::int64_t freeMilliProcessors() const;
-    bool hasLabel(std::string_view label) const;
-};
-
 class Workload
 {
 public:
--- /dev/null
+++ b/paddlepier/workload/workloadsnapshot.cpp
@@ -0,0 +1,93 @@
+// A region's workload as a replicated state machine: how it is stored in a snapshot.
+
+#include "paddlepier/wire/codec.h"
+#include "paddlepier/workload/workload.h"
+
+#include <algorithm>
+
+namespace paddlepier::workload
+{
+
+namespace
+{
+
+flatbuffers::Offset<work::WorkerRecord> packWorker(flatbuffers::FlatBufferBuilder &builder, const Worker &worker)
+{
+    std::vector<flatbuffers::Offset<work::CopyRecord>> copies;
+    for (const auto &[key, run] : worker.superseded) {
+        copies.push_back(work::CreateCopyRecord(builder, key.pack(builder), run.run, &run.demand));
+    }
+    std::vector<flatbuffers::Offset<work::TaskKey>> lapsed;
+    for (const TaskKey &key : worker.lapsed) {
+        lapsed.push_back(key.pack(builder));
+    }
+    const auto registration = work::RegisterWorker::Pack(builder, &worker.registration);
+    return work::CreateWorkerRecord(builder, registration, worker.lastSequence, builder.CreateVector(copies), builder.CreateVector(lapsed));
+}
+
+} // namespace
+
+std::string Workload::snapshot() const
+{
+    // Packed straight from the state, without a copy of it as records.
+    constexpr std::size_t usualJobBytes = 1024;
+    flatbuffers::FlatBufferBuilder builder(usualJobBytes * (1 + this->jobById.size()));
+    std::vector<flatbuffers::Offset<work::JobRecord>> jobs;
+    jobs.reserve(this->jobById.size());
+    for (const auto &[id, job] : this->jobById) {
+        jobs.push_back(job.pack(builder));
+    }
+    std::vector<flatbuffers::Offset<work::WorkerRecord>> workers;
+    workers.reserve(this->workerByLife.size());
+    for (const auto &[life, worker] : this->workerByLife) {
+        workers.push_back(packWorker(builder, worker));
+    }
+    const auto configuration = work::ChangeConfiguration::Pack(builder, &this->currentConfiguration);
+    const auto jobRecords = builder.CreateVector(jobs);
+    const auto workerRecords = builder.CreateVector(workers);
+    builder.Finish(work::CreateSnapshot(builder, this->appliedAt, configuration, jobRecords, workerRecords));
+    return std::string(reinterpret_cast<const char *>(builder.GetBufferPointer()), builder.GetSize());
+}
+
+void Workload::restore(const std::string &bytes)
+{
+    const auto snapshot = wire::unpack<work::SnapshotT>(bytes);
+    *this = Workload();
+    this->appliedAt = snapshot.atMillis;
+    if (snapshot.configuration) {
+        this->currentConfiguration = *snapshot.configuration;
+    }
+    for (const auto &record : snapshot.workers) {
+        Worker &worker = this->workerByLife[lifeOf(*record->registration)];
+        worker.registration = *record->registration;
+        worker.lastSequence = record->lastSequence;
+        for (const auto &copy : record->copies) {
+            worker.addSuperseded(TaskKey(*copy->task), {copy->run, *copy->demand});
+        }
+        for (const auto &key : record->lapsed) {
+            worker.lapsed.emplace(*key);
+        }
+    }
+    for (const auto &record : snapshot.jobs) {
+        Job &job = this->jobById.emplace(record->id, Job(*record)).first->second;
+        this->active.insert(job.id());
+        this->noteJob(job);
+        for (std::uint32_t occurrence = 0; occurrence < job.occurrences().size(); ++occurrence) {
+            for (std::uint32_t step = 0; step < job.occurrences()[occurrence].steps.size(); ++step) {
+                const std::vector<Task> &tasks = job.occurrences()[occurrence].steps[step].tasks;
+                for (std::uint32_t index = 0; index < tasks.size(); ++index) {
+                    const auto worker = this->workerByLife.find(tasks[index].worker);
+                    if (worker != this->workerByLife.end()) {
+                        worker->second.addRun({job.id(), occurrence, step, index}, job.stepSpec(step));
+                    }
+                }
+            }
+        }
+    }
+    this->restoreSuspects();
+    std::sort(this->ended.begin(), this->ended.end(), [this](const std::string &left, const std::string &right) {
+        return this->jobById.at(left).endedAtMillis() < this->jobById.at(right).endedAtMillis();
+    });
+}
+
+} // namespace paddlepier::workload
