--- a/paddlepier/cluster/workservice.cpp
+++ b/paddlepier/cluster/workservice.cpp
@@ -308,8 +308,12 @@
 std::optional<workload::Life> WorkService::leavingLife(Timestamp now, const work::WithdrawCallT &call) const
 {
     const workload::Worker *latest = this->node.state().findLatestWorker(call.id);
-    if (call.born > 0 || latest == nullptr || latest->registration.born == 0) {
-        return workload::Life{call.id, call.born};
+    if (call.born > 0) {
+        const workload::Life life{call.id, call.born};
+        return this->node.state().findWorker(life) == nullptr ? std::nullopt : std::optional(life);
+    }
+    if (latest == nullptr || latest->registration.born == 0) {
+        return workload::Life{call.id};
     }
     // It may be late, from an earlier life: only one that was about to leave can have sent it.
     const workload::Life life = workload::lifeOf(latest->registration);
@@ -320,7 +324,7 @@
 {
     const std::optional<workload::Life> life = this->leavingLife(now, call);
     if (!life) {
-        log::info("workers", "worker.left-before", {{"worker", call.id}, {"born", call.born}});
+        log::info("workers", "withdrawal.late", {{"worker", workload::Life{call.id, call.born}.text()}});
         done(answer(work::CallOutcome::Accepted));
         return;
     }
--- /dev/null
+++ b/paddlepier/workload/workload_test.cpp
@@ -0,0 +1,173 @@
+// Lives of workers in a region's workload: which records are of the life that is there, and what a snapshot keeps of them.
+
+#include "paddlepier/workload/applycommand.h"
+
+#include <catch2/catch.hpp>
+
+#include <memory>
+
+namespace paddlepier::workload
+{
+
+namespace
+{
+
+class LivesFixture
+{
+public:
+    LivesFixture()
+    {
+        work::ChangeConfigurationT configuration;
+        configuration.version = 1;
+        configuration.queues.emplace_back(std::make_unique<work::QueueSpecT>())->name = "quick";
+        this->apply(std::move(configuration));
+        work::SubmitJobT job;
+        job.id = "a";
+        job.queue = "quick";
+        job.spec = std::make_unique<work::JobSpecT>();
+        auto &step = job.spec->steps.emplace_back(std::make_unique<work::StepSpecT>());
+        step->count = 4;
+        step->demand = std::make_unique<work::Demand>(1000, 100, 0);
+        this->apply(std::move(job));
+    }
+
+    template<typename Table>
+    Outcome apply(Table table)
+    {
+        return applyCommand(this->state, 1000, std::move(table));
+    }
+
+    void announce(const Life &life, std::uint64_t sequence, std::uint32_t processors = 4000)
+    {
+        work::RegisterWorkerT registration;
+        registration.id = life.id;
+        registration.born = life.born;
+        registration.sequence = sequence;
+        registration.capacity = std::make_unique<work::Demand>(processors, 10'000, 0);
+        this->apply(std::move(registration));
+    }
+
+    void place(std::uint32_t index, const Life &life)
+    {
+        work::PlaceRunsT command;
+        auto &placement = command.placements.emplace_back(std::make_unique<work::PlacementT>());
+        placement->task = key(index).record();
+        placement->run = 1;
+        placement->worker = life.id;
+        placement->born = life.born;
+        this->apply(std::move(command));
+    }
+
+    void end(std::uint32_t index, const Life &life, std::uint64_t sequence)
+    {
+        work::RecordEndsT command;
+        command.worker = life.id;
+        command.born = life.born;
+        auto &run = command.ends.emplace_back(std::make_unique<work::RunEndT>());
+        run->task = key(index).record();
+        run->run = 1;
+        run->kind = work::RunEndKind::Done;
+        run->sequence = sequence;
+        this->apply(std::move(command));
+    }
+
+    static TaskKey key(std::uint32_t index)
+    {
+        return {"a", 0, 0, index};
+    }
+
+    const Task &task(std::uint32_t index) const
+    {
+        return this->state.findJob("a")->task(key(index));
+    }
+
+    Workload state;
+    const Life first{"w", 5000};
+    const Life second{"w", 9000};
+};
+
+} // namespace
+
+TEST_CASE_METHOD(LivesFixture, "announcementOfAnEarlierLife_isOfNone")
+{
+    this->announce(this->second, 1);
+    this->announce(this->first, 700, 1000);
+    this->announce({"w"}, 900, 1000);
+    REQUIRE(this->state.workers().size() == 1);
+    CHECK(this->state.findLatestWorker("w")->registration.capacity->milliProcessors() == 4000);
+    CHECK(this->state.findLatestWorker("v") == nullptr);
+}
+
+TEST_CASE_METHOD(LivesFixture, "laterLife_whateverItsSequence_countsItsEndsAnew")
+{
+    this->announce(this->first, 700);
+    this->place(0, this->first);
+    this->end(0, this->first, 57);
+    this->announce(this->second, 1);
+    REQUIRE(this->state.workers().size() == 2);
+    CHECK(this->state.findWorker(this->first)->lastSequence == 57);
+    CHECK(this->state.findWorker(this->second)->lastSequence == 0);
+    this->place(1, this->second);
+    this->end(1, this->first, 58); // of another life: not that run's
+    CHECK_FALSE(this->task(1).isDone);
+    this->end(1, this->second, 1);
+    CHECK(this->task(1).isDone);
+}
+
+TEST_CASE_METHOD(LivesFixture, "removalOfALife_movesTheRunsThatTheNextOneHas")
+{
+    this->announce(this->first, 1);
+    this->place(0, this->first);
+    this->place(1, this->first);
+    this->announce(this->second, 1);
+    work::RemoveWorkerT command;
+    command.id = "w";
+    command.born = this->first.born;
+    command.end = work::LifeEnd::Crashed;
+    command.nextBorn = this->second.born;
+    auto &moved = command.moved.emplace_back(std::make_unique<work::RunEndT>());
+    moved->task = key(0).record();
+    moved->run = 1;
+    for (const std::uint32_t index : {0, 1}) {
+        auto &lost = command.lost.emplace_back(std::make_unique<work::RunEndT>());
+        lost->task = key(index).record();
+        lost->run = 1;
+        lost->atLoss = work::RunAtLoss::Fresh;
+    }
+    this->apply(std::move(command));
+    CHECK(this->state.workers().size() == 1);
+    CHECK(this->task(0).worker == this->second);
+    CHECK(this->task(0).lostWorkers.empty());
+    CHECK(this->state.findWorker(this->second)->reservedMilliProcessors == 1000);
+    CHECK_FALSE(this->task(1).hasRun());
+    CHECK(this->task(1).lostWorkers == std::vector<std::string>{"w@5000"});
+}
+
+TEST_CASE_METHOD(LivesFixture, "snapshot_withTwoLivesOfAnId_restoresBoth")
+{
+    this->announce(this->first, 3);
+    this->place(0, this->first);
+    this->announce(this->second, 1);
+    this->place(1, this->second);
+    Workload again;
+    again.restore(this->state.snapshot());
+    REQUIRE(again.workers().size() == 2);
+    CHECK(again.findWorker(this->first)->runs == std::set<TaskKey>{key(0)});
+    CHECK(again.findWorker(this->second)->runs == std::set<TaskKey>{key(1)});
+    CHECK(again.findJob("a")->task(key(1)).worker == this->second);
+}
+
+TEST_CASE_METHOD(LivesFixture, "lifeOfAnOlderSnapshot_isTheEarliestOfItsId")
+{
+    this->announce({"w"}, 40);
+    this->place(0, {"w"});
+    Workload again;
+    again.restore(this->state.snapshot());
+    CHECK(again.findJob("a")->task(key(0)).worker == Life{"w"});
+    this->announce(this->first, 1);
+    CHECK(this->state.findLatestWorker("w")->registration.born == this->first.born);
+    CHECK(this->first.isAfter({"w"}));
+    CHECK_FALSE(this->first.isAfter({"v"}));
+}
+
+} // namespace paddlepier::workload
--- a/testing/soak/cell.cpp
+++ b/testing/soak/cell.cpp
@@ -64,7 +64,8 @@
         fake.fails = [this](const workload::TaskKey &task, std::uint32_t run) { return fails(this->checker.payloadOf(task.job), task, run); };
     });
     for (std::uint32_t worker = 0; worker < this->sizes.workers; ++worker) {
-        this->workers->add(workerHost(worker), {workerHost(worker), workerPort});
+        // Every other one starts again under the id that it had.
+        this->workers->add(workerHost(worker), {workerHost(worker), workerPort}, worker % 2 == 1);
     }
     for (const auto &instance : this->instances) {
         this->start(*instance);
