Tell why a task waits for long, and prove that none does without cause

A plan now has a name for each way in which it passes a task over (planning/waiting.h, each with what ends it). A step of which nothing was placed for 10 s is told with its reason, ten at once and again after 10 s, counted, and shown to who asks for the job's state.

The property in virtual time: after crashes under tasks, lives that start again under their ids, lost and late answers of workers and of the policy service, shrinking rooms, cuts and new leaders, every job has ended 60 s after the faults, and no rule was broken (100 cases).

--- a/paddlepier/cluster/workservice.cpp
+++ b/paddlepier/cluster/workservice.cpp
@@ -88,6 +88,7 @@
     , adviceCalls(processCounters.counter("advice_calls_total"))
     , lostWorkers(processCounters.counter("workers_lost_total"))
     , givenUpTasks(processCounters.counter("tasks_given_up_total"))
+    , longWaits(processCounters.counter("steps_waiting_long_total"))
     , workerCallTimes(processCounters.histogram("worker_call"))
     , dispatcher(workloadNode.state(), options, workloadNode.replica().currentTerm(), now)
     , isAlive(std::make_shared<bool>(true))
@@ -225,7 +226,7 @@
     }
     CallResult result = answer(work::CallOutcome::Accepted);
     result.reply.state = job->state();
-    result.reply.message = job->failure().text();
+    result.reply.message = job->hasEnded() ? job->failure().text() : this->dispatcher.waitOf(id);
     done(result);
 }
 
@@ -409,6 +410,7 @@
 void WorkService::step(Timestamp now)
 {
     execution::DispatchEffects effects = this->dispatcher.step(now, wallMicros() / 1000);
+    this->longWaits.add(static_cast<std::int64_t>(effects.longWaits));
     for (execution::Proposal &proposal : effects.proposals) {
         const auto *removal = proposal.command.AsRemoveWorker();
         this->lostWorkers.add(removal != nullptr && removal->end != work::LifeEnd::Left ? 1 : 0);
--- a/paddlepier/cluster/workservice.h
+++ b/paddlepier/cluster/workservice.h
@@ -85,6 +85,7 @@
     Counter &adviceCalls;
     Counter &lostWorkers;
     Counter &givenUpTasks;
+    Counter &longWaits;
     Histogram &workerCallTimes;
     execution::Dispatcher dispatcher;
     /** Lets callbacks find out that the term is over. */
--- a/paddlepier/execution/dispatcher.cpp
+++ b/paddlepier/execution/dispatcher.cpp
@@ -185,6 +185,7 @@
     this->driveRuns(now);
     this->reportSteps(now);
     this->planWork(now, wallMillis);
+    this->reportWaits(now, wallMillis);
     this->pollWorkers(now);
     return std::exchange(this->effects, DispatchEffects());
 }
--- a/paddlepier/execution/dispatcher.h
+++ b/paddlepier/execution/dispatcher.h
@@ -61,6 +61,8 @@
     std::vector<WorkerCall> calls;
     std::vector<Proposal> proposals;
     std::vector<AdviceQuestion> questions;
+    /** Steps that were found to have waited for long. */
+    std::size_t longWaits = 0;
 };
 
 /** What a later life under its id tells about the end of a life. */
@@ -98,6 +100,8 @@
      * queues are counted at once, several times a second at most.
      */
     std::uint32_t waitingJobs(const std::string &queue) const;
+    /** Why the job has waited for long; empty if it hasn't. */
+    std::string waitOf(const std::string &job) const;
 
 private:
     enum class ProposalKind { Place, RecordEnds, RemoveWorker };
@@ -156,6 +160,8 @@
     void expireLeases(Timestamp now);
     void drainWorkers(Timestamp now);
     void planWork(Timestamp now, std::int64_t wallMillis);
+    /** Tells of steps that have waited for long. */
+    void reportWaits(Timestamp now, std::int64_t wallMillis);
     /** Keeps the most urgent placements, as many as may be under way; gangs stay whole. */
     void limitPlacements(std::vector<work::PlacementT> &placements) const;
     void countWaitingJobs() const;
@@ -245,6 +251,7 @@
     Timestamp nextNeedlessCheck = absl::InfinitePast();
     Timestamp nextGangCheck = absl::InfinitePast();
     Timestamp nextReport = absl::InfinitePast();
+    Timestamp nextWaitReport = absl::InfinitePast();
     StepReports reports;
     bool mayBeNeedless = true;
     bool mayHaveOtherWorkers = true;
--- a/paddlepier/execution/dispatcherfixture.h
+++ b/paddlepier/execution/dispatcherfixture.h
@@ -42,6 +42,12 @@
         queue->name = "quick";
         queue->service = "pool";
         queue->maxAttempts = 3;
+        auto &advised = configuration.queues.emplace_back(std::make_unique<work::QueueSpecT>(*queue));
+        advised->name = "advised";
+        advised->advice = std::make_unique<work::AdvicePolicyT>();
+        advised->advice->decisionMillis = 50;
+        advised->advice->perWorkerMillis = 1;
+        advised->advice->validMillis = 2000;
         configuration.services.emplace_back(std::make_unique<work::ServiceSpecT>())->name = "pool";
         this->apply(std::move(configuration));
     }
@@ -63,6 +69,7 @@
         registration.address = address.empty() ? id : address;
         registration.capacity = std::make_unique<work::Demand>(processors, 10'000, 0);
         this->workers.workers[id].capacity = processors;
+        this->registrations[id] = registration;
         this->apply(std::move(registration));
     }
 
@@ -76,12 +83,21 @@
     /** The life that is there now announces itself. */
     void announce(const std::string &id)
     {
-        work::RegisterWorkerT registration = this->state.findLatestWorker(id)->registration;
+        work::RegisterWorkerT &registration = this->registrations.at(id);
+        // Each life counts its announcements from 1.
+        registration.sequence = registration.born == this->workers.workers[id].born ? registration.sequence + 1 : 1;
         registration.born = this->workers.workers[id].born;
         this->apply(registration);
         this->dispatcher->noteChange();
     }
 
+    /** The life that is there announces another room. */
+    void setRoom(const std::string &id, std::uint32_t processors)
+    {
+        this->registrations.at(id).capacity = std::make_unique<work::Demand>(processors, 10'000, 0);
+        this->announce(id);
+    }
+
     /** The life under @p id that was announced last. */
     workload::Life lifeOf(const std::string &id) const
     {
@@ -92,7 +108,7 @@
     {
         work::SubmitJobT command;
         command.id = id;
-        command.queue = "quick";
+        command.queue = this->queueOfJobs;
         command.spec = std::make_unique<work::JobSpecT>();
         for (std::uint32_t number = 0; number < steps; ++number) {
             auto &step = command.spec->steps.emplace_back(std::make_unique<work::StepSpecT>());
@@ -117,7 +133,7 @@
     {
         work::SubmitJobT command;
         command.id = id;
-        command.queue = "quick";
+        command.queue = this->queueOfJobs;
         command.spec = std::make_unique<work::JobSpecT>();
         auto &step = command.spec->steps.emplace_back(std::make_unique<work::StepSpecT>());
         step->count = tasks;
@@ -132,6 +148,7 @@
     {
         this->answers.clear();
         this->commits.clear();
+        this->advice.clear();
         this->dispatcher = std::make_unique<Dispatcher>(this->state, DispatchOptions(), ++this->term, this->now);
     }
 
@@ -158,11 +175,17 @@
 
     workload::Workload state;
     FakeWorkers workers;
+    /** What each worker announces. */
+    std::map<std::string, work::RegisterWorkerT> registrations;
     Weather weather;
     Timestamp now = absl::UnixEpoch() + absl::Hours(1);
     std::unique_ptr<Dispatcher> dispatcher;
     std::mt19937 random{7};
     Duration answerDelay = absl::Milliseconds(10);
+    /** Of jobs that are submitted now: `quick`, or `advised` where the policy service has to be asked. */
+    std::string queueOfJobs = "quick";
+    Duration adviceDelay = absl::ZeroDuration();
+    std::function<bool(const workload::StepKey &, const std::string &worker)> permits = [](const workload::StepKey &, const std::string &) { return true; };
     /** Sees every call before it is carried out. */
     std::function<void(const WorkerCall &)> onCall = [](const WorkerCall &) {};
     /** The same for every answer, before the dispatcher takes it. */
@@ -182,6 +205,11 @@
         std::uint64_t call;
         WorkerAnswer answer;
     };
+    struct Advice {
+        Timestamp at;
+        std::uint64_t question;
+        AdviceAnswer answer;
+    };
     struct Commit {
         Timestamp at;
         Proposal proposal;
@@ -209,6 +237,22 @@
         for (const WorkerCall &call : effects.calls) {
             this->send(call);
         }
+        for (const AdviceQuestion &question : effects.questions) {
+            const bool isLost = this->chance(this->weather.lostAfter);
+            this->advice.push_back({this->now + question.cost + this->adviceDelay, question.id, isLost ? AdviceAnswer() : this->adviceOn(question)});
+        }
+    }
+
+    AdviceAnswer adviceOn(const AdviceQuestion &question) const
+    {
+        AdviceAnswer answer;
+        answer.isAnswered = true;
+        for (const workload::Life &worker : question.workers) {
+            if (this->permits(question.step, worker.id)) {
+                answer.good.emplace_back().worker = worker.id;
+            }
+        }
+        return answer;
     }
 
     void send(const WorkerCall &call)
@@ -257,6 +301,11 @@
             commit = this->commits.erase(commit);
             this->dispatcher->takeOutcome(this->now, id, this->state.apply(entry));
         }
+        while (!this->advice.empty() && this->advice.front().at <= this->now) {
+            const Advice due = this->advice.front();
+            this->advice.pop_front();
+            this->dispatcher->takeAdvice(this->now, due.question, due.answer);
+        }
         for (auto answer = this->answers.begin(); answer != this->answers.end();) {
             if (answer->at > this->now) {
                 ++answer;
@@ -272,6 +321,8 @@
     std::uint64_t term = 0;
     std::deque<Late> late;
     std::deque<Answer> answers;
+    /** Answered one after the other. */
+    std::deque<Advice> advice;
     std::deque<Commit> commits;
 };
 
--- a/paddlepier/execution/placing.cpp
+++ b/paddlepier/execution/placing.cpp
@@ -33,6 +33,9 @@
 /** A plan is made at least this often, for what only time changes: due occurrences, tickets, waiting periods. */
 constexpr Duration planInterval = absl::Milliseconds(200);
 
+/** How often steps are looked through that may have waited for long; some 2 ms with 1,100 workers. */
+constexpr Duration waitReportInterval = absl::Seconds(2);
+
 } // namespace
 
 void Dispatcher::planWork(Timestamp now, std::int64_t wallMillis)
@@ -69,6 +72,28 @@
     this->propose(ProposalKind::Place, {}, std::move(made));
 }
 
+void Dispatcher::reportWaits(Timestamp now, std::int64_t wallMillis)
+{
+    if (now < this->nextWaitReport) {
+        return;
+    }
+    this->nextWaitReport = now + waitReportInterval;
+    const std::vector<planning::LongWait> waits = this->planner.lookForLongWaits(now, wallMillis);
+    this->effects.longWaits += waits.size();
+    for (const planning::LongWait &wait : waits) {
+        log::info(
+            "dispatch",
+            "step.waits",
+            {{"step", wait.step.text()}, {"tasks", wait.tasks}, {"seconds", absl::ToInt64Seconds(wait.waited)}, {"reason", planning::nameOf(wait.reason)}});
+    }
+}
+
+std::string Dispatcher::waitOf(const std::string &job) const
+{
+    const planning::LongWait *wait = this->planner.longWaitOf(job);
+    return wait == nullptr ? "" : absl::StrCat("step ", wait->step.text(), " waits: ", planning::nameOf(wait->reason));
+}
+
 void Dispatcher::limitPlacements(std::vector<work::PlacementT> &placements) const
 {
     std::size_t kept = mostStartsUnderWay - std::min(this->startsUnderWay, mostStartsUnderWay);
--- a/paddlepier/planning/planner.cpp
+++ b/paddlepier/planning/planner.cpp
@@ -27,6 +27,7 @@
     , keeper(workloadState, runTracks, this->prospects, this->rooms)
     , asking(this->rooms, this->keeper, book)
     , makingWay(workloadState, runTracks, this->prospects, this->rooms, book)
+    , waits(workloadState, setbacks, book, this->order, this->rooms, this->probation)
 {
 }
 
@@ -57,6 +58,16 @@
     return plan;
 }
 
+std::vector<LongWait> Planner::lookForLongWaits(Timestamp now, std::int64_t wallMillis)
+{
+    return this->waits.look(now, wallMillis, this->views, this->advice);
+}
+
+const LongWait *Planner::longWaitOf(const std::string &job) const
+{
+    return this->waits.find(job);
+}
+
 bool Planner::mayAct(Timestamp now, const WantedStep &wanted) const
 {
     const bool needsAdvice = wanted.job->queue().advice != nullptr;
--- a/paddlepier/planning/planner.h
+++ b/paddlepier/planning/planner.h
@@ -33,6 +33,7 @@
 #include "paddlepier/planning/rooms.h"
 #include "paddlepier/planning/steporder.h"
 #include "paddlepier/planning/suitability.h"
+#include "paddlepier/planning/waiting.h"
 #include "paddlepier/workload/workload.h"
 
 #include <cstdint>
@@ -64,6 +65,11 @@
     /** @param wallMillis  milliseconds since 1970 */
     Plan plan(Timestamp now, std::int64_t wallMillis);
 
+    /** Steps that have waited for long, and why; see waiting.h. */
+    std::vector<LongWait> lookForLongWaits(Timestamp now, std::int64_t wallMillis);
+    /** The wait of @p job that was found last and lasts; null if there is none. */
+    const LongWait *longWaitOf(const std::string &job) const;
+
     /** Drops what is known of jobs that @p isOver says to have ended; O(steps). */
     template<typename Predicate>
     void forgetJobs(Predicate isOver)
@@ -104,6 +110,7 @@
     RoomKeeper keeper;
     AdviceAsking asking;
     MakingWay makingWay;
+    WaitWatch waits;
     std::vector<Choice> choices;
 };
 
