--- a/paddlepier/planning/advicebook.h
+++ b/paddlepier/planning/advicebook.h
@@ -100,7 +100,7 @@
 
     static Standing standingOf(Timestamp now, const Word &word);
 
-    absl::flat_hash_map<workload::Life, std::uint32_t> numbers;
+    absl::flat_hash_map<workload::Life, std::uint32_t, workload::LifeHash> numbers;
     absl::flat_hash_map<workload::StepKey, StepAdvice, workload::StepKeyHash> steps;
     std::map<std::uint64_t, Pending> pending;
     std::map<std::string, Share> shares;
--- a/paddlepier/planning/rooms.h
+++ b/paddlepier/planning/rooms.h
@@ -75,7 +75,7 @@
     void numberDataCentres();
     void countTasks(const WantedStep &wanted);
     std::vector<Room> rooms;
-    absl::flat_hash_map<workload::Life, std::uint32_t> byWorker;
+    absl::flat_hash_map<workload::Life, std::uint32_t, workload::LifeHash> byWorker;
     std::vector<std::uint32_t> byAdviceNumber;
     std::vector<std::string_view> services;
     std::vector<std::string_view> dataCentres;
--- a/paddlepier/workload/life.h
+++ b/paddlepier/workload/life.h
@@ -17,11 +17,13 @@
 
 #include "paddlepier/wire/workload_generated.h"
 
+#include <absl/hash/hash.h>
 #include <absl/strings/str_cat.h>
 
+#include <compare>
+#include <cstddef>
 #include <cstdint>
 #include <string>
-#include <utility>
 
 namespace paddlepier::workload
 {
@@ -44,11 +46,13 @@
     {
         return this->born == 0 ? this->id : absl::StrCat(this->id, "@", this->born);
     }
+};
 
-    template<typename Hash>
-    friend Hash AbslHashValue(Hash hash, const Life &life)
+/** For hash tables. */
+struct LifeHash {
+    std::size_t operator()(const Life &life) const
     {
-        return Hash::combine(std::move(hash), life.id, life.born);
+        return absl::HashOf(life.id, life.born);
     }
 };
 
