--- a/paddlepier/cluster/carriers.h
+++ b/paddlepier/cluster/carriers.h
@@ -47,8 +47,10 @@
     };
 
     std::map<std::string, Carrier> carriers;
-    /** By id, since it is about the way to a worker, whichever of its lives is there: how often it wasn't reached; each time another instance comes to be
-     * chosen, every other time of any data centre. */
+    /**
+     * How often workers weren't reached; each time another instance comes to be chosen, every other time of any data centre. By id,
+     * since it is about the way to a worker, whichever of its lives is there.
+     */
     std::map<std::string, std::uint32_t> unreached;
 };
 
--- a/paddlepier/execution/polls.cpp
+++ b/paddlepier/execution/polls.cpp
@@ -89,6 +89,7 @@
     }
     const bool isReachable = view.isReachable();
     PollOrder order;
+    // Another life under the id would forget ends of its own by these numbers, and nobody would hear of them.
     order.lastSequence = view.isSurelySame(now) ? record->lastSequence : 0;
     order.wait = !isReachable ? absl::ZeroDuration() : view.isContended ? contendedPollWait : this->isSlow ? slowPollWait : pollWait;
     if (!view.hasListed) {
