--- /dev/null
+++ b/paddlepier/cluster/authentication.cpp
@@ -0,0 +1,25 @@
+// Who a caller is, and which jobs it may see.
+
+#include "paddlepier/cluster/authentication.h"
+
+namespace paddlepier::cluster
+{
+
+std::optional<std::string> authenticate(const workload::Teams &teams, const work::QueueSpecT &queue, const std::string &key, CallerKeys keys)
+{
+    if (keys == CallerKeys::Ignored) {
+        return "";
+    }
+    const std::string *team = teams.findByKey(key);
+    if (team != nullptr) {
+        return *team;
+    }
+    return queue.isPublic ? std::optional<std::string>("") : std::nullopt;
+}
+
+bool maySee(const workload::Job &job, const work::QueueSpecT &queue, const std::string &team)
+{
+    return queue.isPublic || job.team().empty() || job.team() == team;
+}
+
+} // namespace paddlepier::cluster
--- /dev/null
+++ b/paddlepier/cluster/authentication_test.cpp
@@ -0,0 +1,69 @@
+// Who a caller is, and which jobs it may see.
+
+#include "paddlepier/cluster/authentication.h"
+
+#include <catch2/catch.hpp>
+
+namespace paddlepier::cluster
+{
+
+namespace
+{
+
+class AuthenticationFixture
+{
+public:
+    AuthenticationFixture()
+    {
+        work::ChangeConfigurationT configuration;
+        for (const char *name : {"red", "blue"}) {
+            auto &team = configuration.teams.emplace_back(std::make_unique<work::TeamSpecT>());
+            team->name = name;
+            team->keys = {std::string("key-") + name};
+        }
+        this->teams.configure(configuration);
+        this->open.isPublic = true;
+    }
+
+    workload::Job jobOf(const std::string &team) const
+    {
+        return {"a", this->closed, work::JobSpecT(), 0, team};
+    }
+
+    workload::Teams teams;
+    work::QueueSpecT closed;
+    work::QueueSpecT open;
+};
+
+} // namespace
+
+TEST_CASE_METHOD(AuthenticationFixture, "caller_whereKeysAreRequired_needsATeamsKey")
+{
+    CHECK(authenticate(this->teams, this->closed, "key-red", CallerKeys::Required) == "red");
+    CHECK_FALSE(authenticate(this->teams, this->closed, "key-green", CallerKeys::Required));
+    CHECK_FALSE(authenticate(this->teams, this->closed, "", CallerKeys::Required));
+    CHECK_FALSE(authenticate(workload::Teams(), this->closed, "key-red", CallerKeys::Required));
+}
+
+TEST_CASE_METHOD(AuthenticationFixture, "caller_ofAPublicQueue_needsNoKey")
+{
+    CHECK(authenticate(this->teams, this->open, "", CallerKeys::Required) == "");
+    CHECK(authenticate(this->teams, this->open, "key-green", CallerKeys::Required) == "");
+    CHECK(authenticate(this->teams, this->open, "key-blue", CallerKeys::Required) == "blue");
+}
+
+TEST_CASE_METHOD(AuthenticationFixture, "caller_whereKeysAreIgnored_isServedAsOfNoTeam")
+{
+    CHECK(authenticate(this->teams, this->closed, "key-red", CallerKeys::Ignored) == "");
+    CHECK(authenticate(this->teams, this->closed, "", CallerKeys::Ignored) == "");
+}
+
+TEST_CASE_METHOD(AuthenticationFixture, "job_ofATeam_isSeenByThatTeamAlone")
+{
+    CHECK(maySee(this->jobOf("red"), this->closed, "red"));
+    CHECK_FALSE(maySee(this->jobOf("red"), this->closed, "blue"));
+    CHECK(maySee(this->jobOf("red"), this->open, ""));
+    CHECK(maySee(this->jobOf(""), this->closed, "blue"));
+}
+
+} // namespace paddlepier::cluster
--- a/paddlepier/cluster/coreprocess.cpp
+++ b/paddlepier/cluster/coreprocess.cpp
@@ -94,7 +94,7 @@
         this->serviceTerm = term;
         this->service = std::make_unique<WorkService>(
             *this->node,
-            this->coreOptions.dispatch,
+            this->coreOptions.work,
             WorkerPort{[this](const execution::WorkerCall &call, std::function<void(execution::WorkerAnswer)> done) { this->carry(call, std::move(done)); }},
             [this](const std::string &instance, const work::AdviceCallT &call, Timestamp deadline, std::function<void(execution::AdviceAnswer)> done) {
                 this->askThrough(instance, call, deadline, std::move(done));
--- a/paddlepier/cluster/coreprocess.h
+++ b/paddlepier/cluster/coreprocess.h
@@ -19,7 +19,7 @@
 {
 
 struct CoreOptions {
-    execution::DispatchOptions dispatch;
+    WorkOptions work;
     /** The deployment starts for the first time: the replicas on the seeds form the group. */
     bool mayForm = false;
     /** Votes: twice the lost disks that must be borne, and one. */
--- a/paddlepier/cluster/workservice.cpp
+++ b/paddlepier/cluster/workservice.cpp
@@ -70,7 +70,7 @@
 } // namespace
 
 WorkService::WorkService(WorkloadNode &workloadNode,
-                         const execution::DispatchOptions &options,
+                         const WorkOptions &options,
                          WorkerPort workerPort,
                          AskThrough askThrough,
                          Post post,
@@ -78,6 +78,7 @@
                          Counters &processCounters,
                          Timestamp now)
     : node(workloadNode)
+    , callerKeys(options.callerKeys)
     , workers(std::move(workerPort))
     , askThroughInstance(std::move(askThrough))
     , postToControl(std::move(post))
@@ -89,8 +90,9 @@
     , lostWorkers(processCounters.counter("workers_lost_total"))
     , givenUpTasks(processCounters.counter("tasks_given_up_total"))
     , longWaits(processCounters.counter("steps_waiting_long_total"))
+    , teamsAtQuota(processCounters.counter("teams_at_quota_total"))
     , workerCallTimes(processCounters.histogram("worker_call"))
-    , dispatcher(workloadNode.state(), options, workloadNode.replica().currentTerm(), now)
+    , dispatcher(workloadNode.state(), options.dispatch, workloadNode.replica().currentTerm(), now)
     , isAlive(std::make_shared<bool>(true))
 {
 }
@@ -169,6 +171,11 @@
         done(answer(work::CallOutcome::UnknownQueue, "no queue has this host and path"));
         return;
     }
+    const std::optional<std::string> team = authenticate(this->node.state().teams(), *queue, call.key, this->callerKeys);
+    if (!team) {
+        done(answer(work::CallOutcome::Unauthenticated, call.key.empty() ? "this queue asks for a key" : "no team has this key"));
+        return;
+    }
     const std::string id = call.path.substr(queue->pathPrefix.size());
     if (id.empty() && call.action == work::JobAction::Show) {
         CallResult result = answer(work::CallOutcome::Accepted);
@@ -180,20 +187,22 @@
         done(answer(work::CallOutcome::Invalid, "a job's id has 16 hexadecimal digits"));
         return;
     }
+    const JobRequest request{*queue, id, *team};
     switch (call.action) {
     case work::JobAction::Submit:
-        return this->submit(*queue, id, call, done);
+        return this->submit(request, call, done);
     case work::JobAction::Show:
-        return this->show(*queue, id, done);
+        return this->show(request, done);
     case work::JobAction::Cancel:
-        return this->cancel(id, done);
+        return this->cancel(request, done);
     }
 }
 
-void WorkService::submit(const work::QueueSpecT &queue, const std::string &id, const work::JobCallT &call, const CallDone &done)
+void WorkService::submit(const JobRequest &request, const work::JobCallT &call, const CallDone &done)
 {
-    if (this->node.state().findJob(id) != nullptr) {
-        done(answer(work::CallOutcome::Accepted));
+    const auto &[queue, id, team] = request;
+    if (const workload::Job *known = this->node.state().findJob(id)) {
+        done(maySee(*known, queue, team) ? answer(work::CallOutcome::Accepted) : answer(work::CallOutcome::Refused, "another job has this id"));
         return;
     }
     const std::string problem = call.spec ? workload::problemOf(*call.spec) : "no job";
@@ -206,6 +215,7 @@
               "job.submitted",
               {{"job", id},
                {"queue", queue.name},
+               {"team", team},
                {"steps", call.spec->steps.size()},
                {"callers", call.spec->callersDataCentre},
                {"configuration", this->node.state().configuration().version}});
@@ -213,32 +223,34 @@
     work::SubmitJobT command;
     command.id = id;
     command.queue = queue.name;
+    command.team = team;
     command.spec = std::make_unique<work::JobSpecT>(*call.spec);
     this->proposeFor(toCommand(std::move(command)), answer(work::CallOutcome::Accepted).reply, done);
 }
 
-void WorkService::show(const work::QueueSpecT &queue, const std::string &id, const CallDone &done)
+void WorkService::show(const JobRequest &request, const CallDone &done)
 {
-    const workload::Job *job = this->node.state().findJob(id);
-    if (job == nullptr || job->queue().name != queue.name) {
+    const workload::Job *job = this->node.state().findJob(request.id);
+    if (job == nullptr || job->queue().name != request.queue.name || !maySee(*job, request.queue, request.team)) {
         done(answer(work::CallOutcome::UnknownJob, "no such job"));
         return;
     }
     CallResult result = answer(work::CallOutcome::Accepted);
     result.reply.state = job->state();
-    result.reply.message = job->hasEnded() ? job->failure().text() : this->dispatcher.waitOf(id);
+    result.reply.message = job->hasEnded() ? job->failure().text() : this->dispatcher.waitOf(request.id);
     done(result);
 }
 
-void WorkService::cancel(const std::string &id, const CallDone &done)
+void WorkService::cancel(const JobRequest &request, const CallDone &done)
 {
-    if (this->node.state().findJob(id) == nullptr) {
+    const workload::Job *job = this->node.state().findJob(request.id);
+    if (job == nullptr || !maySee(*job, request.queue, request.team)) {
         done(answer(work::CallOutcome::UnknownJob, "no such job"));
         return;
     }
-    log::info("jobs", "job.cancelled", {{"job", id}});
+    log::info("jobs", "job.cancelled", {{"job", request.id}});
     work::CancelJobT command;
-    command.id = id;
+    command.id = request.id;
     this->proposeFor(toCommand(std::move(command)), answer(work::CallOutcome::Accepted).reply, done);
 }
 
@@ -411,6 +423,7 @@
 {
     execution::DispatchEffects effects = this->dispatcher.step(now, wallMicros() / 1000);
     this->longWaits.add(static_cast<std::int64_t>(effects.longWaits));
+    this->teamsAtQuota.add(static_cast<std::int64_t>(effects.teamsAtQuota));
     for (execution::Proposal &proposal : effects.proposals) {
         const auto *removal = proposal.command.AsRemoveWorker();
         this->lostWorkers.add(removal != nullptr && removal->end != work::LifeEnd::Left ? 1 : 0);
--- a/paddlepier/cluster/workservice.h
+++ b/paddlepier/cluster/workservice.h
@@ -11,6 +11,7 @@
 #include "paddlepier/base/counters.h"
 #include "paddlepier/cluster/advicecallers.h"
 #include "paddlepier/cluster/announcementfault.h"
+#include "paddlepier/cluster/authentication.h"
 #include "paddlepier/cluster/ports.h"
 #include "paddlepier/cluster/workcalls.h"
 #include "paddlepier/execution/dispatcher.h"
@@ -34,11 +35,16 @@
 using AskThrough =
     std::function<void(const std::string &instance, const work::AdviceCallT &call, Timestamp deadline, std::function<void(execution::AdviceAnswer)> done)>;
 
+struct WorkOptions {
+    execution::DispatchOptions dispatch;
+    CallerKeys callerKeys = CallerKeys::Ignored;
+};
+
 class WorkService
 {
 public:
     WorkService(WorkloadNode &workloadNode,
-                const execution::DispatchOptions &options,
+                const WorkOptions &options,
                 WorkerPort workerPort,
                 AskThrough askThrough,
                 Post post,
@@ -56,9 +62,15 @@
 
 private:
     void handleJob(const work::JobCallT &call, const CallDone &done);
-    void submit(const work::QueueSpecT &queue, const std::string &id, const work::JobCallT &call, const CallDone &done);
-    void show(const work::QueueSpecT &queue, const std::string &id, const CallDone &done);
-    void cancel(const std::string &id, const CallDone &done);
+    /** What a caller asks of one job. */
+    struct JobRequest {
+        const work::QueueSpecT &queue;
+        std::string id;
+        std::string team;
+    };
+    void submit(const JobRequest &request, const work::JobCallT &call, const CallDone &done);
+    void show(const JobRequest &request, const CallDone &done);
+    void cancel(const JobRequest &request, const CallDone &done);
     /** What keeps an announcement from being believed, of what only the leader can tell. */
     std::optional<AnnouncementFault> faultOf(const work::AnnounceCallT &call) const;
     void announce(Timestamp now, const work::AnnounceCallT &call, const CallDone &done);
@@ -75,6 +87,7 @@
     void proposeFor(work::CommandUnion command, work::WorkReplyT reply, const CallDone &done);
 
     WorkloadNode &node;
+    const CallerKeys callerKeys;
     const WorkerPort workers;
     const AskThrough askThroughInstance;
     const Post postToControl;
@@ -86,6 +99,7 @@
     Counter &lostWorkers;
     Counter &givenUpTasks;
     Counter &longWaits;
+    Counter &teamsAtQuota;
     Histogram &workerCallTimes;
     execution::Dispatcher dispatcher;
     /** Lets callbacks find out that the term is over. */
--- /dev/null
+++ b/paddlepier/execution/cellload.cpp
@@ -0,0 +1,39 @@
+// How much of a cell's room is promised and at work, and what waits for it.
+
+#include "paddlepier/execution/cellload.h"
+
+namespace paddlepier::execution
+{
+
+CellLoad cellLoad(const workload::Workload &state, const WorkerViews &views, const RunTracks &tracks)
+{
+    CellLoad load;
+    for (const auto &[life, worker] : state.workers()) {
+        const auto view = views.find(life);
+        if (view == views.end() || !view->second.isReachable() || worker.registration.isDraining) {
+            continue;
+        }
+        ++load.usableWorkers;
+        load.milliProcessors += worker.registration.capacity->milliProcessors();
+        load.reserved += worker.reservedMilliProcessors;
+    }
+    for (const auto &[key, track] : tracks) {
+        if (track.phase == RunPhase::Running) {
+            load.working += workload::demandOf(state.findJob(key.job)->stepSpec(key.step)).milliProcessors();
+        }
+    }
+    for (const std::string &id : state.waitingJobs()) {
+        const workload::Job &job = *state.findJob(id);
+        for (const workload::Occurrence &occurrence : job.occurrences()) {
+            for (std::uint32_t number = 0; number < occurrence.steps.size(); ++number) {
+                const workload::Step &step = occurrence.steps[number];
+                const std::uint64_t tasks = step.openBefore == 0 ? step.waitingTasks : 0;
+                load.waitingTasks += tasks;
+                load.waitingDemand += tasks * workload::demandOf(job.stepSpec(number)).milliProcessors();
+            }
+        }
+    }
+    return load;
+}
+
+} // namespace paddlepier::execution
--- a/paddlepier/execution/dispatcher.cpp
+++ b/paddlepier/execution/dispatcher.cpp
@@ -62,8 +62,8 @@
 
 const char *nameOf(StopReason reason)
 {
-    static constexpr std::array<const char *, 9> names{
-        "none", "job-ended", "preempted", "stands-still", "worker-leaves", "start-unsettled", "disturbs", "gang-incomplete", "room-shrunk"};
+    static constexpr std::array<const char *, 10> names{
+        "none", "job-ended", "preempted", "stands-still", "worker-leaves", "start-unsettled", "disturbs", "gang-incomplete", "room-shrunk", "quota-lowered"};
     return names.at(static_cast<std::size_t>(reason));
 }
 
@@ -186,6 +186,7 @@
     this->reportSteps(now);
     this->planWork(now, wallMillis);
     this->reportWaits(now, wallMillis);
+    this->reportCell(now);
     this->pollWorkers(now);
     return std::exchange(this->effects, DispatchEffects());
 }
--- a/paddlepier/execution/dispatcher.h
+++ b/paddlepier/execution/dispatcher.h
@@ -63,6 +63,8 @@
     std::vector<AdviceQuestion> questions;
     /** Steps that were found to have waited for long. */
     std::size_t longWaits = 0;
+    /** Teams that were found to have come to their quotas. */
+    std::size_t teamsAtQuota = 0;
 };
 
 /** What a later life under its id tells about the end of a life. */
@@ -140,6 +142,8 @@
     using UnsentRuns = std::vector<std::pair<workload::TaskKey, RunTrack>>;
     void driveRun(Timestamp now, const workload::TaskKey &key, RunTrack &track, UnsentRuns &unsent);
     void driveStart(Timestamp now, const workload::TaskKey &key, RunTrack &track, UnsentRuns &unsent);
+    /** The task's team has more placed than its quota allows. */
+    bool isTeamOverdrawn(const workload::TaskKey &key) const;
     void driveStop(Timestamp now, const workload::TaskKey &key, RunTrack &track);
     /** Stops members of gangs that wait for others in vain. */
     void stopIncompleteGangs(Timestamp now);
@@ -162,6 +166,10 @@
     void planWork(Timestamp now, std::int64_t wallMillis);
     /** Tells of steps that have waited for long. */
     void reportWaits(Timestamp now, std::int64_t wallMillis);
+    /** Tells once a second how full the cell is. */
+    void reportCell(Timestamp now);
+    /** Tells of teams that have come to their quotas, or from them. */
+    void reportQuotas();
     /** Keeps the most urgent placements, as many as may be under way; gangs stay whole. */
     void limitPlacements(std::vector<work::PlacementT> &placements) const;
     void countWaitingJobs() const;
@@ -252,6 +260,8 @@
     Timestamp nextGangCheck = absl::InfinitePast();
     Timestamp nextReport = absl::InfinitePast();
     Timestamp nextWaitReport = absl::InfinitePast();
+    Timestamp nextCellReport = absl::InfinitePast();
+    std::set<std::string> teamsAtQuota;
     StepReports reports;
     bool mayBeNeedless = true;
     bool mayHaveOtherWorkers = true;
--- a/paddlepier/execution/placing.cpp
+++ b/paddlepier/execution/placing.cpp
@@ -1,6 +1,7 @@
 // Carries the ledger's placements out on the workers: when plans are made, and what becomes of their placements.
 
 #include "paddlepier/base/log.h"
+#include "paddlepier/execution/cellload.h"
 #include "paddlepier/execution/dispatcher.h"
 
 #include <absl/strings/str_cat.h>
@@ -36,6 +37,8 @@
 /** How often steps are looked through that may have waited for long; some 2 ms with 1,100 workers. */
 constexpr Duration waitReportInterval = absl::Seconds(2);
 
+constexpr Duration cellReportInterval = absl::Seconds(1);
+
 } // namespace
 
 void Dispatcher::planWork(Timestamp now, std::int64_t wallMillis)
@@ -78,6 +81,7 @@
         return;
     }
     this->nextWaitReport = now + waitReportInterval;
+    this->reportQuotas();
     const std::vector<planning::LongWait> waits = this->planner.lookForLongWaits(now, wallMillis);
     this->effects.longWaits += waits.size();
     for (const planning::LongWait &wait : waits) {
@@ -88,6 +92,45 @@
     }
 }
 
+void Dispatcher::reportCell(Timestamp now)
+{
+    if (now < this->nextCellReport) {
+        return;
+    }
+    this->nextCellReport = now + cellReportInterval;
+    const CellLoad load = cellLoad(this->state, this->views, this->tracks);
+    log::info("dispatch",
+              "cell.load",
+              {{"workers", load.usableWorkers},
+               {"milliProcessors", load.milliProcessors},
+               {"reserved", load.reserved},
+               {"working", load.working},
+               {"runs", this->tracks.size()},
+               {"waitingTasks", load.waitingTasks},
+               {"waitingDemand", load.waitingDemand},
+               {"questions", this->advice.pendingQuestions()}});
+}
+
+void Dispatcher::reportQuotas()
+{
+    std::set<std::string> atQuota = this->planner.takeTeamsAtQuota();
+    const auto report = [this](const std::set<std::string> &teams, const std::set<std::string> &others, const char *event) {
+        std::size_t found = 0;
+        for (const std::string &team : teams) {
+            if (others.contains(team)) {
+                continue;
+            }
+            ++found;
+            const work::Quota used = this->state.teams().used(team);
+            log::info("dispatch", event, {{"team", team}, {"milliProcessors", used.milliProcessors()}, {"memoryMegabytes", used.memoryMegabytes()}});
+        }
+        return found;
+    };
+    this->effects.teamsAtQuota += report(atQuota, this->teamsAtQuota, "team.at-quota");
+    report(this->teamsAtQuota, atQuota, "team.below-quota");
+    this->teamsAtQuota = std::move(atQuota);
+}
+
 std::string Dispatcher::waitOf(const std::string &job) const
 {
     const planning::LongWait *wait = this->planner.longWaitOf(job);
--- a/paddlepier/execution/runs.cpp
+++ b/paddlepier/execution/runs.cpp
@@ -125,6 +125,15 @@
         }
         return;
     }
+    if (this->isTeamOverdrawn(key)) {
+        // The quota was lowered since the task was placed.
+        if (track.startCalls == 0) {
+            unsent.emplace_back(key, track);
+        } else {
+            this->stopRun(now, key, track, StopReason::QuotaLowered);
+        }
+        return;
+    }
     const bool isTicketOver = now > track.ticketValidUntil;
     if (track.startCalls >= mostStartCalls || (isTicketOver && track.startCalls > 0) || track.ticketValidUntil == absl::InfinitePast()) {
         this->stopRun(now, key, track, StopReason::StartUnsettled);
@@ -136,6 +145,11 @@
     this->send(now, track.worker, StartOrder{key, track.run, job.spec().payload, track.checkpoint, track.ticket}, orderTimeout, true);
 }
 
+bool Dispatcher::isTeamOverdrawn(const workload::TaskKey &key) const
+{
+    return this->state.teams().roomOf(this->state.findJob(key.job)->team()).isOverdrawn();
+}
+
 void Dispatcher::takeStart(Timestamp now, const PendingCall &call, const StartOrder &order, const WorkerAnswer &answer)
 {
     RunTrack *track = this->findTrack(order.task, order.run, call.worker);
--- a/paddlepier/planning/advicebook.cpp
+++ b/paddlepier/planning/advicebook.cpp
@@ -108,6 +108,11 @@
     }
 }
 
+std::size_t AdviceBook::pendingQuestions() const
+{
+    return this->pending.size();
+}
+
 void AdviceBook::rejectTicket(const workload::StepKey &step, const workload::Life &worker)
 {
     const auto found = this->steps.find(step);
--- a/paddlepier/planning/advicebook.h
+++ b/paddlepier/planning/advicebook.h
@@ -61,6 +61,8 @@
     execution::AdviceQuestion
     ask(Timestamp now, const workload::StepKey &step, const std::string &queue, std::vector<workload::Life> workers, const work::AdvicePolicyT &policy);
     void answer(Timestamp now, std::uint64_t id, const execution::AdviceAnswer &answer);
+    /** Questions without an answer so far. */
+    std::size_t pendingQuestions() const;
     /** A worker has refused the ticket. */
     void rejectTicket(const workload::StepKey &step, const workload::Life &worker);
     /** Drops what is known for jobs that @p isOver says to have ended; O(steps). */
--- a/paddlepier/planning/planner.cpp
+++ b/paddlepier/planning/planner.cpp
@@ -24,6 +24,7 @@
     , probation(workloadState, runTracks, setbacks, this->rooms)
     , prospects(usualRatiosByQueue)
     , order(workloadState, this->prospects)
+    , quotas(workloadState)
     , keeper(workloadState, runTracks, this->prospects, this->rooms)
     , asking(this->rooms, this->keeper, book)
     , makingWay(workloadState, runTracks, this->prospects, this->rooms, book)
@@ -45,6 +46,7 @@
     }
     this->rooms.collect(now, this->state, this->views, this->advice);
     this->probation.begin(now);
+    this->quotas.begin();
     this->keeper.begin(now, wallMillis);
     for (WantedStep &wanted : steps) {
         this->rooms.beginStep(now, wanted, this->advice);
@@ -68,6 +70,11 @@
     return this->waits.find(job);
 }
 
+std::set<std::string> Planner::takeTeamsAtQuota()
+{
+    return this->quotas.takeTeamsAtQuota();
+}
+
 bool Planner::mayAct(Timestamp now, const WantedStep &wanted) const
 {
     const bool needsAdvice = wanted.job->queue().advice != nullptr;
@@ -142,15 +149,18 @@
 void Planner::planStep(Timestamp now, WantedStep &wanted, Plan &plan)
 {
     this->probation.holdBack(now, wanted);
+    this->quotas.limit(wanted);
     if (wanted.tasks.empty()) {
         return;
     }
     this->collectChoices(wanted);
+    const std::size_t waiting = wanted.tasks.size();
     if (wanted.step->isGang) {
         this->planGang(wanted, plan);
     } else {
         this->placeSingly(wanted, plan);
     }
+    this->quotas.take(wanted, waiting - wanted.tasks.size());
     if (wanted.tasks.empty()) {
         return;
     }
--- a/paddlepier/planning/planner.h
+++ b/paddlepier/planning/planner.h
@@ -3,6 +3,7 @@
 // A plan is made from the ledger and from what the leader knows of the workers; nothing is changed by making it. It is a
 // sequence of decisions, each with its own part:
 //  - in which order steps are taken (steporder.h);
+//  - how much its team may still have placed (quotaleft.h);
 //  - who may get a task (eligibility.h, and probation.h for one that may take workers down), and which of the workers with
 //    room is taken (suitability.h): here;
 //  - where room for wide tasks comes soonest, and is kept (roomkeeping.h);
@@ -29,6 +30,7 @@
 #include "paddlepier/planning/makingway.h"
 #include "paddlepier/planning/outlook.h"
 #include "paddlepier/planning/probation.h"
+#include "paddlepier/planning/quotaleft.h"
 #include "paddlepier/planning/roomkeeping.h"
 #include "paddlepier/planning/rooms.h"
 #include "paddlepier/planning/steporder.h"
@@ -38,6 +40,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -70,6 +73,9 @@
     /** The wait of @p job that was found last and lasts; null if there is none. */
     const LongWait *longWaitOf(const std::string &job) const;
 
+    /** Teams whose quota has kept tasks waiting since the last call. */
+    std::set<std::string> takeTeamsAtQuota();
+
     /** Drops what is known of jobs that @p isOver says to have ended; O(steps). */
     template<typename Predicate>
     void forgetJobs(Predicate isOver)
@@ -107,6 +113,7 @@
     Homes homes;
     Prospects prospects;
     StepOrder order;
+    QuotaLeft quotas;
     RoomKeeper keeper;
     AdviceAsking asking;
     MakingWay makingWay;
--- a/paddlepier/planning/waiting.cpp
+++ b/paddlepier/planning/waiting.cpp
@@ -65,8 +65,9 @@
 
 const char *nameOf(WaitReason reason)
 {
-    static constexpr std::array<const char *, 13> names{"losses-in-doubt",
+    static constexpr std::array<const char *, 14> names{"losses-in-doubt",
                                                         "paused",
+                                                        "team-at-quota",
                                                         "no-worker",
                                                         "workers-unusable",
                                                         "not-permitted",
@@ -161,6 +162,10 @@
     if (this->setbacks.isPaused(now, key)) {
         return WaitReason::Paused;
     }
+    const std::size_t allowed = this->state.teams().roomOf(wanted.job->team()).tasksThatFit(*wanted.step);
+    if (allowed == 0 || (wanted.step->isGang && allowed < wanted.tasks.size())) {
+        return WaitReason::TeamAtQuota;
+    }
     this->rooms.beginStep(now, wanted, this->advice);
     const bool needsAdvice = wanted.job->queue().advice != nullptr;
     const std::uint32_t service = this->rooms.serviceNumber(wanted.job->queue().service);
--- a/paddlepier/planning/waiting.h
+++ b/paddlepier/planning/waiting.h
@@ -36,6 +36,8 @@
     LossesInDoubt,
     /** Workers have refused it as invalid: for some seconds. */
     Paused,
+    /** Its team has placed as much as its quota allows: until runs of the team end, or the quota rises. */
+    TeamAtQuota,
     /** No worker of its service has the label that it needs: until one joins. */
     NoWorker,
     /** Those that have it don't answer, drain or are unwell: until they answer, or others join. */
--- a/paddlepier/storage/framefile.cpp
+++ b/paddlepier/storage/framefile.cpp
@@ -143,7 +143,7 @@
 void replaceFile(const std::string &path, std::string_view content)
 {
     const std::string temporary = path + ".new";
-    const int descriptor = ::open(temporary.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0640);
+    const int descriptor = ::open(temporary.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0600);
     if (descriptor < 0) {
         failStorage("create", temporary);
     }
@@ -160,7 +160,7 @@
 
 FrameFile::FrameFile(const std::string &path)
     : filePath(path)
-    , descriptor(::open(path.c_str(), O_RDWR | O_CREAT | O_CLOEXEC, 0640))
+    , descriptor(::open(path.c_str(), O_RDWR | O_CREAT | O_CLOEXEC, 0600))
 {
     if (this->descriptor < 0) {
         failStorage("open", path);
--- a/paddlepier/storage/replicastore.cpp
+++ b/paddlepier/storage/replicastore.cpp
@@ -83,7 +83,7 @@
 
 void ReplicaStore::lockFolder()
 {
-    this->lockDescriptor = ::open(this->pathOf(lockName).c_str(), O_RDWR | O_CREAT | O_CLOEXEC, 0640);
+    this->lockDescriptor = ::open(this->pathOf(lockName).c_str(), O_RDWR | O_CREAT | O_CLOEXEC, 0600);
     if (this->lockDescriptor < 0) {
         throw StorageFailureError(absl::StrCat("open ", this->pathOf(lockName)));
     }
--- a/paddlepier/wire/workload_generated.h
+++ b/paddlepier/wire/workload_generated.h
@@ -38,6 +38,12 @@
 struct ServiceSpecBuilder;
 struct ServiceSpecT;
 
+struct Quota;
+
+struct TeamSpec;
+struct TeamSpecBuilder;
+struct TeamSpecT;
+
 struct ChangeConfiguration;
 struct ChangeConfigurationBuilder;
 struct ChangeConfigurationT;
@@ -784,37 +790,41 @@
   UnknownJob = 3,
   Invalid = 4,
   Unavailable = 5,
+  /// The queue asks for a key, and the caller's is no team's.
+  Unauthenticated = 6,
   MIN = Accepted,
-  MAX = Unavailable
+  MAX = Unauthenticated
 };
 
-inline const CallOutcome (&EnumValuesCallOutcome())[6] {
+inline const CallOutcome (&EnumValuesCallOutcome())[7] {
   static const CallOutcome values[] = {
     CallOutcome::Accepted,
     CallOutcome::Refused,
     CallOutcome::UnknownQueue,
     CallOutcome::UnknownJob,
     CallOutcome::Invalid,
-    CallOutcome::Unavailable
+    CallOutcome::Unavailable,
+    CallOutcome::Unauthenticated
   };
   return values;
 }
 
 inline const char * const *EnumNamesCallOutcome() {
-  static const char * const names[7] = {
+  static const char * const names[8] = {
     "Accepted",
     "Refused",
     "UnknownQueue",
     "UnknownJob",
     "Invalid",
     "Unavailable",
+    "Unauthenticated",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameCallOutcome(CallOutcome e) {
-  if (flatbuffers::IsOutRange(e, CallOutcome::Accepted, CallOutcome::Unavailable)) return "";
+  if (flatbuffers::IsOutRange(e, CallOutcome::Accepted, CallOutcome::Unauthenticated)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesCallOutcome()[index];
 }
@@ -856,6 +866,44 @@
   using type = Demand;
 };
 
+/// Most room that a team's runs may take on all workers together; 0 means no limit. In 64 bits, since it spans a whole deployment.
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) Quota FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t milliProcessors_;
+  uint64_t memoryMegabytes_;
+  uint64_t accelerators_;
+
+ public:
+  struct Traits;
+  static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
+    return "paddlepier.work.Quota";
+  }
+  Quota()
+      : milliProcessors_(0),
+        memoryMegabytes_(0),
+        accelerators_(0) {
+  }
+  Quota(uint64_t _milliProcessors, uint64_t _memoryMegabytes, uint64_t _accelerators)
+      : milliProcessors_(flatbuffers::EndianScalar(_milliProcessors)),
+        memoryMegabytes_(flatbuffers::EndianScalar(_memoryMegabytes)),
+        accelerators_(flatbuffers::EndianScalar(_accelerators)) {
+  }
+  uint64_t milliProcessors() const {
+    return flatbuffers::EndianScalar(milliProcessors_);
+  }
+  uint64_t memoryMegabytes() const {
+    return flatbuffers::EndianScalar(memoryMegabytes_);
+  }
+  uint64_t accelerators() const {
+    return flatbuffers::EndianScalar(accelerators_);
+  }
+};
+FLATBUFFERS_STRUCT_END(Quota, 24);
+
+struct Quota::Traits {
+  using type = Quota;
+};
+
 struct StepSpecT : public flatbuffers::NativeTable {
   typedef StepSpec TableType;
   static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
@@ -1394,6 +1442,7 @@
   double stretch = 0.0;
   uint32_t targetLatencyMillis = 0;
   std::unique_ptr<paddlepier::work::AdvicePolicyT> advice{};
+  bool isPublic = false;
   QueueSpecT() = default;
   QueueSpecT(const QueueSpecT &o);
   QueueSpecT(QueueSpecT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -1417,7 +1466,8 @@
     VT_MAXATTEMPTS = 16,
     VT_STRETCH = 18,
     VT_TARGETLATENCYMILLIS = 20,
-    VT_ADVICE = 22
+    VT_ADVICE = 22,
+    VT_ISPUBLIC = 24
   };
   const flatbuffers::String *name() const {
     return GetPointer<const flatbuffers::String *>(VT_NAME);
@@ -1451,6 +1501,10 @@
   const paddlepier::work::AdvicePolicy *advice() const {
     return GetPointer<const paddlepier::work::AdvicePolicy *>(VT_ADVICE);
   }
+  /// Serves callers without a key.
+  bool isPublic() const {
+    return GetField<uint8_t>(VT_ISPUBLIC, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_NAME) &&
@@ -1468,6 +1522,7 @@
            VerifyField<uint32_t>(verifier, VT_TARGETLATENCYMILLIS, 4) &&
            VerifyOffset(verifier, VT_ADVICE) &&
            verifier.VerifyTable(advice()) &&
+           VerifyField<uint8_t>(verifier, VT_ISPUBLIC, 1) &&
            verifier.EndTable();
   }
   QueueSpecT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1509,6 +1564,9 @@
   void add_advice(flatbuffers::Offset<paddlepier::work::AdvicePolicy> advice) {
     fbb_.AddOffset(QueueSpec::VT_ADVICE, advice);
   }
+  void add_isPublic(bool isPublic) {
+    fbb_.AddElement<uint8_t>(QueueSpec::VT_ISPUBLIC, static_cast<uint8_t>(isPublic), 0);
+  }
   explicit QueueSpecBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1531,7 +1589,8 @@
     uint32_t maxAttempts = 0,
     double stretch = 0.0,
     uint32_t targetLatencyMillis = 0,
-    flatbuffers::Offset<paddlepier::work::AdvicePolicy> advice = 0) {
+    flatbuffers::Offset<paddlepier::work::AdvicePolicy> advice = 0,
+    bool isPublic = false) {
   QueueSpecBuilder builder_(_fbb);
   builder_.add_stretch(stretch);
   builder_.add_advice(advice);
@@ -1543,6 +1602,7 @@
   builder_.add_pathPrefix(pathPrefix);
   builder_.add_host(host);
   builder_.add_name(name);
+  builder_.add_isPublic(isPublic);
   return builder_.Finish();
 }
 
@@ -1562,7 +1622,8 @@
     uint32_t maxAttempts = 0,
     double stretch = 0.0,
     uint32_t targetLatencyMillis = 0,
-    flatbuffers::Offset<paddlepier::work::AdvicePolicy> advice = 0) {
+    flatbuffers::Offset<paddlepier::work::AdvicePolicy> advice = 0,
+    bool isPublic = false) {
   auto name__ = name ? _fbb.CreateString(name) : 0;
   auto host__ = host ? _fbb.CreateString(host) : 0;
   auto pathPrefix__ = pathPrefix ? _fbb.CreateString(pathPrefix) : 0;
@@ -1578,7 +1639,8 @@
       maxAttempts,
       stretch,
       targetLatencyMillis,
-      advice);
+      advice,
+      isPublic);
 }
 
 flatbuffers::Offset<QueueSpec> CreateQueueSpec(flatbuffers::FlatBufferBuilder &_fbb, const QueueSpecT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -1685,6 +1747,128 @@
 
 flatbuffers::Offset<ServiceSpec> CreateServiceSpec(flatbuffers::FlatBufferBuilder &_fbb, const ServiceSpecT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct TeamSpecT : public flatbuffers::NativeTable {
+  typedef TeamSpec TableType;
+  static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
+    return "paddlepier.work.TeamSpecT";
+  }
+  std::string name{};
+  std::vector<std::string> keys{};
+  uint32_t weight = 0;
+  std::unique_ptr<paddlepier::work::Quota> quota{};
+  TeamSpecT() = default;
+  TeamSpecT(const TeamSpecT &o);
+  TeamSpecT(TeamSpecT&&) FLATBUFFERS_NOEXCEPT = default;
+  TeamSpecT &operator=(TeamSpecT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct TeamSpec FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef TeamSpecT NativeTableType;
+  typedef TeamSpecBuilder Builder;
+  struct Traits;
+  static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
+    return "paddlepier.work.TeamSpec";
+  }
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_NAME = 4,
+    VT_KEYS = 6,
+    VT_WEIGHT = 8,
+    VT_QUOTA = 10
+  };
+  const flatbuffers::String *name() const {
+    return GetPointer<const flatbuffers::String *>(VT_NAME);
+  }
+  /// Secrets: they appear in no log line, metric or message.
+  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *keys() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_KEYS);
+  }
+  /// Jobs a second that the team is entitled to, and its share where the cell is full.
+  uint32_t weight() const {
+    return GetField<uint32_t>(VT_WEIGHT, 0);
+  }
+  const paddlepier::work::Quota *quota() const {
+    return GetStruct<const paddlepier::work::Quota *>(VT_QUOTA);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_NAME) &&
+           verifier.VerifyString(name()) &&
+           VerifyOffset(verifier, VT_KEYS) &&
+           verifier.VerifyVector(keys()) &&
+           verifier.VerifyVectorOfStrings(keys()) &&
+           VerifyField<uint32_t>(verifier, VT_WEIGHT, 4) &&
+           VerifyField<paddlepier::work::Quota>(verifier, VT_QUOTA, 8) &&
+           verifier.EndTable();
+  }
+  TeamSpecT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(TeamSpecT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<TeamSpec> Pack(flatbuffers::FlatBufferBuilder &_fbb, const TeamSpecT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct TeamSpecBuilder {
+  typedef TeamSpec Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_name(flatbuffers::Offset<flatbuffers::String> name) {
+    fbb_.AddOffset(TeamSpec::VT_NAME, name);
+  }
+  void add_keys(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> keys) {
+    fbb_.AddOffset(TeamSpec::VT_KEYS, keys);
+  }
+  void add_weight(uint32_t weight) {
+    fbb_.AddElement<uint32_t>(TeamSpec::VT_WEIGHT, weight, 0);
+  }
+  void add_quota(const paddlepier::work::Quota *quota) {
+    fbb_.AddStruct(TeamSpec::VT_QUOTA, quota);
+  }
+  explicit TeamSpecBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<TeamSpec> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<TeamSpec>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<TeamSpec> CreateTeamSpec(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> name = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> keys = 0,
+    uint32_t weight = 0,
+    const paddlepier::work::Quota *quota = nullptr) {
+  TeamSpecBuilder builder_(_fbb);
+  builder_.add_quota(quota);
+  builder_.add_weight(weight);
+  builder_.add_keys(keys);
+  builder_.add_name(name);
+  return builder_.Finish();
+}
+
+struct TeamSpec::Traits {
+  using type = TeamSpec;
+  static auto constexpr Create = CreateTeamSpec;
+};
+
+inline flatbuffers::Offset<TeamSpec> CreateTeamSpecDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *name = nullptr,
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *keys = nullptr,
+    uint32_t weight = 0,
+    const paddlepier::work::Quota *quota = nullptr) {
+  auto name__ = name ? _fbb.CreateString(name) : 0;
+  auto keys__ = keys ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*keys) : 0;
+  return paddlepier::work::CreateTeamSpec(
+      _fbb,
+      name__,
+      keys__,
+      weight,
+      quota);
+}
+
+flatbuffers::Offset<TeamSpec> CreateTeamSpec(flatbuffers::FlatBufferBuilder &_fbb, const TeamSpecT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct ChangeConfigurationT : public flatbuffers::NativeTable {
   typedef ChangeConfiguration TableType;
   static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
@@ -1694,6 +1878,7 @@
   std::string text{};
   std::vector<std::unique_ptr<paddlepier::work::QueueSpecT>> queues{};
   std::vector<std::unique_ptr<paddlepier::work::ServiceSpecT>> services{};
+  std::vector<std::unique_ptr<paddlepier::work::TeamSpecT>> teams{};
   ChangeConfigurationT() = default;
   ChangeConfigurationT(const ChangeConfigurationT &o);
   ChangeConfigurationT(ChangeConfigurationT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -1712,7 +1897,8 @@
     VT_VERSION = 4,
     VT_TEXT = 6,
     VT_QUEUES = 8,
-    VT_SERVICES = 10
+    VT_SERVICES = 10,
+    VT_TEAMS = 12
   };
   uint64_t version() const {
     return GetField<uint64_t>(VT_VERSION, 0);
@@ -1726,6 +1912,10 @@
   const flatbuffers::Vector<flatbuffers::Offset<paddlepier::work::ServiceSpec>> *services() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<paddlepier::work::ServiceSpec>> *>(VT_SERVICES);
   }
+  /// None in older entries.
+  const flatbuffers::Vector<flatbuffers::Offset<paddlepier::work::TeamSpec>> *teams() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<paddlepier::work::TeamSpec>> *>(VT_TEAMS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_VERSION, 8) &&
@@ -1737,6 +1927,9 @@
            VerifyOffset(verifier, VT_SERVICES) &&
            verifier.VerifyVector(services()) &&
            verifier.VerifyVectorOfTables(services()) &&
+           VerifyOffset(verifier, VT_TEAMS) &&
+           verifier.VerifyVector(teams()) &&
+           verifier.VerifyVectorOfTables(teams()) &&
            verifier.EndTable();
   }
   ChangeConfigurationT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1760,6 +1953,9 @@
   void add_services(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<paddlepier::work::ServiceSpec>>> services) {
     fbb_.AddOffset(ChangeConfiguration::VT_SERVICES, services);
   }
+  void add_teams(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<paddlepier::work::TeamSpec>>> teams) {
+    fbb_.AddOffset(ChangeConfiguration::VT_TEAMS, teams);
+  }
   explicit ChangeConfigurationBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1776,9 +1972,11 @@
     uint64_t version = 0,
     flatbuffers::Offset<flatbuffers::String> text = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<paddlepier::work::QueueSpec>>> queues = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<paddlepier::work::ServiceSpec>>> services = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<paddlepier::work::ServiceSpec>>> services = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<paddlepier::work::TeamSpec>>> teams = 0) {
   ChangeConfigurationBuilder builder_(_fbb);
   builder_.add_version(version);
+  builder_.add_teams(teams);
   builder_.add_services(services);
   builder_.add_queues(queues);
   builder_.add_text(text);
@@ -1795,16 +1993,19 @@
     uint64_t version = 0,
     const char *text = nullptr,
     const std::vector<flatbuffers::Offset<paddlepier::work::QueueSpec>> *queues = nullptr,
-    const std::vector<flatbuffers::Offset<paddlepier::work::ServiceSpec>> *services = nullptr) {
+    const std::vector<flatbuffers::Offset<paddlepier::work::ServiceSpec>> *services = nullptr,
+    const std::vector<flatbuffers::Offset<paddlepier::work::TeamSpec>> *teams = nullptr) {
   auto text__ = text ? _fbb.CreateString(text) : 0;
   auto queues__ = queues ? _fbb.CreateVector<flatbuffers::Offset<paddlepier::work::QueueSpec>>(*queues) : 0;
   auto services__ = services ? _fbb.CreateVector<flatbuffers::Offset<paddlepier::work::ServiceSpec>>(*services) : 0;
+  auto teams__ = teams ? _fbb.CreateVector<flatbuffers::Offset<paddlepier::work::TeamSpec>>(*teams) : 0;
   return paddlepier::work::CreateChangeConfiguration(
       _fbb,
       version,
       text__,
       queues__,
-      services__);
+      services__,
+      teams__);
 }
 
 flatbuffers::Offset<ChangeConfiguration> CreateChangeConfiguration(flatbuffers::FlatBufferBuilder &_fbb, const ChangeConfigurationT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -1817,12 +2018,14 @@
   std::string id{};
   std::string queue{};
   std::unique_ptr<paddlepier::work::JobSpecT> spec{};
+  std::string team{};
   SubmitJobT() = default;
   SubmitJobT(const SubmitJobT &o);
   SubmitJobT(SubmitJobT&&) FLATBUFFERS_NOEXCEPT = default;
   SubmitJobT &operator=(SubmitJobT o) FLATBUFFERS_NOEXCEPT;
 };
 
+/// `team` is the one whose key the caller showed; empty if none was asked for, and in older entries.
 struct SubmitJob FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef SubmitJobT NativeTableType;
   typedef SubmitJobBuilder Builder;
@@ -1833,7 +2036,8 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_ID = 4,
     VT_QUEUE = 6,
-    VT_SPEC = 8
+    VT_SPEC = 8,
+    VT_TEAM = 10
   };
   const flatbuffers::String *id() const {
     return GetPointer<const flatbuffers::String *>(VT_ID);
@@ -1844,6 +2048,9 @@
   const paddlepier::work::JobSpec *spec() const {
     return GetPointer<const paddlepier::work::JobSpec *>(VT_SPEC);
   }
+  const flatbuffers::String *team() const {
+    return GetPointer<const flatbuffers::String *>(VT_TEAM);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_ID) &&
@@ -1852,6 +2059,8 @@
            verifier.VerifyString(queue()) &&
            VerifyOffset(verifier, VT_SPEC) &&
            verifier.VerifyTable(spec()) &&
+           VerifyOffset(verifier, VT_TEAM) &&
+           verifier.VerifyString(team()) &&
            verifier.EndTable();
   }
   SubmitJobT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1872,6 +2081,9 @@
   void add_spec(flatbuffers::Offset<paddlepier::work::JobSpec> spec) {
     fbb_.AddOffset(SubmitJob::VT_SPEC, spec);
   }
+  void add_team(flatbuffers::Offset<flatbuffers::String> team) {
+    fbb_.AddOffset(SubmitJob::VT_TEAM, team);
+  }
   explicit SubmitJobBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1887,8 +2099,10 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::String> id = 0,
     flatbuffers::Offset<flatbuffers::String> queue = 0,
-    flatbuffers::Offset<paddlepier::work::JobSpec> spec = 0) {
+    flatbuffers::Offset<paddlepier::work::JobSpec> spec = 0,
+    flatbuffers::Offset<flatbuffers::String> team = 0) {
   SubmitJobBuilder builder_(_fbb);
+  builder_.add_team(team);
   builder_.add_spec(spec);
   builder_.add_queue(queue);
   builder_.add_id(id);
@@ -1904,14 +2118,17 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     const char *id = nullptr,
     const char *queue = nullptr,
-    flatbuffers::Offset<paddlepier::work::JobSpec> spec = 0) {
+    flatbuffers::Offset<paddlepier::work::JobSpec> spec = 0,
+    const char *team = nullptr) {
   auto id__ = id ? _fbb.CreateString(id) : 0;
   auto queue__ = queue ? _fbb.CreateString(queue) : 0;
+  auto team__ = team ? _fbb.CreateString(team) : 0;
   return paddlepier::work::CreateSubmitJob(
       _fbb,
       id__,
       queue__,
-      spec);
+      spec,
+      team__);
 }
 
 flatbuffers::Offset<SubmitJob> CreateSubmitJob(flatbuffers::FlatBufferBuilder &_fbb, const SubmitJobT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -3602,6 +3819,7 @@
   int64_t endedAtMillis = 0;
   std::vector<std::unique_ptr<paddlepier::work::OccurrenceRecordT>> occurrences{};
   std::unique_ptr<paddlepier::work::JobFailureT> failure{};
+  std::string team{};
   JobRecordT() = default;
   JobRecordT(const JobRecordT &o);
   JobRecordT(JobRecordT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -3624,7 +3842,8 @@
     VT_SUBMITTEDATMILLIS = 14,
     VT_ENDEDATMILLIS = 16,
     VT_OCCURRENCES = 18,
-    VT_FAILURE = 20
+    VT_FAILURE = 20,
+    VT_TEAM = 22
   };
   const flatbuffers::String *id() const {
     return GetPointer<const flatbuffers::String *>(VT_ID);
@@ -3655,6 +3874,10 @@
   const paddlepier::work::JobFailure *failure() const {
     return GetPointer<const paddlepier::work::JobFailure *>(VT_FAILURE);
   }
+  /// Empty for a job of no team, and in older snapshots.
+  const flatbuffers::String *team() const {
+    return GetPointer<const flatbuffers::String *>(VT_TEAM);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_ID) &&
@@ -3672,6 +3895,8 @@
            verifier.VerifyVectorOfTables(occurrences()) &&
            VerifyOffset(verifier, VT_FAILURE) &&
            verifier.VerifyTable(failure()) &&
+           VerifyOffset(verifier, VT_TEAM) &&
+           verifier.VerifyString(team()) &&
            verifier.EndTable();
   }
   JobRecordT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3710,6 +3935,9 @@
   void add_failure(flatbuffers::Offset<paddlepier::work::JobFailure> failure) {
     fbb_.AddOffset(JobRecord::VT_FAILURE, failure);
   }
+  void add_team(flatbuffers::Offset<flatbuffers::String> team) {
+    fbb_.AddOffset(JobRecord::VT_TEAM, team);
+  }
   explicit JobRecordBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3731,10 +3959,12 @@
     int64_t submittedAtMillis = 0,
     int64_t endedAtMillis = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<paddlepier::work::OccurrenceRecord>>> occurrences = 0,
-    flatbuffers::Offset<paddlepier::work::JobFailure> failure = 0) {
+    flatbuffers::Offset<paddlepier::work::JobFailure> failure = 0,
+    flatbuffers::Offset<flatbuffers::String> team = 0) {
   JobRecordBuilder builder_(_fbb);
   builder_.add_endedAtMillis(endedAtMillis);
   builder_.add_submittedAtMillis(submittedAtMillis);
+  builder_.add_team(team);
   builder_.add_failure(failure);
   builder_.add_occurrences(occurrences);
   builder_.add_spec(spec);
@@ -3760,9 +3990,11 @@
     int64_t submittedAtMillis = 0,
     int64_t endedAtMillis = 0,
     const std::vector<flatbuffers::Offset<paddlepier::work::OccurrenceRecord>> *occurrences = nullptr,
-    flatbuffers::Offset<paddlepier::work::JobFailure> failure = 0) {
+    flatbuffers::Offset<paddlepier::work::JobFailure> failure = 0,
+    const char *team = nullptr) {
   auto id__ = id ? _fbb.CreateString(id) : 0;
   auto occurrences__ = occurrences ? _fbb.CreateVector<flatbuffers::Offset<paddlepier::work::OccurrenceRecord>>(*occurrences) : 0;
+  auto team__ = team ? _fbb.CreateString(team) : 0;
   return paddlepier::work::CreateJobRecord(
       _fbb,
       id__,
@@ -3773,7 +4005,8 @@
       submittedAtMillis,
       endedAtMillis,
       occurrences__,
-      failure);
+      failure,
+      team__);
 }
 
 flatbuffers::Offset<JobRecord> CreateJobRecord(flatbuffers::FlatBufferBuilder &_fbb, const JobRecordT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -3786,13 +4019,15 @@
   std::unique_ptr<paddlepier::work::TaskKeyT> task{};
   uint32_t run = 0;
   std::unique_ptr<paddlepier::work::Demand> demand{};
+  std::string team{};
+  std::unique_ptr<paddlepier::work::Demand> quotaDemand{};
   CopyRecordT() = default;
   CopyRecordT(const CopyRecordT &o);
   CopyRecordT(CopyRecordT&&) FLATBUFFERS_NOEXCEPT = default;
   CopyRecordT &operator=(CopyRecordT o) FLATBUFFERS_NOEXCEPT;
 };
 
-/// A superseded run whose end isn't known.
+/// A superseded run whose end isn't known. `team` is the one whose quota it takes, and `quotaDemand` what it takes of that.
 struct CopyRecord FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef CopyRecordT NativeTableType;
   typedef CopyRecordBuilder Builder;
@@ -3803,7 +4038,9 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_TASK = 4,
     VT_RUN = 6,
-    VT_DEMAND = 8
+    VT_DEMAND = 8,
+    VT_TEAM = 10,
+    VT_QUOTADEMAND = 12
   };
   const paddlepier::work::TaskKey *task() const {
     return GetPointer<const paddlepier::work::TaskKey *>(VT_TASK);
@@ -3814,12 +4051,21 @@
   const paddlepier::work::Demand *demand() const {
     return GetStruct<const paddlepier::work::Demand *>(VT_DEMAND);
   }
+  const flatbuffers::String *team() const {
+    return GetPointer<const flatbuffers::String *>(VT_TEAM);
+  }
+  const paddlepier::work::Demand *quotaDemand() const {
+    return GetStruct<const paddlepier::work::Demand *>(VT_QUOTADEMAND);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_TASK) &&
            verifier.VerifyTable(task()) &&
            VerifyField<uint32_t>(verifier, VT_RUN, 4) &&
            VerifyField<paddlepier::work::Demand>(verifier, VT_DEMAND, 4) &&
+           VerifyOffset(verifier, VT_TEAM) &&
+           verifier.VerifyString(team()) &&
+           VerifyField<paddlepier::work::Demand>(verifier, VT_QUOTADEMAND, 4) &&
            verifier.EndTable();
   }
   CopyRecordT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3840,6 +4086,12 @@
   void add_demand(const paddlepier::work::Demand *demand) {
     fbb_.AddStruct(CopyRecord::VT_DEMAND, demand);
   }
+  void add_team(flatbuffers::Offset<flatbuffers::String> team) {
+    fbb_.AddOffset(CopyRecord::VT_TEAM, team);
+  }
+  void add_quotaDemand(const paddlepier::work::Demand *quotaDemand) {
+    fbb_.AddStruct(CopyRecord::VT_QUOTADEMAND, quotaDemand);
+  }
   explicit CopyRecordBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3855,8 +4107,12 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<paddlepier::work::TaskKey> task = 0,
     uint32_t run = 0,
-    const paddlepier::work::Demand *demand = nullptr) {
+    const paddlepier::work::Demand *demand = nullptr,
+    flatbuffers::Offset<flatbuffers::String> team = 0,
+    const paddlepier::work::Demand *quotaDemand = nullptr) {
   CopyRecordBuilder builder_(_fbb);
+  builder_.add_quotaDemand(quotaDemand);
+  builder_.add_team(team);
   builder_.add_demand(demand);
   builder_.add_run(run);
   builder_.add_task(task);
@@ -3868,6 +4124,23 @@
   static auto constexpr Create = CreateCopyRecord;
 };
 
+inline flatbuffers::Offset<CopyRecord> CreateCopyRecordDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<paddlepier::work::TaskKey> task = 0,
+    uint32_t run = 0,
+    const paddlepier::work::Demand *demand = nullptr,
+    const char *team = nullptr,
+    const paddlepier::work::Demand *quotaDemand = nullptr) {
+  auto team__ = team ? _fbb.CreateString(team) : 0;
+  return paddlepier::work::CreateCopyRecord(
+      _fbb,
+      task,
+      run,
+      demand,
+      team__,
+      quotaDemand);
+}
+
 flatbuffers::Offset<CopyRecord> CreateCopyRecord(flatbuffers::FlatBufferBuilder &_fbb, const CopyRecordT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
 struct WorkerRecordT : public flatbuffers::NativeTable {
@@ -4124,12 +4397,14 @@
   std::string host{};
   std::string path{};
   std::unique_ptr<paddlepier::work::JobSpecT> spec{};
+  std::string key{};
   JobCallT() = default;
   JobCallT(const JobCallT &o);
   JobCallT(JobCallT&&) FLATBUFFERS_NOEXCEPT = default;
   JobCallT &operator=(JobCallT o) FLATBUFFERS_NOEXCEPT;
 };
 
+/// `key` is what the caller has shown to be of a team; empty if it has shown none.
 struct JobCall FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef JobCallT NativeTableType;
   typedef JobCallBuilder Builder;
@@ -4141,7 +4416,8 @@
     VT_ACTION = 4,
     VT_HOST = 6,
     VT_PATH = 8,
-    VT_SPEC = 10
+    VT_SPEC = 10,
+    VT_KEY = 12
   };
   paddlepier::work::JobAction action() const {
     return static_cast<paddlepier::work::JobAction>(GetField<uint8_t>(VT_ACTION, 0));
@@ -4155,6 +4431,9 @@
   const paddlepier::work::JobSpec *spec() const {
     return GetPointer<const paddlepier::work::JobSpec *>(VT_SPEC);
   }
+  const flatbuffers::String *key() const {
+    return GetPointer<const flatbuffers::String *>(VT_KEY);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_ACTION, 1) &&
@@ -4164,6 +4443,8 @@
            verifier.VerifyString(path()) &&
            VerifyOffset(verifier, VT_SPEC) &&
            verifier.VerifyTable(spec()) &&
+           VerifyOffset(verifier, VT_KEY) &&
+           verifier.VerifyString(key()) &&
            verifier.EndTable();
   }
   JobCallT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -4187,6 +4468,9 @@
   void add_spec(flatbuffers::Offset<paddlepier::work::JobSpec> spec) {
     fbb_.AddOffset(JobCall::VT_SPEC, spec);
   }
+  void add_key(flatbuffers::Offset<flatbuffers::String> key) {
+    fbb_.AddOffset(JobCall::VT_KEY, key);
+  }
   explicit JobCallBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -4203,8 +4487,10 @@
     paddlepier::work::JobAction action = paddlepier::work::JobAction::Submit,
     flatbuffers::Offset<flatbuffers::String> host = 0,
     flatbuffers::Offset<flatbuffers::String> path = 0,
-    flatbuffers::Offset<paddlepier::work::JobSpec> spec = 0) {
+    flatbuffers::Offset<paddlepier::work::JobSpec> spec = 0,
+    flatbuffers::Offset<flatbuffers::String> key = 0) {
   JobCallBuilder builder_(_fbb);
+  builder_.add_key(key);
   builder_.add_spec(spec);
   builder_.add_path(path);
   builder_.add_host(host);
@@ -4222,15 +4508,18 @@
     paddlepier::work::JobAction action = paddlepier::work::JobAction::Submit,
     const char *host = nullptr,
     const char *path = nullptr,
-    flatbuffers::Offset<paddlepier::work::JobSpec> spec = 0) {
+    flatbuffers::Offset<paddlepier::work::JobSpec> spec = 0,
+    const char *key = nullptr) {
   auto host__ = host ? _fbb.CreateString(host) : 0;
   auto path__ = path ? _fbb.CreateString(path) : 0;
+  auto key__ = key ? _fbb.CreateString(key) : 0;
   return paddlepier::work::CreateJobCall(
       _fbb,
       action,
       host__,
       path__,
-      spec);
+      spec,
+      key__);
 }
 
 flatbuffers::Offset<JobCall> CreateJobCall(flatbuffers::FlatBufferBuilder &_fbb, const JobCallT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -6111,7 +6400,8 @@
         maxAttempts(o.maxAttempts),
         stretch(o.stretch),
         targetLatencyMillis(o.targetLatencyMillis),
-        advice((o.advice) ? new paddlepier::work::AdvicePolicyT(*o.advice) : nullptr) {
+        advice((o.advice) ? new paddlepier::work::AdvicePolicyT(*o.advice) : nullptr),
+        isPublic(o.isPublic) {
 }
 
 inline QueueSpecT &QueueSpecT::operator=(QueueSpecT o) FLATBUFFERS_NOEXCEPT {
@@ -6125,6 +6415,7 @@
   std::swap(stretch, o.stretch);
   std::swap(targetLatencyMillis, o.targetLatencyMillis);
   std::swap(advice, o.advice);
+  std::swap(isPublic, o.isPublic);
   return *this;
 }
 
@@ -6147,6 +6438,7 @@
   { auto _e = stretch(); _o->stretch = _e; }
   { auto _e = targetLatencyMillis(); _o->targetLatencyMillis = _e; }
   { auto _e = advice(); if (_e) _o->advice = std::unique_ptr<paddlepier::work::AdvicePolicyT>(_e->UnPack(_resolver)); }
+  { auto _e = isPublic(); _o->isPublic = _e; }
 }
 
 inline flatbuffers::Offset<QueueSpec> QueueSpec::Pack(flatbuffers::FlatBufferBuilder &_fbb, const QueueSpecT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -6167,6 +6459,7 @@
   auto _stretch = _o->stretch;
   auto _targetLatencyMillis = _o->targetLatencyMillis;
   auto _advice = _o->advice ? CreateAdvicePolicy(_fbb, _o->advice.get(), _rehasher) : 0;
+  auto _isPublic = _o->isPublic;
   return paddlepier::work::CreateQueueSpec(
       _fbb,
       _name,
@@ -6178,7 +6471,8 @@
       _maxAttempts,
       _stretch,
       _targetLatencyMillis,
-      _advice);
+      _advice,
+      _isPublic);
 }
 
 inline ServiceSpecT *ServiceSpec::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -6213,6 +6507,56 @@
       _isSpare);
 }
 
+inline TeamSpecT::TeamSpecT(const TeamSpecT &o)
+      : name(o.name),
+        keys(o.keys),
+        weight(o.weight),
+        quota((o.quota) ? new paddlepier::work::Quota(*o.quota) : nullptr) {
+}
+
+inline TeamSpecT &TeamSpecT::operator=(TeamSpecT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(name, o.name);
+  std::swap(keys, o.keys);
+  std::swap(weight, o.weight);
+  std::swap(quota, o.quota);
+  return *this;
+}
+
+inline TeamSpecT *TeamSpec::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<TeamSpecT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void TeamSpec::UnPackTo(TeamSpecT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = name(); if (_e) _o->name = _e->str(); }
+  { auto _e = keys(); if (_e) { _o->keys.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->keys[_i] = _e->Get(_i)->str(); } } }
+  { auto _e = weight(); _o->weight = _e; }
+  { auto _e = quota(); if (_e) _o->quota = std::unique_ptr<paddlepier::work::Quota>(new paddlepier::work::Quota(*_e)); }
+}
+
+inline flatbuffers::Offset<TeamSpec> TeamSpec::Pack(flatbuffers::FlatBufferBuilder &_fbb, const TeamSpecT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateTeamSpec(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<TeamSpec> CreateTeamSpec(flatbuffers::FlatBufferBuilder &_fbb, const TeamSpecT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const TeamSpecT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _name = _o->name.empty() ? 0 : _fbb.CreateString(_o->name);
+  auto _keys = _o->keys.size() ? _fbb.CreateVectorOfStrings(_o->keys) : 0;
+  auto _weight = _o->weight;
+  auto _quota = _o->quota ? _o->quota.get() : nullptr;
+  return paddlepier::work::CreateTeamSpec(
+      _fbb,
+      _name,
+      _keys,
+      _weight,
+      _quota);
+}
+
 inline ChangeConfigurationT::ChangeConfigurationT(const ChangeConfigurationT &o)
       : version(o.version),
         text(o.text) {
@@ -6220,6 +6564,8 @@
   for (const auto &queues_ : o.queues) { queues.emplace_back((queues_) ? new paddlepier::work::QueueSpecT(*queues_) : nullptr); }
   services.reserve(o.services.size());
   for (const auto &services_ : o.services) { services.emplace_back((services_) ? new paddlepier::work::ServiceSpecT(*services_) : nullptr); }
+  teams.reserve(o.teams.size());
+  for (const auto &teams_ : o.teams) { teams.emplace_back((teams_) ? new paddlepier::work::TeamSpecT(*teams_) : nullptr); }
 }
 
 inline ChangeConfigurationT &ChangeConfigurationT::operator=(ChangeConfigurationT o) FLATBUFFERS_NOEXCEPT {
@@ -6227,6 +6573,7 @@
   std::swap(text, o.text);
   std::swap(queues, o.queues);
   std::swap(services, o.services);
+  std::swap(teams, o.teams);
   return *this;
 }
 
@@ -6243,6 +6590,7 @@
   { auto _e = text(); if (_e) _o->text = _e->str(); }
   { auto _e = queues(); if (_e) { _o->queues.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->queues[_i] = std::unique_ptr<paddlepier::work::QueueSpecT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = services(); if (_e) { _o->services.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->services[_i] = std::unique_ptr<paddlepier::work::ServiceSpecT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = teams(); if (_e) { _o->teams.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->teams[_i] = std::unique_ptr<paddlepier::work::TeamSpecT>(_e->Get(_i)->UnPack(_resolver)); } } }
 }
 
 inline flatbuffers::Offset<ChangeConfiguration> ChangeConfiguration::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ChangeConfigurationT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -6257,24 +6605,28 @@
   auto _text = _o->text.empty() ? 0 : _fbb.CreateString(_o->text);
   auto _queues = _o->queues.size() ? _fbb.CreateVector<flatbuffers::Offset<paddlepier::work::QueueSpec>> (_o->queues.size(), [](size_t i, _VectorArgs *__va) { return CreateQueueSpec(*__va->__fbb, __va->__o->queues[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _services = _o->services.size() ? _fbb.CreateVector<flatbuffers::Offset<paddlepier::work::ServiceSpec>> (_o->services.size(), [](size_t i, _VectorArgs *__va) { return CreateServiceSpec(*__va->__fbb, __va->__o->services[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _teams = _o->teams.size() ? _fbb.CreateVector<flatbuffers::Offset<paddlepier::work::TeamSpec>> (_o->teams.size(), [](size_t i, _VectorArgs *__va) { return CreateTeamSpec(*__va->__fbb, __va->__o->teams[i].get(), __va->__rehasher); }, &_va ) : 0;
   return paddlepier::work::CreateChangeConfiguration(
       _fbb,
       _version,
       _text,
       _queues,
-      _services);
+      _services,
+      _teams);
 }
 
 inline SubmitJobT::SubmitJobT(const SubmitJobT &o)
       : id(o.id),
         queue(o.queue),
-        spec((o.spec) ? new paddlepier::work::JobSpecT(*o.spec) : nullptr) {
+        spec((o.spec) ? new paddlepier::work::JobSpecT(*o.spec) : nullptr),
+        team(o.team) {
 }
 
 inline SubmitJobT &SubmitJobT::operator=(SubmitJobT o) FLATBUFFERS_NOEXCEPT {
   std::swap(id, o.id);
   std::swap(queue, o.queue);
   std::swap(spec, o.spec);
+  std::swap(team, o.team);
   return *this;
 }
 
@@ -6290,6 +6642,7 @@
   { auto _e = id(); if (_e) _o->id = _e->str(); }
   { auto _e = queue(); if (_e) _o->queue = _e->str(); }
   { auto _e = spec(); if (_e) _o->spec = std::unique_ptr<paddlepier::work::JobSpecT>(_e->UnPack(_resolver)); }
+  { auto _e = team(); if (_e) _o->team = _e->str(); }
 }
 
 inline flatbuffers::Offset<SubmitJob> SubmitJob::Pack(flatbuffers::FlatBufferBuilder &_fbb, const SubmitJobT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -6303,11 +6656,13 @@
   auto _id = _o->id.empty() ? 0 : _fbb.CreateString(_o->id);
   auto _queue = _o->queue.empty() ? 0 : _fbb.CreateString(_o->queue);
   auto _spec = _o->spec ? CreateJobSpec(_fbb, _o->spec.get(), _rehasher) : 0;
+  auto _team = _o->team.empty() ? 0 : _fbb.CreateString(_o->team);
   return paddlepier::work::CreateSubmitJob(
       _fbb,
       _id,
       _queue,
-      _spec);
+      _spec,
+      _team);
 }
 
 inline CancelJobT *CancelJob::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -6936,7 +7291,8 @@
         isCancelled(o.isCancelled),
         submittedAtMillis(o.submittedAtMillis),
         endedAtMillis(o.endedAtMillis),
-        failure((o.failure) ? new paddlepier::work::JobFailureT(*o.failure) : nullptr) {
+        failure((o.failure) ? new paddlepier::work::JobFailureT(*o.failure) : nullptr),
+        team(o.team) {
   occurrences.reserve(o.occurrences.size());
   for (const auto &occurrences_ : o.occurrences) { occurrences.emplace_back((occurrences_) ? new paddlepier::work::OccurrenceRecordT(*occurrences_) : nullptr); }
 }
@@ -6951,6 +7307,7 @@
   std::swap(endedAtMillis, o.endedAtMillis);
   std::swap(occurrences, o.occurrences);
   std::swap(failure, o.failure);
+  std::swap(team, o.team);
   return *this;
 }
 
@@ -6972,6 +7329,7 @@
   { auto _e = endedAtMillis(); _o->endedAtMillis = _e; }
   { auto _e = occurrences(); if (_e) { _o->occurrences.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->occurrences[_i] = std::unique_ptr<paddlepier::work::OccurrenceRecordT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = failure(); if (_e) _o->failure = std::unique_ptr<paddlepier::work::JobFailureT>(_e->UnPack(_resolver)); }
+  { auto _e = team(); if (_e) _o->team = _e->str(); }
 }
 
 inline flatbuffers::Offset<JobRecord> JobRecord::Pack(flatbuffers::FlatBufferBuilder &_fbb, const JobRecordT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -6991,6 +7349,7 @@
   auto _endedAtMillis = _o->endedAtMillis;
   auto _occurrences = _o->occurrences.size() ? _fbb.CreateVector<flatbuffers::Offset<paddlepier::work::OccurrenceRecord>> (_o->occurrences.size(), [](size_t i, _VectorArgs *__va) { return CreateOccurrenceRecord(*__va->__fbb, __va->__o->occurrences[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _failure = _o->failure ? CreateJobFailure(_fbb, _o->failure.get(), _rehasher) : 0;
+  auto _team = _o->team.empty() ? 0 : _fbb.CreateString(_o->team);
   return paddlepier::work::CreateJobRecord(
       _fbb,
       _id,
@@ -7001,19 +7360,24 @@
       _submittedAtMillis,
       _endedAtMillis,
       _occurrences,
-      _failure);
+      _failure,
+      _team);
 }
 
 inline CopyRecordT::CopyRecordT(const CopyRecordT &o)
       : task((o.task) ? new paddlepier::work::TaskKeyT(*o.task) : nullptr),
         run(o.run),
-        demand((o.demand) ? new paddlepier::work::Demand(*o.demand) : nullptr) {
+        demand((o.demand) ? new paddlepier::work::Demand(*o.demand) : nullptr),
+        team(o.team),
+        quotaDemand((o.quotaDemand) ? new paddlepier::work::Demand(*o.quotaDemand) : nullptr) {
 }
 
 inline CopyRecordT &CopyRecordT::operator=(CopyRecordT o) FLATBUFFERS_NOEXCEPT {
   std::swap(task, o.task);
   std::swap(run, o.run);
   std::swap(demand, o.demand);
+  std::swap(team, o.team);
+  std::swap(quotaDemand, o.quotaDemand);
   return *this;
 }
 
@@ -7029,6 +7393,8 @@
   { auto _e = task(); if (_e) _o->task = std::unique_ptr<paddlepier::work::TaskKeyT>(_e->UnPack(_resolver)); }
   { auto _e = run(); _o->run = _e; }
   { auto _e = demand(); if (_e) _o->demand = std::unique_ptr<paddlepier::work::Demand>(new paddlepier::work::Demand(*_e)); }
+  { auto _e = team(); if (_e) _o->team = _e->str(); }
+  { auto _e = quotaDemand(); if (_e) _o->quotaDemand = std::unique_ptr<paddlepier::work::Demand>(new paddlepier::work::Demand(*_e)); }
 }
 
 inline flatbuffers::Offset<CopyRecord> CopyRecord::Pack(flatbuffers::FlatBufferBuilder &_fbb, const CopyRecordT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -7042,11 +7408,15 @@
   auto _task = _o->task ? CreateTaskKey(_fbb, _o->task.get(), _rehasher) : 0;
   auto _run = _o->run;
   auto _demand = _o->demand ? _o->demand.get() : nullptr;
+  auto _team = _o->team.empty() ? 0 : _fbb.CreateString(_o->team);
+  auto _quotaDemand = _o->quotaDemand ? _o->quotaDemand.get() : nullptr;
   return paddlepier::work::CreateCopyRecord(
       _fbb,
       _task,
       _run,
-      _demand);
+      _demand,
+      _team,
+      _quotaDemand);
 }
 
 inline WorkerRecordT::WorkerRecordT(const WorkerRecordT &o)
@@ -7157,7 +7527,8 @@
       : action(o.action),
         host(o.host),
         path(o.path),
-        spec((o.spec) ? new paddlepier::work::JobSpecT(*o.spec) : nullptr) {
+        spec((o.spec) ? new paddlepier::work::JobSpecT(*o.spec) : nullptr),
+        key(o.key) {
 }
 
 inline JobCallT &JobCallT::operator=(JobCallT o) FLATBUFFERS_NOEXCEPT {
@@ -7165,6 +7536,7 @@
   std::swap(host, o.host);
   std::swap(path, o.path);
   std::swap(spec, o.spec);
+  std::swap(key, o.key);
   return *this;
 }
 
@@ -7181,6 +7553,7 @@
   { auto _e = host(); if (_e) _o->host = _e->str(); }
   { auto _e = path(); if (_e) _o->path = _e->str(); }
   { auto _e = spec(); if (_e) _o->spec = std::unique_ptr<paddlepier::work::JobSpecT>(_e->UnPack(_resolver)); }
+  { auto _e = key(); if (_e) _o->key = _e->str(); }
 }
 
 inline flatbuffers::Offset<JobCall> JobCall::Pack(flatbuffers::FlatBufferBuilder &_fbb, const JobCallT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -7195,12 +7568,14 @@
   auto _host = _o->host.empty() ? 0 : _fbb.CreateString(_o->host);
   auto _path = _o->path.empty() ? 0 : _fbb.CreateString(_o->path);
   auto _spec = _o->spec ? CreateJobSpec(_fbb, _o->spec.get(), _rehasher) : 0;
+  auto _key = _o->key.empty() ? 0 : _fbb.CreateString(_o->key);
   return paddlepier::work::CreateJobCall(
       _fbb,
       _action,
       _host,
       _path,
-      _spec);
+      _spec,
+      _key);
 }
 
 inline AnnounceCallT::AnnounceCallT(const AnnounceCallT &o)
--- a/paddlepier/workload/configurationcheck.cpp
+++ b/paddlepier/workload/configurationcheck.cpp
@@ -13,6 +13,34 @@
 namespace paddlepier::workload
 {
 
+namespace
+{
+
+/** Messages name teams and never a key. */
+void checkTeams(const work::ChangeConfigurationT &configuration)
+{
+    std::set<std::string> names;
+    std::set<std::string> keys;
+    for (const auto &team : configuration.teams) {
+        if (team->name.empty()) {
+            throw InvalidArgumentError("teams: a team without a name");
+        }
+        if (!names.insert(team->name).second) {
+            throw InvalidArgumentError(absl::StrCat("team ", team->name, ": another team has its name"));
+        }
+        for (const std::string &key : team->keys) {
+            if (key.empty()) {
+                throw InvalidArgumentError(absl::StrCat("team ", team->name, ": an empty key"));
+            }
+            if (!keys.insert(key).second) {
+                throw InvalidArgumentError(absl::StrCat("team ", team->name, ": one of its keys is there twice, or another team's"));
+            }
+        }
+    }
+}
+
+} // namespace
+
 void checkConfiguration(const work::ChangeConfigurationT &configuration)
 {
     std::set<std::string> services;
@@ -31,6 +59,7 @@
             throw InvalidArgumentError(absl::StrCat("queue ", queue->name, ": another queue has its host and path prefix"));
         }
     }
+    checkTeams(configuration);
 }
 
 } // namespace paddlepier::workload
--- a/paddlepier/workload/configurationcheck.h
+++ b/paddlepier/workload/configurationcheck.h
@@ -13,7 +13,7 @@
 namespace paddlepier::workload
 {
 
-/** @throws InvalidArgumentError if a queue has no service or no time, or if two queues have one place */
+/** @throws InvalidArgumentError if a queue has no service or no time, two queues have one place, or two teams one name or key */
 void checkConfiguration(const work::ChangeConfigurationT &configuration);
 
 } // namespace paddlepier::workload
--- a/paddlepier/workload/job.cpp
+++ b/paddlepier/workload/job.cpp
@@ -71,8 +71,9 @@
     return "";
 }
 
-Job::Job(std::string id, work::QueueSpecT queue, work::JobSpecT spec, std::int64_t nowMillis)
+Job::Job(std::string id, work::QueueSpecT queue, work::JobSpecT spec, std::int64_t nowMillis, std::string team)
     : jobId(std::move(id))
+    , owner(std::move(team))
     , queueSpec(std::move(queue))
     , jobSpec(std::move(spec))
     , submittedAt(nowMillis)
@@ -131,6 +132,11 @@
     return this->jobId;
 }
 
+const std::string &Job::team() const
+{
+    return this->owner;
+}
+
 const work::JobSpecT &Job::spec() const
 {
     return this->jobSpec;
--- a/paddlepier/workload/job.h
+++ b/paddlepier/workload/job.h
@@ -122,10 +122,13 @@
 class Job
 {
 public:
-    Job(std::string jobId, work::QueueSpecT queueSpec, work::JobSpecT jobSpec, std::int64_t nowMillis);
+    /** @param team  the one that the job counts for; empty for none */
+    Job(std::string jobId, work::QueueSpecT queueSpec, work::JobSpecT jobSpec, std::int64_t nowMillis, std::string team = {});
     explicit Job(const work::JobRecordT &record);
 
     const std::string &id() const;
+    /** Empty for a job of no team. It stays the same, whatever becomes of the key that it came with. */
+    const std::string &team() const;
     const work::JobSpecT &spec() const;
     const work::StepSpecT &stepSpec(std::uint32_t step) const;
     /** As it stood when the job was accepted. */
@@ -201,6 +204,7 @@
     bool isComplete() const;
 
     std::string jobId;
+    std::string owner;
     work::QueueSpecT queueSpec;
     work::JobSpecT jobSpec;
     work::JobState jobState = work::JobState::Queued;
--- a/paddlepier/workload/jobrecord.cpp
+++ b/paddlepier/workload/jobrecord.cpp
@@ -68,7 +68,7 @@
 } // namespace
 
 Job::Job(const work::JobRecordT &record)
-    : Job(record.id, *record.queue, *record.spec, record.submittedAtMillis)
+    : Job(record.id, *record.queue, *record.spec, record.submittedAtMillis, record.team)
 {
     this->jobState = record.state;
     this->cancelled = record.isCancelled;
@@ -116,7 +116,8 @@
     const auto spec = work::JobSpec::Pack(builder, &this->jobSpec);
     const auto stored = builder.CreateVector(occurrences);
     const auto failure = packFailure(builder, this->jobFailure);
-    return work::CreateJobRecord(builder, id, queue, spec, this->jobState, this->cancelled, this->submittedAt, this->endedAt, stored, failure);
+    const auto team = builder.CreateString(this->owner);
+    return work::CreateJobRecord(builder, id, queue, spec, this->jobState, this->cancelled, this->submittedAt, this->endedAt, stored, failure, team);
 }
 
 } // namespace paddlepier::workload
--- a/paddlepier/workload/losses.cpp
+++ b/paddlepier/workload/losses.cpp
@@ -47,6 +47,9 @@
             outcome.givenUp.push_back(key);
         }
     }
+    while (!found->second.superseded.empty()) {
+        this->removeSuperseded(found->second, found->second.superseded.begin()->first);
+    }
     this->workerByLife.erase(life);
     return outcome;
 }
--- /dev/null
+++ b/paddlepier/workload/teams.h
@@ -0,0 +1,87 @@
+// Teams of the configuration: whose key is whose, and how much of each team's quota its runs take.
+//
+// Every run of a team counts towards its quota from the entry that places it to the one that records its end, and so does a
+// superseded run that may still be under way. A quota that is lowered below what a team has placed ends nothing: the team gets
+// no new run until enough of its runs have ended.
+//
+// Keys are secrets. They are held only to be compared, and no message names one.
+//
+// Example:
+//     if (teams.roomOf(job.team()).fits(step)) { teams.take(job.team(), quotaDemandOf(step)); }
+//
+// Thread safety: none; owned by the ledger. Cost: findByKey() is O(1), the rest O(log teams).
+
+#ifndef PADDLEPIER_WORKLOAD_TEAMS_H
+#define PADDLEPIER_WORKLOAD_TEAMS_H
+
+#include "paddlepier/wire/workload_generated.h"
+
+#include <absl/container/flat_hash_map.h>
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+
+namespace paddlepier::workload
+{
+
+/** What a task counts towards its team's quota. A filling task counts its processors, though no worker reserves them. */
+work::Demand quotaDemandOf(const work::StepSpecT &step);
+
+/** What is left of a quota; may be overdrawn. */
+class QuotaRoom
+{
+public:
+    /** Without a limit. */
+    QuotaRoom();
+    QuotaRoom(const work::Quota &quota, const work::Quota &used);
+
+    bool fits(const work::StepSpecT &step) const;
+    std::size_t tasksThatFit(const work::StepSpecT &step) const;
+    void take(const work::StepSpecT &step, std::size_t tasks);
+    /** More is placed than the quota allows. */
+    bool isOverdrawn() const;
+
+private:
+    std::int64_t milliProcessors;
+    std::int64_t memoryMegabytes;
+    std::int64_t accelerators;
+};
+
+class Teams
+{
+public:
+    /** Takes over the teams of @p configuration; what runs take stays counted. */
+    void configure(const work::ChangeConfigurationT &configuration);
+
+    /** Name of the team that has @p key; null if none has. */
+    const std::string *findByKey(std::string_view key) const;
+    /** Without a limit for no team, and for one that the configuration doesn't name. */
+    QuotaRoom roomOf(const std::string &team) const;
+    /** Jobs a second that the team is entitled to; 0 for one that the configuration doesn't name. */
+    std::uint32_t weightOf(const std::string &team) const;
+    /** What the team's runs take. */
+    work::Quota used(const std::string &team) const;
+
+    void take(const std::string &team, const work::Demand &demand);
+    void giveBack(const std::string &team, const work::Demand &demand);
+
+private:
+    struct Team {
+        std::uint32_t weight = 0;
+        work::Quota quota;
+    };
+
+    void count(const std::string &team, const work::Demand &demand, int sign);
+
+    std::map<std::string, Team> teams;
+    absl::flat_hash_map<std::string, std::string> teamByKey;
+    /** Of teams with runs, those included that the configuration names no longer. Invariant: no entry is 0 in all its parts. */
+    std::map<std::string, work::Quota> usedByTeam;
+};
+
+} // namespace paddlepier::workload
+
+#endif
--- a/paddlepier/workload/worker.h
+++ b/paddlepier/workload/worker.h
@@ -14,6 +14,7 @@
 #include <cstdint>
 #include <map>
 #include <set>
+#include <string>
 #include <string_view>
 
 namespace paddlepier::workload
@@ -27,6 +28,9 @@
     std::uint32_t run = 0;
     /** Room that it may still take. */
     work::Demand demand;
+    /** Team whose quota it takes; empty if none. */
+    std::string team = {};
+    work::Demand quotaDemand = {};
 };
 
 /** One life of a worker. */
--- a/paddlepier/workload/workload.cpp
+++ b/paddlepier/workload/workload.cpp
@@ -73,6 +73,7 @@
     // A version that isn't higher is acknowledged and changes nothing.
     if (command.version > this->currentConfiguration.version) {
         this->currentConfiguration = command;
+        this->teamsOfJobs.configure(command);
     }
     return {};
 }
@@ -87,7 +88,7 @@
     if (queue == queues.end()) {
         return failure(ErrorCode::UnknownRoute, absl::StrCat("no queue ", command.queue));
     }
-    const auto added = this->jobById.emplace(command.id, Job(command.id, **queue, *command.spec, this->appliedAt)).first;
+    const auto added = this->jobById.emplace(command.id, Job(command.id, **queue, *command.spec, this->appliedAt, command.team)).first;
     this->noteJob(added->second);
     return {};
 }
@@ -150,12 +151,45 @@
     if (!worker->second.hasRoomFor(step) || worker->second.superseded.contains(key)) {
         return false;
     }
-    worker->second.addRun(key, step);
+    if (!this->teamsOfJobs.roomOf(job->second.team()).fits(step)) {
+        return false;
+    }
+    this->takeRoom(worker->second, job->second, key);
     job->second.place(key, placement.run, worker->first, this->appliedAt);
     this->noteWaiting(job->second);
     return true;
 }
 
+void Workload::takeRoom(Worker &worker, const Job &job, const TaskKey &key)
+{
+    const work::StepSpecT &step = job.stepSpec(key.step);
+    worker.addRun(key, step);
+    this->teamsOfJobs.take(job.team(), quotaDemandOf(step));
+}
+
+bool Workload::giveRoomBack(Worker &worker, const Job &job, const TaskKey &key)
+{
+    const work::StepSpecT &step = job.stepSpec(key.step);
+    if (!worker.removeRun(key, step)) {
+        return false;
+    }
+    this->teamsOfJobs.giveBack(job.team(), quotaDemandOf(step));
+    return true;
+}
+
+void Workload::addSuperseded(Worker &worker, const TaskKey &key, const SupersededRun &run)
+{
+    worker.addSuperseded(key, run);
+    this->teamsOfJobs.take(run.team, run.quotaDemand);
+}
+
+void Workload::removeSuperseded(Worker &worker, const TaskKey &key)
+{
+    const SupersededRun &run = worker.superseded.at(key);
+    this->teamsOfJobs.giveBack(run.team, run.quotaDemand);
+    worker.removeSuperseded(key);
+}
+
 void Workload::undoPlacement(const work::PlacementT &placement)
 {
     work::RunEndT end;
@@ -196,10 +230,10 @@
     if (job == this->jobById.end() || !job->second.endRun(key, end.run, life, end.kind, end.checkpoint, this->appliedAt)) {
         return false;
     }
-    const work::StepSpecT &step = job->second.stepSpec(key.step);
-    if (worker != this->workerByLife.end() && worker->second.removeRun(key, step)) {
+    if (worker != this->workerByLife.end() && this->giveRoomBack(worker->second, job->second, key)) {
         if (end.kind == work::RunEndKind::Superseded) {
-            worker->second.addSuperseded(key, {end.run, demandOf(step)});
+            const work::StepSpecT &step = job->second.stepSpec(key.step);
+            this->addSuperseded(worker->second, key, {end.run, demandOf(step), job->second.team(), quotaDemandOf(step)});
         }
         if (end.kind == work::RunEndKind::Expired) {
             this->noteLapse(worker->second, key, end.atLoss);
@@ -221,10 +255,9 @@
     if (target == this->workerByLife.end() || job == this->jobById.end() || !job->second.moveRun(key, run.run, from, to)) {
         return;
     }
-    const work::StepSpecT &step = job->second.stepSpec(key.step);
-    source->second.removeRun(key, step);
+    this->giveRoomBack(source->second, job->second, key);
     // It is there already, whether there is room or not.
-    target->second.addRun(key, step);
+    this->takeRoom(target->second, job->second, key);
 }
 
 void Workload::endSupersededRun(Worker &worker, const TaskKey &key, const work::RunEndT &end)
@@ -233,7 +266,7 @@
     if (found == worker.superseded.end() || found->second.run != end.run) {
         return;
     }
-    worker.removeSuperseded(key);
+    this->removeSuperseded(worker, key);
     const auto job = this->jobById.find(key.job);
     if (job != this->jobById.end()) {
         job->second.endSupersededRun(key, end.run, end.kind, this->appliedAt);
@@ -329,6 +362,11 @@
     return nullptr;
 }
 
+const Teams &Workload::teams() const
+{
+    return this->teamsOfJobs;
+}
+
 const Job *Workload::findJob(const std::string &id) const
 {
     const auto found = this->jobById.find(id);
--- a/paddlepier/workload/workload.h
+++ b/paddlepier/workload/workload.h
@@ -1,8 +1,9 @@
 // A region's workload: configuration, jobs, workers' lives and the runs between them, as a replicated state machine.
 //
 // A placement reserves room on its worker in the same entry that names it, so that no two decisions can fill the same
-// room. Room is given back by the recorded end of the run and by nothing else. An accepted configuration's version only
-// rises; another content under the version held is refused.
+// room. Room is given back by the recorded end of the run and by nothing else. The same holds for a team's quota: a placement
+// that would go over it is refused, whatever the planner thought. An accepted configuration's version only rises; another
+// content under the version held is refused.
 //
 // Example:
 //     Workload workload;
@@ -17,6 +18,7 @@
 #include "paddlepier/wire/workload_generated.h"
 #include "paddlepier/workload/job.h"
 #include "paddlepier/workload/life.h"
+#include "paddlepier/workload/teams.h"
 #include "paddlepier/workload/worker.h"
 
 #include <cstdint>
@@ -62,6 +64,7 @@
     /** Queue of the longest prefix that @p path begins with; null if there is none. */
     const work::QueueSpecT *findQueue(std::string_view host, std::string_view path) const;
     const work::ServiceSpecT *findService(std::string_view name) const;
+    const Teams &teams() const;
     const Job *findJob(const std::string &id) const;
     const Worker *findWorker(const Life &life) const;
     /** The latest life under @p id; null if there is none. O(log workers). */
@@ -87,6 +90,12 @@
     /** Length of the group of placements at @p begin that are taken whole or not at all. */
     std::size_t groupLength(const std::vector<std::unique_ptr<work::PlacementT>> &placements, std::size_t begin) const;
     bool placeOne(const work::PlacementT &placement);
+    /** A run takes its room on the worker, and of its team's quota. */
+    void takeRoom(Worker &worker, const Job &job, const TaskKey &key);
+    /** @return false if the worker has no such run */
+    bool giveRoomBack(Worker &worker, const Job &job, const TaskKey &key);
+    void addSuperseded(Worker &worker, const TaskKey &key, const SupersededRun &run);
+    void removeSuperseded(Worker &worker, const TaskKey &key);
     void undoPlacement(const work::PlacementT &placement);
     /** @return whether the task is given up with that */
     bool endRun(const Life &worker, const work::RunEndT &end);
@@ -115,6 +124,8 @@
     std::int64_t appliedAt = 0;
 
     // Derived, rebuilt by restore():
+    /** Counts the runs of all workers and their superseded runs. */
+    Teams teamsOfJobs;
     std::set<std::string> active;
     std::set<std::string> waiting;
     std::set<TaskKey> suspectTasks;
--- a/paddlepier/workload/workloadsnapshot.cpp
+++ b/paddlepier/workload/workloadsnapshot.cpp
@@ -15,7 +15,9 @@
 {
     std::vector<flatbuffers::Offset<work::CopyRecord>> copies;
     for (const auto &[key, run] : worker.superseded) {
-        copies.push_back(work::CreateCopyRecord(builder, key.pack(builder), run.run, &run.demand));
+        const auto task = key.pack(builder);
+        const auto team = builder.CreateString(run.team);
+        copies.push_back(work::CreateCopyRecord(builder, task, run.run, &run.demand, team, &run.quotaDemand));
     }
     std::vector<flatbuffers::Offset<work::TaskKey>> lapsed;
     for (const TaskKey &key : worker.lapsed) {
@@ -56,13 +58,14 @@
     this->appliedAt = snapshot.atMillis;
     if (snapshot.configuration) {
         this->currentConfiguration = *snapshot.configuration;
+        this->teamsOfJobs.configure(this->currentConfiguration);
     }
     for (const auto &record : snapshot.workers) {
         Worker &worker = this->workerByLife[lifeOf(*record->registration)];
         worker.registration = *record->registration;
         worker.lastSequence = record->lastSequence;
         for (const auto &copy : record->copies) {
-            worker.addSuperseded(TaskKey(*copy->task), {copy->run, *copy->demand});
+            this->addSuperseded(worker, TaskKey(*copy->task), {copy->run, *copy->demand, copy->team, copy->quotaDemand ? *copy->quotaDemand : work::Demand()});
         }
         for (const auto &key : record->lapsed) {
             worker.lapsed.emplace(*key);
@@ -78,7 +81,7 @@
                 for (std::uint32_t index = 0; index < tasks.size(); ++index) {
                     const auto worker = this->workerByLife.find(tasks[index].worker);
                     if (worker != this->workerByLife.end()) {
-                        worker->second.addRun({job.id(), occurrence, step, index}, job.stepSpec(step));
+                        this->takeRoom(worker->second, job, {job.id(), occurrence, step, index});
                     }
                 }
             }
--- a/testing/platformnode.h
+++ b/testing/platformnode.h
@@ -32,6 +32,7 @@
     std::map<std::string, std::string> listenAddresses;
     std::string dataDirectory;
     bool isFirstStart = false;
+    std::vector<std::string> contracts = {};
 };
 
 inline std::string settingsOf(const PlatformNode &node)
@@ -40,6 +41,7 @@
     std::string text = absl::StrCat("node_name = \"", node.host, "\"\nip_address = \"", node.host, "\"\nzone = \"z\"\n");
     absl::StrAppend(&text, "internal_port_range = [", node.internalPort, ", ", node.internalPort + 1, "]\n");
     absl::StrAppend(&text, "seeds = [", absl::StrJoin(node.seeds, ", ", quoted), "]\nfirst_start = ", node.isFirstStart ? "true" : "false", "\n");
+    absl::StrAppend(&text, "contracts = [", absl::StrJoin(node.contracts, ", ", quoted), "]\n");
     if (!node.dataDirectory.empty()) {
         absl::StrAppend(&text, "data_directory = \"", node.dataDirectory, "\"\n");
     }
