Order of steps: what has begun goes on first, and nothing is begun too late

Ruled out: room kept while a long question is out.

Change: within a priority and outlook, jobs of which a task has been placed go before others, and a job that hasn't begun counts as late once its slack is below 0.7 of its remaining work.

New: steporder_test.cpp.

--- a/paddlepier/planning/steporder.cpp
+++ b/paddlepier/planning/steporder.cpp
@@ -10,6 +10,28 @@
 namespace paddlepier::planning
 {
 
+namespace
+{
+
+/**
+ * What a job needs beyond its remaining work, as a share of it, to end in time: its tasks are placed one after the other as room and
+ * tickets come, and the next steps wait for the last of them.
+ */
+constexpr double leastSlackToBegin = 0.7;
+
+/** A task of the step has been placed. Of one that was preempted as a whole, the first task tells. */
+bool wasPlaced(const workload::Step &step)
+{
+    return step.runningTasks > 0 || step.doneTasks > 0 || step.tasks.front().lastRun > 0;
+}
+
+bool isTooLateToBegin(const Prospect &prospect)
+{
+    return prospect.outlook == Outlook::InTime && prospect.slackMillis < leastSlackToBegin * prospect.remainingMillis;
+}
+
+} // namespace
+
 StepOrder::StepOrder(const workload::Workload &workloadState, const Prospects &jobProspects)
     : state(workloadState)
     , prospects(jobProspects)
@@ -29,7 +51,9 @@
         }
     }
     std::stable_sort(wanted.begin(), wanted.end(), [](const WantedStep &left, const WantedStep &right) {
-        const auto rank = [](const WantedStep &entry) { return std::tuple(rankOf(entry), entry.prospect.outlook, entry.job->submittedAtMillis()); };
+        const auto rank = [](const WantedStep &entry) {
+            return std::tuple(rankOf(entry), entry.prospect.outlook, !entry.hasBegun, entry.job->submittedAtMillis());
+        };
         return rank(left) < rank(right);
     });
     return wanted;
@@ -38,6 +62,7 @@
 void StepOrder::collectOccurrence(std::vector<WantedStep> &wanted, const workload::Job &job, std::uint32_t occurrence, std::int64_t wallMillis) const
 {
     const std::vector<workload::Step> &steps = job.occurrences()[occurrence].steps;
+    const bool hasBegun = std::any_of(steps.begin(), steps.end(), wasPlaced);
     std::optional<Prospect> prospect;
     for (std::uint32_t number = 0; number < steps.size(); ++number) {
         const workload::Step &progress = steps[number];
@@ -55,6 +80,10 @@
             prospect = prospect ? prospect : this->prospects.of(job, occurrence, wallMillis);
             entry.prospect = *prospect;
         }
+        entry.hasBegun = hasBegun;
+        if (!hasBegun && isTooLateToBegin(entry.prospect)) {
+            entry.prospect.outlook = Outlook::Late;
+        }
         entry.tasks.reserve(progress.waitingTasks);
         for (std::uint32_t index = 0; index < progress.tasks.size(); ++index) {
             if (!progress.tasks[index].isDone && !progress.tasks[index].hasRun()) {
--- a/paddlepier/planning/steporder.h
+++ b/paddlepier/planning/steporder.h
@@ -1,7 +1,8 @@
 // The order in which waiting steps are planned.
 //
 // First by the priority of their queue; then what can still meet its objective before what is late, and that before what
-// can't be of use any more; then by age. When room is short some jobs are then served in time instead of all being late.
+// can't be of use any more; then jobs that have begun before those that haven't; then by age. When room is short some jobs
+// are then served in time instead of all being late: few are under way at a time, and none is begun that would end late.
 // A job with less time to spare than work left goes one priority up, but never to urgent work (priority 0): beside a
 // steady stream of work that goes first, it would otherwise be late without need.
 //
--- /dev/null
+++ b/paddlepier/planning/steporder_test.cpp
@@ -0,0 +1,126 @@
+// The order in which waiting steps are planned, where there is too much of them.
+
+#include "paddlepier/planning/steporder.h"
+#include "paddlepier/workload/applycommand.h"
+
+#include <catch2/catch.hpp>
+
+namespace paddlepier::planning
+{
+
+namespace
+{
+
+class StepOrderFixture
+{
+public:
+    StepOrderFixture()
+    {
+        work::ChangeConfigurationT configuration;
+        configuration.version = 1;
+        for (const auto &[name, priority] : {std::pair("first", 0U), std::pair("slow", 2U)}) {
+            auto &queue = configuration.queues.emplace_back(std::make_unique<work::QueueSpecT>());
+            queue->name = name;
+            queue->priority = priority;
+            queue->stretch = 3;
+        }
+        this->apply(std::move(configuration));
+        work::RegisterWorkerT registration;
+        registration.id = "w";
+        registration.capacity = std::make_unique<work::Demand>(100'000, 100'000, 0);
+        this->apply(std::move(registration));
+    }
+
+    template<typename Table>
+    void apply(Table table)
+    {
+        workload::applyCommand(this->state, this->wallMillis, std::move(table));
+    }
+
+    /** A job of two steps of a second each: its objective is six seconds. */
+    void submit(const std::string &id, std::int64_t atMillis, const std::string &queue = "slow")
+    {
+        this->wallMillis = atMillis;
+        work::SubmitJobT command;
+        command.id = id;
+        command.queue = queue;
+        command.spec = std::make_unique<work::JobSpecT>();
+        for (std::uint32_t number = 0; number < 2; ++number) {
+            auto &step = command.spec->steps.emplace_back(std::make_unique<work::StepSpecT>());
+            step->count = 2;
+            step->estimatedMillis = 1000;
+            step->demand = std::make_unique<work::Demand>(1000, 100, 0);
+        }
+        command.spec->steps[1]->after = {0};
+        this->apply(std::move(command));
+    }
+
+    /** Places the first task of the job, and ends it by @p kind unless it goes on. */
+    void begin(const std::string &job, std::optional<work::RunEndKind> kind = std::nullopt)
+    {
+        work::PlaceRunsT command;
+        auto &placement = command.placements.emplace_back(std::make_unique<work::PlacementT>());
+        placement->task = workload::TaskKey(job, 0, 0, 0).record();
+        placement->run = 1;
+        placement->worker = "w";
+        this->apply(std::move(command));
+        if (kind) {
+            work::RecordEndsT ends;
+            ends.worker = "w";
+            auto &end = ends.ends.emplace_back(std::make_unique<work::RunEndT>());
+            end->task = workload::TaskKey(job, 0, 0, 0).record();
+            end->run = 1;
+            end->kind = *kind;
+            this->apply(std::move(ends));
+        }
+    }
+
+    std::vector<std::string> order(std::int64_t atMillis) const
+    {
+        std::vector<std::string> jobs;
+        for (const WantedStep &wanted : this->stepOrder.collect(atMillis)) {
+            jobs.push_back(wanted.key.job);
+        }
+        return jobs;
+    }
+
+    std::int64_t wallMillis = 0;
+    workload::Workload state;
+    const std::map<std::string, double> usualRatios;
+    const Prospects prospects{this->usualRatios};
+    const StepOrder stepOrder{this->state, this->prospects};
+};
+
+} // namespace
+
+TEST_CASE_METHOD(StepOrderFixture, "jobThatHasBegun_goesBeforeOlderOnesThatHaveNot")
+{
+    this->submit("older", 1000);
+    this->submit("begun", 1100);
+    this->submit("preempted", 1200);
+    this->begin("begun");
+    this->begin("preempted", work::RunEndKind::Stopped);
+    CHECK(this->order(1300) == std::vector<std::string>{"begun", "preempted", "older"});
+}
+
+TEST_CASE_METHOD(StepOrderFixture, "jobWithTooLittleTimeToBegin_goesAfterThoseThatHaveEnough")
+{
+    this->submit("old", 1000);
+    this->submit("young", 3000);
+    // Of its six seconds 3.5 are left for two of work.
+    CHECK(this->order(3500) == std::vector<std::string>{"old", "young"});
+    // Now 3.3: the tasks never come all at once.
+    CHECK(this->order(3700) == std::vector<std::string>{"young", "old"});
+    this->begin("old");
+    CHECK(this->order(3700) == std::vector<std::string>{"old", "young"});
+}
+
+TEST_CASE_METHOD(StepOrderFixture, "jobOfAnUrgentQueue_goesFirstWhateverHasBegun")
+{
+    this->submit("begun", 1000);
+    this->begin("begun");
+    this->submit("urgent", 1100, "first");
+    CHECK(this->order(1200).front() == "urgent");
+}
+
+} // namespace paddlepier::planning
--- a/paddlepier/planning/suitability.h
+++ b/paddlepier/planning/suitability.h
@@ -82,6 +82,8 @@
     /** In time, with nothing left to do, for what is to last: it has no end to meet. */
     Prospect prospect;
     std::vector<std::uint32_t> tasks;
+    /** A task of its occurrence has been placed before. */
+    bool hasBegun = false;
     /** Data centre that its tasks had best go to. */
     std::uint32_t home = noHome;
     /** Data centre for those that don't fit there. */
