Long questions go out in the order of the steps, as many as can be sent

Cause: at the shifted load 30 to 45 questions wait for the policy service all the time, and a question for which no caller was free came back at once as unanswered, to be tried again after 60 ms: whichever step's pause was over when a caller became free got it, whatever its place in the order, and room was kept meanwhile for a step that nobody had been asked about.

Change: the leader tells the plan how many callers would take a long question now (AdviceCallers::freeForLong); the plan sends that many, the first steps first, and keeps no room for a step that is neither asked about nor can be.

--- a/paddlepier/cluster/advicecallers.cpp
+++ b/paddlepier/cluster/advicecallers.cpp
@@ -2,6 +2,8 @@
 
 #include "paddlepier/cluster/advicecallers.h"
 
+#include "paddlepier/planning/advicebook.h"
+
 #include <algorithm>
 
 namespace paddlepier::cluster
@@ -13,9 +15,6 @@
 /** Instances show themselves every 300 ms; one that missed two isn't given questions. */
 constexpr Duration aliveFor = absl::Milliseconds(800);
 
-/** Questions over this cost are long: several short ones fit into it. */
-constexpr Duration longCost = absl::Milliseconds(100);
-
 /** Of four callers one is kept for short questions, rounded up. */
 constexpr std::size_t shortOnlyShare = 4;
 
@@ -31,31 +30,42 @@
     this->callers[instance].aliveAt = now;
 }
 
-AdviceChoice AdviceCallers::choose(Timestamp now, Duration cost)
+template<typename Visit>
+void AdviceCallers::visitFree(Timestamp now, bool isLong, Visit visit) const
 {
-    std::size_t alive = 0;
-    for (const auto &[name, caller] : this->callers) {
-        alive += now - caller.aliveAt < aliveFor ? 1 : 0;
-    }
+    const auto isAlive = [now](const auto &entry) { return now - entry.second.aliveAt < aliveFor; };
+    const auto alive = static_cast<std::size_t>(std::count_if(this->callers.begin(), this->callers.end(), isAlive));
     const std::size_t shortOnly = alive > 1 ? (alive + shortOnlyShare - 1) / shortOnlyShare : 0;
-    const bool isLong = cost > longCost;
-    std::string best;
-    Timestamp bestEnd = absl::InfiniteFuture();
     std::size_t number = 0;
     for (const auto &[name, caller] : this->callers) {
         if (now - caller.aliveAt >= aliveFor || caller.avoidedUntil > now) {
             continue;
         }
         const bool isShortOnly = number++ < shortOnly;
-        if (isLong && isShortOnly) {
-            continue;
+        if (!(isLong && isShortOnly) && caller.busyUntil <= now + longestWait) {
+            visit(name, caller);
         }
+    }
+}
+
+std::size_t AdviceCallers::freeForLong(Timestamp now) const
+{
+    std::size_t found = 0;
+    this->visitFree(now, true, [&found](const std::string &, const Caller &) { ++found; });
+    return found;
+}
+
+AdviceChoice AdviceCallers::choose(Timestamp now, Duration cost)
+{
+    std::string best;
+    Timestamp bestEnd = absl::InfiniteFuture();
+    this->visitFree(now, cost > planning::longQuestionCost, [&](const std::string &name, const Caller &caller) {
         const Timestamp end = std::max(now, caller.busyUntil) + cost;
-        if (end < bestEnd && caller.busyUntil <= now + longestWait) {
+        if (end < bestEnd) {
             best = name;
             bestEnd = end;
         }
-    }
+    });
     if (!best.empty()) {
         this->callers[best].busyUntil = bestEnd;
         ++this->callers[best].underWay;
--- a/paddlepier/cluster/advicecallers.h
+++ b/paddlepier/cluster/advicecallers.h
@@ -10,6 +10,7 @@
 
 #include "paddlepier/base/clock.h"
 
+#include <cstddef>
 #include <map>
 #include <string>
 
@@ -33,6 +34,8 @@
      * others on each of them: a question that is answered too late only delays the next.
      */
     AdviceChoice choose(Timestamp now, Duration cost);
+    /** Callers that would take a long question now. */
+    std::size_t freeForLong(Timestamp now) const;
     /** A question has ended, early or late: corrects the caller's expected time. */
     void noteEnd(Timestamp now, const std::string &instance, Duration cost);
     /** A question wasn't answered: the caller gets no others for a while. */
@@ -46,6 +49,10 @@
         int underWay = 0;
     };
 
+    /** Calls @p visit(name, caller) for each that would take a question now. */
+    template<typename Visit>
+    void visitFree(Timestamp now, bool isLong, Visit visit) const;
+
     std::map<std::string, Caller> callers;
 };
 
--- a/paddlepier/cluster/advicecallers_test.cpp
+++ b/paddlepier/cluster/advicecallers_test.cpp
@@ -38,6 +38,17 @@
     CHECK_FALSE(this->callers.choose(this->now + absl::Milliseconds(400), absl::Milliseconds(500)).instance.empty());
 }
 
+TEST_CASE_METHOD(AdviceCallersFixture, "freeForLong_isAsManyAsWouldTakeALongQuestion")
+{
+    CHECK(this->callers.freeForLong(this->now) == 3);
+    const std::string busy = this->callers.choose(this->now, absl::Milliseconds(500)).instance;
+    CHECK(this->callers.freeForLong(this->now) == 2);
+    CHECK(this->callers.freeForLong(this->now + absl::Milliseconds(300)) == 3);
+    this->callers.noteFailure(this->now, busy);
+    CHECK(this->callers.freeForLong(this->now + absl::Milliseconds(300)) == 2);
+    CHECK(this->callers.freeForLong(this->now + absl::Seconds(5)) == 0);
+}
+
 TEST_CASE_METHOD(AdviceCallersFixture, "choose_callerNotSeenForLong_isAnother")
 {
     this->now += absl::Seconds(5);
--- a/paddlepier/cluster/workservice.cpp
+++ b/paddlepier/cluster/workservice.cpp
@@ -421,7 +421,7 @@
 
 void WorkService::step(Timestamp now)
 {
-    execution::DispatchEffects effects = this->dispatcher.step(now, wallMicros() / 1000);
+    execution::DispatchEffects effects = this->dispatcher.step(now, wallMicros() / 1000, {this->callers.freeForLong(now)});
     this->longWaits.add(static_cast<std::int64_t>(effects.longWaits));
     this->teamsAtQuota.add(static_cast<std::int64_t>(effects.teamsAtQuota));
     for (execution::Proposal &proposal : effects.proposals) {
--- a/paddlepier/execution/dispatcher.cpp
+++ b/paddlepier/execution/dispatcher.cpp
@@ -175,7 +175,7 @@
     }
 }
 
-DispatchEffects Dispatcher::step(Timestamp now, std::int64_t wallMillis)
+DispatchEffects Dispatcher::step(Timestamp now, std::int64_t wallMillis, const planning::QuestionBudget &budget)
 {
     this->allowForPause(now);
     this->syncWorkers(now);
@@ -184,7 +184,7 @@
     this->stopIncompleteGangs(now);
     this->driveRuns(now);
     this->reportSteps(now);
-    this->planWork(now, wallMillis);
+    this->planWork(now, wallMillis, budget);
     this->reportWaits(now, wallMillis);
     this->reportCell(now);
     this->pollWorkers(now);
--- a/paddlepier/execution/dispatcher.h
+++ b/paddlepier/execution/dispatcher.h
@@ -79,8 +79,8 @@
 public:
     Dispatcher(const workload::Workload &workloadState, DispatchOptions dispatchOptions, std::uint64_t leaderTerm, Timestamp now);
 
-    /** What is to be done now; call it after every batch of events. */
-    DispatchEffects step(Timestamp now, std::int64_t wallMillis);
+    /** What is to be done now; call it after every batch of events. @param budget  questions that can be sent now */
+    DispatchEffects step(Timestamp now, std::int64_t wallMillis, const planning::QuestionBudget &budget = {});
 
     void takeAnswer(Timestamp now, std::uint64_t call, const WorkerAnswer &answer);
     void takeAdvice(Timestamp now, std::uint64_t question, const AdviceAnswer &answer);
@@ -163,7 +163,7 @@
     void forgetEndedJobs(Timestamp now);
     void expireLeases(Timestamp now);
     void drainWorkers(Timestamp now);
-    void planWork(Timestamp now, std::int64_t wallMillis);
+    void planWork(Timestamp now, std::int64_t wallMillis, const planning::QuestionBudget &budget);
     /** Tells of steps that have waited for long. */
     void reportWaits(Timestamp now, std::int64_t wallMillis);
     /** Tells once a second how full the cell is. */
--- a/paddlepier/execution/placing.cpp
+++ b/paddlepier/execution/placing.cpp
@@ -41,7 +41,7 @@
 
 } // namespace
 
-void Dispatcher::planWork(Timestamp now, std::int64_t wallMillis)
+void Dispatcher::planWork(Timestamp now, std::int64_t wallMillis, const planning::QuestionBudget &budget)
 {
     if (this->placing || now < this->nextPlan || (!this->changed && now < this->nextPlan + planInterval)) {
         return;
@@ -52,7 +52,7 @@
     }
     this->changed = false;
     this->nextPlan = now + std::max(planPause, planPausePerWorker * this->views.size());
-    planning::Plan plan = this->planner.plan(now, wallMillis);
+    planning::Plan plan = this->planner.plan(now, wallMillis, budget);
     std::move(plan.questions.begin(), plan.questions.end(), std::back_inserter(this->effects.questions));
     for (const auto &[key, servedStep] : plan.preempted) {
         const auto track = this->tracks.find(key);
--- a/paddlepier/planning/advicebook.cpp
+++ b/paddlepier/planning/advicebook.cpp
@@ -19,13 +19,13 @@
 /** Pause after a question without an answer, so that it isn't asked again in every plan. */
 constexpr Duration unansweredPause = absl::Milliseconds(60);
 
+} // namespace
+
 Duration costOf(const work::AdvicePolicyT &policy, std::size_t workers)
 {
     return absl::Microseconds(static_cast<std::int64_t>(1000 * (policy.decisionMillis + policy.perWorkerMillis * static_cast<double>(workers))));
 }
 
-} // namespace
-
 std::uint32_t AdviceBook::numberOf(const workload::Life &worker)
 {
     return this->numbers.try_emplace(worker, static_cast<std::uint32_t>(this->numbers.size())).first->second;
@@ -56,6 +56,12 @@
     return word != found->second.words.end() && standingOf(now, word->second) == Standing::Permitted ? &word->second.ticket : nullptr;
 }
 
+bool AdviceBook::isAsking(const workload::StepKey &step) const
+{
+    const auto found = this->steps.find(step);
+    return found != this->steps.end() && found->second.asking > 0;
+}
+
 bool AdviceBook::mayAsk(Timestamp now, const workload::StepKey &step) const
 {
     const auto found = this->steps.find(step);
--- a/paddlepier/planning/advicebook.h
+++ b/paddlepier/planning/advicebook.h
@@ -28,6 +28,9 @@
 namespace paddlepier::planning
 {
 
+/** Questions over this cost are long: several short ones fit into it. */
+constexpr Duration longQuestionCost = absl::Milliseconds(100);
+
 struct Ticket {
     std::string text;
     Timestamp validUntil;
@@ -35,6 +38,9 @@
 
 enum class Standing { Unasked, Forbidden, Permitted, Expired };
 
+/** Time that the policy service takes for a question about so many workers. */
+Duration costOf(const work::AdvicePolicyT &policy, std::size_t workers);
+
 class AdviceBook
 {
 public:
@@ -55,6 +61,8 @@
     bool mayHaveTicket(Timestamp now, const workload::StepKey &step) const;
     /** Null unless the worker may run the step and the ticket is still good. */
     const Ticket *validTicket(Timestamp now, const workload::StepKey &step, const workload::Life &worker) const;
+    /** An answer is awaited. */
+    bool isAsking(const workload::StepKey &step) const;
     /** False while an answer is awaited, and for a short while after a question that got none. */
     bool mayAsk(Timestamp now, const workload::StepKey &step) const;
 
--- a/paddlepier/planning/asking.cpp
+++ b/paddlepier/planning/asking.cpp
@@ -37,6 +37,11 @@
     return std::clamp(static_cast<std::size_t>(cheap), leastWorkersAsked, mostWorkersAsked);
 }
 
+bool isLong(const work::AdvicePolicyT &policy)
+{
+    return costOf(policy, leastAsked(policy)) > longQuestionCost;
+}
+
 } // namespace
 
 AdviceAsking::AdviceAsking(Rooms &planRooms, RoomKeeper &roomKeeper, AdviceBook &book)
@@ -46,6 +51,16 @@
 {
 }
 
+void AdviceAsking::begin(const QuestionBudget &questionBudget)
+{
+    this->budget = questionBudget;
+}
+
+bool AdviceAsking::mayAsk(Timestamp now, const WantedStep &wanted) const
+{
+    return this->advice.mayAsk(now, wanted.key) && (this->budget.longQuestions > 0 || !isLong(*wanted.job->queue().advice));
+}
+
 std::optional<execution::AdviceQuestion> AdviceAsking::ask(Timestamp now, const WantedStep &wanted, const std::vector<ComingRoom> &coming)
 {
     std::vector<Candidate> candidates = this->candidatesFor(wanted, true);
@@ -54,7 +69,10 @@
     if (candidates.empty() && !(coming.empty() && this->keeper.isWide(wanted))) {
         return std::nullopt;
     }
-    const bool mayAsk = this->advice.mayAsk(now, wanted.key);
+    const bool mayAsk = this->mayAsk(now, wanted);
+    if (!mayAsk && !this->advice.isAsking(wanted.key)) {
+        return std::nullopt;
+    }
     if (mayAsk && candidates.size() < mostWorkersAsked) {
         const std::vector<Candidate> full = this->candidatesFor(wanted, false);
         candidates.insert(candidates.end(), full.begin(), full.end());
@@ -64,6 +82,7 @@
         return std::nullopt;
     }
     const work::QueueSpecT &queue = wanted.job->queue();
+    this->budget.longQuestions -= isLong(*queue.advice) ? 1 : 0;
     return this->advice.ask(now, wanted.key, queue.name, std::move(asked), *queue.advice);
 }
 
--- a/paddlepier/planning/asking.h
+++ b/paddlepier/planning/asking.h
@@ -5,6 +5,9 @@
 // likely that enough of them are permitted, and room is kept there from the steps that come after. Who may run a wide step
 // is asked before there is room at all, since room has to be made for it at a worker that may.
 //
+// Long questions are limited to those that can be sent at once, so that they go out in the order of the steps. No room is kept for
+// a step that can't be asked about: others have tickets for it.
+//
 // Example:
 //     if (auto question = asking.ask(now, wanted, coming)) { plan.questions.push_back(*question); }
 //
@@ -19,6 +22,8 @@
 #include "paddlepier/planning/roomkeeping.h"
 #include "paddlepier/planning/rooms.h"
 
+#include <cstddef>
+#include <limits>
 #include <optional>
 #include <string>
 #include <vector>
@@ -26,11 +31,21 @@
 namespace paddlepier::planning
 {
 
+/** Questions that can be sent now. */
+struct QuestionBudget {
+    std::size_t longQuestions = std::numeric_limits<std::size_t>::max();
+};
+
 class AdviceAsking
 {
 public:
     AdviceAsking(Rooms &planRooms, RoomKeeper &roomKeeper, AdviceBook &book);
 
+    /** Begins a plan. */
+    void begin(const QuestionBudget &questionBudget);
+    /** The step may be asked about now, and somebody is free to ask. */
+    bool mayAsk(Timestamp now, const WantedStep &wanted) const;
+
     /**
      * Keeps room for what is likely to be permitted, and asks if no answer is awaited already.
      *
@@ -60,6 +75,8 @@
     Rooms &rooms;
     RoomKeeper &keeper;
     AdviceBook &advice;
+    /** What is left of the plan's. */
+    QuestionBudget budget;
 };
 
 } // namespace paddlepier::planning
--- a/paddlepier/planning/loadpatterns.h
+++ b/paddlepier/planning/loadpatterns.h
@@ -103,6 +103,38 @@
     return made;
 }
 
+/**
+ * Workers of 32 processors and long jobs of many large tasks, most of which save their progress; at @p load 1 they take about as much as
+ * the workers have. The policy service takes a seventh of a task's time for each question, and permits a third of the workers.
+ */
+inline LoadPattern longJobsPattern(double load)
+{
+    LoadKind longJobs;
+    longJobs.queue = "long";
+    longJobs.priority = 2;
+    longJobs.stretch = 3;
+    longJobs.targetLatencyMillis = 1200;
+    longJobs.jobsPerSecond = 2.4 * load;
+    longJobs.leastTasks = 6;
+    longJobs.mostTasks = 36;
+    longJobs.milliProcessors = 9000;
+    longJobs.memoryMegabytes = 9100;
+    longJobs.leastMillis = 1900;
+    longJobs.mostMillis = 5700;
+    longJobs.saving = 0.8;
+    longJobs.decisionMillis = 494;
+    longJobs.perWorkerMillis = 7.15;
+    longJobs.permitted = 0.35;
+    LoadPattern made;
+    made.workers = 64;
+    made.dataCentres = 3;
+    made.milliProcessors = 32'000;
+    made.memoryMegabytes = 65'536;
+    made.accelerators = 0;
+    made.kinds = {longJobs};
+    return made;
+}
+
 /**
  * Accelerators at some 80 % use if @p load is 1: gangs of one or two tasks that need two, four or all eight accelerators of a worker, and
  * many small tasks of less urgent jobs that need one.
--- a/paddlepier/planning/loadreplay_test.cpp
+++ b/paddlepier/planning/loadreplay_test.cpp
@@ -66,8 +66,33 @@
     }
 };
 
+class LongJobsFixture
+{
+public:
+    static double inTime(double load)
+    {
+        constexpr int seeds = 5;
+        double share = 0;
+        for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+            LoadReplay replay(seed, longJobsPattern(load));
+            replay.run(absl::Seconds(60));
+            share += replay.inTime("long") / seeds;
+        }
+        return share;
+    }
+};
+
 } // namespace
 
+TEST_CASE_METHOD(LongJobsFixture, "longJobs_inOverload_arePartlyInTimeInsteadOfAllLate")
+{
+    const double calm = inTime(0.7);
+    const double overloaded = inTime(1.4);
+    INFO("in time " << calm << " of a calm load, " << overloaded << " of an overload");
+    CHECK(calm > 0.9);
+    CHECK(overloaded > 0.5);
+}
+
 TEST_CASE_METHOD(CutFixture, "quickJobs_whenADataCentreIsCutOff_areMostlyElsewhereAsAWhole")
 {
     const Served served = serve();
--- a/paddlepier/planning/planner.cpp
+++ b/paddlepier/planning/planner.cpp
@@ -32,9 +32,10 @@
 {
 }
 
-Plan Planner::plan(Timestamp now, std::int64_t wallMillis)
+Plan Planner::plan(Timestamp now, std::int64_t wallMillis, const QuestionBudget &budget)
 {
     Plan plan;
+    this->asking.begin(budget);
     this->makingWay.begin(now, wallMillis);
     std::vector<WantedStep> steps = this->order.collect(wallMillis);
     // What comes after the last step that may act keeps room from nobody.
@@ -78,7 +79,7 @@
 bool Planner::mayAct(Timestamp now, const WantedStep &wanted) const
 {
     const bool needsAdvice = wanted.job->queue().advice != nullptr;
-    return !needsAdvice || this->advice.mayAsk(now, wanted.key) || this->advice.mayHaveTicket(now, wanted.key) || this->makingWay.mayServe(wanted);
+    return !needsAdvice || this->asking.mayAsk(now, wanted) || this->advice.mayHaveTicket(now, wanted.key) || this->makingWay.mayServe(wanted);
 }
 
 void Planner::collectChoices(const WantedStep &wanted)
--- a/paddlepier/planning/planner.h
+++ b/paddlepier/planning/planner.h
@@ -66,7 +66,7 @@
             const std::map<std::string, double> &usualRatiosByQueue);
 
     /** @param wallMillis  milliseconds since 1970 */
-    Plan plan(Timestamp now, std::int64_t wallMillis);
+    Plan plan(Timestamp now, std::int64_t wallMillis, const QuestionBudget &budget = {});
 
     /** Steps that have waited for long, and why; see waiting.h. */
     std::vector<LongWait> lookForLongWaits(Timestamp now, std::int64_t wallMillis);
