Urgent work that is late already stops nobody

Change: runs make way anywhere only for urgent work that can still be in time. Wide work had that condition already.

--- a/paddlepier/planning/makingway.cpp
+++ b/paddlepier/planning/makingway.cpp
@@ -21,6 +21,12 @@
  */
 constexpr Duration preemptionPause = absl::Milliseconds(20);
 
+/** What is late already has less to gain by a stop than the stopped run's job has to lose. */
+bool mayStopAnywhere(const WantedStep &wanted)
+{
+    return wanted.job->queue().priority == 0 && wanted.prospect.outlook == Outlook::InTime;
+}
+
 } // namespace
 
 void YieldingRuns::addOccurrence(const workload::Job &job, std::uint32_t occurrence, const execution::RunTracks &tracks, Rooms &rooms)
@@ -79,7 +85,7 @@
 
 bool MakingWay::mayServe(const WantedStep &wanted) const
 {
-    return this->isOpen && wanted.job->queue().priority == 0;
+    return this->isOpen && mayStopAnywhere(wanted);
 }
 
 void MakingWay::makeRoom(const WantedStep &wanted, const std::vector<ComingRoom> &coming)
@@ -89,7 +95,7 @@
     }
     if (!coming.empty()) {
         this->makeComing(wanted, coming);
-    } else if (wanted.job->queue().priority == 0) {
+    } else if (mayStopAnywhere(wanted)) {
         this->makeAnywhere(wanted);
     }
 }
--- a/paddlepier/planning/planner_test.cpp
+++ b/paddlepier/planning/planner_test.cpp
@@ -241,6 +241,23 @@
     CHECK(plan.preempted.size() == 2);
 }
 
+TEST_CASE_METHOD(PlannerFixture, "urgentWork_thatIsLateAlready_makesNothingGiveWay")
+{
+    this->configure();
+    this->addWorker("w1");
+    this->addJob("slow", "slow", 4).isCheckpointing = true;
+    this->submit();
+    this->place(this->plan());
+    this->addJob("quick", "urgent", 2);
+    this->submit();
+    // Its objective is two seconds, of which one is work.
+    this->wallMillis += 1500;
+    CHECK(this->plan().preempted.empty());
+    this->addJob("next", "urgent", 1);
+    this->submit();
+    CHECK(this->plan().preempted.size() == 1);
+}
+
 TEST_CASE_METHOD(PlannerFixture, "urgentWork_shortlyAfterAPreemption_makesMoreGiveWayAfterAPause")
 {
     this->configure();
