Quota checks in one piece each; a team's weight that nothing read goes

Cause: read again, the change asked twice how many of a step's tasks a quota allows (QuotaLeft::limit and the wait reason), took starts back in two equal blocks, and held a weight by team that no code reads. Three of the planner's tests began with the same five lines.

Change: tasksWithin() serves the plan and the wait reason, Dispatcher::takeBackStart() both reasons to take a start back, a fixture function the tests; Teams keeps quotas alone (the weight stays in the configuration). A head comment is wrapped again.

--- a/paddlepier/execution/dispatcher.h
+++ b/paddlepier/execution/dispatcher.h
@@ -142,6 +142,8 @@
     using UnsentRuns = std::vector<std::pair<workload::TaskKey, RunTrack>>;
     void driveRun(Timestamp now, const workload::TaskKey &key, RunTrack &track, UnsentRuns &unsent);
     void driveStart(Timestamp now, const workload::TaskKey &key, RunTrack &track, UnsentRuns &unsent);
+    /** The run is to begin no more: it ends at once if its start was never sent, and is kept from beginning otherwise. */
+    void takeBackStart(Timestamp now, const workload::TaskKey &key, RunTrack &track, StopReason reason, UnsentRuns &unsent);
     /** The task's team has more placed than its quota allows. */
     bool isTeamOverdrawn(const workload::TaskKey &key) const;
     void driveStop(Timestamp now, const workload::TaskKey &key, RunTrack &track);
--- a/paddlepier/execution/runs.cpp
+++ b/paddlepier/execution/runs.cpp
@@ -118,20 +118,12 @@
     }
     if (this->state.findWorker(track.worker)->isOverRoom()) {
         // Its room has shrunk since the task was placed, and a worker that doesn't guard its room would take the task all the same.
-        if (track.startCalls == 0) {
-            unsent.emplace_back(key, track);
-        } else {
-            this->stopRun(now, key, track, StopReason::RoomShrunk);
-        }
+        this->takeBackStart(now, key, track, StopReason::RoomShrunk, unsent);
         return;
     }
     if (this->isTeamOverdrawn(key)) {
         // The quota was lowered since the task was placed.
-        if (track.startCalls == 0) {
-            unsent.emplace_back(key, track);
-        } else {
-            this->stopRun(now, key, track, StopReason::QuotaLowered);
-        }
+        this->takeBackStart(now, key, track, StopReason::QuotaLowered, unsent);
         return;
     }
     const bool isTicketOver = now > track.ticketValidUntil;
@@ -145,6 +137,15 @@
     this->send(now, track.worker, StartOrder{key, track.run, job.spec().payload, track.checkpoint, track.ticket}, orderTimeout, true);
 }
 
+void Dispatcher::takeBackStart(Timestamp now, const workload::TaskKey &key, RunTrack &track, StopReason reason, UnsentRuns &unsent)
+{
+    if (track.startCalls == 0) {
+        unsent.emplace_back(key, track);
+    } else {
+        this->stopRun(now, key, track, reason);
+    }
+}
+
 bool Dispatcher::isTeamOverdrawn(const workload::TaskKey &key) const
 {
     return this->state.teams().roomOf(this->state.findJob(key.job)->team()).isOverdrawn();
--- a/paddlepier/planning/makingway.h
+++ b/paddlepier/planning/makingway.h
@@ -2,8 +2,8 @@
 //
 // Urgent work (priority 0) may take the place of any run that saves its progress: those near the step's other tasks go first,
 // then what can't be served in time any more, and then the youngest; where room is short some jobs end in time instead of
-// all ending late. Urgent work that is late already stops nothing. Work of other queues makes less urgent runs give way only for wide tasks, which would find
-// no room otherwise, and only where room is chosen and kept for them (roomkeeping.h).
+// all ending late. Urgent work that is late already stops nothing. Work of other queues makes less urgent runs give way only
+// for wide tasks, which would find no room otherwise, and only where room is chosen and kept for them (roomkeeping.h).
 //
 // Example:
 //     way.begin(now, wallMillis);
--- a/paddlepier/planning/planner_test.cpp
+++ b/paddlepier/planning/planner_test.cpp
@@ -98,6 +98,16 @@
         this->apply(std::move(command));
     }
 
+    /** One worker that is full of runs which save their progress. */
+    void fillWithSavingWork()
+    {
+        this->configure();
+        this->addWorker("w1");
+        this->addJob("slow", "slow", 4).isCheckpointing = true;
+        this->submit();
+        this->place(this->plan());
+    }
+
     Timestamp now = absl::UnixEpoch() + absl::Hours(1);
     std::int64_t wallMillis = 1'000'000;
     workload::Workload state;
@@ -229,11 +239,7 @@
 
 TEST_CASE_METHOD(PlannerFixture, "urgentWork_withoutRoom_makesCheckpointingWorkGiveWay")
 {
-    this->configure();
-    this->addWorker("w1");
-    this->addJob("slow", "slow", 4).isCheckpointing = true;
-    this->submit();
-    this->place(this->plan());
+    this->fillWithSavingWork();
     this->addJob("quick", "urgent", 2);
     this->submit();
     const Plan plan = this->plan();
@@ -243,11 +249,7 @@
 
 TEST_CASE_METHOD(PlannerFixture, "urgentWork_thatIsLateAlready_makesNothingGiveWay")
 {
-    this->configure();
-    this->addWorker("w1");
-    this->addJob("slow", "slow", 4).isCheckpointing = true;
-    this->submit();
-    this->place(this->plan());
+    this->fillWithSavingWork();
     this->addJob("quick", "urgent", 2);
     this->submit();
     // Its objective is two seconds, of which one is work.
@@ -260,11 +262,7 @@
 
 TEST_CASE_METHOD(PlannerFixture, "urgentWork_shortlyAfterAPreemption_makesMoreGiveWayAfterAPause")
 {
-    this->configure();
-    this->addWorker("w1");
-    this->addJob("slow", "slow", 4).isCheckpointing = true;
-    this->submit();
-    this->place(this->plan());
+    this->fillWithSavingWork();
     this->addJob("quick", "urgent", 1);
     this->submit();
     const Plan first = this->plan();
--- a/paddlepier/planning/quotaleft.cpp
+++ b/paddlepier/planning/quotaleft.cpp
@@ -2,11 +2,19 @@
 
 #include "paddlepier/planning/quotaleft.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace paddlepier::planning
 {
 
+std::size_t tasksWithin(const workload::QuotaRoom &room, const WantedStep &wanted)
+{
+    const std::size_t waiting = wanted.tasks.size();
+    const std::size_t allowed = std::min(room.tasksThatFit(*wanted.step), waiting);
+    return wanted.step->isGang && allowed < waiting ? 0 : allowed;
+}
+
 QuotaLeft::QuotaLeft(const workload::Workload &workloadState)
     : state(workloadState)
 {
@@ -26,12 +34,11 @@
 void QuotaLeft::limit(WantedStep &wanted)
 {
     const std::string &team = wanted.job->team();
-    const std::size_t allowed = this->roomOf(team).tasksThatFit(*wanted.step);
-    if (allowed >= wanted.tasks.size()) {
-        return;
+    const std::size_t allowed = tasksWithin(this->roomOf(team), wanted);
+    if (allowed < wanted.tasks.size()) {
+        this->teamsAtQuota.insert(team);
+        wanted.tasks.resize(allowed);
     }
-    this->teamsAtQuota.insert(team);
-    wanted.tasks.resize(wanted.step->isGang ? 0 : allowed);
 }
 
 void QuotaLeft::take(const WantedStep &wanted, std::size_t tasks)
--- a/paddlepier/planning/quotaleft.h
+++ b/paddlepier/planning/quotaleft.h
@@ -24,6 +24,9 @@
 namespace paddlepier::planning
 {
 
+/** How many of the step's waiting tasks @p room has room for; of a gang all or none. */
+std::size_t tasksWithin(const workload::QuotaRoom &room, const WantedStep &wanted);
+
 class QuotaLeft
 {
 public:
@@ -31,7 +34,7 @@
 
     /** Begins a plan. */
     void begin();
-    /** Leaves the tasks that the team's quota has room for: the first ones, and of a gang all or none. */
+    /** Leaves the first of the tasks, as many as are within the team's quota. */
     void limit(WantedStep &wanted);
     /** So many tasks of the step are placed by this plan. */
     void take(const WantedStep &wanted, std::size_t tasks);
--- a/paddlepier/planning/waiting.cpp
+++ b/paddlepier/planning/waiting.cpp
@@ -3,6 +3,7 @@
 #include "paddlepier/planning/waiting.h"
 
 #include "paddlepier/planning/eligibility.h"
+#include "paddlepier/planning/quotaleft.h"
 
 #include <algorithm>
 #include <array>
@@ -162,8 +163,7 @@
     if (this->setbacks.isPaused(now, key)) {
         return WaitReason::Paused;
     }
-    const std::size_t allowed = this->state.teams().roomOf(wanted.job->team()).tasksThatFit(*wanted.step);
-    if (allowed == 0 || (wanted.step->isGang && allowed < wanted.tasks.size())) {
+    if (tasksWithin(this->state.teams().roomOf(wanted.job->team()), wanted) == 0) {
         return WaitReason::TeamAtQuota;
     }
     this->rooms.beginStep(now, wanted, this->advice);
--- a/paddlepier/workload/teams.cpp
+++ b/paddlepier/workload/teams.cpp
@@ -80,10 +80,10 @@
 
 void Teams::configure(const work::ChangeConfigurationT &configuration)
 {
-    this->teams.clear();
+    this->quotas.clear();
     this->teamByKey.clear();
     for (const auto &spec : configuration.teams) {
-        this->teams[spec->name] = {spec->weight, spec->quota ? *spec->quota : work::Quota()};
+        this->quotas[spec->name] = spec->quota ? *spec->quota : work::Quota();
         for (const std::string &key : spec->keys) {
             this->teamByKey[key] = spec->name;
         }
@@ -98,14 +98,8 @@
 
 QuotaRoom Teams::roomOf(const std::string &team) const
 {
-    const auto found = this->teams.find(team);
-    return found == this->teams.end() ? QuotaRoom() : QuotaRoom(found->second.quota, this->used(team));
-}
-
-std::uint32_t Teams::weightOf(const std::string &team) const
-{
-    const auto found = this->teams.find(team);
-    return found == this->teams.end() ? 0 : found->second.weight;
+    const auto found = this->quotas.find(team);
+    return found == this->quotas.end() ? QuotaRoom() : QuotaRoom(found->second, this->used(team));
 }
 
 work::Quota Teams::used(const std::string &team) const
--- a/paddlepier/workload/teams.h
+++ b/paddlepier/workload/teams.h
@@ -60,8 +60,6 @@
     const std::string *findByKey(std::string_view key) const;
     /** Without a limit for no team, and for one that the configuration doesn't name. */
     QuotaRoom roomOf(const std::string &team) const;
-    /** Jobs a second that the team is entitled to; 0 for one that the configuration doesn't name. */
-    std::uint32_t weightOf(const std::string &team) const;
     /** What the team's runs take. */
     work::Quota used(const std::string &team) const;
 
@@ -69,14 +67,9 @@
     void giveBack(const std::string &team, const work::Demand &demand);
 
 private:
-    struct Team {
-        std::uint32_t weight = 0;
-        work::Quota quota;
-    };
-
     void count(const std::string &team, const work::Demand &demand, int sign);
 
-    std::map<std::string, Team> teams;
+    std::map<std::string, work::Quota> quotas;
     absl::flat_hash_map<std::string, std::string> teamByKey;
     /** Of teams with runs, those included that the configuration names no longer. Invariant: no entry is 0 in all its parts. */
     std::map<std::string, work::Quota> usedByTeam;
