execution: a complete gang member isn't stalled while its gang makes progress

Cause: a gang's members end together with the slowest one. A member on a fast worker shows 100 per cent and no further progress; after 5 s it was stopped as stalled, which broke its gang and counted against its task and its worker. Seen on a cell where a quarter of the workers is half as fast.

Ruled out: a longer timeout alone, since a gang whose last member stalls, or whose end is lost, would then hold its workers for longer.

Change: a complete member stalls only when no member of its gang has made progress for the timeout. Only members that aren't complete are taken for the cause. Three tests: a slow member is waited for; a stalled member restarts the gang and only its worker is suspected; a gang that is complete but never ends is restarted and no worker is suspected. All three failed before. The second also showed that a worker is visited twice, and then given tasks beyond its capacity, where a step's preferred and fallback data centre are the same (workers without a data centre in tests); visited once now.

--- a/paddlepier/execution/dispatcher.cpp
+++ b/paddlepier/execution/dispatcher.cpp
@@ -246,6 +246,12 @@
     }
 }
 
+const WorkerView *Dispatcher::findView(const workload::Incarnation &worker) const
+{
+    const auto found = this->views.find(worker);
+    return found == this->views.end() ? nullptr : &found->second;
+}
+
 void Dispatcher::removeView(const workload::Incarnation &worker)
 {
     if (this->views.erase(worker) > 0) {
--- a/paddlepier/execution/dispatcher.h
+++ b/paddlepier/execution/dispatcher.h
@@ -116,6 +116,8 @@
     std::uint32_t waitingJobs(const std::string &queue) const;
     /** The reason why the job has waited beyond the reporting threshold; empty if it hasn't. */
     std::string longWaitReason(const std::string &job) const;
+    /** What this leader knows of the worker; null if it isn't in the ledger. Valid until the next step. */
+    const WorkerView *findView(const workload::Incarnation &worker) const;
 
 private:
     enum class ProposalKind { Place, RecordEnds, RemoveWorker };
@@ -212,6 +214,8 @@
     void updateRunning(Timestamp now, const workload::Incarnation &worker, const WorkerAnswer &answer);
     /** Evaluates the runs on a worker after a poll: which have stalled, which interfere with serving runs, and how fast the worker is. */
     void monitorRuns(Timestamp now, const workload::Incarnation &worker, WorkerView &view);
+    /** True if the run has made no progress for too long; the progress of a complete member of a gang is that of its gang. */
+    bool hasStalled(Timestamp now, const workload::TaskKey &key, const RunTrack &track, const work::StepSpecT &step) const;
     void monitorProgress(Timestamp now, const workload::TaskKey &key, RunTrack &track, WorkerView &view);
     void throttleFilling(Timestamp now,
                          const workload::Incarnation &worker,
--- a/paddlepier/execution/fakeworkers.h
+++ b/paddlepier/execution/fakeworkers.h
@@ -37,14 +37,19 @@
         Timestamp gangDeadline = absl::InfiniteFuture();
         /** Another member of its gang has ended. */
         bool isBroken = false;
-        /** For a lasting task: when its start-up is complete; infinite for any other. */
+        /** For a lasting task: when its start-up is complete; for a member of a complete gang: when its own work is. Infinite for any other. */
         Timestamp readyAt = absl::InfiniteFuture();
+        /** For a member of a complete gang: when it began to work. */
+        Timestamp workingSince = absl::InfiniteFuture();
 
         std::uint32_t percentAt(Timestamp now) const
         {
             if (this->readyAt <= now) {
                 return 100;
             }
+            if (this->workingSince <= now) {
+                return static_cast<std::uint32_t>(100 * absl::FDivDuration(now - this->workingSince, this->readyAt - this->workingSince));
+            }
             return static_cast<std::uint32_t>(100 * absl::FDivDuration(now - this->startedAt, this->endsAt - this->startedAt));
         }
     };
@@ -68,6 +73,8 @@
         bool hasEnded = false;
         /** Runs that start from now on make no progress. */
         bool isStalling = false;
+        /** Speed at which members of gangs work here, relative to their estimates. */
+        double speed = 1;
         /** When it crashed; infinite while it is running. */
         Timestamp crashedAt = absl::InfiniteFuture();
     };
@@ -207,6 +214,8 @@
     Duration crashDelay = absl::Milliseconds(10);
     /** How long a gang's member waits for the others. */
     Duration gangTimeout = absl::Seconds(3);
+    /** Gangs that become complete from now on finish their work but never end. */
+    bool isGangEndLost = false;
 
 private:
     void notify(const Event &event) const
@@ -267,14 +276,19 @@
         return worker.isFailing || (this->isFailing && this->isFailing(entry.first, run.number)) ? work::RunEndKind::Failed : work::RunEndKind::Done;
     }
 
+    struct GangMember {
+        Run *run;
+        const Worker *worker;
+    };
+
     /** Members of the gang of @p task that run under the same number. */
-    std::vector<Run *> gangOf(const workload::TaskKey &task, std::uint32_t number)
+    std::vector<GangMember> gangOf(const workload::TaskKey &task, std::uint32_t number)
     {
-        std::vector<Run *> members;
+        std::vector<GangMember> members;
         for (auto &[id, worker] : this->workers) {
             for (auto &[key, run] : worker.runs) {
                 if (key.stepKey() == task.stepKey() && run.number == number) {
-                    members.push_back(&run);
+                    members.push_back({&run, &worker});
                 }
             }
         }
@@ -284,20 +298,28 @@
     void breakGang(const workload::TaskKey &task, std::uint32_t number)
     {
         if (this->lookup(task).isGang) {
-            for (Run *member : this->gangOf(task, number)) {
-                member->isBroken = true;
+            for (const GangMember &member : this->gangOf(task, number)) {
+                member.run->isBroken = true;
             }
         }
     }
 
-    /** A gang makes progress and ends together, from the moment at which its last member has started. */
+    /** A gang makes progress from the moment at which its last member has started, and ends together when its slowest member is done. */
     void joinGang(Timestamp now, const workload::TaskKey &task, std::uint32_t number, const work::StepSpecT &step)
     {
-        const std::vector<Run *> members = this->gangOf(task, number);
-        for (Run *member : members) {
-            const bool isComplete = members.size() == step.count;
-            member->gangDeadline = isComplete ? absl::InfiniteFuture() : std::min(member->gangDeadline, member->startedAt + this->gangTimeout);
-            member->endsAt = isComplete ? now + absl::Milliseconds(step.estimatedMillis) : absl::InfiniteFuture();
+        const std::vector<GangMember> members = this->gangOf(task, number);
+        const bool isComplete = members.size() == step.count;
+        Timestamp end = this->isGangEndLost ? absl::InfiniteFuture() : now;
+        for (const auto &[run, worker] : members) {
+            run->gangDeadline = isComplete ? absl::InfiniteFuture() : std::min(run->gangDeadline, run->startedAt + this->gangTimeout);
+            if (isComplete) {
+                run->workingSince = now;
+                run->readyAt = worker->isStalling ? absl::InfiniteFuture() : now + absl::Milliseconds(step.estimatedMillis) / worker->speed;
+                end = std::max(end, run->readyAt);
+            }
+        }
+        for (const auto &[run, worker] : members) {
+            run->endsAt = isComplete ? end : absl::InfiniteFuture();
         }
     }
 
--- a/paddlepier/execution/gangs_test.cpp
+++ b/paddlepier/execution/gangs_test.cpp
@@ -42,6 +42,34 @@
     int incompleteEnds = 0;
 };
 
+/** A gang of three on workers of unequal speed; its fast members complete their own work long before the gang ends. */
+class UnevenGangFixture : public GangFixture
+{
+public:
+    UnevenGangFixture()
+    {
+        this->workers.workers["w3"].speed = 0.1;
+        this->workers.observer = [this](const FakeWorkers::Event &event) {
+            const bool isEnd = event.kind == FakeWorkers::EventKind::Ended;
+            this->unfinishedEnds += isEnd && event.end != work::RunEndKind::Done ? 1 : 0;
+        };
+        this->onCall = [this](const WorkerCall &call) {
+            const auto *stop = std::get_if<StopOrder>(&call.order);
+            this->stops += stop == nullptr ? 0 : 1;
+        };
+        this->addJob("a", 3, 800, 1, false, true);
+    }
+
+    std::uint32_t failuresOf(const std::string &worker) const
+    {
+        return this->dispatcher->findView(this->incarnationOf(worker))->consecutiveFailures;
+    }
+
+    const Timestamp startOfTest = this->now;
+    int unfinishedEnds = 0;
+    int stops = 0;
+};
+
 class GoneWorkerFixture : public DispatcherFixture
 {
 public:
@@ -102,6 +130,44 @@
     CHECK(this->workers.violations.empty());
 }
 
+// Guards against gangs that are stopped because their fast members, complete at 100 per cent, wait for a slow one.
+TEST_CASE_METHOD(UnevenGangFixture, "gangMember_doneBeforeASlowOne_waitsForItWithoutBeingStopped")
+{
+    REQUIRE(this->runUntil([this] { return this->isCompleted("a"); }, absl::Seconds(10)));
+    CHECK(this->now - this->startOfTest > absl::Seconds(7.5));
+    CHECK(this->unfinishedEnds == 0);
+    CHECK(this->stops == 0);
+    CHECK(this->workers.violations.empty());
+}
+
+// Guards against a gang that occupies its workers for ever since one member stalls while the others are complete.
+TEST_CASE_METHOD(UnevenGangFixture, "gang_whoseLastMemberStalls_isRestartedAndOnlyThatWorkerIsSuspected")
+{
+    this->workers.workers["w3"].isStalling = true;
+    REQUIRE(this->runUntil([this] { return this->stops > 0; }, absl::Seconds(10)));
+    CHECK(this->failuresOf("w1") == 0);
+    CHECK(this->failuresOf("w2") == 0);
+    CHECK(this->failuresOf("w3") == 1);
+    this->workers.workers["w3"].isStalling = false;
+    this->workers.workers["w3"].speed = 1;
+    CHECK(this->runUntil([this] { return this->isCompleted("a"); }, absl::Seconds(15)));
+    CHECK(this->workers.violations.empty());
+}
+
+// Guards against a gang that occupies its workers for ever since all members are complete but its end never comes.
+TEST_CASE_METHOD(UnevenGangFixture, "gang_completeWithoutAnEnd_isRestartedAndNoWorkerIsSuspected")
+{
+    this->workers.isGangEndLost = true;
+    REQUIRE(this->runUntil([this] { return this->stops > 0; }, absl::Seconds(16)));
+    for (const char *id : {"w1", "w2", "w3"}) {
+        CHECK(this->failuresOf(id) == 0);
+    }
+    this->workers.isGangEndLost = false;
+    this->workers.workers["w3"].speed = 1;
+    CHECK(this->runUntil([this] { return this->isCompleted("a"); }, absl::Seconds(15)));
+    CHECK(this->workers.violations.empty());
+}
+
 TEST_CASE_METHOD(GoneWorkerFixture, "worker_thatHasLeft_isPolledRarely")
 {
     this->dispatcher->recordAnnouncement(this->now, {"gone"}, 7, absl::Milliseconds(500));
--- a/paddlepier/execution/progress.cpp
+++ b/paddlepier/execution/progress.cpp
@@ -37,7 +37,8 @@
 constexpr double minRatio = 0.25;
 constexpr double maxRatio = 8.0;
 
-constexpr std::uint32_t readyPercent = 100;
+/** A lasting run has completed its start-up; any other has completed its work. */
+constexpr std::uint32_t completePercent = 100;
 
 /** How often steps with ended runs are checked: late enough for the commit of the ends, and soon enough for an operator who follows the log. */
 constexpr Duration reportInterval = absl::Milliseconds(100);
@@ -112,16 +113,33 @@
     this->throttleFilling(now, worker, view, serving, filling);
 }
 
+bool Dispatcher::hasStalled(Timestamp now, const workload::TaskKey &key, const RunTrack &track, const work::StepSpecT &step) const
+{
+    Timestamp progressAt = track.progressAt;
+    if (step.isGang && track.percent >= completePercent) {
+        // The members end together with the slowest one: a complete member waits for as long as any other makes progress.
+        const workload::StepKey gang = key.stepKey();
+        for (auto member = this->tracks.lower_bound({gang.job, gang.occurrence, gang.step, 0});
+             member != this->tracks.end() && member->first.job == gang.job && member->first.stepKey() == gang;
+             ++member) {
+            progressAt = std::max(progressAt, member->second.progressAt);
+        }
+    }
+    return now - progressAt > stallTimeoutOf(step);
+}
+
 void Dispatcher::monitorProgress(Timestamp now, const workload::TaskKey &key, RunTrack &track, WorkerView &view)
 {
     const work::StepSpecT &step = this->state.findJob(key.job)->stepSpec(key.step);
-    const bool isReady = step.isLasting && track.percent >= readyPercent;
+    const bool isReady = step.isLasting && track.percent >= completePercent;
     // Filling runs may get no processor time for a while, so that a stall says nothing about them.
     if (step.isFilling || isReady) {
         return;
     }
-    if (now - track.progressAt > stallTimeoutOf(step)) {
-        if (this->taskBackoff.recordFailedRun(key)) {
+    if (this->hasStalled(now, key, track, step)) {
+        // A gang's member that has completed its own work isn't the cause.
+        const bool mayBeCause = !step.isGang || track.percent < completePercent;
+        if (mayBeCause && this->taskBackoff.recordFailedRun(key)) {
             view.recordFailedRun(now);
         }
         this->stopRun(now, key, track, StopReason::StandsStill);
--- a/paddlepier/planning/capacityindex.h
+++ b/paddlepier/planning/capacityindex.h
@@ -82,13 +82,16 @@
             }
             return true;
         };
-        for (const std::uint32_t chosen : {pending.preferredDataCentre, pending.fallbackDataCentre}) {
+        const std::uint32_t preferred = pending.preferredDataCentre;
+        // A worker that is visited twice would be a candidate twice and receive tasks beyond its capacity.
+        const std::uint32_t fallback = pending.fallbackDataCentre == preferred ? noDataCentre : pending.fallbackDataCentre;
+        for (const std::uint32_t chosen : {preferred, fallback}) {
             if (chosen != noDataCentre && !visitCentre(chosen)) {
                 return;
             }
         }
         for (std::uint32_t dataCentre = 0; dataCentre < this->byDataCentre.size(); ++dataCentre) {
-            if (dataCentre != pending.preferredDataCentre && dataCentre != pending.fallbackDataCentre && !visitCentre(dataCentre)) {
+            if (dataCentre != preferred && dataCentre != fallback && !visitCentre(dataCentre)) {
                 return;
             }
         }
