execution: tests of copies in transit follow the linter

Cause: clang-tidy (readability-container-size-empty) rejects the comparison of the violations with an empty list. Change: empty().

--- a/paddlepier/execution/copystart_test.cpp
+++ b/paddlepier/execution/copystart_test.cpp
@@ -74,7 +74,7 @@
     CHECK_FALSE(this->isAcknowledged);
     this->slowWorker.clear();
     CHECK(this->runUntil([this] { return this->isAcknowledged; }, absl::Seconds(3)));
-    CHECK(this->workers.violations == std::vector<std::string>());
+    CHECK(this->workers.violations.empty());
 }
 
 TEST_CASE_METHOD(CopyStartFixture, "completedJob_whileAStartIsInTransit_isReportedAsOneThatMayStillStart")
@@ -86,7 +86,7 @@
     CHECK(this->runUntil([this] { return !this->dispatcher->mayStillStart("a"); }, absl::Seconds(2)));
     this->runFor(absl::Seconds(5));
     CHECK(this->workers.starts == 1);
-    CHECK(this->workers.violations == std::vector<std::string>());
+    CHECK(this->workers.violations.empty());
 }
 
 TEST_CASE_METHOD(CopyStartFixture, "startOfASupersededRun_inTransitWhenTheCopyEnds_isNotExecutedAfterTheAcknowledgement")
@@ -106,7 +106,7 @@
     CHECK_FALSE(this->isAcknowledged);
     this->slowWorker.clear();
     CHECK(this->runUntil([this] { return this->isAcknowledged; }, absl::Seconds(3)));
-    CHECK(this->workers.violations == std::vector<std::string>());
+    CHECK(this->workers.violations.empty());
 }
 
 TEST_CASE_METHOD(CopyStartFixture, "startOfASupersededRun_onAWorkerThatDoesNotAnswer_isStoppedAtOnce")
@@ -147,7 +147,7 @@
     this->slowWorker.clear();
     CHECK(this->runUntil([this] { return this->isAcknowledged; }, absl::Seconds(4)));
     this->runFor(absl::Seconds(4));
-    CHECK(this->workers.violations == std::vector<std::string>());
+    CHECK(this->workers.violations.empty());
 }
 
 TEST_CASE_METHOD(CopyStartFixture, "endOfATask_recordedByAnEarlierLeader_isNotAcknowledgedWhileACopyMayStart")
@@ -161,7 +161,7 @@
     this->workers.workers["w2"].isCut = false;
     CHECK(this->runUntil([this] { return this->isAcknowledged; }, absl::Seconds(2)));
     this->runFor(absl::Seconds(5));
-    CHECK(this->workers.violations == std::vector<std::string>());
+    CHECK(this->workers.violations.empty());
 }
 
 TEST_CASE_METHOD(CopyStartFixture, "startOfACopy_whileItsAnswerIsDue_isStoppedAtOnce")
@@ -176,7 +176,7 @@
     CHECK(stops == 1);
     this->runFor(absl::Seconds(5));
     CHECK(this->workers.starts == 1);
-    CHECK(this->workers.violations == std::vector<std::string>());
+    CHECK(this->workers.violations.empty());
 }
 
 TEST_CASE_METHOD(CopyStartFixture, "laterEnds_whileAnAcknowledgementIsHeldBack_areRecorded")
@@ -222,7 +222,7 @@
     this->workers.workers["w1"].isCut = true;
     REQUIRE(this->runUntil([this] { return this->isRecorded(); }, absl::Seconds(5)));
     CHECK(this->runUntil([this] { return this->isAcknowledged; }, absl::Milliseconds(100)));
-    CHECK(this->workers.violations == std::vector<std::string>());
+    CHECK(this->workers.violations.empty());
 }
 
 } // namespace paddlepier::execution
