--- a/paddlepier/cluster/advicecallerpool.cpp
+++ b/paddlepier/cluster/advicecallerpool.cpp
@@ -5,6 +5,8 @@
 #include "paddlepier/planning/advicecache.h"
 
 #include <algorithm>
+#include <cmath>
+#include <tuple>
 
 namespace paddlepier::cluster
 {
@@ -23,6 +25,26 @@
 
 constexpr Duration failureAvoidanceTime = absl::Seconds(1);
 
+/**
+ * Bound on a measured overhead, which is also that of a request without an answer. One such request moves the mean by an eighth of a second: more
+ * than the pause of a throttled process (100 ms), so that the caller ranks behind those that answer.
+ */
+constexpr Duration maxOverhead = absl::Milliseconds(500);
+
+/** Weight of the previous mean when the next answer arrives immediately after; it halves with the time between them. */
+constexpr double previousWeight = 0.75;
+constexpr Duration overheadHalfLife = absl::Seconds(5);
+
+/** Callers whose expected answers differ by no more than this, or than this share of the request's cost, are used in turn. */
+constexpr Duration minTolerance = absl::Milliseconds(5);
+constexpr std::int64_t toleranceDivisor = 20;
+
+/** Share of a measurement that is left at @p now. */
+double remainingWeight(Timestamp now, Timestamp measuredAt)
+{
+    return std::exp2(-absl::FDivDuration(std::max(now - measuredAt, absl::ZeroDuration()), overheadHalfLife));
+}
+
 } // namespace
 
 void AdviceCallerPool::markAlive(Timestamp now, const std::string &instance)
@@ -30,69 +52,122 @@
     this->callers[instance].lastSeenAt = now;
 }
 
-template<typename Visit>
-void AdviceCallerPool::forEachAvailable(Timestamp now, bool isLong, Visit visit) const
+Duration AdviceCallerPool::expectedOverhead(Timestamp now, const Caller &caller, bool isLong)
+{
+    const Overhead &learned = isLong ? caller.longOverhead : caller.shortOverhead;
+    return learned.mean * remainingWeight(now, learned.measuredAt);
+}
+
+Timestamp AdviceCallerPool::queueEnd(Timestamp now, const Caller &caller)
+{
+    // A request that is overdue by some time is expected to take as much again.
+    const bool isOverdue = caller.inFlight > 0 && caller.busyUntil < now;
+    return isOverdue ? now + (now - caller.busyUntil) : std::max(now, caller.busyUntil);
+}
+
+std::vector<const AdviceCallerPool::NamedCaller *> AdviceCallerPool::findAvailable(Timestamp now, bool isLong) const
 {
-    const auto isAlive = [now](const auto &entry) { return now - entry.second.lastSeenAt < livenessTimeout; };
-    const auto alive = static_cast<std::size_t>(std::count_if(this->callers.begin(), this->callers.end(), isAlive));
-    const std::size_t shortOnly = alive > 1 ? (alive + callersPerShortOnly - 1) / callersPerShortOnly : 0;
-    std::size_t number = 0;
-    for (const auto &[name, caller] : this->callers) {
-        if (now - caller.lastSeenAt >= livenessTimeout || caller.avoidedUntil > now) {
+    std::size_t alive = 0;
+    std::vector<const NamedCaller *> available;
+    for (const NamedCaller &entry : this->callers) {
+        if (now - entry.second.lastSeenAt >= livenessTimeout) {
             continue;
         }
-        const bool isShortOnly = number++ < shortOnly;
-        if (!(isLong && isShortOnly) && caller.busyUntil <= now + maxQueueingTime) {
-            visit(name, caller);
+        ++alive;
+        if (entry.second.avoidedUntil <= now && queueEnd(now, entry.second) <= now + maxQueueingTime) {
+            available.push_back(&entry);
         }
     }
+    if (!isLong || alive <= 1) {
+        return available;
+    }
+    // The callers that serve short requests best are reserved for them, of those without a long request. Equal ones change with each
+    // request: those used last are reserved.
+    const auto isReservedBefore = [now](const NamedCaller *left, const NamedCaller *right) {
+        const auto rank = [now](const Caller &caller) {
+            return std::tuple(caller.longInFlight > 0, expectedOverhead(now, caller, false), ~caller.lastRequest);
+        };
+        return rank(left->second) < rank(right->second);
+    };
+    std::stable_sort(available.begin(), available.end(), isReservedBefore);
+    const auto firstWithLong = std::find_if(available.begin(), available.end(), [](const NamedCaller *entry) { return entry->second.longInFlight > 0; });
+    const std::size_t shortOnly = (alive + callersPerShortOnly - 1) / callersPerShortOnly;
+    const auto reserved = std::min<std::ptrdiff_t>(static_cast<std::ptrdiff_t>(shortOnly), firstWithLong - available.begin());
+    available.erase(available.begin(), available.begin() + reserved);
+    return available;
 }
 
 std::size_t AdviceCallerPool::availableForLong(Timestamp now) const
 {
-    std::size_t found = 0;
-    this->forEachAvailable(now, true, [&found](const std::string &, const Caller &) { ++found; });
-    return found;
+    return this->findAvailable(now, true).size();
 }
 
 Duration AdviceCallerPool::timeAvailableForShort(Timestamp now) const
 {
     Duration time;
-    this->forEachAvailable(
-        now, false, [now, &time](const std::string &, const Caller &caller) { time += now + maxQueueingTime - std::max(now, caller.busyUntil); });
+    for (const NamedCaller *entry : this->findAvailable(now, false)) {
+        time += now + maxQueueingTime - queueEnd(now, entry->second);
+    }
     return time;
 }
 
 AssignedCaller AdviceCallerPool::assignCaller(Timestamp now, Duration cost)
 {
-    std::string best;
-    Timestamp bestEnd = absl::InfiniteFuture();
-    this->forEachAvailable(now, cost > planning::longRequestThreshold, [&](const std::string &name, const Caller &caller) {
-        const Timestamp end = std::max(now, caller.busyUntil) + cost;
-        if (end < bestEnd) {
-            best = name;
-            bestEnd = end;
+    const bool isLong = cost > planning::longRequestThreshold;
+    const std::vector<const NamedCaller *> available = this->findAvailable(now, isLong);
+    const auto answerAt = [now, isLong](const NamedCaller *entry) { return queueEnd(now, entry->second) + expectedOverhead(now, entry->second, isLong); };
+    Timestamp latest = absl::InfiniteFuture();
+    for (const NamedCaller *entry : available) {
+        latest = std::min(latest, answerAt(entry) + std::max(minTolerance, cost / toleranceDivisor));
+    }
+    const NamedCaller *best = nullptr;
+    for (const NamedCaller *entry : available) {
+        if (answerAt(entry) <= latest && (best == nullptr || entry->second.lastRequest < best->second.lastRequest)) {
+            best = entry;
         }
-    });
-    if (!best.empty()) {
-        this->callers[best].busyUntil = bestEnd;
-        ++this->callers[best].inFlight;
     }
-    return {best, bestEnd};
+    if (best == nullptr) {
+        return {};
+    }
+    Caller &caller = this->callers.at(best->first);
+    caller.busyUntil = queueEnd(now, caller) + cost;
+    caller.lastRequest = ++this->requests;
+    ++caller.inFlight;
+    caller.longInFlight += isLong ? 1 : 0;
+    return {best->first, caller.busyUntil, isLong};
 }
 
-void AdviceCallerPool::recordCompletion(Timestamp now, const std::string &instance, Duration)
+AdviceCallerPool::Caller &AdviceCallerPool::endRequest(Timestamp now, const AssignedCaller &assigned, Duration overhead)
 {
-    Caller &caller = this->callers[instance];
+    Caller &caller = this->callers[assigned.instance];
     caller.inFlight = std::max(0, caller.inFlight - 1);
+    caller.longInFlight = std::max(0, caller.longInFlight - (assigned.isLong ? 1 : 0));
     if (caller.inFlight == 0) {
         caller.busyUntil = now;
     }
+    Overhead &learned = assigned.isLong ? caller.longOverhead : caller.shortOverhead;
+    const double kept = previousWeight * remainingWeight(now, learned.measuredAt);
+    learned.mean = learned.mean * kept + overhead * (1 - kept);
+    learned.measuredAt = now;
+    return caller;
+}
+
+Duration AdviceCallerPool::recordAnswer(Timestamp now, const AssignedCaller &assigned)
+{
+    const Duration overhead = std::clamp(now - assigned.expectedAt, absl::ZeroDuration(), maxOverhead);
+    this->endRequest(now, assigned, overhead);
+    return overhead;
+}
+
+void AdviceCallerPool::recordFailure(Timestamp now, const AssignedCaller &assigned)
+{
+    this->endRequest(now, assigned, maxOverhead).avoidedUntil = now + failureAvoidanceTime;
 }
 
-void AdviceCallerPool::recordFailure(Timestamp now, const std::string &instance)
+Duration AdviceCallerPool::overheadOf(Timestamp now, const std::string &instance, bool isLong) const
 {
-    this->callers[instance].avoidedUntil = now + failureAvoidanceTime;
+    const auto found = this->callers.find(instance);
+    return found == this->callers.end() ? absl::ZeroDuration() : expectedOverhead(now, found->second, isLong);
 }
 
 } // namespace paddlepier::cluster
--- a/paddlepier/cluster/coreprocess.cpp
+++ b/paddlepier/cluster/coreprocess.cpp
@@ -9,6 +9,7 @@
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 #include <variant>
 
@@ -113,18 +114,27 @@
             this->coreOptions.work,
             WorkerPort{
                 [this](const execution::WorkerCall &call, std::function<void(execution::WorkerAnswer)> done) { this->sendOrder(call, std::move(done)); }},
-            [this](const std::string &instance, const work::AdviceCallT &call, Timestamp deadline, std::function<void(execution::AdviceAnswer)> done) {
+            [this](const std::string &instance, const work::AdviceCallT &call, Timestamp deadline, std::function<void(const ReceivedAdvice &)> done) {
                 this->requestAdviceVia(instance, call, deadline, std::move(done));
             },
             this->adviceCallers,
             this->counters,
             now);
+        this->restoreOwnAnswers(now);
         log::info("cluster",
                   "service.started",
                   {{"term", term}, {"workers", this->node->state().workers().size()}, {"jobs", this->node->state().activeJobs().size()}});
     }
 }
 
+void CoreProcess::restoreOwnAnswers(Timestamp now)
+{
+    this->answerLog.acknowledge(this->serviceTerm, {});
+    const AdviceAnswerLog::Batch batch = this->answerLog.pendingBatch(now, std::numeric_limits<std::size_t>::max());
+    this->service->restoreAdvice(batch.answers);
+    this->answerLog.acknowledge(this->serviceTerm, batch.numbers);
+}
+
 void CoreProcess::reportLoad(Timestamp now)
 {
     if (now < this->nextLoadReport) {
@@ -289,17 +299,20 @@
 void CoreProcess::requestAdviceVia(const std::string &instance,
                                    const work::AdviceCallT &call,
                                    Timestamp deadline,
-                                   std::function<void(execution::AdviceAnswer)> done)
+                                   std::function<void(const ReceivedAdvice &)> done)
 {
-    this->callInstance(instance, WorkMethod::Advise, wire::pack(call), deadline, [done = std::move(done)](const wire::CallReplyT *reply) {
-        execution::AdviceAnswer answer;
+    this->callInstance(instance, WorkMethod::Advise, wire::pack(call), deadline, [this, done = std::move(done)](const wire::CallReplyT *reply) {
+        ReceivedAdvice received;
+        // An answer is missing only after all frames that had arrived were handled.
+        received.receivedAt = reply == nullptr ? controlNow() : this->frameReceivedAt;
+        execution::AdviceAnswer &answer = received.answer;
         answer.isAnswered = reply != nullptr && reply->error == ErrorCode::None;
         if (answer.isAnswered) {
             for (const auto &ticket : wire::unpack<work::AdviceReplyT>(reply->body).good) {
                 answer.tickets.push_back(*ticket);
             }
         }
-        done(answer);
+        done(received);
     });
 }
 
@@ -388,7 +401,7 @@
     work::PresenceCallT call;
     call.zone = this->options.zone;
     call.incarnation = this->incarnation;
-    this->leader->call(now, WorkMethod::Presence, wire::pack(call), presenceTimeout, [](const CallResult &) {});
+    this->callPresence(now, std::move(call), presenceTimeout, [](const CallResult &) {});
 }
 
 void CoreProcess::receiveReply(const std::string &fromInstance, const wire::CallReplyT &reply)
--- a/paddlepier/cluster/coreprocess.h
+++ b/paddlepier/cluster/coreprocess.h
@@ -58,6 +58,8 @@
 
 private:
     void updateService(Timestamp now);
+    /** Passes the advice answers that this core has relayed for earlier leaders to its own service. */
+    void restoreOwnAnswers(Timestamp now);
     /** Logs once a second how the leader's control thread spends its time. */
     void reportLoad(Timestamp now);
     void handleAsLeader(Timestamp now, const std::string &fromInstance, WorkMethod method, const std::string &body, const CallCallback &done);
@@ -80,7 +82,7 @@
     /** Sends a request to an instance, which may be this one. @p done is called exactly once, without a reply if none came by @p deadline. */
     void callInstance(
         const std::string &instance, WorkMethod method, const std::string &body, Timestamp deadline, std::function<void(const wire::CallReplyT *)> done);
-    void requestAdviceVia(const std::string &instance, const work::AdviceCallT &call, Timestamp deadline, std::function<void(execution::AdviceAnswer)> done);
+    void requestAdviceVia(const std::string &instance, const work::AdviceCallT &call, Timestamp deadline, std::function<void(const ReceivedAdvice &)> done);
 
     const CoreOptions coreOptions;
     const WorkerPort workers;
--- a/paddlepier/cluster/entryprocess.cpp
+++ b/paddlepier/cluster/entryprocess.cpp
@@ -3,7 +3,6 @@
 #include "paddlepier/cluster/entryprocess.h"
 
 #include "paddlepier/base/log.h"
-#include "paddlepier/wire/codec.h"
 
 namespace paddlepier::cluster
 {
@@ -60,7 +59,7 @@
     this->isPresencePending = true;
     work::PresenceCallT call;
     call.zone = this->options.zone;
-    this->leader->call(now, WorkMethod::Presence, wire::pack(call), presenceTimeout, [this](const CallResult &result) {
+    this->callPresence(now, std::move(call), presenceTimeout, [this](const CallResult &result) {
         this->isPresencePending = false;
         for (const std::string &instance : result.reply.coreInstances) {
             this->leader->addCore(instance);
--- a/paddlepier/cluster/memberprocess.cpp
+++ b/paddlepier/cluster/memberprocess.cpp
@@ -45,7 +45,10 @@
     }
     this->transport = std::make_unique<peer::Transport>(this->options.settings, this->counters, [this](wire::PeerFrameT frame) {
         auto shared = std::make_shared<wire::PeerFrameT>(std::move(frame));
-        this->post([this, shared] { this->receive(std::move(*shared)); });
+        this->post([this, shared, receivedAt = controlNow()] {
+            this->frameReceivedAt = receivedAt;
+            this->receive(std::move(*shared));
+        });
     });
 }
 
@@ -111,9 +114,10 @@
 
 void MemberProcess::answerAdviceCall(const std::string &instance, const wire::CallRequestT &request)
 {
-    const auto question = wire::unpack<work::AdviceCallT>(request.body);
-    this->advice.request(question, [this, instance, id = request.id](const execution::AdviceAnswer &received) {
-        this->post([this, instance, id, received] {
+    const auto question = std::make_shared<const work::AdviceCallT>(wire::unpack<work::AdviceCallT>(request.body));
+    this->advice.request(*question, [this, instance, id = request.id, question](const execution::AdviceAnswer &received) {
+        this->post([this, instance, id, question, received] {
+            this->answerLog.record(controlNow(), *question, received);
             work::AdviceReplyT reply;
             for (const work::AdviceTicketT &ticket : received.tickets) {
                 reply.good.push_back(std::make_unique<work::AdviceTicketT>(ticket));
@@ -123,6 +127,7 @@
             answer.error = received.isAnswered ? ErrorCode::None : ErrorCode::Timeout;
             answer.body = wire::toBytes(wire::pack(reply));
             if (instance == this->options.settings.id) {
+                this->frameReceivedAt = controlNow();
                 this->receiveReply(instance, answer);
                 return;
             }
@@ -131,6 +136,19 @@
     });
 }
 
+void MemberProcess::callPresence(Timestamp now, work::PresenceCallT call, Duration timeout, CallCallback done)
+{
+    AdviceAnswerLog::Batch batch = this->answerLog.pendingBatch(now);
+    call.answers = std::move(batch.answers);
+    const auto replied = [this, numbers = std::move(batch.numbers), done = std::move(done)](const CallResult &result) {
+        if (result.error == ErrorCode::None) {
+            this->answerLog.acknowledge(result.reply.term, numbers);
+        }
+        done(result);
+    };
+    this->leader->call(now, WorkMethod::Presence, wire::pack(call), timeout, replied);
+}
+
 void MemberProcess::call(WorkMethod method, std::string body, Duration timeout, CallCallback done)
 {
     this->post([this, method, body = std::move(body), timeout, done = std::move(done)]() mutable {
--- a/paddlepier/cluster/memberprocess.h
+++ b/paddlepier/cluster/memberprocess.h
@@ -11,6 +11,7 @@
 #include "paddlepier/base/counters.h"
 #include "paddlepier/base/mailbox.h"
 #include "paddlepier/base/suspension.h"
+#include "paddlepier/cluster/adviceanswerlog.h"
 #include "paddlepier/cluster/leaderclient.h"
 #include "paddlepier/cluster/ports.h"
 #include "paddlepier/cluster/workcalls.h"
@@ -80,6 +81,8 @@
     void reply(const std::string &instance, std::uint64_t id, const CallResult &result, const std::string &leaderHint);
     /** Calls the policy service on behalf of another instance. */
     void answerAdviceCall(const std::string &instance, const wire::CallRequestT &request);
+    /** Reports this instance to the leader, with the advice answers that it hasn't received. */
+    void callPresence(Timestamp now, work::PresenceCallT call, Duration timeout, CallCallback done);
     void stopTransport();
 
     const MemberOptions options;
@@ -91,6 +94,9 @@
     Histogram &eventTimes;
     SuspensionReporter suspension;
     std::unique_ptr<LeaderClient> leader;
+    AdviceAnswerLog answerLog;
+    /** When the frame that is being handled arrived; the control thread may have been busy since. */
+    Timestamp frameReceivedAt = absl::InfinitePast();
     std::atomic<bool> ready{false};
     std::atomic<bool> stopRequested{false};
 
--- a/paddlepier/cluster/workservice.cpp
+++ b/paddlepier/cluster/workservice.cpp
@@ -9,7 +9,6 @@
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
-#include <iterator>
 
 namespace paddlepier::cluster
 {
@@ -25,12 +24,6 @@
 /** Retry interval of a refused caller: about the duration of an election. */
 constexpr std::uint32_t retryAfterMillis = 1000;
 
-/**
- * Added to the expected time of a request, with half of its cost; after that it is sent through another instance. An instance that was
- * killed or cut off sends no error, and a quick job has about a second of slack.
- */
-constexpr Duration adviceSlack = absl::Milliseconds(120);
-
 bool isJobId(const std::string &text)
 {
     return text.size() == jobIdDigits
@@ -79,7 +72,9 @@
     , longWaits(processCounters.counter("steps_waiting_long_total"))
     , teamsAtQuota(processCounters.counter("teams_at_quota_total"))
     , evacuationChanges(processCounters.counter("evacuation_changes_total"))
+    , restoredAdvice(processCounters.counter("advice_answers_restored_total"))
     , workerCallTimes(processCounters.histogram("worker_call"))
+    , adviceOverheads(processCounters.histogram("advice_overhead"))
     , dispatcher(workloadNode.state(), options.dispatch, workloadNode.replica().currentTerm(), now)
     , isTermActive(std::make_shared<bool>(true))
 {
@@ -144,7 +139,7 @@
     case WorkMethod::Evacuate:
         return this->evacuate(wire::unpack<work::EvacuateCallT>(body), done);
     case WorkMethod::Presence:
-        return this->presence(now, fromInstance, done);
+        return this->presence(now, fromInstance, wire::unpack<work::PresenceCallT>(body), done);
     case WorkMethod::Advise:
     case WorkMethod::Carry:
         break;
@@ -392,52 +387,6 @@
     this->proposeAndReply(toCommand(std::move(*call.change)), answer(work::CallOutcome::Accepted).reply, done);
 }
 
-void WorkService::presence(Timestamp now, const std::string &fromInstance, const CallCallback &done)
-{
-    this->callers.markAlive(now, fromInstance);
-    CallResult result = answer(work::CallOutcome::Accepted);
-    for (const std::string &instance : this->node.knownInstances()) {
-        result.reply.coreInstances.push_back(instance);
-    }
-    done(result);
-}
-
-void WorkService::requestAdvice(Timestamp now, const execution::AdviceRequest &adviceRequest)
-{
-    const AssignedCaller choice = this->callers.assignCaller(now, adviceRequest.decisionTime);
-    const std::string &caller = choice.instance;
-    if (caller.empty()) {
-        this->dispatcher.handleAdvice(now, adviceRequest.id, {});
-        return;
-    }
-    work::AdviceCallT call;
-    call.step = adviceRequest.step.text();
-    std::transform(adviceRequest.workers.begin(), adviceRequest.workers.end(), std::back_inserter(call.workers), [](const workload::Incarnation &incarnation) {
-        return incarnation.id;
-    });
-    this->adviceCalls.add();
-    const Timestamp deadline = choice.expectedAt + adviceSlack + adviceRequest.decisionTime / 2;
-    this->requestAdviceVia(caller, call, deadline, [this, isActive = this->isTermActive, caller, now, adviceRequest](const execution::AdviceAnswer &received) {
-        if (!*isActive) {
-            return;
-        }
-        const Timestamp answeredAt = controlNow();
-        log::info("advice",
-                  received.isAnswered ? "advice.answered" : "advice.failed",
-                  {{"step", adviceRequest.step.text()},
-                   {"caller", caller},
-                   {"asked", adviceRequest.workers.size()},
-                   {"permitted", received.tickets.size()},
-                   {"millis", absl::ToInt64Milliseconds(answeredAt - now)},
-                   {"expectedMillis", absl::ToInt64Milliseconds(adviceRequest.decisionTime)}});
-        this->callers.recordCompletion(answeredAt, caller, adviceRequest.decisionTime);
-        if (!received.isAnswered) {
-            this->callers.recordFailure(answeredAt, caller);
-        }
-        this->dispatcher.handleAdvice(answeredAt, adviceRequest.id, received);
-    });
-}
-
 void WorkService::step(Timestamp now)
 {
     execution::DispatchEffects effects = this->dispatcher.step(now, wallMicros() / 1000, [this, now] {
@@ -447,6 +396,10 @@
         const Timestamp plannedAt = controlNow();
         this->dispatcher.recordPlanTime(plannedAt, plannedAt - now);
     }
+    // They take longest, and their deadlines count from here: a plan in a backlog takes up to 100 ms, most of the time that is allowed for a late answer.
+    for (const execution::AdviceRequest &adviceRequest : effects.adviceRequests) {
+        this->requestAdvice(controlNow(), adviceRequest);
+    }
     this->longWaits.add(static_cast<std::int64_t>(effects.longWaits));
     this->teamsAtQuota.add(static_cast<std::int64_t>(effects.teamsAtQuota));
     for (execution::Proposal &proposal : effects.proposals) {
@@ -469,9 +422,6 @@
             }
         });
     }
-    for (const execution::AdviceRequest &adviceRequest : effects.adviceRequests) {
-        this->requestAdvice(now, adviceRequest);
-    }
 }
 
 } // namespace paddlepier::cluster
--- a/paddlepier/cluster/workservice.h
+++ b/paddlepier/cluster/workservice.h
@@ -22,15 +22,22 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace paddlepier::cluster
 {
 
 using WorkloadNode = replication::ReplicaNode<workload::Workload>;
 
+struct ReceivedAdvice {
+    execution::AdviceAnswer answer;
+    /** When the answer arrived at this process, which may have been busy since. */
+    Timestamp receivedAt;
+};
+
 /** Sends an advice request through another instance. */
 using RequestAdviceVia =
-    std::function<void(const std::string &instance, const work::AdviceCallT &call, Timestamp deadline, std::function<void(execution::AdviceAnswer)> done)>;
+    std::function<void(const std::string &instance, const work::AdviceCallT &call, Timestamp deadline, std::function<void(const ReceivedAdvice &)> done)>;
 
 struct WorkOptions {
     execution::DispatchOptions dispatch;
@@ -55,6 +62,8 @@
     void handle(Timestamp now, const std::string &fromInstance, WorkMethod method, const std::string &body, const CallCallback &done);
     /** Executes the dispatcher's effects; must be called after every batch of events. */
     void step(Timestamp now);
+    /** Adds permissions that an instance has relayed to an earlier leader. Unknown steps and workers are ignored. */
+    void restoreAdvice(const std::vector<std::unique_ptr<work::RelayedAdviceT>> &answers);
 
 private:
     void handleJob(const work::JobCallT &call, const CallCallback &done);
@@ -78,7 +87,7 @@
     void configure(work::ConfigureCallT call, const CallCallback &done);
     void readConfiguration(const CallCallback &done);
     void evacuate(work::EvacuateCallT call, const CallCallback &done);
-    void presence(Timestamp now, const std::string &fromInstance, const CallCallback &done);
+    void presence(Timestamp now, const std::string &fromInstance, const work::PresenceCallT &call, const CallCallback &done);
     void requestAdvice(Timestamp now, const execution::AdviceRequest &question);
 
     void propose(work::CommandUnion command, WorkloadNode::Completed completed);
@@ -99,7 +108,9 @@
     Counter &longWaits;
     Counter &teamsAtQuota;
     Counter &evacuationChanges;
+    Counter &restoredAdvice;
     Histogram &workerCallTimes;
+    Histogram &adviceOverheads;
     execution::Dispatcher dispatcher;
     /** Shared with callbacks, which check whether the term has ended. */
     std::shared_ptr<bool> isTermActive;
--- a/paddlepier/execution/dispatcher.h
+++ b/paddlepier/execution/dispatcher.h
@@ -96,6 +96,12 @@
 
     void handleAnswer(Timestamp now, std::uint64_t call, const WorkerAnswer &answer);
     void handleAdvice(Timestamp now, std::uint64_t request, const AdviceAnswer &answer);
+    /**
+     * Adds the permissions of an answer that an earlier leader received. Those of unknown steps, and of workers that have ended or been
+     * restarted since, are ignored.
+     * @return true if any permission was new
+     */
+    bool restoreAdvice(const work::RelayedAdviceT &answer);
     void handleOutcome(Timestamp now, std::uint64_t proposal, const workload::Outcome &outcome);
 
     /** The worker has announced itself; @p drainRemaining is the shortest time it has left, or infinite if it isn't draining. */
--- a/paddlepier/execution/dispatcherfixture.h
+++ b/paddlepier/execution/dispatcherfixture.h
@@ -191,6 +191,8 @@
     std::function<bool(const workload::StepKey &, const std::string &worker)> isPermitted = [](const workload::StepKey &, const std::string &) { return true; };
     /** Called for every call before it is executed. */
     std::function<void(const WorkerCall &)> onCall = [](const WorkerCall &) {};
+    /** Called for every advice request, with the answer that the dispatcher will handle. */
+    std::function<void(const AdviceRequest &, const AdviceAnswer &)> onAdvice = [](const AdviceRequest &, const AdviceAnswer &) {};
     /** Called for every answer before the dispatcher handles it. */
     std::function<void(std::uint64_t call)> onAnswer = [](std::uint64_t) {};
     /** Called at the beginning of each step. */
@@ -243,7 +245,9 @@
         }
         for (const AdviceRequest &request : effects.adviceRequests) {
             const bool isLost = this->chance(this->networkFaults.answerLossPercent);
-            this->advice.push_back({this->now + request.decisionTime + this->adviceDelay, request.id, isLost ? AdviceAnswer() : this->adviceFor(request)});
+            const AdviceAnswer answer = isLost ? AdviceAnswer() : this->adviceFor(request);
+            this->onAdvice(request, answer);
+            this->advice.push_back({this->now + request.decisionTime + this->adviceDelay, request.id, answer});
         }
     }
 
--- a/paddlepier/execution/placement.cpp
+++ b/paddlepier/execution/placement.cpp
@@ -4,10 +4,13 @@
 #include "paddlepier/execution/cellload.h"
 #include "paddlepier/execution/dispatcher.h"
 
+#include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
+#include <absl/strings/str_split.h>
 
 #include <algorithm>
 #include <iterator>
+#include <optional>
 
 namespace paddlepier::execution
 {
@@ -29,6 +32,18 @@
 /** The pause after a plan, as a multiple of its duration: planning uses at most a quarter of the process' time. */
 constexpr int pausePerPlanTime = 3;
 
+/** The key whose text() is @p text. */
+std::optional<workload::StepKey> parseStepKey(const std::string &text)
+{
+    const std::vector<std::string> parts = absl::StrSplit(text, '.');
+    workload::StepKey key;
+    if (parts.size() != 3 || !absl::SimpleAtoi(parts[1], &key.occurrence) || !absl::SimpleAtoi(parts[2], &key.step)) {
+        return std::nullopt;
+    }
+    key.job = parts[0];
+    return key;
+}
+
 /** A plan is made at least this often, for changes that only time causes: due occurrences, expiring tickets, the end of backoffs. */
 constexpr Duration planInterval = absl::Milliseconds(200);
 
@@ -195,4 +210,24 @@
     }
 }
 
+bool Dispatcher::restoreAdvice(const work::RelayedAdviceT &answer)
+{
+    const std::optional<workload::StepKey> key = parseStepKey(answer.step);
+    const workload::Job *job = key ? this->state.findJob(key->job) : nullptr;
+    const bool isKnown = job != nullptr && !job->hasEnded() && key->occurrence < job->occurrences().size() && key->step < job->spec().steps.size();
+    if (!isKnown || answer.born.size() != answer.workers.size() || answer.isPermitted.size() != answer.workers.size()) {
+        return false;
+    }
+    bool isNew = false;
+    for (std::size_t index = 0; index < answer.workers.size(); ++index) {
+        const workload::Incarnation worker{answer.workers[index], answer.born[index]};
+        const workload::Worker *latest = this->state.findLatestWorker(worker.id);
+        if (latest != nullptr && workload::incarnationOf(latest->registration) == worker) {
+            isNew = this->adviceCache.restore(*key, worker, answer.isPermitted[index]) || isNew;
+        }
+    }
+    this->hasChanged = this->hasChanged || isNew;
+    return isNew;
+}
+
 } // namespace paddlepier::execution
--- a/paddlepier/planning/advicecache.cpp
+++ b/paddlepier/planning/advicecache.cpp
@@ -111,6 +111,11 @@
     }
 }
 
+bool AdviceCache::restore(const workload::StepKey &step, const workload::Incarnation &worker, bool isPermitted)
+{
+    return this->steps[step].byWorker.try_emplace(this->numberOf(worker), WorkerAdvice{isPermitted, {"", absl::InfinitePast()}}).second;
+}
+
 std::size_t AdviceCache::pendingQuestions() const
 {
     return this->pending.size();
--- a/paddlepier/planning/advicecache.h
+++ b/paddlepier/planning/advicecache.h
@@ -84,6 +84,11 @@
     execution::AdviceRequest request(
         Timestamp now, const workload::StepKey &step, const std::string &queue, std::vector<workload::Incarnation> workers, const work::AdvicePolicyT &policy);
     void recordAnswer(Timestamp now, std::uint64_t id, const execution::AdviceAnswer &answer);
+    /**
+     * Adds a permission that an earlier leader has received, without a ticket.
+     * @return false if the permission was known
+     */
+    bool restore(const workload::StepKey &step, const workload::Incarnation &worker, bool isPermitted);
     /** Number of requests without an answer so far. */
     std::size_t pendingQuestions() const;
     /** Marks the ticket as expired, because the worker rejected it. */
--- a/paddlepier/planning/advicecache_test.cpp
+++ b/paddlepier/planning/advicecache_test.cpp
@@ -62,4 +62,19 @@
     CHECK_FALSE(this->hasTicketAt(this->now + absl::Milliseconds(1760)));
 }
 
+// Guards against an older report that takes away a valid ticket, and against one that counts as a ticket.
+TEST_CASE_METHOD(AdviceCacheFixture, "restore_knownAndNewWorkers_keepsTicketAndAddsNone")
+{
+    this->requestAndAnswer(absl::Milliseconds(20));
+    CHECK_FALSE(this->cache.restore(this->step, this->worker, false));
+    CHECK(this->hasTicketAt(this->now));
+    const workload::Incarnation other{"w2", 1};
+    CHECK(this->cache.restore(this->step, other, true));
+    CHECK(this->cache.validTicket(absl::InfinitePast(), this->step, other) == nullptr);
+    std::map<std::uint32_t, AdviceStatus> statuses;
+    this->cache.visitStatuses(this->now, this->step, [&statuses](std::uint32_t number, AdviceStatus status) { statuses[number] = status; });
+    CHECK(statuses[this->cache.numberOf(this->worker)] == AdviceStatus::Permitted);
+    CHECK(statuses[this->cache.numberOf(other)] == AdviceStatus::Expired);
+}
+
 } // namespace paddlepier::planning
--- a/paddlepier/wire/workload_generated.h
+++ b/paddlepier/wire/workload_generated.h
@@ -160,6 +160,10 @@
 struct PresenceCallBuilder;
 struct PresenceCallT;
 
+struct RelayedAdvice;
+struct RelayedAdviceBuilder;
+struct RelayedAdviceT;
+
 struct AdviceCall;
 struct AdviceCallBuilder;
 struct AdviceCallT;
@@ -5226,10 +5230,16 @@
   }
   std::string zone{};
   uint64_t incarnation = 0;
+  std::vector<std::unique_ptr<paddlepier::work::RelayedAdviceT>> answers{};
+  PresenceCallT() = default;
+  PresenceCallT(const PresenceCallT &o);
+  PresenceCallT(PresenceCallT&&) FLATBUFFERS_NOEXCEPT = default;
+  PresenceCallT &operator=(PresenceCallT o) FLATBUFFERS_NOEXCEPT;
 };
 
 /// Sent periodically by every instance without a replica, so that the leader keeps it in its list of instances.
 /// `incarnation` differs after each start of the instance.
+/// `answers` are advice answers that the instance has relayed, and that the leader of this term hasn't received.
 struct PresenceCall FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef PresenceCallT NativeTableType;
   typedef PresenceCallBuilder Builder;
@@ -5239,7 +5249,8 @@
   }
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_ZONE = 4,
-    VT_INCARNATION = 6
+    VT_INCARNATION = 6,
+    VT_ANSWERS = 8
   };
   const flatbuffers::String *zone() const {
     return GetPointer<const flatbuffers::String *>(VT_ZONE);
@@ -5247,11 +5258,17 @@
   uint64_t incarnation() const {
     return GetField<uint64_t>(VT_INCARNATION, 0);
   }
+  const flatbuffers::Vector<flatbuffers::Offset<paddlepier::work::RelayedAdvice>> *answers() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<paddlepier::work::RelayedAdvice>> *>(VT_ANSWERS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_ZONE) &&
            verifier.VerifyString(zone()) &&
            VerifyField<uint64_t>(verifier, VT_INCARNATION, 8) &&
+           VerifyOffset(verifier, VT_ANSWERS) &&
+           verifier.VerifyVector(answers()) &&
+           verifier.VerifyVectorOfTables(answers()) &&
            verifier.EndTable();
   }
   PresenceCallT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -5269,6 +5286,9 @@
   void add_incarnation(uint64_t incarnation) {
     fbb_.AddElement<uint64_t>(PresenceCall::VT_INCARNATION, incarnation, 0);
   }
+  void add_answers(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<paddlepier::work::RelayedAdvice>>> answers) {
+    fbb_.AddOffset(PresenceCall::VT_ANSWERS, answers);
+  }
   explicit PresenceCallBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -5283,9 +5303,11 @@
 inline flatbuffers::Offset<PresenceCall> CreatePresenceCall(
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::String> zone = 0,
-    uint64_t incarnation = 0) {
+    uint64_t incarnation = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<paddlepier::work::RelayedAdvice>>> answers = 0) {
   PresenceCallBuilder builder_(_fbb);
   builder_.add_incarnation(incarnation);
+  builder_.add_answers(answers);
   builder_.add_zone(zone);
   return builder_.Finish();
 }
@@ -5298,16 +5320,140 @@
 inline flatbuffers::Offset<PresenceCall> CreatePresenceCallDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     const char *zone = nullptr,
-    uint64_t incarnation = 0) {
+    uint64_t incarnation = 0,
+    const std::vector<flatbuffers::Offset<paddlepier::work::RelayedAdvice>> *answers = nullptr) {
   auto zone__ = zone ? _fbb.CreateString(zone) : 0;
+  auto answers__ = answers ? _fbb.CreateVector<flatbuffers::Offset<paddlepier::work::RelayedAdvice>>(*answers) : 0;
   return paddlepier::work::CreatePresenceCall(
       _fbb,
       zone__,
-      incarnation);
+      incarnation,
+      answers__);
 }
 
 flatbuffers::Offset<PresenceCall> CreatePresenceCall(flatbuffers::FlatBufferBuilder &_fbb, const PresenceCallT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct RelayedAdviceT : public flatbuffers::NativeTable {
+  typedef RelayedAdvice TableType;
+  static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
+    return "paddlepier.work.RelayedAdviceT";
+  }
+  std::string step{};
+  std::vector<std::string> workers{};
+  std::vector<uint64_t> born{};
+  std::vector<bool> isPermitted{};
+};
+
+/// Workers that an advice request has named, with the start times of their incarnations, and which of them may run the step.
+struct RelayedAdvice FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef RelayedAdviceT NativeTableType;
+  typedef RelayedAdviceBuilder Builder;
+  struct Traits;
+  static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
+    return "paddlepier.work.RelayedAdvice";
+  }
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_STEP = 4,
+    VT_WORKERS = 6,
+    VT_BORN = 8,
+    VT_ISPERMITTED = 10
+  };
+  const flatbuffers::String *step() const {
+    return GetPointer<const flatbuffers::String *>(VT_STEP);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *workers() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_WORKERS);
+  }
+  const flatbuffers::Vector<uint64_t> *born() const {
+    return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_BORN);
+  }
+  const flatbuffers::Vector<uint8_t> *isPermitted() const {
+    return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_ISPERMITTED);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_STEP) &&
+           verifier.VerifyString(step()) &&
+           VerifyOffset(verifier, VT_WORKERS) &&
+           verifier.VerifyVector(workers()) &&
+           verifier.VerifyVectorOfStrings(workers()) &&
+           VerifyOffset(verifier, VT_BORN) &&
+           verifier.VerifyVector(born()) &&
+           VerifyOffset(verifier, VT_ISPERMITTED) &&
+           verifier.VerifyVector(isPermitted()) &&
+           verifier.EndTable();
+  }
+  RelayedAdviceT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(RelayedAdviceT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<RelayedAdvice> Pack(flatbuffers::FlatBufferBuilder &_fbb, const RelayedAdviceT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct RelayedAdviceBuilder {
+  typedef RelayedAdvice Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_step(flatbuffers::Offset<flatbuffers::String> step) {
+    fbb_.AddOffset(RelayedAdvice::VT_STEP, step);
+  }
+  void add_workers(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> workers) {
+    fbb_.AddOffset(RelayedAdvice::VT_WORKERS, workers);
+  }
+  void add_born(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> born) {
+    fbb_.AddOffset(RelayedAdvice::VT_BORN, born);
+  }
+  void add_isPermitted(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> isPermitted) {
+    fbb_.AddOffset(RelayedAdvice::VT_ISPERMITTED, isPermitted);
+  }
+  explicit RelayedAdviceBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<RelayedAdvice> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<RelayedAdvice>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<RelayedAdvice> CreateRelayedAdvice(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> step = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> workers = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> born = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> isPermitted = 0) {
+  RelayedAdviceBuilder builder_(_fbb);
+  builder_.add_isPermitted(isPermitted);
+  builder_.add_born(born);
+  builder_.add_workers(workers);
+  builder_.add_step(step);
+  return builder_.Finish();
+}
+
+struct RelayedAdvice::Traits {
+  using type = RelayedAdvice;
+  static auto constexpr Create = CreateRelayedAdvice;
+};
+
+inline flatbuffers::Offset<RelayedAdvice> CreateRelayedAdviceDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *step = nullptr,
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *workers = nullptr,
+    const std::vector<uint64_t> *born = nullptr,
+    const std::vector<uint8_t> *isPermitted = nullptr) {
+  auto step__ = step ? _fbb.CreateString(step) : 0;
+  auto workers__ = workers ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*workers) : 0;
+  auto born__ = born ? _fbb.CreateVector<uint64_t>(*born) : 0;
+  auto isPermitted__ = isPermitted ? _fbb.CreateVector<uint8_t>(*isPermitted) : 0;
+  return paddlepier::work::CreateRelayedAdvice(
+      _fbb,
+      step__,
+      workers__,
+      born__,
+      isPermitted__);
+}
+
+flatbuffers::Offset<RelayedAdvice> CreateRelayedAdvice(flatbuffers::FlatBufferBuilder &_fbb, const RelayedAdviceT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct AdviceCallT : public flatbuffers::NativeTable {
   typedef AdviceCall TableType;
   static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
@@ -5315,8 +5461,11 @@
   }
   std::string step{};
   std::vector<std::string> workers{};
+  std::vector<uint64_t> born{};
+  uint64_t term = 0;
 };
 
+/// `born` are the start times of `workers`, `term` is that of the leader; both are missing in calls of older builds.
 struct AdviceCall FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef AdviceCallT NativeTableType;
   typedef AdviceCallBuilder Builder;
@@ -5326,7 +5475,9 @@
   }
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_STEP = 4,
-    VT_WORKERS = 6
+    VT_WORKERS = 6,
+    VT_BORN = 8,
+    VT_TERM = 10
   };
   const flatbuffers::String *step() const {
     return GetPointer<const flatbuffers::String *>(VT_STEP);
@@ -5334,6 +5485,12 @@
   const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *workers() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_WORKERS);
   }
+  const flatbuffers::Vector<uint64_t> *born() const {
+    return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_BORN);
+  }
+  uint64_t term() const {
+    return GetField<uint64_t>(VT_TERM, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_STEP) &&
@@ -5341,6 +5498,9 @@
            VerifyOffset(verifier, VT_WORKERS) &&
            verifier.VerifyVector(workers()) &&
            verifier.VerifyVectorOfStrings(workers()) &&
+           VerifyOffset(verifier, VT_BORN) &&
+           verifier.VerifyVector(born()) &&
+           VerifyField<uint64_t>(verifier, VT_TERM, 8) &&
            verifier.EndTable();
   }
   AdviceCallT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -5358,6 +5518,12 @@
   void add_workers(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> workers) {
     fbb_.AddOffset(AdviceCall::VT_WORKERS, workers);
   }
+  void add_born(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> born) {
+    fbb_.AddOffset(AdviceCall::VT_BORN, born);
+  }
+  void add_term(uint64_t term) {
+    fbb_.AddElement<uint64_t>(AdviceCall::VT_TERM, term, 0);
+  }
   explicit AdviceCallBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -5372,8 +5538,12 @@
 inline flatbuffers::Offset<AdviceCall> CreateAdviceCall(
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::String> step = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> workers = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> workers = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> born = 0,
+    uint64_t term = 0) {
   AdviceCallBuilder builder_(_fbb);
+  builder_.add_term(term);
+  builder_.add_born(born);
   builder_.add_workers(workers);
   builder_.add_step(step);
   return builder_.Finish();
@@ -5387,13 +5557,18 @@
 inline flatbuffers::Offset<AdviceCall> CreateAdviceCallDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     const char *step = nullptr,
-    const std::vector<flatbuffers::Offset<flatbuffers::String>> *workers = nullptr) {
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *workers = nullptr,
+    const std::vector<uint64_t> *born = nullptr,
+    uint64_t term = 0) {
   auto step__ = step ? _fbb.CreateString(step) : 0;
   auto workers__ = workers ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*workers) : 0;
+  auto born__ = born ? _fbb.CreateVector<uint64_t>(*born) : 0;
   return paddlepier::work::CreateAdviceCall(
       _fbb,
       step__,
-      workers__);
+      workers__,
+      born__,
+      term);
 }
 
 flatbuffers::Offset<AdviceCall> CreateAdviceCall(flatbuffers::FlatBufferBuilder &_fbb, const AdviceCallT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -6460,6 +6635,7 @@
   std::unique_ptr<paddlepier::work::ChangeConfigurationT> configuration{};
   std::string message{};
   uint32_t retryAfterMillis = 0;
+  uint64_t term = 0;
   WorkReplyT() = default;
   WorkReplyT(const WorkReplyT &o);
   WorkReplyT(WorkReplyT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -6480,7 +6656,8 @@
     VT_COREINSTANCES = 10,
     VT_CONFIGURATION = 12,
     VT_MESSAGE = 14,
-    VT_RETRYAFTERMILLIS = 16
+    VT_RETRYAFTERMILLIS = 16,
+    VT_TERM = 18
   };
   paddlepier::work::CallOutcome outcome() const {
     return static_cast<paddlepier::work::CallOutcome>(GetField<uint8_t>(VT_OUTCOME, 0));
@@ -6504,6 +6681,10 @@
   uint32_t retryAfterMillis() const {
     return GetField<uint32_t>(VT_RETRYAFTERMILLIS, 0);
   }
+  /// Term of the leader, in the reply to a presence call; 0 in replies of older builds.
+  uint64_t term() const {
+    return GetField<uint64_t>(VT_TERM, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_OUTCOME, 1) &&
@@ -6517,6 +6698,7 @@
            VerifyOffset(verifier, VT_MESSAGE) &&
            verifier.VerifyString(message()) &&
            VerifyField<uint32_t>(verifier, VT_RETRYAFTERMILLIS, 4) &&
+           VerifyField<uint64_t>(verifier, VT_TERM, 8) &&
            verifier.EndTable();
   }
   WorkReplyT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -6549,6 +6731,9 @@
   void add_retryAfterMillis(uint32_t retryAfterMillis) {
     fbb_.AddElement<uint32_t>(WorkReply::VT_RETRYAFTERMILLIS, retryAfterMillis, 0);
   }
+  void add_term(uint64_t term) {
+    fbb_.AddElement<uint64_t>(WorkReply::VT_TERM, term, 0);
+  }
   explicit WorkReplyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -6568,8 +6753,10 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> coreInstances = 0,
     flatbuffers::Offset<paddlepier::work::ChangeConfiguration> configuration = 0,
     flatbuffers::Offset<flatbuffers::String> message = 0,
-    uint32_t retryAfterMillis = 0) {
+    uint32_t retryAfterMillis = 0,
+    uint64_t term = 0) {
   WorkReplyBuilder builder_(_fbb);
+  builder_.add_term(term);
   builder_.add_retryAfterMillis(retryAfterMillis);
   builder_.add_message(message);
   builder_.add_configuration(configuration);
@@ -6593,7 +6780,8 @@
     const std::vector<flatbuffers::Offset<flatbuffers::String>> *coreInstances = nullptr,
     flatbuffers::Offset<paddlepier::work::ChangeConfiguration> configuration = 0,
     const char *message = nullptr,
-    uint32_t retryAfterMillis = 0) {
+    uint32_t retryAfterMillis = 0,
+    uint64_t term = 0) {
   auto coreInstances__ = coreInstances ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*coreInstances) : 0;
   auto message__ = message ? _fbb.CreateString(message) : 0;
   return paddlepier::work::CreateWorkReply(
@@ -6604,7 +6792,8 @@
       coreInstances__,
       configuration,
       message__,
-      retryAfterMillis);
+      retryAfterMillis,
+      term);
 }
 
 flatbuffers::Offset<WorkReply> CreateWorkReply(flatbuffers::FlatBufferBuilder &_fbb, const WorkReplyT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -8269,6 +8458,20 @@
       _change);
 }
 
+inline PresenceCallT::PresenceCallT(const PresenceCallT &o)
+      : zone(o.zone),
+        incarnation(o.incarnation) {
+  answers.reserve(o.answers.size());
+  for (const auto &answers_ : o.answers) { answers.emplace_back((answers_) ? new paddlepier::work::RelayedAdviceT(*answers_) : nullptr); }
+}
+
+inline PresenceCallT &PresenceCallT::operator=(PresenceCallT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(zone, o.zone);
+  std::swap(incarnation, o.incarnation);
+  std::swap(answers, o.answers);
+  return *this;
+}
+
 inline PresenceCallT *PresenceCall::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::make_unique<PresenceCallT>();
   UnPackTo(_o.get(), _resolver);
@@ -8280,6 +8483,7 @@
   (void)_resolver;
   { auto _e = zone(); if (_e) _o->zone = _e->str(); }
   { auto _e = incarnation(); _o->incarnation = _e; }
+  { auto _e = answers(); if (_e) { _o->answers.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->answers[_i] = std::unique_ptr<paddlepier::work::RelayedAdviceT>(_e->Get(_i)->UnPack(_resolver)); } } }
 }
 
 inline flatbuffers::Offset<PresenceCall> PresenceCall::Pack(flatbuffers::FlatBufferBuilder &_fbb, const PresenceCallT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -8292,10 +8496,47 @@
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const PresenceCallT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _zone = _o->zone.empty() ? 0 : _fbb.CreateString(_o->zone);
   auto _incarnation = _o->incarnation;
+  auto _answers = _o->answers.size() ? _fbb.CreateVector<flatbuffers::Offset<paddlepier::work::RelayedAdvice>> (_o->answers.size(), [](size_t i, _VectorArgs *__va) { return CreateRelayedAdvice(*__va->__fbb, __va->__o->answers[i].get(), __va->__rehasher); }, &_va ) : 0;
   return paddlepier::work::CreatePresenceCall(
       _fbb,
       _zone,
-      _incarnation);
+      _incarnation,
+      _answers);
+}
+
+inline RelayedAdviceT *RelayedAdvice::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<RelayedAdviceT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void RelayedAdvice::UnPackTo(RelayedAdviceT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = step(); if (_e) _o->step = _e->str(); }
+  { auto _e = workers(); if (_e) { _o->workers.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->workers[_i] = _e->Get(_i)->str(); } } }
+  { auto _e = born(); if (_e) { _o->born.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->born[_i] = _e->Get(_i); } } }
+  { auto _e = isPermitted(); if (_e) { _o->isPermitted.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->isPermitted[_i] = _e->Get(_i) != 0; } } }
+}
+
+inline flatbuffers::Offset<RelayedAdvice> RelayedAdvice::Pack(flatbuffers::FlatBufferBuilder &_fbb, const RelayedAdviceT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateRelayedAdvice(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<RelayedAdvice> CreateRelayedAdvice(flatbuffers::FlatBufferBuilder &_fbb, const RelayedAdviceT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const RelayedAdviceT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _step = _o->step.empty() ? 0 : _fbb.CreateString(_o->step);
+  auto _workers = _o->workers.size() ? _fbb.CreateVectorOfStrings(_o->workers) : 0;
+  auto _born = _o->born.size() ? _fbb.CreateVector(_o->born) : 0;
+  auto _isPermitted = _o->isPermitted.size() ? _fbb.CreateVector(_o->isPermitted) : 0;
+  return paddlepier::work::CreateRelayedAdvice(
+      _fbb,
+      _step,
+      _workers,
+      _born,
+      _isPermitted);
 }
 
 inline AdviceCallT *AdviceCall::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -8309,6 +8550,8 @@
   (void)_resolver;
   { auto _e = step(); if (_e) _o->step = _e->str(); }
   { auto _e = workers(); if (_e) { _o->workers.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->workers[_i] = _e->Get(_i)->str(); } } }
+  { auto _e = born(); if (_e) { _o->born.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->born[_i] = _e->Get(_i); } } }
+  { auto _e = term(); _o->term = _e; }
 }
 
 inline flatbuffers::Offset<AdviceCall> AdviceCall::Pack(flatbuffers::FlatBufferBuilder &_fbb, const AdviceCallT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -8321,10 +8564,14 @@
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const AdviceCallT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _step = _o->step.empty() ? 0 : _fbb.CreateString(_o->step);
   auto _workers = _o->workers.size() ? _fbb.CreateVectorOfStrings(_o->workers) : 0;
+  auto _born = _o->born.size() ? _fbb.CreateVector(_o->born) : 0;
+  auto _term = _o->term;
   return paddlepier::work::CreateAdviceCall(
       _fbb,
       _step,
-      _workers);
+      _workers,
+      _born,
+      _term);
 }
 
 inline AdviceTicketT *AdviceTicket::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -8740,7 +8987,8 @@
         coreInstances(o.coreInstances),
         configuration((o.configuration) ? new paddlepier::work::ChangeConfigurationT(*o.configuration) : nullptr),
         message(o.message),
-        retryAfterMillis(o.retryAfterMillis) {
+        retryAfterMillis(o.retryAfterMillis),
+        term(o.term) {
 }
 
 inline WorkReplyT &WorkReplyT::operator=(WorkReplyT o) FLATBUFFERS_NOEXCEPT {
@@ -8751,6 +8999,7 @@
   std::swap(configuration, o.configuration);
   std::swap(message, o.message);
   std::swap(retryAfterMillis, o.retryAfterMillis);
+  std::swap(term, o.term);
   return *this;
 }
 
@@ -8770,6 +9019,7 @@
   { auto _e = configuration(); if (_e) _o->configuration = std::unique_ptr<paddlepier::work::ChangeConfigurationT>(_e->UnPack(_resolver)); }
   { auto _e = message(); if (_e) _o->message = _e->str(); }
   { auto _e = retryAfterMillis(); _o->retryAfterMillis = _e; }
+  { auto _e = term(); _o->term = _e; }
 }
 
 inline flatbuffers::Offset<WorkReply> WorkReply::Pack(flatbuffers::FlatBufferBuilder &_fbb, const WorkReplyT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -8787,6 +9037,7 @@
   auto _configuration = _o->configuration ? CreateChangeConfiguration(_fbb, _o->configuration.get(), _rehasher) : 0;
   auto _message = _o->message.empty() ? 0 : _fbb.CreateString(_o->message);
   auto _retryAfterMillis = _o->retryAfterMillis;
+  auto _term = _o->term;
   return paddlepier::work::CreateWorkReply(
       _fbb,
       _outcome,
@@ -8795,7 +9046,8 @@
       _coreInstances,
       _configuration,
       _message,
-      _retryAfterMillis);
+      _retryAfterMillis,
+      _term);
 }
 
 inline bool VerifyCommand(flatbuffers::Verifier &verifier, const void *obj, Command type) {
