--- a/paddlepier/planning/advicecache.cpp
+++ b/paddlepier/planning/advicecache.cpp
@@ -49,6 +49,12 @@
     return {entry.lastTicketExpiry > now, entry.pendingRequests > 0, entry.pendingRequests == 0 && entry.notBefore <= now};
 }
 
+bool AdviceCache::hasAnswerFor(const workload::StepKey &step) const
+{
+    const auto found = this->steps.find(step);
+    return found != this->steps.end() && !found->second.byWorker.empty();
+}
+
 const Ticket *AdviceCache::validTicket(Timestamp now, const workload::StepKey &step, const workload::Incarnation &worker) const
 {
     const auto found = this->steps.find(step);
--- a/paddlepier/planning/advicecache.h
+++ b/paddlepier/planning/advicecache.h
@@ -78,6 +78,8 @@
                });
     }
     StepAdvice adviceFor(Timestamp now, const workload::StepKey &step) const;
+    /** True if advice on some worker is known for the step. */
+    bool hasAnswerFor(const workload::StepKey &step) const;
     /** Null unless the worker may run the step and its ticket is valid. */
     const Ticket *validTicket(Timestamp now, const workload::StepKey &step, const workload::Incarnation &worker) const;
 
--- a/paddlepier/planning/advicerequester.cpp
+++ b/paddlepier/planning/advicerequester.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <tuple>
 #include <utility>
 
 namespace paddlepier::planning
@@ -27,6 +28,12 @@
 constexpr double permittedSurplus = 1.3;
 constexpr std::size_t minWorkersNamed = 3;
 
+/**
+ * The same for a gang and its permitted workers when these are empty. With a surplus the gang finds enough of them partly free; with little, it waits
+ * until particular workers are empty.
+ */
+constexpr double emptyWorkerSurplus = 3;
+
 /**
  * A request costs a fixed time and a small time for each worker. Naming workers until their time reaches this share of the fixed time
  * saves later requests.
@@ -90,13 +97,54 @@
     if (named.empty()) {
         return std::nullopt;
     }
+    return this->make(now, pending, std::move(named));
+}
+
+execution::AdviceRequest AdviceRequester::make(Timestamp now, const PendingStep &pending, std::vector<workload::Incarnation> workers)
+{
     const work::QueueSpecT &queue = pending.job->queue();
     if (isLong(*queue.advice)) {
         --this->budget.longRequests;
     } else {
-        this->budget.shortRequestTime -= costOf(*queue.advice, named.size());
+        this->budget.shortRequestTime -= costOf(*queue.advice, workers.size());
+    }
+    return this->adviceCache.request(now, pending.key, queue.name, std::move(workers), *queue.advice);
+}
+
+std::optional<execution::AdviceRequest> AdviceRequester::renew(Timestamp now, const PendingStep &pending, std::vector<workload::Incarnation> workers)
+{
+    if (workers.empty() || !this->mayRequest(this->adviceCache.adviceFor(now, pending.key), *pending.job->queue().advice)) {
+        return std::nullopt;
+    }
+    return this->make(now, pending, std::move(workers));
+}
+
+std::optional<execution::AdviceRequest> AdviceRequester::requestFurther(Timestamp now, const PendingStep &pending)
+{
+    if (!this->mayRequest(this->adviceCache.adviceFor(now, pending.key), *pending.job->queue().advice)) {
+        return std::nullopt;
+    }
+    std::vector<Candidate> candidates = this->candidatesFor(pending, true);
+    std::erase_if(candidates, [](const Candidate &candidate) { return candidate.isExpired; });
+    const std::vector<Candidate> withoutCapacity = this->candidatesFor(pending, false);
+    candidates.insert(candidates.end(), withoutCapacity.begin(), withoutCapacity.end());
+    const std::size_t count = std::min(candidates.size(), maxWorkersNamed);
+    std::partial_sort(
+        candidates.begin(), candidates.begin() + static_cast<std::ptrdiff_t>(count), candidates.end(), [](const Candidate &left, const Candidate &right) {
+            return std::tuple(!left.hasCapacity, left.penalty, left.worker) < std::tuple(!right.hasCapacity, right.penalty, right.worker);
+        });
+    const std::size_t minimum = minWorkersToName(*pending.job->queue().advice);
+    const double share = this->adviceCache.permittedShare(pending.job->queue().name);
+    const double needed = emptyWorkerSurplus * static_cast<double>(pending.tasks.size());
+    double expected = 0;
+    std::vector<workload::Incarnation> named;
+    for (std::size_t number = 0; number < count && (number < minimum || expected < needed); ++number) {
+        const work::Demand &capacity = *candidates[number].worker->record->registration.capacity;
+        const std::size_t fits = tasksThatFitInto(capacity.milliProcessors(), capacity.memoryMegabytes(), capacity.accelerators(), *pending.step);
+        expected += share * static_cast<double>(std::min(fits, pending.tasks.size()));
+        named.push_back(candidates[number].worker->incarnation());
     }
-    return this->adviceCache.request(now, pending.key, queue.name, std::move(named), *queue.advice);
+    return named.empty() ? std::nullopt : std::optional(this->make(now, pending, std::move(named)));
 }
 
 std::vector<AdviceRequester::Candidate> AdviceRequester::candidatesFor(const PendingStep &pending, bool withCapacity)
--- a/paddlepier/planning/advicerequester.h
+++ b/paddlepier/planning/advicerequester.h
@@ -56,6 +56,11 @@
      */
     std::optional<execution::AdviceRequest> request(Timestamp now, const PendingStep &pending, const std::vector<FutureCapacity> &futureCapacities);
 
+    /** Makes a request that names just @p workers, whose tickets are to be renewed; nothing without a free caller. */
+    std::optional<execution::AdviceRequest> renew(Timestamp now, const PendingStep &pending, std::vector<workload::Incarnation> workers);
+    /** Makes a request that names workers without advice for the step, and reserves nothing; nothing without a free caller. */
+    std::optional<execution::AdviceRequest> requestFurther(Timestamp now, const PendingStep &pending);
+
 private:
     /** A worker that a request may name. */
     struct Candidate {
@@ -75,6 +80,8 @@
     static void addRenewals(std::vector<Candidate> &candidates, const PendingStep &pending, const std::vector<FutureCapacity> &futureCapacities);
     /** Reserves capacity for the step on the best of the candidates. @return workers that the request names; none unless @p mayRequest */
     std::vector<workload::Incarnation> reserveAndSelect(const PendingStep &pending, std::vector<Candidate> candidates, bool mayRequest);
+    /** Makes the request and takes it off the budget. */
+    execution::AdviceRequest make(Timestamp now, const PendingStep &pending, std::vector<workload::Incarnation> workers);
     /** Reserves capacity for the expected number of tasks on the worker, which is permitted with probability @p chance. @return that number */
     double reserveExpected(const PendingStep &pending, WorkerCapacity &worker, double chance);
 
--- a/paddlepier/planning/capacityreserver.h
+++ b/paddlepier/planning/capacityreserver.h
@@ -93,6 +93,8 @@
     std::vector<FutureCapacity> reserveFor(const PendingStep &pending);
     /** Number of forecasts made so far. */
     std::uint64_t forecastCount() const;
+    /** The runs that occupy the worker, with the predicted time until each ends; valid until the next plan begins. */
+    std::vector<OccupyingRun> &runsOn(const WorkerCapacity &worker);
 
 private:
     /** The release of one run's capacity, by its end or its preemption. */
@@ -115,7 +117,6 @@
     static Option *soonest(std::vector<Option> &options, const PendingStep &pending, std::uint32_t index);
     /** Forecasts when @p worker has capacity for one more task of @p pending, and which runs have to be preempted for it. */
     FutureCapacity forecastCapacity(WorkerCapacity &worker, const PendingStep &pending);
-    std::vector<OccupyingRun> &runsOn(const WorkerCapacity &worker);
     OccupyingRun occupyingRun(const workload::TaskKey &key, const workload::Job &job) const;
     Duration remainingOf(const execution::RunTrack &track, const work::StepSpecT &step, const std::string &queue) const;
     static bool isPreemptibleFor(const OccupyingRun &run, const PendingStep &pending);
--- a/paddlepier/planning/planner.cpp
+++ b/paddlepier/planning/planner.cpp
@@ -37,6 +37,7 @@
     , order(workloadState, this->forecaster)
     , quotaTracker(workloadState)
     , reserver(workloadState, runTracks, this->forecaster, this->capacityIndex)
+    , gangReservations(workloadState, this->forecaster, this->capacityIndex, this->reserver, cache)
     , adviceRequester(this->capacityIndex, this->reserver, cache)
     , preemptor(workloadState, runTracks, this->forecaster, this->capacityIndex, cache)
     , waits(workloadState, taskBackoff, this->order, this->capacityIndex, this->isolation)
@@ -56,6 +57,7 @@
     this->isolation.begin(now);
     this->quotaTracker.begin();
     this->reserver.begin(now, wallMillis);
+    this->gangReservations.begin();
     for (const WaitingStep *waiting : this->actionableSteps(now)) {
         if (plan.placements.size() >= budget.placements) {
             break;
@@ -127,6 +129,13 @@
 {
     const work::QueueSpecT &queue = waiting.job->queue();
     const work::StepSpecT &step = waiting.step();
+    if (this->gangReservations.appliesTo(queue, step)) {
+        // A first request is made at once, since permissions last; without capacity it needs no reservation.
+        const bool isAdvised = !queue.advice || this->adviceCache.hasAnswerFor(waiting.key);
+        const bool mayAct = isAdvised ? !this->gangReservations.isIdleLimitReached()
+                                      : this->adviceRequester.mayRequest(this->adviceCache.adviceFor(now, waiting.key), *queue.advice);
+        return mayAct ? StepAction::Schedule : StepAction::None;
+    }
     const bool hasCapacity = this->capacityIndex.hasCapacityFor(queue.service, step);
     const bool mayPreempt = this->preemptor.mayPreemptAnywhereFor(queue.priority, waiting.forecast);
     if (mayPreempt) {
@@ -228,6 +237,10 @@
     if (pending.tasks.empty()) {
         return;
     }
+    if (this->gangReservations.appliesTo(pending.job->queue(), *pending.step)) {
+        this->planReservedGang(now, pending, plan);
+        return;
+    }
     this->collectCandidates(pending);
     const std::size_t waiting = pending.tasks.size();
     if (pending.step->isGang) {
@@ -281,6 +294,43 @@
     this->placeGang(pending, "", plan);
 }
 
+void Planner::planReservedGang(Timestamp now, PendingStep &pending, Plan &plan)
+{
+    std::optional<execution::AdviceRequest> request;
+    if (pending.job->queue().advice != nullptr && !this->adviceCache.hasAnswerFor(pending.key)) {
+        request = this->adviceRequester.requestFurther(now, pending);
+    } else {
+        const GangDecision decision = this->gangReservations.decide(now, pending);
+        if (decision.action == GangAction::Start) {
+            this->placeShares(pending, decision.shares, plan);
+        } else if (decision.action == GangAction::RenewTickets) {
+            std::vector<workload::Incarnation> workers;
+            for (const GangShare &share : decision.shares) {
+                workers.push_back(share.worker->incarnation());
+            }
+            request = this->adviceRequester.renew(now, pending, std::move(workers));
+        } else if (decision.action == GangAction::RequestAdvice) {
+            request = this->adviceRequester.requestFurther(now, pending);
+        }
+    }
+    if (request) {
+        plan.adviceRequests.push_back(std::move(*request));
+    }
+}
+
+void Planner::placeShares(PendingStep &pending, const std::vector<GangShare> &shares, Plan &plan)
+{
+    const std::size_t waiting = pending.tasks.size();
+    std::size_t next = 0;
+    for (const auto &[worker, tasks] : shares) {
+        for (std::uint32_t number = 0; number < tasks; ++number) {
+            plan.placements.push_back(placement(pending, pending.tasks[next++], worker->incarnation()));
+        }
+    }
+    pending.tasks.clear();
+    this->quotaTracker.reserve(pending, waiting);
+}
+
 bool Planner::placeGang(PendingStep &pending, std::string_view rack, Plan &plan)
 {
     std::vector<Candidate *> chosen;
--- a/paddlepier/planning/planner.h
+++ b/paddlepier/planning/planner.h
@@ -6,6 +6,7 @@
 //  - which workers may run a task (eligibility.h, and suspectisolation.h for a task that may crash workers), and which of those with
 //    free capacity suits best (suitability.h): combined here;
 //  - where capacity for wide tasks becomes free first, and its reservation (capacityreserver.h);
+//  - when and where gangs that need several workers start (gangreservations.h);
 //  - which advice to request, and what capacity to reserve until the answer arrives (advicerequester.h);
 //  - which runs are preempted (preemption.h).
 // Steps that can't make progress are skipped unless they need a reservation, and a plan ends when its placement budget is used. Its cost
@@ -29,6 +30,7 @@
 #include "paddlepier/planning/capacityindex.h"
 #include "paddlepier/planning/capacityreserver.h"
 #include "paddlepier/planning/datacentreselector.h"
+#include "paddlepier/planning/gangreservations.h"
 #include "paddlepier/planning/objectiveforecast.h"
 #include "paddlepier/planning/preemption.h"
 #include "paddlepier/planning/quotatracker.h"
@@ -104,6 +106,7 @@
     void removeEndedJobs(Predicate hasEnded)
     {
         this->dataCentreSelector.removeEndedJobs(hasEnded);
+        this->gangReservations.removeEndedJobs(hasEnded);
     }
 
 private:
@@ -127,6 +130,9 @@
     StepAction actionFor(Timestamp now, const WaitingStep &waiting);
     void planStep(Timestamp now, PendingStep &pending, Plan &plan);
     void planGang(PendingStep &pending, Plan &plan);
+    /** Plans a gang that needs a reservation. */
+    void planReservedGang(Timestamp now, PendingStep &pending, Plan &plan);
+    void placeShares(PendingStep &pending, const std::vector<GangShare> &shares, Plan &plan);
     /** Places all tasks on workers of @p rack, or of any rack if it is empty. @return false, with nothing placed, if they don't all fit */
     bool placeGang(PendingStep &pending, std::string_view rack, Plan &plan);
     void placeSingly(PendingStep &pending, Plan &plan);
@@ -145,6 +151,7 @@
     StepOrder order;
     QuotaTracker quotaTracker;
     CapacityReserver reserver;
+    GangReservations gangReservations;
     AdviceRequester adviceRequester;
     Preemptor preemptor;
     WaitMonitor waits;
