planning: a plan examines a bounded part of a large backlog

Cause: each plan visited every waiting step. perf at 350 workers with 21,800 waiting tasks (BM_PlanAfterOneChange/350/20000) shows the time in actionFor for steps that can't progress: stepSpec, hasCapacityFor and string comparisons; only 5 steps are planned. While the steps in time exceed that limit, no advice is requested for unattainable jobs; the wait monitor reports advice-withheld for them. PlanWork::stepsExamined now counts the selected steps.

--- a/paddlepier/planning/planner.cpp
+++ b/paddlepier/planning/planner.cpp
@@ -35,11 +35,12 @@
     , isolation(workloadState, runTracks, taskBackoff, this->capacityIndex)
     , forecaster(typicalRatiosByQueue)
     , order(workloadState, this->forecaster)
+    , scan(this->order, this->capacityIndex)
     , quotaTracker(workloadState)
     , reserver(workloadState, runTracks, this->forecaster, this->capacityIndex)
     , adviceRequester(this->capacityIndex, this->reserver, cache)
     , preemptor(workloadState, runTracks, this->forecaster, this->capacityIndex, cache)
-    , waits(workloadState, taskBackoff, this->order, this->capacityIndex, this->isolation)
+    , waits(workloadState, taskBackoff, this->order, this->scan, this->capacityIndex, this->isolation)
 {
 }
 
@@ -111,10 +112,11 @@
 {
     std::vector<const WaitingStep *> steps;
     std::size_t scheduledEnd = 0;
-    for (const WaitingStep &waiting : this->order.steps()) {
-        const StepAction action = this->actionFor(now, waiting);
-        if (action != StepAction::None || !waiting.isDataCentreChosen) {
-            steps.push_back(&waiting);
+    for (const WaitingStep *waiting : this->scan.select()) {
+        ++this->examinedSteps;
+        const StepAction action = this->actionFor(now, *waiting);
+        if (action != StepAction::None || !waiting->isDataCentreChosen) {
+            steps.push_back(waiting);
             scheduledEnd = action == StepAction::Schedule ? steps.size() : scheduledEnd;
         }
     }
@@ -139,14 +141,13 @@
     if (!queue.advice) {
         return StepAction::Schedule;
     }
-    ++this->examinedSteps;
     const StepAdvice stepAdvice = this->adviceCache.adviceFor(now, waiting.key);
     const auto fits = [this, &step](std::uint32_t number) {
         const WorkerCapacity *worker = this->capacityIndex.findByAdviceNumber(number);
         return worker != nullptr && worker->fits(step);
     };
-    if (this->adviceRequester.mayRequest(stepAdvice, *queue.advice)
-        || (stepAdvice.mayHaveTicket && (isWide || this->adviceCache.anyPermitted(now, waiting.key, fits)))) {
+    const bool mayRequest = !this->scan.withholdsAdvice(*waiting.job, waiting.forecast) && this->adviceRequester.mayRequest(stepAdvice, *queue.advice);
+    if (mayRequest || (stepAdvice.mayHaveTicket && (isWide || this->adviceCache.anyPermitted(now, waiting.key, fits)))) {
         return StepAction::Schedule;
     }
     return stepAdvice.isPending || isWide ? StepAction::ReserveOnly : StepAction::None;
@@ -240,7 +241,7 @@
         return;
     }
     const std::vector<FutureCapacity> futureCapacities = this->reserver.reserveFor(pending);
-    if (pending.job->queue().advice) {
+    if (pending.job->queue().advice && !this->scan.withholdsAdvice(*pending.job, pending.forecast)) {
         std::optional<execution::AdviceRequest> request = this->adviceRequester.request(now, pending, futureCapacities);
         if (request) {
             plan.adviceRequests.push_back(std::move(*request));
--- a/paddlepier/planning/planner.h
+++ b/paddlepier/planning/planner.h
@@ -1,15 +1,15 @@
 // Decides which waiting tasks are placed on which workers, which advice is requested, and which runs are preempted.
 //
 // A plan is computed from the ledger and from the leader's views of the workers; computing it changes neither. Each decision has its own part:
-//  - the order in which steps are planned (steporder.h);
+//  - the order in which steps are planned (steporder.h), and which of them a plan examines (stepscan.h);
 //  - how many more tasks the team's quota admits (quotatracker.h);
 //  - which workers may run a task (eligibility.h, and suspectisolation.h for a task that may crash workers), and which of those with
 //    free capacity suits best (suitability.h): combined here;
 //  - where capacity for wide tasks becomes free first, and its reservation (capacityreserver.h);
 //  - which advice to request, and what capacity to reserve until the answer arrives (advicerequester.h);
 //  - which runs are preempted (preemption.h).
-// Steps that can't make progress are skipped unless they need a reservation, and a plan ends when its placement budget is used. Its cost
-// therefore depends on what changed and on what can be placed, not on how much is waiting.
+// Of a large backlog only a part is examined; steps that can't make progress are skipped unless they need a reservation, and a plan ends when
+// its placement budget is used. Its cost therefore depends on what changed and on what can be placed, not on how much is waiting.
 //
 // Example:
 //     const Plan plan = planner.plan(now, wallMillis);
@@ -33,6 +33,7 @@
 #include "paddlepier/planning/preemption.h"
 #include "paddlepier/planning/quotatracker.h"
 #include "paddlepier/planning/steporder.h"
+#include "paddlepier/planning/stepscan.h"
 #include "paddlepier/planning/suitability.h"
 #include "paddlepier/planning/suspectisolation.h"
 #include "paddlepier/planning/waitmonitor.h"
@@ -68,7 +69,7 @@
 struct PlanWork {
     std::uint64_t workersRead = 0;
     std::uint64_t jobsReordered = 0;
-    /** Steps that could make progress, and those of them that were planned. */
+    /** Steps that were selected in the order, and those of them that were planned. */
     std::uint64_t stepsExamined = 0;
     std::uint64_t stepsPlanned = 0;
     /** Forecasts of when a worker will have free capacity for a wide step. */
@@ -143,6 +144,7 @@
     DataCentreSelector dataCentreSelector;
     ObjectiveForecaster forecaster;
     StepOrder order;
+    StepScan scan;
     QuotaTracker quotaTracker;
     CapacityReserver reserver;
     AdviceRequester adviceRequester;
--- a/paddlepier/planning/steporder.cpp
+++ b/paddlepier/planning/steporder.cpp
@@ -72,9 +72,7 @@
 
 bool WaitingStep::operator<(const WaitingStep &other) const
 {
-    const auto sortKey = [](const WaitingStep &entry) {
-        return std::tuple(entry.rank, entry.forecast.status, !entry.hasStarted, entry.job->submittedAtMillis());
-    };
+    const auto sortKey = [](const WaitingStep &entry) { return std::tuple(entry.rank, entry.forecast.status, !entry.hasStarted, entry.submittedAtMillis); };
     if (sortKey(*this) != sortKey(other)) {
         return sortKey(*this) < sortKey(other);
     }
@@ -92,6 +90,16 @@
     return this->order;
 }
 
+const std::vector<std::string> &StepOrder::services() const
+{
+    return this->serviceNames;
+}
+
+const std::map<std::pair<std::uint32_t, std::uint32_t>, std::size_t> &StepOrder::stepCounts() const
+{
+    return this->counts;
+}
+
 std::uint64_t StepOrder::reorderedJobs() const
 {
     return this->reorderCount;
@@ -114,6 +122,7 @@
         // The change log doesn't reach back far enough. Entries may point to removed jobs and must not be dereferenced.
         this->order.clear();
         this->byJob.clear();
+        this->counts.clear();
         jobs = this->state.waitingJobs();
     }
     this->readUntil = this->state.jobChanges().end();
@@ -143,16 +152,26 @@
     }
 }
 
-void StepOrder::reorderJob(const std::string &id, std::int64_t wallMillis)
+void StepOrder::removeSteps(const std::string &id)
 {
-    ++this->reorderCount;
     const auto existing = this->byJob.find(id);
-    if (existing != this->byJob.end()) {
-        for (const auto &entry : existing->second) {
-            this->order.erase(entry);
+    if (existing == this->byJob.end()) {
+        return;
+    }
+    for (const auto &entry : existing->second) {
+        const auto count = this->counts.find({entry->rank, entry->service});
+        if (--count->second == 0) {
+            this->counts.erase(count);
         }
-        this->byJob.erase(existing);
+        this->order.erase(entry);
     }
+    this->byJob.erase(existing);
+}
+
+void StepOrder::reorderJob(const std::string &id, std::int64_t wallMillis)
+{
+    ++this->reorderCount;
+    this->removeSteps(id);
     if (!this->state.waitingJobs().contains(id)) {
         return;
     }
@@ -174,6 +193,11 @@
 {
     const std::vector<workload::Step> &steps = job.occurrences()[occurrence].steps;
     const bool hasStarted = std::any_of(steps.begin(), steps.end(), wasPlaced);
+    const auto service = std::find(this->serviceNames.begin(), this->serviceNames.end(), job.queue().service);
+    const auto serviceNumber = static_cast<std::uint32_t>(service - this->serviceNames.begin());
+    if (service == this->serviceNames.end()) {
+        this->serviceNames.push_back(job.queue().service);
+    }
     std::optional<ObjectiveForecast> forecast;
     for (std::uint32_t number = 0; number < steps.size(); ++number) {
         const work::StepSpecT &step = job.stepSpec(number);
@@ -182,6 +206,8 @@
         }
         WaitingStep entry;
         entry.job = &job;
+        entry.submittedAtMillis = job.submittedAtMillis();
+        entry.service = serviceNumber;
         entry.key = {job.id(), occurrence, number};
         entry.hasStarted = hasStarted;
         entry.evaluatedAtMillis = wallMillis;
@@ -196,6 +222,7 @@
             entry.forecast.status = ObjectiveStatus::Late;
         }
         entry.rank = rankOf(job, entry.forecast);
+        ++this->counts[{entry.rank, serviceNumber}];
         this->byJob[job.id()].push_back(this->order.insert(entry).first);
     }
     const std::int64_t untilChange = forecast ? millisUntilChange(*forecast) : never;
--- a/paddlepier/planning/steporder.h
+++ b/paddlepier/planning/steporder.h
@@ -26,10 +26,12 @@
 
 #include <absl/container/flat_hash_map.h>
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace paddlepier::planning
@@ -41,6 +43,10 @@
     std::uint32_t rank = 0;
     bool hasStarted = false;
     const workload::Job *job = nullptr;
+    /** That of the job, so that comparing doesn't access it. */
+    std::int64_t submittedAtMillis = 0;
+    /** Index of its queue's service in StepOrder::services(); not a sort key. */
+    std::uint32_t service = 0;
     workload::StepKey key;
     /** Evaluated at evaluatedAtMillis. */
     ObjectiveForecast forecast;
@@ -63,6 +69,10 @@
     std::uint64_t reorderedJobs() const;
     /** Sorted; valid until the next update(). */
     const std::set<WaitingStep> &steps() const;
+    /** The services of all steps so far. */
+    const std::vector<std::string> &services() const;
+    /** Number of steps by rank and service; without zeros. */
+    const std::map<std::pair<std::uint32_t, std::uint32_t>, std::size_t> &stepCounts() const;
     /** The step with its waiting tasks and its slack at @p wallMillis. */
     static PendingStep pendingStep(const WaitingStep &waiting, std::int64_t wallMillis);
 
@@ -74,6 +84,7 @@
     std::set<std::string> drainChangedJobs(std::int64_t wallMillis);
     /** Adds the jobs of queues whose typical run time differs from the assumed one. */
     void addJobsWithChangedRatio(std::set<std::string> &jobs);
+    void removeSteps(const std::string &id);
     void reorderJob(const std::string &id, std::int64_t wallMillis);
     /** @return when the position of one of its steps next changes by the passing of time alone */
     std::int64_t reorderOccurrence(const workload::Job &job, std::uint32_t occurrence, std::int64_t wallMillis);
@@ -83,6 +94,8 @@
     std::set<WaitingStep> order;
     // Invariant: contains each entry of `order` exactly once, under the ID of its job.
     absl::flat_hash_map<std::string, std::vector<std::set<WaitingStep>::const_iterator>> byJob;
+    std::vector<std::string> serviceNames;
+    std::map<std::pair<std::uint32_t, std::uint32_t>, std::size_t> counts;
     /** Jobs by the time at which they must be reinserted. */
     execution::TimerQueue<std::string> reorderTimers;
     workload::ChangeLog<std::string>::Position readUntil = 0;
--- a/paddlepier/planning/waitmonitor.cpp
+++ b/paddlepier/planning/waitmonitor.cpp
@@ -66,7 +66,7 @@
 
 const char *nameOf(WaitReason reason)
 {
-    static constexpr std::array<const char *, 15> names{"losses-in-doubt",
+    static constexpr std::array<const char *, 16> names{"losses-in-doubt",
                                                         "paused",
                                                         "team-at-quota",
                                                         "no-worker",
@@ -79,6 +79,7 @@
                                                         "copy-unsettled",
                                                         "too-large",
                                                         "no-room",
+                                                        "advice-withheld",
                                                         "advice-awaited",
                                                         "room-kept"};
     return names.at(static_cast<std::size_t>(reason));
@@ -87,11 +88,13 @@
 WaitMonitor::WaitMonitor(const workload::Workload &workloadState,
                          const execution::TaskBackoff &backoff,
                          StepOrder &stepOrder,
+                         const StepScan &planScan,
                          CapacityIndex &planIndex,
                          SuspectIsolation &suspectIsolation)
     : state(workloadState)
     , taskBackoff(backoff)
     , order(stepOrder)
+    , scanner(planScan)
     , capacityIndex(planIndex)
     , isolation(suspectIsolation)
 {
@@ -206,7 +209,10 @@
     }
     const bool hasNoTicket =
         remaining.isEmptyAfter([&](const WorkerCapacity &worker) { return !needsAdvice || worker.adviceStatus == AdviceStatus::Permitted; });
-    return hasNoTicket ? WaitReason::AdviceAwaited : WaitReason::RoomKept;
+    if (hasNoTicket) {
+        return this->scanner.withholdsAdvice(*pending.job, pending.forecast) ? WaitReason::AdviceWithheld : WaitReason::AdviceAwaited;
+    }
+    return WaitReason::RoomKept;
 }
 
 } // namespace paddlepier::planning
--- a/paddlepier/planning/waitmonitor.h
+++ b/paddlepier/planning/waitmonitor.h
@@ -17,6 +17,7 @@
 #include "paddlepier/execution/workerview.h"
 #include "paddlepier/planning/capacityindex.h"
 #include "paddlepier/planning/steporder.h"
+#include "paddlepier/planning/stepscan.h"
 #include "paddlepier/planning/suspectisolation.h"
 #include "paddlepier/workload/workload.h"
 
@@ -60,7 +61,12 @@
     TooLarge,
     /** Other runs use the capacity that the task, or part of its gang, needs: until enough of them end or are preempted. */
     NoRoom,
-    /** An answer of the policy service is pending, or a request got none: until the answer arrives or the request is repeated. */
+    /** Its objective is unattainable, and no advice is requested while steps in time wait for capacity: until that backlog is smaller. */
+    AdviceWithheld,
+    /**
+     * An answer of the policy service is pending, a request got none, or earlier steps are asked for first: until the answer arrives or the
+     * request is sent.
+     */
     AdviceAwaited,
     /** Capacity is free but reserved for a step that is earlier in the order: until that step is placed. */
     RoomKept
@@ -83,6 +89,7 @@
     WaitMonitor(const workload::Workload &workloadState,
                 const execution::TaskBackoff &backoff,
                 StepOrder &stepOrder,
+                const StepScan &planScan,
                 CapacityIndex &planIndex,
                 SuspectIsolation &suspectIsolation);
 
@@ -108,6 +115,7 @@
     const workload::Workload &state;
     const execution::TaskBackoff &taskBackoff;
     StepOrder &order;
+    const StepScan &scanner;
     CapacityIndex &capacityIndex;
     SuspectIsolation &isolation;
     std::map<workload::StepKey, StepWait> stepWaits;
