admission: overload control decides on each submission

A job whose proposal may still be committed is accepted.

The complete unit tests have not been run yet.

--- a/paddlepier/cluster/workservice.cpp
+++ b/paddlepier/cluster/workservice.cpp
@@ -81,6 +81,7 @@
     , evacuationChanges(processCounters.counter("evacuation_changes_total"))
     , workerCallTimes(processCounters.histogram("worker_call"))
     , dispatcher(workloadNode.state(), options.dispatch, workloadNode.replica().currentTerm(), now)
+    , overloadControl(workloadNode.state(), this->dispatcher.typicalRatiosByQueue(), processCounters, wallMicros() / 1000)
     , isTermActive(std::make_shared<bool>(true))
 {
 }
@@ -130,7 +131,7 @@
 {
     switch (method) {
     case WorkMethod::Job:
-        return this->handleJob(wire::unpack<work::JobCallT>(body), done);
+        return this->handleJob(now, wire::unpack<work::JobCallT>(body), done);
     case WorkMethod::Announce:
         return this->announce(now, wire::unpack<work::AnnounceCallT>(body), done);
     case WorkMethod::Heartbeats:
@@ -152,7 +153,7 @@
     done(answer(work::CallOutcome::Invalid, "not a call that a leader handles"));
 }
 
-void WorkService::handleJob(const work::JobCallT &call, const CallCallback &done)
+void WorkService::handleJob(Timestamp now, const work::JobCallT &call, const CallCallback &done)
 {
     if (this->node.state().configuration().version == 0) {
         done(answer(work::CallOutcome::Unavailable, "no configuration yet"));
@@ -182,7 +183,7 @@
     const JobRequest request{*queue, id, *team};
     switch (call.action) {
     case work::JobAction::Submit:
-        return this->submit(request, call, done);
+        return this->submit(now, request, call, done);
     case work::JobAction::Show:
         return this->show(request, done);
     case work::JobAction::Cancel:
@@ -190,7 +191,7 @@
     }
 }
 
-void WorkService::submit(const JobRequest &request, const work::JobCallT &call, const CallCallback &done)
+void WorkService::submit(Timestamp now, const JobRequest &request, const work::JobCallT &call, const CallCallback &done)
 {
     const auto &[queue, id, team] = request;
     if (const workload::Job *known = this->node.state().findJob(id)) {
@@ -203,6 +204,13 @@
         done(answer(work::CallOutcome::Invalid, problem));
         return;
     }
+    const std::uint64_t capacity = this->dispatcher.usableCapacity(queue.service);
+    if (std::optional<work::WorkReplyT> refusal = this->overloadControl.refusalOf(now, {id, team, queue, *call.spec}, capacity, wallMicros() / 1000)) {
+        CallResult result;
+        result.reply = std::move(*refusal);
+        done(result);
+        return;
+    }
     log::info("jobs",
               "job.submitted",
               {{"job", id},
@@ -217,7 +225,15 @@
     command.queue = queue.name;
     command.team = team;
     command.spec = std::make_unique<work::JobSpecT>(*call.spec);
-    this->proposeAndReply(toCommand(std::move(command)), answer(work::CallOutcome::Accepted).reply, done);
+    this->overloadControl.recordProposal(id);
+    this->proposeAndReply(toCommand(std::move(command)),
+                          answer(work::CallOutcome::Accepted).reply,
+                          [this, isActive = this->isTermActive, id = id, done](const CallResult &result) {
+                              if (*isActive) {
+                                  this->overloadControl.recordOutcome(id, result.error == ErrorCode::None);
+                              }
+                              done(result);
+                          });
 }
 
 void WorkService::show(const JobRequest &request, const CallCallback &done)
@@ -449,6 +465,7 @@
     }
     this->longWaits.add(static_cast<std::int64_t>(effects.longWaits));
     this->teamsAtQuota.add(static_cast<std::int64_t>(effects.teamsAtQuota));
+    this->overloadControl.update(wallMicros() / 1000);
     for (execution::Proposal &proposal : effects.proposals) {
         const auto *removal = proposal.command.AsRemoveWorker();
         this->lostWorkers.add(removal != nullptr && removal->end != work::LifeEnd::Left ? 1 : 0);
--- a/paddlepier/cluster/workservice.h
+++ b/paddlepier/cluster/workservice.h
@@ -12,6 +12,7 @@
 #include "paddlepier/cluster/advicecallerpool.h"
 #include "paddlepier/cluster/announcementfault.h"
 #include "paddlepier/cluster/authentication.h"
+#include "paddlepier/cluster/overloadcontrol.h"
 #include "paddlepier/cluster/ports.h"
 #include "paddlepier/cluster/workcalls.h"
 #include "paddlepier/execution/dispatcher.h"
@@ -57,14 +58,14 @@
     void step(Timestamp now);
 
 private:
-    void handleJob(const work::JobCallT &call, const CallCallback &done);
+    void handleJob(Timestamp now, const work::JobCallT &call, const CallCallback &done);
     /** A caller's request about one job. */
     struct JobRequest {
         const work::QueueSpecT &queue;
         std::string id;
         std::string team;
     };
-    void submit(const JobRequest &request, const work::JobCallT &call, const CallCallback &done);
+    void submit(Timestamp now, const JobRequest &request, const work::JobCallT &call, const CallCallback &done);
     void show(const JobRequest &request, const CallCallback &done);
     void cancel(const JobRequest &request, const CallCallback &done);
     /** The fault of an announcement, as far as only the leader can detect it. */
@@ -101,6 +102,7 @@
     Counter &evacuationChanges;
     Histogram &workerCallTimes;
     execution::Dispatcher dispatcher;
+    OverloadControl overloadControl;
     /** Shared with callbacks, which check whether the term has ended. */
     std::shared_ptr<bool> isTermActive;
 };
--- a/paddlepier/execution/cellload.cpp
+++ b/paddlepier/execution/cellload.cpp
@@ -5,12 +5,22 @@
 namespace paddlepier::execution
 {
 
+namespace
+{
+
+bool isUsable(const WorkerViews &views, const workload::Incarnation &incarnation, const workload::Worker &worker)
+{
+    const auto view = views.find(incarnation);
+    return view != views.end() && view->second.isReachable() && !worker.registration.isDraining;
+}
+
+} // namespace
+
 CellLoad cellLoad(const workload::Workload &state, const WorkerViews &views, const RunTracks &tracks)
 {
     CellLoad load;
     for (const auto &[incarnation, worker] : state.workers()) {
-        const auto view = views.find(incarnation);
-        if (view == views.end() || !view->second.isReachable() || worker.registration.isDraining) {
+        if (!isUsable(views, incarnation, worker)) {
             continue;
         }
         ++load.usableWorkers;
@@ -36,4 +46,15 @@
     return load;
 }
 
+std::map<std::string, std::uint64_t> usableCapacities(const workload::Workload &state, const WorkerViews &views)
+{
+    std::map<std::string, std::uint64_t> capacities;
+    for (const auto &[incarnation, worker] : state.workers()) {
+        if (isUsable(views, incarnation, worker) && !state.isEvacuated(worker)) {
+            capacities[worker.registration.service] += worker.registration.capacity->milliProcessors();
+        }
+    }
+    return capacities;
+}
+
 } // namespace paddlepier::execution
--- a/paddlepier/execution/cellload.h
+++ b/paddlepier/execution/cellload.h
@@ -15,6 +15,8 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <map>
+#include <string>
 
 namespace paddlepier::execution
 {
@@ -34,6 +36,9 @@
 
 CellLoad cellLoad(const workload::Workload &state, const WorkerViews &views, const RunTracks &tracks);
 
+/** Capacity in thousandths of a processor, by service, of the workers that are reachable, not draining and not evacuated. O(workers). */
+std::map<std::string, std::uint64_t> usableCapacities(const workload::Workload &state, const WorkerViews &views);
+
 } // namespace paddlepier::execution
 
 #endif
--- a/paddlepier/execution/dispatcher.h
+++ b/paddlepier/execution/dispatcher.h
@@ -114,6 +114,10 @@
      * All queues are counted at once, several times a second at most.
      */
     std::uint32_t waitingJobs(const std::string &queue) const;
+    /** Usable capacity of a service in thousandths of a processor; see cellload.h. All services are counted at once, several times a second at most. */
+    std::uint64_t usableCapacity(const std::string &service) const;
+    /** Typical ratio of run time to estimate, by queue; a queue without an entry has none yet. */
+    const std::map<std::string, double> &typicalRatiosByQueue() const;
     /** The reason why the job has waited beyond the reporting threshold; empty if it hasn't. */
     std::string longWaitReason(const std::string &job) const;
     /** What this leader knows of the worker; null if it isn't in the ledger. Valid until the next step. */
@@ -338,6 +342,8 @@
     Timestamp lastStepAt;
     mutable std::map<std::string, std::uint32_t> waitingByQueue;
     mutable Timestamp jobsCountedAt = absl::InfinitePast();
+    mutable std::map<std::string, std::uint64_t> capacityByService;
+    mutable Timestamp capacityCountedAt = absl::InfinitePast();
     DispatchEffects effects;
 };
 
--- a/paddlepier/execution/placement.cpp
+++ b/paddlepier/execution/placement.cpp
@@ -37,6 +37,9 @@
 
 constexpr Duration cellReportInterval = absl::Seconds(1);
 
+/** How long the usable capacity is reused: counting 350 workers for each of hundreds of submissions a second would cost more than it tells. */
+constexpr Duration capacityCountInterval = absl::Milliseconds(200);
+
 } // namespace
 
 void Dispatcher::planWork(Timestamp now, std::int64_t wallMillis, const AdviceBudgetSource &adviceBudget)
@@ -96,6 +99,21 @@
     }
 }
 
+std::uint64_t Dispatcher::usableCapacity(const std::string &service) const
+{
+    if (this->lastStepAt >= this->capacityCountedAt + capacityCountInterval) {
+        this->capacityCountedAt = this->lastStepAt;
+        this->capacityByService = usableCapacities(this->state, this->views);
+    }
+    const auto found = this->capacityByService.find(service);
+    return found == this->capacityByService.end() ? 0 : found->second;
+}
+
+const std::map<std::string, double> &Dispatcher::typicalRatiosByQueue() const
+{
+    return this->typicalRatios;
+}
+
 void Dispatcher::logCellLoad(Timestamp now)
 {
     if (now < this->nextCellReport) {
--- a/paddlepier/planning/objectiveforecast.cpp
+++ b/paddlepier/planning/objectiveforecast.cpp
@@ -24,34 +24,35 @@
 
 /** Duration of the longest chain of steps in milliseconds; steps for which @p isCounted returns false count as 0. */
 template<typename Predicate>
-double longestChain(const workload::Job &job, double typicalRatio, Predicate isCounted)
+double longestChain(const work::JobSpecT &spec, const work::QueueSpecT &queue, double typicalRatio, Predicate isCounted)
 {
     std::vector<double> ends;
     double longest = 0;
-    for (std::uint32_t number = 0; number < job.spec().steps.size(); ++number) {
-        const work::StepSpecT &step = job.stepSpec(number);
+    for (std::uint32_t number = 0; number < spec.steps.size(); ++number) {
+        const work::StepSpecT &step = *spec.steps[number];
         double start = 0;
         for (const std::uint32_t earlier : step.after) {
             start = std::max(start, ends.at(earlier));
         }
-        const double duration = isCounted(number) ? step.estimatedMillis * typicalRatio + adviceMillis(job.queue()) : 0;
+        const double duration = isCounted(number) ? step.estimatedMillis * typicalRatio + adviceMillis(queue) : 0;
         ends.push_back(start + duration);
         longest = std::max(longest, ends.back());
     }
     return longest;
 }
 
-} // namespace
+double wholeChain(const work::JobSpecT &spec, const work::QueueSpecT &queue, double typicalRatio)
+{
+    return longestChain(spec, queue, typicalRatio, [](std::uint32_t) { return true; });
+}
 
-ObjectiveForecast forecastObjective(const workload::Job &job, std::uint32_t occurrence, std::int64_t wallMillis, double typicalRatio)
+/** @param wholeMillis  longest chain of all steps; @param remainingMillis  that of the unfinished ones */
+ObjectiveForecast forecastEnd(const work::QueueSpecT &queue, double wholeMillis, double remainingMillis, double ageMillis)
 {
-    const double chain = longestChain(job, typicalRatio, [](std::uint32_t) { return true; });
-    const std::vector<workload::Step> &steps = job.occurrences().at(occurrence).steps;
-    const double objective = job.queue().stretch * chain + job.queue().targetLatencyMillis;
-    const double age = static_cast<double>(wallMillis - std::max(job.submittedAtMillis(), job.dueMillis(occurrence)));
+    const double objective = queue.stretch * wholeMillis + queue.targetLatencyMillis;
+    const double earliestEnd = ageMillis + remainingMillis;
     ObjectiveForecast forecast;
-    forecast.remainingMillis = longestChain(job, typicalRatio, [&steps](std::uint32_t number) { return !steps[number].isDone(); });
-    const double earliestEnd = age + forecast.remainingMillis;
+    forecast.remainingMillis = remainingMillis;
     forecast.slackMillis = objective - earliestEnd;
     forecast.lateSlackMillis = lateFactor * objective - earliestEnd;
     forecast.status = forecast.slackMillis >= 0       ? ObjectiveStatus::InTime
@@ -60,6 +61,22 @@
     return forecast;
 }
 
+} // namespace
+
+ObjectiveForecast forecastObjective(const workload::Job &job, std::uint32_t occurrence, std::int64_t wallMillis, double typicalRatio)
+{
+    const std::vector<workload::Step> &steps = job.occurrences().at(occurrence).steps;
+    const double age = static_cast<double>(wallMillis - std::max(job.submittedAtMillis(), job.dueMillis(occurrence)));
+    const double remaining = longestChain(job.spec(), job.queue(), typicalRatio, [&steps](std::uint32_t number) { return !steps[number].isDone(); });
+    return forecastEnd(job.queue(), wholeChain(job.spec(), job.queue(), typicalRatio), remaining, age);
+}
+
+ObjectiveForecast forecastObjective(const work::JobSpecT &spec, const work::QueueSpecT &queue, double typicalRatio)
+{
+    const double chain = wholeChain(spec, queue, typicalRatio);
+    return forecastEnd(queue, chain, chain, 0);
+}
+
 ObjectiveForecaster::ObjectiveForecaster(const std::map<std::string, double> &typicalRatiosByQueue)
     : typicalRatios(typicalRatiosByQueue)
 {
@@ -71,6 +88,11 @@
     return typical == this->typicalRatios.end() ? 1.0 : typical->second;
 }
 
+ObjectiveForecast ObjectiveForecaster::forecast(const work::JobSpecT &spec, const work::QueueSpecT &queue) const
+{
+    return forecastObjective(spec, queue, this->typicalRatio(queue.name));
+}
+
 ObjectiveForecast ObjectiveForecaster::forecast(const workload::Job &job, std::uint32_t occurrence, std::int64_t wallMillis) const
 {
     return forecastObjective(job, occurrence, wallMillis, this->typicalRatio(job.queue().name));
--- a/paddlepier/planning/objectiveforecast.h
+++ b/paddlepier/planning/objectiveforecast.h
@@ -47,6 +47,9 @@
  */
 ObjectiveForecast forecastObjective(const workload::Job &job, std::uint32_t occurrence, std::int64_t wallMillis, double typicalRatio);
 
+/** Forecast for a job that isn't in the ledger yet and would be submitted to @p queue now. */
+ObjectiveForecast forecastObjective(const work::JobSpecT &spec, const work::QueueSpecT &queue, double typicalRatio);
+
 /** Makes forecasts with the typical run time of each queue, as learned so far. */
 class ObjectiveForecaster
 {
@@ -55,6 +58,7 @@
     explicit ObjectiveForecaster(const std::map<std::string, double> &typicalRatiosByQueue);
 
     double typicalRatio(const std::string &queue) const;
+    ObjectiveForecast forecast(const work::JobSpecT &spec, const work::QueueSpecT &queue) const;
     ObjectiveForecast forecast(const workload::Job &job, std::uint32_t occurrence, std::int64_t wallMillis) const;
 
 private:
--- a/paddlepier/wire/workload_generated.h
+++ b/paddlepier/wire/workload_generated.h
@@ -827,11 +827,13 @@
   Unavailable = 5,
   /// The queue requires a key, and the caller's key belongs to no team.
   Unauthenticated = 6,
+  /// Refused by overload control: nothing was stored. `retryAfterMillis` tells when the caller should submit the job again.
+  Overloaded = 7,
   MIN = Accepted,
-  MAX = Unauthenticated
+  MAX = Overloaded
 };
 
-inline const CallOutcome (&EnumValuesCallOutcome())[7] {
+inline const CallOutcome (&EnumValuesCallOutcome())[8] {
   static const CallOutcome values[] = {
     CallOutcome::Accepted,
     CallOutcome::Refused,
@@ -839,13 +841,14 @@
     CallOutcome::UnknownJob,
     CallOutcome::Invalid,
     CallOutcome::Unavailable,
-    CallOutcome::Unauthenticated
+    CallOutcome::Unauthenticated,
+    CallOutcome::Overloaded
   };
   return values;
 }
 
 inline const char * const *EnumNamesCallOutcome() {
-  static const char * const names[8] = {
+  static const char * const names[9] = {
     "Accepted",
     "Refused",
     "UnknownQueue",
@@ -853,13 +856,14 @@
     "Invalid",
     "Unavailable",
     "Unauthenticated",
+    "Overloaded",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameCallOutcome(CallOutcome e) {
-  if (flatbuffers::IsOutRange(e, CallOutcome::Accepted, CallOutcome::Unauthenticated)) return "";
+  if (flatbuffers::IsOutRange(e, CallOutcome::Accepted, CallOutcome::Overloaded)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesCallOutcome()[index];
 }
