--- a/paddlepier/planning/planner.cpp
+++ b/paddlepier/planning/planner.cpp
@@ -134,8 +134,9 @@
     if (this->gangReservations.appliesTo(queue, step)) {
         // A first request is made at once, since permissions last; without capacity it needs no reservation.
         const bool isAdvised = !queue.advice || this->adviceCache.hasAnswerFor(waiting.key);
-        const bool mayAct = isAdvised ? !this->gangReservations.isIdleLimitReached()
-                                      : this->adviceRequester.mayRequest(this->adviceCache.adviceFor(now, waiting.key), *queue.advice);
+        const bool mayAct = this->scan.withholdsAdvice(*waiting.job, waiting.forecast) ? false
+                            : isAdvised                                                ? !this->gangReservations.isIdleLimitReached()
+                                        : this->adviceRequester.mayRequest(this->adviceCache.adviceFor(now, waiting.key), *queue.advice);
         return mayAct ? StepAction::Schedule : StepAction::None;
     }
     const bool hasCapacity = this->capacityIndex.hasCapacityFor(queue.service, step);
