planning: benchmark of a backlog of batch jobs beside quick ones

Cause: no replay shows how much of a long backlog ends in time; the order of such a backlog is to be changed by what it shows. Change: batchBacklogPattern (demand equals the capacity at load 1) and BM_BatchBacklogReplay at 1.3 times the capacity.

--- a/paddlepier/planning/loadpatterns.h
+++ b/paddlepier/planning/loadpatterns.h
@@ -247,6 +247,49 @@
     return pattern;
 }
 
+/**
+ * Workers of 16 processors: quick jobs that take about a tenth of them, and jobs of many small tasks, whose demand together equals the capacity
+ * at @p load 1. Each request takes the policy service a tenth of a task's duration, and it permits less than half of the workers.
+ */
+inline LoadPattern batchBacklogPattern(double load)
+{
+    LoadKind quick;
+    quick.queue = "quick";
+    quick.stretch = 1.5;
+    quick.targetLatencyMillis = 250;
+    quick.jobsPerSecond = 82;
+    quick.maxTasks = 5;
+    quick.milliProcessors = 2500;
+    quick.minMillis = 400;
+    quick.maxMillis = 1200;
+    quick.decisionMillis = 11.7;
+    quick.perWorkerMillis = 0.17;
+    quick.permittedShare = 0.7;
+    LoadKind batch;
+    batch.queue = "batch";
+    batch.priority = 2;
+    batch.stretch = 4;
+    batch.targetLatencyMillis = 3000;
+    batch.jobsPerSecond = 59.9 * load - 5.3;
+    batch.maxTasks = 49;
+    batch.milliProcessors = 1700;
+    batch.minMillis = 1100;
+    batch.maxMillis = 3300;
+    batch.checkpointingShare = 0.8;
+    batch.decisionMillis = 104;
+    batch.perWorkerMillis = 1.43;
+    batch.permittedShare = 0.45;
+    LoadPattern pattern;
+    pattern.workers = 350;
+    pattern.dataCentres = 3;
+    pattern.milliProcessors = 16'000;
+    pattern.memoryMegabytes = 65'536;
+    pattern.accelerators = 0;
+    pattern.kinds = {quick, batch};
+    pattern.adviceInstances = 40;
+    return pattern;
+}
+
 } // namespace paddlepier::planning
 
 #endif
--- a/paddlepier/planning/planner_benchmark.cpp
+++ b/paddlepier/planning/planner_benchmark.cpp
@@ -186,6 +186,31 @@
 }
 BENCHMARK(BM_BacklogReplay)->Arg(50)->Arg(100)->Arg(200)->Arg(400)->Iterations(1)->Unit(benchmark::kMillisecond);
 
+/** A minute of batch jobs beside quick ones in a cell of the given number of workers, at 1.3 times its capacity: shares in time of the batch jobs. */
+void BM_BatchBacklogReplay(benchmark::State &state)
+{
+    const double scale = static_cast<double>(state.range(0)) / workers;
+    double inTime = 0;
+    double goodput = 0;
+    std::uint64_t replays = 0;
+    for (auto _ : state) {
+        LoadPattern pattern = batchBacklogPattern(1.3);
+        pattern.workers = static_cast<std::uint32_t>(state.range(0));
+        pattern.adviceInstances = static_cast<std::size_t>(static_cast<double>(pattern.adviceInstances) * scale);
+        for (LoadKind &kind : pattern.kinds) {
+            kind.jobsPerSecond *= scale;
+        }
+        LoadReplay replay(++replays, pattern);
+        replay.run(absl::Minutes(1));
+        // Those submitted while the backlog lasts, and early enough to end.
+        inTime += replay.inTimeShare("batch", absl::Seconds(15), absl::Seconds(47));
+        goodput += replay.goodput();
+    }
+    state.counters["inTime"] = inTime / static_cast<double>(replays);
+    state.counters["goodput"] = goodput / static_cast<double>(replays);
+}
+BENCHMARK(BM_BatchBacklogReplay)->Arg(120)->Arg(350)->Iterations(3)->Unit(benchmark::kMillisecond);
+
 /** A cell with current runs, 1,000 waiting jobs, and the given number of ended jobs that are still retained. */
 class SnapshotCell : public FakeCell
 {
