--- a/paddlepier/planning/planner.h
+++ b/paddlepier/planning/planner.h
@@ -14,7 +14,7 @@
 // Example:
 //     const Plan plan = planner.plan(now, wallMillis);
 //
-// Thread safety: none; owned by the control thread. Cost: O(changes + waiting steps) with a small constant, O(workers) for each
+// Thread safety: none; owned by the control thread. Cost: O(changes + examined steps) with a small constant, O(workers) for each
 // advice request and each step that needs no advice, O(eligible workers) for each placed task.
 
 #ifndef PADDLEPIER_PLANNING_PLANNER_H
