Worker speed: estimated from all runs, replicated, used by forecasts and time-outs

Cause: a worker's slowness was learned from single tasks only, by a moving average with a weight of a quarter for each interval; tasks that ended before their evaluation and members of gangs gave no observations, and a new leader started without any. Forecasts of ends and the stall timeout ignored it.

Change: WorkerSpeed keeps the mean of log ratios, weighted by the observed share of a run and shrunk towards a typical worker. A run is observed from its confirmed start to its listings and its end; gang members are compared with the median of their gang, each corrected by its worker's estimate (at least three known members), other runs with the typical ratio of the queue. Gangs count in the typical ratio too, and its first observations weigh up to a tenth. RecordEnds and WorkerRecord hold the mean ratio and its weight in optional fields at their ends. predictedDuration() gives the duration of a step's task on a worker. CapacityReserver uses it, and a gang's remaining time is that of its slowest member. The stall timeout grows with the slowness, three times at most. Event `worker.speed`.

--- a/paddlepier/execution/dispatcher.cpp
+++ b/paddlepier/execution/dispatcher.cpp
@@ -237,6 +237,9 @@
 {
     const auto view = this->views.try_emplace(worker, now, this->options.maxLease, &this->totalPause).first;
     view->second.fence = fencingToken(this->term, this->incarnationsById[worker.id]++);
+    const workload::Worker &record = *this->state.findWorker(worker);
+    view->second.restoreSpeed(WorkerSpeed(record.slowness, record.slownessWeight));
+    view->second.loggedSlowness = view->second.slowness;
     this->firstPollTimers.schedule(worker, now - this->firstPollOffset(worker));
     this->markViewChanged(worker);
     // Incarnations under one id are adjacent in the map.
--- a/paddlepier/execution/dispatcher.h
+++ b/paddlepier/execution/dispatcher.h
@@ -37,6 +37,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <tuple>
@@ -217,6 +218,25 @@
     /** True if the run has made no progress for too long; the progress of a complete member of a gang is that of its gang. */
     bool hasStalled(Timestamp now, const workload::TaskKey &key, const RunTrack &track, const work::StepSpecT &step) const;
     void monitorProgress(Timestamp now, const workload::TaskKey &key, RunTrack &track, WorkerView &view);
+    /** Observes the speed of @p view's worker from a run that has reached @p percent. */
+    void observeSpeed(Timestamp now, const workload::TaskKey &key, RunTrack &track, WorkerView &view, std::uint32_t percent);
+    /** Records how long the run takes relative to its estimate. @return the same relative to the typical ratio of the queue */
+    double updateTypicalRatio(const std::string &queue, double ratio);
+    /** When a member of the gang, of which all make progress together, began its work at the earliest; infinite while it hasn't. */
+    Timestamp gangStart(const workload::StepKey &gang) const;
+    /** Median time that the gang's members would take for each per cent on a typical worker; empty if too few are known. */
+    std::optional<Duration> gangTimePerPercent(const workload::StepKey &gang) const;
+    /** Calls @p visit with each track of the step, in the order of its tasks. */
+    template<typename Visit>
+    void visitTracks(const workload::StepKey &step, Visit visit) const
+    {
+        // The runs of a step are adjacent in the map.
+        for (auto track = this->tracks.lower_bound({step.job, step.occurrence, step.step, 0});
+             track != this->tracks.end() && track->first.job == step.job && track->first.stepKey() == step;
+             ++track) {
+            visit(track->second);
+        }
+    }
     void throttleFilling(Timestamp now,
                          const workload::Incarnation &worker,
                          WorkerView &view,
@@ -318,6 +338,8 @@
     std::set<workload::Incarnation> workersNeedingAttention;
     /** Run time of the runs of a queue, as a ratio to their estimates. */
     std::map<std::string, double> typicalRatios;
+    /** Number of runs' parts that the typical ratio of a queue is based on. */
+    std::map<std::string, std::uint32_t> ratioObservations;
     TaskBackoff taskBackoff;
     planning::AdviceCache adviceCache;
     planning::Planner planner;
--- a/paddlepier/execution/fakeworkers.h
+++ b/paddlepier/execution/fakeworkers.h
@@ -73,7 +73,7 @@
         bool hasEnded = false;
         /** Runs that start from now on make no progress. */
         bool isStalling = false;
-        /** Speed at which members of gangs work here, relative to their estimates. */
+        /** Speed at which runs work here, relative to their estimates. */
         double speed = 1;
         /** When it crashed; infinite while it is running. */
         Timestamp crashedAt = absl::InfiniteFuture();
@@ -347,7 +347,7 @@
         if (this->acknowledgedDone.contains(order.task) && !step.mayRunCopies) {
             this->violations.push_back("started after its end was acknowledged: " + order.task.text());
         }
-        Run run{order.run, now, now + absl::Milliseconds(step.estimatedMillis), absl::InfiniteFuture(), step.demand->milliProcessors()};
+        Run run{order.run, now, now + absl::Milliseconds(step.estimatedMillis) / worker.speed, absl::InfiniteFuture(), step.demand->milliProcessors()};
         const bool failsInTime = step.isLasting && this->isFailing && this->isFailing(order.task, order.run);
         run.endsAt = worker.isStalling || (step.isLasting && !failsInTime) ? now + absl::Hours(1000) : run.endsAt;
         if (step.isLasting) {
--- a/paddlepier/execution/polls.cpp
+++ b/paddlepier/execution/polls.cpp
@@ -222,6 +222,8 @@
     if (record.ends.empty() && ledgerWorker.expiredLeases.empty()) {
         return;
     }
+    record.slowness = view.speed().meanRatio();
+    record.slownessWeight = view.speed().weight();
     this->eraseTracks(record);
     view.pollState = PollState::RecordingEnds;
     work::CommandUnion command;
--- a/paddlepier/execution/progress.cpp
+++ b/paddlepier/execution/progress.cpp
@@ -4,6 +4,7 @@
 #include "paddlepier/execution/dispatcher.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace paddlepier::execution
 {
@@ -29,10 +30,25 @@
 constexpr Duration minSpeedTime = absl::Milliseconds(350);
 constexpr std::uint32_t minSpeedPercent = 8;
 
-/** Weight of a new observation of a worker's speed. */
-constexpr double speedWeight = 0.25;
-/** The same for the typical ratio of a queue; low, so that a few slow workers don't change it. */
+/**
+ * The end of a run tells its duration only if the run was last known to be under way at most this long before: the longest wait of a poll. After a
+ * longer gap the end may have been reported late.
+ */
+constexpr Duration maxGapBeforeEnd = absl::Seconds(2);
+
+/** The speed of gang members is compared where at least this many are known; the median of fewer may be that of a slow worker. */
+constexpr std::size_t minComparedMembers = 3;
+
+/** A change of a worker's slowness by this factor is logged. */
+constexpr double loggedSpeedChange = 1.2;
+
+/** Runs on a slow worker may take this many times the stall timeout at most. */
+constexpr double maxTimeoutFactor = 3.0;
+
+/** Weight of a new observation in the typical ratio of a queue; low, so that a few slow workers don't change it. */
 constexpr double typicalRatioWeight = 0.02;
+/** The same for the first ones, so that an error that all estimates of the queue share isn't taken for the workers' speed for long. */
+constexpr double firstRatioWeight = 0.1;
 /** Bounds of one observation. */
 constexpr double minRatio = 0.25;
 constexpr double maxRatio = 8.0;
@@ -43,9 +59,11 @@
 /** How often steps with ended runs are checked: late enough for the commit of the ends, and soon enough for an operator who follows the log. */
 constexpr Duration reportInterval = absl::Milliseconds(100);
 
-Duration stallTimeoutOf(const work::StepSpecT &step)
+/** Runs on a worker that is known to be slow progress more slowly. */
+Duration stallTimeoutOf(const work::StepSpecT &step, const WorkerView &view)
 {
-    return step.isLasting ? lastingStallTimeout : step.isGang ? gangStallTimeout : stallTimeout;
+    const Duration timeout = step.isLasting ? lastingStallTimeout : step.isGang ? gangStallTimeout : stallTimeout;
+    return timeout * std::clamp(view.slowness, 1.0, maxTimeoutFactor);
 }
 
 } // namespace
@@ -115,17 +133,16 @@
 
 bool Dispatcher::hasStalled(Timestamp now, const workload::TaskKey &key, const RunTrack &track, const work::StepSpecT &step) const
 {
-    Timestamp progressAt = track.progressAt;
+    const auto dueAt = [this, &step](const RunTrack &run) {
+        const auto view = this->views.find(run.worker);
+        return view == this->views.end() ? run.progressAt : run.progressAt + stallTimeoutOf(step, view->second);
+    };
+    Timestamp due = dueAt(track);
     if (step.isGang && track.percent >= completePercent) {
         // The members end together with the slowest one: a complete member waits for as long as any other makes progress.
-        const workload::StepKey gang = key.stepKey();
-        for (auto member = this->tracks.lower_bound({gang.job, gang.occurrence, gang.step, 0});
-             member != this->tracks.end() && member->first.job == gang.job && member->first.stepKey() == gang;
-             ++member) {
-            progressAt = std::max(progressAt, member->second.progressAt);
-        }
+        this->visitTracks(key.stepKey(), [&due, &dueAt](const RunTrack &member) { due = std::max(due, dueAt(member)); });
     }
-    return now - progressAt > stallTimeoutOf(step);
+    return now > due;
 }
 
 void Dispatcher::monitorProgress(Timestamp now, const workload::TaskKey &key, RunTrack &track, WorkerView &view)
@@ -145,19 +162,81 @@
         this->stopRun(now, key, track, StopReason::StandsStill);
         return;
     }
-    const Duration seenFor = now - track.firstPercentAt;
-    const std::uint32_t progress = track.percent - std::min(track.percent, track.firstPercent);
-    if (step.isLasting || step.isGang || seenFor < minSpeedTime || progress < minSpeedPercent || step.estimatedMillis == 0) {
+    this->observeSpeed(now, key, track, view, track.percent);
+}
+
+void Dispatcher::observeSpeed(Timestamp now, const workload::TaskKey &key, RunTrack &track, WorkerView &view, std::uint32_t percent)
+{
+    const workload::Job &job = *this->state.findJob(key.job);
+    const work::StepSpecT &step = job.stepSpec(key.step);
+    const std::uint32_t from = track.startsAtZero ? 0 : track.firstPercent;
+    const std::uint32_t observed = std::max(from, track.observedPercent);
+    // A complete member of a gang waits for the others, for a time that says nothing about its worker.
+    if (step.isLasting || step.isFilling || (step.isGang && percent >= completePercent) || percent < observed + minSpeedPercent) {
+        return;
+    }
+    const Timestamp seenSince = track.startsAtZero ? track.runningSince : track.firstPercentAt;
+    const Duration time = now - (step.isGang ? std::max(seenSince, this->gangStart(key.stepKey())) : seenSince);
+    if (time < minSpeedTime) {
+        return;
+    }
+    track.timePerPercent = time / (percent - from);
+    std::optional<double> ratio;
+    if (step.estimatedMillis > 0) {
+        ratio = this->updateTypicalRatio(job.queue().name, absl::ToDoubleMilliseconds(track.timePerPercent) * completePercent / step.estimatedMillis);
+    }
+    // All members of a gang have the same estimate, so that a comparison between them is free of its error.
+    const std::optional<Duration> typicalTime = step.isGang ? this->gangTimePerPercent(key.stepKey()) : std::nullopt;
+    if (typicalTime) {
+        ratio = absl::FDivDuration(track.timePerPercent, *typicalTime);
+    }
+    if (!ratio) {
         return;
     }
+    view.recordSpeed(*ratio, static_cast<double>(percent - observed) / completePercent);
+    track.observedPercent = percent;
+    if (std::abs(std::log(view.slowness / view.loggedSlowness)) >= std::log(loggedSpeedChange)) {
+        view.loggedSlowness = view.slowness;
+        log::info("dispatch",
+                  "worker.speed",
+                  {{"worker", track.worker.text()}, {"slowness", view.slowness}, {"uncertainty", view.speed().uncertainty()}, {"runs", view.speed().weight()}});
+    }
+}
+
+double Dispatcher::updateTypicalRatio(const std::string &queue, double ratio)
+{
     // Estimates of one queue tend to be wrong by the same factor; the remaining difference is due to the worker.
-    const double ratio = absl::ToDoubleMilliseconds(seenFor) * 100 / progress / step.estimatedMillis;
-    double &typicalRatio = this->typicalRatios.try_emplace(this->state.findJob(key.job)->queue().name, 1.0).first->second;
-    typicalRatio += typicalRatioWeight * (std::clamp(ratio, minRatio, maxRatio) - typicalRatio);
-    view.slowness += speedWeight * (std::clamp(ratio / typicalRatio, minRatio, maxRatio) - view.slowness);
-    // One observation for each run and interval.
-    track.firstPercentAt = now;
-    track.firstPercent = track.percent;
+    double &typicalRatio = this->typicalRatios.try_emplace(queue, 1.0).first->second;
+    const double weight = std::clamp(1.0 / ++this->ratioObservations[queue], typicalRatioWeight, firstRatioWeight);
+    typicalRatio += weight * (std::clamp(ratio, minRatio, maxRatio) - typicalRatio);
+    return ratio / typicalRatio;
+}
+
+Timestamp Dispatcher::gangStart(const workload::StepKey &gang) const
+{
+    Timestamp start = absl::InfinitePast();
+    this->visitTracks(gang, [&start](const RunTrack &member) {
+        // An adopted run was running before this leader first saw it.
+        start = member.isAdopted ? start : std::max(start, member.runningSince);
+    });
+    return start;
+}
+
+std::optional<Duration> Dispatcher::gangTimePerPercent(const workload::StepKey &gang) const
+{
+    std::vector<Duration> times;
+    this->visitTracks(gang, [this, &times](const RunTrack &member) {
+        const auto view = this->views.find(member.worker);
+        if (member.timePerPercent > absl::ZeroDuration() && view != this->views.end()) {
+            times.push_back(member.timePerPercent / view->second.slowness);
+        }
+    });
+    if (times.size() < minComparedMembers) {
+        return std::nullopt;
+    }
+    const auto middle = times.begin() + static_cast<std::ptrdiff_t>(times.size() / 2);
+    std::nth_element(times.begin(), middle, times.end());
+    return *middle;
 }
 
 void Dispatcher::throttleFilling(Timestamp now,
@@ -207,6 +286,9 @@
                    {"startMillis", absl::ToInt64Milliseconds(startTime)},
                    {"millis", absl::ToInt64Milliseconds(wholeTime)}});
     }
+    if (end.kind == work::RunEndKind::Done && hasStarted && now - std::max(track->second.listedAt, track->second.runningSince) <= maxGapBeforeEnd) {
+        this->observeSpeed(now, end.task, track->second, view, completePercent);
+    }
     if (end.kind == work::RunEndKind::Failed) {
         if (this->taskBackoff.recordFailedRun(end.task)) {
             view.recordFailedRun(now);
--- a/paddlepier/execution/runs.cpp
+++ b/paddlepier/execution/runs.cpp
@@ -177,6 +177,7 @@
         if (track->phase == RunPhase::Starting) {
             track->phase = RunPhase::Running;
             track->runningSince = now;
+            track->startsAtZero = track->startCalls == 1 && track->checkpoint.empty();
             track->progressAt = now;
         }
         return;
--- a/paddlepier/execution/runtrack.h
+++ b/paddlepier/execution/runtrack.h
@@ -65,6 +65,11 @@
     Timestamp progressAt = absl::InfinitePast();
     std::uint32_t firstPercent = 0;
     Timestamp firstPercentAt = absl::InfiniteFuture();
+    /** `runningSince` is when the run began its work without a checkpoint: this leader's only start was confirmed then. */
+    bool startsAtZero = false;
+    /** The progress up to which the worker's speed was observed, and the time that the run has taken for each per cent; zero if not known yet. */
+    std::uint32_t observedPercent = 0;
+    Duration timePerPercent;
     std::uint32_t load = 0;
     /**
      * The speed limit that the worker has confirmed, in per cent. Empty where an earlier leader, or an order without an answer, may have set another
--- a/paddlepier/execution/workerview.cpp
+++ b/paddlepier/execution/workerview.cpp
@@ -64,6 +64,23 @@
     this->consecutiveFailures = 0;
 }
 
+void WorkerView::recordSpeed(double ratio, double share)
+{
+    this->speedEstimate.record(ratio, share);
+    this->slowness = this->speedEstimate.slowness();
+}
+
+void WorkerView::restoreSpeed(const WorkerSpeed &estimate)
+{
+    this->speedEstimate = estimate;
+    this->slowness = estimate.slowness();
+}
+
+const WorkerSpeed &WorkerView::speed() const
+{
+    return this->speedEstimate;
+}
+
 void WorkerView::recordAnswer(Timestamp now, std::optional<std::int64_t> clock)
 {
     this->answeredAt = now;
--- a/paddlepier/execution/workerview.h
+++ b/paddlepier/execution/workerview.h
@@ -10,6 +10,7 @@
 
 #include "paddlepier/base/clock.h"
 #include "paddlepier/execution/pacecontrol.h"
+#include "paddlepier/execution/workerspeed.h"
 #include "paddlepier/workload/incarnation.h"
 
 #include <algorithm>
@@ -49,6 +50,11 @@
     /** A run has ended with a failure, caused by the task or by the worker. */
     void recordFailedRun(Timestamp now);
     void recordDoneRun();
+    /** A run took @p ratio times as long as on a typical worker; @p share is the share of the run that was observed. */
+    void recordSpeed(double ratio, double share);
+    /** Continues the estimate of an earlier leader. */
+    void restoreSpeed(const WorkerSpeed &estimate);
+    const WorkerSpeed &speed() const;
     /** A complete answer has arrived. */
     void recordAnswer(Timestamp now, std::optional<std::int64_t> clockMillis);
     /** The worker has listed its runs, which proves that it was this incarnation that answered. */
@@ -112,8 +118,10 @@
     std::uint32_t consecutiveFailures = 0;
     /** No work before this time if several runs have failed there in a row. */
     Timestamp suspectUntil = absl::InfinitePast();
-    /** Smoothed ratio of the run time on this worker to the expected one; 1 is a typical worker. */
+    /** Ratio of the run time on this worker to that on a typical one, as estimated by speed(): 1 is a typical worker, 2 one that is half as fast. */
     double slowness = 1.0;
+    /** Its value when it was logged last. */
+    double loggedSlowness = 1.0;
     PaceControl paceControl;
     /** Serving and filling runs share the worker. */
     bool isContended = false;
@@ -123,6 +131,7 @@
     bool isLikelyGone(Timestamp now) const;
     Duration totalPause() const;
 
+    WorkerSpeed speedEstimate;
     Timestamp earlierLeasesExpireAt;
     std::int64_t latestLeaseEnd = 0;
     std::optional<std::int64_t> clockMillis;
--- a/paddlepier/planning/capacityindex.cpp
+++ b/paddlepier/planning/capacityindex.cpp
@@ -440,6 +440,12 @@
     return found == this->byWorker.end() || !this->entries[found->second].isUsable ? nullptr : &this->entries[found->second];
 }
 
+const execution::WorkerView *CapacityIndex::findView(const workload::Incarnation &worker) const
+{
+    const auto found = this->views.find(worker);
+    return found == this->views.end() ? nullptr : &found->second;
+}
+
 WorkerCapacity *CapacityIndex::findByAdviceNumber(std::uint32_t adviceNumber)
 {
     const std::uint32_t number = adviceNumber < this->byAdviceNumber.size() ? this->byAdviceNumber[adviceNumber] : noEntry;
--- a/paddlepier/planning/capacityindex.h
+++ b/paddlepier/planning/capacityindex.h
@@ -100,6 +100,8 @@
     const std::vector<std::uint32_t> &advisedWorkers() const;
     /** Null if the worker is unknown or can't be used. */
     WorkerCapacity *find(const workload::Incarnation &worker);
+    /** The leader's view of the worker, also of one that can't be used; null if it is unknown. */
+    const execution::WorkerView *findView(const workload::Incarnation &worker) const;
     /** Finds a worker by its number in the advice cache; null if it can't be used. */
     WorkerCapacity *findByAdviceNumber(std::uint32_t adviceNumber);
     void reserve(WorkerCapacity &entry, const work::StepSpecT &step, std::int64_t tasks = 1);
--- a/paddlepier/planning/capacityreserver.cpp
+++ b/paddlepier/planning/capacityreserver.cpp
@@ -64,6 +64,7 @@
     this->now = at;
     this->wallMillis = wall;
     this->runsByWorker.clear();
+    this->remainingByGang.clear();
     this->wideBySize.clear();
     this->reservedSteps = 0;
 }
@@ -73,10 +74,11 @@
     if (track.phase == execution::RunPhase::Stopping) {
         return stoppingRemaining;
     }
-    if (step.isLasting || step.estimatedMillis == 0) {
-        return absl::InfiniteDuration();
+    const execution::WorkerView *view = this->capacityIndex.findView(track.worker);
+    const Duration total = view == nullptr ? absl::InfiniteDuration() : predictedDuration(step, this->forecaster.typicalRatio(queue), *view);
+    if (total == absl::InfiniteDuration()) {
+        return total;
     }
-    const Duration total = absl::Milliseconds(step.estimatedMillis) * this->forecaster.typicalRatio(queue);
     if (track.phase == execution::RunPhase::Starting || track.progressAt == absl::InfinitePast()) {
         return total;
     }
@@ -84,7 +86,22 @@
     return std::max(left, minRemaining);
 }
 
-OccupyingRun CapacityReserver::occupyingRun(const workload::TaskKey &key, const workload::Job &job) const
+Duration CapacityReserver::remainingOfGang(const workload::StepKey &gang, const work::StepSpecT &step, const std::string &queue)
+{
+    const auto [found, isNew] = this->remainingByGang.try_emplace(gang, absl::ZeroDuration());
+    if (!isNew) {
+        return found->second;
+    }
+    // The runs of a step are adjacent in the map.
+    for (auto member = this->tracks.lower_bound({gang.job, gang.occurrence, gang.step, 0});
+         member != this->tracks.end() && member->first.job == gang.job && member->first.stepKey() == gang;
+         ++member) {
+        found->second = std::max(found->second, this->remainingOf(member->second, step, queue));
+    }
+    return found->second;
+}
+
+OccupyingRun CapacityReserver::occupyingRun(const workload::TaskKey &key, const workload::Job &job)
 {
     OccupyingRun run;
     run.key = key;
@@ -94,8 +111,9 @@
     run.remaining = absl::InfiniteDuration();
     const auto track = this->tracks.find(key);
     if (track != this->tracks.end()) {
-        run.remaining = this->remainingOf(track->second, *run.step, job.queue().name);
         run.isStopping = track->second.phase == execution::RunPhase::Stopping;
+        run.remaining = run.step->isGang && !run.isStopping ? this->remainingOfGang(key.stepKey(), *run.step, job.queue().name)
+                                                            : this->remainingOf(track->second, *run.step, job.queue().name);
         run.isPreemptible = isPreemptibleRun(job.task(key), *run.step, track->second);
     }
     if (run.isPreemptible) {
--- a/paddlepier/planning/capacityreserver.h
+++ b/paddlepier/planning/capacityreserver.h
@@ -43,7 +43,7 @@
     std::uint32_t priority = 0;
     ObjectiveStatus objectiveStatus = ObjectiveStatus::InTime;
     std::int64_t submittedAtMillis = 0;
-    /** Time until it ends by itself, computed from its estimate and its progress. */
+    /** Time until it ends by itself, computed from its estimate, its progress, and the speed of its worker or of its gang's slowest member. */
     Duration remaining;
     /** It may be preempted. */
     bool isPreemptible = false;
@@ -116,8 +116,11 @@
     /** Forecasts when @p worker has capacity for one more task of @p pending, and which runs have to be preempted for it. */
     FutureCapacity forecastCapacity(WorkerCapacity &worker, const PendingStep &pending);
     std::vector<OccupyingRun> &runsOn(const WorkerCapacity &worker);
-    OccupyingRun occupyingRun(const workload::TaskKey &key, const workload::Job &job) const;
+    OccupyingRun occupyingRun(const workload::TaskKey &key, const workload::Job &job);
+    /** Remaining time of a run's own work on its worker. */
     Duration remainingOf(const execution::RunTrack &track, const work::StepSpecT &step, const std::string &queue) const;
+    /** The same for a gang, whose members end together: that of its slowest member. O(members) once a plan. */
+    Duration remainingOfGang(const workload::StepKey &gang, const work::StepSpecT &step, const std::string &queue);
     static bool isPreemptibleFor(const OccupyingRun &run, const PendingStep &pending);
     std::vector<Release> releasesFor(std::vector<OccupyingRun> &runs, const PendingStep &pending) const;
 
@@ -128,6 +131,7 @@
     Timestamp now;
     std::int64_t wallMillis = 0;
     std::map<const workload::Worker *, std::vector<OccupyingRun>> runsByWorker;
+    std::map<workload::StepKey, Duration> remainingByGang;
     /** A worker on which the last evaluated step wasn't wide; checked first, since it decides for most steps. */
     std::uint32_t lastLargeWorker = 0;
     /** For task sizes by service that lastLargeWorker didn't decide in this plan: whether they are wide. */
--- a/paddlepier/planning/objectiveforecast.cpp
+++ b/paddlepier/planning/objectiveforecast.cpp
@@ -60,6 +60,14 @@
     return forecast;
 }
 
+Duration predictedDuration(const work::StepSpecT &step, double typicalRatio, const execution::WorkerView &worker)
+{
+    if (step.isLasting || step.estimatedMillis == 0) {
+        return absl::InfiniteDuration();
+    }
+    return absl::Milliseconds(step.estimatedMillis) * typicalRatio * worker.slowness;
+}
+
 ObjectiveForecaster::ObjectiveForecaster(const std::map<std::string, double> &typicalRatiosByQueue)
     : typicalRatios(typicalRatiosByQueue)
 {
--- a/paddlepier/planning/objectiveforecast.h
+++ b/paddlepier/planning/objectiveforecast.h
@@ -2,13 +2,15 @@
 //
 // The objective of a job is the duration of its longest chain of steps times the queue's stretch, plus the queue's target latency. Up to
 // three times that duration the job counts as late; after that, serving it has no value. Estimates are corrected by the typical ratio of run
-// time to estimate of the queue.
+// time to estimate of the queue. The duration of a task on a given worker also depends on the speed of that worker.
 //
 // Thread safety: none; owned by the planner. Cost: O(steps).
 
 #ifndef PADDLEPIER_PLANNING_OBJECTIVEFORECAST_H
 #define PADDLEPIER_PLANNING_OBJECTIVEFORECAST_H
 
+#include "paddlepier/base/clock.h"
+#include "paddlepier/execution/workerview.h"
 #include "paddlepier/workload/job.h"
 
 #include <cstdint>
@@ -47,6 +49,9 @@
  */
 ObjectiveForecast forecastObjective(const workload::Job &job, std::uint32_t occurrence, std::int64_t wallMillis, double typicalRatio);
 
+/** Expected duration of a task of @p step on the worker; infinite if the step has no estimate or is lasting. */
+Duration predictedDuration(const work::StepSpecT &step, double typicalRatio, const execution::WorkerView &worker);
+
 /** Makes forecasts with the typical run time of each queue, as learned so far. */
 class ObjectiveForecaster
 {
--- a/paddlepier/planning/objectiveforecast_test.cpp
+++ b/paddlepier/planning/objectiveforecast_test.cpp
@@ -47,6 +47,17 @@
     CHECK(forecastObjective(this->job(), 0, 10'000 + 16'501, 1.0).status == ObjectiveStatus::Unattainable);
 }
 
+// Guards against gangs that are placed as if all workers were equally fast.
+TEST_CASE_METHOD(ObjectiveForecastFixture, "predictedDuration_onAWorkerOfHalfTheSpeed_isTwiceAsLong")
+{
+    execution::WorkerView worker(absl::UnixEpoch(), absl::Seconds(10));
+    CHECK(predictedDuration(*this->spec.steps[0], 1.5, worker) == absl::Milliseconds(1500));
+    worker.slowness = 2;
+    CHECK(predictedDuration(*this->spec.steps[0], 1.5, worker) == absl::Milliseconds(3000));
+    this->spec.steps[0]->isLasting = true;
+    CHECK(predictedDuration(*this->spec.steps[0], 1.5, worker) == absl::InfiniteDuration());
+}
+
 TEST_CASE_METHOD(ObjectiveForecastFixture, "forecast_withAFinishedStep_countsOnlyRemainingSteps")
 {
     workload::Job job = this->job();
--- a/paddlepier/planning/planner_test.cpp
+++ b/paddlepier/planning/planner_test.cpp
@@ -442,6 +442,40 @@
     CHECK(plan.preemptions[1].run.job == "000000000000000b");
 }
 
+// Guards against reservations where a run ends late, since its worker is slow or it waits for a member of its gang on a slow worker.
+TEST_CASE_METHOD(PlannerFixture, "reservation_besideAGangWithASlowMember_isMadeWhereARunEndsFirst")
+{
+    this->configure();
+    const auto run = [this](const std::string &job, std::uint32_t tasks, const std::string &rack) {
+        work::StepSpecT &step = this->addJob(job, "slow", tasks);
+        step.isGang = tasks > 1;
+        step.mostPerWorker = 1;
+        step.requiredLabel = rack;
+        step.demand = std::make_unique<work::Demand>(2000, 100, 0);
+        this->submit();
+        this->place(this->plan());
+    };
+    for (const auto &[worker, rack] : {std::pair("w1", "r1"), std::pair("w2", "r1"), std::pair("w3", "r2")}) {
+        this->addWorker(worker, rack);
+    }
+    run("gang", 2, "r1");
+    run("single", 1, "r2");
+    this->views.at({"w2"}).slowness = 2;
+    for (auto &[key, track] : this->tracks) {
+        track.progressAt = this->now;
+        track.percent = track.worker.id == "w1" ? 100 : track.worker.id == "w2" ? 50 : 20;
+    }
+    this->addJob("wide", "urgent", 1).demand = std::make_unique<work::Demand>(4000, 100, 0);
+    this->submit();
+    this->addJob("small", "slow", 6);
+    this->submit();
+    std::set<std::string> used;
+    for (const work::PlacementT &placement : this->plan().placements) {
+        used.insert(placement.worker);
+    }
+    CHECK(used == std::set<std::string>{"w1", "w2"});
+}
+
 TEST_CASE_METHOD(PlannerFixture, "wideStepOfManyTasks_inAFullCell_evaluatesEachWorkerOnceAndReservedOnesAgain")
 {
     constexpr std::uint64_t workers = 50;
--- a/paddlepier/wire/workload_generated.h
+++ b/paddlepier/wire/workload_generated.h
@@ -2710,6 +2710,8 @@
   std::vector<std::unique_ptr<paddlepier::work::RunEndT>> ends{};
   bool hasAnswered = false;
   uint64_t born = 0;
+  double slowness = 0.0;
+  double slownessWeight = 0.0;
   RecordEndsT() = default;
   RecordEndsT(const RecordEndsT &o);
   RecordEndsT(RecordEndsT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -2727,7 +2729,9 @@
     VT_WORKER = 4,
     VT_ENDS = 6,
     VT_HASANSWERED = 8,
-    VT_BORN = 10
+    VT_BORN = 10,
+    VT_SLOWNESS = 12,
+    VT_SLOWNESSWEIGHT = 14
   };
   const flatbuffers::String *worker() const {
     return GetPointer<const flatbuffers::String *>(VT_WORKER);
@@ -2742,6 +2746,13 @@
   uint64_t born() const {
     return GetField<uint64_t>(VT_BORN, 0);
   }
+  /// Mean ratio of the worker's run times to those of a typical worker, and the number of runs that it is based on. 0 runs: not given.
+  double slowness() const {
+    return GetField<double>(VT_SLOWNESS, 0.0);
+  }
+  double slownessWeight() const {
+    return GetField<double>(VT_SLOWNESSWEIGHT, 0.0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_WORKER) &&
@@ -2751,6 +2762,8 @@
            verifier.VerifyVectorOfTables(ends()) &&
            VerifyField<uint8_t>(verifier, VT_HASANSWERED, 1) &&
            VerifyField<uint64_t>(verifier, VT_BORN, 8) &&
+           VerifyField<double>(verifier, VT_SLOWNESS, 8) &&
+           VerifyField<double>(verifier, VT_SLOWNESSWEIGHT, 8) &&
            verifier.EndTable();
   }
   RecordEndsT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2774,6 +2787,12 @@
   void add_born(uint64_t born) {
     fbb_.AddElement<uint64_t>(RecordEnds::VT_BORN, born, 0);
   }
+  void add_slowness(double slowness) {
+    fbb_.AddElement<double>(RecordEnds::VT_SLOWNESS, slowness, 0.0);
+  }
+  void add_slownessWeight(double slownessWeight) {
+    fbb_.AddElement<double>(RecordEnds::VT_SLOWNESSWEIGHT, slownessWeight, 0.0);
+  }
   explicit RecordEndsBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2790,8 +2809,12 @@
     flatbuffers::Offset<flatbuffers::String> worker = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<paddlepier::work::RunEnd>>> ends = 0,
     bool hasAnswered = false,
-    uint64_t born = 0) {
+    uint64_t born = 0,
+    double slowness = 0.0,
+    double slownessWeight = 0.0) {
   RecordEndsBuilder builder_(_fbb);
+  builder_.add_slownessWeight(slownessWeight);
+  builder_.add_slowness(slowness);
   builder_.add_born(born);
   builder_.add_ends(ends);
   builder_.add_worker(worker);
@@ -2809,7 +2832,9 @@
     const char *worker = nullptr,
     const std::vector<flatbuffers::Offset<paddlepier::work::RunEnd>> *ends = nullptr,
     bool hasAnswered = false,
-    uint64_t born = 0) {
+    uint64_t born = 0,
+    double slowness = 0.0,
+    double slownessWeight = 0.0) {
   auto worker__ = worker ? _fbb.CreateString(worker) : 0;
   auto ends__ = ends ? _fbb.CreateVector<flatbuffers::Offset<paddlepier::work::RunEnd>>(*ends) : 0;
   return paddlepier::work::CreateRecordEnds(
@@ -2817,7 +2842,9 @@
       worker__,
       ends__,
       hasAnswered,
-      born);
+      born,
+      slowness,
+      slownessWeight);
 }
 
 flatbuffers::Offset<RecordEnds> CreateRecordEnds(flatbuffers::FlatBufferBuilder &_fbb, const RecordEndsT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -4283,6 +4310,8 @@
   uint64_t lastSequence = 0;
   std::vector<std::unique_ptr<paddlepier::work::CopyRecordT>> copies{};
   std::vector<std::unique_ptr<paddlepier::work::TaskKeyT>> lapsed{};
+  double slowness = 0.0;
+  double slownessWeight = 0.0;
   WorkerRecordT() = default;
   WorkerRecordT(const WorkerRecordT &o);
   WorkerRecordT(WorkerRecordT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -4300,7 +4329,9 @@
     VT_REGISTRATION = 4,
     VT_LASTSEQUENCE = 6,
     VT_COPIES = 8,
-    VT_LAPSED = 10
+    VT_LAPSED = 10,
+    VT_SLOWNESS = 12,
+    VT_SLOWNESSWEIGHT = 14
   };
   const paddlepier::work::RegisterWorker *registration() const {
     return GetPointer<const paddlepier::work::RegisterWorker *>(VT_REGISTRATION);
@@ -4315,6 +4346,13 @@
   const flatbuffers::Vector<flatbuffers::Offset<paddlepier::work::TaskKey>> *lapsed() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<paddlepier::work::TaskKey>> *>(VT_LAPSED);
   }
+  /// As in RecordEnds; missing in older snapshots.
+  double slowness() const {
+    return GetField<double>(VT_SLOWNESS, 0.0);
+  }
+  double slownessWeight() const {
+    return GetField<double>(VT_SLOWNESSWEIGHT, 0.0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_REGISTRATION) &&
@@ -4326,6 +4364,8 @@
            VerifyOffset(verifier, VT_LAPSED) &&
            verifier.VerifyVector(lapsed()) &&
            verifier.VerifyVectorOfTables(lapsed()) &&
+           VerifyField<double>(verifier, VT_SLOWNESS, 8) &&
+           VerifyField<double>(verifier, VT_SLOWNESSWEIGHT, 8) &&
            verifier.EndTable();
   }
   WorkerRecordT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -4349,6 +4389,12 @@
   void add_lapsed(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<paddlepier::work::TaskKey>>> lapsed) {
     fbb_.AddOffset(WorkerRecord::VT_LAPSED, lapsed);
   }
+  void add_slowness(double slowness) {
+    fbb_.AddElement<double>(WorkerRecord::VT_SLOWNESS, slowness, 0.0);
+  }
+  void add_slownessWeight(double slownessWeight) {
+    fbb_.AddElement<double>(WorkerRecord::VT_SLOWNESSWEIGHT, slownessWeight, 0.0);
+  }
   explicit WorkerRecordBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -4365,8 +4411,12 @@
     flatbuffers::Offset<paddlepier::work::RegisterWorker> registration = 0,
     uint64_t lastSequence = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<paddlepier::work::CopyRecord>>> copies = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<paddlepier::work::TaskKey>>> lapsed = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<paddlepier::work::TaskKey>>> lapsed = 0,
+    double slowness = 0.0,
+    double slownessWeight = 0.0) {
   WorkerRecordBuilder builder_(_fbb);
+  builder_.add_slownessWeight(slownessWeight);
+  builder_.add_slowness(slowness);
   builder_.add_lastSequence(lastSequence);
   builder_.add_lapsed(lapsed);
   builder_.add_copies(copies);
@@ -4384,7 +4434,9 @@
     flatbuffers::Offset<paddlepier::work::RegisterWorker> registration = 0,
     uint64_t lastSequence = 0,
     const std::vector<flatbuffers::Offset<paddlepier::work::CopyRecord>> *copies = nullptr,
-    const std::vector<flatbuffers::Offset<paddlepier::work::TaskKey>> *lapsed = nullptr) {
+    const std::vector<flatbuffers::Offset<paddlepier::work::TaskKey>> *lapsed = nullptr,
+    double slowness = 0.0,
+    double slownessWeight = 0.0) {
   auto copies__ = copies ? _fbb.CreateVector<flatbuffers::Offset<paddlepier::work::CopyRecord>>(*copies) : 0;
   auto lapsed__ = lapsed ? _fbb.CreateVector<flatbuffers::Offset<paddlepier::work::TaskKey>>(*lapsed) : 0;
   return paddlepier::work::CreateWorkerRecord(
@@ -4392,7 +4444,9 @@
       registration,
       lastSequence,
       copies__,
-      lapsed__);
+      lapsed__,
+      slowness,
+      slownessWeight);
 }
 
 flatbuffers::Offset<WorkerRecord> CreateWorkerRecord(flatbuffers::FlatBufferBuilder &_fbb, const WorkerRecordT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -7297,7 +7351,9 @@
 inline RecordEndsT::RecordEndsT(const RecordEndsT &o)
       : worker(o.worker),
         hasAnswered(o.hasAnswered),
-        born(o.born) {
+        born(o.born),
+        slowness(o.slowness),
+        slownessWeight(o.slownessWeight) {
   ends.reserve(o.ends.size());
   for (const auto &ends_ : o.ends) { ends.emplace_back((ends_) ? new paddlepier::work::RunEndT(*ends_) : nullptr); }
 }
@@ -7307,6 +7363,8 @@
   std::swap(ends, o.ends);
   std::swap(hasAnswered, o.hasAnswered);
   std::swap(born, o.born);
+  std::swap(slowness, o.slowness);
+  std::swap(slownessWeight, o.slownessWeight);
   return *this;
 }
 
@@ -7323,6 +7381,8 @@
   { auto _e = ends(); if (_e) { _o->ends.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->ends[_i] = std::unique_ptr<paddlepier::work::RunEndT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = hasAnswered(); _o->hasAnswered = _e; }
   { auto _e = born(); _o->born = _e; }
+  { auto _e = slowness(); _o->slowness = _e; }
+  { auto _e = slownessWeight(); _o->slownessWeight = _e; }
 }
 
 inline flatbuffers::Offset<RecordEnds> RecordEnds::Pack(flatbuffers::FlatBufferBuilder &_fbb, const RecordEndsT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -7337,12 +7397,16 @@
   auto _ends = _o->ends.size() ? _fbb.CreateVector<flatbuffers::Offset<paddlepier::work::RunEnd>> (_o->ends.size(), [](size_t i, _VectorArgs *__va) { return CreateRunEnd(*__va->__fbb, __va->__o->ends[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _hasAnswered = _o->hasAnswered;
   auto _born = _o->born;
+  auto _slowness = _o->slowness;
+  auto _slownessWeight = _o->slownessWeight;
   return paddlepier::work::CreateRecordEnds(
       _fbb,
       _worker,
       _ends,
       _hasAnswered,
-      _born);
+      _born,
+      _slowness,
+      _slownessWeight);
 }
 
 inline RegisterWorkerT::RegisterWorkerT(const RegisterWorkerT &o)
@@ -7872,7 +7936,9 @@
 
 inline WorkerRecordT::WorkerRecordT(const WorkerRecordT &o)
       : registration((o.registration) ? new paddlepier::work::RegisterWorkerT(*o.registration) : nullptr),
-        lastSequence(o.lastSequence) {
+        lastSequence(o.lastSequence),
+        slowness(o.slowness),
+        slownessWeight(o.slownessWeight) {
   copies.reserve(o.copies.size());
   for (const auto &copies_ : o.copies) { copies.emplace_back((copies_) ? new paddlepier::work::CopyRecordT(*copies_) : nullptr); }
   lapsed.reserve(o.lapsed.size());
@@ -7884,6 +7950,8 @@
   std::swap(lastSequence, o.lastSequence);
   std::swap(copies, o.copies);
   std::swap(lapsed, o.lapsed);
+  std::swap(slowness, o.slowness);
+  std::swap(slownessWeight, o.slownessWeight);
   return *this;
 }
 
@@ -7900,6 +7968,8 @@
   { auto _e = lastSequence(); _o->lastSequence = _e; }
   { auto _e = copies(); if (_e) { _o->copies.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->copies[_i] = std::unique_ptr<paddlepier::work::CopyRecordT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = lapsed(); if (_e) { _o->lapsed.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->lapsed[_i] = std::unique_ptr<paddlepier::work::TaskKeyT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = slowness(); _o->slowness = _e; }
+  { auto _e = slownessWeight(); _o->slownessWeight = _e; }
 }
 
 inline flatbuffers::Offset<WorkerRecord> WorkerRecord::Pack(flatbuffers::FlatBufferBuilder &_fbb, const WorkerRecordT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -7914,12 +7984,16 @@
   auto _lastSequence = _o->lastSequence;
   auto _copies = _o->copies.size() ? _fbb.CreateVector<flatbuffers::Offset<paddlepier::work::CopyRecord>> (_o->copies.size(), [](size_t i, _VectorArgs *__va) { return CreateCopyRecord(*__va->__fbb, __va->__o->copies[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _lapsed = _o->lapsed.size() ? _fbb.CreateVector<flatbuffers::Offset<paddlepier::work::TaskKey>> (_o->lapsed.size(), [](size_t i, _VectorArgs *__va) { return CreateTaskKey(*__va->__fbb, __va->__o->lapsed[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _slowness = _o->slowness;
+  auto _slownessWeight = _o->slownessWeight;
   return paddlepier::work::CreateWorkerRecord(
       _fbb,
       _registration,
       _lastSequence,
       _copies,
-      _lapsed);
+      _lapsed,
+      _slowness,
+      _slownessWeight);
 }
 
 inline SnapshotT::SnapshotT(const SnapshotT &o)
--- a/paddlepier/workload/worker.cpp
+++ b/paddlepier/workload/worker.cpp
@@ -57,6 +57,14 @@
     return std::find(labels.begin(), labels.end(), label) != labels.end();
 }
 
+void Worker::recordSlowness(double ratio, double runs)
+{
+    if (runs > 0) {
+        this->slowness = ratio;
+        this->slownessWeight = runs;
+    }
+}
+
 void Worker::addRun(const TaskKey &key, const work::StepSpecT &step)
 {
     this->runs.insert(key);
--- a/paddlepier/workload/worker.h
+++ b/paddlepier/workload/worker.h
@@ -55,12 +55,17 @@
     std::uint32_t fillingRuns = 0;
     /** Of `runs`: those of lasting steps and of gangs, whose loss affects more than their own work. */
     std::uint32_t costlyRuns = 0;
+    /** Speed as last recorded by a leader: ratio of run times to those of a typical worker, and the number of runs that it is based on. */
+    double slowness = 1;
+    double slownessWeight = 0;
 
     bool hasCapacityFor(const work::StepSpecT &step) const;
     /** Whether reservations exceed the capacity, because the worker has announced a smaller one since. Pending starts would add to the excess. */
     bool isOvercommitted() const;
     std::int64_t freeMilliProcessors() const;
     bool hasLabel(std::string_view label) const;
+    /** Ignored if @p runs is 0, as in entries of older builds. */
+    void recordSlowness(double ratio, double runs);
 
     /** Adds a run and reserves its capacity. */
     void addRun(const TaskKey &key, const work::StepSpecT &step);
--- a/paddlepier/workload/workload.cpp
+++ b/paddlepier/workload/workload.cpp
@@ -218,6 +218,9 @@
     if (command.hasAnswered && worker != this->workerByIncarnation.end()) {
         this->resolveExpiredLeases(worker->second);
     }
+    if (worker != this->workerByIncarnation.end()) {
+        worker->second.recordSlowness(command.slowness, command.slownessWeight);
+    }
     Outcome outcome;
     for (const auto &end : command.ends) {
         if (this->endRun(incarnation, *end)) {
--- a/paddlepier/workload/workload_test.cpp
+++ b/paddlepier/workload/workload_test.cpp
@@ -1,6 +1,7 @@
 // Worker incarnations in a workload: commands affect only the incarnation that they name, and snapshots restore all incarnations.
 // Also evacuation of a data centre, which refuses placements on its workers.
 
+#include "paddlepier/wire/codec.h"
 #include "paddlepier/workload/applycommand.h"
 
 #include <catch2/catch.hpp>
@@ -159,6 +160,31 @@
     CHECK(again.findJob("a")->task(key(1)).worker == this->second);
 }
 
+// Guards against a new leader that has to learn the speed of its workers again, and against entries and snapshots of older builds, which don't hold it.
+TEST_CASE_METHOD(IncarnationFixture, "slowness_recordedWithEnds_isKeptForTheIncarnationAndInSnapshots")
+{
+    this->announce(this->first, 1);
+    work::RecordEndsT command;
+    command.worker = "w";
+    command.born = this->first.born;
+    command.slowness = 1.75;
+    command.slownessWeight = 6.5;
+    this->apply(std::move(command));
+    this->end(0, this->first, 1);
+    this->announce(this->second, 1);
+    auto snapshot = wire::unpack<work::SnapshotT>(this->state.snapshot());
+    // A field of value 0 isn't written, as by a build that doesn't know it.
+    snapshot.workers.at(1)->slowness = snapshot.workers.at(1)->slownessWeight = 0;
+    Workload again;
+    again.restore(wire::pack(snapshot));
+    for (const Workload *workload : {&this->state, &again}) {
+        CHECK(workload->findWorker(this->first)->slowness == 1.75);
+        CHECK(workload->findWorker(this->first)->slownessWeight == 6.5);
+        CHECK(workload->findWorker(this->second)->slowness == 1);
+        CHECK(workload->findWorker(this->second)->slownessWeight == 0);
+    }
+}
+
 TEST_CASE_METHOD(IncarnationFixture, "incarnation_withoutStartTime_isTheEarliestOfItsId")
 {
     this->announce({"w"}, 40);
--- a/paddlepier/workload/workloadsnapshot.cpp
+++ b/paddlepier/workload/workloadsnapshot.cpp
@@ -25,7 +25,8 @@
         lapsed.push_back(key.pack(builder));
     }
     const auto registration = work::RegisterWorker::Pack(builder, &worker.registration);
-    return work::CreateWorkerRecord(builder, registration, worker.lastSequence, builder.CreateVector(copies), builder.CreateVector(lapsed));
+    return work::CreateWorkerRecord(
+        builder, registration, worker.lastSequence, builder.CreateVector(copies), builder.CreateVector(lapsed), worker.slowness, worker.slownessWeight);
 }
 
 } // namespace
@@ -75,6 +76,7 @@
         worker.registration = *record->registration;
         this->indexWorker(worker.registration);
         worker.lastSequence = record->lastSequence;
+        worker.recordSlowness(record->slowness, record->slownessWeight);
         for (const auto &copy : record->copies) {
             this->addSuperseded(worker, TaskKey(*copy->task), {copy->run, *copy->demand, copy->team, copy->quotaDemand ? *copy->quotaDemand : work::Demand()});
         }
