Worker speed: the test has tasks that end before they are listed

Cause: with tasks of 750 ms the test of uneven workers also passed without the observation at the end of a run, which it is to guard. Change: tasks of 500 ms.

--- a/paddlepier/execution/speedobservation_test.cpp
+++ b/paddlepier/execution/speedobservation_test.cpp
@@ -54,7 +54,7 @@
 // Guards against workers whose speed is never learned, since they run only short tasks or gangs, and against a new leader that has to learn it again.
 TEST_CASE_METHOD(SpeedFixture, "speed_ofUnevenWorkersAfterSixRuns_isToldApartAndKnownToTheNextLeader")
 {
-    const auto [millis, isGang] = GENERATE(table<std::uint32_t, bool>({{750, false}, {2200, false}, {750, true}, {4500, true}}));
+    const auto [millis, isGang] = GENERATE(table<std::uint32_t, bool>({{500, false}, {2200, false}, {750, true}, {4500, true}}));
     this->setSpeeds(0.55, 1.2);
     this->runJobs(6, millis, isGang);
     for (const bool isNewLeader : {false, true}) {
