--- a/paddlepier/planning/objectiveforecast.cpp
+++ b/paddlepier/planning/objectiveforecast.cpp
@@ -77,6 +77,14 @@
     return forecastEnd(queue, chain, chain, 0);
 }
 
+Duration predictedDuration(const work::StepSpecT &step, double typicalRatio, const execution::WorkerView &worker)
+{
+    if (step.isLasting || step.estimatedMillis == 0) {
+        return absl::InfiniteDuration();
+    }
+    return absl::Milliseconds(step.estimatedMillis) * typicalRatio * worker.slowness;
+}
+
 ObjectiveForecaster::ObjectiveForecaster(const std::map<std::string, double> &typicalRatiosByQueue)
     : typicalRatios(typicalRatiosByQueue)
 {
--- a/paddlepier/planning/objectiveforecast.h
+++ b/paddlepier/planning/objectiveforecast.h
@@ -2,13 +2,15 @@
 //
 // The objective of a job is the duration of its longest chain of steps times the queue's stretch, plus the queue's target latency. Up to
 // three times that duration the job counts as late; after that, serving it has no value. Estimates are corrected by the typical ratio of run
-// time to estimate of the queue.
+// time to estimate of the queue. The duration of a task on a given worker also depends on the speed of that worker.
 //
 // Thread safety: none; owned by the planner. Cost: O(steps).
 
 #ifndef PADDLEPIER_PLANNING_OBJECTIVEFORECAST_H
 #define PADDLEPIER_PLANNING_OBJECTIVEFORECAST_H
 
+#include "paddlepier/base/clock.h"
+#include "paddlepier/execution/workerview.h"
 #include "paddlepier/workload/job.h"
 
 #include <cstdint>
@@ -50,6 +52,9 @@
 /** Forecast for a job that isn't in the ledger yet and would be submitted to @p queue now. */
 ObjectiveForecast forecastObjective(const work::JobSpecT &spec, const work::QueueSpecT &queue, double typicalRatio);
 
+/** Expected duration of a task of @p step on the worker; infinite if the step has no estimate or is lasting. */
+Duration predictedDuration(const work::StepSpecT &step, double typicalRatio, const execution::WorkerView &worker);
+
 /** Makes forecasts with the typical run time of each queue, as learned so far. */
 class ObjectiveForecaster
 {
