--- a/paddlepier/execution/dispatcher.h
+++ b/paddlepier/execution/dispatcher.h
@@ -99,6 +99,12 @@
 
     void handleAnswer(Timestamp now, std::uint64_t call, const WorkerAnswer &answer);
     void handleAdvice(Timestamp now, std::uint64_t request, const AdviceAnswer &answer);
+    /**
+     * Adds the permissions of an answer that an earlier leader received. Those of unknown steps, and of workers that have ended or been
+     * restarted since, are ignored.
+     * @return true if any permission was new
+     */
+    bool restoreAdvice(const work::RelayedAdviceT &answer);
     void handleOutcome(Timestamp now, std::uint64_t proposal, const workload::Outcome &outcome);
 
     /** The worker has announced itself; @p drainRemaining is the shortest time it has left, or infinite if it isn't draining. */
@@ -117,6 +123,10 @@
      * All queues are counted at once, several times a second at most.
      */
     std::uint32_t waitingJobs(const std::string &queue) const;
+    /** Usable capacity of a service in thousandths of a processor; see cellload.h. All services are counted at once, several times a second at most. */
+    std::uint64_t usableCapacity(const std::string &service) const;
+    /** Typical ratio of run time to estimate, by queue; a queue without an entry has none yet. */
+    const std::map<std::string, double> &typicalRatiosByQueue() const;
     /** True if a start that was sent for a task of the job may still be executed. */
     bool mayStillStart(const std::string &job) const;
     /** The reason why the job has waited beyond the reporting threshold; empty if it hasn't. */
@@ -379,6 +389,8 @@
     Timestamp lastStepAt;
     mutable std::map<std::string, std::uint32_t> waitingByQueue;
     mutable Timestamp jobsCountedAt = absl::InfinitePast();
+    mutable std::map<std::string, std::uint64_t> capacityByService;
+    mutable Timestamp capacityCountedAt = absl::InfinitePast();
     DispatchEffects effects;
 };
 
