--- a/paddlepier/admission/admissioncontroller.cpp
+++ b/paddlepier/admission/admissioncontroller.cpp
@@ -19,6 +19,12 @@
 /** Share of the capacity that a queue is assumed to get at least: planning by objective serves some jobs of each queue. */
 constexpr double minAvailableShare = 0.05;
 
+/**
+ * With less of the capacity reserved, jobs wait for advice, tickets or workers that may run them, and the forecast, which counts capacity alone,
+ * says nothing about them. Tasks that don't divide a worker evenly leave up to an eighth of a full cell free.
+ */
+constexpr double minReservedShare = 0.85;
+
 /** Shortest interval over which callers are spread: in whole seconds, a shorter one would give all of them the same value. */
 constexpr double minSpreadMillis = 2000;
 
@@ -97,27 +103,28 @@
     }
 }
 
-bool AdmissionController::isEnabled(const Submission &submission, std::uint64_t usableMilliProcessors, std::int64_t wallMillis) const
+bool AdmissionController::isEnabled(const Submission &submission, const execution::ServiceCapacity &capacity, std::int64_t wallMillis) const
 {
     const work::QueueSpecT &queue = submission.queue;
     const auto &steps = submission.spec.steps;
     const bool isLasting = std::any_of(steps.begin(), steps.end(), [](const auto &step) { return step->isLasting; });
-    const bool isMeasured = wallMillis - this->startedAt >= measuringMillis && usableMilliProcessors > 0;
+    const bool isMeasured = wallMillis - this->startedAt >= measuringMillis && capacity.usable > 0;
     // The load at the later occurrences of a repeated job can't be forecast.
     return isMeasured && !isLasting && submission.spec.repetitions == 0 && !this->backlog.hasLastingJob(queue.service)
-           && this->backlog.waitingDemand(queue.service) > static_cast<std::int64_t>(usableMilliProcessors);
+           && static_cast<double>(capacity.reserved) >= minReservedShare * static_cast<double>(capacity.usable)
+           && this->backlog.waitingDemand(queue.service) > static_cast<std::int64_t>(capacity.usable);
 }
 
-Decision AdmissionController::decide(const Submission &submission, std::uint64_t usableMilliProcessors, std::int64_t wallMillis)
+Decision AdmissionController::decide(const Submission &submission, const execution::ServiceCapacity &capacity, std::int64_t wallMillis)
 {
     this->update(wallMillis);
     const work::QueueSpecT &queue = submission.queue;
-    const auto capacity = static_cast<double>(usableMilliProcessors);
-    const double available = std::max(capacity - this->backlog.moreUrgentRate(queue.service, queue.priority, wallMillis), minAvailableShare * capacity);
+    const auto usable = static_cast<double>(capacity.usable);
+    const double available = std::max(usable - this->backlog.moreUrgentRate(queue.service, queue.priority, wallMillis), minAvailableShare * usable);
     const auto work = static_cast<double>(this->backlog.workUpTo(queue.service, queue.priority, wallMillis));
     const double wait = available > 0 ? work / available : 0;
     const Decision accepted{Refusal::None, std::llround(wait), 0};
-    if (!this->isEnabled(submission, usableMilliProcessors, wallMillis) || this->proposedJobs.contains(submission.id)) {
+    if (!this->isEnabled(submission, capacity, wallMillis) || this->proposedJobs.contains(submission.id)) {
         return accepted;
     }
     const double slack = this->forecaster.forecast(submission.spec, queue).slackMillis;
--- a/paddlepier/admission/admissioncontroller.h
+++ b/paddlepier/admission/admissioncontroller.h
@@ -6,13 +6,14 @@
 //  - TeamShare: its team holds more work than its share of what is still free: (limit - backlog) x weight / weights of the active teams,
 //    where the limit is the work for which such a job could just wait (dynamic threshold). A team without competition may fill a
 //    larger part of the limit, and yields as soon as others submit. A job's own work isn't compared, so that its size doesn't decide.
-// Nothing is refused while at most one cell of demand waits (short bursts drain by themselves), while the service has a lasting job (its
+// Nothing is refused while at most one cell of demand waits (short bursts drain by themselves), while less than 85 % of the capacity is reserved
+// (what is free could serve the job), while the service has a lasting job (its
 // capacity never becomes free, so that no wait can be forecast), and in the first 2 s of a term (no rates have been measured).
 //
 // Also accepts a job whose proposal may still be committed: its caller must not be told that nothing was stored.
 //
 // Example:
-//     const Decision decision = controller.decide({id, team, queue, spec}, usableMilliProcessors, wallMillis);
+//     const Decision decision = controller.decide({id, team, queue, spec}, capacity, wallMillis);
 //     if (decision.refusal != Refusal::None) { replyLater(decision.retryAfterSeconds); }
 //
 // Thread safety: none; owned by the control thread. Cost: decide() is that of Backlog::update() and O(teams + log jobs).
@@ -21,6 +22,7 @@
 #define PADDLEPIER_ADMISSION_ADMISSIONCONTROLLER_H
 
 #include "paddlepier/admission/backlog.h"
+#include "paddlepier/execution/cellload.h"
 #include "paddlepier/planning/objectiveforecast.h"
 #include "paddlepier/workload/workload.h"
 
@@ -62,8 +64,8 @@
 
     /** Applies the ledger's changes; called regularly, so that the change log reaches back. */
     void update(std::int64_t wallMillis);
-    /** @param usableMilliProcessors  usable capacity of the queue's service */
-    Decision decide(const Submission &submission, std::uint64_t usableMilliProcessors, std::int64_t wallMillis);
+    /** @param capacity  that of the queue's service */
+    Decision decide(const Submission &submission, const execution::ServiceCapacity &capacity, std::int64_t wallMillis);
 
     /** An accepted job has been proposed to the ledger. */
     void recordProposal(const std::string &id);
@@ -71,7 +73,7 @@
     void recordOutcome(const std::string &id, bool isDefinite);
 
 private:
-    bool isEnabled(const Submission &submission, std::uint64_t usableMilliProcessors, std::int64_t wallMillis) const;
+    bool isEnabled(const Submission &submission, const execution::ServiceCapacity &capacity, std::int64_t wallMillis) const;
     void readWeights();
     double weightOf(const Holder &holder) const;
     /** Sum of the weights of the holders with work of this priority and of @p own. */
--- a/paddlepier/admission/admissioncontroller_test.cpp
+++ b/paddlepier/admission/admissioncontroller_test.cpp
@@ -132,6 +132,16 @@
     CHECK(this->refusalOf("batch", spec(1, 100)) == Refusal::Backlog);
 }
 
+// Fails if jobs are refused for want of capacity while capacity is free, and other jobs wait for advice or for particular workers.
+TEST_CASE_METHOD(AdmissionControllerFixture, "backlog_whileCapacityIsFree_refusesNothing")
+{
+    this->fill(20);
+    this->reserved = capacity * 3 / 4;
+    CHECK(this->refusalOf("batch", spec(1, 2000)) == Refusal::None);
+    this->reserved = capacity;
+    CHECK(this->refusalOf("batch", spec(1, 2000)) == Refusal::Backlog);
+}
+
 // Fails if a service with tasks that never end refuses work by a drain rate that it doesn't have.
 TEST_CASE_METHOD(AdmissionControllerFixture, "lastingJob_switchesControlOffUntilItEnds")
 {
@@ -156,7 +166,7 @@
     const std::string id = "new";
     const std::string team;
     const auto decideAfter = [&](std::int64_t millis) {
-        return elected.decide({id, team, *this->state.findQueue("", "/batch/"), job}, capacity, this->wallMillis + millis).refusal;
+        return elected.decide({id, team, *this->state.findQueue("", "/batch/"), job}, {capacity, this->reserved}, this->wallMillis + millis).refusal;
     };
     CHECK(decideAfter(0) == Refusal::None);
     CHECK(decideAfter(1999) == Refusal::None);
--- a/paddlepier/admission/admissionfixture.h
+++ b/paddlepier/admission/admissionfixture.h
@@ -30,6 +30,8 @@
 public:
     static constexpr std::int64_t start = 1'000'000;
     static constexpr std::uint32_t capacity = 100'000;
+    /** Reserved part of the capacity, as told to the controller. */
+    std::uint64_t reserved = capacity;
     static constexpr std::uint32_t teamCount = 20;
 
     AdmissionFixture()
@@ -84,7 +86,8 @@
 
     Decision decide(const std::string &queue, const work::JobSpecT &job, const std::string &team = "", const std::string &id = "new")
     {
-        return this->controller.decide({id, team, *this->state.findQueue("", absl::StrCat("/", queue, "/")), job}, capacity, this->wallMillis);
+        return this->controller.decide(
+            {id, team, *this->state.findQueue("", absl::StrCat("/", queue, "/")), job}, {capacity, this->reserved}, this->wallMillis);
     }
 
     /** Stores a job without asking the controller. */
--- a/paddlepier/cluster/overloadcontrol.cpp
+++ b/paddlepier/cluster/overloadcontrol.cpp
@@ -35,9 +35,9 @@
 }
 
 std::optional<work::WorkReplyT>
-OverloadControl::refusalOf(Timestamp now, const admission::Submission &submission, std::uint64_t usableMilliProcessors, std::int64_t wallMillis)
+OverloadControl::refusalOf(Timestamp now, const admission::Submission &submission, const execution::ServiceCapacity &capacity, std::int64_t wallMillis)
 {
-    const admission::Decision decision = this->controller.decide(submission, usableMilliProcessors, wallMillis);
+    const admission::Decision decision = this->controller.decide(submission, capacity, wallMillis);
     this->forecastWait.set(decision.forecastMillis);
     if (decision.refusal == admission::Refusal::None) {
         return std::nullopt;
--- a/paddlepier/cluster/overloadcontrol.h
+++ b/paddlepier/cluster/overloadcontrol.h
@@ -39,7 +39,7 @@
 
     /** @return the answer to a refused submission, of which nothing may be proposed; nothing if it is accepted */
     std::optional<work::WorkReplyT>
-    refusalOf(Timestamp now, const admission::Submission &submission, std::uint64_t usableMilliProcessors, std::int64_t wallMillis);
+    refusalOf(Timestamp now, const admission::Submission &submission, const execution::ServiceCapacity &capacity, std::int64_t wallMillis);
     /** See AdmissionController. */
     void update(std::int64_t wallMillis);
     void recordProposal(const std::string &id);
--- a/paddlepier/cluster/workservice.cpp
+++ b/paddlepier/cluster/workservice.cpp
@@ -199,7 +199,7 @@
         done(answer(work::CallOutcome::Invalid, problem));
         return;
     }
-    const std::uint64_t capacity = this->dispatcher.usableCapacity(queue.service);
+    const execution::ServiceCapacity capacity = this->dispatcher.usableCapacity(queue.service);
     if (std::optional<work::WorkReplyT> refusal = this->overloadControl.refusalOf(now, {id, team, queue, *call.spec}, capacity, wallMicros() / 1000)) {
         CallResult result;
         result.reply = std::move(*refusal);
--- a/paddlepier/execution/cellload.cpp
+++ b/paddlepier/execution/cellload.cpp
@@ -46,12 +46,14 @@
     return load;
 }
 
-std::map<std::string, std::uint64_t> usableCapacities(const workload::Workload &state, const WorkerViews &views)
+std::map<std::string, ServiceCapacity> usableCapacities(const workload::Workload &state, const WorkerViews &views)
 {
-    std::map<std::string, std::uint64_t> capacities;
+    std::map<std::string, ServiceCapacity> capacities;
     for (const auto &[incarnation, worker] : state.workers()) {
         if (isUsable(views, incarnation, worker) && !state.isEvacuated(worker)) {
-            capacities[worker.registration.service] += worker.registration.capacity->milliProcessors();
+            ServiceCapacity &capacity = capacities[worker.registration.service];
+            capacity.usable += worker.registration.capacity->milliProcessors();
+            capacity.reserved += worker.reservedMilliProcessors;
         }
     }
     return capacities;
--- a/paddlepier/execution/cellload.h
+++ b/paddlepier/execution/cellload.h
@@ -36,8 +36,15 @@
 
 CellLoad cellLoad(const workload::Workload &state, const WorkerViews &views, const RunTracks &tracks);
 
-/** Capacity in thousandths of a processor, by service, of the workers that are reachable, not draining and not evacuated. O(workers). */
-std::map<std::string, std::uint64_t> usableCapacities(const workload::Workload &state, const WorkerViews &views);
+/** Processors of a service's workers that are reachable, not draining and not evacuated, in thousandths. */
+struct ServiceCapacity {
+    std::uint64_t usable = 0;
+    /** The part that placed runs reserve. */
+    std::uint64_t reserved = 0;
+};
+
+/** By service; O(workers). */
+std::map<std::string, ServiceCapacity> usableCapacities(const workload::Workload &state, const WorkerViews &views);
 
 } // namespace paddlepier::execution
 
--- a/paddlepier/execution/dispatcher.h
+++ b/paddlepier/execution/dispatcher.h
@@ -25,6 +25,7 @@
 #define PADDLEPIER_EXECUTION_DISPATCHER_H
 
 #include "paddlepier/base/clock.h"
+#include "paddlepier/execution/cellload.h"
 #include "paddlepier/execution/orders.h"
 #include "paddlepier/execution/runtrack.h"
 #include "paddlepier/execution/stepreport.h"
@@ -123,8 +124,8 @@
      * All queues are counted at once, several times a second at most.
      */
     std::uint32_t waitingJobs(const std::string &queue) const;
-    /** Usable capacity of a service in thousandths of a processor; see cellload.h. All services are counted at once, several times a second at most. */
-    std::uint64_t usableCapacity(const std::string &service) const;
+    /** Usable and reserved capacity of a service; see cellload.h. All services are counted at once, several times a second at most. */
+    ServiceCapacity usableCapacity(const std::string &service) const;
     /** Typical ratio of run time to estimate, by queue; a queue without an entry has none yet. */
     const std::map<std::string, double> &typicalRatiosByQueue() const;
     /** True if a start that was sent for a task of the job may still be executed. */
@@ -389,7 +390,7 @@
     Timestamp lastStepAt;
     mutable std::map<std::string, std::uint32_t> waitingByQueue;
     mutable Timestamp jobsCountedAt = absl::InfinitePast();
-    mutable std::map<std::string, std::uint64_t> capacityByService;
+    mutable std::map<std::string, ServiceCapacity> capacityByService;
     mutable Timestamp capacityCountedAt = absl::InfinitePast();
     DispatchEffects effects;
 };
--- a/paddlepier/execution/placement.cpp
+++ b/paddlepier/execution/placement.cpp
@@ -114,14 +114,14 @@
     }
 }
 
-std::uint64_t Dispatcher::usableCapacity(const std::string &service) const
+ServiceCapacity Dispatcher::usableCapacity(const std::string &service) const
 {
     if (this->lastStepAt >= this->capacityCountedAt + capacityCountInterval) {
         this->capacityCountedAt = this->lastStepAt;
         this->capacityByService = usableCapacities(this->state, this->views);
     }
     const auto found = this->capacityByService.find(service);
-    return found == this->capacityByService.end() ? 0 : found->second;
+    return found == this->capacityByService.end() ? ServiceCapacity() : found->second;
 }
 
 const std::map<std::string, double> &Dispatcher::typicalRatiosByQueue() const
