Leader: a line a second about the replicas

The lines of the incident can't tell whether a leader that answers presence calls commits anything. ledger.load gives the uncommitted entries, and each follower's lag, messages without an answer and time since its last answer.

--- a/paddlepier/cluster/coreprocess.cpp
+++ b/paddlepier/cluster/coreprocess.cpp
@@ -152,6 +152,23 @@
                {"ledgerMillis", absl::ToInt64Milliseconds(total.ledger - last.ledger)},
                {"asked", this->pendingReplies.size()}});
     this->reportedLoad = total;
+    this->reportReplication(now);
+}
+
+void CoreProcess::reportReplication(Timestamp now)
+{
+    const consensus::Replica &replica = this->node->replica();
+    std::string followers;
+    for (const consensus::Replica::FollowerStatus &follower : replica.followers(now)) {
+        const auto silentMillis = absl::ToInt64Milliseconds(std::min(follower.silence, absl::Hours(1)));
+        absl::StrAppend(&followers, " ", consensus::instanceOf(follower.replica), "/", follower.lag, "/", follower.inFlight, "/", silentMillis);
+    }
+    log::info("ledger",
+              "ledger.load",
+              {{"term", replica.currentTerm()},
+               {"lastIndex", replica.lastIndex()},
+               {"uncommitted", replica.lastIndex() - replica.commitIndex()},
+               {"followers", followers}});
 }
 
 void CoreProcess::advance(Timestamp now, Timestamp processedUntil)
--- a/paddlepier/cluster/coreprocess.h
+++ b/paddlepier/cluster/coreprocess.h
@@ -62,6 +62,8 @@
     void restoreOwnAnswers(Timestamp now);
     /** Logs once a second how the leader's control thread spends its time. */
     void reportLoad(Timestamp now);
+    /** Logs how far the other replicas are behind: lag in entries, append messages without an answer, milliseconds since the last answer. */
+    void reportReplication(Timestamp now);
     void handleAsLeader(Timestamp now, const std::string &fromInstance, WorkMethod method, const std::string &body, const CallCallback &done);
     /** Reports this core to the leader, which may then use it for advice requests and as a relay. */
     void sendPresence(Timestamp now);
--- a/paddlepier/consensus/replica.h
+++ b/paddlepier/consensus/replica.h
@@ -166,6 +166,19 @@
     Timestamp lastReplyOf(const std::string &replica, Timestamp now) const;
     const std::shared_ptr<const wire::SnapshotHeaderT> &currentSnapshot() const;
 
+    /** What a leader knows of a follower. */
+    struct FollowerStatus {
+        std::string replica;
+        /** Entries of the leader's log that the follower isn't known to store durably. */
+        Index lag = 0;
+        /** Append messages without an answer. */
+        std::size_t inFlight = 0;
+        /** Time since its last answer. */
+        Duration silence = absl::ZeroDuration();
+    };
+    /** As leader: the status of each other member, in the order of the membership; empty otherwise. */
+    std::vector<FollowerStatus> followers(Timestamp now) const;
+
 private:
     struct Progress {
         Index next = 1;
--- a/paddlepier/consensus/replication.cpp
+++ b/paddlepier/consensus/replication.cpp
@@ -97,6 +97,19 @@
     return found == this->progresses.end() ? now : found->second.lastReply;
 }
 
+std::vector<Replica::FollowerStatus> Replica::followers(Timestamp now) const
+{
+    std::vector<FollowerStatus> list;
+    for (const std::string &member : this->otherMembers()) {
+        const auto found = this->progresses.find(member);
+        if (found != this->progresses.end()) {
+            const Progress &progress = found->second;
+            list.push_back({member, this->lastIndex() - progress.match, progress.inFlight, now - progress.lastReply});
+        }
+    }
+    return list;
+}
+
 void Replica::appendAsLeader(wire::EntryKind kind, const std::string &data)
 {
     wire::LogRecordT entry;
