consensus: an answer settles every message sent before its own

What callers saw: submissions, cancels and ends hang while the leader answers presence calls and state reads, so that entries stay ready, no other leader is elected, leases of workers with an unrecorded end lapse and nothing is placed.

Cause: Progress counted unanswered append messages and took one off for each answer. A lost answer stayed in the count for the rest of the term; at 16 the leader sent that follower no entry any more. The answers to its empty heartbeats renewed the lease, and the count is only reset after 225 ms without any answer. With such followers in the majority the leader serves and commits nothing.

Change: AppendWindow keeps the send times. Links are in order and an answer carries its message's send time, so it settles all messages sent before.

--- a/paddlepier/consensus/replica.h
+++ b/paddlepier/consensus/replica.h
@@ -26,6 +26,7 @@
 #define PADDLEPIER_CONSENSUS_REPLICA_H
 
 #include "paddlepier/base/clock.h"
+#include "paddlepier/consensus/appendwindow.h"
 #include "paddlepier/consensus/leadertimeout.h"
 #include "paddlepier/storage/replicastore.h"
 #include "paddlepier/wire/peer_generated.h"
@@ -183,7 +184,7 @@
     struct Progress {
         Index next = 1;
         Index match = 0;
-        std::size_t inFlight = 0;
+        AppendWindow inFlight;
         /** True until the last common entry of the follower's log and this one is known. */
         bool probing = true;
         Timestamp lastSent;
--- a/paddlepier/consensus/replication.cpp
+++ b/paddlepier/consensus/replication.cpp
@@ -104,7 +104,7 @@
         const auto found = this->progresses.find(member);
         if (found != this->progresses.end()) {
             const Progress &progress = found->second;
-            list.push_back({member, this->lastIndex() - progress.match, progress.inFlight, now - progress.lastReply});
+            list.push_back({member, this->lastIndex() - progress.match, progress.inFlight.size(), now - progress.lastReply});
         }
     }
     return list;
@@ -153,22 +153,22 @@
 
 void Replica::sendAppend(Timestamp now, const std::string &to, Progress &progress, bool heartbeat)
 {
-    // Otherwise lost messages or answers would leave the pipeline full for ever.
-    if (heartbeat && progress.inFlight > 0 && now - progress.lastReply > 3 * this->settings.heartbeatInterval) {
-        progress.inFlight = 0;
+    // Without any answer the pipeline would stay full.
+    if (heartbeat && progress.inFlight.size() > 0 && now - progress.lastReply > 3 * this->settings.heartbeatInterval) {
+        progress.inFlight.clear();
         progress.probing = true;
         progress.next = progress.match + 1;
         progress.snapshotOffset = 0;
     }
     if (progress.next <= this->baseIndex) {
-        if (heartbeat || progress.inFlight == 0) {
+        if (heartbeat || progress.inFlight.size() == 0) {
             this->sendSnapshotChunk(now, to, progress);
         }
         return;
     }
     const std::size_t depth = progress.probing ? 1 : this->settings.pipelineDepth;
     bool sent = false;
-    while (progress.inFlight < depth && progress.next <= this->lastIndex()) {
+    while (progress.inFlight.size() < depth && progress.next <= this->lastIndex()) {
         this->sendOneAppend(now, to, progress);
         sent = true;
     }
@@ -186,7 +186,7 @@
     request.commit = this->committedIndex;
     request.sentAtMicros = toMicros(now);
     std::size_t bytes = 0;
-    const bool isFull = progress.inFlight >= this->settings.pipelineDepth;
+    const bool isFull = progress.inFlight.size() >= this->settings.pipelineDepth;
     for (Index index = progress.next; !isFull && index <= this->lastIndex() && bytes < this->settings.appendBytes; ++index) {
         const wire::LogRecordT &entry = this->entryAt(index);
         bytes += weightOf(entry);
@@ -195,7 +195,7 @@
     if (!progress.probing) {
         progress.next += request.entries.size();
     }
-    ++progress.inFlight;
+    progress.inFlight.recordSent(request.sentAtMicros);
     progress.lastSent = now;
     this->sendNow(to, std::move(request));
 }
@@ -223,7 +223,8 @@
     chunk.total = packed.size();
     chunk.sentAtMicros = toMicros(now);
     chunk.data = wire::toBytes(std::string_view(packed).substr(chunk.offset, this->settings.chunkBytes));
-    progress.inFlight = 1;
+    progress.inFlight.clear();
+    progress.inFlight.recordSent(chunk.sentAtMicros);
     progress.lastSent = now;
     this->sendNow(to, std::move(chunk));
 }
@@ -311,9 +312,7 @@
 {
     progress.lastReply = now;
     progress.lastAckSentAt = std::max(progress.lastAckSentAt, absl::FromUnixMicros(sentAtMicros));
-    if (progress.inFlight > 0) {
-        --progress.inFlight;
-    }
+    progress.inFlight.recordAnswer(sentAtMicros);
 }
 
 void Replica::onAppendReply(Timestamp now, const std::string &from, const wire::AppendReplyT &reply)
@@ -336,7 +335,7 @@
     } else if (reply.matchIndex >= progress.match) {
         progress.next = std::max(progress.match, reply.matchIndex) + 1;
         progress.probing = true;
-        progress.inFlight = 0;
+        progress.inFlight.clear();
     }
     this->sendAppend(now, from, progress, false);
 }
@@ -408,7 +407,7 @@
         progress.probing = true;
         progress.snapshotOffset = 0;
     }
-    progress.inFlight = 0;
+    progress.inFlight.clear();
     this->sendAppend(now, from, progress, false);
 }
 
