cluster: a leader that commits nothing hands its leadership over

The watchdog asked only whether the leader's lease is valid, which the answers to heartbeats renew however little the followers store; nothing bounded how long a leader may serve reads and presence calls without completing a submission.

A slow disk or an overloaded leader that still commits is kept.

Measured in virtual time: with the entries of all appends lost the lease stays valid and the stall grows (2 s of 2 s); it ends within .3 s once they arrive.

--- a/paddlepier/cluster/servingwatchdog.h
+++ b/paddlepier/cluster/servingwatchdog.h
@@ -1,8 +1,8 @@
 // Detects a leader that can't serve calls.
 //
-// A leader serves while a majority has recently confirmed it. If its process is so slow that it always reads the
-// confirmations too late, its followers still receive its heartbeats and don't replace it, although it answers no
-// calls. It should transfer the leadership then.
+// A leader serves while a majority has recently confirmed it and its entries are committed. If its process is so slow
+// that it always reads the confirmations too late, or if its followers answer heartbeats but store no entries, the
+// followers don't replace it, although calls aren't completed. It should transfer the leadership then.
 //
 // Example:
 //     if (watchdog.update(now, leads, serves)) { node.transferLeadership(now); }
--- a/paddlepier/consensus/pipeline_test.cpp
+++ b/paddlepier/consensus/pipeline_test.cpp
@@ -72,6 +72,12 @@
         this->lostKind = wire::PeerBody::NONE;
     }
 
+    /** Loses the entries of every append message until told otherwise; the heartbeats arrive. */
+    void loseEntries(bool isLosing)
+    {
+        this->isLosingEntries = isLosing;
+    }
+
     /** Number of entries committed within @p time. */
     Index commitsWithin(Duration time)
     {
@@ -121,6 +127,9 @@
     void post(const std::string &from, std::vector<OutboundMessage> &messages, Duration delay)
     {
         for (OutboundMessage &message : messages) {
+            if (auto *append = message.body.AsAppendRequest(); append != nullptr && this->isLosingEntries) {
+                append->entries.clear();
+            }
             this->network.push_back({this->now + delay, from, message.to, std::move(message.body)});
         }
     }
@@ -128,6 +137,7 @@
     std::map<std::string, std::unique_ptr<Replica>> replicas;
     std::vector<Message> network;
     wire::PeerBody lostKind = wire::PeerBody::NONE;
+    bool isLosingEntries = false;
 };
 
 /** Ninety per cent of what is proposed within a second. */
@@ -168,4 +178,17 @@
     CHECK(this->leader()->currentTerm() == this->leaderTerm);
 }
 
+TEST_CASE_METHOD(PipelineFixture, "commitStall_whileFollowersStoreNothing_growsThoughTheLeaseIsValid")
+{
+    CHECK(this->leader()->commitStall(this->now) < absl::Milliseconds(50));
+    this->loseEntries(true);
+    this->runFor(absl::Seconds(2));
+    REQUIRE(this->leader() != nullptr);
+    CHECK(this->leader()->hasLeaderLease(this->now));
+    CHECK(this->leader()->commitStall(this->now) > absl::Milliseconds(1900));
+    this->loseEntries(false);
+    this->runFor(absl::Milliseconds(300));
+    CHECK(this->leader()->commitStall(this->now) < absl::Milliseconds(50));
+}
+
 } // namespace paddlepier::consensus
--- a/paddlepier/consensus/replica.cpp
+++ b/paddlepier/consensus/replica.cpp
@@ -165,6 +165,7 @@
     this->heardLeader = true;
     this->leaderName = this->settings.self;
     this->leadingSince = now;
+    this->commitProgressAt = now;
     this->progresses.clear();
     for (const std::string &member : this->otherMembers()) {
         Progress &progress = this->progresses[member];
@@ -384,6 +385,12 @@
     return this->role == ReplicaRole::Leader && this->committedIndex >= this->termStartIndex;
 }
 
+Duration Replica::commitStall(Timestamp now) const
+{
+    const bool isWaiting = this->role == ReplicaRole::Leader && this->committedIndex < this->lastIndex() && this->committedIndex == this->observedCommit;
+    return isWaiting ? now - this->commitProgressAt : absl::ZeroDuration();
+}
+
 Timestamp Replica::leaderSince() const
 {
     return this->leadingSince;
--- a/paddlepier/consensus/replica.h
+++ b/paddlepier/consensus/replica.h
@@ -149,6 +149,11 @@
     bool hasLeaderLease(Timestamp now) const;
     /** True if this replica leads and has committed an entry of its own term, and with it all entries of earlier leaders. */
     bool isCaughtUpLeader() const;
+    /**
+     * As leader: for how long no entry has been committed although there are uncommitted ones; zero otherwise. Followers that answer heartbeats
+     * but store no entries keep the leader lease valid, so that only this shows that calls aren't completed.
+     */
+    Duration commitStall(Timestamp now) const;
     /** When this replica became leader; meaningful if isLeader(). */
     Timestamp leaderSince() const;
     const std::string &leader() const;
@@ -261,6 +266,9 @@
     std::shared_ptr<const wire::SnapshotHeaderT> snapshot;
     Index committedIndex = 0;
     Index durableIndex = 0;
+    // Updated by replicate() as leader: when all entries were committed, or the commit index was seen to advance.
+    Timestamp commitProgressAt = absl::InfinitePast();
+    Index observedCommit = 0;
 
     // Invariant: the newest membership in log or snapshot, committed or not.
     wire::MembershipT members;
--- a/paddlepier/consensus/replication.cpp
+++ b/paddlepier/consensus/replication.cpp
@@ -136,9 +136,14 @@
 
 void Replica::replicate(Timestamp now)
 {
-    if (this->role == ReplicaRole::Leader) {
-        this->broadcast(now, false);
+    if (this->role != ReplicaRole::Leader) {
+        return;
+    }
+    if (this->committedIndex == this->lastIndex() || this->committedIndex != this->observedCommit) {
+        this->observedCommit = this->committedIndex;
+        this->commitProgressAt = now;
     }
+    this->broadcast(now, false);
 }
 
 void Replica::broadcast(Timestamp now, bool heartbeat)
