--- a/paddlepier/consensus/replica.h
+++ b/paddlepier/consensus/replica.h
@@ -26,6 +26,7 @@
 #define PADDLEPIER_CONSENSUS_REPLICA_H
 
 #include "paddlepier/base/clock.h"
+#include "paddlepier/consensus/appendwindow.h"
 #include "paddlepier/consensus/leadertimeout.h"
 #include "paddlepier/storage/replicastore.h"
 #include "paddlepier/wire/peer_generated.h"
@@ -148,6 +149,11 @@
     bool hasLeaderLease(Timestamp now) const;
     /** True if this replica leads and has committed an entry of its own term, and with it all entries of earlier leaders. */
     bool isCaughtUpLeader() const;
+    /**
+     * As leader: for how long no entry has been committed although there are uncommitted ones; zero otherwise. Followers that answer heartbeats
+     * but store no entries keep the leader lease valid, so that only this shows that calls aren't completed.
+     */
+    Duration commitStall(Timestamp now) const;
     /** When this replica became leader; meaningful if isLeader(). */
     Timestamp leaderSince() const;
     const std::string &leader() const;
@@ -166,11 +172,24 @@
     Timestamp lastReplyOf(const std::string &replica, Timestamp now) const;
     const std::shared_ptr<const wire::SnapshotHeaderT> &currentSnapshot() const;
 
+    /** What a leader knows of a follower. */
+    struct FollowerStatus {
+        std::string replica;
+        /** Entries of the leader's log that the follower isn't known to store durably. */
+        Index lag = 0;
+        /** Append messages without an answer. */
+        std::size_t inFlight = 0;
+        /** Time since its last answer. */
+        Duration silence = absl::ZeroDuration();
+    };
+    /** As leader: the status of each other member, in the order of the membership; empty otherwise. */
+    std::vector<FollowerStatus> followers(Timestamp now) const;
+
 private:
     struct Progress {
         Index next = 1;
         Index match = 0;
-        std::size_t inFlight = 0;
+        AppendWindow inFlight;
         /** True until the last common entry of the follower's log and this one is known. */
         bool probing = true;
         Timestamp lastSent;
@@ -247,6 +266,9 @@
     std::shared_ptr<const wire::SnapshotHeaderT> snapshot;
     Index committedIndex = 0;
     Index durableIndex = 0;
+    // Updated by replicate() as leader: when all entries were committed, or the commit index was seen to advance.
+    Timestamp commitProgressAt = absl::InfinitePast();
+    Index observedCommit = 0;
 
     // Invariant: the newest membership in log or snapshot, committed or not.
     wire::MembershipT members;
