--- a/paddlepier/consensus/replication.cpp
+++ b/paddlepier/consensus/replication.cpp
@@ -375,16 +375,19 @@
     if (received.index <= this->committedIndex) {
         return;
     }
+    // Entries behind the snapshot may be committed and acknowledged. They are kept if the log agrees with the leader's at the snapshot's index.
+    const bool isPrefix = this->termAt(received.index) == std::optional<Term>(received.term);
+    const auto covered = isPrefix ? static_cast<std::ptrdiff_t>(received.index - this->baseIndex) : static_cast<std::ptrdiff_t>(this->entries.size());
+    this->entries.erase(this->entries.begin(), this->entries.begin() + covered);
     this->snapshot = std::make_shared<const wire::SnapshotHeaderT>(std::move(received));
-    this->entries.clear();
     this->baseIndex = this->snapshot->index;
     this->baseTerm = this->snapshot->term;
     this->committedIndex = this->baseIndex;
-    this->durableIndex = this->baseIndex;
+    this->durableIndex = std::clamp(this->durableIndex, this->baseIndex, this->lastIndex());
     this->recomputeMembership();
     this->effects.snapshot = this->snapshot;
     this->effects.resetToSnapshot = true;
-    this->effects.entries.clear();
+    this->effects.entries.assign(this->entries.begin(), this->entries.end());
     this->effects.committed.clear();
     this->saveHardState();
 }
