consensus: answers to messages of an earlier term don't renew the lease

They carry the new term, since their sender is in it already, and an old send time; they were taken for answers to the new term's messages.

Change: an answer counts only if its message was sent after the election. answer_toAMessageSentBeforeTheElection_doesNotRenewTheLease: before, a leader 0 ms old had the lease; now not. Consensus tests: 36 cases pass (the folder's tests alone).

--- a/paddlepier/consensus/replica.h
+++ b/paddlepier/consensus/replica.h
@@ -228,6 +228,8 @@
     void acceptLeader(Timestamp now, const std::string &from, Term term);
     bool canGrantVote(Timestamp now, const wire::VoteRequestT &request) const;
     bool isUpToDate(const wire::VoteRequestT &request) const;
+    /** As leader: whether an answer of @p term belongs to a message that was sent at @p sentAtMicros, in this leader's term. */
+    bool isAnswerOfThisTerm(Term term, std::int64_t sentAtMicros) const;
     void recordAck(Timestamp now, Progress &progress, std::int64_t sentAtMicros);
 
     Index storeEntries(std::vector<std::unique_ptr<wire::LogRecordT>> &entries);
--- a/paddlepier/consensus/replication.cpp
+++ b/paddlepier/consensus/replication.cpp
@@ -313,6 +313,12 @@
     }
 }
 
+bool Replica::isAnswerOfThisTerm(Term term, std::int64_t sentAtMicros) const
+{
+    // A replica that leads again may receive answers to messages of its earlier term, which carry the current term but promise nothing.
+    return this->role == ReplicaRole::Leader && term == this->hardState.term && sentAtMicros >= toMicros(this->leadingSince);
+}
+
 void Replica::recordAck(Timestamp now, Progress &progress, std::int64_t sentAtMicros)
 {
     progress.lastReply = now;
@@ -327,7 +333,7 @@
         return;
     }
     const auto found = this->progresses.find(from);
-    if (this->role != ReplicaRole::Leader || reply.term != this->hardState.term || found == this->progresses.end()) {
+    if (!this->isAnswerOfThisTerm(reply.term, reply.sentAtMicros) || found == this->progresses.end()) {
         return;
     }
     Progress &progress = found->second;
@@ -399,7 +405,7 @@
         return;
     }
     const auto found = this->progresses.find(from);
-    if (this->role != ReplicaRole::Leader || reply.term != this->hardState.term || found == this->progresses.end()) {
+    if (!this->isAnswerOfThisTerm(reply.term, reply.sentAtMicros) || found == this->progresses.end()) {
         return;
     }
     Progress &progress = found->second;
