cluster: results of operations aren't discarded by a full mailbox

A caller's call that the mailbox refused was never answered.

Change: results are queued beyond the limit, since their number is bounded by the operations; a call that can't be queued is refused at once, as certainly not accepted. A hand-over is logged only if it happens.

--- a/paddlepier/cluster/memberprocess.cpp
+++ b/paddlepier/cluster/memberprocess.cpp
@@ -59,12 +59,19 @@
     this->transport->stop();
 }
 
-void MemberProcess::post(std::function<void()> work)
+bool MemberProcess::post(std::function<void()> work)
 {
-    if (!this->mailbox.post(std::move(work))) {
-        this->counters.counter("events_dropped_total").add();
-        log::error("cluster", "event.dropped", {{"reason", "the control thread's mailbox is full"}, {"limit", mailboxLimit}});
+    if (this->mailbox.post(std::move(work))) {
+        return true;
     }
+    this->counters.counter("events_dropped_total").add();
+    log::error("cluster", "event.dropped", {{"reason", "the control thread's mailbox is full"}, {"limit", mailboxLimit}});
+    return false;
+}
+
+void MemberProcess::complete(std::function<void()> work)
+{
+    this->mailbox.postUnbounded(std::move(work));
 }
 
 void MemberProcess::sendFrame(const std::string &instance, wire::PeerFrameT frame)
@@ -116,7 +123,7 @@
 {
     const auto question = std::make_shared<const work::AdviceCallT>(wire::unpack<work::AdviceCallT>(request.body));
     this->advice.request(*question, [this, instance, id = request.id, question](const execution::AdviceAnswer &received) {
-        this->post([this, instance, id, question, received] {
+        this->complete([this, instance, id, question, received] {
             this->answerLog.record(controlNow(), *question, received);
             work::AdviceReplyT reply;
             for (const work::AdviceTicketT &ticket : received.tickets) {
@@ -149,11 +156,15 @@
     this->leader->call(now, WorkMethod::Presence, wire::pack(call), timeout, replied);
 }
 
-void MemberProcess::call(WorkMethod method, std::string body, Duration timeout, CallCallback done)
+void MemberProcess::call(WorkMethod method, std::string body, Duration timeout, const CallCallback &done)
 {
-    this->post([this, method, body = std::move(body), timeout, done = std::move(done)]() mutable {
-        this->callLeader(controlNow(), method, std::move(body), timeout, std::move(done));
-    });
+    const bool isQueued = this->post(
+        [this, method, body = std::move(body), timeout, done]() mutable { this->callLeader(controlNow(), method, std::move(body), timeout, std::move(done)); });
+    if (!isQueued) {
+        CallResult refused;
+        refused.error = ErrorCode::NotLeader;
+        done(refused);
+    }
 }
 
 void MemberProcess::callLeader(Timestamp now, WorkMethod method, std::string body, Duration timeout, CallCallback done)
--- a/paddlepier/cluster/memberprocess.h
+++ b/paddlepier/cluster/memberprocess.h
@@ -46,8 +46,8 @@
     MemberProcess(const MemberProcess &) = delete;
     MemberProcess &operator=(const MemberProcess &) = delete;
 
-    /** Calls the leader. @p done is called exactly once, on the control thread. */
-    void call(WorkMethod method, std::string body, Duration timeout, CallCallback done);
+    /** Calls the leader. @p done is called exactly once: on the control thread, or at once with NotLeader if its mailbox is full. */
+    void call(WorkMethod method, std::string body, Duration timeout, const CallCallback &done);
     void addSeeds(std::vector<std::string> seeds);
 
     /** Runs until requestStop(), then stops gracefully. */
@@ -75,7 +75,13 @@
     virtual void stopGracefully() = 0;
 
     void step(Duration timeout);
-    void post(std::function<void()> work);
+    /** Queues an event for the control thread. @return false if the mailbox is full; the event is then discarded, logged and counted */
+    bool post(std::function<void()> work);
+    /**
+     * Queues the result of an operation that this process has started, which is never discarded: whoever waits for it has no other limit, and
+     * counts the operation as under way.
+     */
+    void complete(std::function<void()> work);
     void sendFrame(const std::string &instance, wire::PeerFrameT frame);
     void sendReply(const std::string &instance, wire::CallReplyT answer);
     void reply(const std::string &instance, std::uint64_t id, const CallResult &result, const std::string &leaderHint);
--- a/paddlepier/peer/transport.cpp
+++ b/paddlepier/peer/transport.cpp
@@ -61,6 +61,8 @@
     , receivedBytes(counters.counter("peer_received_bytes_total"))
     , droppedFrames(counters.counter("peer_dropped_frames_total"))
     , refusedConnections(counters.counter("peer_refused_connections_total"))
+    , lostConnections(counters.counter("peer_lost_connections_total"))
+    , discardedBytes(counters.counter("peer_discarded_bytes_total"))
     , epoll(::epoll_create1(EPOLL_CLOEXEC))
     , wakeup(::eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC))
 {
@@ -142,7 +144,7 @@
     this->thread.join();
     ::close(this->listener);
     for (auto &[name, connection] : this->outgoing) {
-        this->closeOutgoing(*connection);
+        this->closeOutgoing(*connection, "stopping");
     }
     while (!this->incoming.empty()) {
         this->closeIncoming(this->incoming.begin()->first);
@@ -256,7 +258,7 @@
         ::getsockopt(connection.socket, SOL_SOCKET, SO_ERROR, &socketError, &size);
         const bool hasTimedOut = controlNow() - connection.connectingSince > connectTimeout;
         if (socketError != 0 || hasTimedOut) {
-            this->closeOutgoing(connection);
+            this->closeOutgoing(connection, hasTimedOut ? "connect-timeout" : "connect-failed");
             return;
         }
         connection.isConnected = isSocketConnected(connection.socket);
@@ -276,7 +278,7 @@
     const SocketAddress address = toSocketAddress(connection.endpoint);
     const int result = ::connect(connection.socket, address.pointer(), address.size);
     if (result != 0 && errno != EINPROGRESS) {
-        this->closeOutgoing(connection);
+        this->closeOutgoing(connection, "connect-failed");
         return;
     }
     epoll_event event{};
@@ -296,8 +298,16 @@
     this->connect(connection);
 }
 
-void Transport::Implementation::closeOutgoing(OutgoingConnection &connection)
+void Transport::Implementation::closeOutgoing(OutgoingConnection &connection, const char *reason)
 {
+    const std::size_t unsent = connection.buffer.size() - connection.sentBytes;
+    if (!this->isStopping) {
+        this->discardedBytes.add(static_cast<std::int64_t>(unsent));
+    }
+    if (connection.isConnected && !this->isStopping) {
+        this->lostConnections.add();
+        log::info("peer", "connection.lost", {{"to", connection.name}, {"reason", reason}, {"discardedBytes", unsent}});
+    }
     if (connection.socket >= 0) {
         this->bySocket.erase(connection.socket);
         ::close(connection.socket);
@@ -321,7 +331,7 @@
     // Peers send nothing over this connection, so only its end can be detected here. Closing it now makes the next frame open a new
     // connection immediately instead of being lost in this one.
     if (isClosed && connection.isConnected) {
-        this->closeOutgoing(connection);
+        this->closeOutgoing(connection, "closed-by-peer");
         connection.nextAttempt = controlNow();
     }
 }
@@ -335,7 +345,7 @@
             break;
         }
         if (count <= 0) {
-            this->closeOutgoing(connection);
+            this->closeOutgoing(connection, "send-failed");
             return;
         }
         sent += static_cast<std::size_t>(count);
@@ -345,7 +355,7 @@
         connection.buffer.erase(0, std::exchange(sent, 0));
     }
     if (connection.buffer.size() - sent > maxQueuedBytes) {
-        this->closeOutgoing(connection);
+        this->closeOutgoing(connection, "queue-full");
     }
 }
 
--- a/paddlepier/peer/transport_detail.h
+++ b/paddlepier/peer/transport_detail.h
@@ -71,7 +71,8 @@
     void connect(OutgoingConnection &outgoing);
     /** Replaces a connection attempt by a new one; queued frames are kept. */
     void reconnect(OutgoingConnection &outgoing);
-    void closeOutgoing(OutgoingConnection &outgoing);
+    /** @param reason  for the log */
+    void closeOutgoing(OutgoingConnection &outgoing, const char *reason);
     /** Handles an event on an outgoing connection: established, writable again, or closed by the peer. */
     void handleOutgoingEvent(int socket, bool isClosed);
     /** Serves the connections that have bytes to send or events on their sockets. */
@@ -95,6 +96,8 @@
     Counter &receivedBytes;
     Counter &droppedFrames;
     Counter &refusedConnections;
+    Counter &lostConnections;
+    Counter &discardedBytes;
     int epoll = -1;
     int wakeup = -1;
     int listener = -1;
--- a/paddlepier/replication/replicanode_detail.h
+++ b/paddlepier/replication/replicanode_detail.h
@@ -104,9 +104,8 @@
 template<ReplicatedState State>
 void ReplicaNode<State>::transferLeadership(Timestamp at)
 {
-    if (this->core->isLeader()) {
+    if (this->core->transferLeadership(at)) {
         log::info("ledger", "leadership.handed-over", {{"ledger", this->options.name}});
-        this->core->transferLeadership(at);
     }
 }
 
