consensus: a silent follower is sent heartbeats without entries or chunks

A follower that is slow, not gone, keeps its leader and its links busy with copies of what it has received already, and is later still.

Cause: after 225 ms without an answer every heartbeat reset the follower's progress to what it had confirmed, and sent up to 256 KB of entries from there, each time, without a bound.

Change: to a silent follower go empty appends, at the last index sent, until one of these is answered. Links are in order, so that this answer settles everything sent before; it accepts or names the end of the follower's log. Heartbeats beside an unanswered chunk are empty appends as well, and an answer to a later message shows that the chunk is lost: only then is it repeated, from the offset that was reached. While a leader probes, a heartbeat beside the unanswered probe carries no entries. Leases and elections: an empty append counts as before.

--- a/paddlepier/consensus/pipeline_test.cpp
+++ b/paddlepier/consensus/pipeline_test.cpp
@@ -1,7 +1,8 @@
-// Replication while append messages or their answers are lost, in virtual time.
+// Replication while append messages or their answers are lost or late, in virtual time.
 //
 // Guards against a leader that counts lost answers as messages in flight: with a full pipeline it sends no entry any more, while the answers to
-// its heartbeats renew its lease, so that it serves calls and commits nothing until it is stopped.
+// its heartbeats renew its lease, so that it serves calls and commits nothing until it is stopped. Guards also against a leader that repeats
+// entries and snapshot chunks to a follower that is only slow.
 
 #include "paddlepier/consensus/replica.h"
 
@@ -22,7 +23,14 @@
 constexpr Duration transitTime = absl::Milliseconds(1);
 constexpr Duration syncTime = absl::Milliseconds(9);
 
-/** A group whose leader proposes an entry every millisecond; messages of chosen kinds can be lost. */
+/** What was sent to one follower. */
+struct SentVolume {
+    std::size_t entries = 0;
+    std::size_t heartbeats = 0;
+    std::size_t chunkBytes = 0;
+};
+
+/** A group whose leader proposes an entry every millisecond; messages of chosen kinds can be lost, and one replica can be slow. */
 class PipelineFixture
 {
 public:
@@ -78,6 +86,37 @@
         this->isLosingEntries = isLosing;
     }
 
+    /** @return a replica that doesn't lead */
+    std::string anyFollower()
+    {
+        const auto found = std::find_if(this->names.begin(), this->names.end(), [this](const std::string &name) { return !this->replicas[name]->isLeader(); });
+        return *found;
+    }
+
+    /** Delays every message to @p name, and the answers that it sends after a sync. Messages stay in order if the delays only grow. */
+    void slowDown(const std::string &name, Duration transit, Duration sync)
+    {
+        this->slowName = name;
+        this->slowTransit = transit;
+        this->slowSync = sync;
+    }
+
+    /** Cuts @p name off while the others commit, then compacts the leader's log to a snapshot of @p bytes and ends the cut. */
+    void leaveBehind(const std::string &name, std::size_t bytes)
+    {
+        this->cutName = name;
+        this->runFor(absl::Milliseconds(600));
+        this->leader()->compact(this->leader()->commitIndex(), std::string(bytes, 's'));
+        this->cutName.clear();
+        this->sent.clear();
+    }
+
+    /** Number of the leader's entries that @p name doesn't hold. */
+    Index lagOf(const std::string &name)
+    {
+        return this->leader()->lastIndex() - this->replicas[name]->lastIndex();
+    }
+
     /** Number of entries committed within @p time. */
     Index commitsWithin(Duration time)
     {
@@ -90,6 +129,7 @@
     const std::vector<std::string> names{"a:1/1", "b:1/1", "c:1/1", "d:1/1", "e:1/1"};
     Timestamp now = absl::UnixEpoch() + absl::Hours(1);
     Term leaderTerm = 0;
+    std::map<std::string, SentVolume> sent;
 
 private:
     struct Message {
@@ -130,16 +170,39 @@
             if (auto *append = message.body.AsAppendRequest(); append != nullptr && this->isLosingEntries) {
                 append->entries.clear();
             }
-            this->network.push_back({this->now + delay, from, message.to, std::move(message.body)});
+            this->recordVolume(message);
+            const Duration extra = (message.to == this->slowName ? this->slowTransit : absl::ZeroDuration())
+                                   + (from == this->slowName && delay > transitTime ? this->slowSync : absl::ZeroDuration());
+            if (message.to != this->cutName && from != this->cutName) {
+                this->network.push_back({this->now + delay + extra, from, message.to, std::move(message.body)});
+            }
+        }
+    }
+
+    void recordVolume(const OutboundMessage &message)
+    {
+        SentVolume &volume = this->sent[message.to];
+        if (const auto *append = message.body.AsAppendRequest()) {
+            volume.entries += append->entries.size();
+            volume.heartbeats += append->entries.empty() ? 1 : 0;
+        } else if (const auto *chunk = message.body.AsSnapshotChunk()) {
+            volume.chunkBytes += chunk->data.size();
         }
     }
 
     std::map<std::string, std::unique_ptr<Replica>> replicas;
     std::vector<Message> network;
+    std::string slowName;
+    Duration slowTransit;
+    Duration slowSync;
+    std::string cutName;
     wire::PeerBody lostKind = wire::PeerBody::NONE;
     bool isLosingEntries = false;
 };
 
+/** Entries that are proposed within a second. */
+constexpr std::size_t proposalsPerSecond = 1000;
+
 /** Ninety per cent of what is proposed within a second. */
 constexpr Index minCommitsPerSecond = 900;
 
@@ -191,4 +254,60 @@
     CHECK(this->leader()->commitStall(this->now) < absl::Milliseconds(50));
 }
 
+TEST_CASE_METHOD(PipelineFixture, "append_whileAFollowerIsSilent_carriesNoEntries")
+{
+    const std::string follower = this->anyFollower();
+    this->slowDown(follower, absl::Seconds(4), absl::ZeroDuration());
+    this->runFor(absl::Milliseconds(400));
+    this->sent.clear();
+    this->runFor(absl::Seconds(3));
+    CHECK(this->sent[follower].entries == 0);
+    CHECK(this->sent[follower].heartbeats >= 3000 / 75 - 1);
+    this->slowDown(follower, absl::ZeroDuration(), absl::ZeroDuration());
+    this->runFor(absl::Milliseconds(300));
+    CHECK(this->lagOf(follower) < 50);
+    CHECK(this->leader()->currentTerm() == this->leaderTerm);
+}
+
+TEST_CASE_METHOD(PipelineFixture, "append_whileAFollowerAnswersLate_isRarelyRepeated")
+{
+    const std::string follower = this->anyFollower();
+    this->slowDown(follower, absl::Milliseconds(400), absl::ZeroDuration());
+    this->runFor(absl::Seconds(1));
+    this->sent.clear();
+    this->runFor(absl::Seconds(5));
+    CHECK(this->sent[follower].entries <= 5 * proposalsPerSecond * 3 / 2);
+    CHECK(this->lagOf(follower) < 2 * proposalsPerSecond);
+    CHECK(this->leader()->currentTerm() == this->leaderTerm);
+}
+
+TEST_CASE_METHOD(PipelineFixture, "snapshot_whileAFollowerStoresSlowly_isSentOnce")
+{
+    constexpr std::size_t snapshotBytes = std::size_t{1024} * 1024;
+    const std::string follower = this->anyFollower();
+    this->slowDown(follower, absl::ZeroDuration(), absl::Milliseconds(300));
+    this->leaveBehind(follower, snapshotBytes);
+    this->runFor(absl::Seconds(4));
+    CHECK(this->sent[follower].chunkBytes <= snapshotBytes * 5 / 4);
+    CHECK(this->lagOf(follower) < 2 * proposalsPerSecond);
+    CHECK(this->leader()->currentTerm() == this->leaderTerm);
+}
+
+TEST_CASE_METHOD(PipelineFixture, "snapshot_whileItsMessagesAreLost_continuesWhereItStopped")
+{
+    constexpr std::size_t snapshotBytes = std::size_t{8} * 1024 * 1024;
+    const std::string follower = this->anyFollower();
+    for (const wire::PeerBody kind : {wire::PeerBody::SnapshotChunk, wire::PeerBody::SnapshotReply}) {
+        this->leaveBehind(follower, snapshotBytes);
+        for (int round = 0; round < 5; ++round) {
+            this->runFor(absl::Milliseconds(20));
+            this->loseFor(kind, absl::Milliseconds(300));
+        }
+        this->runFor(absl::Seconds(2));
+        CHECK(this->sent[follower].chunkBytes <= 2 * snapshotBytes);
+        CHECK(this->lagOf(follower) < 50);
+    }
+    CHECK(this->leader()->currentTerm() == this->leaderTerm);
+}
+
 } // namespace paddlepier::consensus
--- a/paddlepier/consensus/replica.cpp
+++ b/paddlepier/consensus/replica.cpp
@@ -1,4 +1,4 @@
-// Replica: construction, elections, terms and membership. Replication is in replication.cpp.
+// Replica: construction, elections, terms and membership. Replication is in replication.cpp and snapshottransfer.cpp.
 
 #include "paddlepier/consensus/replica.h"
 
--- a/paddlepier/consensus/replica.h
+++ b/paddlepier/consensus/replica.h
@@ -198,6 +198,13 @@
         Timestamp lastReply = absl::InfinitePast();
         std::uint64_t snapshotOffset = 0;
         Index snapshotIndex = 0;
+        /** Send time in microseconds of the snapshot chunk that isn't answered yet. */
+        std::optional<std::int64_t> chunkSentAt;
+        /**
+         * Set while the follower is silent: send time in microseconds of the first message without entries. Its answer, or that of a later one,
+         * shows that everything sent before has arrived or is lost.
+         */
+        std::optional<std::int64_t> silentSince;
     };
 
     void becomeFollower(Term newTerm, const std::string &newLeader);
@@ -234,7 +241,10 @@
     void installSnapshot(wire::SnapshotHeaderT snapshot);
     void broadcast(Timestamp now, bool heartbeat);
     void sendAppend(Timestamp now, const std::string &to, Progress &progress, bool heartbeat);
-    void sendOneAppend(Timestamp now, const std::string &to, Progress &progress);
+    wire::AppendRequestT makeAppend(Timestamp now, Index previousIndex) const;
+    void sendEntries(Timestamp now, const std::string &to, Progress &progress);
+    /** Sends a heartbeat, whose answer tells whether the follower holds the entry before the next one. */
+    void sendEmptyAppend(Timestamp now, const std::string &to, Progress &progress);
     void sendSnapshotChunk(Timestamp now, const std::string &to, Progress &progress);
     const std::string &snapshotBytes();
     void advanceCommit();
--- a/paddlepier/consensus/replication.cpp
+++ b/paddlepier/consensus/replication.cpp
@@ -1,4 +1,4 @@
-// Replica: log, replication, commit and snapshots.
+// Replica: log, replication and commit. Snapshots are in snapshottransfer.cpp.
 
 #include "paddlepier/consensus/replica.h"
 
@@ -17,6 +17,9 @@
     return absl::ToUnixMicros(time);
 }
 
+/** A follower without an answer for more than this many heartbeats counts as silent. */
+constexpr int maxMissedHeartbeats = 3;
+
 /** Approximate size of an entry in a message, in bytes. */
 std::size_t weightOf(const wire::LogRecordT &entry)
 {
@@ -46,6 +49,8 @@
 }
 
 template void Replica::sendNow(const std::string &, wire::AppendRequestT);
+template void Replica::sendNow(const std::string &, wire::SnapshotChunkT);
+template void Replica::sendAfterSync(const std::string &, wire::SnapshotReplyT);
 template void Replica::sendAfterSync(const std::string &, wire::VoteRequestT);
 template void Replica::sendAfterSync(const std::string &, wire::VoteReplyT);
 
@@ -158,41 +163,54 @@
 
 void Replica::sendAppend(Timestamp now, const std::string &to, Progress &progress, bool heartbeat)
 {
-    // Without any answer the pipeline would stay full.
-    if (heartbeat && progress.inFlight.size() > 0 && now - progress.lastReply > 3 * this->settings.heartbeatInterval) {
-        progress.inFlight.clear();
+    if (heartbeat && !progress.silentSince && progress.inFlight.size() > 0
+        && now - progress.lastReply > maxMissedHeartbeats * this->settings.heartbeatInterval) {
+        progress.silentSince = toMicros(now);
         progress.probing = true;
-        progress.next = progress.match + 1;
-        progress.snapshotOffset = 0;
+    }
+    if (progress.silentSince) {
+        // What was sent before may still arrive. Sending it again with each heartbeat would fill the queues to a follower that is only slow.
+        if (heartbeat) {
+            progress.inFlight.clear();
+            this->sendEmptyAppend(now, to, progress);
+        }
+        return;
     }
     if (progress.next <= this->baseIndex) {
-        if (heartbeat || progress.inFlight.size() == 0) {
+        if (!progress.chunkSentAt) {
             this->sendSnapshotChunk(now, to, progress);
+        } else if (heartbeat) {
+            this->sendEmptyAppend(now, to, progress);
         }
         return;
     }
     const std::size_t depth = progress.probing ? 1 : this->settings.pipelineDepth;
     bool sent = false;
     while (progress.inFlight.size() < depth && progress.next <= this->lastIndex()) {
-        this->sendOneAppend(now, to, progress);
+        this->sendEntries(now, to, progress);
         sent = true;
     }
     if (heartbeat && !sent) {
-        this->sendOneAppend(now, to, progress);
+        this->sendEmptyAppend(now, to, progress);
     }
 }
 
-void Replica::sendOneAppend(Timestamp now, const std::string &to, Progress &progress)
+wire::AppendRequestT Replica::makeAppend(Timestamp now, Index previousIndex) const
 {
     wire::AppendRequestT request;
     request.term = this->hardState.term;
-    request.previousIndex = progress.next - 1;
-    request.previousTerm = *this->termAt(request.previousIndex);
+    request.previousIndex = previousIndex;
+    request.previousTerm = *this->termAt(previousIndex);
     request.commit = this->committedIndex;
     request.sentAtMicros = toMicros(now);
+    return request;
+}
+
+void Replica::sendEntries(Timestamp now, const std::string &to, Progress &progress)
+{
+    wire::AppendRequestT request = this->makeAppend(now, progress.next - 1);
     std::size_t bytes = 0;
-    const bool isFull = progress.inFlight.size() >= this->settings.pipelineDepth;
-    for (Index index = progress.next; !isFull && index <= this->lastIndex() && bytes < this->settings.appendBytes; ++index) {
+    for (Index index = progress.next; index <= this->lastIndex() && bytes < this->settings.appendBytes; ++index) {
         const wire::LogRecordT &entry = this->entryAt(index);
         bytes += weightOf(entry);
         request.entries.push_back(std::make_unique<wire::LogRecordT>(entry));
@@ -205,33 +223,13 @@
     this->sendNow(to, std::move(request));
 }
 
-const std::string &Replica::snapshotBytes()
+void Replica::sendEmptyAppend(Timestamp now, const std::string &to, Progress &progress)
 {
-    if (this->packedSnapshotIndex != this->snapshot->index) {
-        this->packedSnapshot = wire::pack(*this->snapshot);
-        this->packedSnapshotIndex = this->snapshot->index;
-    }
-    return this->packedSnapshot;
-}
-
-void Replica::sendSnapshotChunk(Timestamp now, const std::string &to, Progress &progress)
-{
-    if (progress.snapshotIndex != this->snapshot->index) {
-        progress.snapshotIndex = this->snapshot->index;
-        progress.snapshotOffset = 0;
-    }
-    const std::string &packed = this->snapshotBytes();
-    wire::SnapshotChunkT chunk;
-    chunk.term = this->hardState.term;
-    chunk.index = this->snapshot->index;
-    chunk.offset = progress.snapshotOffset;
-    chunk.total = packed.size();
-    chunk.sentAtMicros = toMicros(now);
-    chunk.data = wire::toBytes(std::string_view(packed).substr(chunk.offset, this->settings.chunkBytes));
-    progress.inFlight.clear();
-    progress.inFlight.recordSent(chunk.sentAtMicros);
+    // A follower whose next entry is only in the snapshot rejects this, or has caught up meanwhile.
+    wire::AppendRequestT request = this->makeAppend(now, std::max(progress.next - 1, this->baseIndex));
+    progress.inFlight.recordSent(request.sentAtMicros);
     progress.lastSent = now;
-    this->sendNow(to, std::move(chunk));
+    this->sendNow(to, std::move(request));
 }
 
 void Replica::acceptLeader(Timestamp now, const std::string &from, Term term)
@@ -318,6 +316,13 @@
     progress.lastReply = now;
     progress.lastAckSentAt = std::max(progress.lastAckSentAt, absl::FromUnixMicros(sentAtMicros));
     progress.inFlight.recordAnswer(sentAtMicros);
+    if (progress.silentSince && sentAtMicros >= *progress.silentSince) {
+        progress.silentSince.reset();
+    }
+    // Links are in order: an answer to a later message shows that the chunk or its answer was lost.
+    if (progress.chunkSentAt && sentAtMicros > *progress.chunkSentAt) {
+        progress.chunkSentAt.reset();
+    }
 }
 
 void Replica::onAppendReply(Timestamp now, const std::string &from, const wire::AppendReplyT &reply)
@@ -345,77 +350,6 @@
     this->sendAppend(now, from, progress, false);
 }
 
-void Replica::onSnapshotChunk(Timestamp now, const std::string &from, const wire::SnapshotChunkT &chunk)
-{
-    wire::SnapshotReplyT reply;
-    reply.index = chunk.index;
-    reply.sentAtMicros = chunk.sentAtMicros;
-    if (chunk.term >= this->hardState.term) {
-        this->acceptLeader(now, from, chunk.term);
-        if (chunk.offset == 0) {
-            this->incomingSnapshot.clear();
-            this->incomingSnapshotIndex = chunk.index;
-        }
-        const bool isNext = this->incomingSnapshotIndex == chunk.index && this->incomingSnapshot.size() == chunk.offset;
-        if (isNext) {
-            this->incomingSnapshot += wire::toString(chunk.data);
-        }
-        reply.nextOffset = this->incomingSnapshotIndex == chunk.index ? this->incomingSnapshot.size() : 0;
-        if (isNext && this->incomingSnapshot.size() == chunk.total) {
-            this->installSnapshot(wire::unpack<wire::SnapshotHeaderT>(this->incomingSnapshot));
-            this->incomingSnapshot.clear();
-        }
-    }
-    reply.term = this->hardState.term;
-    this->sendAfterSync(from, reply);
-}
-
-void Replica::installSnapshot(wire::SnapshotHeaderT received)
-{
-    if (received.index <= this->committedIndex) {
-        return;
-    }
-    this->snapshot = std::make_shared<const wire::SnapshotHeaderT>(std::move(received));
-    this->entries.clear();
-    this->baseIndex = this->snapshot->index;
-    this->baseTerm = this->snapshot->term;
-    this->committedIndex = this->baseIndex;
-    this->durableIndex = this->baseIndex;
-    this->recomputeMembership();
-    this->effects.snapshot = this->snapshot;
-    this->effects.resetToSnapshot = true;
-    this->effects.entries.clear();
-    this->effects.committed.clear();
-    this->saveHardState();
-}
-
-void Replica::onSnapshotReply(Timestamp now, const std::string &from, const wire::SnapshotReplyT &reply)
-{
-    if (reply.term > this->hardState.term) {
-        this->becomeFollower(reply.term, "");
-        return;
-    }
-    const auto found = this->progresses.find(from);
-    if (this->role != ReplicaRole::Leader || reply.term != this->hardState.term || found == this->progresses.end()) {
-        return;
-    }
-    Progress &progress = found->second;
-    this->recordAck(now, progress, reply.sentAtMicros);
-    if (progress.snapshotIndex != reply.index || progress.next > this->baseIndex) {
-        return;
-    }
-    progress.snapshotOffset = reply.nextOffset;
-    const bool isComplete = this->snapshot->index == reply.index && reply.nextOffset >= this->snapshotBytes().size();
-    if (isComplete) {
-        progress.match = std::max(progress.match, reply.index);
-        progress.next = progress.match + 1;
-        progress.probing = true;
-        progress.snapshotOffset = 0;
-    }
-    progress.inFlight.clear();
-    this->sendAppend(now, from, progress, false);
-}
-
 void Replica::persisted(Timestamp now, Index index, Term term)
 {
     const std::optional<Term> current = this->termAt(index);
@@ -452,29 +386,4 @@
     }
 }
 
-void Replica::compact(Index index, const std::string &data)
-{
-    if (index <= this->baseIndex || index > this->committedIndex) {
-        return;
-    }
-    auto created = std::make_shared<wire::SnapshotHeaderT>();
-    created->index = index;
-    created->term = *this->termAt(index);
-    created->data = wire::toBytes(data);
-    wire::MembershipT covered = this->snapshot && this->snapshot->membership ? *this->snapshot->membership : wire::MembershipT();
-    for (const wire::LogRecordT &entry : this->entries) {
-        if (entry.index <= index && entry.kind == wire::EntryKind::Membership) {
-            covered = wire::unpack<wire::MembershipT>(entry.data);
-        }
-    }
-    created->membership = std::make_unique<wire::MembershipT>(covered);
-    this->snapshot = created;
-    this->baseTerm = created->term;
-    this->entries.erase(this->entries.begin(), this->entries.begin() + static_cast<std::ptrdiff_t>(index - this->baseIndex));
-    this->baseIndex = index;
-    this->effects.snapshot = this->snapshot;
-    this->effects.entries.assign(this->entries.begin(), this->entries.end());
-    this->saveHardState();
-}
-
 } // namespace paddlepier::consensus
