execution: starts don't postpone the end of a lost watch

A job whose task has ended stays running for up to twelve seconds.

Cause: the poll of an idle worker is repeated by another instance for up to 10 s. If its answer is lost, the start that follows sets a timer after which the leader polls the worker itself. Each further start moved that timer to 2.25 s from then: a busy worker stayed unpolled, and its ends unrecorded, for as long as starts came, bounded only by the deadline of the lost poll.

Change: TimerQueue::advance() never moves a key to a later time.

Measured in virtual time, the answer of one watch lost, a start each .5 s: the first task, of .2 s, isn't recorded as ended within 4.4 s before the change (the test fails), and is after it.

--- a/paddlepier/execution/idlewatch_test.cpp
+++ b/paddlepier/execution/idlewatch_test.cpp
@@ -88,4 +88,21 @@
     CHECK(this->state.findWorker({"w0"})->runs.empty());
 }
 
+TEST_CASE_METHOD(IdleWatchFixture, "watchWhoseAnswerIsLost_isAbandonedAlthoughStartsContinue")
+{
+    this->addWorker("w0", 20'000);
+    this->electLeader();
+    this->runFor(absl::Seconds(2));
+    this->networkFaults.answerLossPercent = 100;
+    this->addJob("a", 1, 200);
+    this->runFor(absl::Milliseconds(400));
+    this->networkFaults.answerLossPercent = 0;
+    for (int round = 0; round < 8; ++round) {
+        this->addJob(absl::StrCat("b", round), 1, 200);
+        this->runFor(absl::Milliseconds(500));
+    }
+    CHECK(this->isCompleted("a"));
+    CHECK(this->workers.violations.empty());
+}
+
 } // namespace paddlepier::execution
--- a/paddlepier/execution/polls.cpp
+++ b/paddlepier/execution/polls.cpp
@@ -139,7 +139,7 @@
 {
     const WorkerView &view = this->views.at(worker);
     if (view.pollState == PollState::InFlight && view.isWatched) {
-        this->pollTimers.schedule(worker, now + idlePollWait + pollSlack);
+        this->pollTimers.advance(worker, now + idlePollWait + pollSlack);
     }
 }
 
--- a/paddlepier/execution/timerqueue.h
+++ b/paddlepier/execution/timerqueue.h
@@ -38,6 +38,15 @@
         this->byTime.emplace(at, key);
     }
 
+    /** Like schedule(), but doesn't move a key to a later time. */
+    void advance(const Key &key, Timestamp at)
+    {
+        const auto entry = this->byKey.find(key);
+        if (entry == this->byKey.end() || at < entry->second) {
+            this->schedule(key, at);
+        }
+    }
+
     /** Removes and returns the key that has been due longest. @return nothing if no key is due at @p now */
     std::optional<Key> popExpired(Timestamp now)
     {
--- a/paddlepier/execution/timerqueue_test.cpp
+++ b/paddlepier/execution/timerqueue_test.cpp
@@ -42,4 +42,15 @@
     CHECK_FALSE(this->queue.popExpired(absl::InfiniteFuture()));
 }
 
+TEST_CASE_METHOD(TimerQueueFixture, "advance_ofAScheduledKey_movesItToAnEarlierTimeOnly")
+{
+    this->queue.schedule("a", this->begin + absl::Seconds(2));
+    this->queue.advance("a", this->begin + absl::Seconds(3));
+    CHECK_FALSE(this->queue.popExpired(this->begin + absl::Seconds(1)));
+    CHECK(this->queue.popExpired(this->begin + absl::Seconds(2)) == "a");
+    this->queue.advance("a", this->begin + absl::Seconds(9));
+    this->queue.advance("a", this->begin + absl::Seconds(4));
+    CHECK(this->queue.popExpired(this->begin + absl::Seconds(4)) == "a");
+}
+
 } // namespace paddlepier::execution
