execution: answers to orders of a removed worker's view are ignored

A worker that is well and announces itself gets no work until the next leader.

Cause: removing a worker's view kept its calls. If the same incarnation joins again, an answer to one of them is applied to the new view: "fenced", correct for the earlier token, marks the new view as fenced, and nothing else takes that back in the term; a poll's answer marks the new view as listed and its own poll as answered. Starts of removed workers also counted towards the bound of 300 under way.

Change: removeView() abandons the calls of the view.

Measured in virtual time: after a fenced answer to an earlier order the worker runs nothing in 2 s, now a job of .2 s; with 300 starts on workers that are removed nothing is placed for 4 s, now it is. Both tests fail before the change.

--- a/paddlepier/execution/dispatcher.cpp
+++ b/paddlepier/execution/dispatcher.cpp
@@ -233,34 +233,12 @@
     this->syncedUntil = this->state.workerChanges().end();
 }
 
-void Dispatcher::addView(Timestamp now, const workload::Incarnation &worker)
-{
-    const auto view = this->views.try_emplace(worker, now, this->options.maxLease, &this->totalPause).first;
-    view->second.fence = fencingToken(this->term, this->incarnationsById[worker.id]++);
-    this->firstPollTimers.schedule(worker, now - this->firstPollOffset(worker));
-    this->markViewChanged(worker);
-    // Incarnations under one id are adjacent in the map.
-    if (view != this->views.begin() && worker.isAfter(std::prev(view)->first)) {
-        std::prev(view)->second.recordSuccessor(now, this->options.maxLease);
-        this->markViewChanged(std::prev(view)->first);
-    }
-}
-
 const WorkerView *Dispatcher::findView(const workload::Incarnation &worker) const
 {
     const auto found = this->views.find(worker);
     return found == this->views.end() ? nullptr : &found->second;
 }
 
-void Dispatcher::removeView(const workload::Incarnation &worker)
-{
-    if (this->views.erase(worker) > 0) {
-        this->workersNeedingAttention.erase(worker);
-        this->listedDoneEnds.erase(worker);
-        std::erase_if(this->tracks, [&worker](const auto &run) { return run.second.worker == worker; });
-    }
-}
-
 void Dispatcher::markViewChanged(const workload::Incarnation &worker)
 {
     this->planner.markViewChanged(worker);
--- a/paddlepier/execution/dispatcher.h
+++ b/paddlepier/execution/dispatcher.h
@@ -148,6 +148,8 @@
     void syncWorkers(Timestamp now);
     void addView(Timestamp now, const workload::Incarnation &worker);
     void removeView(const workload::Incarnation &worker);
+    /** Stops waiting for the worker's answers: to the next view of the same incarnation they would be those of orders with an earlier token. */
+    void abandonCalls(const workload::Incarnation &worker);
     /** Must be called after each change of a view. */
     void markViewChanged(const workload::Incarnation &worker);
     /** Updates workersNeedingAttention for views that have changed or whose answers have become overdue. */
--- a/paddlepier/execution/incarnations.cpp
+++ b/paddlepier/execution/incarnations.cpp
@@ -1,4 +1,4 @@
-// Dispatcher: incarnations of workers that end, are replaced, or leave.
+// Dispatcher: incarnations of workers that join, end, are replaced, or leave.
 
 #include "paddlepier/base/log.h"
 #include "paddlepier/execution/dispatcher.h"
@@ -29,6 +29,42 @@
 
 } // namespace
 
+void Dispatcher::addView(Timestamp now, const workload::Incarnation &worker)
+{
+    const auto view = this->views.try_emplace(worker, now, this->options.maxLease, &this->totalPause).first;
+    view->second.fence = fencingToken(this->term, this->incarnationsById[worker.id]++);
+    this->firstPollTimers.schedule(worker, now - this->firstPollOffset(worker));
+    this->markViewChanged(worker);
+    // Incarnations under one id are adjacent in the map.
+    if (view != this->views.begin() && worker.isAfter(std::prev(view)->first)) {
+        std::prev(view)->second.recordSuccessor(now, this->options.maxLease);
+        this->markViewChanged(std::prev(view)->first);
+    }
+}
+
+void Dispatcher::removeView(const workload::Incarnation &worker)
+{
+    if (this->views.erase(worker) > 0) {
+        this->workersNeedingAttention.erase(worker);
+        this->listedDoneEnds.erase(worker);
+        std::erase_if(this->tracks, [&worker](const auto &run) { return run.second.worker == worker; });
+        this->abandonCalls(worker);
+    }
+}
+
+void Dispatcher::abandonCalls(const workload::Incarnation &worker)
+{
+    for (auto call = this->calls.begin(); call != this->calls.end();) {
+        if (call->second.worker != worker) {
+            ++call;
+            continue;
+        }
+        this->startsInFlight -= std::holds_alternative<StartOrder>(call->second.order) ? 1 : 0;
+        this->recentFirstPolls.erase(call->first);
+        call = this->calls.erase(call);
+    }
+}
+
 void Dispatcher::expireLeases(Timestamp now)
 {
     for (const workload::Incarnation &incarnation : this->workersNeedingAttention) {
