execution: a worker that rejoins in the step of its removal gets a new view

Cause: the proposal to remove an incarnation marks its view as fenced, and the view is removed at the next step that finds the worker missing in the ledger. If the removal and a registration of the same incarnation are applied between two steps, the worker is never missing: the fenced view stays, and the worker isn't polled in this term.

Change: the outcome of the removal ends the view.

Measured in virtual time: 164 tasks of .5 s on 41 workers, one of which rejoins that way, don't end within .9 s, now they do. The test fails before the change.

--- a/paddlepier/execution/dispatcher.cpp
+++ b/paddlepier/execution/dispatcher.cpp
@@ -449,6 +449,9 @@
         }
         return;
     }
+    if (proposal.kind == ProposalKind::RemoveWorker) {
+        this->resetView(now, proposal.worker);
+    }
     if (proposal.kind == ProposalKind::Place) {
         this->trackPlacements(now, outcome.placed);
     }
--- a/paddlepier/execution/dispatcher.h
+++ b/paddlepier/execution/dispatcher.h
@@ -148,6 +148,11 @@
     void syncWorkers(Timestamp now);
     void addView(Timestamp now, const workload::Incarnation &worker);
     void removeView(const workload::Incarnation &worker);
+    /**
+     * Called when the removal of a worker is recorded, whose view accepts no more orders. If the same incarnation joins again before the next step, it
+     * gets a new view.
+     */
+    void resetView(Timestamp now, const workload::Incarnation &worker);
     /** Stops waiting for the worker's answers: to the next view of the same incarnation they would be those of orders with an earlier token. */
     void abandonCalls(const workload::Incarnation &worker);
     /** Must be called after each change of a view. */
--- a/paddlepier/execution/incarnations.cpp
+++ b/paddlepier/execution/incarnations.cpp
@@ -52,6 +52,14 @@
     }
 }
 
+void Dispatcher::resetView(Timestamp now, const workload::Incarnation &worker)
+{
+    this->removeView(worker);
+    if (this->state.findWorker(worker) != nullptr) {
+        this->addView(now, worker);
+    }
+}
+
 void Dispatcher::abandonCalls(const workload::Incarnation &worker)
 {
     for (auto call = this->calls.begin(); call != this->calls.end();) {
--- a/paddlepier/execution/rejoin_test.cpp
+++ b/paddlepier/execution/rejoin_test.cpp
@@ -82,4 +82,26 @@
     CHECK(this->runUntil([this, earlierStarts] { return this->workers.starts > earlierStarts; }, absl::Seconds(4)));
 }
 
+TEST_CASE_METHOD(RejoinFixture, "worker_thatRejoinsInTheStepOfItsRemoval_getsOrders")
+{
+    // Answers arrive in every step, also between the commit of the removal and the dispatcher's next step.
+    constexpr std::uint32_t otherWorkers = 40;
+    for (std::uint32_t number = 1; number <= otherWorkers; ++number) {
+        this->addWorker(absl::StrCat("w", number));
+    }
+    this->runFor(absl::Seconds(1));
+    this->workers.workers["w0"].hasEnded = true;
+    this->onAnswer = [this](std::uint64_t) {
+        if (this->workers.workers["w0"].hasEnded && this->state.findWorker({"w0"}) == nullptr) {
+            this->workers.workers["w0"].hasEnded = false;
+            this->announce("w0");
+        }
+    };
+    REQUIRE(this->runUntil([this] { return !this->workers.workers["w0"].hasEnded; }, absl::Seconds(5)));
+    this->runFor(absl::Milliseconds(500));
+    this->addJob("a", 4 * (otherWorkers + 1), 500);
+    CHECK(this->runUntil([this] { return this->isCompleted("a"); }, absl::Milliseconds(900)));
+    CHECK(this->workers.violations.empty());
+}
+
 } // namespace paddlepier::execution
