execution: orders in flight don't block a run that moves to a later incarnation

A cancelled task continues to hold its capacity until it ends by itself.

Cause: a run that a later incarnation lists moves there with its track. The answers to orders in flight are those of the earlier incarnation and don't find the track any more, so that it stayed marked as having a call in flight, for the rest of the run: no further stop was sent, and no speed limit.

Change: transferRuns() clears these marks. A start in flight still counts as one that may arrive late.

Measured in virtual time: a stop in flight during the move, whose answer is lost: the run of 60 s still runs after 5 s, now it is stopped. The test fails before the change.

--- a/paddlepier/execution/dispatcher.h
+++ b/paddlepier/execution/dispatcher.h
@@ -278,7 +278,8 @@
      * Moves runs to @p worker that were placed on @p earlier, the incarnation before it under its id. Their starts may reach the new incarnation,
      * since it accepts them until it has seen its own fencing token.
      */
-    std::vector<workload::TaskKey> transferRuns(const workload::Incarnation &worker, const workload::Incarnation &earlier, const WorkerAnswer &answer);
+    std::vector<workload::TaskKey>
+    transferRuns(Timestamp now, const workload::Incarnation &worker, const workload::Incarnation &earlier, const WorkerAnswer &answer);
     /**
      * Records a successor if @p answer is from a later incarnation than the one that was called. @return whether the answer is from another
      * incarnation and must not be applied
--- a/paddlepier/execution/incarnations.cpp
+++ b/paddlepier/execution/incarnations.cpp
@@ -214,7 +214,7 @@
     std::vector<std::pair<workload::Incarnation, Successor>> endedIncarnations;
     const auto &ledgerWorkers = this->state.workers();
     for (auto earlier = ledgerWorkers.lower_bound({worker.id, 0}); earlier != ledgerWorkers.end() && worker.isAfter(earlier->first); ++earlier) {
-        endedIncarnations.push_back({earlier->first, {worker.born, this->transferRuns(worker, earlier->first, answer)}});
+        endedIncarnations.push_back({earlier->first, {worker.born, this->transferRuns(now, worker, earlier->first, answer)}});
     }
     const work::RegisterWorkerT &current = this->state.findWorker(worker)->registration;
     std::set<workload::Incarnation> replaced = this->state.incarnationsAtAddress(current.address);
@@ -237,13 +237,22 @@
     }
 }
 
-std::vector<workload::TaskKey> Dispatcher::transferRuns(const workload::Incarnation &worker, const workload::Incarnation &earlier, const WorkerAnswer &answer)
+std::vector<workload::TaskKey>
+Dispatcher::transferRuns(Timestamp now, const workload::Incarnation &worker, const workload::Incarnation &earlier, const WorkerAnswer &answer)
 {
     std::vector<workload::TaskKey> moved;
     const auto transfer = [&](const workload::TaskKey &key, std::uint32_t run) {
         RunTrack *track = this->findTrack(key, run, earlier);
         if (track != nullptr) {
             track->worker = worker;
+            // The answers to orders in flight will be those of the earlier incarnation.
+            track->mayStartLate = track->mayStartLate || track->isCallInFlight;
+            track->isCallInFlight = false;
+            if (track->isPaceInFlight) {
+                track->isPaceInFlight = false;
+                track->pace.reset();
+            }
+            this->runTimers.schedule(key, now);
             moved.push_back(key);
         }
     };
--- a/paddlepier/execution/rejoin_test.cpp
+++ b/paddlepier/execution/rejoin_test.cpp
@@ -104,4 +104,27 @@
     CHECK(this->workers.violations.empty());
 }
 
+TEST_CASE_METHOD(DispatcherFixture, "stopInFlight_whileItsRunMovesToALaterIncarnation_isSentAgain")
+{
+    this->addWorker("w0", 4000, "", true);
+    this->electLeader();
+    this->runFor(absl::Seconds(1));
+    this->workers.restart(this->now, "w0");
+    this->answerDelay = absl::Milliseconds(200);
+    this->delayOf = [](const WorkerCall &call) { return std::holds_alternative<StopOrder>(call.order) ? absl::Seconds(60) : absl::ZeroDuration(); };
+    this->addJob("a", 1, 60'000);
+    REQUIRE(this->runUntil([this] { return !this->workers.workers["w0"].runs.empty(); }, absl::Milliseconds(500)));
+    work::CancelJobT cancel;
+    cancel.id = "a";
+    this->apply(std::move(cancel));
+    this->dispatcher->markChanged();
+    this->runFor(absl::Milliseconds(50));
+    this->announce("w0");
+    this->runFor(absl::Milliseconds(500));
+    this->answerDelay = absl::Milliseconds(10);
+    this->delayOf = [](const WorkerCall &) { return absl::ZeroDuration(); };
+    CHECK(this->runUntil([this] { return this->workers.workers["w0"].runs.empty(); }, absl::Seconds(5)));
+    CHECK(this->workers.violations.empty());
+}
+
 } // namespace paddlepier::execution
