cluster: the end of an operation is never dropped at a full mailbox

After a backlog of the leader's control thread, orders to workers stay pending for the rest of the term.

Cause: the mailbox refuses events beyond 20,000. Frames may get lost, and are sent again; the answers of workers and of the policy service were posted the same way, though each is the only end of its order. A dropped one leaves a hedge counted (100 of them end all hedging), a run with a call in flight, a poll in flight (its worker is neither polled nor given leases), starts under way (300 end placing), or a relayed call that delays a stop. A dropped call left its caller without any answer.

Change: postCompletion() ignores the limit; the operations bound the number. A call that can't be queued is answered at once as one that wasn't sent (503).

Measured, mailbox full: the answer of the policy service isn't handled and the call is never answered, both tests fail before the change and pass after. The three posts of CoreProcess are the same change and have no test of their own.

--- a/paddlepier/cluster/coreprocess.cpp
+++ b/paddlepier/cluster/coreprocess.cpp
@@ -347,7 +347,7 @@
 {
     RelayHooks ways;
     ways.sendDirect = [this](const execution::WorkerCall &call, const OrderRelay::Done &done) {
-        this->workers.call(call, [this, done](const execution::WorkerAnswer &answer) { this->post([done, answer] { done(answer); }); });
+        this->workers.call(call, [this, done](const execution::WorkerAnswer &answer) { this->postCompletion([done, answer] { done(answer); }); });
     };
     ways.sendVia =
         [this](const std::string &instance, const execution::WorkerCall &call, Timestamp deadline, const std::function<void(const RelayResult &)> &done) {
@@ -389,15 +389,16 @@
         this->workerWatch.poll(fromInstance, call, reply);
         return;
     }
-    this->workers.call(call, [this, reply](const execution::WorkerAnswer &received) { this->post([reply, received] { reply(received); }); });
+    this->workers.call(call, [this, reply](const execution::WorkerAnswer &received) { this->postCompletion([reply, received] { reply(received); }); });
 }
 
 WatchHooks CoreProcess::watchHooks()
 {
     WatchHooks ways;
     ways.call = [this](const execution::WorkerCall &call, const WatchHooks::Answered &done) {
-        this->workers.call(
-            call, [this, done](const execution::WorkerAnswer &answer) { this->post([done, answer, answeredAt = controlNow()] { done(answeredAt, answer); }); });
+        this->workers.call(call, [this, done](const execution::WorkerAnswer &answer) {
+            this->postCompletion([done, answer, answeredAt = controlNow()] { done(answeredAt, answer); });
+        });
     };
     ways.isServing = [this](const std::string &instance) { return this->node->leaderInstance() == instance && !this->isStopping(); };
     ways.now = [] { return controlNow(); };
--- a/paddlepier/cluster/memberprocess.cpp
+++ b/paddlepier/cluster/memberprocess.cpp
@@ -59,12 +59,19 @@
     this->transport->stop();
 }
 
-void MemberProcess::post(std::function<void()> work)
+bool MemberProcess::post(std::function<void()> work)
 {
-    if (!this->mailbox.post(std::move(work))) {
+    const bool isQueued = this->mailbox.post(std::move(work));
+    if (!isQueued) {
         this->counters.counter("events_dropped_total").add();
         log::error("cluster", "event.dropped", {{"reason", "the control thread's mailbox is full"}, {"limit", mailboxLimit}});
     }
+    return isQueued;
+}
+
+void MemberProcess::postCompletion(std::function<void()> work)
+{
+    this->mailbox.postUnbounded(std::move(work));
 }
 
 void MemberProcess::sendFrame(const std::string &instance, wire::PeerFrameT frame)
@@ -116,7 +123,7 @@
 {
     const auto question = std::make_shared<const work::AdviceCallT>(wire::unpack<work::AdviceCallT>(request.body));
     this->advice.request(*question, [this, instance, id = request.id, question](const execution::AdviceAnswer &received) {
-        this->post([this, instance, id, question, received] {
+        this->postCompletion([this, instance, id, question, received] {
             this->answerLog.record(controlNow(), *question, received);
             work::AdviceReplyT reply;
             for (const work::AdviceTicketT &ticket : received.tickets) {
@@ -151,9 +158,13 @@
 
 void MemberProcess::call(WorkMethod method, std::string body, Duration timeout, CallCallback done)
 {
-    this->post([this, method, body = std::move(body), timeout, done = std::move(done)]() mutable {
-        this->callLeader(controlNow(), method, std::move(body), timeout, std::move(done));
-    });
+    const bool isQueued = this->post(
+        [this, method, body = std::move(body), timeout, done]() mutable { this->callLeader(controlNow(), method, std::move(body), timeout, std::move(done)); });
+    if (!isQueued) {
+        CallResult result;
+        result.error = ErrorCode::NotLeader;
+        done(result);
+    }
 }
 
 void MemberProcess::callLeader(Timestamp now, WorkMethod method, std::string body, Duration timeout, CallCallback done)
--- a/paddlepier/cluster/memberprocess.h
+++ b/paddlepier/cluster/memberprocess.h
@@ -46,7 +46,10 @@
     MemberProcess(const MemberProcess &) = delete;
     MemberProcess &operator=(const MemberProcess &) = delete;
 
-    /** Calls the leader. @p done is called exactly once, on the control thread. */
+    /**
+     * Calls the leader. @p done is called exactly once, on the control thread; or before this returns, with NotLeader, if the control thread is so far
+     * behind that it accepts no calls.
+     */
     void call(WorkMethod method, std::string body, Duration timeout, CallCallback done);
     void addSeeds(std::vector<std::string> seeds);
 
@@ -75,7 +78,10 @@
     virtual void stopGracefully() = 0;
 
     void step(Duration timeout);
-    void post(std::function<void()> work);
+    /** Queues an event for the control thread. @return false if it was dropped since too many are queued */
+    bool post(std::function<void()> work);
+    /** Queues the end of an operation that this process has started. It is never dropped: the operation would stay pending. */
+    void postCompletion(std::function<void()> work);
     void sendFrame(const std::string &instance, wire::PeerFrameT frame);
     void sendReply(const std::string &instance, wire::CallReplyT answer);
     void reply(const std::string &instance, std::uint64_t id, const CallResult &result, const std::string &leaderHint);
