replication: every group's leader that commits nothing hands over

On the product's own ledgers a leader that commits nothing keeps its office: calls end after 4 s as unreachable, reads are answered.

Cause: only CoreProcess had a watchdog. The ledgers of an entry instance use the same ReplicaNode without one; answers to heartbeats renew the lease whatever is stored.

Change: ReplicaNode::tick() supervises its own leadership, by the same limits. The watchdog moves to replication/, and CoreProcess no longer has its own.

--- a/paddlepier/cluster/coreprocess.cpp
+++ b/paddlepier/cluster/coreprocess.cpp
@@ -31,9 +31,6 @@
 /** A voter that is unresponsive for this long may be replaced; it is longer than the restart of a process. */
 constexpr Duration voterReplacementDelay = absl::Milliseconds(2500);
 
-/** A leader that has committed nothing for this long although calls wait for it doesn't serve them; dozens of commits take less. */
-constexpr Duration maxCommitStall = absl::Milliseconds(500);
-
 /** Longest wait of a graceful stop for another leader and for pending calls. */
 constexpr Duration stopTimeout = absl::Seconds(2);
 
@@ -185,11 +182,6 @@
         this->expireReplies(processedUntil);
         this->orderRelay.tick(processedUntil);
     }
-    const bool isServing = this->node->isServing(now) && this->node->replica().commitStall(now) < maxCommitStall;
-    // A group that is still forming has no other replica to take over.
-    if (this->servingWatchdog.update(now, this->node->replica().isLeader() && this->node->state().hasHistory(), isServing)) {
-        this->node->transferLeadership(now);
-    }
     this->updateService(now);
     if (!this->service && now >= this->nextPresence && !this->isStopping()) {
         this->sendPresence(now);
--- a/paddlepier/cluster/coreprocess.h
+++ b/paddlepier/cluster/coreprocess.h
@@ -8,7 +8,6 @@
 #include "paddlepier/cluster/heartbeatbatcher.h"
 #include "paddlepier/cluster/memberprocess.h"
 #include "paddlepier/cluster/orderrelay.h"
-#include "paddlepier/cluster/servingwatchdog.h"
 #include "paddlepier/cluster/workerwatch.h"
 #include "paddlepier/cluster/workservice.h"
 #include "paddlepier/execution/timerqueue.h"
@@ -98,7 +97,6 @@
     OrderRelay orderRelay;
     /** Data centres of this instance and of the core instances that have reported their presence. */
     std::map<std::string, std::string> dataCentres;
-    ServingWatchdog servingWatchdog;
     HeartbeatBatcher heartbeatBatcher;
     Timestamp nextHeartbeats = absl::InfinitePast();
     Timestamp nextPresence = absl::InfinitePast();
--- a/paddlepier/replication/replicanode.h
+++ b/paddlepier/replication/replicanode.h
@@ -3,7 +3,7 @@
 // Writes are batched: entries that arrive during a write are written together by the next one and share its sync. The node also ensures
 // that the group is bootstrapped only once, and that a replica whose folder was lost rejoins under a new identity: as a learner first, and as
 // a voter in place of the old replica once it stores the complete log durably. With acceptsNewInstances, a new instance may also replace a
-// voter that has been unresponsive.
+// voter that has been unresponsive. A leader that doesn't serve, or commits nothing although commands wait, transfers its leadership.
 //
 // Example:
 //     ReplicaNode<MyState> node(options, disk, send, counters, now, seed);
@@ -20,6 +20,7 @@
 #include "paddlepier/consensus/admission.h"
 #include "paddlepier/consensus/replica.h"
 #include "paddlepier/replication/diskwriter.h"
+#include "paddlepier/replication/servingwatchdog.h"
 #include "paddlepier/storage/replicastore.h"
 #include "paddlepier/wire/codec.h"
 
@@ -84,6 +85,9 @@
 /** A voter without contact to a leader for this long requests membership again, as it may have been removed: twice the longest election. */
 constexpr Duration leaderContactTimeout = absl::Seconds(2);
 
+/** A leader that has committed nothing for this long although calls wait for it doesn't serve them; dozens of commits take less. */
+constexpr Duration maxCommitStall = absl::Milliseconds(500);
+
 /** Length of the log, in entries, at which a snapshot replaces it. */
 constexpr std::size_t entriesPerSnapshot = 8192;
 
@@ -163,6 +167,8 @@
     void submitPendingWrite();
     void sendAll(std::vector<consensus::OutboundMessage> &messages);
     void compactIfNeeded();
+    /** Transfers leadership if this leader has long been unable to complete calls; its followers don't replace it while they hear it. */
+    void superviseLeadership(Timestamp at);
     bool isVoter() const;
 
     const GroupOptions options;
@@ -190,6 +196,7 @@
     std::set<std::string> peers;
     std::map<std::string, bool> hasGroupByInstance;
     bool wasLeader = false;
+    ServingWatchdog servingWatchdog;
 };
 
 } // namespace paddlepier::replication
--- a/paddlepier/replication/replicanode_detail.h
+++ b/paddlepier/replication/replicanode_detail.h
@@ -110,6 +110,16 @@
     }
 }
 
+template<ReplicatedState State>
+void ReplicaNode<State>::superviseLeadership(Timestamp at)
+{
+    const bool serves = this->isServing(at) && this->core->commitStall(at) < detail::maxCommitStall;
+    // A group that is still forming has no other replica to take over.
+    if (this->servingWatchdog.update(at, this->core->isLeader() && this->stateMachine.hasHistory(), serves)) {
+        this->transferLeadership(at);
+    }
+}
+
 template<ReplicatedState State>
 void ReplicaNode<State>::receive(Timestamp at, wire::PeerFrameT frame)
 {
@@ -142,6 +152,7 @@
         this->requestMembership(at);
     }
     this->admission.advance(*this->core, at);
+    this->superviseLeadership(at);
     if (this->wasLeader != this->core->isLeader()) {
         this->wasLeader = this->core->isLeader();
         log::info("ledger",
--- a/paddlepier/cluster/servingwatchdog.h
+++ b/paddlepier/replication/servingwatchdog.h
@@ -9,12 +9,12 @@
 //
 // Thread safety: none; owned by the control thread.
 
-#ifndef PADDLEPIER_CLUSTER_SERVINGWATCHDOG_H
-#define PADDLEPIER_CLUSTER_SERVINGWATCHDOG_H
+#ifndef PADDLEPIER_REPLICATION_SERVINGWATCHDOG_H
+#define PADDLEPIER_REPLICATION_SERVINGWATCHDOG_H
 
 #include "paddlepier/base/clock.h"
 
-namespace paddlepier::cluster
+namespace paddlepier::replication
 {
 
 /** Longer than an election and the first commit of a term; callers wait for about twice that. */
@@ -42,6 +42,6 @@
     Timestamp lastServedAt = absl::InfiniteFuture();
 };
 
-} // namespace paddlepier::cluster
+} // namespace paddlepier::replication
 
 #endif
--- a/paddlepier/cluster/servingwatchdog_test.cpp
+++ b/paddlepier/replication/servingwatchdog_test.cpp
@@ -1,10 +1,10 @@
 // A leader that can't serve transfers its leadership: its followers still receive its heartbeats and don't replace it.
 
-#include "paddlepier/cluster/servingwatchdog.h"
+#include "paddlepier/replication/servingwatchdog.h"
 
 #include <catch2/catch.hpp>
 
-namespace paddlepier::cluster
+namespace paddlepier::replication
 {
 
 namespace
@@ -43,4 +43,4 @@
     }
 }
 
-} // namespace paddlepier::cluster
+} // namespace paddlepier::replication
