soak: series of stops, broken connections between cores and changes

Cause: the soak kept the leader's term too short, and its links whole for too long, to show a leader that counts lost answers as in flight: its faults on links are rare and hit both directions, and no check asked whether the leader commits.

Change: seeds from 10,000,000,000 on begin with 7 s in which entries are stopped one after the other and the connections from the other cores to the leader are broken every 0.1 to 0.2 s; then a calm span; then the same among the faults of the seed less that number. Smaller seeds keep their plans. A third operator changes the configuration in quick succession, every third caller keeps its connection until it is closed. New checks: a job is accepted within 12 s after the faults and after the series, and within 4 s in the calm span.

--- a/testing/channel.cpp
+++ b/testing/channel.cpp
@@ -111,10 +111,17 @@
 
 Ending Channel::exchange(const std::string &request, Timestamp end, Reply &reply)
 {
-    // Requests are small: the kernel accepts all bytes of one at once, unless the connection is already stalled.
-    reply.sentAt = controlNow();
-    if (::send(this->socket, request.data(), request.size(), MSG_NOSIGNAL) != static_cast<ssize_t>(request.size())) {
-        return Ending::Broken;
+    for (std::size_t sent = 0; sent < request.size();) {
+        // Before the last byte: the server may have answered by the time that send() returns.
+        reply.sentAt = controlNow();
+        const ssize_t count = ::send(this->socket, request.data() + sent, request.size() - sent, MSG_NOSIGNAL);
+        if (count < 0 && errno != EAGAIN) {
+            return Ending::Broken;
+        }
+        sent += count > 0 ? static_cast<std::size_t>(count) : 0;
+        if (count < 0 && !this->waitFor(POLLOUT, end)) {
+            return Ending::TimedOut;
+        }
     }
     std::string received;
     bool closes = false;
--- a/testing/forwarder.cpp
+++ b/testing/forwarder.cpp
@@ -4,6 +4,7 @@
 
 #include "paddlepier/base/error.h"
 
+#include <absl/strings/str_cat.h>
 #include <arpa/inet.h>
 #include <linux/filter.h>
 #include <netinet/in.h>
@@ -14,6 +15,7 @@
 #include <algorithm>
 #include <array>
 #include <cerrno>
+#include <cstring>
 
 namespace paddlepier::testing
 {
@@ -149,7 +151,7 @@
     ::setsockopt(this->listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
     const sockaddr_in address = addressOf(this->listenEnd);
     if (::bind(this->listener, reinterpret_cast<const sockaddr *>(&address), sizeof(address)) != 0 || ::listen(this->listener, SOMAXCONN) != 0) {
-        throw InternalError("the forwarder cannot listen");
+        throw InternalError(absl::StrCat("the forwarder cannot listen on ", this->listenEnd.host, ":", this->listenEnd.port, ": ", std::strerror(errno)));
     }
     setDropIncoming(this->listener, this->lossByDirection[Direction::ToTarget] || this->lossByDirection[Direction::FromTarget]);
 }
--- a/testing/main_test.cpp
+++ b/testing/main_test.cpp
@@ -1,10 +1,12 @@
-// Entry point of the tests; PADDLEPIER_TEST_LOG=1 prints the log output of the code under test.
+// Entry point of the tests; PADDLEPIER_TEST_LOG=1 prints the log output of the code under test. Programs compiled with
+// PADDLEPIER_OWN_NETWORK run in a network namespace of their own.
 
 #define CATCH_CONFIG_RUNNER
 #include <catch2/catch.hpp>
 
 #include "paddlepier/base/log.h"
 #include "testing/knownred.h"
+#include "testing/networkspace.h"
 
 #include <cstdlib>
 #include <fstream>
@@ -27,6 +29,11 @@
 
 int main(int argc, char **argv)
 {
+#ifdef PADDLEPIER_OWN_NETWORK
+    if (const std::optional<int> status = paddlepier::testing::runInOwnNetwork(argv)) {
+        return *status;
+    }
+#endif
     const bool isLogged = std::getenv("PADDLEPIER_TEST_LOG") != nullptr;
     paddlepier::log::initialize(isLogged ? paddlepier::log::Level::Debug : paddlepier::log::Level::Error);
     Catch::Session session;
--- a/testing/soak/cell.cpp
+++ b/testing/soak/cell.cpp
@@ -4,6 +4,7 @@
 
 #include <absl/strings/match.h>
 #include <absl/strings/str_cat.h>
+#include <nlohmann/json.hpp>
 #include <signal.h>
 
 #include <filesystem>
@@ -27,6 +28,11 @@
 /** `grace_s` of the platform's settings: a process that still runs this long after SIGTERM is killed. */
 constexpr Duration graceTime = absl::Seconds(6);
 
+/** Longer than a BreakCoreLinks fault: nothing that it holds back is forwarded before the connection is reset. */
+constexpr Duration holdTime = absl::Seconds(1);
+
+constexpr const char *coreHostPrefix = "127.7.1.";
+
 std::string workerHost(std::uint32_t worker)
 {
     return absl::StrCat("127.7.3.", worker + 1);
@@ -48,7 +54,7 @@
     , checker(violationChecker)
 {
     for (std::uint32_t core = 0; core < this->sizes.cores; ++core) {
-        this->addInstance("core", absl::StrCat("127.7.1.", core + 1));
+        this->addInstance("core", absl::StrCat(coreHostPrefix, core + 1));
     }
     for (std::uint32_t entry = 0; entry < this->sizes.entries; ++entry) {
         this->addInstance("entry", absl::StrCat("127.7.2.", entry + 1));
@@ -262,6 +268,10 @@
 
 void Cell::applyLinkFault(const Fault &fault, bool isEnd)
 {
+    if (fault.kind == FaultKind::BreakCoreLinks) {
+        this->breakCoreLinks(isEnd);
+        return;
+    }
     const std::string &host = this->instances[fault.target]->node.host;
     for (std::size_t index = 0; index < this->links.size(); ++index) {
         Link &link = this->links[index];
@@ -281,6 +291,20 @@
     }
 }
 
+void Cell::breakCoreLinks(bool isEnd)
+{
+    if (!isEnd) {
+        this->heldHost = this->control(this->leader().second.value_or(0)).address;
+    }
+    // A core sends over its own connections only, so that what the leader sends isn't affected.
+    for (const Link &link : this->links) {
+        if (link.to == this->heldHost && absl::StartsWith(link.from, coreHostPrefix)) {
+            link.forwarder->setDelay(isEnd ? absl::ZeroDuration() : holdTime);
+            isEnd ? link.forwarder->resetAll() : static_cast<void>(0);
+        }
+    }
+}
+
 void Cell::setWorkerLinks(const std::string &host, bool isUp)
 {
     for (const Link &link : this->links) {
@@ -336,6 +360,20 @@
     }
 }
 
+std::pair<std::uint64_t, std::optional<std::uint32_t>> Cell::leader() const
+{
+    std::pair<std::uint64_t, std::optional<std::uint32_t>> newest;
+    for (std::uint32_t core = 0; core < this->sizes.cores; ++core) {
+        std::ifstream log(absl::StrCat(this->folder, "/", this->instances[core]->node.host, ".log"));
+        for (std::string line; std::getline(log, line);) {
+            if (absl::StrContains(line, "service.started")) {
+                newest = std::max(newest, std::pair(nlohmann::json::parse(line).at("term").get<std::uint64_t>(), std::optional(core)));
+            }
+        }
+    }
+    return newest;
+}
+
 Endpoint Cell::front(std::uint32_t entry) const
 {
     return {absl::StrCat("127.7.2.", entry + 1), frontPort};
@@ -343,7 +381,7 @@
 
 Endpoint Cell::control(std::uint32_t core) const
 {
-    return {absl::StrCat("127.7.1.", core + 1), controlPort};
+    return {absl::StrCat(coreHostPrefix, core + 1), controlPort};
 }
 
 Timestamp Cell::stopAt(std::uint32_t entry) const
--- a/testing/soak/cell.h
+++ b/testing/soak/cell.h
@@ -17,6 +17,7 @@
 
 #include <atomic>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -40,6 +41,8 @@
     /** Restarts processes that have ended, and reports unexpected ends as violations; call it every few milliseconds. */
     void supervise();
 
+    /** The core that has served in the newest term, and that term, by the lines of the cores; no core before the first term. */
+    std::pair<std::uint64_t, std::optional<std::uint32_t>> leader() const;
     Endpoint front(std::uint32_t entry) const;
     Endpoint control(std::uint32_t core) const;
     /** When an entry last received SIGTERM for a planned stop; infinite future if not since its start. */
@@ -74,6 +77,7 @@
     void resume(Instance &instance);
     static bool hasEndedAsExpected(Instance &instance);
     void applyLinkFault(const Fault &fault, bool isEnd);
+    void breakCoreLinks(bool isEnd);
     void applyWorkerFault(const Fault &fault, bool isEnd);
     void setWorkerLinks(const std::string &host, bool isUp);
 
@@ -83,6 +87,8 @@
     Checker &checker;
     std::vector<std::unique_ptr<Instance>> instances;
     std::vector<Link> links;
+    /** Host of the core to which the other cores' messages are held back. */
+    std::string heldHost;
     std::unique_ptr<PlatformWorkers> workers;
 };
 
--- a/testing/soak/checker_test.cpp
+++ b/testing/soak/checker_test.cpp
@@ -9,6 +9,7 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <map>
 
 namespace paddlepier::testing::soak
 {
@@ -289,6 +290,32 @@
     CHECK(std::any_of(faults.begin(), faults.end(), [](const Fault &fault) { return fault.kind == FaultKind::ReduceCapacity; }));
     std::erase_if(faults, [](const Fault &fault) { return fault.kind == FaultKind::ReduceCapacity; });
     CHECK(faults.size() == 82);
+    CHECK(planSeries(23, {}).empty());
+}
+
+TEST_CASE("plan_seedWithSeries_containsThePlanWithoutSeries")
+{
+    const std::vector<Fault> all = planFaults(firstSeriesSeed + 23, {});
+    for (const Fault &fault : planFaults(23, {})) {
+        CHECK(std::find(all.begin(), all.end(), fault) != all.end());
+    }
+    const auto breaksCoreLinks = [](const Fault &fault) { return fault.kind == FaultKind::BreakCoreLinks; };
+    CHECK(std::any_of(all.begin(), all.end(), breaksCoreLinks));
+}
+
+TEST_CASE("series_ofSeed_stopsEveryEntryAndBreaksCoreLinksRepeatedly")
+{
+    const Sizes sizes{3, 5, 12, absl::Seconds(12)};
+    const std::vector<Fault> series = planSeries(firstSeriesSeed + 7, sizes);
+    CHECK(series == planSeries(firstSeriesSeed + 7, sizes));
+    CHECK(std::is_sorted(series.begin(), series.end(), [](const Fault &left, const Fault &right) { return left.at < right.at; }));
+    std::map<FaultKind, std::map<std::uint32_t, int>> counts;
+    for (const Fault &fault : series) {
+        ++counts[fault.kind][fault.target];
+    }
+    CHECK(counts.size() == 2);
+    CHECK(counts[FaultKind::StopEntry].size() == sizes.entries);
+    CHECK(counts[FaultKind::BreakCoreLinks][0] >= 25);
 }
 
 } // namespace paddlepier::testing::soak
--- a/testing/soak/main.cpp
+++ b/testing/soak/main.cpp
@@ -16,6 +16,7 @@
 
 #include <filesystem>
 #include <fstream>
+#include <future>
 #include <iostream>
 #include <map>
 #include <sstream>
@@ -43,12 +44,16 @@
  */
 constexpr Duration settleTimeout = absl::Seconds(40);
 
+/** Time without faults after the first phase of a seed with series, counted from the first accepted job. */
+constexpr Duration calmTime = absl::Seconds(2);
+
 /** Runs one seed: its processes, calls and faults. */
 class Run
 {
 public:
     Run(std::uint64_t seed, const Sizes &sizes, const std::string &folder, const std::string &programs)
-        : faults(planFaults(seed, sizes))
+        : series(planSeries(seed, sizes))
+        , faults(planFaults(seed, sizes))
         , log(folder + "/soak.log")
         , cell(sizes, seed, folder, programs, this->checker)
         , traffic(this->cell, sizes, seed, this->checker)
@@ -62,18 +67,24 @@
             return this->violations();
         }
         this->traffic.start();
-        this->injectAll();
+        if (!this->series.empty()) {
+            this->inject(this->series);
+            this->checkCalm();
+        }
+        this->inject(this->faults);
         this->writeLog("heal");
         this->cell.heal();
         this->healedAt = controlNow();
+        std::future<void> acceptance = std::async(std::launch::async, [this] { this->checkAccepted("the faults"); });
         this->traffic.stop();
-        this->settle();
+        this->settle(acceptance);
         return this->violations();
     }
 
     std::string summary()
     {
-        return absl::StrCat(this->faults.size(), " faults, ", this->checker.summary(), ", settled after ", absl::FormatDuration(this->settleTime));
+        return absl::StrCat(
+            this->series.size() + this->faults.size(), " faults, ", this->checker.summary(), ", settled after ", absl::FormatDuration(this->settleTime));
     }
 
 private:
@@ -82,11 +93,11 @@
         this->log << absl::FormatTime("%H:%M:%E3S", absl::Now(), absl::UTCTimeZone()) << " " << text << std::endl;
     }
 
-    void injectAll()
+    void inject(const std::vector<Fault> &injected)
     {
         const Timestamp start = controlNow();
         std::multimap<Duration, std::pair<const Fault *, bool>> moments;
-        for (const Fault &fault : this->faults) {
+        for (const Fault &fault : injected) {
             moments.emplace(fault.at, std::pair(&fault, true));
             moments.emplace(fault.at + fault.length, std::pair(&fault, false));
         }
@@ -102,6 +113,38 @@
         }
     }
 
+    void checkCalm()
+    {
+        this->writeLog("calm");
+        std::future<void> calls = std::async(std::launch::async, [this] {
+            this->checkAccepted("the series");
+            this->traffic.submitInCalm(calmTime);
+        });
+        this->superviseUntilReady(calls);
+    }
+
+    /** RECOVER: a leader commits, and doesn't only answer reads. */
+    void checkAccepted(const std::string &after)
+    {
+        const std::optional<Duration> time = this->traffic.submitUntilAccepted(recoveryTime);
+        if (!time) {
+            this->checker.violation(absl::StrCat("RECOVER: no job is accepted within ", absl::FormatDuration(recoveryTime), " after ", after));
+        }
+    }
+
+    static bool isReady(const std::future<void> &calls)
+    {
+        return !calls.valid() || calls.wait_for(std::chrono::seconds(0)) == std::future_status::ready;
+    }
+
+    void superviseUntilReady(std::future<void> &calls)
+    {
+        while (!isReady(calls)) {
+            this->superviseUntil(controlNow() + tick);
+        }
+        calls.get();
+    }
+
     /** Logs delays of the soak itself, which would otherwise look like late reactions of the processes. */
     void logLongStep(const std::string &what)
     {
@@ -137,7 +180,7 @@
         }
     }
 
-    void settle()
+    void settle(std::future<void> &acceptance)
     {
         const Timestamp begin = this->healedAt;
         bool isReadBack = false;
@@ -151,7 +194,8 @@
             }
             this->traffic.queryUnsettledJobs();
             reasons = this->checker.unsettled();
-        } while (controlNow() < begin + settleTimeout && (!isReadBack || !reasons.empty()));
+        } while (controlNow() < begin + settleTimeout && (!isReadBack || !isReady(acceptance) || !reasons.empty()));
+        this->superviseUntilReady(acceptance);
         this->settleTime = controlNow() - begin;
         for (const std::string &reason : reasons) {
             this->checker.violation("LOST: " + reason);
@@ -167,6 +211,7 @@
         return this->checker.violations();
     }
 
+    const std::vector<Fault> series;
     const std::vector<Fault> faults;
     std::ofstream log;
     Checker checker;
@@ -232,6 +277,7 @@
     TCLAP::ValueArg<std::uint32_t> entries("", "entries", "entry instances", false, 3, "number", line);
     TCLAP::ValueArg<std::uint32_t> cores("", "cores", "core instances", false, 3, "number", line);
     TCLAP::ValueArg<std::uint32_t> seconds("", "seconds", "time with faults", false, 12, "number", line);
+    TCLAP::SwitchArg withSeries("", "series", "fresh seeds with series of stops, broken connections between cores and changes", line);
     TCLAP::SwitchArg keep("", "keep", "keep the folder of a seed that held, too", line);
     line.parse(argc, argv);
     log::initialize(log::Level::Error);
@@ -241,7 +287,8 @@
         seeds.push_back(seed);
     }
     for (std::uint64_t number = 0; number < fresh.getValue(); ++number) {
-        seeds.push_back(static_cast<std::uint64_t>(paddlepier::wallMicros()) / 1000 % 100'000'000 * 100 + number);
+        const std::uint64_t first = withSeries.getValue() ? testing::soak::firstSeriesSeed : 0;
+        seeds.push_back(first + static_cast<std::uint64_t>(paddlepier::wallMicros()) / 1000 % 100'000'000 * 100 + number);
     }
     std::size_t broken = 0;
     for (const std::uint64_t seed : seeds) {
--- a/testing/soak/plan.cpp
+++ b/testing/soak/plan.cpp
@@ -23,7 +23,7 @@
     double maxSeconds;
 };
 
-constexpr std::array<KindRow, 18> kinds{{{FaultKind::StopCore, "stop-core", 4, 0.1, 2},
+constexpr std::array<KindRow, 19> kinds{{{FaultKind::StopCore, "stop-core", 4, 0.1, 2},
                                          {FaultKind::StopEntry, "stop-entry", 4, 0.1, 2},
                                          {FaultKind::KillCore, "kill-core", 8, 0.1, 3},
                                          {FaultKind::KillEntry, "kill-entry", 5, 0.1, 2},
@@ -41,7 +41,8 @@
                                          {FaultKind::LoseWorkerAnswers, "worker-loses-answers", 6, 0.5, 4},
                                          {FaultKind::DelayWorkerOrders, "worker-orders-late", 8, 0.5, 4},
                                          // Drawn separately, so that the other faults of recorded seeds stay the same.
-                                         {FaultKind::ReduceCapacity, "shrink-room", 0, 2, 10}}};
+                                         {FaultKind::ReduceCapacity, "shrink-room", 0, 2, 10},
+                                         {FaultKind::BreakCoreLinks, "break-core-links", 0, 0.01, 0.04}}};
 
 /** Mean gap between two reductions of a capacity. */
 constexpr double reductionGapSeconds = 1.0;
@@ -53,11 +54,27 @@
 constexpr double minGapSeconds = 0.1;
 constexpr double maxGapSeconds = 0.6;
 
+/** Length of a phase of series, and how long it has only planned stops. */
+constexpr double seriesSeconds = 7;
+constexpr double plannedSeriesSeconds = 1.5;
+
+/** Time from the stop of an entry to its restart in a series. */
+constexpr Duration seriesRestartTime = absl::Milliseconds(650);
+
+/** Gaps between the broken connections of a series. Answers arrive between two of them, so that followers stay reachable. */
+constexpr double minBreakGapSeconds = 0.1;
+constexpr double maxBreakGapSeconds = 0.2;
+
 const KindRow &rowOf(FaultKind kind)
 {
     return *std::find_if(kinds.begin(), kinds.end(), [kind](const KindRow &row) { return row.kind == kind; });
 }
 
+void sortByTime(std::vector<Fault> &faults)
+{
+    std::stable_sort(faults.begin(), faults.end(), [](const Fault &left, const Fault &right) { return left.at < right.at; });
+}
+
 class FaultPlanner
 {
 public:
@@ -85,6 +102,22 @@
         return this->faults;
     }
 
+    std::vector<Fault> series()
+    {
+        const double slowGap = this->uniform(0.5, 0.8);
+        const double fastGap = this->uniform(0.2, 0.4);
+        std::uint32_t entry = 0;
+        for (double at = 0; at < seriesSeconds; at += at < seriesSeconds / 2 ? slowGap : fastGap) {
+            this->addOf(at, FaultKind::StopEntry, entry++ % this->sizes.entries);
+            this->faults.back().length = seriesRestartTime;
+        }
+        for (double at = plannedSeriesSeconds; at < seriesSeconds; at += this->uniform(minBreakGapSeconds, maxBreakGapSeconds)) {
+            this->addOf(at, FaultKind::BreakCoreLinks, 0);
+        }
+        sortByTime(this->faults);
+        return this->faults;
+    }
+
 private:
     double uniform(double min, double max)
     {
@@ -126,7 +159,14 @@
         for (double at = gap(this->random); at < end; at += gap(this->random)) {
             this->add(at, FaultKind::ReduceCapacity);
         }
-        std::stable_sort(this->faults.begin(), this->faults.end(), [](const Fault &left, const Fault &right) { return left.at < right.at; });
+        sortByTime(this->faults);
+    }
+
+    void addOf(double at, FaultKind kind, std::uint32_t target)
+    {
+        this->add(at, kind);
+        this->faults.back().target = target;
+        this->faults.back().part = 0;
     }
 
     void add(double at, FaultKind kind)
@@ -165,7 +205,24 @@
 
 std::vector<Fault> planFaults(std::uint64_t seed, const Sizes &sizes)
 {
-    return FaultPlanner(seed, sizes).plan();
+    if (!hasSeries(seed)) {
+        return FaultPlanner(seed, sizes).plan();
+    }
+    std::vector<Fault> faults = FaultPlanner(seed - firstSeriesSeed, sizes).plan();
+    const std::vector<Fault> series = FaultPlanner(seed + 1, sizes).series();
+    faults.insert(faults.end(), series.begin(), series.end());
+    sortByTime(faults);
+    return faults;
+}
+
+bool hasSeries(std::uint64_t seed)
+{
+    return seed >= firstSeriesSeed;
+}
+
+std::vector<Fault> planSeries(std::uint64_t seed, const Sizes &sizes)
+{
+    return hasSeries(seed) ? FaultPlanner(seed, sizes).series() : std::vector<Fault>();
 }
 
 } // namespace paddlepier::testing::soak
--- a/testing/soak/plan.h
+++ b/testing/soak/plan.h
@@ -1,7 +1,8 @@
 // The faults of one seed, and when each begins and ends.
 //
 // Faults follow each other at random and may overlap without limit. Only a disk is lost at most once, which is as many as the
-// settings tolerate. A plan may begin with a quiet phase that contains planned stops only.
+// settings tolerate. A plan may begin with a quiet phase that contains planned stops only. Seeds from firstSeriesSeed on have, in
+// addition, series of planned stops and of broken connections between cores, first without other faults and then among them.
 //
 // Thread safety: plain values and a function without state.
 
@@ -30,6 +31,7 @@
     ResetLinks,
     CutLinks,
     SilenceLinks,
+    BreakCoreLinks,
     CrashWorker,
     DrainWorker,
     DelayWorkerAnswers,
@@ -59,7 +61,7 @@
     /** Until the process restarts or the link is restored; zero for a reset or silence. */
     Duration length;
     FaultKind kind = FaultKind::KillCore;
-    /** Number of the core, entry or worker; for links, of the core or entry at one end. */
+    /** Number of the core, entry or worker; for links, of the core or entry at one end. Not used for BreakCoreLinks, which affects the leader. */
     std::uint32_t target = 0;
     /** For a reduced capacity, its size in parts of maxPart. For links, 0 affects all links of the target, another number selects a third of them. */
     std::uint32_t part = 0;
@@ -68,9 +70,20 @@
     std::string text() const;
 };
 
-/** Sorted by time; the same for the same arguments. */
+/** Sorted by time; the same for the same arguments. For a seed with series, these are the faults of the seed less firstSeriesSeed, and series among them. */
 std::vector<Fault> planFaults(std::uint64_t seed, const Sizes &sizes);
 
+/** Seeds from here on have series. Smaller ones keep their recorded plans. */
+constexpr std::uint64_t firstSeriesSeed = 10'000'000'000;
+
+bool hasSeries(std::uint64_t seed);
+
+/**
+ * Phase before planFaults() for a seed with series; empty for others. The entries are stopped one after the other, at first without faults. Then the
+ * connections from the other cores to the leader are broken repeatedly, too briefly for an election. Sorted by time.
+ */
+std::vector<Fault> planSeries(std::uint64_t seed, const Sizes &sizes);
+
 } // namespace paddlepier::testing::soak
 
 #endif
--- a/testing/soak/traffic.cpp
+++ b/testing/soak/traffic.cpp
@@ -30,12 +30,26 @@
 constexpr std::uint64_t operatorCount = 2;
 constexpr std::uint64_t queueCount = 3;
 
+/** With series: one caller in this many keeps its connection until it is closed. */
+constexpr std::uint64_t callersPerKeepingOne = 3;
+
+/** With series: the longest pause between two changes, every how many changes one is large, and its number of additional queues. */
+constexpr std::uint64_t maxSeriesPauseMillis = 60;
+constexpr std::uint64_t changesPerLargeOne = 10;
+constexpr std::uint64_t largeQueueCount = 500;
+
+/** Number that no caller has, for jobs submitted by checks. */
+constexpr std::uint64_t probeNumber = 255;
+
 /** A caller's timeout for one call. */
 constexpr Duration callTimeout = absl::Seconds(2);
 
 /** An operator tries the next machine after this; PROTOCOL.md. */
 constexpr Duration operatorTimeout = absl::Seconds(1);
 
+/** Between the calls of a check. */
+constexpr Duration probePause = absl::Milliseconds(50);
+
 /** One job in this many crashes workers: each of its tasks takes down one to four. */
 constexpr std::uint64_t jobsPerCrashingOne = 120;
 
@@ -82,7 +96,7 @@
     return job;
 }
 
-std::string configuration(std::uint64_t version, std::uint64_t timeoutMillis, bool isValid)
+std::string configuration(std::uint64_t version, std::uint64_t timeoutMillis, bool isValid, std::uint64_t additionalQueues = 0)
 {
     Json routes = Json::array();
     for (std::uint64_t queue = 0; queue < queueCount; ++queue) {
@@ -94,6 +108,11 @@
                           {"service", "pool"},
                           {"max_attempts", attemptsPerTask}});
     }
+    for (std::uint64_t queue = 0; queue < additionalQueues; ++queue) {
+        routes.push_back(routes[0]);
+        routes.back()["name"] = absl::StrCat("additional", queue);
+        routes.back()["path_prefix"] = absl::StrCat("/additional", queue, "/");
+    }
     if (version % 2 == 0) {
         routes.push_back({{"name", "more"}, {"host", "jobs.example"}, {"path_prefix", "/more/"}, {"timeout_ms", 1000}, {"service", "pool"}});
     }
@@ -114,6 +133,8 @@
     std::unique_ptr<Channel> channel;
     std::vector<std::string> jobs;
     std::size_t lastingJobs = 0;
+    /** Answers don't make it change to another entry. */
+    bool keepsConnection = false;
 };
 
 Traffic::Traffic(const Cell &servedCell, Sizes cellSizes, std::uint64_t trafficSeed, Checker &violationChecker)
@@ -139,7 +160,8 @@
                           static_cast<std::uint32_t>(number),
                           nullptr,
                           {},
-                          0};
+                          0,
+                          hasSeries(this->seed) && number % callersPerKeepingOne == 0};
             while (!this->stopping) {
                 this->call(caller);
                 const std::uint64_t millis = randomBelow(caller.random, number % 2 == 0 ? maxShortPauseMillis : maxLongPauseMillis);
@@ -150,6 +172,9 @@
     for (std::uint64_t number = 0; number < operatorCount; ++number) {
         this->threads.emplace_back([this, number] { this->operate(number); });
     }
+    if (hasSeries(this->seed)) {
+        this->threads.emplace_back([this] { this->changeInSeries(); });
+    }
 }
 
 void Traffic::stop()
@@ -170,7 +195,7 @@
     const std::string path = absl::StrCat("/q", job.back() % queueCount, "/", job);
     Reply reply = caller.channel->call(method, path, body, callTimeout);
     this->checker.callEnded(reply, this->cell.stopAt(caller.entry));
-    if (reply.ending != Ending::Answered || reply.status >= 500) {
+    if (reply.ending != Ending::Answered || (reply.status >= 500 && !caller.keepsConnection)) {
         caller.channel.reset();
     }
     return reply;
@@ -214,6 +239,39 @@
     }
 }
 
+std::optional<Duration> Traffic::submitUntilAccepted(Duration timeout)
+{
+    const Timestamp begin = controlNow();
+    const std::size_t number = this->probes++;
+    Caller caller{probeNumber, std::mt19937_64(this->seed), std::mt19937_64(this->seed), static_cast<std::uint32_t>(number), nullptr, {}, 0};
+    const std::string id = absl::StrFormat("%08x%02x%06x", this->seed & 0xffffffffU, probeNumber, number);
+    const std::string body = Json{{"task_spec", "plain"}, {"steps", {{{"count", 1}, {"cpu", 250}, {"requested_memory_mb", 100}, {"estimated_ms", 50}}}}}.dump();
+    const work::JobSpecT spec = platform::decodeJob(body);
+    int status = 0;
+    do {
+        this->checker.submitSent(id, spec);
+        const Reply reply = this->send(caller, "POST", id, body);
+        this->checker.submitEnded(id, reply);
+        status = reply.status;
+        if (status != 200) {
+            absl::SleepFor(probePause);
+        }
+    } while (status != 200 && controlNow() < begin + timeout);
+    const Duration time = controlNow() - begin;
+    return status == 200 && time <= timeout ? std::optional(time) : std::nullopt;
+}
+
+void Traffic::submitInCalm(Duration time)
+{
+    const Timestamp end = controlNow() + time;
+    while (controlNow() < end) {
+        if (!this->submitUntilAccepted(2 * callTimeout)) {
+            this->checker.violation(absl::StrCat("LOST: a job submitted in a calm span was not accepted within ", absl::FormatDuration(2 * callTimeout)));
+        }
+        absl::SleepFor(probePause);
+    }
+}
+
 void Traffic::cancel(Caller &caller)
 {
     const std::string &job = caller.jobs[caller.jobs.size() - std::min<std::size_t>(caller.jobs.size(), 1 + randomBelow(caller.random, 10))];
@@ -285,6 +343,18 @@
     }
 }
 
+void Traffic::changeInSeries()
+{
+    std::mt19937_64 random(this->seed * 100 + 60);
+    for (std::uint64_t change = 1; !this->stopping; ++change) {
+        const std::uint64_t version = this->newestVersion += 1 + randomBelow(random, 3);
+        const std::string body = configuration(version, 1000 + randomBelow(random, 3000), true, change % changesPerLargeOne == 0 ? largeQueueCount : 0);
+        this->checker.configurationSent(version, body);
+        this->change(version, body, random);
+        sleepUpTo(random, maxSeriesPauseMillis);
+    }
+}
+
 bool Traffic::readBack()
 {
     bool isComplete = true;
