testing: a forwarder waits while the address of its listener is in use

By reading, not proved: a process being started between fork and exec still holds the listener that the forwarder has just closed.

--- a/testing/forwarder.cpp
+++ b/testing/forwarder.cpp
@@ -25,6 +25,9 @@
 
 constexpr int pollMillis = 20;
 
+/** Longer than the start of a process takes until it executes its program. */
+constexpr Duration maxAddressInUse = absl::Seconds(2);
+
 /** The forwarder stops reading from a sender while more than this waits for its receiver. */
 constexpr std::size_t maxBufferedBytes = 1U << 20U;
 
@@ -151,8 +154,16 @@
     ::setsockopt(this->listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
     const sockaddr_in address = addressOf(this->listenEnd);
     if (::bind(this->listener, reinterpret_cast<const sockaddr *>(&address), sizeof(address)) != 0 || ::listen(this->listener, SOMAXCONN) != 0) {
-        throw InternalError(absl::StrCat("the forwarder cannot listen on ", this->listenEnd.host, ":", this->listenEnd.port, ": ", std::strerror(errno)));
+        const int error = errno;
+        this->closeListener();
+        // A process that is being started holds a copy of the listener that was closed last until it executes its program.
+        this->addressInUseSince = std::min(this->addressInUseSince, controlNow());
+        if (error == EADDRINUSE && controlNow() < this->addressInUseSince + maxAddressInUse) {
+            return;
+        }
+        throw InternalError(absl::StrCat("the forwarder cannot listen on ", this->listenEnd.host, ":", this->listenEnd.port, ": ", std::strerror(error)));
     }
+    this->addressInUseSince = absl::InfiniteFuture();
     setDropIncoming(this->listener, this->lossByDirection[Direction::ToTarget] || this->lossByDirection[Direction::FromTarget]);
 }
 
--- a/testing/forwarder.h
+++ b/testing/forwarder.h
@@ -98,6 +98,8 @@
     std::vector<int> silenced ABSL_GUARDED_BY(mutex);
     std::map<Direction, bool> lossByDirection ABSL_GUARDED_BY(mutex);
     Duration delay ABSL_GUARDED_BY(mutex) = absl::ZeroDuration();
+    /** When the listener's address was first in use; infinite future if the last attempt succeeded. */
+    Timestamp addressInUseSince ABSL_GUARDED_BY(mutex) = absl::InfiniteFuture();
     std::atomic<bool> cut{false};
     std::atomic<bool> targetRunning{false};
     std::atomic<bool> stopping{false};
