--- a/paddlepier/replication/replicagroup_test.cpp
+++ b/paddlepier/replication/replicagroup_test.cpp
@@ -5,6 +5,7 @@
 #include "paddlepier/replication/replicanode.h"
 
 #include "paddlepier/base/mailbox.h"
+#include "paddlepier/replication/countingstate.h"
 
 #include <absl/strings/str_cat.h>
 #include <catch2/catch.hpp>
@@ -19,43 +20,6 @@
 namespace
 {
 
-/** State machine that counts the applied commands. */
-class CountingState
-{
-public:
-    struct Outcome {
-        ErrorCode error = ErrorCode::None;
-    };
-
-    Outcome apply(const std::vector<std::uint8_t> &)
-    {
-        ++this->count;
-        return {};
-    }
-
-    std::string snapshot() const
-    {
-        return absl::StrCat(this->count);
-    }
-
-    void restore(const std::string &text)
-    {
-        this->count = std::stoi(text);
-    }
-
-    bool hasHistory() const
-    {
-        return this->count > 0;
-    }
-
-    static Outcome failure(ErrorCode error, const std::string &)
-    {
-        return {error};
-    }
-
-    int count = 0;
-};
-
 class ReplicaGroupFixture
 {
 public:
