Log hedged and resent orders, elections and slow writes

Nothing told for which term and incarnation an order was sent a second time and how old it was, which votes were asked for, granted or refused and why, or how long messages waited for the disk.

Ruled out: nothing yet.

--- a/paddlepier/cluster/orderrelay.cpp
+++ b/paddlepier/cluster/orderrelay.cpp
@@ -179,6 +179,12 @@
 {
     pending->hedge.isPending = true;
     ++this->hedgesInFlight;
+    log::info("cluster",
+              "order.hedged",
+              {{"worker", pending->call.worker.text()},
+               {"fence", pending->call.fence},
+               {"relay", pending->relay},
+               {"ageMillis", absl::ToInt64Milliseconds(this->hooks.now() - pending->sentAt)}});
     this->hooks.sendDirect(pending->call, [this, pending](const execution::WorkerAnswer &answer) { this->handleHedgeAnswer(pending, answer); });
 }
 
--- a/paddlepier/consensus/replica.cpp
+++ b/paddlepier/consensus/replica.cpp
@@ -27,6 +27,19 @@
     return names[static_cast<std::size_t>(role)];
 }
 
+const char *nameOf(ElectionStep step)
+{
+    static constexpr std::array<const char *, 6> names{"started", "granted", "refused", "received", "denied", "stepped-down"};
+    return names.at(static_cast<std::size_t>(step));
+}
+
+const char *nameOf(ElectionReason reason)
+{
+    static constexpr std::array<const char *, 9> names{
+        "none", "hears-leader", "log-behind", "term-behind", "voted-for-other", "hand-over", "after-restart", "no-quorum", "later-term"};
+    return names.at(static_cast<std::size_t>(reason));
+}
+
 Replica::Replica(ReplicaSettings replicaSettings, storage::RecoveredState recovered, Timestamp now, std::uint64_t seed)
     : settings(std::move(replicaSettings))
     , random(seed)
@@ -106,6 +119,11 @@
     this->electionDeadline = now + shortest * spread(this->random);
 }
 
+void Replica::recordElectionEvent(Timestamp now, ElectionStep step, bool isPreVote, Term term, const std::string &peer, ElectionReason reason)
+{
+    this->effects.electionEvents.push_back({step, isPreVote, term, peer, reason, now - this->lastHeardLeader});
+}
+
 void Replica::becomeFollower(Term newTerm, const std::string &newLeader)
 {
     if (newTerm > this->hardState.term) {
@@ -142,6 +160,10 @@
     request.lastIndex = this->lastIndex();
     request.lastTerm = *this->termAt(this->lastIndex());
     request.preVote = preVote;
+    const ElectionReason cause = election == Election::AfterHandOver  ? ElectionReason::HandOver
+                                 : election == Election::AfterRestart ? ElectionReason::AfterRestart
+                                                                      : ElectionReason::None;
+    this->recordElectionEvent(now, ElectionStep::Started, preVote, request.term, "", cause);
     request.handOver = election == Election::AfterHandOver;
     request.afterRestart = election == Election::AfterRestart;
     for (const std::string &voter : this->members.voters) {
@@ -189,6 +211,7 @@
     if (responsive >= this->quorum()) {
         return false;
     }
+    this->recordElectionEvent(now, ElectionStep::SteppedDown, false, this->hardState.term, "", ElectionReason::NoQuorum);
     this->becomeFollower(this->hardState.term, "");
     this->resetElectionTimer(now);
     return true;
@@ -224,32 +247,38 @@
     }
 }
 
-bool Replica::canGrantVote(Timestamp now, const wire::VoteRequestT &request) const
+ElectionReason Replica::voteRefusal(Timestamp now, const wire::VoteRequestT &request) const
 {
     const bool hearsLeader = this->role == ReplicaRole::Leader || now - this->lastHeardLeader < this->settings.electionTimeout;
     const bool needNotWait = request.handOver || (request.afterRestart && !this->heardLeader);
     if (this->settings.guards.stickyVotes && hearsLeader && !needNotWait) {
-        return false;
+        return ElectionReason::HearsLeader;
     }
-    return this->isUpToDate(request);
+    return this->logRefusal(request);
 }
 
-bool Replica::isUpToDate(const wire::VoteRequestT &request) const
+ElectionReason Replica::logRefusal(const wire::VoteRequestT &request) const
 {
     const Term lastTerm = *this->termAt(this->lastIndex());
     const bool hasAllEntries = request.lastTerm > lastTerm || (request.lastTerm == lastTerm && request.lastIndex >= this->lastIndex());
-    return hasAllEntries && request.term >= this->hardState.term;
+    if (!hasAllEntries) {
+        return ElectionReason::LogBehind;
+    }
+    return request.term >= this->hardState.term ? ElectionReason::None : ElectionReason::TermBehind;
 }
 
 void Replica::onVoteRequest(Timestamp now, const std::string &from, const wire::VoteRequestT &request)
 {
-    const bool mayGrant = this->canGrantVote(now, request);
+    ElectionReason refusal = this->voteRefusal(now, request);
+    const bool mayGrant = refusal == ElectionReason::None;
     wire::VoteReplyT reply;
     reply.preVote = request.preVote;
     if (request.preVote) {
         reply.granted = mayGrant && request.term > this->hardState.term;
         reply.term = reply.granted ? request.term : this->hardState.term;
-        reply.knowsNoLeader = !this->heardLeader && this->role != ReplicaRole::Leader && this->isUpToDate(request);
+        reply.knowsNoLeader = !this->heardLeader && this->role != ReplicaRole::Leader && this->logRefusal(request) == ElectionReason::None;
+        refusal = mayGrant && !reply.granted ? ElectionReason::TermBehind : refusal;
+        this->recordElectionEvent(now, reply.granted ? ElectionStep::Granted : ElectionStep::Refused, true, request.term, from, refusal);
         this->sendAfterSync(from, reply);
         return;
     }
@@ -264,12 +293,16 @@
         this->hardState.votedFor = from;
         this->saveHardState();
         this->resetElectionTimer(now);
+    } else if (mayGrant) {
+        refusal = isFree ? ElectionReason::HearsLeader : ElectionReason::VotedForOther;
     }
+    this->recordElectionEvent(now, reply.granted ? ElectionStep::Granted : ElectionStep::Refused, false, request.term, from, refusal);
     this->sendAfterSync(from, reply);
 }
 
 void Replica::onVoteReply(Timestamp now, const std::string &from, const wire::VoteReplyT &reply)
 {
+    this->recordElectionEvent(now, reply.granted ? ElectionStep::Received : ElectionStep::Denied, reply.preVote, reply.term, from, ElectionReason::None);
     if (this->role == ReplicaRole::PreCandidate && reply.preVote && reply.knowsNoLeader && this->isVoter(from)) {
         this->votersWithoutLeader.insert(from);
         if (this->hasUnanimousRestart()) {
--- a/paddlepier/consensus/replica.h
+++ b/paddlepier/consensus/replica.h
@@ -84,6 +84,48 @@
     ReplicaGuards guards;
 };
 
+enum class ElectionStep {
+    /** This replica asks for votes. */
+    Started,
+    /** This replica, as a voter, has answered a candidate. */
+    Granted,
+    Refused,
+    /** A voter has answered this replica. */
+    Received,
+    Denied,
+    /** This leader has stepped down. */
+    SteppedDown
+};
+const char *nameOf(ElectionStep step);
+
+enum class ElectionReason {
+    None,
+    /** The voter hears a leader, or has heard one within the election timeout. */
+    HearsLeader,
+    LogBehind,
+    TermBehind,
+    VotedForOther,
+    /** Requested by the leader that handed over. */
+    HandOver,
+    /** No voter knows a leader. */
+    AfterRestart,
+    NoQuorum,
+    LaterTerm
+};
+const char *nameOf(ElectionReason reason);
+
+/** What an owner logs of an election. */
+struct ElectionEvent {
+    ElectionStep step = ElectionStep::Started;
+    bool isPreVote = false;
+    Term term = 0;
+    /** The candidate or voter at the other end; empty if there is none. */
+    std::string peer;
+    ElectionReason reason = ElectionReason::None;
+    /** Time since this replica last heard a leader. */
+    Duration leaderSilence = absl::ZeroDuration();
+};
+
 struct OutboundMessage {
     std::string to;
     wire::PeerBodyUnion body;
@@ -103,6 +145,7 @@
     /** True if the snapshot came from the leader: the state machine must be reset to it before `committed` is applied. */
     bool resetToSnapshot = false;
     std::vector<wire::LogRecordT> committed;
+    std::vector<ElectionEvent> electionEvents;
 
     bool isDurable() const
     {
@@ -233,8 +276,10 @@
     void onSnapshotChunk(Timestamp now, const std::string &from, const wire::SnapshotChunkT &chunk);
     void onSnapshotReply(Timestamp now, const std::string &from, const wire::SnapshotReplyT &reply);
     void acceptLeader(Timestamp now, const std::string &from, Term term);
-    bool canGrantVote(Timestamp now, const wire::VoteRequestT &request) const;
-    bool isUpToDate(const wire::VoteRequestT &request) const;
+    /** None if this voter may grant its vote. */
+    ElectionReason voteRefusal(Timestamp now, const wire::VoteRequestT &request) const;
+    ElectionReason logRefusal(const wire::VoteRequestT &request) const;
+    void recordElectionEvent(Timestamp now, ElectionStep step, bool isPreVote, Term term, const std::string &peer, ElectionReason reason);
     /** As leader: whether an answer of @p term belongs to a message that was sent at @p sentAtMicros, in this leader's term. */
     bool isAnswerOfThisTerm(Term term, std::int64_t sentAtMicros) const;
     void recordAck(Timestamp now, Progress &progress, std::int64_t sentAtMicros);
--- a/paddlepier/consensus/replication.cpp
+++ b/paddlepier/consensus/replication.cpp
@@ -334,6 +334,7 @@
 void Replica::onAppendReply(Timestamp now, const std::string &from, const wire::AppendReplyT &reply)
 {
     if (reply.term > this->hardState.term) {
+        this->recordElectionEvent(now, ElectionStep::SteppedDown, false, reply.term, from, ElectionReason::LaterTerm);
         this->becomeFollower(reply.term, "");
         return;
     }
--- a/paddlepier/http/httpclient.cpp
+++ b/paddlepier/http/httpclient.cpp
@@ -206,6 +206,7 @@
     const bool hasExplicitEnd = transfer.hasLength || transfer.isChunked || status == noContentStatus;
     result.isComplete = code == CURLE_OK && status != 0 && hasExplicitEnd;
     result.nothingSent = code != CURLE_OK && transfer.sendAttempts == 0;
+    result.sendAttempts = transfer.sendAttempts;
     if (code != CURLE_OK) {
         result.error = curl_easy_strerror(code);
     } else if (!result.isComplete) {
--- a/paddlepier/http/httpclient.h
+++ b/paddlepier/http/httpclient.h
@@ -23,6 +23,7 @@
 #include "paddlepier/base/clock.h"
 #include "paddlepier/http/httpserver.h"
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -47,6 +48,8 @@
     bool isComplete = false;
     /** No byte of the request can have reached the server. */
     bool nothingSent = false;
+    /** Number of times that sending was started, each over another connection. */
+    std::uint32_t sendAttempts = 0;
     std::string error;
     Response response;
 };
--- a/paddlepier/replication/replicanode.h
+++ b/paddlepier/replication/replicanode.h
@@ -88,6 +88,9 @@
 /** A leader that has committed nothing for this long although calls wait for it doesn't serve them; dozens of commits take less. */
 constexpr Duration maxCommitStall = absl::Milliseconds(500);
 
+/** A write that holds messages back for longer than this many heartbeats is logged: four cause an election. */
+constexpr int slowWriteHeartbeats = 2;
+
 /** Length of the log, in entries, at which a snapshot replaces it. */
 constexpr std::size_t entriesPerSnapshot = 8192;
 
@@ -155,6 +158,8 @@
     struct PendingWrite {
         consensus::Effects effects;
         bool isEmpty = true;
+        /** When the first of the effects was drained. */
+        Timestamp since;
     };
 
     void receiveJoinRequest(const std::string &fromInstance, const wire::JoinRequestT &request);
@@ -165,6 +170,7 @@
     void failProposals();
     void mergePendingWrite(consensus::Effects &effects);
     void submitPendingWrite();
+    void logElectionEvents(const std::vector<consensus::ElectionEvent> &events) const;
     void sendAll(std::vector<consensus::OutboundMessage> &messages);
     void compactIfNeeded();
     /** Transfers leadership if this leader has long been unable to complete calls; its followers don't replace it while they hear it. */
--- a/paddlepier/replication/replicanode_detail.h
+++ b/paddlepier/replication/replicanode_detail.h
@@ -264,6 +264,7 @@
     this->now = at;
     this->core->replicate(at);
     consensus::Effects effects = this->core->drainEffects();
+    this->logElectionEvents(effects.electionEvents);
     this->sendAll(effects.immediate);
     if (effects.resetToSnapshot) {
         this->stateMachine.restore(wire::toString(effects.snapshot->data));
@@ -281,6 +282,22 @@
     this->compactIfNeeded();
 }
 
+template<ReplicatedState State>
+void ReplicaNode<State>::logElectionEvents(const std::vector<consensus::ElectionEvent> &events) const
+{
+    for (const consensus::ElectionEvent &event : events) {
+        log::info("ledger",
+                  "election",
+                  {{"ledger", this->options.name},
+                   {"step", consensus::nameOf(event.step)},
+                   {"preVote", event.isPreVote},
+                   {"term", event.term},
+                   {"peer", event.peer},
+                   {"reason", consensus::nameOf(event.reason)},
+                   {"leaderSilentMillis", absl::ToInt64Milliseconds(event.leaderSilence)}});
+    }
+}
+
 template<ReplicatedState State>
 void ReplicaNode<State>::mergePendingWrite(consensus::Effects &effects)
 {
@@ -288,6 +305,7 @@
         return;
     }
     consensus::Effects &merged = this->pendingWrite.effects;
+    this->pendingWrite.since = this->pendingWrite.isEmpty ? this->now : this->pendingWrite.since;
     this->pendingWrite.isEmpty = false;
     if (effects.snapshot) {
         merged.snapshot = effects.snapshot;
@@ -307,9 +325,21 @@
         return;
     }
     auto work = std::make_shared<consensus::Effects>(std::move(this->pendingWrite.effects));
+    const Timestamp queuedAt = this->pendingWrite.since;
+    const Timestamp submittedAt = this->now;
     this->pendingWrite = PendingWrite();
-    const auto completed = [this, work] {
+    const auto completed = [this, work, queuedAt, submittedAt] {
         this->diskBusy = false;
+        if (this->now - queuedAt > detail::slowWriteHeartbeats * this->options.heartbeatInterval) {
+            log::info("ledger",
+                      "write.slow",
+                      {{"ledger", this->options.name},
+                       {"queuedMillis", absl::ToInt64Milliseconds(submittedAt - queuedAt)},
+                       {"writeMillis", absl::ToInt64Milliseconds(this->now - submittedAt)},
+                       {"entries", work->entries.size()},
+                       {"hasSnapshot", work->snapshot != nullptr},
+                       {"messages", work->afterSync.size()}});
+        }
         this->sendAll(work->afterSync);
         if (!work->entries.empty()) {
             this->core->persisted(this->now, work->entries.back().index, work->entries.back().term);
