http: requests that are withheld or changed right before they are sent

Cause: a request may wait for a connection, or for a process that is paused, after its sender has decided that it is still right to send it. libcurl may also send it again over another connection, seconds later and to another process at the address.

Change: `maySend` is asked right before a request goes out over its established connection; a refused request ends as not sent. A request may have a second body for connections that were established after a given time. The pool records when each connection was established, at the latest.

--- a/paddlepier/http/httpclient.cpp
+++ b/paddlepier/http/httpclient.cpp
@@ -2,6 +2,7 @@
 
 #include "paddlepier/http/httpclient.h"
 
+#include "paddlepier/base/error.h"
 #include "paddlepier/http/transfersockets.h"
 
 #include <absl/container/flat_hash_map.h>
@@ -11,8 +12,10 @@
 #include <curl/curl.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <mutex>
 #include <set>
+#include <utility>
 #include <vector>
 
 namespace paddlepier::http
@@ -47,6 +50,8 @@
     bool isChunked = false;
     /** libcurl has requested to wait for events on its socket. */
     bool wasWatched = false;
+    /** A connection was opened for this request, instead of reusing one. */
+    bool hasOpenedConnection = false;
 
     Transfer() = default;
     Transfer(const Transfer &) = delete;
@@ -71,6 +76,7 @@
         this->hasLength = false;
         this->isChunked = false;
         this->wasWatched = false;
+        this->hasOpenedConnection = false;
     }
 
     /** Scheme, host and port. */
@@ -110,12 +116,26 @@
     return size * count;
 }
 
+/** Selects the body for the connection that is used. */
+void selectBody(Transfer &transfer, int localPort)
+{
+    const Timestamp establishedAt =
+        transfer.sockets == nullptr ? controlNow() : transfer.sockets->establishedAt(localPort, std::exchange(transfer.hasOpenedConnection, false));
+    OutgoingRequest &request = transfer.request;
+    if (!request.bodyForLaterConnection.empty() && establishedAt > request.establishedBy) {
+        // libcurl refers to the body in place.
+        std::copy(request.bodyForLaterConnection.begin(), request.bodyForLaterConnection.end(), request.body.begin());
+    }
+}
+
 /** Called by libcurl right before it sends the request, including before it resends it. */
-int onSending(void *context, char *, char *, int, int)
+int onSending(void *context, char *, char *, int, int localPort)
 {
     auto *transfer = static_cast<Transfer *>(context);
     const bool isFirstAttempt = transfer->sendAttempts == 0;
-    if (!isFirstAttempt && !transfer->request.isIdempotent) {
+    const bool mayResend = isFirstAttempt || transfer->request.isIdempotent;
+    selectBody(*transfer, localPort);
+    if (!mayResend || (transfer->request.maySend && !transfer->request.maySend())) {
         return CURL_PREREQFUNC_ABORT;
     }
     ++transfer->sendAttempts;
@@ -130,7 +150,9 @@
 
 int onSocketOpened(void *context, curl_socket_t socket, curlsocktype)
 {
-    static_cast<TransferSockets *>(context)->setSocketOptions(socket);
+    auto *transfer = static_cast<Transfer *>(context);
+    transfer->hasOpenedConnection = true;
+    transfer->sockets->setSocketOptions(socket);
     return CURL_SOCKOPT_OK;
 }
 
@@ -158,7 +180,7 @@
     curl_easy_setopt(handle, CURLOPT_PRIVATE, &transfer);
     if (transfer.sockets != nullptr) {
         curl_easy_setopt(handle, CURLOPT_SOCKOPTFUNCTION, &onSocketOpened);
-        curl_easy_setopt(handle, CURLOPT_SOCKOPTDATA, transfer.sockets);
+        curl_easy_setopt(handle, CURLOPT_SOCKOPTDATA, &transfer);
         curl_easy_setopt(handle, CURLOPT_CLOSESOCKETFUNCTION, &onSocketClosing);
         curl_easy_setopt(handle, CURLOPT_CLOSESOCKETDATA, transfer.sockets);
     }
@@ -400,6 +422,10 @@
 
 void TransferPool::start(OutgoingRequest request, Done done)
 {
+    if (!request.bodyForLaterConnection.empty() && request.bodyForLaterConnection.size() != request.body.size()) {
+        throw InvalidArgumentError(
+            absl::StrCat("bodyForLaterConnection: has ", request.bodyForLaterConnection.size(), " bytes; expected ", request.body.size(), " as in body"));
+    }
     std::unique_ptr<Transfer> transfer = this->implementation->obtainTransfer();
     transfer->request = std::move(request);
     transfer->done = std::move(done);
--- a/paddlepier/http/httpclient.h
+++ b/paddlepier/http/httpclient.h
@@ -6,6 +6,10 @@
 // even if the server had already read the request. Only idempotent requests are resent. A request that must be delivered if possible, but
 // at most once, gets a new connection.
 //
+// A request may have two bodies: one that must only reach a server process that is known to have run at a time, since another one at the same address
+// would take it for its own, and one for any process. A connection belongs to the process that has accepted it, so that the first body is sent only
+// over a connection that was established by that time, whatever delays the request.
+//
 // A transfer times out only after all data that arrived before its deadline has been read, so that a pool whose own thread was delayed
 // still accepts responses that came in time. After a timeout the transfer's connection is closed. Connections to the same address that
 // have been idle since before that transfer started are closed too, since they may have failed in the same way.
@@ -41,6 +45,11 @@
     bool mayReuseConnection = true;
     /** The request may be resent over another connection if a kept one is closed before the response. */
     bool isIdempotent = false;
+    /** Called by the pool right before the request is sent over an established connection. If it returns false, the request isn't sent. May be empty. */
+    std::function<bool()> maySend;
+    /** Sent instead of `body` over a connection that was established after `establishedBy`; must have the same size. Empty: `body` is always sent. */
+    std::string bodyForLaterConnection;
+    Timestamp establishedBy = absl::InfiniteFuture();
 };
 
 struct TransferResult {
@@ -66,7 +75,10 @@
     TransferPool(const TransferPool &) = delete;
     TransferPool &operator=(const TransferPool &) = delete;
 
-    /** Starts a transfer; @p done is called from run(). */
+    /**
+     * Starts a transfer; @p done is called from run().
+     * @throws InvalidArgumentError if the two bodies of the request differ in size
+     */
     void start(OutgoingRequest request, Done done);
 
     /** Waits up to @p timeout for events, advances the transfers, and calls the `done` of those that ended. */
--- a/paddlepier/http/transfersockets.cpp
+++ b/paddlepier/http/transfersockets.cpp
@@ -60,6 +60,15 @@
     setOption(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, unacknowledgedMillis);
 }
 
+Timestamp TransferSockets::establishedAt(int localPort, bool isNew)
+{
+    Timestamp &at = this->establishedAtByPort.try_emplace(localPort, controlNow()).first->second;
+    if (isNew) {
+        at = controlNow();
+    }
+    return at;
+}
+
 void TransferSockets::watch(int socket, const std::string &address, bool reads, bool writes)
 {
     auto [found, isNew] = this->sockets.try_emplace(socket);
--- a/paddlepier/http/transfersockets.h
+++ b/paddlepier/http/transfersockets.h
@@ -54,6 +54,12 @@
      */
     void setSocketOptions(int socket);
 
+    /**
+     * When the connection with local port @p localPort was established, at the latest. Must be called each time before a request is sent over it.
+     * @param isNew whether this is its first request
+     */
+    Timestamp establishedAt(int localPort, bool isNew);
+
     /** Registers interest in @p socket, over which a call to @p address is in flight, becoming readable, writable or either. */
     void watch(int socket, const std::string &address, bool reads, bool writes);
 
@@ -94,6 +100,8 @@
     /** wake() was called and has not yet ended a wait. */
     std::atomic<bool> isWakePending{false};
     absl::flat_hash_map<int, WatchedSocket> sockets;
+    /** By local port; an entry remains until the port is used again. */
+    absl::flat_hash_map<int, Timestamp> establishedAtByPort;
     // Invariant: holds exactly the keys of `sockets`, by address.
     absl::flat_hash_map<std::string, std::vector<int>> byAddress;
     std::vector<Event> readyEvents;
