Orders leave only while their leader leads

What callers saw: a task ran again after its end had been acknowledged (TWICE, soak), .6 s after a paused leader had resumed.

Cause: the leader's lease was checked when an order was decided, not when it was sent. Hedges ran from a timer that asks for no lease; requests that waited for a connection, for the client's thread or for a paused process were sent whatever their age; a core relayed for whoever asked. A worker that has restarted under its id knows no newer fencing token and executes such an order.

Change: hedges belong to their term and need the lease. Each order carries a permit of its term that the sending thread checks last, once the connection is established; an order without it counts as not sent. A core relays only for an instance that has answered a presence call of the last second as the leader: links are in order, so that an order read before such an answer is not older than it.

--- a/paddlepier/cluster/coreprocess.cpp
+++ b/paddlepier/cluster/coreprocess.cpp
@@ -105,10 +105,12 @@
                    {"dispatchMillis", absl::ToInt64Milliseconds(this->dispatchTimes.sum())},
                    {"ledgerMillis", absl::ToInt64Milliseconds(this->ledgerTimes.sum())}});
         this->service.reset();
-        this->orderRelay.abandonWatches();
+        this->leaderPermit->revoke();
+        this->orderRelay.endTerm();
     }
     if (leads && !this->service && this->node->isServing(now)) {
         this->serviceTerm = term;
+        this->leaderPermit = std::make_shared<execution::SendPermit>();
         this->service = std::make_unique<WorkService>(
             *this->node,
             this->coreOptions.work,
@@ -125,6 +127,9 @@
                   "service.started",
                   {{"term", term}, {"workers", this->node->state().workers().size()}, {"jobs", this->node->state().activeJobs().size()}});
     }
+    if (this->service) {
+        this->leaderPermit->extendTo(this->node->replica().leaderLeaseEnd());
+    }
 }
 
 void CoreProcess::restoreOwnAnswers(Timestamp now)
@@ -328,8 +333,9 @@
     });
 }
 
-void CoreProcess::sendOrder(const execution::WorkerCall &call, std::function<void(execution::WorkerAnswer)> done)
+void CoreProcess::sendOrder(execution::WorkerCall call, std::function<void(execution::WorkerAnswer)> done)
 {
+    call.permit = this->leaderPermit;
     const workload::Workload &state = this->node->state();
     const workload::Worker *worker = state.findWorker(call.worker);
     this->orderRelay.send({worker == nullptr ? 0 : state.workers().size(), worker == nullptr ? "" : worker->registration.zone}, call, std::move(done));
@@ -357,18 +363,21 @@
         };
     ways.runAt = [this](Timestamp at, const std::function<void()> &action) { this->expectReply(at, [action](const wire::CallReplyT *) { action(); }); };
     ways.now = [] { return controlNow(); };
+    ways.isServing = [this] { return this->service && this->node->isServing(controlNow()); };
     return ways;
 }
 
 void CoreProcess::executeRelayedOrder(const std::string &fromInstance, const wire::CallRequestT &request)
 {
-    if (this->isStopping()) {
+    const std::shared_ptr<const execution::SendPermit> permit = this->relayPermits.permitFor(controlNow(), fromInstance);
+    if (this->isStopping() || !permit) {
         CallResult refusal;
         refusal.error = ErrorCode::NotLeader;
         this->reply(fromInstance, request.id, refusal, "");
         return;
     }
-    const execution::WorkerCall call = decodeRelayCall(wire::unpack<work::CarryCallT>(request.body));
+    execution::WorkerCall call = decodeRelayCall(wire::unpack<work::CarryCallT>(request.body));
+    call.permit = permit;
     ++this->relayedCalls;
     const auto reply = [this, fromInstance, id = request.id](const execution::WorkerAnswer &received) {
         --this->relayedCalls;
@@ -414,7 +423,11 @@
     work::PresenceCallT call;
     call.zone = this->options.zone;
     call.incarnation = this->incarnation;
-    this->callPresence(now, std::move(call), presenceTimeout, [](const CallResult &) {});
+    this->callPresence(now, std::move(call), presenceTimeout, [this, now](const CallResult &result) {
+        if (result.error == ErrorCode::None) {
+            this->relayPermits.confirmLeader(this->leader->leaderInstance(), now);
+        }
+    });
 }
 
 void CoreProcess::receiveReply(const std::string &fromInstance, const wire::CallReplyT &reply)
--- a/paddlepier/cluster/coreprocess.h
+++ b/paddlepier/cluster/coreprocess.h
@@ -8,6 +8,7 @@
 #include "paddlepier/cluster/heartbeatbatcher.h"
 #include "paddlepier/cluster/memberprocess.h"
 #include "paddlepier/cluster/orderrelay.h"
+#include "paddlepier/cluster/relaypermits.h"
 #include "paddlepier/cluster/workerwatch.h"
 #include "paddlepier/cluster/workservice.h"
 #include "paddlepier/execution/timerqueue.h"
@@ -71,7 +72,7 @@
     /** Records the presence of another core, which this process may use while it leads. */
     void recordCore(Timestamp now, const std::string &instance, const wire::CallRequestT &request);
     /** Sends an order to its worker, directly or through another core. */
-    void sendOrder(const execution::WorkerCall &call, std::function<void(execution::WorkerAnswer)> done);
+    void sendOrder(execution::WorkerCall call, std::function<void(execution::WorkerAnswer)> done);
     RelayHooks relayHooks();
     WatchHooks watchHooks();
     /** Sends an order to a worker on behalf of the leader. */
@@ -93,6 +94,10 @@
     std::unique_ptr<WorkloadNode> node;
     std::unique_ptr<WorkService> service;
     consensus::Term serviceTerm = 0;
+    /** Permit of the service's orders; valid while this process holds the leader's lease. */
+    std::shared_ptr<execution::SendPermit> leaderPermit;
+    /** Permits of orders that this core relays. */
+    RelayPermits relayPermits;
     AdviceCallerPool adviceCallers;
     OrderRelay orderRelay;
     /** Data centres of this instance and of the core instances that have reported their presence. */
--- a/paddlepier/cluster/leaderclient.cpp
+++ b/paddlepier/cluster/leaderclient.cpp
@@ -39,6 +39,11 @@
     return this->coreInstances;
 }
 
+const std::string &LeaderClient::leaderInstance() const
+{
+    return this->leader;
+}
+
 Timestamp LeaderClient::lastAnswerAt() const
 {
     return this->lastAnsweredAt;
--- a/paddlepier/cluster/leaderclient.h
+++ b/paddlepier/cluster/leaderclient.h
@@ -45,6 +45,8 @@
     /** Retries calls that were refused or not answered in time, and completes those past their deadline. */
     void tick(Timestamp now);
 
+    /** The instance that answered last as the leader; empty if it is unknown. */
+    const std::string &leaderInstance() const;
     /** When an instance last answered as the leader; InfinitePast if none has. */
     Timestamp lastAnswerAt() const;
     std::size_t pendingCalls() const;
--- a/paddlepier/cluster/orderrelay.cpp
+++ b/paddlepier/cluster/orderrelay.cpp
@@ -92,9 +92,15 @@
     }
 }
 
-void OrderRelay::abandonWatches()
+void OrderRelay::endTerm()
 {
     this->watches.clear();
+    ++this->termNumber;
+}
+
+bool OrderRelay::mayHedge(const PendingOrder &order) const
+{
+    return order.termNumber == this->termNumber && this->hooks.isServing();
 }
 
 void OrderRelay::endWatchesOf(const std::string &relay)
@@ -115,7 +121,7 @@
 {
     const Timestamp now = this->hooks.now();
     const std::string relay = this->relays.choose(now, target.workerCount, call.worker.id, target.dataCentre);
-    const OrderPtr pending = std::make_shared<PendingOrder>(PendingOrder{call, relay, now, done, {true}, {}});
+    const OrderPtr pending = std::make_shared<PendingOrder>(PendingOrder{call, relay, now, this->termNumber, done, {true}, {}});
     if (relay.empty()) {
         this->hooks.sendDirect(call, [this, pending](const execution::WorkerAnswer &answer) { this->completeAttempt(pending, pending->primary, answer); });
     } else {
@@ -134,7 +140,7 @@
             return;
         }
         this->suspectRelay(*pending);
-        if (this->hedgesInFlight < maxHedgesInFlight) {
+        if (this->hedgesInFlight < maxHedgesInFlight && this->mayHedge(*pending)) {
             this->sendHedge(pending);
         }
     });
@@ -150,8 +156,15 @@
     if (relayed.outcome == RelayOutcome::Declined) {
         this->relays.recordFailure(this->hooks.now(), pending->relay);
         pending->primary = {};
-        if (!pending->isDone && !pending->hedge.isPending) {
+        if (pending->isDone || pending->hedge.isPending) {
+            return;
+        }
+        if (this->mayHedge(*pending)) {
             this->sendHedge(pending);
+        } else {
+            execution::WorkerAnswer notSent;
+            notSent.kind = execution::AnswerKind::NotSent;
+            this->completeAttempt(pending, pending->primary, notSent);
         }
         return;
     }
--- a/paddlepier/cluster/orderrelay_test.cpp
+++ b/paddlepier/cluster/orderrelay_test.cpp
@@ -38,6 +38,7 @@
         };
         hooks.runAt = [this](Timestamp at, const std::function<void()> &action) { this->timers.emplace(at, action); };
         hooks.now = [this] { return this->now; };
+        hooks.isServing = [this] { return this->isServing; };
         return hooks;
     }
 
@@ -84,6 +85,7 @@
     }
 
     std::size_t workerCount = 350;
+    bool isServing = true;
     Timestamp now = absl::UnixEpoch() + absl::Hours(1);
     std::multimap<Timestamp, std::function<void()>> timers;
     std::deque<OrderRelay::Done> direct;
@@ -233,6 +235,37 @@
     CHECK(this->answers.size() == 1);
 }
 
+// Guards against TWICE: a worker that has restarted under its id executes the order of a deposed leader.
+TEST_CASE_METHOD(OrderRelayFixture, "start_withoutAnAnswerAtTheEndOfItsTerm_isNotHedgedInTheNext")
+{
+    this->workerCount = GENERATE(std::size_t{12}, std::size_t{350});
+    this->order();
+    const std::size_t sent = this->direct.size();
+    this->advance(absl::Milliseconds(100));
+    this->orderRelay.endTerm();
+    this->advance(absl::Seconds(2));
+    CHECK(this->direct.size() == sent);
+}
+
+TEST_CASE_METHOD(OrderRelayFixture, "start_withoutAnAnswerWhileTheLeaseHasExpired_isNotHedged")
+{
+    this->workerCount = GENERATE(std::size_t{12}, std::size_t{350});
+    this->order();
+    const std::size_t sent = this->direct.size();
+    this->isServing = false;
+    this->advance(absl::Seconds(2));
+    CHECK(this->direct.size() == sent);
+}
+
+TEST_CASE_METHOD(OrderRelayFixture, "start_declinedAfterItsTerm_wasNotSent")
+{
+    this->order();
+    this->orderRelay.endTerm();
+    this->endRelayed(0, {RelayOutcome::Declined, {}});
+    CHECK(this->direct.empty());
+    CHECK(this->answers == std::vector{AnswerKind::NotSent});
+}
+
 TEST_CASE_METHOD(OrderRelayFixture, "watch_relayRestarted_ends")
 {
     this->order(execution::PollOrder{0, absl::Seconds(2), absl::Seconds(10)});
--- a/paddlepier/consensus/replica.cpp
+++ b/paddlepier/consensus/replica.cpp
@@ -388,18 +388,24 @@
 }
 
 bool Replica::hasLeaderLease(Timestamp now) const
+{
+    return now < this->leaderLeaseEnd();
+}
+
+Timestamp Replica::leaderLeaseEnd() const
 {
     if (this->role != ReplicaRole::Leader) {
-        return false;
+        return absl::InfinitePast();
     }
     std::vector<Timestamp> confirmed;
     for (const std::string &voter : this->members.voters) {
         const auto found = this->progresses.find(voter);
-        confirmed.push_back(found == this->progresses.end() ? (voter == this->settings.self ? now : absl::InfinitePast()) : found->second.lastAckSentAt);
+        const Timestamp own = voter == this->settings.self ? absl::InfiniteFuture() : absl::InfinitePast();
+        confirmed.push_back(found == this->progresses.end() ? own : found->second.lastAckSentAt);
     }
     std::sort(confirmed.begin(), confirmed.end(), std::greater<>());
     const Duration usable = this->settings.electionTimeout * (1.0 - 2.0 * this->settings.driftPerMille / 1000.0);
-    return now < confirmed[this->quorum() - 1] + usable;
+    return confirmed[this->quorum() - 1] + usable;
 }
 
 bool Replica::isInContactWithMajorityOf(const std::vector<std::string> &voters, Timestamp now) const
--- a/paddlepier/consensus/replica.h
+++ b/paddlepier/consensus/replica.h
@@ -190,6 +190,8 @@
     bool isLeader() const;
     /** True if no other replica can have become leader up to @p now; required for answering from local state. */
     bool hasLeaderLease(Timestamp now) const;
+    /** End of the leader lease as far as it is confirmed; InfinitePast if this replica doesn't lead. */
+    Timestamp leaderLeaseEnd() const;
     /** True if this replica leads and has committed an entry of its own term, and with it all entries of earlier leaders. */
     bool isCaughtUpLeader() const;
     /**
--- a/paddlepier/execution/orders.h
+++ b/paddlepier/execution/orders.h
@@ -9,11 +9,13 @@
 #define PADDLEPIER_EXECUTION_ORDERS_H
 
 #include "paddlepier/base/clock.h"
+#include "paddlepier/execution/sendpermit.h"
 #include "paddlepier/wire/workload_generated.h"
 #include "paddlepier/workload/incarnation.h"
 #include "paddlepier/workload/taskkey.h"
 
 #include <cstdint>
+#include <memory>
 #include <string>
 #include <variant>
 #include <vector>
@@ -79,6 +81,8 @@
     std::int64_t leaseEndOnWorkerClock = 0;
     Duration timeout;
     Order order;
+    /** Checked right before the order is sent; an order without a valid permit isn't sent. Null: sent at any time. */
+    std::shared_ptr<const SendPermit> permit;
 };
 
 enum class AnswerKind {
--- /dev/null
+++ b/paddlepier/execution/sendpermit.h
@@ -0,0 +1,51 @@
+// Permission to send orders, which a leader, or an instance that relays for it, holds for a limited time.
+//
+// An order may wait for a thread, for a connection or for a paused process before it is sent. By then another leader may have been elected, which
+// counts on orders of earlier leaders being old: a worker that restarted meanwhile under its id doesn't know the newer fencing token and would
+// execute the order. The thread that sends an order therefore checks the permit last.
+//
+// Example:
+//     const auto permit = std::make_shared<SendPermit>();
+//     permit->extendTo(replica.leaderLeaseEnd());                   // control thread, while the lease is renewed
+//     if (permit->isValid(controlNow())) { /* write the request */ }   // sending thread
+//
+// Thread safety: all methods from any thread.
+
+#ifndef PADDLEPIER_EXECUTION_SENDPERMIT_H
+#define PADDLEPIER_EXECUTION_SENDPERMIT_H
+
+#include "paddlepier/base/clock.h"
+
+#include <atomic>
+
+namespace paddlepier::execution
+{
+
+class SendPermit
+{
+public:
+    /** Makes the permit valid until @p end, if it hasn't been revoked. */
+    void extendTo(Timestamp end)
+    {
+        this->endMicros = absl::ToUnixMicros(end);
+    }
+
+    /** Ends the permit for good: its term is over. */
+    void revoke()
+    {
+        this->isRevoked = true;
+    }
+
+    bool isValid(Timestamp now) const
+    {
+        return !this->isRevoked && absl::ToUnixMicros(now) < this->endMicros;
+    }
+
+private:
+    std::atomic<std::int64_t> endMicros{0};
+    std::atomic<bool> isRevoked{false};
+};
+
+} // namespace paddlepier::execution
+
+#endif
--- a/testing/soak/checker.cpp
+++ b/testing/soak/checker.cpp
@@ -358,6 +358,12 @@
     return running == wanted ? "" : absl::StrCat(running, " of ", wanted, " lasting tasks run");
 }
 
+std::size_t Checker::startCount()
+{
+    const absl::MutexLock lock(&this->mutex);
+    return this->starts;
+}
+
 std::string Checker::summary()
 {
     const absl::MutexLock lock(&this->mutex);
--- a/testing/soak/checker.h
+++ b/testing/soak/checker.h
@@ -69,6 +69,8 @@
     std::vector<std::string> unsettledJobs();
     /** Accepted jobs that are not in the expected state, with the reason; must become empty after all faults have ended. */
     std::vector<std::string> unsettled();
+    /** Number of starts at all workers. */
+    std::size_t startCount();
     /** Counts for the report of a seed. */
     std::string summary();
 
--- a/testing/soak/traffic.cpp
+++ b/testing/soak/traffic.cpp
@@ -239,13 +239,14 @@
     }
 }
 
-std::optional<Duration> Traffic::submitUntilAccepted(Duration timeout)
+std::optional<Duration> Traffic::submitUntilAccepted(Duration timeout, Duration taskTime)
 {
     const Timestamp begin = controlNow();
     const std::size_t number = this->probes++;
     Caller caller{probeNumber, std::mt19937_64(this->seed), std::mt19937_64(this->seed), static_cast<std::uint32_t>(number), nullptr, {}, 0};
     const std::string id = absl::StrFormat("%08x%02x%06x", this->seed & 0xffffffffU, probeNumber, number);
-    const std::string body = Json{{"task_spec", "plain"}, {"steps", {{{"count", 1}, {"cpu", 250}, {"requested_memory_mb", 100}, {"estimated_ms", 50}}}}}.dump();
+    const Json step{{"count", 1}, {"cpu", 250}, {"requested_memory_mb", 100}, {"estimated_ms", absl::ToInt64Milliseconds(taskTime)}};
+    const std::string body = Json{{"task_spec", "plain"}, {"steps", {step}}}.dump();
     const work::JobSpecT spec = platform::decodeJob(body);
     int status = 0;
     do {
--- a/testing/soak/traffic.h
+++ b/testing/soak/traffic.h
@@ -37,10 +37,10 @@
     void start();
     void stop();
     /**
-     * Submits a job through one entry after the other until it is accepted.
+     * Submits a job of one task, which takes @p taskTime, through one entry after the other until it is accepted.
      * @return the time that took, or nothing if it exceeds @p timeout
      */
-    std::optional<Duration> submitUntilAccepted(Duration timeout);
+    std::optional<Duration> submitUntilAccepted(Duration timeout, Duration taskTime = absl::Milliseconds(50));
     /** LOST: during @p time without faults, every job is accepted within a caller's timeout and one repetition. */
     void submitInCalm(Duration time);
     /** Queries the states of all jobs that have not been reported as ended. */
