Ends are acknowledged only over connections of their incarnation

What callers saw: the same TWICE: the end that a worker discarded was recorded by no leader, and its task was placed again.

Cause: a poll acknowledges ends by number. It was bound to an incarnation by time alone, 250 ms after a list, checked when the poll was decided. A pause, a new connection, or the HTTP library that sends a poll again when its kept connection turns out to be closed, carries the number to the next incarnation under the id, which discards its own ends by it.

Change: a poll has two bodies. The one with the acknowledgement goes only over a connection that was established before the poll that this incarnation then answered: a later incarnation cannot have accepted that connection, however late the request is. A worker whose ends are listed again is polled after 30 ms.

A worker that closes its connection after each answer would never be acknowledged to; the platform's keep them open.

--- a/paddlepier/cluster/coreprocess.cpp
+++ b/paddlepier/cluster/coreprocess.cpp
@@ -67,7 +67,7 @@
 CoreProcess::CoreProcess(MemberOptions memberOptions, CoreOptions options, WorkerPort workerPort, AdvicePort advicePort)
     : MemberProcess(std::move(memberOptions), std::move(advicePort))
     , coreOptions(options)
-    , workers(std::move(workerPort))
+    , orderSender(std::move(workerPort), [this](std::function<void()> work) { this->postCompletion(std::move(work)); })
     , dispatchTimes(this->counters.histogram("control_dispatch"))
     , ledgerTimes(this->counters.histogram("control_ledger"))
     , orderRelay(this->relayHooks())
@@ -345,7 +345,7 @@
 {
     RelayHooks ways;
     ways.sendDirect = [this](const execution::WorkerCall &call, const OrderRelay::Done &done) {
-        this->workers.call(call, [this, done](const execution::WorkerAnswer &answer) { this->postCompletion([done, answer] { done(answer); }); });
+        this->orderSender.send(call, [done](Timestamp, const execution::WorkerAnswer &answer) { done(answer); });
     };
     ways.sendVia =
         [this](const std::string &instance, const execution::WorkerCall &call, Timestamp deadline, const std::function<void(const RelayResult &)> &done) {
@@ -390,17 +390,13 @@
         this->workerWatch.poll(fromInstance, call, reply);
         return;
     }
-    this->workers.call(call, [this, reply](const execution::WorkerAnswer &received) { this->postCompletion([reply, received] { reply(received); }); });
+    this->orderSender.send(call, [reply](Timestamp, const execution::WorkerAnswer &received) { reply(received); });
 }
 
 WatchHooks CoreProcess::watchHooks()
 {
     WatchHooks ways;
-    ways.call = [this](const execution::WorkerCall &call, const WatchHooks::Answered &done) {
-        this->workers.call(call, [this, done](const execution::WorkerAnswer &answer) {
-            this->postCompletion([done, answer, answeredAt = controlNow()] { done(answeredAt, answer); });
-        });
-    };
+    ways.call = [this](const execution::WorkerCall &call, const WatchHooks::Answered &done) { this->orderSender.send(call, done); };
     ways.isServing = [this](const std::string &instance) { return this->node->leaderInstance() == instance && !this->isStopping(); };
     ways.now = [] { return controlNow(); };
     return ways;
--- a/paddlepier/cluster/coreprocess.h
+++ b/paddlepier/cluster/coreprocess.h
@@ -8,6 +8,7 @@
 #include "paddlepier/cluster/heartbeatbatcher.h"
 #include "paddlepier/cluster/memberprocess.h"
 #include "paddlepier/cluster/orderrelay.h"
+#include "paddlepier/cluster/ordersender.h"
 #include "paddlepier/cluster/relaypermits.h"
 #include "paddlepier/cluster/workerwatch.h"
 #include "paddlepier/cluster/workservice.h"
@@ -87,7 +88,7 @@
     void requestAdviceVia(const std::string &instance, const work::AdviceCallT &call, Timestamp deadline, std::function<void(const ReceivedAdvice &)> done);
 
     const CoreOptions coreOptions;
-    const WorkerPort workers;
+    OrderSender orderSender;
     Histogram &dispatchTimes;
     Histogram &ledgerTimes;
     std::unique_ptr<replication::DiskWriter> disk;
--- a/paddlepier/execution/orders.h
+++ b/paddlepier/execution/orders.h
@@ -59,6 +59,11 @@
     Duration wait;
     /** Another instance that relays the order may repeat it for this long, until an answer reports a change. */
     Duration watch = absl::ZeroDuration();
+    /**
+     * `lastSequence` is sent only over a connection that was established by then, since only that one can't lead to a later incarnation under the
+     * same id. Set by the process that sends the order.
+     */
+    Timestamp acknowledgedOverConnectionsBy = absl::InfinitePast();
 };
 
 /** Throttles a run to a share of its speed, to reduce its interference with other runs on the worker. */
--- a/paddlepier/execution/polls.cpp
+++ b/paddlepier/execution/polls.cpp
@@ -51,7 +51,7 @@
  */
 constexpr std::size_t maxFirstPolls = 32;
 /**
- * Pause between polls of a worker while the acknowledgement of one of its ends is held back. A worker that lists an end answers at once instead of
+ * Pause between polls of a worker while the acknowledgement of one of its ends is held back or left out. A worker that lists an end answers at once instead of
  * waiting for the next one, so that without the pause it would be polled once per round trip.
  */
 constexpr Duration heldAcknowledgementPause = absl::Milliseconds(30);
@@ -186,7 +186,12 @@
     }
     view.nextPoll = now;
     view.recordListing(now);
-    view.acknowledgedSequence = std::max(view.acknowledgedSequence, std::get<PollOrder>(call.order).lastSequence);
+    // The process that sends a poll may leave out the acknowledgement. The worker then lists the same ends again, at once.
+    const std::uint64_t acknowledged = std::get<PollOrder>(call.order).lastSequence;
+    const bool isAcknowledged = std::none_of(answer.ended.begin(), answer.ended.end(), [=](const ListedEnd &end) { return end.sequence <= acknowledged; });
+    if (isAcknowledged) {
+        view.acknowledgedSequence = std::max(view.acknowledgedSequence, acknowledged);
+    }
     if (!view.hasListed) {
         view.hasListed = true;
         for (const workload::TaskKey &key : this->state.findWorker(call.worker)->runs) {
@@ -194,7 +199,7 @@
         }
     }
     this->recordEnds(now, call.worker, view, answer);
-    if (this->acknowledgeableSequence(call.worker) < this->state.findWorker(call.worker)->lastSequence) {
+    if (!isAcknowledged || this->acknowledgeableSequence(call.worker) < this->state.findWorker(call.worker)->lastSequence) {
         view.nextPoll = now + heldAcknowledgementPause;
     }
     this->updateRunning(now, call.worker, answer);
