Elections and leases don't wait for the disk

What callers saw: after the faults of soak no leader for 5 and 17 s, leaders that stepped down without a majority, jobs queued for 40 s.

Cause: a follower held all its answers back until what it had accepted was durable. So the answers that renew the leader's lease came too late behind a write of over 150 ms, and pre-votes and refusals waited for writes that they don't depend on. A candidate started over after 300 to 600 ms although an election contains two writes, and a voter that had just voted helped the next candidate to end the election that it had joined.

Change: a follower whose answers have waited for over a heartbeat tells the leader that it hears it. Such a receipt renews the lease, settles no entry and doesn't keep a voter with a hung disk from being replaced. Pre-votes, their answers and refusals go out at once. Where two of the longest recent writes take longer than the election timeout, a candidate and its voters wait for those, and support no other candidate meanwhile.

Tried and dropped: restarted replicas that reset their timers when they support another (a test that must see the fault of a reused identity didn't any more), and voters that wait on fast disks too (the same).

--- a/paddlepier/consensus/fakegroup_test.cpp
+++ b/paddlepier/consensus/fakegroup_test.cpp
@@ -255,6 +255,9 @@
             continue;
         }
         member.replica->tick(this->clockOf(member));
+        if (member.slowDisk && !member.writes.empty()) {
+            member.replica->confirmLeader();
+        }
         this->requestAdmission(index);
         member.admission->advance(*member.replica, this->clockOf(member));
         this->processMember(index);
@@ -291,6 +294,7 @@
     const std::vector<wire::LogRecordT> committedEntries = std::move(effects.committed);
     if (effects.isDurable() || !effects.afterSync.empty()) {
         const Duration syncTime = member.slowDisk ? absl::Milliseconds(120) : stepTime;
+        member.replica->recordWriteTime(syncTime);
         member.writes.push_back({this->now + syncTime, std::move(effects)});
     }
     this->apply(index, committedEntries);
--- a/paddlepier/consensus/leaderlease_test.cpp
+++ b/paddlepier/consensus/leaderlease_test.cpp
@@ -51,6 +51,16 @@
         this->replica->receive(this->now, from, std::move(body));
     }
 
+    void receiveReceipt(Timestamp sentAt)
+    {
+        wire::AppendReplyT receipt;
+        receipt.term = this->replica->currentTerm();
+        receipt.isReceipt = true;
+        receipt.matchIndex = this->replica->lastIndex();
+        receipt.sentAtMicros = absl::ToUnixMicros(sentAt);
+        this->receive("b:1/1", receipt);
+    }
+
     void receiveAnswer(Timestamp sentAt)
     {
         wire::AppendReplyT reply;
@@ -78,4 +88,30 @@
     CHECK(this->replica->hasLeaderLease(this->now));
 }
 
+TEST_CASE_METHOD(LeaderLeaseFixture, "receipt_ofAMessageOfThisTerm_renewsTheLeaseAndStoresNothing")
+{
+    this->replica->replicate(this->now);
+    const Index last = this->replica->lastIndex();
+    this->replica->persisted(this->now, last, this->replica->currentTerm());
+    this->receiveReceipt(this->now);
+    CHECK(this->replica->hasLeaderLease(this->now));
+    CHECK(this->replica->matchOf("b:1/1") < last);
+    CHECK_FALSE(this->replica->isCaughtUpLeader());
+}
+
+TEST_CASE_METHOD(LeaderLeaseFixture, "receipt_ofAMessageSentBeforeTheElection_doesNotRenewTheLease")
+{
+    this->receiveReceipt(this->now - absl::Milliseconds(10));
+    CHECK_FALSE(this->replica->hasLeaderLease(this->now));
+}
+
+// A voter whose disk hangs confirms the leader, and may be replaced all the same.
+TEST_CASE_METHOD(LeaderLeaseFixture, "receipt_isNoAnswerForTheReplacementOfAVoter")
+{
+    const Timestamp elected = this->now;
+    this->now += absl::Milliseconds(50);
+    this->receiveReceipt(this->now);
+    CHECK(this->replica->lastReplyOf("b:1/1", this->now) == elected);
+}
+
 } // namespace paddlepier::consensus
--- a/paddlepier/consensus/replica.cpp
+++ b/paddlepier/consensus/replica.cpp
@@ -16,6 +16,12 @@
 /** An election takes two syncs and a round trip more than a pre-vote, which is several pre-vote intervals. */
 constexpr int preVoteIntervalsPerElection = 5;
 
+/** Writes that an election waits for one after the other: at the candidate, and at a voter. */
+constexpr int writesPerElection = 2;
+
+/** Decay of the longest write time with each write. */
+constexpr double writeTimeDecay = 0.9;
+
 /** A healthy replica answers every heartbeat; the network may lose all but one of this many in a row. */
 constexpr int replyWindowHeartbeats = 3;
 
@@ -35,8 +41,8 @@
 
 const char *nameOf(ElectionReason reason)
 {
-    static constexpr std::array<const char *, 9> names{
-        "none", "hears-leader", "log-behind", "term-behind", "voted-for-other", "hand-over", "after-restart", "no-quorum", "later-term"};
+    static constexpr std::array<const char *, 10> names{
+        "none", "hears-leader", "awaits-election", "log-behind", "term-behind", "voted-for-other", "hand-over", "after-restart", "no-quorum", "later-term"};
     return names.at(static_cast<std::size_t>(reason));
 }
 
@@ -119,6 +125,22 @@
     this->electionDeadline = now + shortest * spread(this->random);
 }
 
+void Replica::awaitElection(Timestamp now)
+{
+    this->resetElectionTimer(now);
+    std::uniform_real_distribution<double> spread(1.0, 2.0);
+    const Duration writes = writesPerElection * this->longestWrite;
+    if (now + writes > this->electionDeadline) {
+        this->electionDeadline = now + writes * spread(this->random);
+        this->votedUntil = this->electionDeadline;
+    }
+}
+
+void Replica::recordWriteTime(Duration time)
+{
+    this->longestWrite = std::max(time, this->longestWrite * writeTimeDecay);
+}
+
 void Replica::recordElectionEvent(Timestamp now, ElectionStep step, bool isPreVote, Term term, const std::string &peer, ElectionReason reason)
 {
     this->effects.electionEvents.push_back({step, isPreVote, term, peer, reason, now - this->lastHeardLeader});
@@ -133,10 +155,20 @@
     }
     this->role = ReplicaRole::Follower;
     this->leaderName = newLeader;
+    this->heardSentAtMicros = 0;
+    this->confirmedSentAtMicros = 0;
     this->progresses.clear();
     this->votes.clear();
 }
 
+template<typename Body>
+void Replica::sendPreVote(Timestamp now, const std::string &to, const Body &body)
+{
+    // Replicas that restart together ask within milliseconds of each other. There, pre-votes keep their order behind the votes, which are synced:
+    // otherwise several replicas become candidates before they learn of each other's votes.
+    this->isFreshlyStarted(now) ? this->sendAfterSync(to, body) : this->sendNow(to, body);
+}
+
 void Replica::startElection(Timestamp now, Election election)
 {
     const bool preVote = election == Election::PreVote;
@@ -154,7 +186,7 @@
         this->hardState.votedFor = this->settings.self;
         this->saveHardState();
     }
-    this->resetElectionTimer(now);
+    preVote ? this->resetElectionTimer(now) : this->awaitElection(now);
     wire::VoteRequestT request;
     request.term = preVote ? this->hardState.term + 1 : this->hardState.term;
     request.lastIndex = this->lastIndex();
@@ -168,7 +200,7 @@
     request.afterRestart = election == Election::AfterRestart;
     for (const std::string &voter : this->members.voters) {
         if (voter != this->settings.self) {
-            this->sendAfterSync(voter, request);
+            preVote ? this->sendPreVote(now, voter, request) : this->sendAfterSync(voter, request);
         }
     }
     if (this->quorum() > 1) {
@@ -193,6 +225,7 @@
         Progress &progress = this->progresses[member];
         progress.next = this->lastIndex() + 1;
         progress.lastReply = now;
+        progress.lastHeard = now;
     }
     // By committing an entry of its own term the leader also commits the entries of earlier leaders.
     this->appendAsLeader(wire::EntryKind::Empty, "");
@@ -204,7 +237,7 @@
 {
     std::size_t responsive = 1;
     for (const auto &[member, progress] : this->progresses) {
-        if (this->isVoter(member) && now - progress.lastReply < 2 * this->settings.electionTimeout) {
+        if (this->isVoter(member) && now - progress.lastHeard < 2 * this->settings.electionTimeout) {
             ++responsive;
         }
     }
@@ -274,12 +307,12 @@
     wire::VoteReplyT reply;
     reply.preVote = request.preVote;
     if (request.preVote) {
-        reply.granted = mayGrant && request.term > this->hardState.term;
+        reply.granted = mayGrant && request.term > this->hardState.term && now >= this->votedUntil;
         reply.term = reply.granted ? request.term : this->hardState.term;
         reply.knowsNoLeader = !this->heardLeader && this->role != ReplicaRole::Leader && this->logRefusal(request) == ElectionReason::None;
-        refusal = mayGrant && !reply.granted ? ElectionReason::TermBehind : refusal;
+        refusal = !mayGrant || reply.granted ? refusal : now < this->votedUntil ? ElectionReason::AwaitsElection : ElectionReason::TermBehind;
         this->recordElectionEvent(now, reply.granted ? ElectionStep::Granted : ElectionStep::Refused, true, request.term, from, refusal);
-        this->sendAfterSync(from, reply);
+        this->sendPreVote(now, from, reply);
         return;
     }
     // A refused candidate must not raise the term here, or a replica that was cut off for a long time would depose a healthy leader.
@@ -292,12 +325,12 @@
     if (reply.granted) {
         this->hardState.votedFor = from;
         this->saveHardState();
-        this->resetElectionTimer(now);
+        this->awaitElection(now);
     } else if (mayGrant) {
         refusal = isFree ? ElectionReason::HearsLeader : ElectionReason::VotedForOther;
     }
     this->recordElectionEvent(now, reply.granted ? ElectionStep::Granted : ElectionStep::Refused, false, request.term, from, refusal);
-    this->sendAfterSync(from, reply);
+    reply.granted ? this->sendAfterSync(from, reply) : this->sendNow(from, reply);
 }
 
 void Replica::onVoteReply(Timestamp now, const std::string &from, const wire::VoteReplyT &reply)
@@ -408,6 +441,19 @@
     return confirmed[this->quorum() - 1] + usable;
 }
 
+void Replica::confirmLeader()
+{
+    if (this->role != ReplicaRole::Follower || this->leaderName.empty() || this->heardSentAtMicros <= this->confirmedSentAtMicros) {
+        return;
+    }
+    this->confirmedSentAtMicros = this->heardSentAtMicros;
+    wire::AppendReplyT receipt;
+    receipt.term = this->hardState.term;
+    receipt.sentAtMicros = this->heardSentAtMicros;
+    receipt.isReceipt = true;
+    this->sendNow(this->leaderName, receipt);
+}
+
 bool Replica::isInContactWithMajorityOf(const std::vector<std::string> &voters, Timestamp now) const
 {
     const auto isResponsive = [this, now](const std::string &voter) {
--- a/paddlepier/consensus/replica.h
+++ b/paddlepier/consensus/replica.h
@@ -102,6 +102,8 @@
     None,
     /** The voter hears a leader, or has heard one within the election timeout. */
     HearsLeader,
+    /** The voter has just voted, for itself or another, and waits for that election to end. */
+    AwaitsElection,
     LogBehind,
     TermBehind,
     VotedForOther,
@@ -176,6 +178,14 @@
      */
     bool proposeMembership(const wire::MembershipT &next);
 
+    /**
+     * As follower: tells the leader that it is heard, without waiting for the disk as answers do. Promises nothing that must be durable: the silence
+     * towards other candidates that the leader lease rests on is kept in memory, and by a restarted replica for as long.
+     */
+    void confirmLeader();
+    /** Reports how long a write took, including its time in the queue. Elections allow for the writes of candidates and voters. */
+    void recordWriteTime(Duration time);
+
     /** Reports that all entries up to @p index are durable here; @p term is the term of the entry at @p index when it was written. */
     void persisted(Timestamp now, Index index, Term term);
 
@@ -241,6 +251,8 @@
         /** Send time of the newest append that the follower answered, by this replica's clock. */
         Timestamp lastAckSentAt = absl::InfinitePast();
         Timestamp lastReply = absl::InfinitePast();
+        /** When an answer or a receipt last arrived. */
+        Timestamp lastHeard = absl::InfinitePast();
         std::uint64_t snapshotOffset = 0;
         Index snapshotIndex = 0;
         /** Send time in microseconds of the snapshot chunk that isn't answered yet. */
@@ -266,6 +278,8 @@
     void startElection(Timestamp now, Election election);
     void becomeLeader(Timestamp now);
     void resetElectionTimer(Timestamp now);
+    /** After a vote, for itself or another: waits for the writes of the election, also where they take longer than the election timeout. */
+    void awaitElection(Timestamp now);
     /** True if the replica was started recently and has had no contact with a leader. */
     bool isFreshlyStarted(Timestamp now) const;
     bool hasUnanimousRestart() const;
@@ -284,6 +298,7 @@
     void recordElectionEvent(Timestamp now, ElectionStep step, bool isPreVote, Term term, const std::string &peer, ElectionReason reason);
     /** As leader: whether an answer of @p term belongs to a message that was sent at @p sentAtMicros, in this leader's term. */
     bool isAnswerOfThisTerm(Term term, std::int64_t sentAtMicros) const;
+    static void recordHeard(Timestamp now, Progress &progress, std::int64_t sentAtMicros);
     void recordAck(Timestamp now, Progress &progress, std::int64_t sentAtMicros);
 
     Index storeEntries(std::vector<std::unique_ptr<wire::LogRecordT>> &entries);
@@ -305,6 +320,8 @@
     template<typename Body>
     void sendNow(const std::string &to, Body body);
     template<typename Body>
+    void sendPreVote(Timestamp now, const std::string &to, const Body &body);
+    template<typename Body>
     void sendAfterSync(const std::string &to, Body body);
 
     bool isVoter(const std::string &replica) const;
@@ -338,6 +355,13 @@
     Timestamp electionDeadline;
     Timestamp lastHeardLeader;
     LeaderTimeout leaderTimeout;
+    /** Send time of the newest message of the leader, by its clock, and of the newest one that was confirmed by a receipt. */
+    std::int64_t heardSentAtMicros = 0;
+    std::int64_t confirmedSentAtMicros = 0;
+    /** Longest recent write; decays with each write. */
+    Duration longestWrite;
+    /** Until then this replica, which has voted in an election that waits for slow writes, supports no other candidate. */
+    Timestamp votedUntil = absl::InfinitePast();
     const Timestamp startedAt;
     const Term termAtStart;
     /** True if this replica has had contact with a leader, or has led, since its start. */
--- a/paddlepier/consensus/replication.cpp
+++ b/paddlepier/consensus/replication.cpp
@@ -50,6 +50,9 @@
 
 template void Replica::sendNow(const std::string &, wire::AppendRequestT);
 template void Replica::sendNow(const std::string &, wire::SnapshotChunkT);
+template void Replica::sendNow(const std::string &, wire::VoteRequestT);
+template void Replica::sendNow(const std::string &, wire::VoteReplyT);
+template void Replica::sendNow(const std::string &, wire::AppendReplyT);
 template void Replica::sendAfterSync(const std::string &, wire::SnapshotReplyT);
 template void Replica::sendAfterSync(const std::string &, wire::VoteRequestT);
 template void Replica::sendAfterSync(const std::string &, wire::VoteReplyT);
@@ -164,7 +167,7 @@
 void Replica::sendAppend(Timestamp now, const std::string &to, Progress &progress, bool heartbeat)
 {
     if (heartbeat && !progress.silentSince && progress.inFlight.size() > 0
-        && now - progress.lastReply > maxMissedHeartbeats * this->settings.heartbeatInterval) {
+        && now - progress.lastHeard > maxMissedHeartbeats * this->settings.heartbeatInterval) {
         progress.silentSince = toMicros(now);
         progress.probing = true;
     }
@@ -256,6 +259,7 @@
         return;
     }
     this->acceptLeader(now, from, request.term);
+    this->heardSentAtMicros = request.sentAtMicros;
     reply.term = this->hardState.term;
     const std::optional<Term> previousTerm = this->termAt(request.previousIndex);
     if (request.previousIndex < this->committedIndex) {
@@ -317,10 +321,16 @@
     return this->role == ReplicaRole::Leader && term == this->hardState.term && sentAtMicros >= toMicros(this->leadingSince);
 }
 
+void Replica::recordHeard(Timestamp now, Progress &progress, std::int64_t sentAtMicros)
+{
+    progress.lastHeard = now;
+    progress.lastAckSentAt = std::max(progress.lastAckSentAt, absl::FromUnixMicros(sentAtMicros));
+}
+
 void Replica::recordAck(Timestamp now, Progress &progress, std::int64_t sentAtMicros)
 {
+    recordHeard(now, progress, sentAtMicros);
     progress.lastReply = now;
-    progress.lastAckSentAt = std::max(progress.lastAckSentAt, absl::FromUnixMicros(sentAtMicros));
     progress.inFlight.recordAnswer(sentAtMicros);
     if (progress.silentSince && sentAtMicros >= *progress.silentSince) {
         progress.silentSince.reset();
@@ -343,6 +353,11 @@
         return;
     }
     Progress &progress = found->second;
+    if (reply.isReceipt) {
+        // Links are in order, but a receipt overtakes the answers that wait for the disk, so that it settles no message.
+        recordHeard(now, progress, reply.sentAtMicros);
+        return;
+    }
     this->recordAck(now, progress, reply.sentAtMicros);
     if (reply.accepted) {
         progress.match = std::max(progress.match, reply.matchIndex);
--- a/paddlepier/replication/replicanode.h
+++ b/paddlepier/replication/replicanode.h
@@ -170,6 +170,8 @@
     void failProposals();
     void mergePendingWrite(consensus::Effects &effects);
     void submitPendingWrite();
+    /** Tells the leader that it is heard while answers to it wait for the disk. */
+    void confirmLeaderIfLate(Timestamp at);
     void logElectionEvents(const std::vector<consensus::ElectionEvent> &events) const;
     void sendAll(std::vector<consensus::OutboundMessage> &messages);
     void compactIfNeeded();
@@ -195,6 +197,8 @@
     std::map<consensus::Index, Timestamp> proposedAt;
     PendingWrite pendingWrite;
     bool diskBusy = false;
+    /** When the effects of the write in progress were drained. */
+    Timestamp writingSince;
     Timestamp now;
 
     Timestamp nextJoinRequestAt = absl::InfinitePast();
--- a/paddlepier/replication/replicanode_detail.h
+++ b/paddlepier/replication/replicanode_detail.h
@@ -119,6 +119,16 @@
     }
 }
 
+template<ReplicatedState State>
+void ReplicaNode<State>::confirmLeaderIfLate(Timestamp at)
+{
+    const bool isHeld = this->diskBusy || !this->pendingWrite.isEmpty;
+    const Timestamp heldSince = this->diskBusy ? this->writingSince : this->pendingWrite.since;
+    if (isHeld && at - heldSince > this->options.heartbeatInterval) {
+        this->core->confirmLeader();
+    }
+}
+
 template<ReplicatedState State>
 void ReplicaNode<State>::receive(Timestamp at, wire::PeerFrameT frame)
 {
@@ -151,6 +161,7 @@
         this->requestMembership(at);
     }
     this->admission.advance(*this->core, at);
+    this->confirmLeaderIfLate(at);
     this->superviseLeadership(at);
     if (this->wasLeader != this->core->isLeader()) {
         this->wasLeader = this->core->isLeader();
@@ -330,6 +341,7 @@
     this->pendingWrite = PendingWrite();
     const auto completed = [this, work, queuedAt, submittedAt] {
         this->diskBusy = false;
+        this->core->recordWriteTime(this->now - queuedAt);
         if (this->now - queuedAt > detail::slowWriteHeartbeats * this->options.heartbeatInterval) {
             log::info("ledger",
                       "write.slow",
@@ -350,6 +362,7 @@
         return;
     }
     this->diskBusy = true;
+    this->writingSince = queuedAt;
     this->disk.submit(
         [work, files = this->store] {
             if (work->snapshot) {
--- a/paddlepier/wire/peer_generated.h
+++ b/paddlepier/wire/peer_generated.h
@@ -1416,6 +1416,7 @@
   bool accepted = false;
   uint64_t matchIndex = 0;
   int64_t sentAtMicros = 0;
+  bool isReceipt = false;
 };
 
 struct AppendReply FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -1429,7 +1430,8 @@
     VT_TERM = 4,
     VT_ACCEPTED = 6,
     VT_MATCHINDEX = 8,
-    VT_SENTATMICROS = 10
+    VT_SENTATMICROS = 10,
+    VT_ISRECEIPT = 12
   };
   uint64_t term() const {
     return GetField<uint64_t>(VT_TERM, 0);
@@ -1443,12 +1445,17 @@
   int64_t sentAtMicros() const {
     return GetField<int64_t>(VT_SENTATMICROS, 0);
   }
+  /// Only tells that the message of that time has arrived; its answer follows after a write. The other fields but `term` have no meaning.
+  bool isReceipt() const {
+    return GetField<uint8_t>(VT_ISRECEIPT, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_TERM, 8) &&
            VerifyField<uint8_t>(verifier, VT_ACCEPTED, 1) &&
            VerifyField<uint64_t>(verifier, VT_MATCHINDEX, 8) &&
            VerifyField<int64_t>(verifier, VT_SENTATMICROS, 8) &&
+           VerifyField<uint8_t>(verifier, VT_ISRECEIPT, 1) &&
            verifier.EndTable();
   }
   AppendReplyT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1472,6 +1479,9 @@
   void add_sentAtMicros(int64_t sentAtMicros) {
     fbb_.AddElement<int64_t>(AppendReply::VT_SENTATMICROS, sentAtMicros, 0);
   }
+  void add_isReceipt(bool isReceipt) {
+    fbb_.AddElement<uint8_t>(AppendReply::VT_ISRECEIPT, static_cast<uint8_t>(isReceipt), 0);
+  }
   explicit AppendReplyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1488,11 +1498,13 @@
     uint64_t term = 0,
     bool accepted = false,
     uint64_t matchIndex = 0,
-    int64_t sentAtMicros = 0) {
+    int64_t sentAtMicros = 0,
+    bool isReceipt = false) {
   AppendReplyBuilder builder_(_fbb);
   builder_.add_sentAtMicros(sentAtMicros);
   builder_.add_matchIndex(matchIndex);
   builder_.add_term(term);
+  builder_.add_isReceipt(isReceipt);
   builder_.add_accepted(accepted);
   return builder_.Finish();
 }
@@ -2972,6 +2984,7 @@
   { auto _e = accepted(); _o->accepted = _e; }
   { auto _e = matchIndex(); _o->matchIndex = _e; }
   { auto _e = sentAtMicros(); _o->sentAtMicros = _e; }
+  { auto _e = isReceipt(); _o->isReceipt = _e; }
 }
 
 inline flatbuffers::Offset<AppendReply> AppendReply::Pack(flatbuffers::FlatBufferBuilder &_fbb, const AppendReplyT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -2986,12 +2999,14 @@
   auto _accepted = _o->accepted;
   auto _matchIndex = _o->matchIndex;
   auto _sentAtMicros = _o->sentAtMicros;
+  auto _isReceipt = _o->isReceipt;
   return paddlepier::wire::CreateAppendReply(
       _fbb,
       _term,
       _accepted,
       _matchIndex,
-      _sentAtMicros);
+      _sentAtMicros,
+      _isReceipt);
 }
 
 inline SnapshotChunkT *SnapshotChunk::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
