Starts leave only while they are wanted

Cause: a start without an answer may have been executed by its second copy. Its run is listed, ends and is acknowledged; then its worker restarts under its id, and the first copy, whose connection opened slowly, or a hedge, starts the run once more there, in the same term.

Change: the dispatcher holds a token with the state of a run until it has started, is stopped or has ended. The sending thread and the hedge check it last, beside the permit of the term.

A copy that another core relays can't be recalled; its permit bounds it to about two seconds.

--- a/paddlepier/cluster/coreprocess.cpp
+++ b/paddlepier/cluster/coreprocess.cpp
@@ -335,7 +335,7 @@
 
 void CoreProcess::sendOrder(execution::WorkerCall call, std::function<void(execution::WorkerAnswer)> done)
 {
-    call.permit = this->leaderPermit;
+    call.conditions.permit = this->leaderPermit;
     const workload::Workload &state = this->node->state();
     const workload::Worker *worker = state.findWorker(call.worker);
     this->orderRelay.send({worker == nullptr ? 0 : state.workers().size(), worker == nullptr ? "" : worker->registration.zone}, call, std::move(done));
@@ -377,7 +377,7 @@
         return;
     }
     execution::WorkerCall call = decodeRelayCall(wire::unpack<work::CarryCallT>(request.body));
-    call.permit = permit;
+    call.conditions.permit = permit;
     ++this->relayedCalls;
     const auto reply = [this, fromInstance, id = request.id](const execution::WorkerAnswer &received) {
         --this->relayedCalls;
--- a/paddlepier/cluster/orderrelay.cpp
+++ b/paddlepier/cluster/orderrelay.cpp
@@ -100,7 +100,7 @@
 
 bool OrderRelay::mayHedge(const PendingOrder &order) const
 {
-    return order.termNumber == this->termNumber && this->hooks.isServing();
+    return order.termNumber == this->termNumber && this->hooks.isServing() && order.call.conditions.hold(this->hooks.now());
 }
 
 void OrderRelay::endWatchesOf(const std::string &relay)
--- a/paddlepier/cluster/orderrelay_test.cpp
+++ b/paddlepier/cluster/orderrelay_test.cpp
@@ -50,6 +50,7 @@
         call.worker = {worker};
         call.timeout = absl::Milliseconds(900);
         call.order = std::move(order);
+        call.conditions = this->conditions;
         this->orderRelay.send({this->workerCount, dataCentre}, call, [this](const execution::WorkerAnswer &answer) { this->answers.push_back(answer.kind); });
     }
 
@@ -86,6 +87,7 @@
 
     std::size_t workerCount = 350;
     bool isServing = true;
+    execution::SendConditions conditions;
     Timestamp now = absl::UnixEpoch() + absl::Hours(1);
     std::multimap<Timestamp, std::function<void()>> timers;
     std::deque<OrderRelay::Done> direct;
@@ -257,6 +259,17 @@
     CHECK(this->direct.size() == sent);
 }
 
+TEST_CASE_METHOD(OrderRelayFixture, "start_thatIsNotWantedAnyMore_isNotHedged")
+{
+    auto token = std::make_shared<const execution::StartToken>();
+    this->conditions.start = token;
+    this->order();
+    this->advance(absl::Milliseconds(100));
+    token.reset(); // The run is listed, and may have ended, though its start has got no answer.
+    this->advance(absl::Seconds(2));
+    CHECK(this->direct.empty());
+}
+
 TEST_CASE_METHOD(OrderRelayFixture, "start_declinedAfterItsTerm_wasNotSent")
 {
     this->order();
--- a/paddlepier/execution/dispatcherfixture.h
+++ b/paddlepier/execution/dispatcherfixture.h
@@ -188,6 +188,8 @@
     /** Queue of the jobs that are submitted from now on: `quick`, or `advised`, which requires advice of the policy service. */
     std::string queueOfJobs = "quick";
     Duration adviceDelay = absl::ZeroDuration();
+    /** Acknowledgements don't reach another incarnation than the addressed one, as the processes ensure. */
+    bool bindsAcknowledgements = false;
     std::function<bool(const workload::StepKey &, const std::string &worker)> isPermitted = [](const workload::StepKey &, const std::string &) { return true; };
     /** How much later a worker receives the order; such an order gets no answer. */
     std::function<Duration(const WorkerCall &)> delayOf = [](const WorkerCall &) { return absl::ZeroDuration(); };
@@ -200,6 +202,17 @@
     /** Called at the beginning of each step. */
     std::function<void()> onStep = [] {};
 
+protected:
+    /** Executes an order at the incarnation that is there; only the one that is addressed gets an acknowledgement. */
+    WorkerAnswer execute(WorkerCall call)
+    {
+        auto *poll = std::get_if<PollOrder>(&call.order);
+        if (poll != nullptr && this->bindsAcknowledgements && this->workers.workers[call.worker.id].born != call.worker.born) {
+            poll->lastSequence = 0;
+        }
+        return this->workers.execute(this->now, call);
+    }
+
 private:
     struct DelayedCall {
         Timestamp at;
@@ -278,7 +291,7 @@
         } else if (!isPoll && this->chance(this->networkFaults.delayPercent)) {
             this->delayCall(call, absl::Milliseconds(2000 + this->random() % 10'000));
         } else {
-            const WorkerAnswer answer = this->workers.execute(this->now, call);
+            const WorkerAnswer answer = this->execute(call);
             const auto *poll = std::get_if<PollOrder>(&call.order);
             if (this->hasRelay && poll != nullptr && poll->watch > absl::ZeroDuration() && reportsNoChange(call, *poll, answer)) {
                 this->watches.push_back({this->now + poll->watch, call});
--- a/paddlepier/execution/orders.h
+++ b/paddlepier/execution/orders.h
@@ -15,7 +15,6 @@
 #include "paddlepier/workload/taskkey.h"
 
 #include <cstdint>
-#include <memory>
 #include <string>
 #include <variant>
 #include <vector>
@@ -86,8 +85,8 @@
     std::int64_t leaseEndOnWorkerClock = 0;
     Duration timeout;
     Order order;
-    /** Checked right before the order is sent; an order without a valid permit isn't sent. Null: sent at any time. */
-    std::shared_ptr<const SendPermit> permit;
+    /** Checked right before the order is sent; if they don't hold any more, it isn't sent. */
+    SendConditions conditions;
 };
 
 enum class AnswerKind {
--- a/paddlepier/execution/progress.cpp
+++ b/paddlepier/execution/progress.cpp
@@ -71,6 +71,7 @@
         if (track->phase == RunPhase::Starting) {
             track->phase = RunPhase::Running;
             track->runningSince = now;
+            track->startToken.reset();
             track->progressAt = now;
         }
         const bool isFirstSeen = track->firstPercentAt == absl::InfiniteFuture();
--- a/paddlepier/execution/runs.cpp
+++ b/paddlepier/execution/runs.cpp
@@ -141,6 +141,10 @@
     ++track.startCalls;
     track.isCallInFlight = true;
     this->send(now, track.worker, StartOrder{key, track.run, job.spec().payload, track.checkpoint, track.ticket}, orderTimeout, true);
+    if (!track.startToken) {
+        track.startToken = std::make_shared<const StartToken>();
+    }
+    this->effects.calls.back().conditions.start = track.startToken;
     this->limitWatch(now, track.worker);
 }
 
@@ -181,6 +185,7 @@
         if (track->phase == RunPhase::Starting) {
             track->phase = RunPhase::Running;
             track->runningSince = now;
+            track->startToken.reset();
             track->progressAt = now;
         }
         return;
@@ -230,6 +235,7 @@
     // The stop doesn't wait for the answer to a start, which may still be in transit: it prevents a start that arrives after it.
     track.mayStartLate = track.mayStartLate || track.isCallInFlight;
     track.isCallInFlight = false;
+    track.startToken.reset();
     track.phase = RunPhase::Stopping;
     track.nextCall = now;
     this->runTimers.schedule(key, now);
--- a/paddlepier/execution/runtrack.h
+++ b/paddlepier/execution/runtrack.h
@@ -6,11 +6,13 @@
 #define PADDLEPIER_EXECUTION_RUNTRACK_H
 
 #include "paddlepier/base/clock.h"
+#include "paddlepier/execution/sendpermit.h"
 #include "paddlepier/workload/incarnation.h"
 #include "paddlepier/workload/taskkey.h"
 
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 
@@ -58,6 +60,8 @@
     Timestamp settledAt = absl::InfiniteFuture();
     Timestamp nextCall = absl::InfinitePast();
     std::uint32_t startCalls = 0;
+    /** Set while a start that was sent is wanted. */
+    std::shared_ptr<const StartToken> startToken;
     Timestamp placedAt;
     Timestamp runningSince = absl::InfiniteFuture();
     std::uint32_t percent = 0;
--- a/paddlepier/execution/sendpermit.h
+++ b/paddlepier/execution/sendpermit.h
@@ -1,4 +1,5 @@
-// Permission to send orders, which a leader, or an instance that relays for it, holds for a limited time.
+// Conditions under which an order may still be sent: the permission of a leader, or of an instance that relays for it, which is limited in time, and
+// for a start that it is still wanted.
 //
 // An order may wait for a thread, for a connection or for a paused process before it is sent. By then another leader may have been elected, which
 // counts on orders of earlier leaders being old: a worker that restarted meanwhile under its id doesn't know the newer fencing token and would
@@ -17,6 +18,9 @@
 #include "paddlepier/base/clock.h"
 
 #include <atomic>
+#include <cstdint>
+#include <memory>
+#include <optional>
 
 namespace paddlepier::execution
 {
@@ -46,6 +50,22 @@
     std::atomic<bool> isRevoked{false};
 };
 
+/** Held with the state of a run while its start is wanted: until it has started, is stopped or has ended. */
+struct StartToken {
+};
+
+struct SendConditions {
+    /** Null: at any time. */
+    std::shared_ptr<const SendPermit> permit;
+    /** Expires when a start isn't wanted any more. Its run may have ended by then, and its worker may have restarted under its id. Empty for other orders. */
+    std::optional<std::weak_ptr<const StartToken>> start;
+
+    bool hold(Timestamp now) const
+    {
+        return (!this->permit || this->permit->isValid(now)) && (!this->start || !this->start->expired());
+    }
+};
+
 } // namespace paddlepier::execution
 
 #endif
