--- a/paddlepier/http/httpclient.cpp
+++ b/paddlepier/http/httpclient.cpp
@@ -3,6 +3,7 @@
 #include "paddlepier/http/httpclient.h"
 
 #include "paddlepier/base/error.h"
+#include "paddlepier/base/log.h"
 #include "paddlepier/http/transfersockets.h"
 
 #include <absl/container/flat_hash_map.h>
@@ -124,6 +125,7 @@
     OutgoingRequest &request = transfer.request;
     if (!request.bodyForLaterConnection.empty() && establishedAt > request.establishedBy) {
         // libcurl refers to the body in place.
+        std::fill(request.body.begin(), request.body.end(), ' ');
         std::copy(request.bodyForLaterConnection.begin(), request.bodyForLaterConnection.end(), request.body.begin());
     }
 }
@@ -228,7 +230,6 @@
     const bool hasExplicitEnd = transfer.hasLength || transfer.isChunked || status == noContentStatus;
     result.isComplete = code == CURLE_OK && status != 0 && hasExplicitEnd;
     result.nothingSent = code != CURLE_OK && transfer.sendAttempts == 0;
-    result.sendAttempts = transfer.sendAttempts;
     if (code != CURLE_OK) {
         result.error = curl_easy_strerror(code);
     } else if (!result.isComplete) {
@@ -394,6 +395,13 @@
     if (code == CURLE_OPERATION_TIMEDOUT) {
         this->sockets.shutDownIdle(transfer->address(), transfer->startedAt);
     }
+    if (transfer->sendAttempts > 1) {
+        log::info("http",
+                  "request.resent",
+                  {{"url", transfer->request.url},
+                   {"attempts", transfer->sendAttempts},
+                   {"ageMillis", absl::ToInt64Milliseconds(controlNow() - transfer->startedAt)}});
+    }
     TransferResult result = makeResult(*transfer, code);
     const Done done = std::move(transfer->done);
     if (this->spareTransfers.size() < maxSpareTransfers) {
@@ -422,9 +430,9 @@
 
 void TransferPool::start(OutgoingRequest request, Done done)
 {
-    if (!request.bodyForLaterConnection.empty() && request.bodyForLaterConnection.size() != request.body.size()) {
+    if (request.bodyForLaterConnection.size() > request.body.size()) {
         throw InvalidArgumentError(
-            absl::StrCat("bodyForLaterConnection: has ", request.bodyForLaterConnection.size(), " bytes; expected ", request.body.size(), " as in body"));
+            absl::StrCat("bodyForLaterConnection: has ", request.bodyForLaterConnection.size(), " bytes; at most ", request.body.size(), " were expected"));
     }
     std::unique_ptr<Transfer> transfer = this->implementation->obtainTransfer();
     transfer->request = std::move(request);
--- a/paddlepier/http/httpclient.h
+++ b/paddlepier/http/httpclient.h
@@ -27,7 +27,6 @@
 #include "paddlepier/base/clock.h"
 #include "paddlepier/http/httpserver.h"
 
-#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -47,7 +46,10 @@
     bool isIdempotent = false;
     /** Called by the pool right before the request is sent over an established connection. If it returns false, the request isn't sent. May be empty. */
     std::function<bool()> maySend;
-    /** Sent instead of `body` over a connection that was established after `establishedBy`; must have the same size. Empty: `body` is always sent. */
+    /**
+     * Sent instead of `body` over a connection that was established after `establishedBy`, padded with spaces to the same size; must not be longer.
+     * Empty: `body` is always sent.
+     */
     std::string bodyForLaterConnection;
     Timestamp establishedBy = absl::InfiniteFuture();
 };
@@ -57,8 +59,6 @@
     bool isComplete = false;
     /** No byte of the request can have reached the server. */
     bool nothingSent = false;
-    /** Number of times that sending was started, each over another connection. */
-    std::uint32_t sendAttempts = 0;
     std::string error;
     Response response;
 };
@@ -77,7 +77,7 @@
 
     /**
      * Starts a transfer; @p done is called from run().
-     * @throws InvalidArgumentError if the two bodies of the request differ in size
+     * @throws InvalidArgumentError if the body for later connections is longer than the other one
      */
     void start(OutgoingRequest request, Done done);
 
