--- a/paddlepier/http/httpclient.h
+++ b/paddlepier/http/httpclient.h
@@ -45,12 +45,12 @@
     /** The request may be resent over another connection if a kept one is closed before the response. */
     bool isIdempotent = false;
     /** Called by the pool right before the request is sent over an established connection. If it returns false, the request isn't sent. May be empty. */
-    std::function<bool()> maySend;
+    std::function<bool()> maySend = {};
     /**
      * Sent instead of `body` over a connection that was established after `establishedBy`, padded with spaces to the same size; must not be longer.
      * Empty: `body` is always sent.
      */
-    std::string bodyForLaterConnection;
+    std::string bodyForLaterConnection = {};
     Timestamp establishedBy = absl::InfiniteFuture();
 };
 
--- a/paddlepier/http/repeatedrequest_test.cpp
+++ b/paddlepier/http/repeatedrequest_test.cpp
@@ -182,7 +182,7 @@
 TEST_CASE_METHOD(RepeatedRequestFixture, "requestWithTwoBodies_theSecondOneLonger_isRefused")
 {
     OutgoingRequest request;
-    request.bodyForLaterConnection = absl::StrCat(body, " ");
+    request.bodyForLaterConnection = std::string(body) + " ";
     CHECK_THROWS_AS(this->call(std::move(request)), InvalidArgumentError);
 }
 
