--- a/paddlepier/execution/lateorder_test.cpp
+++ b/paddlepier/execution/lateorder_test.cpp
@@ -146,8 +146,9 @@
 {
     for (std::uint64_t number = 1; number <= testing::scenarios(150); ++number) {
         const std::uint64_t seed = number + testing::seedBase();
-        INFO("seed " << seed);
-        REQUIRE(runScenario({}, seed) == "");
+        const std::string violation = runScenario({}, seed);
+        CAPTURE(seed, violation);
+        REQUIRE(violation.empty());
     }
 }
 
