testing: invalid input is sent to an instance that is ready

Seen: invalidInput_ofEachKind... failed once of one run of the end-to-end tests beside linter, build and three soaks: /healthz answered 503 at its end; six more runs passed.

Cause: the test never waited for the instance to be ready. It isn't before it has requested its first shares.

Change: the test waits for 200 first; its check at the end is the same, and now means what its name says: the input leaves the service working.

--- a/testing/endtoend_test.cpp
+++ b/testing/endtoend_test.cpp
@@ -526,6 +526,8 @@
 TEST_CASE_METHOD(CellFixture, "invalidInput_ofEachKind_getsTypedErrorAndLeavesServiceWorking", "[e2e]")
 {
     this->startDataCentre(1);
+    // An instance isn't ready before it has requested its first shares.
+    REQUIRE(waitUntil([this] { return this->cell.post("a1", "/healthz", "", "").status == 200; }));
     const std::string token = Cell::operatorToken("north");
     const auto expect = [&](const http::Response &answer, int status, const std::string &error) {
         INFO(answer.body);
