--- a/paddlepier/replication/replicagroupfixture.h
+++ b/paddlepier/replication/replicagroupfixture.h
@@ -10,9 +10,11 @@
 #include "paddlepier/replication/replicanode.h"
 
 #include <absl/strings/str_cat.h>
+#include <absl/time/clock.h>
 #include <stdlib.h>
 
 #include <algorithm>
+#include <atomic>
 #include <deque>
 #include <filesystem>
 #include <map>
@@ -104,7 +106,8 @@
             node->tick(this->now);
             node->flush(this->now);
         }
-        for (const Mailbox::Work &work : this->mailbox.drain(absl::Milliseconds(2))) {
+        this->awaitDisk();
+        for (const Mailbox::Work &work : this->mailbox.drain(absl::ZeroDuration())) {
             this->writes.emplace_back(this->now + this->syncTime, work);
         }
         while (!this->writes.empty() && this->writes.front().first <= this->now) {
@@ -114,6 +117,16 @@
         }
     }
 
+    /** Waits until the real disk has written all that was submitted, so that node time doesn't depend on its speed. */
+    void awaitDisk()
+    {
+        std::atomic<bool> isDone{false};
+        this->disk.submit([&isDone] { isDone = true; }, [] {});
+        while (!isDone) {
+            absl::SleepFor(absl::Microseconds(50));
+        }
+    }
+
     std::string folder;
     Counters counters;
     Mailbox mailbox{1000};
