orderrelay: the permit of an order decides on its hedge, alone

Cause: a hedge was checked three times against the same thing: a number of the term, a hook for the lease, and the conditions that each order carries. The permit in these is revoked with its term and ends with the lease, so that the number and the hook could be derived.

Assertions are the same.

--- a/paddlepier/cluster/coreprocess.cpp
+++ b/paddlepier/cluster/coreprocess.cpp
@@ -106,7 +106,7 @@
                    {"ledgerMillis", absl::ToInt64Milliseconds(this->ledgerTimes.sum())}});
         this->service.reset();
         this->leaderPermit->revoke();
-        this->orderRelay.endTerm();
+        this->orderRelay.abandonWatches();
     }
     if (leads && !this->service && this->node->isServing(now)) {
         this->serviceTerm = term;
@@ -363,7 +363,6 @@
         };
     ways.runAt = [this](Timestamp at, const std::function<void()> &action) { this->expectReply(at, [action](const wire::CallReplyT *) { action(); }); };
     ways.now = [] { return controlNow(); };
-    ways.isServing = [this] { return this->service && this->node->isServing(controlNow()); };
     return ways;
 }
 
--- a/paddlepier/cluster/orderrelay.cpp
+++ b/paddlepier/cluster/orderrelay.cpp
@@ -92,15 +92,9 @@
     }
 }
 
-void OrderRelay::endTerm()
+void OrderRelay::abandonWatches()
 {
     this->watches.clear();
-    ++this->termNumber;
-}
-
-bool OrderRelay::mayHedge(const PendingOrder &order) const
-{
-    return order.termNumber == this->termNumber && this->hooks.isServing() && order.call.conditions.hold(this->hooks.now());
 }
 
 void OrderRelay::endWatchesOf(const std::string &relay)
@@ -121,7 +115,7 @@
 {
     const Timestamp now = this->hooks.now();
     const std::string relay = this->relays.choose(now, target.workerCount, call.worker.id, target.dataCentre);
-    const OrderPtr pending = std::make_shared<PendingOrder>(PendingOrder{call, relay, now, this->termNumber, done, {true}, {}});
+    const OrderPtr pending = std::make_shared<PendingOrder>(PendingOrder{call, relay, now, done, {true}, {}});
     if (relay.empty()) {
         this->hooks.sendDirect(call, [this, pending](const execution::WorkerAnswer &answer) { this->completeAttempt(pending, pending->primary, answer); });
     } else {
@@ -140,7 +134,7 @@
             return;
         }
         this->suspectRelay(*pending);
-        if (this->hedgesInFlight < maxHedgesInFlight && this->mayHedge(*pending)) {
+        if (this->hedgesInFlight < maxHedgesInFlight && pending->call.conditions.hold(this->hooks.now())) {
             this->sendHedge(pending);
         }
     });
@@ -159,7 +153,7 @@
         if (pending->isDone || pending->hedge.isPending) {
             return;
         }
-        if (this->mayHedge(*pending)) {
+        if (pending->call.conditions.hold(this->hooks.now())) {
             this->sendHedge(pending);
         } else {
             execution::WorkerAnswer notSent;
--- a/paddlepier/cluster/orderrelay.h
+++ b/paddlepier/cluster/orderrelay.h
@@ -10,7 +10,7 @@
 // stops reporting its presence, restarts or is suspected, its watches end here at once, without an answer.
 //
 // Orders belong to the term in which they were sent. What a deposed leader still sends may reach a worker that has restarted under its id, and that
-// hasn't seen the newer fencing token. Hedges are therefore sent only in the term of their order, while this process is known to lead.
+// hasn't seen the newer fencing token. A hedge is therefore sent only while the conditions of its order hold (execution/sendpermit.h).
 //
 // A relay that has answered nothing at all since a late order was sent gets no orders for a while. One late answer is
 // no reason: the worker may be at fault, and excluding the relay shifts its load to the others until they are late as
@@ -62,8 +62,6 @@
         sendVia;
     std::function<void(Timestamp at, std::function<void()> action)> runAt;
     std::function<Timestamp()> now;
-    /** True while this process holds the leader's lease. */
-    std::function<bool()> isServing;
 };
 
 /** Selects the relay: size of the cell, and data centre of the worker. */
@@ -89,8 +87,8 @@
      */
     void tick(Timestamp processedUntil);
 
-    /** Ends the term: no order of it is sent again, and its watches are no longer tracked, since the new leader has the workers polled. */
-    void endTerm();
+    /** Stops tracking all watches when this process stops leading: the new leader has the workers polled. */
+    void abandonWatches();
 
 private:
     /** One sending of an order, the primary one or the hedge. */
@@ -103,8 +101,6 @@
         execution::WorkerCall call;
         std::string relay;
         Timestamp sentAt;
-        /** Number of the term among those of this process. */
-        std::uint64_t termNumber = 0;
         Done done;
         /** Through the relay, or directly if there is none. */
         Attempt primary;
@@ -117,7 +113,6 @@
     void endWatchesOf(const std::string &relay);
     /** Handles a late order: excludes its relay if that has answered nothing at all since the order was sent. */
     void suspectRelay(const PendingOrder &order);
-    bool mayHedge(const PendingOrder &order) const;
     void handleRelayResult(const OrderPtr &pending, const RelayResult &relayed);
     void sendHedge(const OrderPtr &pending);
     void handleHedgeAnswer(const OrderPtr &pending, const execution::WorkerAnswer &answer);
@@ -133,7 +128,6 @@
     /** Pending watches by relay. */
     std::map<std::string, std::set<OrderPtr>> watches;
     Timestamp nextWatchEnd = absl::InfinitePast();
-    std::uint64_t termNumber = 0;
     /** Hedges that aren't answered yet. */
     std::size_t hedgesInFlight = 0;
 };
--- a/paddlepier/cluster/orderrelay_test.cpp
+++ b/paddlepier/cluster/orderrelay_test.cpp
@@ -25,6 +25,7 @@
     OrderRelayFixture()
         : orderRelay(this->makeHooks())
     {
+        this->permit->extendTo(absl::InfiniteFuture());
         this->orderRelay.markAlive(this->now, "north-1", "north");
     }
 
@@ -38,7 +39,6 @@
         };
         hooks.runAt = [this](Timestamp at, const std::function<void()> &action) { this->timers.emplace(at, action); };
         hooks.now = [this] { return this->now; };
-        hooks.isServing = [this] { return this->isServing; };
         return hooks;
     }
 
@@ -86,8 +86,9 @@
     }
 
     std::size_t workerCount = 350;
-    bool isServing = true;
-    execution::SendConditions conditions;
+    /** The permit of the leader's term. */
+    std::shared_ptr<execution::SendPermit> permit = std::make_shared<execution::SendPermit>();
+    execution::SendConditions conditions{this->permit, {}};
     Timestamp now = absl::UnixEpoch() + absl::Hours(1);
     std::multimap<Timestamp, std::function<void()>> timers;
     std::deque<OrderRelay::Done> direct;
@@ -244,7 +245,7 @@
     this->order();
     const std::size_t sent = this->direct.size();
     this->advance(absl::Milliseconds(100));
-    this->orderRelay.endTerm();
+    this->permit->revoke();
     this->advance(absl::Seconds(2));
     CHECK(this->direct.size() == sent);
 }
@@ -254,7 +255,7 @@
     this->workerCount = GENERATE(std::size_t{12}, std::size_t{350});
     this->order();
     const std::size_t sent = this->direct.size();
-    this->isServing = false;
+    this->permit->extendTo(this->now);
     this->advance(absl::Seconds(2));
     CHECK(this->direct.size() == sent);
 }
@@ -273,7 +274,7 @@
 TEST_CASE_METHOD(OrderRelayFixture, "start_declinedAfterItsTerm_wasNotSent")
 {
     this->order();
-    this->orderRelay.endTerm();
+    this->permit->revoke();
     this->endRelayed(0, {RelayOutcome::Declined, {}});
     CHECK(this->direct.empty());
     CHECK(this->answers == std::vector{AnswerKind::NotSent});
