--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -8,6 +8,7 @@
 #include <array>
 #include <iostream>
 #include <memory>
+#include <vector>
 
 using namespace paddlepier::review;
 
@@ -23,15 +24,25 @@
 /** A worker is down for 4.5 s at most, as in the site's `srv_crash`. It crashes after a poll, and one comes every two seconds. */
 constexpr std::int64_t downMillis = 2300;
 constexpr std::int64_t pollMillis = 2200;
-/** A boot of another kind, on which the task has no room. */
-constexpr std::uint32_t smallCapacity = 400;
+/** The task needs a worker of kind b; a worker that starts again is of kind a. */
+constexpr const char *neededKind = "b";
+constexpr const char *otherKind = "a";
+/** With these, one worker that is down is 0.125 of all, under the 0.14 of the site's `srv_crash`. */
+constexpr std::size_t otherWorkers = 7;
 constexpr std::int64_t observedMillis = 8000;
 
+/** Number of the first worker's address. */
+constexpr std::size_t firstAddress = 20;
+
 using Workers = std::array<std::unique_ptr<Worker>, 4>;
 
-/** The worker crashes after its next answer to a poll. @return false if there is none */
+/** The worker crashes after its next answer to a poll; without trouble, only the time passes. @return false if there is no poll */
 bool crash(Cell &cell, Worker &worker)
 {
+    if (!hasTrouble()) {
+        cell.run(pollMillis);
+        return true;
+    }
     worker.crashAfterNextPoll();
     for (const std::int64_t end = millisNow() + 2 * pollMillis; millisNow() < end && !worker.isDown();) {
         sleepMillis(1);
@@ -40,27 +51,33 @@
     return worker.isDown();
 }
 
-bool loseWorkers(Record &record, Cell &cell, Workers &workers, const std::string &path)
+bool submitAndLoseWorkers(Record &record, Cell &cell, Workers &workers, const std::string &path)
 {
+    const auto add = [&](std::size_t number) {
+        workers.at(number) =
+            std::make_unique<Worker>(record, cell, absl::StrCat("i-7f3a91c", number), service, cell.address(firstAddress + otherWorkers + number), neededKind);
+    };
     if (!crash(cell, *workers[0])) {
         return false;
     }
-    if (call(record, cell.front(0), "POST", path, host, submissionText(payload, 1, 0), budgetMillis).status != 200) {
+    if (call(record, cell.front(0), "POST", path, host, submissionText(payload, neededKind), budgetMillis).status != 200) {
         return false;
     }
     for (std::size_t number = 0; number < 3; ++number) {
         if (number < 2) {
             // An empty worker is added: the only place for the task once the worker that is down is known to be gone.
-            workers.at(number + 1) = std::make_unique<Worker>(record, cell, absl::StrCat("i-7f3a91c", number + 1), service, cell.address(20 + number + 1));
+            add(number + 1);
         }
         cell.run(downMillis);
         if (number < 2 && !crash(cell, *workers.at(number + 1))) {
             return false;
         }
-        workers.at(number)->boot(absl::StrCat("i-8e4b02d", number), smallCapacity);
+        if (hasTrouble()) {
+            workers.at(number)->boot(absl::StrCat("i-8e4b02d", number), otherKind);
+        }
     }
     // From here on, nothing disturbs, and a worker has room.
-    workers.at(3) = std::make_unique<Worker>(record, cell, "i-7f3a91c3", service, cell.address(23));
+    add(3);
     return true;
 }
 
@@ -72,18 +89,18 @@
     if (!cell.configure(configurationText(3, {{"r-3hwrr6x", host, prefix}}, service), startMillis)) {
         return couldNotRun;
     }
+    std::vector<std::unique_ptr<Worker>> others;
+    for (std::size_t number = 0; number < otherWorkers; ++number) {
+        others.push_back(std::make_unique<Worker>(record, cell, absl::StrCat("i-141e80", number), service, cell.address(firstAddress + number), otherKind));
+    }
     Workers workers;
-    workers[0] = std::make_unique<Worker>(record, cell, "i-7f3a91c0", service, cell.address(20));
+    workers[0] = std::make_unique<Worker>(record, cell, "i-7f3a91c0", service, cell.address(firstAddress + otherWorkers), neededKind);
     cell.run(4000);
     if (!cell.isReady(0) || !cell.isReady(1)) {
         return couldNotRun;
     }
     const std::string path = absl::StrCat(prefix, job);
-    if (hasTrouble()) {
-        if (!loseWorkers(record, cell, workers, path)) {
-            return couldNotRun;
-        }
-    } else if (call(record, cell.front(0), "POST", path, host, submissionText(payload, 1, 0), budgetMillis).status != 200) {
+    if (!submitAndLoseWorkers(record, cell, workers, path)) {
         return couldNotRun;
     }
     cell.run(observedMillis);
@@ -98,7 +115,8 @@
     const bool isBroken = absl::StrContains(state.body, "\"failed\"") && crashedRuns < 2;
     record.write(absl::StrCat(
         "state: ", state.body, "; workers that started the task: ", starts, "; workers that crashed under it: ", crashedRuns, "; own ends: ", cell.ownEnds()));
-    if (state.status != 200) {
+    const bool isDone = absl::StrContains(state.body, "\"completed\"");
+    if (state.status != 200 || (!hasTrouble() && !isBroken && !isDone)) {
         return couldNotRun;
     }
     return isBroken ? ruleBroken : ruleHeld;
