--- a/review/3/case.cpp
+++ b/review/3/case.cpp
@@ -1,9 +1,8 @@
-// Case: one submission that can never be done ends every process of the core, again at each start; what was accepted is gone.
+// Case: a configuration gives a queue another name; its accepted submissions are then answered 410.
 
 #include "review/standins/cell.h"
 
 #include <absl/strings/str_cat.h>
-#include <nlohmann/json.hpp>
 
 #include <iostream>
 
@@ -16,29 +15,19 @@
 constexpr const char *prefix = "/lohu930/";
 constexpr const char *service = "huvo11a";
 constexpr const char *job = "5c0e7a21d94b36f8";
-constexpr const char *poisonJob = "00000000000000ff";
-constexpr const char *payload = "1000";
+/** How long the submission's task runs: longer than all that the case asks. */
+constexpr const char *payload = "20000";
 constexpr std::int64_t budgetMillis = 3000;
-/** How long the core is given afterwards; bounds.recovery_s is 12. */
-constexpr std::int64_t observedMillis = 30'000;
-
-/** Four steps of 2^31 tasks each, 2^31 times: 2^64 tasks. Without trouble: one step of 30,000 tasks, which is too many too. */
-std::string poisonText()
-{
-    if (!hasTrouble()) {
-        return submissionText(payload, 30'000, 0);
-    }
-    constexpr std::uint64_t many = std::uint64_t{1} << 31U;
-    nlohmann::json submission = nlohmann::json::parse(submissionText(payload, many, many));
-    const nlohmann::json step = submission["steps"][0];
-    submission["steps"] = {step, step, step, step};
-    return submission.dump();
-}
+/** bounds.visible_ms and bounds.config_apply_ms of the site, and the time for which the state is asked after them. */
+constexpr std::int64_t visibleMillis = 3000;
+constexpr std::int64_t applyMillis = 2000;
+constexpr std::int64_t askedMillis = 6000;
 
 int runCase(Record &record)
 {
+    constexpr std::size_t entries = 2;
     constexpr std::int64_t startMillis = 20'000;
-    Cell cell(record, 2);
+    Cell cell(record, entries);
     cell.start();
     if (!cell.configure(configurationText(3, {{"r-3hwrr6x", host, prefix}}, service), startMillis)) {
         return couldNotRun;
@@ -49,22 +38,34 @@
         return couldNotRun;
     }
     const std::string path = absl::StrCat(prefix, job);
-    if (call(record, cell.front(0), "POST", path, host, submissionText(payload, 1, 0), budgetMillis).status != 200) {
+    if (call(record, cell.front(0), "POST", path, host, submissionText(payload), budgetMillis).status != 200) {
         return couldNotRun;
     }
-    cell.run(2000);
-    if (call(record, cell.front(1), "GET", path, host, "", budgetMillis).status != 200 || cell.ownEnds() > 0) {
+    cell.run(visibleMillis);
+    if (call(record, cell.front(1), "GET", path, host, "", budgetMillis).status != 200 || !worker.isRunning(job)) {
         return couldNotRun;
     }
-    record.write("DISRUPTION: a submission that can never be done");
-    call(record, cell.front(0), "POST", absl::StrCat(prefix, poisonJob), host, poisonText(), budgetMillis);
-    cell.run(observedMillis);
-    const Answer configuration = cell.callControl("GET", "/api/configuration", "", 6000);
-    const Answer state = call(record, cell.front(1), "GET", path, host, "", budgetMillis);
-    const bool isLost = configuration.status != 200 || state.status != 200;
-    record.write(
-        absl::StrCat("own ends of processes: ", cell.ownEnds(), "; config read back: ", configuration.status, "; accepted submission: ", state.status));
-    return isLost || cell.ownEnds() > 0 ? ruleBroken : ruleHeld;
+    if (hasTrouble()) {
+        record.write("DISRUPTION: config change, another route takes the place of the first");
+        if (!cell.configure(configurationText(7, {{"r-9n73hh2", host, prefix}}, service), startMillis)) {
+            return couldNotRun;
+        }
+    }
+    cell.run(applyMillis);
+    std::size_t unknown = 0;
+    for (const std::int64_t end = millisNow() + askedMillis; millisNow() < end;) {
+        for (std::size_t entry = 0; entry < entries; ++entry) {
+            unknown += call(record, cell.front(entry), "GET", path, host, "", budgetMillis).status == 410 ? 1 : 0;
+        }
+        cell.run(500);
+    }
+    record.write(absl::StrCat("GETs answered 410: ",
+                              unknown,
+                              "; the worker ",
+                              worker.isRunning(job) ? "still runs the task" : "no longer runs the task",
+                              "; own ends: ",
+                              cell.ownEnds()));
+    return unknown > 0 ? ruleBroken : ruleHeld;
 }
 
 } // namespace
