Lines: why a call to a worker ended, what a lost run counts as, which queue a call was checked by

A start that ends as "no-answer" after 3 ms may have met a worker without a free connection, a connection that had been closed, or a crash; a job that fails names lost workers, but not what was known of its runs there; a 410 for a known job says nothing of the queue.

Change: a transfer reports how it ended (answered, not connected, not sent, new connection closed without an answer, used connection closed, timed out) and how many connections to the host are open; relays pass the end on (`CarryReply.end`, 0 from older builds).

Behaviour is unchanged.

--- a/paddlepier/cluster/relaycodec.cpp
+++ b/paddlepier/cluster/relaycodec.cpp
@@ -15,6 +15,7 @@
 using workload::TaskKey;
 
 constexpr std::uint8_t lastAnswerKind = static_cast<std::uint8_t>(execution::AnswerKind::NotSent);
+constexpr std::uint8_t lastCallEnd = static_cast<std::uint8_t>(execution::CallEnd::TimedOut);
 
 TaskKey keyOf(const std::unique_ptr<work::TaskKeyT> &record)
 {
@@ -113,6 +114,7 @@
 {
     work::CarryReplyT encoded;
     encoded.kind = static_cast<std::uint8_t>(answer.kind);
+    encoded.end = static_cast<std::uint8_t>(answer.end);
     encoded.born = answer.born;
     encoded.hasClock = answer.hasClock;
     encoded.clockMillis = answer.clockMillis;
@@ -142,6 +144,7 @@
     }
     execution::WorkerAnswer decoded;
     decoded.kind = static_cast<execution::AnswerKind>(reply.kind);
+    decoded.end = reply.end > lastCallEnd ? execution::CallEnd::Unknown : static_cast<execution::CallEnd>(reply.end);
     decoded.born = reply.born;
     decoded.hasClock = reply.hasClock;
     decoded.clockMillis = reply.clockMillis;
--- a/paddlepier/cluster/workservice.cpp
+++ b/paddlepier/cluster/workservice.cpp
@@ -219,6 +219,15 @@
 {
     const workload::Job *job = this->node.state().findJob(request.id);
     if (job == nullptr || job->queue().name != request.queue.name || !canView(*job, request.queue, request.team)) {
+        if (job != nullptr) {
+            log::info("jobs",
+                      "job.not-shown",
+                      {{"job", request.id},
+                       {"queue", request.queue.name},
+                       {"acceptedBy", job->queue().name},
+                       {"isVisible", canView(*job, request.queue, request.team)},
+                       {"configuration", this->node.state().configuration().version}});
+        }
         done(answer(work::CallOutcome::UnknownJob, "unknown job"));
         return;
     }
--- a/paddlepier/execution/dispatcher.h
+++ b/paddlepier/execution/dispatcher.h
@@ -266,6 +266,8 @@
     work::RunAtLoss stateAtLoss(const workload::TaskKey &key, const RunTrack &track) const;
     /** The runs that are lost with @p worker. */
     std::vector<std::unique_ptr<work::RunEndT>> lostRuns(const workload::Incarnation &worker) const;
+    /** Logs what a lost run counts as, and the facts that decide it. */
+    void logLostRun(const workload::TaskKey &key, const RunTrack &track, work::RunAtLoss atLoss) const;
     /** Logs one line that names all runs lost with a worker, so that what such losses have in common can be seen across the lines. */
     void logLoss(Timestamp now, const work::RemoveWorkerT &command) const;
     void logAbandoned(const std::vector<workload::TaskKey> &tasks) const;
--- a/paddlepier/execution/incarnations.cpp
+++ b/paddlepier/execution/incarnations.cpp
@@ -132,7 +132,9 @@
     for (const workload::TaskKey &key : record->runs) {
         const auto track = this->tracks.find(key);
         if (track != this->tracks.end() && track->second.worker == worker) {
-            add(key, track->second.run, this->stateAtLoss(key, track->second));
+            const work::RunAtLoss atLoss = this->stateAtLoss(key, track->second);
+            this->logLostRun(key, track->second, atLoss);
+            add(key, track->second.run, atLoss);
         }
     }
     for (const auto &[key, run] : record->superseded) {
@@ -141,6 +143,25 @@
     return lost;
 }
 
+void Dispatcher::logLostRun(const workload::TaskKey &key, const RunTrack &track, work::RunAtLoss atLoss) const
+{
+    const auto view = this->views.find(track.worker);
+    const Timestamp answeredAt = view == this->views.end() ? absl::InfinitePast() : view->second.lastAnswerAt();
+    const auto millisSince = [](Timestamp from, Timestamp until) {
+        return absl::ToInt64Milliseconds(std::clamp(until - from, -absl::Hours(1), absl::Hours(1)));
+    };
+    log::info("dispatch",
+              "run.lost",
+              {{"task", key.text()},
+               {"run", track.run},
+               {"worker", track.worker.text()},
+               {"countedAs", work::EnumNameRunAtLoss(atLoss)},
+               {"startCalls", track.startCalls},
+               {"isCallInFlight", track.isCallInFlight},
+               {"hasStarted", track.runningSince < absl::InfiniteFuture()},
+               {"answeredMillisAfterPlacement", millisSince(track.placedAt, answeredAt)}});
+}
+
 void Dispatcher::logLoss(Timestamp now, const work::RemoveWorkerT &command) const
 {
     std::string runs;
--- a/paddlepier/execution/orders.cpp
+++ b/paddlepier/execution/orders.cpp
@@ -15,6 +15,13 @@
     return names.at(static_cast<std::size_t>(kind));
 }
 
+const char *nameOf(CallEnd end)
+{
+    static constexpr std::array<const char *, 7> names{
+        "unknown", "answered", "not-connected", "not-sent", "connection-refused", "connection-closed", "timed-out"};
+    return names.at(static_cast<std::size_t>(end));
+}
+
 bool reportsNoChange(const WorkerCall &call, const PollOrder &order, const WorkerAnswer &answer)
 {
     const bool isSameIncarnation = answer.born == 0 || answer.born == call.worker.born;
--- a/paddlepier/execution/orders.h
+++ b/paddlepier/execution/orders.h
@@ -114,6 +114,21 @@
 };
 const char *nameOf(AnswerKind kind);
 
+/** How far a call to a worker got. Tells a connection that couldn't be used from a worker that doesn't execute orders. */
+enum class CallEnd {
+    /** No complete answer arrived from the relay, so that nothing is known. */
+    Unknown,
+    Answered,
+    NotConnected,
+    /** Withheld, or no connection became free in time. */
+    NotSent,
+    /** The worker closed a new connection without an answer, as one does that has no connection left. */
+    ConnectionRefused,
+    ConnectionClosed,
+    TimedOut
+};
+const char *nameOf(CallEnd end);
+
 /** One run in progress, as its worker lists it. */
 struct ListedRun {
     workload::TaskKey task;
@@ -135,6 +150,7 @@
 
 struct WorkerAnswer {
     AnswerKind kind = AnswerKind::NoAnswer;
+    CallEnd end = CallEnd::Unknown;
     /** Birth time of the incarnation that answered, as it reports it; 0 if it doesn't. */
     std::uint64_t born = 0;
     bool hasClock = false;
--- a/paddlepier/execution/polls.cpp
+++ b/paddlepier/execution/polls.cpp
@@ -181,7 +181,7 @@
     if (answer.kind != AnswerKind::Accepted) {
         view.recordFailedCall(now);
         this->schedulePoll(call.worker, view);
-        log::info("dispatch", "poll.failed", {{"worker", call.worker.text()}, {"answer", nameOf(answer.kind)}});
+        log::info("dispatch", "poll.failed", {{"worker", call.worker.text()}, {"answer", nameOf(answer.kind)}, {"call", nameOf(answer.end)}});
         return;
     }
     view.nextPoll = now;
--- a/paddlepier/execution/runs.cpp
+++ b/paddlepier/execution/runs.cpp
@@ -174,10 +174,14 @@
         this->runTimers.schedule(order.task, now);
     }
     if (answer.kind != AnswerKind::Accepted) {
-        log::info(
-            "dispatch",
-            "start.refused",
-            {{"task", order.task.text()}, {"run", order.run}, {"worker", call.worker.text()}, {"answer", nameOf(answer.kind)}, {"calls", track->startCalls}});
+        log::info("dispatch",
+                  "start.refused",
+                  {{"task", order.task.text()},
+                   {"run", order.run},
+                   {"worker", call.worker.text()},
+                   {"answer", nameOf(answer.kind)},
+                   {"call", nameOf(answer.end)},
+                   {"calls", track->startCalls}});
     }
     WorkerView &view = this->views.at(call.worker);
     switch (answer.kind) {
@@ -254,6 +258,12 @@
     if (track == nullptr) {
         return;
     }
+    if (!isSettled) {
+        log::info(
+            "dispatch",
+            "stop.refused",
+            {{"task", order.task.text()}, {"run", order.run}, {"worker", call.worker.text()}, {"answer", nameOf(answer.kind)}, {"call", nameOf(answer.end)}});
+    }
     track->isCallInFlight = false;
     track->nextCall = now + orderRetryPause;
     this->runTimers.schedule(order.task, track->nextCall);
--- a/paddlepier/http/httpclient.cpp
+++ b/paddlepier/http/httpclient.cpp
@@ -14,6 +14,7 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <array>
 #include <mutex>
 #include <set>
 #include <utility>
@@ -53,6 +54,10 @@
     bool wasWatched = false;
     /** A connection was opened for this request, instead of reusing one. */
     bool hasOpenedConnection = false;
+    /** The request was sent over a connection that was opened for it. */
+    bool wasFirstOnConnection = false;
+    /** A byte of a response has arrived. */
+    bool hasResponse = false;
 
     Transfer() = default;
     Transfer(const Transfer &) = delete;
@@ -78,6 +83,8 @@
         this->isChunked = false;
         this->wasWatched = false;
         this->hasOpenedConnection = false;
+        this->wasFirstOnConnection = false;
+        this->hasResponse = false;
     }
 
     /** Scheme, host and port. */
@@ -103,6 +110,7 @@
     auto *transfer = static_cast<Transfer *>(context);
     const absl::string_view line(data, size * count);
     const std::size_t colon = line.find(':');
+    transfer->hasResponse = true;
     if (absl::StartsWith(line, "HTTP/")) {
         transfer->result.response.headers.clear();
         transfer->hasLength = false;
@@ -117,11 +125,10 @@
     return size * count;
 }
 
-/** Selects the body for the connection that is used. */
-void selectBody(Transfer &transfer, int localPort)
+/** Selects the body for the connection that is used. @p isNew: no other request was sent over it */
+void selectBody(Transfer &transfer, int localPort, bool isNew)
 {
-    const Timestamp establishedAt =
-        transfer.sockets == nullptr ? controlNow() : transfer.sockets->establishedAt(localPort, std::exchange(transfer.hasOpenedConnection, false));
+    const Timestamp establishedAt = transfer.sockets == nullptr ? controlNow() : transfer.sockets->establishedAt(localPort, isNew);
     OutgoingRequest &request = transfer.request;
     if (!request.bodyForLaterConnection.empty() && establishedAt > request.establishedBy) {
         // libcurl refers to the body in place.
@@ -136,10 +143,12 @@
     auto *transfer = static_cast<Transfer *>(context);
     const bool isFirstAttempt = transfer->sendAttempts == 0;
     const bool mayResend = isFirstAttempt || transfer->request.isIdempotent;
-    selectBody(*transfer, localPort);
+    const bool isNew = std::exchange(transfer->hasOpenedConnection, false);
+    selectBody(*transfer, localPort, isNew);
     if (!mayResend || (transfer->request.maySend && !transfer->request.maySend())) {
         return CURL_PREREQFUNC_ABORT;
     }
+    transfer->wasFirstOnConnection = isNew;
     ++transfer->sendAttempts;
     return CURL_PREREQFUNC_OK;
 }
@@ -220,6 +229,20 @@
     curl_easy_setopt(handle, CURLOPT_FORBID_REUSE, needsNewConnection);
 }
 
+TransferEnd endOf(const Transfer &transfer, CURLcode code)
+{
+    if (code == CURLE_OK) {
+        return TransferEnd::Answered;
+    }
+    if (transfer.sendAttempts == 0) {
+        return code == CURLE_COULDNT_CONNECT ? TransferEnd::NotConnected : TransferEnd::NotSent;
+    }
+    if (code == CURLE_OPERATION_TIMEDOUT) {
+        return TransferEnd::TimedOut;
+    }
+    return transfer.wasFirstOnConnection && !transfer.hasResponse ? TransferEnd::ConnectionRefused : TransferEnd::ConnectionClosed;
+}
+
 TransferResult makeResult(Transfer &transfer, CURLcode code)
 {
     long status = 0;
@@ -230,6 +253,8 @@
     const bool hasExplicitEnd = transfer.hasLength || transfer.isChunked || status == noContentStatus;
     result.isComplete = code == CURLE_OK && status != 0 && hasExplicitEnd;
     result.nothingSent = code != CURLE_OK && transfer.sendAttempts == 0;
+    result.end = endOf(transfer, code);
+    result.openConnections = transfer.sockets == nullptr ? 0 : transfer.sockets->openCount(transfer.address());
     if (code != CURLE_OK) {
         result.error = curl_easy_strerror(code);
     } else if (!result.isComplete) {
@@ -240,6 +265,12 @@
 
 } // namespace
 
+const char *nameOf(TransferEnd end)
+{
+    static constexpr std::array<const char *, 6> names{"answered", "not-connected", "not-sent", "connection-refused", "connection-closed", "timed-out"};
+    return names.at(static_cast<std::size_t>(end));
+}
+
 struct TransferPool::Implementation {
     using Ended = std::pair<std::unique_ptr<Transfer>, CURLcode>;
 
--- a/paddlepier/http/httpclient.h
+++ b/paddlepier/http/httpclient.h
@@ -54,11 +54,31 @@
     Timestamp establishedBy = absl::InfiniteFuture();
 };
 
+/** How far a transfer got. */
+enum class TransferEnd {
+    /** A response was received. It may be unusable: see TransferResult::isComplete. */
+    Answered,
+    /** No connection could be established. */
+    NotConnected,
+    /** The request wasn't sent: `maySend` returned false, or no connection became free before the timeout. */
+    NotSent,
+    /** A new connection was closed before any byte of a response to its first request, as by a server that has no connection left. */
+    ConnectionRefused,
+    /** A connection that had been used before was closed before the response was complete. */
+    ConnectionClosed,
+    /** The request was sent and the response wasn't complete before the timeout. */
+    TimedOut
+};
+const char *nameOf(TransferEnd end);
+
 struct TransferResult {
     /** The response was received completely. */
     bool isComplete = false;
     /** No byte of the request can have reached the server. */
     bool nothingSent = false;
+    TransferEnd end = TransferEnd::NotSent;
+    /** Connections to the host when the transfer ended, including idle ones; 0 for fetch(). */
+    std::size_t openConnections = 0;
     std::string error;
     Response response;
 };
--- a/paddlepier/http/transfersockets.cpp
+++ b/paddlepier/http/transfersockets.cpp
@@ -180,6 +180,12 @@
     [[maybe_unused]] const ssize_t written = ::write(this->wakeup, &one, sizeof(one));
 }
 
+std::size_t TransferSockets::openCount(const std::string &address) const
+{
+    const auto found = this->byAddress.find(address);
+    return found == this->byAddress.end() ? 0 : found->second.size();
+}
+
 void TransferSockets::shutDownIdle(const std::string &address, Timestamp since)
 {
     const auto found = this->byAddress.find(address);
--- a/paddlepier/http/transfersockets.h
+++ b/paddlepier/http/transfersockets.h
@@ -78,6 +78,9 @@
     /** Ends the current wait, or the next one. Further calls before that wait ends make no system call. */
     void wake();
 
+    /** Number of connections to @p address, idle or with a call in flight. */
+    std::size_t openCount(const std::string &address) const;
+
     /** Shuts down connections to @p address that have been idle since @p since or longer. O(connections to the address). */
     void shutDownIdle(const std::string &address, Timestamp since);
 
--- a/paddlepier/wire/workload_generated.h
+++ b/paddlepier/wire/workload_generated.h
@@ -6485,6 +6485,7 @@
   std::vector<std::unique_ptr<paddlepier::work::CarriedRunT>> running{};
   std::vector<std::unique_ptr<paddlepier::work::RunEndT>> ended{};
   uint64_t born = 0;
+  uint8_t end = 0;
   CarryReplyT() = default;
   CarryReplyT(const CarryReplyT &o);
   CarryReplyT(CarryReplyT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -6504,7 +6505,8 @@
     VT_CLOCKMILLIS = 8,
     VT_RUNNING = 10,
     VT_ENDED = 12,
-    VT_BORN = 14
+    VT_BORN = 14,
+    VT_END = 16
   };
   /// Kind of answer, as the number of the enumerator in the C++ code.
   uint8_t kind() const {
@@ -6526,6 +6528,10 @@
   uint64_t born() const {
     return GetField<uint64_t>(VT_BORN, 0);
   }
+  /// How far the call got, as the number of the enumerator in the C++ code; 0 (unknown) in replies of older builds.
+  uint8_t end() const {
+    return GetField<uint8_t>(VT_END, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_KIND, 1) &&
@@ -6538,6 +6544,7 @@
            verifier.VerifyVector(ended()) &&
            verifier.VerifyVectorOfTables(ended()) &&
            VerifyField<uint64_t>(verifier, VT_BORN, 8) &&
+           VerifyField<uint8_t>(verifier, VT_END, 1) &&
            verifier.EndTable();
   }
   CarryReplyT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -6567,6 +6574,9 @@
   void add_born(uint64_t born) {
     fbb_.AddElement<uint64_t>(CarryReply::VT_BORN, born, 0);
   }
+  void add_end(uint8_t end) {
+    fbb_.AddElement<uint8_t>(CarryReply::VT_END, end, 0);
+  }
   explicit CarryReplyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -6585,12 +6595,14 @@
     int64_t clockMillis = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<paddlepier::work::CarriedRun>>> running = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<paddlepier::work::RunEnd>>> ended = 0,
-    uint64_t born = 0) {
+    uint64_t born = 0,
+    uint8_t end = 0) {
   CarryReplyBuilder builder_(_fbb);
   builder_.add_born(born);
   builder_.add_clockMillis(clockMillis);
   builder_.add_ended(ended);
   builder_.add_running(running);
+  builder_.add_end(end);
   builder_.add_hasClock(hasClock);
   builder_.add_kind(kind);
   return builder_.Finish();
@@ -6608,7 +6620,8 @@
     int64_t clockMillis = 0,
     const std::vector<flatbuffers::Offset<paddlepier::work::CarriedRun>> *running = nullptr,
     const std::vector<flatbuffers::Offset<paddlepier::work::RunEnd>> *ended = nullptr,
-    uint64_t born = 0) {
+    uint64_t born = 0,
+    uint8_t end = 0) {
   auto running__ = running ? _fbb.CreateVector<flatbuffers::Offset<paddlepier::work::CarriedRun>>(*running) : 0;
   auto ended__ = ended ? _fbb.CreateVector<flatbuffers::Offset<paddlepier::work::RunEnd>>(*ended) : 0;
   return paddlepier::work::CreateCarryReply(
@@ -6618,7 +6631,8 @@
       clockMillis,
       running__,
       ended__,
-      born);
+      born,
+      end);
 }
 
 flatbuffers::Offset<CarryReply> CreateCarryReply(flatbuffers::FlatBufferBuilder &_fbb, const CarryReplyT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -8922,7 +8936,8 @@
       : kind(o.kind),
         hasClock(o.hasClock),
         clockMillis(o.clockMillis),
-        born(o.born) {
+        born(o.born),
+        end(o.end) {
   running.reserve(o.running.size());
   for (const auto &running_ : o.running) { running.emplace_back((running_) ? new paddlepier::work::CarriedRunT(*running_) : nullptr); }
   ended.reserve(o.ended.size());
@@ -8936,6 +8951,7 @@
   std::swap(running, o.running);
   std::swap(ended, o.ended);
   std::swap(born, o.born);
+  std::swap(end, o.end);
   return *this;
 }
 
@@ -8954,6 +8970,7 @@
   { auto _e = running(); if (_e) { _o->running.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->running[_i] = std::unique_ptr<paddlepier::work::CarriedRunT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = ended(); if (_e) { _o->ended.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->ended[_i] = std::unique_ptr<paddlepier::work::RunEndT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = born(); _o->born = _e; }
+  { auto _e = end(); _o->end = _e; }
 }
 
 inline flatbuffers::Offset<CarryReply> CarryReply::Pack(flatbuffers::FlatBufferBuilder &_fbb, const CarryReplyT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -8970,6 +8987,7 @@
   auto _running = _o->running.size() ? _fbb.CreateVector<flatbuffers::Offset<paddlepier::work::CarriedRun>> (_o->running.size(), [](size_t i, _VectorArgs *__va) { return CreateCarriedRun(*__va->__fbb, __va->__o->running[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _ended = _o->ended.size() ? _fbb.CreateVector<flatbuffers::Offset<paddlepier::work::RunEnd>> (_o->ended.size(), [](size_t i, _VectorArgs *__va) { return CreateRunEnd(*__va->__fbb, __va->__o->ended[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _born = _o->born;
+  auto _end = _o->end;
   return paddlepier::work::CreateCarryReply(
       _fbb,
       _kind,
@@ -8977,7 +8995,8 @@
       _clockMillis,
       _running,
       _ended,
-      _born);
+      _born,
+      _end);
 }
 
 inline WorkReplyT::WorkReplyT(const WorkReplyT &o)
