Jobs are identified by the address of their queue, not by its name

Cause: the leader compared the name of the queue that the path selects now with the name under which the job was accepted. A configuration may change names; callers know host, prefix and id.

Ruled out: the job's removal (it runs), entries with an older configuration (all answer alike).

Change: a job is looked up by the host and path at which it was accepted, in one place for POST, GET and DELETE; waiting jobs are counted by address; SubmitJob carries host and prefix, so that a configuration that is applied before it can't lead it into another queue; an id that another queue or team uses is refused with 409 and not cancelled; visibility is decided by the queue that accepted the job. A removed queue is still 404.

--- a/paddlepier/cluster/authentication.cpp
+++ b/paddlepier/cluster/authentication.cpp
@@ -17,9 +17,9 @@
     return queue.isPublic ? std::optional<std::string>("") : std::nullopt;
 }
 
-bool canView(const workload::Job &job, const work::QueueSpecT &queue, const std::string &team)
+bool canView(const workload::Job &job, const std::string &team)
 {
-    return queue.isPublic || job.team().empty() || job.team() == team;
+    return job.queue().isPublic || job.team().empty() || job.team() == team;
 }
 
 } // namespace paddlepier::cluster
--- a/paddlepier/cluster/authentication_test.cpp
+++ b/paddlepier/cluster/authentication_test.cpp
@@ -25,9 +25,9 @@
         this->open.isPublic = true;
     }
 
-    workload::Job jobOf(const std::string &team) const
+    static workload::Job jobOf(const std::string &team, const work::QueueSpecT &queue)
     {
-        return {"a", this->closed, work::JobSpecT(), 0, team};
+        return {"a", queue, work::JobSpecT(), 0, team};
     }
 
     workload::Teams teams;
@@ -60,10 +60,11 @@
 
 TEST_CASE_METHOD(AuthenticationFixture, "canView_jobOfTeam_onlyThatTeamUnlessQueueIsPublic")
 {
-    CHECK(canView(this->jobOf("red"), this->closed, "red"));
-    CHECK_FALSE(canView(this->jobOf("red"), this->closed, "blue"));
-    CHECK(canView(this->jobOf("red"), this->open, ""));
-    CHECK(canView(this->jobOf(""), this->closed, "blue"));
+    CHECK(canView(jobOf("red", this->closed), "red"));
+    CHECK_FALSE(canView(jobOf("red", this->closed), "blue"));
+    CHECK_FALSE(canView(jobOf("red", this->closed), ""));
+    CHECK(canView(jobOf("red", this->open), ""));
+    CHECK(canView(jobOf("", this->closed), "blue"));
 }
 
 } // namespace paddlepier::cluster
--- a/paddlepier/cluster/workservice.cpp
+++ b/paddlepier/cluster/workservice.cpp
@@ -16,8 +16,6 @@
 namespace
 {
 
-constexpr std::size_t jobIdDigits = 16;
-
 /** Clocks of healthy machines differ by seconds only. */
 constexpr Duration maxClockDifference = absl::Hours(1);
 
@@ -26,7 +24,7 @@
 
 bool isJobId(const std::string &text)
 {
-    return text.size() == jobIdDigits
+    return text.size() == workload::jobIdLength
            && std::all_of(text.begin(), text.end(), [](char digit) { return absl::ascii_isxdigit(static_cast<unsigned char>(digit)); });
 }
 
@@ -163,10 +161,11 @@
         done(answer(work::CallOutcome::Unauthenticated, call.key.empty() ? "this queue requires a key" : "the key belongs to no team"));
         return;
     }
-    const std::string id = call.path.substr(queue->pathPrefix.size());
+    const workload::Job *job = this->findVisibleJob(call, *queue, *team);
+    const std::string id = job != nullptr ? job->id() : call.path.substr(queue->pathPrefix.size());
     if (id.empty() && call.action == work::JobAction::Show) {
         CallResult result = answer(work::CallOutcome::Accepted);
-        result.reply.waitingJobs = this->dispatcher.waitingJobs(queue->name);
+        result.reply.waitingJobs = this->dispatcher.waitingJobs(workload::queueAddress(queue->host, queue->pathPrefix));
         done(result);
         return;
     }
@@ -174,7 +173,7 @@
         done(answer(work::CallOutcome::Invalid, "a job id must have 16 hexadecimal digits"));
         return;
     }
-    const JobRequest request{*queue, id, *team};
+    const JobRequest request{*queue, id, *team, job};
     switch (call.action) {
     case work::JobAction::Submit:
         return this->submit(request, call, done);
@@ -185,11 +184,35 @@
     }
 }
 
+const workload::Job *WorkService::findVisibleJob(const work::JobCallT &call, const work::QueueSpecT &queue, const std::string &team) const
+{
+    const workload::Job *job = this->node.state().findJobAt(call.host, call.path);
+    if (job != nullptr && canView(*job, team)) {
+        return job;
+    }
+    const workload::Job *sameId =
+        call.path.size() < workload::jobIdLength ? nullptr : this->node.state().findJob(call.path.substr(call.path.size() - workload::jobIdLength));
+    if (sameId != nullptr) {
+        log::info("jobs",
+                  "job.not-visible",
+                  {{"job", sameId->id()},
+                   {"queue", queue.name},
+                   {"acceptedBy", sameId->queue().name},
+                   {"isSameAddress", job != nullptr},
+                   {"configuration", this->node.state().configuration().version}});
+    }
+    return nullptr;
+}
+
 void WorkService::submit(const JobRequest &request, const work::JobCallT &call, const CallCallback &done)
 {
-    const auto &[queue, id, team] = request;
-    if (const workload::Job *known = this->node.state().findJob(id)) {
-        done(canView(*known, queue, team) ? answer(work::CallOutcome::Accepted) : answer(work::CallOutcome::Refused, "the job id is in use"));
+    const auto &[queue, id, team, job] = request;
+    if (job != nullptr) {
+        done(answer(work::CallOutcome::Accepted));
+        return;
+    }
+    if (this->node.state().findJob(id) != nullptr) {
+        done(answer(work::CallOutcome::Refused, "the job id is in use by another queue or team"));
         return;
     }
     const std::string problem = call.spec ? workload::validationError(*call.spec) : "the job specification is missing";
@@ -210,6 +233,8 @@
     work::SubmitJobT command;
     command.id = id;
     command.queue = queue.name;
+    command.host = queue.host;
+    command.pathPrefix = queue.pathPrefix;
     command.team = team;
     command.spec = std::make_unique<work::JobSpecT>(*call.spec);
     this->proposeAndReply(toCommand(std::move(command)), answer(work::CallOutcome::Accepted).reply, done);
@@ -217,17 +242,8 @@
 
 void WorkService::show(const JobRequest &request, const CallCallback &done)
 {
-    const workload::Job *job = this->node.state().findJob(request.id);
-    if (job == nullptr || job->queue().name != request.queue.name || !canView(*job, request.queue, request.team)) {
-        if (job != nullptr) {
-            log::info("jobs",
-                      "job.not-shown",
-                      {{"job", request.id},
-                       {"queue", request.queue.name},
-                       {"acceptedBy", job->queue().name},
-                       {"isVisible", canView(*job, request.queue, request.team)},
-                       {"configuration", this->node.state().configuration().version}});
-        }
+    const workload::Job *job = request.job;
+    if (job == nullptr) {
         done(answer(work::CallOutcome::UnknownJob, "unknown job"));
         return;
     }
@@ -241,8 +257,7 @@
 
 void WorkService::cancel(const JobRequest &request, const CallCallback &done)
 {
-    const workload::Job *job = this->node.state().findJob(request.id);
-    if (job == nullptr || !canView(*job, request.queue, request.team)) {
+    if (request.job == nullptr) {
         done(answer(work::CallOutcome::UnknownJob, "unknown job"));
         return;
     }
--- a/paddlepier/cluster/workservice.h
+++ b/paddlepier/cluster/workservice.h
@@ -69,10 +69,15 @@
     void handleJob(const work::JobCallT &call, const CallCallback &done);
     /** A caller's request about one job. */
     struct JobRequest {
+        /** The queue that the request selects, whose configuration admits the caller. */
         const work::QueueSpecT &queue;
         std::string id;
         std::string team;
+        /** The job that was accepted at the request's address, if the caller may see it; null otherwise. */
+        const workload::Job *job;
     };
+    /** The job that the request is about; null if there is none that the caller may see. */
+    const workload::Job *findVisibleJob(const work::JobCallT &call, const work::QueueSpecT &queue, const std::string &team) const;
     void submit(const JobRequest &request, const work::JobCallT &call, const CallCallback &done);
     void show(const JobRequest &request, const CallCallback &done);
     void cancel(const JobRequest &request, const CallCallback &done);
--- a/paddlepier/execution/dispatcher.cpp
+++ b/paddlepier/execution/dispatcher.cpp
@@ -166,12 +166,12 @@
     return false;
 }
 
-std::uint32_t Dispatcher::waitingJobs(const std::string &queue) const
+std::uint32_t Dispatcher::waitingJobs(const std::string &queueAddress) const
 {
     if (this->lastStepAt >= this->jobsCountedAt + countingInterval) {
         this->countWaitingJobs();
     }
-    const auto found = this->waitingByQueue.find(queue);
+    const auto found = this->waitingByQueue.find(queueAddress);
     return found == this->waitingByQueue.end() ? 0 : found->second;
 }
 
@@ -182,7 +182,7 @@
     for (const std::string &id : this->state.activeJobs()) {
         const workload::Job &job = *this->state.findJob(id);
         if (!job.hasEnded() && !this->hasStarted(job)) {
-            ++this->waitingByQueue[job.queue().name];
+            ++this->waitingByQueue[job.queueAddress()];
         }
     }
 }
--- a/paddlepier/execution/dispatcher.h
+++ b/paddlepier/execution/dispatcher.h
@@ -118,10 +118,10 @@
     void markChanged();
 
     /**
-     * Number of jobs of a queue without a run that is known to have started. While answers are missing the number may be too high, but not too low.
-     * All queues are counted at once, several times a second at most.
+     * Number of jobs that a queue has accepted and that have no run that is known to have started. While answers are missing the number may be too
+     * high, but not too low. All queues are counted at once, several times a second at most.
      */
-    std::uint32_t waitingJobs(const std::string &queue) const;
+    std::uint32_t waitingJobs(const std::string &queueAddress) const;
     /** True if a start that was sent for a task of the job may still be executed. */
     bool mayStillStart(const std::string &job) const;
     /** The reason why the job has waited beyond the reporting threshold; empty if it hasn't. */
@@ -371,6 +371,7 @@
     Timestamp nextCleanup = absl::InfinitePast();
     Timestamp nextPlan = absl::InfinitePast();
     Timestamp lastStepAt;
+    /** By the address of the queue. */
     mutable std::map<std::string, std::uint32_t> waitingByQueue;
     mutable Timestamp jobsCountedAt = absl::InfinitePast();
     DispatchEffects effects;
--- a/paddlepier/execution/dispatcher_test.cpp
+++ b/paddlepier/execution/dispatcher_test.cpp
@@ -140,9 +140,9 @@
     this->networkFaults.requestLossPercent = 100;
     this->addJob("a", 1, 1000);
     this->runFor(absl::Milliseconds(500));
-    CHECK(this->dispatcher->waitingJobs("quick") == 1);
+    CHECK(this->dispatcher->waitingJobs("jobs.example/quick/") == 1);
     this->networkFaults.requestLossPercent = 0;
-    CHECK(this->runUntil([this] { return this->dispatcher->waitingJobs("quick") == 0; }));
+    CHECK(this->runUntil([this] { return this->dispatcher->waitingJobs("jobs.example/quick/") == 0; }));
 }
 
 TEST_CASE_METHOD(DispatcherFixture, "announcementOfAnEndedIncarnation_delayedUntilAfterTheNextOne_endsNothing")
--- a/paddlepier/execution/dispatcherfixture.h
+++ b/paddlepier/execution/dispatcherfixture.h
@@ -40,10 +40,13 @@
         configuration.version = 1;
         auto &queue = configuration.queues.emplace_back(std::make_unique<work::QueueSpecT>());
         queue->name = "quick";
+        queue->host = "jobs.example";
+        queue->pathPrefix = "/quick/";
         queue->service = "pool";
         queue->maxAttempts = 3;
         auto &advised = configuration.queues.emplace_back(std::make_unique<work::QueueSpecT>(*queue));
         advised->name = "advised";
+        advised->pathPrefix = "/advised/";
         advised->advice = std::make_unique<work::AdvicePolicyT>();
         advised->advice->decisionMillis = 50;
         advised->advice->perWorkerMillis = 1;
--- a/paddlepier/wire/workload_generated.h
+++ b/paddlepier/wire/workload_generated.h
@@ -2059,6 +2059,8 @@
   std::string queue{};
   std::unique_ptr<paddlepier::work::JobSpecT> spec{};
   std::string team{};
+  std::string host{};
+  std::string pathPrefix{};
   SubmitJobT() = default;
   SubmitJobT(const SubmitJobT &o);
   SubmitJobT(SubmitJobT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -2066,6 +2068,7 @@
 };
 
 /// `team` is the team of the caller's key; empty if no key was required, and in older entries.
+/// `host` and `pathPrefix` identify the queue; in older entries they are missing, and `queue` identifies it.
 struct SubmitJob FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef SubmitJobT NativeTableType;
   typedef SubmitJobBuilder Builder;
@@ -2077,7 +2080,9 @@
     VT_ID = 4,
     VT_QUEUE = 6,
     VT_SPEC = 8,
-    VT_TEAM = 10
+    VT_TEAM = 10,
+    VT_HOST = 12,
+    VT_PATHPREFIX = 14
   };
   const flatbuffers::String *id() const {
     return GetPointer<const flatbuffers::String *>(VT_ID);
@@ -2091,6 +2096,12 @@
   const flatbuffers::String *team() const {
     return GetPointer<const flatbuffers::String *>(VT_TEAM);
   }
+  const flatbuffers::String *host() const {
+    return GetPointer<const flatbuffers::String *>(VT_HOST);
+  }
+  const flatbuffers::String *pathPrefix() const {
+    return GetPointer<const flatbuffers::String *>(VT_PATHPREFIX);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_ID) &&
@@ -2101,6 +2112,10 @@
            verifier.VerifyTable(spec()) &&
            VerifyOffset(verifier, VT_TEAM) &&
            verifier.VerifyString(team()) &&
+           VerifyOffset(verifier, VT_HOST) &&
+           verifier.VerifyString(host()) &&
+           VerifyOffset(verifier, VT_PATHPREFIX) &&
+           verifier.VerifyString(pathPrefix()) &&
            verifier.EndTable();
   }
   SubmitJobT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2124,6 +2139,12 @@
   void add_team(flatbuffers::Offset<flatbuffers::String> team) {
     fbb_.AddOffset(SubmitJob::VT_TEAM, team);
   }
+  void add_host(flatbuffers::Offset<flatbuffers::String> host) {
+    fbb_.AddOffset(SubmitJob::VT_HOST, host);
+  }
+  void add_pathPrefix(flatbuffers::Offset<flatbuffers::String> pathPrefix) {
+    fbb_.AddOffset(SubmitJob::VT_PATHPREFIX, pathPrefix);
+  }
   explicit SubmitJobBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2140,8 +2161,12 @@
     flatbuffers::Offset<flatbuffers::String> id = 0,
     flatbuffers::Offset<flatbuffers::String> queue = 0,
     flatbuffers::Offset<paddlepier::work::JobSpec> spec = 0,
-    flatbuffers::Offset<flatbuffers::String> team = 0) {
+    flatbuffers::Offset<flatbuffers::String> team = 0,
+    flatbuffers::Offset<flatbuffers::String> host = 0,
+    flatbuffers::Offset<flatbuffers::String> pathPrefix = 0) {
   SubmitJobBuilder builder_(_fbb);
+  builder_.add_pathPrefix(pathPrefix);
+  builder_.add_host(host);
   builder_.add_team(team);
   builder_.add_spec(spec);
   builder_.add_queue(queue);
@@ -2159,16 +2184,22 @@
     const char *id = nullptr,
     const char *queue = nullptr,
     flatbuffers::Offset<paddlepier::work::JobSpec> spec = 0,
-    const char *team = nullptr) {
+    const char *team = nullptr,
+    const char *host = nullptr,
+    const char *pathPrefix = nullptr) {
   auto id__ = id ? _fbb.CreateString(id) : 0;
   auto queue__ = queue ? _fbb.CreateString(queue) : 0;
   auto team__ = team ? _fbb.CreateString(team) : 0;
+  auto host__ = host ? _fbb.CreateString(host) : 0;
+  auto pathPrefix__ = pathPrefix ? _fbb.CreateString(pathPrefix) : 0;
   return paddlepier::work::CreateSubmitJob(
       _fbb,
       id__,
       queue__,
       spec,
-      team__);
+      team__,
+      host__,
+      pathPrefix__);
 }
 
 flatbuffers::Offset<SubmitJob> CreateSubmitJob(flatbuffers::FlatBufferBuilder &_fbb, const SubmitJobT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -7244,7 +7275,9 @@
       : id(o.id),
         queue(o.queue),
         spec((o.spec) ? new paddlepier::work::JobSpecT(*o.spec) : nullptr),
-        team(o.team) {
+        team(o.team),
+        host(o.host),
+        pathPrefix(o.pathPrefix) {
 }
 
 inline SubmitJobT &SubmitJobT::operator=(SubmitJobT o) FLATBUFFERS_NOEXCEPT {
@@ -7252,6 +7285,8 @@
   std::swap(queue, o.queue);
   std::swap(spec, o.spec);
   std::swap(team, o.team);
+  std::swap(host, o.host);
+  std::swap(pathPrefix, o.pathPrefix);
   return *this;
 }
 
@@ -7268,6 +7303,8 @@
   { auto _e = queue(); if (_e) _o->queue = _e->str(); }
   { auto _e = spec(); if (_e) _o->spec = std::unique_ptr<paddlepier::work::JobSpecT>(_e->UnPack(_resolver)); }
   { auto _e = team(); if (_e) _o->team = _e->str(); }
+  { auto _e = host(); if (_e) _o->host = _e->str(); }
+  { auto _e = pathPrefix(); if (_e) _o->pathPrefix = _e->str(); }
 }
 
 inline flatbuffers::Offset<SubmitJob> SubmitJob::Pack(flatbuffers::FlatBufferBuilder &_fbb, const SubmitJobT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -7282,12 +7319,16 @@
   auto _queue = _o->queue.empty() ? 0 : _fbb.CreateString(_o->queue);
   auto _spec = _o->spec ? CreateJobSpec(_fbb, _o->spec.get(), _rehasher) : 0;
   auto _team = _o->team.empty() ? 0 : _fbb.CreateString(_o->team);
+  auto _host = _o->host.empty() ? 0 : _fbb.CreateString(_o->host);
+  auto _pathPrefix = _o->pathPrefix.empty() ? 0 : _fbb.CreateString(_o->pathPrefix);
   return paddlepier::work::CreateSubmitJob(
       _fbb,
       _id,
       _queue,
       _spec,
-      _team);
+      _team,
+      _host,
+      _pathPrefix);
 }
 
 inline CancelJobT *CancelJob::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/paddlepier/workload/job.cpp
+++ b/paddlepier/workload/job.cpp
@@ -2,6 +2,7 @@
 
 #include "paddlepier/workload/job.h"
 
+#include <absl/strings/ascii.h>
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_join.h>
 
@@ -58,6 +59,13 @@
     return "";
 }
 
+std::string queueAddress(std::string_view host, std::string_view pathPrefix)
+{
+    std::string address = absl::AsciiStrToLower(absl::string_view(host.data(), host.size()));
+    address.append(pathPrefix);
+    return address;
+}
+
 std::string JobFailure::text() const
 {
     switch (this->reason) {
@@ -75,6 +83,7 @@
     : jobId(std::move(id))
     , teamName(std::move(team))
     , queueSpec(std::move(queue))
+    , addressOfQueue(workload::queueAddress(this->queueSpec.host, this->queueSpec.pathPrefix))
     , jobSpec(std::move(spec))
     , submittedAt(nowMillis)
 {
@@ -152,6 +161,11 @@
     return this->queueSpec;
 }
 
+const std::string &Job::queueAddress() const
+{
+    return this->addressOfQueue;
+}
+
 work::JobState Job::state() const
 {
     return this->jobState;
--- a/paddlepier/workload/job.h
+++ b/paddlepier/workload/job.h
@@ -24,6 +24,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace paddlepier::workload
@@ -119,6 +120,16 @@
     std::vector<Step> steps;
 };
 
+/**
+ * Identifies a queue to its callers. Its name doesn't: a configuration may rename a queue, or give its name to another one.
+ *
+ * @param host  compared without regard to case
+ */
+std::string queueAddress(std::string_view host, std::string_view pathPrefix);
+
+/** Length of a job's id, which consists of hexadecimal digits. */
+constexpr std::size_t jobIdLength = 16;
+
 /** Maximum number of tasks of one job over all its occurrences. */
 constexpr std::uint64_t maxTasksPerJob = 20'000;
 
@@ -136,6 +147,8 @@
     const work::StepSpecT &stepSpec(std::uint32_t step) const;
     /** The queue's configuration at the time when the job was accepted. */
     const work::QueueSpecT &queue() const;
+    /** Address of the queue that accepted the job. Together with the id, it identifies the job to its callers. */
+    const std::string &queueAddress() const;
     work::JobState state() const;
     bool isCancelled() const;
     std::int64_t submittedAtMillis() const;
@@ -209,6 +222,7 @@
     std::string jobId;
     std::string teamName;
     work::QueueSpecT queueSpec;
+    std::string addressOfQueue;
     work::JobSpecT jobSpec;
     work::JobState jobState = work::JobState::Queued;
     bool cancelled = false;
--- a/paddlepier/workload/workload.cpp
+++ b/paddlepier/workload/workload.cpp
@@ -83,11 +83,15 @@
 
 Outcome Workload::submitJob(const work::SubmitJobT &command)
 {
-    if (this->jobById.contains(command.id)) {
-        return {};
+    const std::string address = queueAddress(command.host, command.pathPrefix);
+    if (const Job *known = this->findJob(command.id)) {
+        const bool isRepeated = address.empty() || known->queueAddress() == address;
+        return isRepeated ? Outcome() : failure(ErrorCode::Conflict, absl::StrCat("the job id ", command.id, " is in use in another queue"));
     }
     const auto &queues = this->currentConfiguration.queues;
-    const auto queue = std::find_if(queues.begin(), queues.end(), [&](const auto &candidate) { return candidate->name == command.queue; });
+    const auto queue = std::find_if(queues.begin(), queues.end(), [&](const auto &candidate) {
+        return address.empty() ? candidate->name == command.queue : queueAddress(candidate->host, candidate->pathPrefix) == address;
+    });
     if (queue == queues.end()) {
         return failure(ErrorCode::UnknownRoute, absl::StrCat("unknown queue ", command.queue));
     }
@@ -367,6 +371,16 @@
     return found == this->jobById.end() ? nullptr : &found->second;
 }
 
+const Job *Workload::findJobAt(std::string_view host, std::string_view path) const
+{
+    if (path.size() < jobIdLength) {
+        return nullptr;
+    }
+    const std::size_t prefixLength = path.size() - jobIdLength;
+    const Job *job = this->findJob(std::string(path.substr(prefixLength)));
+    return job != nullptr && job->queueAddress() == queueAddress(host, path.substr(0, prefixLength)) ? job : nullptr;
+}
+
 const std::set<std::string> &Workload::activeJobs() const
 {
     return this->activeJobIds;
--- a/paddlepier/workload/workload.h
+++ b/paddlepier/workload/workload.h
@@ -68,6 +68,11 @@
     const work::ServiceSpecT *findService(std::string_view name) const;
     const Teams &teams() const;
     const Job *findJob(const std::string &id) const;
+    /**
+     * The job that was accepted at exactly this host and path, whatever queue they select now; null if there is none. An id alone doesn't identify
+     * a job to callers, who choose the ids.
+     */
+    const Job *findJobAt(std::string_view host, std::string_view path) const;
     const Worker *findWorker(const Incarnation &incarnation) const;
     /** Latest incarnation of the worker @p id; null if it is unknown. O(log workers). */
     const Worker *findLatestWorker(const std::string &id) const;
--- a/paddlepier/workload/workload_test.cpp
+++ b/paddlepier/workload/workload_test.cpp
@@ -198,6 +198,97 @@
     CHECK(this->task(1).worker == this->first);
 }
 
+namespace
+{
+
+class QueueAddressFixture
+{
+public:
+    struct Queue {
+        std::string name;
+        std::string host;
+        std::string pathPrefix;
+    };
+
+    void configure(const std::vector<Queue> &queues)
+    {
+        work::ChangeConfigurationT configuration;
+        configuration.version = ++this->version;
+        for (const Queue &entry : queues) {
+            auto &queue = configuration.queues.emplace_back(std::make_unique<work::QueueSpecT>());
+            queue->name = entry.name;
+            queue->host = entry.host;
+            queue->pathPrefix = entry.pathPrefix;
+        }
+        CHECK(applyCommand(this->state, 1000, std::move(configuration)).error == ErrorCode::None);
+    }
+
+    ErrorCode submit(const Queue &queue)
+    {
+        work::SubmitJobT job;
+        job.id = id;
+        job.queue = queue.name;
+        job.host = queue.host;
+        job.pathPrefix = queue.pathPrefix;
+        job.spec = std::make_unique<work::JobSpecT>();
+        return applyCommand(this->state, 1000, std::move(job)).error;
+    }
+
+    bool isAt(const std::string &host, const std::string &pathPrefix) const
+    {
+        return this->state.findJobAt(host, pathPrefix + id) != nullptr;
+    }
+
+    static inline const std::string id = "5c0e7a21d94b36f8";
+    const Queue first{"a", "jobs.example", "/q/"};
+    Workload state;
+    std::uint64_t version = 0;
+};
+
+} // namespace
+
+// Guards against accepted jobs that can't be found any more, since a configuration has renamed their queue.
+TEST_CASE_METHOD(QueueAddressFixture, "acceptedJob_throughAnyConfiguration_isFoundAtItsAddressOnly")
+{
+    this->configure({this->first, {"b", "jobs.example", "/other/"}});
+    REQUIRE(this->submit(this->first) == ErrorCode::None);
+    const auto checkAddress = [this] {
+        CHECK(this->isAt("Jobs.Example", "/q/"));
+        CHECK_FALSE(this->isAt("jobs.example", "/other/"));
+        CHECK_FALSE(this->isAt("other.example", "/q/"));
+        CHECK_FALSE(this->isAt("jobs.example", ""));
+    };
+    checkAddress();
+    this->configure({{"renamed", "jobs.example", "/q/"}});
+    checkAddress();
+    this->configure({{"b", "jobs.example", "/q/"}, {"a", "jobs.example", "/other/"}});
+    checkAddress();
+    // The path selects another queue now, of a longer prefix.
+    this->configure({this->first, {"b", "jobs.example", "/q/5c0e"}});
+    checkAddress();
+    this->state.restore(std::string(this->state.snapshot()));
+    checkAddress();
+}
+
+// Guards against a job that enters another queue, or none, because the configuration changes between the decision and its log entry.
+TEST_CASE_METHOD(QueueAddressFixture, "submission_afterChangeOfQueueNames_entersTheQueueAtItsAddress")
+{
+    this->configure({{"b", "jobs.example", "/q/"}, {"a", "jobs.example", "/other/"}});
+    REQUIRE(this->submit(this->first) == ErrorCode::None);
+    CHECK(this->state.findJob(id)->queue().name == "b");
+    CHECK(this->submit({"b", "JOBS.example", "/q/"}) == ErrorCode::None);
+    CHECK(this->submit({"a", "jobs.example", "/other/"}) == ErrorCode::Conflict);
+    CHECK(this->submit({"a", "jobs.example", "/none/"}) == ErrorCode::Conflict);
+    CHECK(this->isAt("jobs.example", "/q/"));
+}
+
+TEST_CASE_METHOD(QueueAddressFixture, "submission_toRemovedQueue_isRefused")
+{
+    this->configure({{"a", "jobs.example", "/other/"}});
+    CHECK(this->submit(this->first) == ErrorCode::UnknownRoute);
+    CHECK(this->state.findJob(id) == nullptr);
+}
+
 TEST_CASE_METHOD(IncarnationFixture, "evacuation_withoutADataCentre_isRefused")
 {
     CHECK(this->apply(work::ChangeEvacuationT()).error == ErrorCode::InvalidArgument);
