Orders to a worker don't depend on a new connection

What callers saw: after losses of power of all cores, tasks were placed and never run, and cancelled ones ran on (LOST, UNASKED; GANG on large cells).

Cause: a worker accepts 64 connections from all clients, and a core that loses power leaves its own, up to 16, open there for good. Once they are used up a new one is reset. The poll keeps the connection that works; orders, which found it in use, opened another one and failed within 3 ms.

Relays of workers that refuse connections are kept.

--- a/paddlepier/cluster/orderrelay.cpp
+++ b/paddlepier/cluster/orderrelay.cpp
@@ -163,7 +163,10 @@
         return;
     }
     const execution::AnswerKind kind = relayed.answer.kind;
-    if (kind == execution::AnswerKind::NoAnswer || kind == execution::AnswerKind::NotSent) {
+    // A worker that refuses a connection can be reached, and another relay would need a new connection too.
+    const execution::CallEnd end = relayed.answer.end;
+    const bool isPathFault = end != execution::CallEnd::ConnectionRefused && end != execution::CallEnd::NotSent;
+    if (isPathFault && (kind == execution::AnswerKind::NoAnswer || kind == execution::AnswerKind::NotSent)) {
         this->relays.recordUnreachable(pending->call.worker.id);
     }
     this->completeAttempt(pending, pending->primary, relayed.answer);
--- a/paddlepier/http/httpclient.cpp
+++ b/paddlepier/http/httpclient.cpp
@@ -4,6 +4,7 @@
 
 #include "paddlepier/base/error.h"
 #include "paddlepier/base/log.h"
+#include "paddlepier/http/hostlimits.h"
 #include "paddlepier/http/transfersockets.h"
 
 #include <absl/container/flat_hash_map.h>
@@ -15,6 +16,7 @@
 
 #include <algorithm>
 #include <array>
+#include <deque>
 #include <mutex>
 #include <set>
 #include <utility>
@@ -36,6 +38,9 @@
 /** Limit on ended transfers whose handles are kept for reuse. */
 constexpr std::size_t maxSpareTransfers = 64;
 
+/** How often idle connections are checked for their age. */
+constexpr Duration idleCheckInterval = absl::Seconds(1);
+
 /** A transfer and all objects that its handle refers to; reused for successive requests. */
 struct Transfer {
     OutgoingRequest request;
@@ -44,6 +49,8 @@
     Timestamp startedAt;
     Timestamp deadline;
     TransferSockets *sockets = nullptr;
+    /** Scheme, host and port. */
+    std::string address;
     CURL *handle = nullptr;
     curl_slist *headerList = nullptr;
     /** Number of times that sending the request was started, each over another connection. */
@@ -58,6 +65,8 @@
     bool wasFirstOnConnection = false;
     /** A byte of a response has arrived. */
     bool hasResponse = false;
+    /** It has been passed to libcurl. Otherwise it waits for another transfer to the host to end. */
+    bool isStarted = false;
 
     Transfer() = default;
     Transfer(const Transfer &) = delete;
@@ -85,16 +94,17 @@
         this->hasOpenedConnection = false;
         this->wasFirstOnConnection = false;
         this->hasResponse = false;
-    }
-
-    /** Scheme, host and port. */
-    std::string address() const
-    {
-        const std::size_t host = this->request.url.find("//");
-        return this->request.url.substr(0, host == std::string::npos ? host : this->request.url.find('/', host + 2));
+        this->isStarted = false;
     }
 };
 
+/** Scheme, host and port of @p url. */
+std::string addressOf(const std::string &url)
+{
+    const std::size_t host = url.find("//");
+    return url.substr(0, host == std::string::npos ? host : url.find('/', host + 2));
+}
+
 std::size_t onBody(char *data, std::size_t size, std::size_t count, void *context)
 {
     auto *transfer = static_cast<Transfer *>(context);
@@ -246,7 +256,9 @@
 TransferResult makeResult(Transfer &transfer, CURLcode code)
 {
     long status = 0;
-    curl_easy_getinfo(transfer.handle, CURLINFO_RESPONSE_CODE, &status);
+    if (transfer.isStarted) {
+        curl_easy_getinfo(transfer.handle, CURLINFO_RESPONSE_CODE, &status);
+    }
     TransferResult result = std::move(transfer.result);
     result.response.status = static_cast<int>(status);
     // A response that is delimited only by the end of its connection can't be distinguished from a truncated one.
@@ -254,7 +266,7 @@
     result.isComplete = code == CURLE_OK && status != 0 && hasExplicitEnd;
     result.nothingSent = code != CURLE_OK && transfer.sendAttempts == 0;
     result.end = endOf(transfer, code);
-    result.openConnections = transfer.sockets == nullptr ? 0 : transfer.sockets->openCount(transfer.address());
+    result.openConnections = transfer.sockets == nullptr ? 0 : transfer.sockets->openCount(transfer.address);
     if (code != CURLE_OK) {
         result.error = curl_easy_strerror(code);
     } else if (!result.isComplete) {
@@ -284,6 +296,11 @@
     static int onTimer(CURLM *, long millis, void *self);
 
     std::unique_ptr<Transfer> obtainTransfer();
+    /** Passes the transfer to libcurl if the limit of its host allows it. */
+    bool tryStart(Transfer &transfer);
+    /** Starts transfers that wait for @p host. */
+    void startWaiting(const std::string &host);
+    void closeAgedConnections();
     void serve(Duration timeout);
     std::vector<Ended> drainEnded();
     /** Removes transfers whose deadline is at or before @p time. */
@@ -301,6 +318,11 @@
     absl::flat_hash_map<Transfer *, std::unique_ptr<Transfer>> running;
     // Invariant: holds exactly the keys of `running`, by deadline.
     std::set<std::pair<Timestamp, Transfer *>> deadlines;
+    HostLimits limits;
+    /** Transfers that wait for others to the same host to end, by address; no entry is empty. */
+    absl::flat_hash_map<std::string, std::deque<Transfer *>> waiting;
+    Duration maxIdleTime = absl::InfiniteDuration();
+    Timestamp nextIdleCheck = absl::InfinitePast();
     std::vector<std::unique_ptr<Transfer>> spareTransfers;
 };
 
@@ -318,7 +340,9 @@
 TransferPool::Implementation::~Implementation()
 {
     for (const auto &[transfer, owned] : this->running) {
-        curl_multi_remove_handle(this->multi, transfer->handle);
+        if (transfer->isStarted) {
+            curl_multi_remove_handle(this->multi, transfer->handle);
+        }
     }
     curl_multi_cleanup(this->multi);
 }
@@ -333,7 +357,7 @@
     Transfer *transfer = nullptr;
     curl_easy_getinfo(handle, CURLINFO_PRIVATE, &transfer);
     transfer->wasWatched = true;
-    sockets.watch(socket, transfer->address(), (what & CURL_POLL_IN) != 0, (what & CURL_POLL_OUT) != 0);
+    sockets.watch(socket, transfer->address, (what & CURL_POLL_IN) != 0, (what & CURL_POLL_OUT) != 0);
     return 0;
 }
 
@@ -357,6 +381,41 @@
     return transfer;
 }
 
+bool TransferPool::Implementation::tryStart(Transfer &transfer)
+{
+    if (!this->limits.tryBegin(transfer.address, controlNow())) {
+        return false;
+    }
+    transfer.isStarted = true;
+    curl_multi_add_handle(this->multi, transfer.handle);
+    return true;
+}
+
+void TransferPool::Implementation::startWaiting(const std::string &host)
+{
+    const auto found = this->waiting.find(host);
+    if (found == this->waiting.end()) {
+        return;
+    }
+    std::deque<Transfer *> &transfers = found->second;
+    while (!transfers.empty() && this->tryStart(*transfers.front())) {
+        transfers.pop_front();
+    }
+    if (transfers.empty()) {
+        this->waiting.erase(found);
+    }
+}
+
+void TransferPool::Implementation::closeAgedConnections()
+{
+    const Timestamp now = controlNow();
+    if (this->maxIdleTime == absl::InfiniteDuration() || now < this->nextIdleCheck) {
+        return;
+    }
+    this->nextIdleCheck = now + idleCheckInterval;
+    this->sockets.shutDownIdle(now - this->maxIdleTime, [this](const std::string &address) { return this->limits.isScarce(address); });
+}
+
 void TransferPool::Implementation::serve(Duration timeout)
 {
     int count = 0;
@@ -378,8 +437,17 @@
 
 std::unique_ptr<Transfer> TransferPool::Implementation::remove(Transfer *transfer)
 {
-    // Closes the connection if the response isn't complete.
-    curl_multi_remove_handle(this->multi, transfer->handle);
+    if (transfer->isStarted) {
+        // Closes the connection if the response isn't complete.
+        curl_multi_remove_handle(this->multi, transfer->handle);
+        this->limits.end(transfer->address);
+    } else {
+        const auto queue = this->waiting.find(transfer->address);
+        std::erase(queue->second, transfer);
+        if (queue->second.empty()) {
+            this->waiting.erase(queue);
+        }
+    }
     this->deadlines.erase({transfer->deadline, transfer});
     const auto found = this->running.find(transfer);
     std::unique_ptr<Transfer> owned = std::move(found->second);
@@ -423,9 +491,13 @@
 
 void TransferPool::Implementation::finish(std::unique_ptr<Transfer> transfer, CURLcode code)
 {
-    if (code == CURLE_OPERATION_TIMEDOUT) {
-        this->sockets.shutDownIdle(transfer->address(), transfer->startedAt);
+    if (code == CURLE_OPERATION_TIMEDOUT && transfer->isStarted) {
+        this->sockets.shutDownIdle(transfer->address, transfer->startedAt);
+    }
+    if (endOf(*transfer, code) == TransferEnd::ConnectionRefused) {
+        this->limits.recordRefusal(transfer->address, this->sockets.openCount(transfer->address), controlNow());
     }
+    this->startWaiting(transfer->address);
     if (transfer->sendAttempts > 1) {
         log::info("http",
                   "request.resent",
@@ -451,7 +523,12 @@
 
 void TransferPool::setMaxConnectionsPerHost(std::uint32_t connections)
 {
-    curl_multi_setopt(this->implementation->multi, CURLMOPT_MAX_HOST_CONNECTIONS, static_cast<long>(connections));
+    this->implementation->limits.setMaxPerHost(connections);
+}
+
+void TransferPool::setMaxIdleTime(Duration time)
+{
+    this->implementation->maxIdleTime = time;
 }
 
 void TransferPool::setMaxIdleConnections(std::uint32_t connections)
@@ -470,9 +547,13 @@
     transfer->done = std::move(done);
     transfer->startedAt = controlNow();
     transfer->deadline = transfer->startedAt + std::max(transfer->request.timeout, absl::Milliseconds(1));
+    transfer->address = addressOf(transfer->request.url);
     prepare(*transfer);
-    curl_multi_add_handle(this->implementation->multi, transfer->handle);
     Transfer *key = transfer.get();
+    auto &waiting = this->implementation->waiting;
+    if (waiting.contains(key->address) || !this->implementation->tryStart(*key)) {
+        waiting[key->address].push_back(key);
+    }
     this->implementation->deadlines.emplace(key->deadline, key);
     this->implementation->running.emplace(key, std::move(transfer));
 }
@@ -480,6 +561,7 @@
 void TransferPool::run(Duration timeout)
 {
     this->implementation->serve(timeout);
+    this->implementation->closeAgedConnections();
     std::vector<Implementation::Ended> ended = this->implementation->drainEnded();
     this->implementation->drainExpired(this->implementation->sockets.eventsReportedUntil(), ended);
     for (auto &[transfer, code] : ended) {
@@ -497,6 +579,7 @@
     Transfer transfer;
     transfer.request = request;
     prepare(transfer);
+    transfer.isStarted = true;
     const CURLcode code = curl_easy_perform(transfer.handle);
     return makeResult(transfer, code);
 }
--- a/paddlepier/http/httpclient.h
+++ b/paddlepier/http/httpclient.h
@@ -10,6 +10,10 @@
 // would take it for its own, and one for any process. A connection belongs to the process that has accepted it, so that the first body is sent only
 // over a connection that was established by that time, whatever delays the request.
 //
+// The connections to a host are bounded, and a host may have fewer left than that: see hostlimits.h. Transfers beyond the limit wait until another one
+// ends, and count as not sent if their time runs out before. Connections that have been idle for some seconds are closed, so that other clients of the
+// server can use them, unless the host has refused connections.
+//
 // A transfer times out only after all data that arrived before its deadline has been read, so that a pool whose own thread was delayed
 // still accepts responses that came in time. After a timeout the transfer's connection is closed. Connections to the same address that
 // have been idle since before that transfer started are closed too, since they may have failed in the same way.
@@ -107,9 +111,12 @@
     /** Ends the current wait in run(), or the next one. */
     void wake();
 
-    /** Limits the connections to one host, including idle ones. */
+    /** Limits the transfers in flight to one host, and thus the connections to it; unlimited by default. */
     void setMaxConnectionsPerHost(std::uint32_t connections);
 
+    /** Connections that have been idle for this long are closed; infinite by default. */
+    void setMaxIdleTime(Duration time);
+
     /** Limits the idle connections that are kept open for later transfers. */
     void setMaxIdleConnections(std::uint32_t connections);
 
--- a/paddlepier/http/transfersockets.cpp
+++ b/paddlepier/http/transfersockets.cpp
@@ -199,4 +199,13 @@
     }
 }
 
+void TransferSockets::shutDownIdle(Timestamp since, const std::function<bool(const std::string &address)> &isKept)
+{
+    for (const auto &[socket, watched] : this->sockets) {
+        if (watched.idleSince <= since && !isKept(watched.address)) {
+            ::shutdown(socket, SHUT_RDWR);
+        }
+    }
+}
+
 } // namespace paddlepier::http
--- a/paddlepier/http/transfersockets.h
+++ b/paddlepier/http/transfersockets.h
@@ -26,6 +26,7 @@
 
 #include <atomic>
 #include <cstdint>
+#include <functional>
 #include <string>
 #include <vector>
 
@@ -83,6 +84,8 @@
 
     /** Shuts down connections to @p address that have been idle since @p since or longer. O(connections to the address). */
     void shutDownIdle(const std::string &address, Timestamp since);
+    /** Shuts down connections that have been idle since @p since or longer, unless @p isKept holds for their address. O(sockets). */
+    void shutDownIdle(Timestamp since, const std::function<bool(const std::string &address)> &isKept);
 
 private:
     struct WatchedSocket {
