A worker that answers polls and takes no order is not used, and its runs end

A run that could be neither started nor stopped stayed placed there for 25 s and more, in a calm cell.

Cause: answers to polls extended the worker's lease and kept it schedulable, while every order to it failed. Nothing settled such a run: a start is tried three times, a stop for good, the lease never ends.

Change: orders without an answer are counted apart from polls. After 2 s without any the worker gets no starts; a run that was never confirmed is settled when the worker's clock has passed the lease of its last start; a run that can't be stopped for 3 s loses its lease. While connections are scarce, polls are short and a refused start is repeated at once.

Red before (virtual time): the task is never run although another worker is free; a cancelled task runs on.

--- a/paddlepier/execution/dispatcher.cpp
+++ b/paddlepier/execution/dispatcher.cpp
@@ -51,6 +51,12 @@
  */
 constexpr std::uint64_t maxSequenceStep = 40'000'000'000;
 
+/** Starts are suspended for this long on a worker that ignores orders; the next one shows whether it still does. */
+constexpr Duration ignoredOrdersPause = absl::Seconds(2);
+
+/** A worker whose connections are used up by clients that have lost power has them used up for long; the next refusal extends this time. */
+constexpr Duration connectionScarcityTime = absl::Seconds(20);
+
 /** How often the state of ended jobs is removed. */
 constexpr Duration cleanupInterval = absl::Seconds(2);
 
@@ -396,6 +402,12 @@
     if (answer.kind != AnswerKind::NoAnswer && answer.kind != AnswerKind::NotSent) {
         view->second.recordAnswer(now, answer.hasClock ? std::optional(answer.clockMillis) : std::nullopt);
     }
+    if (answer.end == CallEnd::ConnectionRefused) {
+        view->second.connectionsScarceUntil = now + connectionScarcityTime;
+    }
+    if (!std::holds_alternative<PollOrder>(call.order)) {
+        this->recordOrderAnswer(now, call, answer);
+    }
     if (std::holds_alternative<PollOrder>(call.order)) {
         this->handlePollAnswer(now, call, answer);
     } else if (const auto *start = std::get_if<StartOrder>(&call.order)) {
@@ -407,6 +419,16 @@
     }
 }
 
+void Dispatcher::recordOrderAnswer(Timestamp now, const PendingCall &call, const WorkerAnswer &answer)
+{
+    WorkerView &view = this->views.at(call.worker);
+    view.recordOrder(now, answer.kind != AnswerKind::NoAnswer && answer.kind != AnswerKind::NotSent);
+    if (view.isReachable() && view.ignoresOrders(now)) {
+        log::warning("dispatch", "worker.ignores-orders", {{"worker", call.worker.text()}, {"answer", nameOf(answer.kind)}, {"call", nameOf(answer.end)}});
+        view.startsBlockedUntil = std::max(view.startsBlockedUntil, now + ignoredOrdersPause);
+    }
+}
+
 void Dispatcher::proposeEnds(const workload::Incarnation &worker, const std::vector<std::pair<workload::TaskKey, RunTrack>> &ended, work::RunEndKind kind)
 {
     if (ended.empty()) {
--- a/paddlepier/execution/dispatcher.h
+++ b/paddlepier/execution/dispatcher.h
@@ -174,7 +174,11 @@
     /** True if the worker has no runs and knows that all its ends are recorded. */
     static bool isIdle(const workload::Worker &record, const WorkerView &view);
     /** How long the worker may hold its answer back while no run ends. */
-    Duration pollWaitFor(const WorkerView &view) const;
+    Duration pollWaitFor(Timestamp now, const WorkerView &view) const;
+    /** True if a run there has to end and can't be stopped, since the worker ignores orders: then only the end of its lease ends it. */
+    bool mustLetLeaseExpire(Timestamp now, const workload::Worker &record, const WorkerView &view) const;
+    /** Records whether an order other than a poll was answered, and suspends starts on a worker that ignores orders. */
+    void recordOrderAnswer(Timestamp now, const PendingCall &call, const WorkerAnswer &answer);
     Duration pollTimeoutFor(const WorkerView &view, Duration wait) const;
     /**
      * Offset that puts the workers' first polls into a different order in each term. Otherwise, where terms are too short to reach all workers, the
@@ -258,7 +262,7 @@
     void handleStopAnswer(Timestamp now, const PendingCall &call, const StopOrder &order, const WorkerAnswer &answer);
     void stopRun(Timestamp now, const workload::TaskKey &key, RunTrack &track, StopReason reason);
     /** Ends runs that a poll's answer, handled at @p now, didn't list and that can't start any more. */
-    void settleVanishedRuns(Timestamp now, const workload::Incarnation &worker, Timestamp pollSentAt);
+    void settleVanishedRuns(Timestamp now, const workload::Incarnation &worker, Timestamp pollSentAt, const WorkerAnswer &answer);
     void proposeEnds(const workload::Incarnation &worker, const std::vector<std::pair<workload::TaskKey, RunTrack>> &ended, work::RunEndKind kind);
     /** Proposes the removal of an incarnation that has ended, as @p how unless it had announced that it would leave. */
     void removeWorker(Timestamp now, const workload::Incarnation &worker, work::LifeEnd how, const Successor &next = {});
--- a/paddlepier/execution/polls.cpp
+++ b/paddlepier/execution/polls.cpp
@@ -60,6 +60,12 @@
 /** A first poll that isn't answered within this time no longer counts towards the bound: its worker may be cut off. */
 constexpr Duration firstPollInFlightTime = absl::Milliseconds(250);
 
+/** Wait of polls while orders may have to wait for the connection of a poll. */
+constexpr Duration scarcePollWait = absl::Milliseconds(100);
+
+/** A stop that hasn't been confirmed for this long, by a worker that ignores orders, is left to the end of the lease. */
+constexpr Duration unconfirmedStopTimeout = absl::Seconds(3);
+
 /** Number of ends that a worker lists at a time. Where a list is full, the end of a run that isn't listed may still follow. */
 constexpr std::size_t maxListedEnds = 500;
 
@@ -117,8 +123,8 @@
     PollOrder order;
     // Another incarnation under the id would discard its own ends by these numbers, and they would never be recorded.
     order.lastSequence = view.isIncarnationConfirmed(now) ? this->acknowledgeableSequence(worker) : 0;
-    view.isWatched = isReachable && isIdle(*record, view);
-    order.wait = this->pollWaitFor(view);
+    view.isWatched = isReachable && isIdle(*record, view) && now >= view.connectionsScarceUntil;
+    order.wait = this->pollWaitFor(now, view);
     view.pollCall = this->nextCall;
     order.watch = view.isWatched ? idleWatch : absl::ZeroDuration();
     if (!view.hasListed) {
@@ -132,7 +138,8 @@
     // A worker that has answered nothing for a complete lease is itself unresponsive.
     const bool mayBeProcessFault = this->isProcessSlow && view.hasClock() && now - view.lastAnswerAt() < this->options.maxLease;
     // A watch repeats the lease that it began with, which must not shorten a lease that a start grants meanwhile.
-    this->send(now, worker, order, timeout, !view.isWatched && (isReachable || mayBeProcessFault));
+    const bool extendsLease = !view.isWatched && (isReachable || mayBeProcessFault) && !this->mustLetLeaseExpire(now, *record, view);
+    this->send(now, worker, order, timeout, extendsLease);
 }
 
 void Dispatcher::limitWatch(Timestamp now, const workload::Incarnation &worker)
@@ -156,11 +163,30 @@
     return holdsNothing && view.acknowledgedSequence >= record.lastSequence;
 }
 
-Duration Dispatcher::pollWaitFor(const WorkerView &view) const
+bool Dispatcher::mustLetLeaseExpire(Timestamp now, const workload::Worker &record, const WorkerView &view) const
+{
+    if (!view.ignoresOrders(now)) {
+        return false;
+    }
+    return std::any_of(record.runs.begin(), record.runs.end(), [this, now](const workload::TaskKey &key) {
+        const auto track = this->tracks.find(key);
+        const bool isUnconfirmed = track != this->tracks.end() && track->second.settledAt == absl::InfiniteFuture();
+        const bool hasToEnd = isUnconfirmed && track->second.isConfirmed() && now - track->second.stopRequestedAt >= unconfirmedStopTimeout;
+        if (hasToEnd) {
+            log::warning("dispatch", "lease.withheld", {{"worker", track->second.worker.text()}, {"task", key.text()}, {"run", track->second.run}});
+        }
+        return hasToEnd;
+    });
+}
+
+Duration Dispatcher::pollWaitFor(Timestamp now, const WorkerView &view) const
 {
     if (!view.isReachable()) {
         return absl::ZeroDuration();
     }
+    if (now < view.connectionsScarceUntil) {
+        return scarcePollWait;
+    }
     if (view.isWatched) {
         return idlePollWait;
     }
@@ -205,7 +231,7 @@
     this->updateRunning(now, call.worker, answer);
     this->monitorRuns(now, call.worker, view);
     if (answer.ended.size() < maxListedEnds) {
-        this->settleVanishedRuns(now, call.worker, call.sentAt);
+        this->settleVanishedRuns(now, call.worker, call.sentAt, answer);
         this->settleSuperseded(now, call.worker, call.sentAt, answer);
     }
     if (view.pollState == PollState::Idle) {
@@ -261,7 +287,7 @@
     }
 }
 
-void Dispatcher::settleVanishedRuns(Timestamp now, const workload::Incarnation &worker, Timestamp pollSentAt)
+void Dispatcher::settleVanishedRuns(Timestamp now, const workload::Incarnation &worker, Timestamp pollSentAt, const WorkerAnswer &answer)
 {
     std::vector<std::pair<workload::TaskKey, RunTrack>> vanished;
     for (const workload::TaskKey &key : this->state.findWorker(worker)->runs) {
@@ -269,7 +295,10 @@
         if (track == this->tracks.end() || track->second.worker != worker || track->second.listedAt == now) {
             continue;
         }
-        if (track->second.isAdopted || track->second.settledAt < pollSentAt) {
+        // A start that arrives after the end of its lease is refused, so that a run that isn't there by then never starts, even if no stop arrives.
+        const bool isStartOver =
+            !track->second.isConfirmed() && track->second.startCalls > 0 && answer.hasClock && answer.clockMillis > track->second.startLeaseEnd;
+        if (track->second.isAdopted || track->second.settledAt < pollSentAt || isStartOver) {
             vanished.emplace_back(key, track->second);
         } else if (track->second.phase == RunPhase::Running && track->second.runningSince < pollSentAt) {
             // The run had started and is gone without a listed end: stop it, so that it can't start again.
--- a/paddlepier/execution/runs.cpp
+++ b/paddlepier/execution/runs.cpp
@@ -4,6 +4,7 @@
 #include "paddlepier/execution/dispatcher.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace paddlepier::execution
 {
@@ -144,7 +145,10 @@
     if (!track.startToken) {
         track.startToken = std::make_shared<const StartToken>();
     }
-    this->effects.calls.back().conditions.start = track.startToken;
+    WorkerCall &call = this->effects.calls.back();
+    call.conditions.start = track.startToken;
+    const std::int64_t leaseEnd = call.leaseEndOnWorkerClock;
+    track.startLeaseEnd = std::max(track.startLeaseEnd, leaseEnd > 0 ? leaseEnd : std::numeric_limits<std::int64_t>::max());
     this->limitWatch(now, track.worker);
 }
 
@@ -201,10 +205,13 @@
     case AnswerKind::NotSent:
         track->nextCall = now + orderRetryPause;
         return;
-    case AnswerKind::NoAnswer:
+    case AnswerKind::NoAnswer: {
         track->mayStartLate = true;
-        track->nextCall = now + orderRetryPause;
+        // After a refused connection the next call waits for one that is established.
+        const bool retriesAtOnce = answer.end == CallEnd::ConnectionRefused && track->startCalls == 1;
+        track->nextCall = retriesAtOnce ? now : now + orderRetryPause;
         return;
+    }
     case AnswerKind::Unhealthy:
         view.startsBlockedUntil = now + absl::Seconds(2);
         break;
@@ -241,6 +248,7 @@
     track.isCallInFlight = false;
     track.startToken.reset();
     track.phase = RunPhase::Stopping;
+    track.stopRequestedAt = now;
     track.nextCall = now;
     this->runTimers.schedule(key, now);
 }
--- a/paddlepier/execution/runtrack.h
+++ b/paddlepier/execution/runtrack.h
@@ -60,6 +60,10 @@
     Timestamp settledAt = absl::InfiniteFuture();
     Timestamp nextCall = absl::InfinitePast();
     std::uint32_t startCalls = 0;
+    /** End of the latest lease, on the worker's clock, with which a start was sent. */
+    std::int64_t startLeaseEnd = 0;
+    /** When the run was to be stopped; infinite before. */
+    Timestamp stopRequestedAt = absl::InfiniteFuture();
     /** Set while a start that was sent is wanted. */
     std::shared_ptr<const StartToken> startToken;
     Timestamp placedAt;
@@ -78,6 +82,12 @@
     bool isPaceInFlight = false;
     std::string checkpoint;
 
+    /** The worker has accepted the start or listed the run. */
+    bool isConfirmed() const
+    {
+        return this->runningSince < absl::InfiniteFuture();
+    }
+
     /** True if the run had been running for settlingTime at @p then. */
     bool isSettledAt(Timestamp then) const
     {
--- a/paddlepier/execution/workerview.cpp
+++ b/paddlepier/execution/workerview.cpp
@@ -36,6 +36,10 @@
 constexpr Duration minSuspicionTime = absl::Milliseconds(500);
 constexpr std::uint32_t maxDoublings = 4;
 
+/** An answer may be lost, and a worker may execute some orders late; several orders in a row over this time are more than that. */
+constexpr std::uint32_t minUnansweredOrders = 3;
+constexpr Duration orderSilenceTime = absl::Seconds(2);
+
 Duration onSlowClock(Duration duration)
 {
     return duration * (1000 + clockSlowPerMille) / 1000;
@@ -102,6 +106,17 @@
     this->nextPoll = now + (this->isLikelyGone(now) ? gonePollPause : pause);
 }
 
+void WorkerView::recordOrder(Timestamp now, bool isAnswered)
+{
+    this->unansweredOrders = isAnswered ? 0 : this->unansweredOrders + 1;
+    this->ordersUnansweredSince = isAnswered ? absl::InfiniteFuture() : std::min(this->ordersUnansweredSince, now);
+}
+
+bool WorkerView::ignoresOrders(Timestamp now) const
+{
+    return this->unansweredOrders >= minUnansweredOrders && now - this->ordersUnansweredSince >= orderSilenceTime;
+}
+
 bool WorkerView::isLikelyGone(Timestamp now) const
 {
     const bool hasLeft = this->leavesAt + leaveTimeout < now;
--- a/paddlepier/execution/workerview.h
+++ b/paddlepier/execution/workerview.h
@@ -55,6 +55,13 @@
     void recordListing(Timestamp now);
     /** A call has ended without a complete answer. */
     void recordFailedCall(Timestamp now);
+    /** Whether the worker has answered an order other than a poll. */
+    void recordOrder(Timestamp now, bool isAnswered);
+    /**
+     * True if the worker has answered no order for a while, whatever its answers to polls say: nothing can be started or stopped there. An answer
+     * to a poll proves that the worker runs, and not that orders reach it.
+     */
+    bool ignoresOrders(Timestamp now) const;
     /**
      * A later incarnation under the same id is known. No more calls are sent to this one; orders in flight, and the leases that they grant, may reach
      * the later one.
@@ -100,7 +107,9 @@
     std::uint64_t fence = 0;
     /** A higher fencing token was seen there, or a later incarnation is known: no more orders are sent. */
     bool isFenced = false;
-    /** No starts before this time, since the worker has refused work as unhealthy. */
+    /** The worker has refused new connections: until then polls return soon, since orders wait for their connection. */
+    Timestamp connectionsScarceUntil = absl::InfinitePast();
+    /** No starts before this time, since the worker has refused work as unhealthy, or ignores orders. */
     Timestamp startsBlockedUntil = absl::InfinitePast();
     /** When the worker may leave; infinite while it isn't draining. */
     Timestamp leavesAt = absl::InfiniteFuture();
@@ -131,6 +140,9 @@
     /** When it last listed its runs; infinitely long ago if an event since then has made it uncertain which incarnation is there. */
     Timestamp listedAt = absl::InfinitePast();
     std::uint32_t consecutiveFailedCalls = 0;
+    /** Orders since the last one that was answered, and when the first of them ended. */
+    std::uint32_t unansweredOrders = 0;
+    Timestamp ordersUnansweredSince = absl::InfiniteFuture();
     const Duration *processPauses;
     /** Calls in flight and the deadlines of their answers, less the pauses up to the call. */
     std::map<std::uint64_t, Timestamp> answerDeadlines;
