--- a/paddlepier/cluster/relaycodec.cpp
+++ b/paddlepier/cluster/relaycodec.cpp
@@ -6,6 +6,8 @@
 
 #include <absl/strings/str_cat.h>
 
+#include <algorithm>
+
 namespace paddlepier::cluster
 {
 
@@ -94,6 +96,10 @@
     encoded.fence = call.fence;
     encoded.leaseEndOnWorkerClock = call.leaseEndOnWorkerClock;
     encoded.timeoutMillis = static_cast<std::uint32_t>(absl::ToInt64Milliseconds(call.timeout));
+    if (call.conditions.sendBy < absl::InfiniteFuture()) {
+        const std::int64_t remaining = absl::ToInt64Milliseconds(call.conditions.sendBy - controlNow());
+        encoded.sendWithinMillis = static_cast<std::uint32_t>(std::max<std::int64_t>(1, remaining));
+    }
     std::visit(OrderEncoder{encoded.order}, call.order);
     return encoded;
 }
@@ -107,6 +113,9 @@
     decoded.leaseEndOnWorkerClock = call.leaseEndOnWorkerClock;
     decoded.timeout = absl::Milliseconds(call.timeoutMillis);
     decoded.order = toOrder(call.order);
+    if (call.sendWithinMillis > 0) {
+        decoded.conditions.sendBy = controlNow() + absl::Milliseconds(call.sendWithinMillis);
+    }
     return decoded;
 }
 
--- a/paddlepier/execution/crashes_test.cpp
+++ b/paddlepier/execution/crashes_test.cpp
@@ -9,6 +9,8 @@
 #include <absl/strings/str_cat.h>
 #include <catch2/catch.hpp>
 
+#include <cstddef>
+#include <map>
 #include <set>
 
 namespace paddlepier::execution
@@ -205,6 +207,23 @@
     this->checkAbandoned("bad", absl::Seconds(120));
 }
 
+TEST_CASE_METHOD(CrashFixture, "tasksThatCrash_throughLostOrdersAndChangesOfLeader_areAbandonedWithinTheirBound")
+{
+    this->random.seed(GENERATE(range(1U, 21U)));
+    this->addCell(12);
+    this->crashing = {"bad", "worse"};
+    this->networkFaults.delayPercent = 30;
+    this->networkFaults.answerLossPercent = 30;
+    this->addJob("bad", 2, 800);
+    this->addJob("worse", 1, 800);
+    for (int term = 0; term < 10; ++term) {
+        this->runFor(absl::Milliseconds(1000 + this->random() % 4000));
+        this->electLeader();
+    }
+    this->checkAbandoned("bad", absl::Minutes(3));
+    this->checkAbandoned("worse", absl::Minutes(3));
+}
+
 TEST_CASE_METHOD(CrashFixture, "taskWhoseWorkersNeverReturn_isAbandoned")
 {
     this->addCell(12);
@@ -258,6 +277,86 @@
     CHECK(this->stateOf("watch") == work::JobState::Running);
 }
 
+// Guards against a job that fails for crashes that none of its starts had reached: workers crash right before them, after they have answered polls.
+TEST_CASE_METHOD(CrashFixture, "task_whoseStartsReachNoWorker_isNeverAbandoned")
+{
+    this->addCell(4);
+    constexpr int crashes = 12;
+    std::set<std::string> crashed;
+    this->onCall = [&](const WorkerCall &call) {
+        const auto *start = std::get_if<StartOrder>(&call.order);
+        const auto *stop = std::get_if<StopOrder>(&call.order);
+        const bool isOfJob = (start != nullptr && start->task.job == "a") || (stop != nullptr && stop->task.job == "a");
+        if (isOfJob && crashed.size() < crashes && crashed.insert(call.worker.id).second) {
+            this->workers.crashSilently(this->now, call.worker.id);
+        }
+    };
+    this->addJob("a", 1, 800);
+    CHECK(this->runUntil([this] { return this->isCompleted("a"); }, absl::Minutes(3)));
+    CHECK(crashed.size() == crashes);
+    CHECK(this->state.findJob("a")->task({"a", 0, 0, 0}).confirmedLosses == 0);
+    CHECK(this->workers.violations.empty());
+}
+
+// Guards against endless crashes: such a task never proves its presence by an answer.
+TEST_CASE_METHOD(CrashFixture, "taskThatCrashesItsWorkers_beforeTheyAnswerItsStart_isAbandonedWithinItsBound")
+{
+    this->addCell(12);
+    std::size_t starts = 0;
+    this->onCall = [&](const WorkerCall &call) {
+        const auto *start = std::get_if<StartOrder>(&call.order);
+        if (start != nullptr && start->task.job == "bad" && !this->workers.workers[call.worker.id].isCut) {
+            ++starts;
+            this->workers.crashSilently(this->now, call.worker.id);
+        }
+    };
+    this->addJob("bad", 1, 800);
+    this->addJob("good", 12, 800);
+    this->checkAbandoned("bad");
+    constexpr std::size_t crashThreshold = 3;
+    CHECK(starts <= crashThreshold + workload::maxFinalAttempts);
+    CHECK(this->runUntil([this] { return this->isCompleted("good"); }));
+}
+
+// Guards against innocent jobs that are given up for crashes in series, and against too many starts of those that cause crashes.
+TEST_CASE_METHOD(CrashFixture, "jobs_throughWavesOfCrashes_failOnlyIfWorkersCrashedUnderThem")
+{
+    std::map<workload::TaskKey, int> crashesUnder;
+    this->workers.observer = [&](const FakeWorkers::Event &event) {
+        crashesUnder[event.task] += event.kind == FakeWorkers::EventKind::Ended && event.end == work::RunEndKind::WorkerLost ? 1 : 0;
+    };
+    this->addCell(16);
+    this->crashing = {"bad"};
+    constexpr int waves = 40;
+    for (int wave = 0; wave < waves; ++wave) {
+        this->addJob(absl::StrCat("long-", wave), 3, 4800);
+        this->addJob(absl::StrCat("short-", wave), 4, 800);
+        if (wave == waves / 2) {
+            this->addJob("bad", 1, 800);
+        }
+        std::vector<std::string> up;
+        for (const auto &[id, worker] : this->workers.workers) {
+            if (!worker.isCut && !worker.hasEnded) {
+                up.push_back(id);
+            }
+        }
+        for (int crash = 0; crash < 2 && !up.empty(); ++crash) {
+            const std::size_t chosen = this->random() % up.size();
+            this->workers.crashSilently(this->now, up[chosen]);
+            up.erase(up.begin() + static_cast<std::ptrdiff_t>(chosen));
+        }
+        this->runFor(absl::Milliseconds(2420));
+    }
+    for (int wave = 0; wave < waves; ++wave) {
+        for (const std::string &job : {absl::StrCat("long-", wave), absl::StrCat("short-", wave)}) {
+            CHECK(this->runUntil([&] { return this->hasEnded(job); }));
+            const bool isExcused = this->stateOf(job) == work::JobState::Failed && crashesUnder[this->state.findJob(job)->failure().task] >= 2;
+            CHECK((this->isCompleted(job) || isExcused));
+        }
+    }
+    this->checkAbandoned("bad");
+}
+
 TEST_CASE_METHOD(CrashFixture, "jobs_besideTasksThatCrash_complete")
 {
     this->addCell(16);
--- a/paddlepier/execution/dispatcher.cpp
+++ b/paddlepier/execution/dispatcher.cpp
@@ -356,7 +356,7 @@
 void Dispatcher::propose(ProposalKind kind, const workload::Incarnation &worker, work::CommandUnion command)
 {
     const std::uint64_t id = this->nextProposal++;
-    this->proposals[id] = {kind, worker};
+    this->proposals[id] = {kind, worker, {}, 0};
     this->effects.proposals.push_back({id, std::move(command)});
 }
 
@@ -444,7 +444,10 @@
         end->run = track.run;
         end->kind = kind;
         end->checkpoint = track.checkpoint;
-        end->atLoss = kind == work::RunEndKind::Expired ? this->stateAtLoss(key, track) : work::RunAtLoss::NotBegun;
+        if (kind == work::RunEndKind::Expired) {
+            end->atLoss = this->stateAtLoss(key, track);
+            this->logLostRun(key, track, end->atLoss);
+        }
     }
     this->eraseTracks(record);
     work::CommandUnion command;
@@ -460,6 +463,13 @@
     }
     const PendingProposal proposal = std::move(found->second);
     this->proposals.erase(found);
+    if (proposal.kind == ProposalKind::VerifyStart) {
+        RunTrack *track = this->findTrack(proposal.task, proposal.run, proposal.worker);
+        if (track != nullptr) {
+            this->resumeStart(now, proposal.task, *track);
+        }
+        return;
+    }
     this->hasChanged = true;
     this->mayHaveObsoleteRuns = true;
     this->logAbandoned(outcome.abandonedTasks);
--- a/paddlepier/execution/dispatcher.h
+++ b/paddlepier/execution/dispatcher.h
@@ -130,10 +130,13 @@
     const WorkerView *findView(const workload::Incarnation &worker) const;
 
 private:
-    enum class ProposalKind { Place, RecordEnds, RemoveWorker };
+    enum class ProposalKind { Place, RecordEnds, RemoveWorker, VerifyStart };
     struct PendingProposal {
         ProposalKind kind = ProposalKind::Place;
         workload::Incarnation worker;
+        /** For VerifyStart. */
+        workload::TaskKey task;
+        std::uint32_t run = 0;
     };
     struct PendingCall {
         workload::Incarnation worker;
@@ -194,6 +197,17 @@
     using UnsentRuns = std::vector<std::pair<workload::TaskKey, RunTrack>>;
     void driveRun(Timestamp now, const workload::TaskKey &key, RunTrack &track, UnsentRuns &unsent);
     void driveStart(Timestamp now, const workload::TaskKey &key, RunTrack &track, UnsentRuns &unsent);
+    /**
+     * A suspect's start is preceded by another order that has no effect. If the worker answers that one and leaves the start unanswered, the start has
+     * most probably reached it; its loss is then evidence against the task. The ledger records this before, since the leader may change meanwhile.
+     */
+    bool mustVerifyWorker(Timestamp now, const workload::TaskKey &key, const RunTrack &track) const;
+    void verifyWorker(Timestamp now, const workload::TaskKey &key, RunTrack &track, UnsentRuns &unsent);
+    void proposeVerifiedStart(const workload::TaskKey &key, RunTrack &track);
+    /** Continues with the next step of a start that waited for its worker's verification. */
+    void resumeStart(Timestamp at, const workload::TaskKey &key, RunTrack &track);
+    /** @return whether the answer is that of an order that verifies a worker */
+    bool handleVerifyAnswer(Timestamp now, const PendingCall &call, const StopOrder &order, const WorkerAnswer &answer);
     /** Cancels a start. The run ends at once if the start was never sent; otherwise it is stopped, so that it can't start later. */
     void cancelStart(Timestamp now, const workload::TaskKey &key, RunTrack &track, StopReason reason, UnsentRuns &unsent);
     /** True if more of the task's team is placed than its quota allows. */
--- a/paddlepier/execution/incarnations.cpp
+++ b/paddlepier/execution/incarnations.cpp
@@ -21,9 +21,6 @@
 /** An incarnation without runs that neither answers nor announces itself for this long is removed. */
 constexpr Duration removalTimeout = absl::Seconds(20);
 
-/** A healthy worker that is polled continuously answers at least this often. */
-constexpr Duration maxPollPause = absl::Milliseconds(1000);
-
 /** Runs of a draining worker are stopped this long before it leaves, in addition to the time that a stop takes. */
 constexpr Duration drainMargin = absl::Milliseconds(700);
 
@@ -99,20 +96,23 @@
 
 work::RunAtLoss Dispatcher::stateAtLoss(const workload::TaskKey &key, const RunTrack &track) const
 {
-    if (!track.isAdopted && track.startCalls == 0) {
-        return work::RunAtLoss::NotBegun;
+    // That the worker answered polls at the time doesn't show that the start reached it.
+    if (!track.isConfirmed()) {
+        const bool canHaveStarted = track.mayHaveReachedWorker() && track.settledAt == absl::InfiniteFuture();
+        const bool wasVerified = this->state.findJob(key.job)->task(key).verifiedRun == track.run;
+        return !canHaveStarted ? work::RunAtLoss::NotBegun : wasVerified ? work::RunAtLoss::Verified : work::RunAtLoss::Unclear;
     }
-    const auto view = this->views.find(track.worker);
-    if (view == this->views.end()) {
+    if (track.settledAt < absl::InfiniteFuture()) {
+        // It was stopped, and has most probably ended before the loss.
         return work::RunAtLoss::Unclear;
     }
-    const Timestamp answeredAt = view->second.lastAnswerAt();
-    if (track.isSettledAt(answeredAt)) {
-        return this->state.findJob(key.job)->stepSpec(key.step).isLasting ? work::RunAtLoss::Settled : work::RunAtLoss::Unclear;
+    const auto view = this->views.find(track.worker);
+    const bool isSettled = view != this->views.end() && track.isSettledAt(view->second.lastAnswerAt());
+    if (isSettled && this->state.findJob(key.job)->stepSpec(key.step).isLasting) {
+        return work::RunAtLoss::Settled;
     }
-    // If the worker was unresponsive before the start, or hasn't answered this leader, it is unknown whether the run was still there.
-    const bool wasThere = !track.isAdopted && answeredAt + maxPollPause >= track.placedAt;
-    return wasThere ? work::RunAtLoss::Fresh : work::RunAtLoss::Unclear;
+    // An earlier leader may have started an adopted run long before.
+    return isSettled || track.isAdopted ? work::RunAtLoss::Running : work::RunAtLoss::Fresh;
 }
 
 std::vector<std::unique_ptr<work::RunEndT>> Dispatcher::lostRuns(const workload::Incarnation &worker) const
@@ -157,8 +157,9 @@
                {"worker", track.worker.text()},
                {"countedAs", work::EnumNameRunAtLoss(atLoss)},
                {"startCalls", track.startCalls},
-               {"isCallInFlight", track.isCallInFlight},
-               {"hasStarted", track.runningSince < absl::InfiniteFuture()},
+               {"mayHaveArrived", track.mayHaveReachedWorker()},
+               {"isConfirmed", track.isConfirmed()},
+               {"isVerified", this->state.findJob(key.job)->task(key).verifiedRun == track.run},
                {"answeredMillisAfterPlacement", millisSince(track.placedAt, answeredAt)}});
 }
 
@@ -267,8 +268,9 @@
         if (track != nullptr) {
             track->worker = worker;
             // The answers to orders in flight will be those of the earlier incarnation.
-            track->mayStartLate = track->mayStartLate || track->isCallInFlight;
+            track->mayStartLate = track->mayStartLate || (track->isCallInFlight && !track->isVerifyInFlight);
             track->isCallInFlight = false;
+            track->isVerifyInFlight = false;
             if (track->isPaceInFlight) {
                 track->isPaceInFlight = false;
                 track->pace.reset();
--- a/paddlepier/execution/runs.cpp
+++ b/paddlepier/execution/runs.cpp
@@ -21,6 +21,12 @@
 /** Number of starts sent for one run before it is stopped instead, so that it can't start any more. */
 constexpr std::uint32_t maxStartCalls = 3;
 
+/** Losses of a task after which its worker is verified before each start. */
+constexpr std::size_t minLossesToVerify = 2;
+
+/** Time from the answer to the start within which the worker counts as verified; sending takes a few milliseconds. */
+constexpr Duration verifiedFor = absl::Milliseconds(100);
+
 /** How often all runs are scanned for jobs that have ended; a scan costs about 0.3 ms with 5,000 runs. */
 constexpr Duration obsoleteCheckInterval = absl::Milliseconds(50);
 
@@ -115,8 +121,8 @@
         return;
     }
     if (!this->views.at(track.worker).isReachable()) {
-        if (track.startCalls == 0) {
-            // Nothing was sent, so the task can be placed elsewhere.
+        if (!track.mayStartLate) {
+            // Nothing has reached the worker, so the task can be placed elsewhere.
             unsent.emplace_back(key, track);
         } else {
             this->runTimers.schedule(key, now + unreachableRetryPause);
@@ -135,7 +141,11 @@
     }
     const bool isTicketExpired = now > track.ticketValidUntil;
     if (track.startCalls >= maxStartCalls || (isTicketExpired && track.startCalls > 0) || track.ticketValidUntil == absl::InfinitePast()) {
-        this->stopRun(now, key, track, StopReason::StartUnsettled);
+        this->cancelStart(now, key, track, StopReason::StartUnsettled, unsent);
+        return;
+    }
+    if (this->mustVerifyWorker(now, key, track)) {
+        this->verifyWorker(now, key, track, unsent);
         return;
     }
     const workload::Job &job = *this->state.findJob(key.job);
@@ -147,14 +157,79 @@
     }
     WorkerCall &call = this->effects.calls.back();
     call.conditions.start = track.startToken;
+    if (track.verifiedAt > absl::InfinitePast() && !track.mayStartLate) {
+        call.conditions.sendBy = track.verifiedAt + verifiedFor;
+    }
     const std::int64_t leaseEnd = call.leaseEndOnWorkerClock;
     track.startLeaseEnd = std::max(track.startLeaseEnd, leaseEnd > 0 ? leaseEnd : std::numeric_limits<std::int64_t>::max());
     this->limitWatch(now, track.worker);
 }
 
+bool Dispatcher::mustVerifyWorker(Timestamp now, const workload::TaskKey &key, const RunTrack &track) const
+{
+    // After an unanswered start the run may be there, and another call of it adds no risk.
+    const bool isVerified = track.mayStartLate || now - track.verifiedAt <= verifiedFor;
+    return !isVerified && this->state.findJob(key.job)->task(key).possibleLosses() >= minLossesToVerify;
+}
+
+void Dispatcher::verifyWorker(Timestamp now, const workload::TaskKey &key, RunTrack &track, UnsentRuns &unsent)
+{
+    if (track.verifyCalls >= maxStartCalls) {
+        this->cancelStart(now, key, track, StopReason::StartUnsettled, unsent);
+        return;
+    }
+    track.isCallInFlight = true;
+    track.isVerifyInFlight = true;
+    if (this->state.findJob(key.job)->task(key).verifiedRun != track.run) {
+        this->proposeVerifiedStart(key, track);
+        return;
+    }
+    ++track.verifyCalls;
+    // The run before this one has ended, so that stopping it has no effect.
+    this->send(now, track.worker, StopOrder{key, track.run - 1}, orderTimeout, false);
+}
+
+void Dispatcher::proposeVerifiedStart(const workload::TaskKey &key, RunTrack &track)
+{
+    work::VerifyStartT record;
+    record.task = key.record();
+    record.run = track.run;
+    work::CommandUnion command;
+    command.Set(std::move(record));
+    this->propose(ProposalKind::VerifyStart, track.worker, std::move(command));
+    PendingProposal &proposal = this->proposals.at(this->effects.proposals.back().id);
+    proposal.task = key;
+    proposal.run = track.run;
+}
+
+void Dispatcher::resumeStart(Timestamp at, const workload::TaskKey &key, RunTrack &track)
+{
+    track.isVerifyInFlight = false;
+    if (track.phase == RunPhase::Starting) {
+        track.isCallInFlight = false;
+        track.nextCall = at;
+        this->runTimers.schedule(key, at);
+    }
+}
+
+bool Dispatcher::handleVerifyAnswer(Timestamp now, const PendingCall &call, const StopOrder &order, const WorkerAnswer &answer)
+{
+    RunTrack *track = this->findTrack(order.task, order.run + 1, call.worker);
+    if (track == nullptr || !track->isVerifyInFlight) {
+        return false;
+    }
+    const bool isAnswered = answer.kind == AnswerKind::Accepted || answer.kind == AnswerKind::OldRun;
+    if (isAnswered) {
+        track->verifiedAt = now;
+        track->verifyCalls = 0;
+    }
+    this->resumeStart(isAnswered ? now : now + orderRetryPause, order.task, *track);
+    return true;
+}
+
 void Dispatcher::cancelStart(Timestamp now, const workload::TaskKey &key, RunTrack &track, StopReason reason, UnsentRuns &unsent)
 {
-    if (track.startCalls == 0) {
+    if (!track.mayStartLate) {
         unsent.emplace_back(key, track);
     } else {
         this->stopRun(now, key, track, reason);
@@ -244,7 +319,7 @@
               "run.stop",
               {{"task", key.text()}, {"run", track.run}, {"worker", track.worker.text()}, {"reason", nameOf(reason)}, {"percent", track.percent}});
     // The stop doesn't wait for the answer to a start, which may still be in transit: it prevents a start that arrives after it.
-    track.mayStartLate = track.mayStartLate || track.isCallInFlight;
+    track.mayStartLate = track.mayStartLate || (track.isCallInFlight && !track.isVerifyInFlight);
     track.isCallInFlight = false;
     track.startToken.reset();
     track.phase = RunPhase::Stopping;
@@ -255,6 +330,9 @@
 
 void Dispatcher::handleStopAnswer(Timestamp now, const PendingCall &call, const StopOrder &order, const WorkerAnswer &answer)
 {
+    if (this->handleVerifyAnswer(now, call, order, answer)) {
+        return;
+    }
     RunTrack *track = this->findTrack(order.task, order.run, call.worker);
     const bool isSettled = answer.kind == AnswerKind::Accepted || answer.kind == AnswerKind::OldRun;
     const auto superseded = this->supersededTracks.find({call.worker, order.task, order.run});
--- a/paddlepier/execution/runtrack.h
+++ b/paddlepier/execution/runtrack.h
@@ -64,6 +64,11 @@
     std::int64_t startLeaseEnd = 0;
     /** When the run was to be stopped; infinite before. */
     Timestamp stopRequestedAt = absl::InfiniteFuture();
+    /** Orders that checked whether the worker executes orders, since the last one that it answered, and when it answered the last one. */
+    std::uint32_t verifyCalls = 0;
+    /** Such an order, or the log entry before it, is under way; then isCallInFlight is set too, and refers to it. */
+    bool isVerifyInFlight = false;
+    Timestamp verifiedAt = absl::InfinitePast();
     /** Set while a start that was sent is wanted. */
     std::shared_ptr<const StartToken> startToken;
     Timestamp placedAt;
@@ -88,6 +93,12 @@
         return this->runningSince < absl::InfiniteFuture();
     }
 
+    /** A start may have reached the worker, or may still reach it. */
+    bool mayHaveReachedWorker() const
+    {
+        return this->isAdopted || this->mayStartLate || (this->phase == RunPhase::Starting && this->isCallInFlight && !this->isVerifyInFlight);
+    }
+
     /** True if the run had been running for settlingTime at @p then. */
     bool isSettledAt(Timestamp then) const
     {
--- a/paddlepier/execution/sendpermit.h
+++ b/paddlepier/execution/sendpermit.h
@@ -1,5 +1,5 @@
-// Conditions under which an order may still be sent: the permission of a leader, or of an instance that relays for it, which is limited in time, and
-// for a start that it is still wanted.
+// Conditions under which an order may still be sent: the permission of a leader, or of an instance that relays for it, which is limited in time; for a
+// start that it is still wanted; for one that relies on a recent answer of the worker, that it isn't late.
 //
 // An order may wait for a thread, for a connection or for a paused process before it is sent. By then another leader may have been elected, which
 // counts on orders of earlier leaders being old: a worker that restarted meanwhile under its id doesn't know the newer fencing token and would
@@ -59,10 +59,12 @@
     std::shared_ptr<const SendPermit> permit;
     /** Expires when a start isn't wanted any more. Its run may have ended by then, and its worker may have restarted under its id. Empty for other orders. */
     std::optional<std::weak_ptr<const StartToken>> start;
+    /** Latest time to send the order, whose sender relies on what it knows of the worker now. An order may wait long for a connection. */
+    Timestamp sendBy = absl::InfiniteFuture();
 
     bool hold(Timestamp now) const
     {
-        return (!this->permit || this->permit->isValid(now)) && (!this->start || !this->start->expired());
+        return now <= this->sendBy && (!this->permit || this->permit->isValid(now)) && (!this->start || !this->start->expired());
     }
 };
 
--- a/paddlepier/planning/suspectisolation.cpp
+++ b/paddlepier/planning/suspectisolation.cpp
@@ -72,7 +72,7 @@
 {
     const bool hasBackoffs = this->taskBackoff.hasBackoffs(now);
     const auto isHeldBack = [this, now, hasBackoffs, &pending](std::uint32_t index) {
-        const bool hasReachedLossLimit = pending.progress->tasks[index].possibleLosses() >= workload::maxLosses;
+        const bool hasReachedLossLimit = pending.progress->tasks[index].awaitsLosses();
         return hasReachedLossLimit || (hasBackoffs && this->taskBackoff.isBackingOff(now, {pending.key.job, pending.key.occurrence, pending.key.step, index}));
     };
     const bool holdsAnyBack = std::any_of(pending.tasks.begin(), pending.tasks.end(), isHeldBack);
--- a/paddlepier/planning/waitmonitor.cpp
+++ b/paddlepier/planning/waitmonitor.cpp
@@ -162,7 +162,7 @@
     const std::uint32_t index = pending.tasks.front();
     const workload::TaskKey key(pending.key.job, pending.key.occurrence, pending.key.step, index);
     const workload::Task &task = pending.progress->tasks[index];
-    if (task.possibleLosses() >= workload::maxLosses) {
+    if (task.awaitsLosses()) {
         return WaitReason::LossesInDoubt;
     }
     if (this->taskBackoff.isBackingOff(now, key)) {
--- a/paddlepier/wire/workload_generated.h
+++ b/paddlepier/wire/workload_generated.h
@@ -88,6 +88,10 @@
 struct ChangeEvacuationBuilder;
 struct ChangeEvacuationT;
 
+struct VerifyStart;
+struct VerifyStartBuilder;
+struct VerifyStartT;
+
 struct Entry;
 struct EntryBuilder;
 struct EntryT;
@@ -273,37 +277,45 @@
   NotBegun = 0,
   /// A lasting run that had been running long enough to show that its task did not cause earlier losses: they are cleared.
   Settled = 1,
-  /// It may not have started, been running for a while, or ended unreported: the loss counts, but does not identify its cause.
+  /// A start was sent, but nothing shows that it had reached the worker: the loss counts, but no number of such losses fails a job.
   Unclear = 2,
-  /// It had just been started on a responsive worker.
+  /// The worker had just started it.
   Fresh = 3,
+  /// The worker had been running it for a while: the loss counts, but does not identify its cause.
+  Running = 4,
+  /// The worker had left its start unanswered right after it had answered another order: it had most probably started it.
+  Verified = 5,
   MIN = NotBegun,
-  MAX = Fresh
+  MAX = Verified
 };
 
-inline const RunAtLoss (&EnumValuesRunAtLoss())[4] {
+inline const RunAtLoss (&EnumValuesRunAtLoss())[6] {
   static const RunAtLoss values[] = {
     RunAtLoss::NotBegun,
     RunAtLoss::Settled,
     RunAtLoss::Unclear,
-    RunAtLoss::Fresh
+    RunAtLoss::Fresh,
+    RunAtLoss::Running,
+    RunAtLoss::Verified
   };
   return values;
 }
 
 inline const char * const *EnumNamesRunAtLoss() {
-  static const char * const names[5] = {
+  static const char * const names[7] = {
     "NotBegun",
     "Settled",
     "Unclear",
     "Fresh",
+    "Running",
+    "Verified",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameRunAtLoss(RunAtLoss e) {
-  if (flatbuffers::IsOutRange(e, RunAtLoss::NotBegun, RunAtLoss::Fresh)) return "";
+  if (flatbuffers::IsOutRange(e, RunAtLoss::NotBegun, RunAtLoss::Verified)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesRunAtLoss()[index];
 }
@@ -429,11 +441,12 @@
   RegisterWorker = 6,
   RemoveWorker = 7,
   ChangeEvacuation = 8,
+  VerifyStart = 9,
   MIN = NONE,
-  MAX = ChangeEvacuation
+  MAX = VerifyStart
 };
 
-inline const Command (&EnumValuesCommand())[9] {
+inline const Command (&EnumValuesCommand())[10] {
   static const Command values[] = {
     Command::NONE,
     Command::ChangeConfiguration,
@@ -443,13 +456,14 @@
     Command::RecordEnds,
     Command::RegisterWorker,
     Command::RemoveWorker,
-    Command::ChangeEvacuation
+    Command::ChangeEvacuation,
+    Command::VerifyStart
   };
   return values;
 }
 
 inline const char * const *EnumNamesCommand() {
-  static const char * const names[10] = {
+  static const char * const names[11] = {
     "NONE",
     "ChangeConfiguration",
     "SubmitJob",
@@ -459,13 +473,14 @@
     "RegisterWorker",
     "RemoveWorker",
     "ChangeEvacuation",
+    "VerifyStart",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameCommand(Command e) {
-  if (flatbuffers::IsOutRange(e, Command::NONE, Command::ChangeEvacuation)) return "";
+  if (flatbuffers::IsOutRange(e, Command::NONE, Command::VerifyStart)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesCommand()[index];
 }
@@ -506,6 +521,10 @@
   static const Command enum_value = Command::ChangeEvacuation;
 };
 
+template<> struct CommandTraits<paddlepier::work::VerifyStart> {
+  static const Command enum_value = Command::VerifyStart;
+};
+
 template<typename T> struct CommandUnionTraits {
   static const Command enum_value = Command::NONE;
 };
@@ -542,6 +561,10 @@
   static const Command enum_value = Command::ChangeEvacuation;
 };
 
+template<> struct CommandUnionTraits<paddlepier::work::VerifyStartT> {
+  static const Command enum_value = Command::VerifyStart;
+};
+
 struct CommandUnion {
   Command type;
   void *value;
@@ -636,6 +659,14 @@
     return type == Command::ChangeEvacuation ?
       reinterpret_cast<const paddlepier::work::ChangeEvacuationT *>(value) : nullptr;
   }
+  paddlepier::work::VerifyStartT *AsVerifyStart() {
+    return type == Command::VerifyStart ?
+      reinterpret_cast<paddlepier::work::VerifyStartT *>(value) : nullptr;
+  }
+  const paddlepier::work::VerifyStartT *AsVerifyStart() const {
+    return type == Command::VerifyStart ?
+      reinterpret_cast<const paddlepier::work::VerifyStartT *>(value) : nullptr;
+  }
 };
 
 bool VerifyCommand(flatbuffers::Verifier &verifier, const void *obj, Command type);
@@ -3306,6 +3337,87 @@
 
 flatbuffers::Offset<ChangeEvacuation> CreateChangeEvacuation(flatbuffers::FlatBufferBuilder &_fbb, const ChangeEvacuationT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct VerifyStartT : public flatbuffers::NativeTable {
+  typedef VerifyStart TableType;
+  static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
+    return "paddlepier.work.VerifyStartT";
+  }
+  std::unique_ptr<paddlepier::work::TaskKeyT> task{};
+  uint32_t run = 0;
+  VerifyStartT() = default;
+  VerifyStartT(const VerifyStartT &o);
+  VerifyStartT(VerifyStartT&&) FLATBUFFERS_NOEXCEPT = default;
+  VerifyStartT &operator=(VerifyStartT o) FLATBUFFERS_NOEXCEPT;
+};
+
+/// The start of the run is sent only to a worker that has answered an order right before. Recorded before it is sent, so that a later leader knows it.
+struct VerifyStart FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef VerifyStartT NativeTableType;
+  typedef VerifyStartBuilder Builder;
+  struct Traits;
+  static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
+    return "paddlepier.work.VerifyStart";
+  }
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_TASK = 4,
+    VT_RUN = 6
+  };
+  const paddlepier::work::TaskKey *task() const {
+    return GetPointer<const paddlepier::work::TaskKey *>(VT_TASK);
+  }
+  uint32_t run() const {
+    return GetField<uint32_t>(VT_RUN, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_TASK) &&
+           verifier.VerifyTable(task()) &&
+           VerifyField<uint32_t>(verifier, VT_RUN, 4) &&
+           verifier.EndTable();
+  }
+  VerifyStartT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(VerifyStartT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<VerifyStart> Pack(flatbuffers::FlatBufferBuilder &_fbb, const VerifyStartT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct VerifyStartBuilder {
+  typedef VerifyStart Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_task(flatbuffers::Offset<paddlepier::work::TaskKey> task) {
+    fbb_.AddOffset(VerifyStart::VT_TASK, task);
+  }
+  void add_run(uint32_t run) {
+    fbb_.AddElement<uint32_t>(VerifyStart::VT_RUN, run, 0);
+  }
+  explicit VerifyStartBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<VerifyStart> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<VerifyStart>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<VerifyStart> CreateVerifyStart(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<paddlepier::work::TaskKey> task = 0,
+    uint32_t run = 0) {
+  VerifyStartBuilder builder_(_fbb);
+  builder_.add_run(run);
+  builder_.add_task(task);
+  return builder_.Finish();
+}
+
+struct VerifyStart::Traits {
+  using type = VerifyStart;
+  static auto constexpr Create = CreateVerifyStart;
+};
+
+flatbuffers::Offset<VerifyStart> CreateVerifyStart(flatbuffers::FlatBufferBuilder &_fbb, const VerifyStartT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct EntryT : public flatbuffers::NativeTable {
   typedef Entry TableType;
   static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
@@ -3362,6 +3474,9 @@
   const paddlepier::work::ChangeEvacuation *command_as_ChangeEvacuation() const {
     return command_type() == paddlepier::work::Command::ChangeEvacuation ? static_cast<const paddlepier::work::ChangeEvacuation *>(command()) : nullptr;
   }
+  const paddlepier::work::VerifyStart *command_as_VerifyStart() const {
+    return command_type() == paddlepier::work::Command::VerifyStart ? static_cast<const paddlepier::work::VerifyStart *>(command()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<int64_t>(verifier, VT_ATMILLIS, 8) &&
@@ -3407,6 +3522,10 @@
   return command_as_ChangeEvacuation();
 }
 
+template<> inline const paddlepier::work::VerifyStart *Entry::command_as<paddlepier::work::VerifyStart>() const {
+  return command_as_VerifyStart();
+}
+
 struct EntryBuilder {
   typedef Entry Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -3467,6 +3586,9 @@
   int64_t placedAtMillis = 0;
   uint32_t lastTries = 0;
   uint64_t born = 0;
+  uint32_t confirmedLosses = 0;
+  uint32_t verifiedRun = 0;
+  uint32_t verifiedLosses = 0;
 };
 
 struct TaskRecord FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -3488,7 +3610,10 @@
     VT_FRESHLOSSES = 20,
     VT_PLACEDATMILLIS = 22,
     VT_LASTTRIES = 24,
-    VT_BORN = 26
+    VT_BORN = 26,
+    VT_CONFIRMEDLOSSES = 28,
+    VT_VERIFIEDRUN = 30,
+    VT_VERIFIEDLOSSES = 32
   };
   uint32_t index() const {
     return GetField<uint32_t>(VT_INDEX, 0);
@@ -3533,6 +3658,18 @@
   uint64_t born() const {
     return GetField<uint64_t>(VT_BORN, 0);
   }
+  /// Of the lost workers, those that are known to have run the task; missing in older snapshots.
+  uint32_t confirmedLosses() const {
+    return GetField<uint32_t>(VT_CONFIRMEDLOSSES, 0);
+  }
+  /// Newest run with a VerifyStart; 0 if none, and in older snapshots.
+  uint32_t verifiedRun() const {
+    return GetField<uint32_t>(VT_VERIFIEDRUN, 0);
+  }
+  /// Losses of workers that had left a verified start unanswered; missing in older snapshots.
+  uint32_t verifiedLosses() const {
+    return GetField<uint32_t>(VT_VERIFIEDLOSSES, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint32_t>(verifier, VT_INDEX, 4) &&
@@ -3551,6 +3688,9 @@
            VerifyField<int64_t>(verifier, VT_PLACEDATMILLIS, 8) &&
            VerifyField<uint32_t>(verifier, VT_LASTTRIES, 4) &&
            VerifyField<uint64_t>(verifier, VT_BORN, 8) &&
+           VerifyField<uint32_t>(verifier, VT_CONFIRMEDLOSSES, 4) &&
+           VerifyField<uint32_t>(verifier, VT_VERIFIEDRUN, 4) &&
+           VerifyField<uint32_t>(verifier, VT_VERIFIEDLOSSES, 4) &&
            verifier.EndTable();
   }
   TaskRecordT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3598,6 +3738,15 @@
   void add_born(uint64_t born) {
     fbb_.AddElement<uint64_t>(TaskRecord::VT_BORN, born, 0);
   }
+  void add_confirmedLosses(uint32_t confirmedLosses) {
+    fbb_.AddElement<uint32_t>(TaskRecord::VT_CONFIRMEDLOSSES, confirmedLosses, 0);
+  }
+  void add_verifiedRun(uint32_t verifiedRun) {
+    fbb_.AddElement<uint32_t>(TaskRecord::VT_VERIFIEDRUN, verifiedRun, 0);
+  }
+  void add_verifiedLosses(uint32_t verifiedLosses) {
+    fbb_.AddElement<uint32_t>(TaskRecord::VT_VERIFIEDLOSSES, verifiedLosses, 0);
+  }
   explicit TaskRecordBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3622,10 +3771,16 @@
     uint32_t freshLosses = 0,
     int64_t placedAtMillis = 0,
     uint32_t lastTries = 0,
-    uint64_t born = 0) {
+    uint64_t born = 0,
+    uint32_t confirmedLosses = 0,
+    uint32_t verifiedRun = 0,
+    uint32_t verifiedLosses = 0) {
   TaskRecordBuilder builder_(_fbb);
   builder_.add_born(born);
   builder_.add_placedAtMillis(placedAtMillis);
+  builder_.add_verifiedLosses(verifiedLosses);
+  builder_.add_verifiedRun(verifiedRun);
+  builder_.add_confirmedLosses(confirmedLosses);
   builder_.add_lastTries(lastTries);
   builder_.add_freshLosses(freshLosses);
   builder_.add_lostWorkers(lostWorkers);
@@ -3657,7 +3812,10 @@
     uint32_t freshLosses = 0,
     int64_t placedAtMillis = 0,
     uint32_t lastTries = 0,
-    uint64_t born = 0) {
+    uint64_t born = 0,
+    uint32_t confirmedLosses = 0,
+    uint32_t verifiedRun = 0,
+    uint32_t verifiedLosses = 0) {
   auto worker__ = worker ? _fbb.CreateString(worker) : 0;
   auto checkpoint__ = checkpoint ? _fbb.CreateString(checkpoint) : 0;
   auto lostWorkers__ = lostWorkers ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*lostWorkers) : 0;
@@ -3674,7 +3832,10 @@
       freshLosses,
       placedAtMillis,
       lastTries,
-      born);
+      born,
+      confirmedLosses,
+      verifiedRun,
+      verifiedLosses);
 }
 
 flatbuffers::Offset<TaskRecord> CreateTaskRecord(flatbuffers::FlatBufferBuilder &_fbb, const TaskRecordT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -4318,6 +4479,7 @@
   uint64_t lastSequence = 0;
   std::vector<std::unique_ptr<paddlepier::work::CopyRecordT>> copies{};
   std::vector<std::unique_ptr<paddlepier::work::TaskKeyT>> lapsed{};
+  std::vector<paddlepier::work::RunAtLoss> lapsedAtLoss{};
   WorkerRecordT() = default;
   WorkerRecordT(const WorkerRecordT &o);
   WorkerRecordT(WorkerRecordT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -4335,7 +4497,8 @@
     VT_REGISTRATION = 4,
     VT_LASTSEQUENCE = 6,
     VT_COPIES = 8,
-    VT_LAPSED = 10
+    VT_LAPSED = 10,
+    VT_LAPSEDATLOSS = 12
   };
   const paddlepier::work::RegisterWorker *registration() const {
     return GetPointer<const paddlepier::work::RegisterWorker *>(VT_REGISTRATION);
@@ -4350,6 +4513,10 @@
   const flatbuffers::Vector<flatbuffers::Offset<paddlepier::work::TaskKey>> *lapsed() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<paddlepier::work::TaskKey>> *>(VT_LAPSED);
   }
+  /// What their losses count as, should the worker be lost; missing in older snapshots.
+  const flatbuffers::Vector<paddlepier::work::RunAtLoss> *lapsedAtLoss() const {
+    return GetPointer<const flatbuffers::Vector<paddlepier::work::RunAtLoss> *>(VT_LAPSEDATLOSS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_REGISTRATION) &&
@@ -4361,6 +4528,8 @@
            VerifyOffset(verifier, VT_LAPSED) &&
            verifier.VerifyVector(lapsed()) &&
            verifier.VerifyVectorOfTables(lapsed()) &&
+           VerifyOffset(verifier, VT_LAPSEDATLOSS) &&
+           verifier.VerifyVector(lapsedAtLoss()) &&
            verifier.EndTable();
   }
   WorkerRecordT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -4384,6 +4553,9 @@
   void add_lapsed(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<paddlepier::work::TaskKey>>> lapsed) {
     fbb_.AddOffset(WorkerRecord::VT_LAPSED, lapsed);
   }
+  void add_lapsedAtLoss(flatbuffers::Offset<flatbuffers::Vector<paddlepier::work::RunAtLoss>> lapsedAtLoss) {
+    fbb_.AddOffset(WorkerRecord::VT_LAPSEDATLOSS, lapsedAtLoss);
+  }
   explicit WorkerRecordBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -4400,9 +4572,11 @@
     flatbuffers::Offset<paddlepier::work::RegisterWorker> registration = 0,
     uint64_t lastSequence = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<paddlepier::work::CopyRecord>>> copies = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<paddlepier::work::TaskKey>>> lapsed = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<paddlepier::work::TaskKey>>> lapsed = 0,
+    flatbuffers::Offset<flatbuffers::Vector<paddlepier::work::RunAtLoss>> lapsedAtLoss = 0) {
   WorkerRecordBuilder builder_(_fbb);
   builder_.add_lastSequence(lastSequence);
+  builder_.add_lapsedAtLoss(lapsedAtLoss);
   builder_.add_lapsed(lapsed);
   builder_.add_copies(copies);
   builder_.add_registration(registration);
@@ -4419,15 +4593,18 @@
     flatbuffers::Offset<paddlepier::work::RegisterWorker> registration = 0,
     uint64_t lastSequence = 0,
     const std::vector<flatbuffers::Offset<paddlepier::work::CopyRecord>> *copies = nullptr,
-    const std::vector<flatbuffers::Offset<paddlepier::work::TaskKey>> *lapsed = nullptr) {
+    const std::vector<flatbuffers::Offset<paddlepier::work::TaskKey>> *lapsed = nullptr,
+    const std::vector<paddlepier::work::RunAtLoss> *lapsedAtLoss = nullptr) {
   auto copies__ = copies ? _fbb.CreateVector<flatbuffers::Offset<paddlepier::work::CopyRecord>>(*copies) : 0;
   auto lapsed__ = lapsed ? _fbb.CreateVector<flatbuffers::Offset<paddlepier::work::TaskKey>>(*lapsed) : 0;
+  auto lapsedAtLoss__ = lapsedAtLoss ? _fbb.CreateVector<paddlepier::work::RunAtLoss>(*lapsedAtLoss) : 0;
   return paddlepier::work::CreateWorkerRecord(
       _fbb,
       registration,
       lastSequence,
       copies__,
-      lapsed__);
+      lapsed__,
+      lapsedAtLoss__);
 }
 
 flatbuffers::Offset<WorkerRecord> CreateWorkerRecord(flatbuffers::FlatBufferBuilder &_fbb, const WorkerRecordT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -6190,6 +6367,7 @@
   uint32_t timeoutMillis = 0;
   paddlepier::work::CarriedOrderUnion order{};
   uint64_t born = 0;
+  uint32_t sendWithinMillis = 0;
 };
 
 struct CarryCall FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -6207,7 +6385,8 @@
     VT_TIMEOUTMILLIS = 12,
     VT_ORDER_TYPE = 14,
     VT_ORDER = 16,
-    VT_BORN = 18
+    VT_BORN = 18,
+    VT_SENDWITHINMILLIS = 20
   };
   const flatbuffers::String *worker() const {
     return GetPointer<const flatbuffers::String *>(VT_WORKER);
@@ -6246,6 +6425,10 @@
   uint64_t born() const {
     return GetField<uint64_t>(VT_BORN, 0);
   }
+  /// The order isn't sent later than this after it was received; 0 means no limit but the timeout.
+  uint32_t sendWithinMillis() const {
+    return GetField<uint32_t>(VT_SENDWITHINMILLIS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_WORKER) &&
@@ -6259,6 +6442,7 @@
            VerifyOffset(verifier, VT_ORDER) &&
            VerifyCarriedOrder(verifier, order(), order_type()) &&
            VerifyField<uint64_t>(verifier, VT_BORN, 8) &&
+           VerifyField<uint32_t>(verifier, VT_SENDWITHINMILLIS, 4) &&
            verifier.EndTable();
   }
   CarryCallT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -6310,6 +6494,9 @@
   void add_born(uint64_t born) {
     fbb_.AddElement<uint64_t>(CarryCall::VT_BORN, born, 0);
   }
+  void add_sendWithinMillis(uint32_t sendWithinMillis) {
+    fbb_.AddElement<uint32_t>(CarryCall::VT_SENDWITHINMILLIS, sendWithinMillis, 0);
+  }
   explicit CarryCallBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -6330,11 +6517,13 @@
     uint32_t timeoutMillis = 0,
     paddlepier::work::CarriedOrder order_type = paddlepier::work::CarriedOrder::NONE,
     flatbuffers::Offset<void> order = 0,
-    uint64_t born = 0) {
+    uint64_t born = 0,
+    uint32_t sendWithinMillis = 0) {
   CarryCallBuilder builder_(_fbb);
   builder_.add_born(born);
   builder_.add_leaseEndOnWorkerClock(leaseEndOnWorkerClock);
   builder_.add_fence(fence);
+  builder_.add_sendWithinMillis(sendWithinMillis);
   builder_.add_order(order);
   builder_.add_timeoutMillis(timeoutMillis);
   builder_.add_address(address);
@@ -6357,7 +6546,8 @@
     uint32_t timeoutMillis = 0,
     paddlepier::work::CarriedOrder order_type = paddlepier::work::CarriedOrder::NONE,
     flatbuffers::Offset<void> order = 0,
-    uint64_t born = 0) {
+    uint64_t born = 0,
+    uint32_t sendWithinMillis = 0) {
   auto worker__ = worker ? _fbb.CreateString(worker) : 0;
   auto address__ = address ? _fbb.CreateString(address) : 0;
   return paddlepier::work::CreateCarryCall(
@@ -6369,7 +6559,8 @@
       timeoutMillis,
       order_type,
       order,
-      born);
+      born,
+      sendWithinMillis);
 }
 
 flatbuffers::Offset<CarryCall> CreateCarryCall(flatbuffers::FlatBufferBuilder &_fbb, const CarryCallT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -7760,6 +7951,46 @@
       _isEvacuated);
 }
 
+inline VerifyStartT::VerifyStartT(const VerifyStartT &o)
+      : task((o.task) ? new paddlepier::work::TaskKeyT(*o.task) : nullptr),
+        run(o.run) {
+}
+
+inline VerifyStartT &VerifyStartT::operator=(VerifyStartT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(task, o.task);
+  std::swap(run, o.run);
+  return *this;
+}
+
+inline VerifyStartT *VerifyStart::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<VerifyStartT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void VerifyStart::UnPackTo(VerifyStartT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = task(); if (_e) _o->task = std::unique_ptr<paddlepier::work::TaskKeyT>(_e->UnPack(_resolver)); }
+  { auto _e = run(); _o->run = _e; }
+}
+
+inline flatbuffers::Offset<VerifyStart> VerifyStart::Pack(flatbuffers::FlatBufferBuilder &_fbb, const VerifyStartT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateVerifyStart(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<VerifyStart> CreateVerifyStart(flatbuffers::FlatBufferBuilder &_fbb, const VerifyStartT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const VerifyStartT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _task = _o->task ? CreateTaskKey(_fbb, _o->task.get(), _rehasher) : 0;
+  auto _run = _o->run;
+  return paddlepier::work::CreateVerifyStart(
+      _fbb,
+      _task,
+      _run);
+}
+
 inline EntryT *Entry::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::make_unique<EntryT>();
   UnPackTo(_o.get(), _resolver);
@@ -7813,6 +8044,9 @@
   { auto _e = placedAtMillis(); _o->placedAtMillis = _e; }
   { auto _e = lastTries(); _o->lastTries = _e; }
   { auto _e = born(); _o->born = _e; }
+  { auto _e = confirmedLosses(); _o->confirmedLosses = _e; }
+  { auto _e = verifiedRun(); _o->verifiedRun = _e; }
+  { auto _e = verifiedLosses(); _o->verifiedLosses = _e; }
 }
 
 inline flatbuffers::Offset<TaskRecord> TaskRecord::Pack(flatbuffers::FlatBufferBuilder &_fbb, const TaskRecordT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -7835,6 +8069,9 @@
   auto _placedAtMillis = _o->placedAtMillis;
   auto _lastTries = _o->lastTries;
   auto _born = _o->born;
+  auto _confirmedLosses = _o->confirmedLosses;
+  auto _verifiedRun = _o->verifiedRun;
+  auto _verifiedLosses = _o->verifiedLosses;
   return paddlepier::work::CreateTaskRecord(
       _fbb,
       _index,
@@ -7848,7 +8085,10 @@
       _freshLosses,
       _placedAtMillis,
       _lastTries,
-      _born);
+      _born,
+      _confirmedLosses,
+      _verifiedRun,
+      _verifiedLosses);
 }
 
 inline StepRecordT::StepRecordT(const StepRecordT &o)
@@ -8116,7 +8356,8 @@
 
 inline WorkerRecordT::WorkerRecordT(const WorkerRecordT &o)
       : registration((o.registration) ? new paddlepier::work::RegisterWorkerT(*o.registration) : nullptr),
-        lastSequence(o.lastSequence) {
+        lastSequence(o.lastSequence),
+        lapsedAtLoss(o.lapsedAtLoss) {
   copies.reserve(o.copies.size());
   for (const auto &copies_ : o.copies) { copies.emplace_back((copies_) ? new paddlepier::work::CopyRecordT(*copies_) : nullptr); }
   lapsed.reserve(o.lapsed.size());
@@ -8128,6 +8369,7 @@
   std::swap(lastSequence, o.lastSequence);
   std::swap(copies, o.copies);
   std::swap(lapsed, o.lapsed);
+  std::swap(lapsedAtLoss, o.lapsedAtLoss);
   return *this;
 }
 
@@ -8144,6 +8386,7 @@
   { auto _e = lastSequence(); _o->lastSequence = _e; }
   { auto _e = copies(); if (_e) { _o->copies.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->copies[_i] = std::unique_ptr<paddlepier::work::CopyRecordT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = lapsed(); if (_e) { _o->lapsed.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->lapsed[_i] = std::unique_ptr<paddlepier::work::TaskKeyT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = lapsedAtLoss(); if (_e) { _o->lapsedAtLoss.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->lapsedAtLoss[_i] = static_cast<paddlepier::work::RunAtLoss>(_e->Get(_i)); } } }
 }
 
 inline flatbuffers::Offset<WorkerRecord> WorkerRecord::Pack(flatbuffers::FlatBufferBuilder &_fbb, const WorkerRecordT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -8158,12 +8401,14 @@
   auto _lastSequence = _o->lastSequence;
   auto _copies = _o->copies.size() ? _fbb.CreateVector<flatbuffers::Offset<paddlepier::work::CopyRecord>> (_o->copies.size(), [](size_t i, _VectorArgs *__va) { return CreateCopyRecord(*__va->__fbb, __va->__o->copies[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _lapsed = _o->lapsed.size() ? _fbb.CreateVector<flatbuffers::Offset<paddlepier::work::TaskKey>> (_o->lapsed.size(), [](size_t i, _VectorArgs *__va) { return CreateTaskKey(*__va->__fbb, __va->__o->lapsed[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _lapsedAtLoss = _o->lapsedAtLoss.size() ? _fbb.CreateVector(_o->lapsedAtLoss) : 0;
   return paddlepier::work::CreateWorkerRecord(
       _fbb,
       _registration,
       _lastSequence,
       _copies,
-      _lapsed);
+      _lapsed,
+      _lapsedAtLoss);
 }
 
 inline SnapshotT::SnapshotT(const SnapshotT &o)
@@ -8888,6 +9133,7 @@
   { auto _e = order_type(); _o->order.type = _e; }
   { auto _e = order(); if (_e) _o->order.value = paddlepier::work::CarriedOrderUnion::UnPack(_e, order_type(), _resolver); }
   { auto _e = born(); _o->born = _e; }
+  { auto _e = sendWithinMillis(); _o->sendWithinMillis = _e; }
 }
 
 inline flatbuffers::Offset<CarryCall> CarryCall::Pack(flatbuffers::FlatBufferBuilder &_fbb, const CarryCallT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -8906,6 +9152,7 @@
   auto _order_type = _o->order.type;
   auto _order = _o->order.Pack(_fbb);
   auto _born = _o->born;
+  auto _sendWithinMillis = _o->sendWithinMillis;
   return paddlepier::work::CreateCarryCall(
       _fbb,
       _worker,
@@ -8915,7 +9162,8 @@
       _timeoutMillis,
       _order_type,
       _order,
-      _born);
+      _born,
+      _sendWithinMillis);
 }
 
 inline CarriedRunT::CarriedRunT(const CarriedRunT &o)
@@ -9147,6 +9395,10 @@
       auto ptr = reinterpret_cast<const paddlepier::work::ChangeEvacuation *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Command::VerifyStart: {
+      auto ptr = reinterpret_cast<const paddlepier::work::VerifyStart *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
@@ -9198,6 +9450,10 @@
       auto ptr = reinterpret_cast<const paddlepier::work::ChangeEvacuation *>(obj);
       return ptr->UnPack(resolver);
     }
+    case Command::VerifyStart: {
+      auto ptr = reinterpret_cast<const paddlepier::work::VerifyStart *>(obj);
+      return ptr->UnPack(resolver);
+    }
     default: return nullptr;
   }
 }
@@ -9237,6 +9493,10 @@
       auto ptr = reinterpret_cast<const paddlepier::work::ChangeEvacuationT *>(value);
       return CreateChangeEvacuation(_fbb, ptr, _rehasher).Union();
     }
+    case Command::VerifyStart: {
+      auto ptr = reinterpret_cast<const paddlepier::work::VerifyStartT *>(value);
+      return CreateVerifyStart(_fbb, ptr, _rehasher).Union();
+    }
     default: return 0;
   }
 }
@@ -9275,6 +9535,10 @@
       value = new paddlepier::work::ChangeEvacuationT(*reinterpret_cast<paddlepier::work::ChangeEvacuationT *>(u.value));
       break;
     }
+    case Command::VerifyStart: {
+      value = new paddlepier::work::VerifyStartT(*reinterpret_cast<paddlepier::work::VerifyStartT *>(u.value));
+      break;
+    }
     default:
       break;
   }
@@ -9322,6 +9586,11 @@
       delete ptr;
       break;
     }
+    case Command::VerifyStart: {
+      auto ptr = reinterpret_cast<paddlepier::work::VerifyStartT *>(value);
+      delete ptr;
+      break;
+    }
     default: break;
   }
   value = nullptr;
--- a/paddlepier/workload/job.cpp
+++ b/paddlepier/workload/job.cpp
@@ -331,11 +331,16 @@
     } else if (kind == work::RunEndKind::Failed && !isLasting) {
         this->recordFailure(key, run, nowMillis);
     }
+    Task &task = this->mutableTask(key);
+    if (kind == work::RunEndKind::Void && run == task.lastRun && task.finalAttempts > 0) {
+        --task.finalAttempts; // It was placed, but never started.
+    }
     const bool wasLost = kind == work::RunEndKind::WorkerLost || kind == work::RunEndKind::Expired;
     if (!wasLost && nowMillis - this->task(key).placedAtMillis >= settledAfterMillis) {
         this->clearLosses(key);
     }
-    if (!this->hasEnded() && !this->task(key).isDone && this->task(key).finalAttempts >= maxFinalAttempts) {
+    const bool mayBeAbandoned = !task.isDone && task.hasProvenLosses();
+    if (!this->hasEnded() && mayBeAbandoned && task.finalAttempts >= maxFinalAttempts) {
         this->fail(work::JobFailureReason::WorkersLost, key, nowMillis);
     }
     if (!this->hasEnded() && this->isComplete()) {
@@ -381,7 +386,7 @@
     }
 }
 
-bool Job::recordLoss(const TaskKey &key, const Incarnation &worker, bool isFresh, bool isOnlySuspect, std::int64_t nowMillis)
+bool Job::recordLoss(const TaskKey &key, const Incarnation &worker, work::RunAtLoss atLoss, bool isOnlySuspect, std::int64_t nowMillis)
 {
     if (!this->hasTask(key) || this->hasEnded() || this->task(key).isDone) {
         return false;
@@ -391,21 +396,37 @@
         this->clearLosses(key);
         return false;
     }
+    if (task.lostWorkers.size() == maxLosses) {
+        task.lostWorkers.erase(task.lostWorkers.begin());
+    }
     task.lostWorkers.push_back(worker.text());
-    task.freshLosses += isFresh ? 1 : 0;
+    const bool isVerified = atLoss == work::RunAtLoss::Verified;
+    task.freshLosses += isVerified || atLoss == work::RunAtLoss::Fresh ? 1 : 0;
+    task.verifiedLosses += isVerified ? 1 : 0;
+    task.confirmedLosses += isVerified || atLoss == work::RunAtLoss::Unclear ? 0 : 1;
     const bool isProvenCause = isOnlySuspect && task.lostWorkers.size() >= lossThreshold && task.freshLosses >= freshLossThreshold;
-    if (!isProvenCause && task.lostWorkers.size() < maxLosses) {
+    const bool hasReachedLimit = task.lostWorkers.size() >= maxLosses;
+    if ((!isProvenCause && !hasReachedLimit) || !task.hasProvenLosses()) {
         return false;
     }
     this->fail(work::JobFailureReason::WorkersLost, key, nowMillis);
     return true;
 }
 
+void Job::verifyStart(const TaskKey &key, std::uint32_t run)
+{
+    if (this->hasTask(key)) {
+        this->mutableTask(key).verifiedRun = run;
+    }
+}
+
 void Job::clearLosses(const TaskKey &key)
 {
     if (this->hasTask(key)) {
         this->mutableTask(key).lostWorkers.clear();
         this->mutableTask(key).freshLosses = 0;
+        this->mutableTask(key).confirmedLosses = 0;
+        this->mutableTask(key).verifiedLosses = 0;
         this->mutableTask(key).finalAttempts = 0;
     }
 }
--- a/paddlepier/workload/job.h
+++ b/paddlepier/workload/job.h
@@ -6,7 +6,9 @@
 // A task that repeatedly coincides with the loss of its worker is abandoned and its job fails, since every further start could take down
 // a worker with everything that runs there. A loss counts for each task that may have run on the worker. After lossThreshold losses the
 // task is abandoned if it was the only suspect on the last lost worker; otherwise it gets maxFinalAttempts more starts and is abandoned
-// after them. Loss records are part of the replicated state and survive leader changes, restarts and snapshots.
+// after them. Workers crash for other reasons too, and a start that was sent may never have arrived: a task is abandoned only if enough of the
+// lost workers are known to have run it, see Task::hasProvenLosses(). Loss records are part of the replicated state and survive leader changes, restarts and
+// snapshots.
 //
 // Invariants:
 //  - a task has a worker exactly while a run of it may be active there;
@@ -42,6 +44,12 @@
  * takes its worker down, and would otherwise be started without limit.
  */
 constexpr std::uint32_t maxFinalAttempts = 2;
+/**
+ * Lost workers that have confirmed that they ran a task, or that have most probably run it, without which it isn't abandoned, however many losses
+ * coincide with it.
+ */
+constexpr std::uint32_t confirmedLossThreshold = 2;
+constexpr std::uint32_t probableLossThreshold = 3;
 /** Losses after which a task is abandoned even if it was never the only suspect. */
 constexpr std::size_t maxLosses = lossThreshold + maxFinalAttempts;
 
@@ -61,10 +69,16 @@
     /** Worker of the run that may be active; its id is empty if no run is. */
     Incarnation worker;
     std::string checkpoint;
-    /** Workers that were lost while the task may have run there; at most maxLosses. */
+    /** Workers that were lost while the task may have run there; the newest maxLosses of them. */
     std::vector<std::string> lostWorkers;
-    /** Of `lostWorkers`, those on which the task had just been started. */
+    /** Losses of workers on which the task had just been started. */
     std::uint32_t freshLosses = 0;
+    /** Losses of workers that had confirmed that they ran the task. */
+    std::uint32_t confirmedLosses = 0;
+    /** Losses of workers that had answered an order right before they left the task's start unanswered. */
+    std::uint32_t verifiedLosses = 0;
+    /** Newest run whose start is sent only right after its worker has answered another order; 0 if none. */
+    std::uint32_t verifiedRun = 0;
     std::int64_t placedAtMillis = 0;
     /** Placements since lossThreshold was reached. */
     std::uint32_t finalAttempts = 0;
@@ -87,6 +101,17 @@
     {
         return this->lostWorkers.size() + this->unconfirmedLosses;
     }
+
+    bool hasProvenLosses() const
+    {
+        return this->confirmedLosses >= confirmedLossThreshold || this->confirmedLosses + this->verifiedLosses >= probableLossThreshold;
+    }
+
+    /** Another start might exceed the bound on losses, depending on what becomes of workers that are unresponsive now. */
+    bool awaitsLosses() const
+    {
+        return this->unconfirmedLosses > 0 && this->possibleLosses() >= maxLosses;
+    }
 };
 
 /** Reason for which a job has failed. */
@@ -186,11 +211,12 @@
     /**
      * Records the loss of a worker on which a run of the task may have been active.
      *
-     * @param isFresh        the run had just been started
+     * @param atLoss         what is known of the run; not NotBegun or Settled
      * @param isOnlySuspect  no other run on the worker can have caused the loss
      * @return whether the task is abandoned because of this loss
      */
-    bool recordLoss(const TaskKey &key, const Incarnation &worker, bool isFresh, bool isOnlySuspect, std::int64_t nowMillis);
+    bool recordLoss(const TaskKey &key, const Incarnation &worker, work::RunAtLoss atLoss, bool isOnlySuspect, std::int64_t nowMillis);
+    void verifyStart(const TaskKey &key, std::uint32_t run);
     /** Clears the recorded losses, once the task has run long enough not to be their cause. */
     void clearLosses(const TaskKey &key);
     /** Adds @p change, 1 or -1, to the number of unconfirmed losses. */
--- a/paddlepier/workload/job_test.cpp
+++ b/paddlepier/workload/job_test.cpp
@@ -74,6 +74,61 @@
     CHECK(job.activeRunCount() == 0);
 }
 
+// Guards against a failed job that no worker has ever run: losses that merely coincide with its starts prove nothing, however many there are.
+TEST_CASE_METHOD(JobFixture, "unconfirmedLosses_inAnyNumber_neverFailTheJob")
+{
+    this->spec.steps.push_back(step(1));
+    Job job = this->job();
+    const auto lose = [&](work::RunAtLoss atLoss) {
+        job.place(key(0, 0), job.nextRun(key(0, 0)), {"w1"}, 1000);
+        const bool isAbandoned = job.recordLoss(key(0, 0), {"w1"}, atLoss, true, 2000);
+        job.endRun(key(0, 0), job.task(key(0, 0)).lastRun, {"w1"}, work::RunEndKind::WorkerLost, "", 2000);
+        return isAbandoned;
+    };
+    for (int loss = 0; loss < 20; ++loss) {
+        CHECK_FALSE(lose(work::RunAtLoss::Unclear));
+        CHECK_FALSE(job.hasEnded());
+    }
+    CHECK(job.task(key(0, 0)).lostWorkers.size() == maxLosses);
+    CHECK_FALSE(lose(work::RunAtLoss::Fresh));
+    CHECK_FALSE(lose(work::RunAtLoss::Verified));
+    CHECK_FALSE(job.hasEnded());
+    CHECK(lose(work::RunAtLoss::Verified));
+    CHECK(job.state() == work::JobState::Failed);
+}
+
+TEST_CASE_METHOD(JobFixture, "losses_ofWorkersThatRanTheTask_failTheJob")
+{
+    this->spec.steps.push_back(step(1));
+    Job job = this->job();
+    for (const work::RunAtLoss atLoss : {work::RunAtLoss::Unclear, work::RunAtLoss::Fresh, work::RunAtLoss::Fresh}) {
+        CHECK_FALSE(job.hasEnded());
+        job.place(key(0, 0), job.nextRun(key(0, 0)), {"w1"}, 1000);
+        job.recordLoss(key(0, 0), {"w1"}, atLoss, true, 2000);
+        job.endRun(key(0, 0), job.task(key(0, 0)).lastRun, {"w1"}, work::RunEndKind::WorkerLost, "", 2000);
+        job = Job(job.record());
+    }
+    CHECK(job.state() == work::JobState::Failed);
+}
+
+// Guards against a job that fails for placements that were undone before anything was sent.
+TEST_CASE_METHOD(JobFixture, "finalAttempts_thatNeverStarted_dontCount")
+{
+    this->spec.steps.push_back(step(1));
+    Job job = this->job();
+    for (std::size_t loss = 0; loss < lossThreshold; ++loss) {
+        job.place(key(0, 0), job.nextRun(key(0, 0)), {"w1"}, 1000);
+        CHECK_FALSE(job.recordLoss(key(0, 0), {"w1"}, work::RunAtLoss::Running, false, 2000));
+        job.endRun(key(0, 0), job.task(key(0, 0)).lastRun, {"w1"}, work::RunEndKind::WorkerLost, "", 2000);
+    }
+    for (int placement = 0; placement < 5; ++placement) {
+        run(job, key(0, 0), work::RunEndKind::Void);
+        CHECK_FALSE(job.hasEnded());
+    }
+    run(job, key(0, 0), work::RunEndKind::Done);
+    CHECK(job.state() == work::JobState::Completed);
+}
+
 TEST_CASE_METHOD(JobFixture, "hasStarted_afterRunThatNeverStarted_isFalse")
 {
     this->spec.steps.push_back(step(1));
--- a/paddlepier/workload/jobrecord.cpp
+++ b/paddlepier/workload/jobrecord.cpp
@@ -25,7 +25,10 @@
                                   task.freshLosses,
                                   task.placedAtMillis,
                                   task.finalAttempts,
-                                  task.worker.born);
+                                  task.worker.born,
+                                  task.confirmedLosses,
+                                  task.verifiedRun,
+                                  task.verifiedLosses);
 }
 
 Task unpackTask(const work::TaskRecordT &record)
@@ -39,6 +42,9 @@
     task.checkpoint = record.checkpoint;
     task.lostWorkers = record.lostWorkers;
     task.freshLosses = record.freshLosses;
+    task.confirmedLosses = record.confirmedLosses;
+    task.verifiedLosses = record.verifiedLosses;
+    task.verifiedRun = record.verifiedRun;
     task.placedAtMillis = record.placedAtMillis;
     task.finalAttempts = record.lastTries;
     return task;
--- a/paddlepier/workload/losses.cpp
+++ b/paddlepier/workload/losses.cpp
@@ -17,7 +17,7 @@
 
 bool isCounted(work::RunAtLoss atLoss)
 {
-    return atLoss == work::RunAtLoss::Unclear || atLoss == work::RunAtLoss::Fresh;
+    return atLoss != work::RunAtLoss::NotBegun && atLoss != work::RunAtLoss::Settled;
 }
 
 } // namespace
@@ -58,17 +58,18 @@
 std::vector<TaskKey> Workload::recordLosses(const Worker &worker, const work::RemoveWorkerT &command)
 {
     // Suspects are started in isolation, so that a suspect that had just been started is the cause if it is the only one.
-    const auto isSuspect = [this](const std::unique_ptr<work::RunEndT> &run) {
-        return run->atLoss == work::RunAtLoss::Fresh && this->suspectTasks.contains(TaskKey(*run->task));
+    const auto isFresh = [](const work::RunEndT &run) { return run.atLoss == work::RunAtLoss::Fresh || run.atLoss == work::RunAtLoss::Verified; };
+    const auto isSuspect = [this, &isFresh](const std::unique_ptr<work::RunEndT> &run) {
+        return isFresh(*run) && this->suspectTasks.contains(TaskKey(*run->task));
     };
     const bool hasOneSuspect = std::count_if(command.lost.begin(), command.lost.end(), isSuspect) == 1;
     std::vector<TaskKey> abandonedTasks;
-    const auto recordLoss = [&](const TaskKey &key, bool isFresh, bool isOnlySuspect) {
+    const auto recordLoss = [&](const TaskKey &key, work::RunAtLoss atLoss, bool isOnlySuspect) {
         const auto job = this->jobById.find(key.job);
         if (job == this->jobById.end()) {
             return;
         }
-        if (job->second.recordLoss(key, incarnationOf(worker.registration), isFresh, isOnlySuspect, this->appliedAt)) {
+        if (job->second.recordLoss(key, incarnationOf(worker.registration), atLoss, isOnlySuspect, this->appliedAt)) {
             abandonedTasks.push_back(key);
         }
         this->updateSuspect(key);
@@ -80,14 +81,13 @@
             continue;
         }
         if (isCounted(run->atLoss)) {
-            const bool isFresh = run->atLoss == work::RunAtLoss::Fresh;
-            recordLoss(key, isFresh, isFresh && hasOneSuspect);
+            recordLoss(key, run->atLoss, isFresh(*run) && hasOneSuspect);
         } else if (run->atLoss == work::RunAtLoss::Settled) {
             this->clearLosses(key);
         }
     }
-    for (const TaskKey &key : worker.expiredLeases) {
-        recordLoss(key, false, false);
+    for (const auto &[key, atLoss] : worker.expiredLeases) {
+        recordLoss(key, atLoss, false);
     }
     return abandonedTasks;
 }
@@ -98,7 +98,7 @@
         this->clearLosses(key);
     }
     const auto job = this->jobById.find(key.job);
-    if (job != this->jobById.end() && isCounted(atLoss) && worker.expiredLeases.insert(key).second) {
+    if (job != this->jobById.end() && isCounted(atLoss) && worker.expiredLeases.emplace(key, atLoss).second) {
         job->second.adjustUnconfirmedLosses(key, 1);
         this->updateSuspect(key);
     }
@@ -115,7 +115,7 @@
 
 void Workload::resolveExpiredLeases(Worker &worker)
 {
-    for (const TaskKey &key : worker.expiredLeases) {
+    for (const auto &[key, atLoss] : worker.expiredLeases) {
         const auto job = this->jobById.find(key.job);
         if (job != this->jobById.end()) {
             job->second.adjustUnconfirmedLosses(key, -1);
@@ -139,7 +139,7 @@
 void Workload::restoreSuspects()
 {
     for (const auto &[id, worker] : this->workerByIncarnation) {
-        for (const TaskKey &key : worker.expiredLeases) {
+        for (const auto &[key, atLoss] : worker.expiredLeases) {
             const auto job = this->jobById.find(key.job);
             if (job != this->jobById.end()) {
                 job->second.adjustUnconfirmedLosses(key, 1);
--- a/paddlepier/workload/worker.h
+++ b/paddlepier/workload/worker.h
@@ -45,8 +45,8 @@
     std::set<TaskKey> runs;
     /** Invariant: no task is in both `runs` and `superseded`. */
     std::map<TaskKey, SupersededRun> superseded;
-    /** Tasks whose run here ended with an expired lease, while the worker may be lost or merely partitioned. */
-    std::set<TaskKey> expiredLeases;
+    /** Tasks whose run here ended with an expired lease, while the worker may be lost or merely partitioned; with what such a loss counts as. */
+    std::map<TaskKey, work::RunAtLoss> expiredLeases;
     std::uint64_t reservedMilliProcessors = 0;
     std::uint64_t reservedMemoryMegabytes = 0;
     std::uint64_t reservedAccelerators = 0;
--- a/paddlepier/workload/workload.cpp
+++ b/paddlepier/workload/workload.cpp
@@ -56,6 +56,8 @@
         return this->removeWorker(*entry.command.AsRemoveWorker());
     case work::Command::ChangeEvacuation:
         return this->changeEvacuation(*entry.command.AsChangeEvacuation());
+    case work::Command::VerifyStart:
+        return this->verifyStart(*entry.command.AsVerifyStart());
     case work::Command::NONE:
         break;
     }
@@ -111,6 +113,17 @@
     return {};
 }
 
+Outcome Workload::verifyStart(const work::VerifyStartT &command)
+{
+    const TaskKey key(*command.task);
+    const auto job = this->jobById.find(key.job);
+    if (job == this->jobById.end()) {
+        return failure(ErrorCode::UnknownJob, absl::StrCat("unknown job ", key.job));
+    }
+    job->second.verifyStart(key, command.run);
+    return {};
+}
+
 std::size_t Workload::atomicGroupLength(const std::vector<std::unique_ptr<work::PlacementT>> &placements, std::size_t begin) const
 {
     const TaskKey first(*placements[begin]->task);
--- a/paddlepier/workload/workload.h
+++ b/paddlepier/workload/workload.h
@@ -105,6 +105,7 @@
     Outcome registerWorker(const work::RegisterWorkerT &command);
     Outcome removeWorker(const work::RemoveWorkerT &command);
     Outcome changeEvacuation(const work::ChangeEvacuationT &command);
+    Outcome verifyStart(const work::VerifyStartT &command);
 
     /** Number of placements from @p begin on that are accepted or refused together. */
     std::size_t atomicGroupLength(const std::vector<std::unique_ptr<work::PlacementT>> &placements, std::size_t begin) const;
--- a/paddlepier/workload/workloadsnapshot.cpp
+++ b/paddlepier/workload/workloadsnapshot.cpp
@@ -21,11 +21,15 @@
         copies.push_back(work::CreateCopyRecord(builder, task, run.run, &run.demand, team, &run.quotaDemand));
     }
     std::vector<flatbuffers::Offset<work::TaskKey>> lapsed;
-    for (const TaskKey &key : worker.expiredLeases) {
+    std::vector<work::RunAtLoss> lapsedAtLoss;
+    for (const auto &[key, atLoss] : worker.expiredLeases) {
         lapsed.push_back(key.pack(builder));
+        lapsedAtLoss.push_back(atLoss);
     }
     const auto registration = work::RegisterWorker::Pack(builder, &worker.registration);
-    return work::CreateWorkerRecord(builder, registration, worker.lastSequence, builder.CreateVector(copies), builder.CreateVector(lapsed));
+    const auto copyRecords = builder.CreateVector(copies);
+    const auto lapsedKeys = builder.CreateVector(lapsed);
+    return work::CreateWorkerRecord(builder, registration, worker.lastSequence, copyRecords, lapsedKeys, builder.CreateVector(lapsedAtLoss));
 }
 
 } // namespace
@@ -78,8 +82,9 @@
         for (const auto &copy : record->copies) {
             this->addSuperseded(worker, TaskKey(*copy->task), {copy->run, *copy->demand, copy->team, copy->quotaDemand ? *copy->quotaDemand : work::Demand()});
         }
-        for (const auto &key : record->lapsed) {
-            worker.expiredLeases.emplace(*key);
+        for (std::size_t number = 0; number < record->lapsed.size(); ++number) {
+            const bool isKnown = number < record->lapsedAtLoss.size();
+            worker.expiredLeases.emplace(*record->lapsed[number], isKnown ? record->lapsedAtLoss[number] : work::RunAtLoss::Unclear);
         }
     }
     for (const auto &record : snapshot.jobs) {
