The limit on a job's tasks holds beyond 64 bits

Cause: validationError() multiplied 32-bit numbers of the caller into 64 bits without a check; the product wrapped round to less than the limit.

Change: the limit is divided instead.

--- a/paddlepier/workload/job.cpp
+++ b/paddlepier/workload/job.cpp
@@ -53,7 +53,8 @@
         }
         tasks += spec.steps[number]->count;
     }
-    if (tasks * occurrenceCount(spec) > maxTasksPerJob) {
+    // Counts and repetitions are chosen by callers: their product may exceed 64 bits.
+    if (tasks > maxTasksPerJob / occurrenceCount(spec)) {
         return absl::StrCat("the job exceeds the limit of ", maxTasksPerJob, " tasks");
     }
     return "";
--- a/paddlepier/workload/job_test.cpp
+++ b/paddlepier/workload/job_test.cpp
@@ -4,6 +4,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <limits>
+
 namespace paddlepier::workload
 {
 
@@ -303,4 +305,25 @@
     CHECK_FALSE(validationError(spec).empty());
 }
 
+// Guards against a request that ends every replica: a product of counts beyond 64 bits passed as a small number of tasks.
+TEST_CASE("validationError_ofTooManyTasksInAllOccurrences_isReported")
+{
+    const auto errorOf = [](std::uint32_t steps, std::uint32_t tasks, std::uint32_t repetitions) {
+        work::JobSpecT spec;
+        spec.repetitions = repetitions;
+        for (std::uint32_t number = 0; number < steps; ++number) {
+            spec.steps.push_back(JobFixture::step(tasks));
+        }
+        return validationError(spec);
+    };
+    constexpr std::uint32_t half = 1U << 31U;
+    CHECK_FALSE(errorOf(4, half, half).empty());
+    CHECK_FALSE(errorOf(1, 1, std::numeric_limits<std::uint32_t>::max()).empty());
+    CHECK_FALSE(errorOf(1, std::numeric_limits<std::uint32_t>::max(), 1).empty());
+    CHECK(errorOf(1, maxTasksPerJob / 4, 4).empty());
+    CHECK_FALSE(errorOf(1, maxTasksPerJob / 4 + 1, 4).empty());
+    CHECK(errorOf(1, 1, maxTasksPerJob).empty());
+    CHECK_FALSE(errorOf(1, 1, maxTasksPerJob + 1).empty());
+}
+
 } // namespace paddlepier::workload
