A connection that can't be established changes the relay again

Change: a transfer without a connection ends as not connected; only one that was withheld, or waited for the limit, as not sent. Orders that were withheld don't count towards a worker that ignores orders.

--- a/paddlepier/cluster/orderrelay_test.cpp
+++ b/paddlepier/cluster/orderrelay_test.cpp
@@ -9,6 +9,8 @@
 
 #include <deque>
 #include <map>
+#include <set>
+#include <string>
 #include <vector>
 
 namespace paddlepier::cluster
@@ -33,10 +35,12 @@
     {
         RelayHooks hooks;
         hooks.sendDirect = [this](const execution::WorkerCall &, const OrderRelay::Done &done) { this->direct.push_back(done); };
-        hooks.sendVia = [this](const std::string &, const execution::WorkerCall &, Timestamp deadline, const std::function<void(const RelayResult &)> &done) {
-            this->viaRelay.push_back(done);
-            this->timers.emplace(deadline, [this, number = this->viaRelay.size() - 1] { this->endRelayed(number, {RelayOutcome::TimedOut, {}}); });
-        };
+        hooks.sendVia =
+            [this](const std::string &instance, const execution::WorkerCall &, Timestamp deadline, const std::function<void(const RelayResult &)> &done) {
+                this->relayNames.push_back(instance);
+                this->viaRelay.push_back(done);
+                this->timers.emplace(deadline, [this, number = this->viaRelay.size() - 1] { this->endRelayed(number, {RelayOutcome::TimedOut, {}}); });
+            };
         hooks.runAt = [this](Timestamp at, const std::function<void()> &action) { this->timers.emplace(at, action); };
         hooks.now = [this] { return this->now; };
         return hooks;
@@ -93,6 +97,8 @@
     std::multimap<Timestamp, std::function<void()>> timers;
     std::deque<OrderRelay::Done> direct;
     std::deque<std::function<void(const RelayResult &)>> viaRelay;
+    /** The instances that the orders in `viaRelay` were sent through. */
+    std::vector<std::string> relayNames;
     std::vector<AnswerKind> answers;
     OrderRelay orderRelay;
 };
@@ -326,4 +332,32 @@
     CHECK(this->answers.size() == first);
 }
 
+// Guards against orders that move to another instance, which would need a new connection, from one whose connection to the worker works.
+TEST_CASE_METHOD(OrderRelayFixture, "relay_ofWorkerThatRefusesConnections_isKept")
+{
+    for (int instance = 2; instance <= 5; ++instance) {
+        this->orderRelay.markAlive(this->now, absl::StrCat("north-", instance), "north");
+    }
+    const auto relayAfter = [this](execution::CallEnd end) {
+        this->order();
+        RelayResult relayed{RelayOutcome::Answered, answerOf(AnswerKind::NoAnswer)};
+        relayed.answer.end = end;
+        this->endRelayed(this->viaRelay.size() - 1, relayed);
+        this->order();
+        const std::string next = this->relayNames.back();
+        this->answerRelayed(this->viaRelay.size() - 1, AnswerKind::Accepted);
+        return next;
+    };
+    this->order();
+    const std::string first = this->relayNames.back();
+    this->answerRelayed(0, AnswerKind::Accepted);
+    CHECK(relayAfter(execution::CallEnd::ConnectionRefused) == first);
+    CHECK(relayAfter(execution::CallEnd::NotSent) == first);
+    std::set<std::string> used;
+    for (int attempt = 0; attempt < 8; ++attempt) {
+        used.insert(relayAfter(execution::CallEnd::NotConnected));
+    }
+    CHECK(used.size() > 1);
+}
+
 } // namespace paddlepier::cluster
--- a/paddlepier/execution/dispatcher.cpp
+++ b/paddlepier/execution/dispatcher.cpp
@@ -421,6 +421,9 @@
 
 void Dispatcher::recordOrderAnswer(Timestamp now, const PendingCall &call, const WorkerAnswer &answer)
 {
+    if (answer.end == CallEnd::NotSent) {
+        return; // The order was withheld, which says nothing about the worker.
+    }
     WorkerView &view = this->views.at(call.worker);
     view.recordOrder(now, answer.kind != AnswerKind::NoAnswer && answer.kind != AnswerKind::NotSent);
     if (view.isReachable() && view.ignoresOrders(now)) {
--- a/paddlepier/http/httpclient.cpp
+++ b/paddlepier/http/httpclient.cpp
@@ -245,7 +245,8 @@
         return TransferEnd::Answered;
     }
     if (transfer.sendAttempts == 0) {
-        return code == CURLE_COULDNT_CONNECT ? TransferEnd::NotConnected : TransferEnd::NotSent;
+        const bool isWithheld = !transfer.isStarted || code == CURLE_ABORTED_BY_CALLBACK;
+        return isWithheld ? TransferEnd::NotSent : TransferEnd::NotConnected;
     }
     if (code == CURLE_OPERATION_TIMEDOUT) {
         return TransferEnd::TimedOut;
--- a/paddlepier/http/httpclient.h
+++ b/paddlepier/http/httpclient.h
@@ -62,9 +62,9 @@
 enum class TransferEnd {
     /** A response was received. It may be unusable: see TransferResult::isComplete. */
     Answered,
-    /** No connection could be established. */
+    /** No connection could be established, or not before the timeout. */
     NotConnected,
-    /** The request wasn't sent: `maySend` returned false, or no connection became free before the timeout. */
+    /** The request wasn't sent: `maySend` returned false, or the limit of the host didn't allow it before the timeout. */
     NotSent,
     /** A new connection was closed before any byte of a response to its first request, as by a server that has no connection left. */
     ConnectionRefused,
