--- a/paddlepier/cluster/orderrelay_test.cpp
+++ b/paddlepier/cluster/orderrelay_test.cpp
@@ -344,7 +344,7 @@
         relayed.answer.end = end;
         this->endRelayed(this->viaRelay.size() - 1, relayed);
         this->order();
-        const std::string next = this->relayNames.back();
+        std::string next = this->relayNames.back();
         this->answerRelayed(this->viaRelay.size() - 1, AnswerKind::Accepted);
         return next;
     };
