--- a/paddlepier/workload/workload_test.cpp
+++ b/paddlepier/workload/workload_test.cpp
@@ -220,7 +220,8 @@
             queue->host = entry.host;
             queue->pathPrefix = entry.pathPrefix;
         }
-        CHECK(applyCommand(this->state, 1000, std::move(configuration)).error == ErrorCode::None);
+        const Outcome outcome = applyCommand(this->state, 1000, std::move(configuration));
+        CHECK(outcome.error == ErrorCode::None);
     }
 
     ErrorCode submit(const Queue &queue)
