A refused connection limits transfers only while another one works

While a worker restarts its address resets new connections, though it has 64 free afterwards; then the poll, whose answers the test loses, held the only one until it timed out, and the starts ended as not sent.

Change: the limit falls to the number of connections over which a transfer has been completed, and stays if there is none; it is restored when the last connection to a host is gone.

--- a/paddlepier/http/hostlimits.cpp
+++ b/paddlepier/http/hostlimits.cpp
@@ -46,11 +46,26 @@
     }
 }
 
-void HostLimits::recordRefusal(const std::string &host, std::size_t openConnections, Timestamp now)
+void HostLimits::recordRefusal(const std::string &host, std::size_t provenConnections, Timestamp now)
 {
+    if (provenConnections == 0) {
+        return;
+    }
     Host &entry = this->hosts[host];
-    entry.limit = std::max<std::size_t>(1, std::min({entry.limit, this->maxPerHost, openConnections}));
+    entry.limit = std::min({entry.limit, this->maxPerHost, provenConnections});
     entry.changedAt = now;
 }
 
+void HostLimits::reset(const std::string &host)
+{
+    const auto found = this->hosts.find(host);
+    if (found == this->hosts.end()) {
+        return;
+    }
+    found->second.limit = std::numeric_limits<std::size_t>::max();
+    if (found->second.inFlight == 0) {
+        this->hosts.erase(found);
+    }
+}
+
 } // namespace paddlepier::http
--- a/paddlepier/http/hostlimits.h
+++ b/paddlepier/http/hostlimits.h
@@ -2,13 +2,14 @@
 //
 // A server accepts a limited number of connections, shared by all clients. A client that loses power leaves its connections open there for good, so
 // that the server may have none left for a new one, while those that are established keep working. Once a host refuses a connection, the limit for it
-// falls to the number of connections that are open: further transfers wait for one of those instead of being refused too. The limit rises again, one
-// connection at a time, while transfers wait and some time has passed since the last refusal.
+// falls to the number of connections that work, if there are any: further transfers wait for one of those instead of being refused too. The limit rises again,
+// one connection at a time, while transfers wait and some time has passed since the last refusal.
 //
 // Example:
 //     if (limits.tryBegin(host, now)) { /* start the transfer */ } else { /* it waits */ }
 //     limits.end(host);                                  // the transfer has ended: start a waiting one
-//     limits.recordRefusal(host, openConnections, now);  // it ended because the host refused a new connection
+//     limits.recordRefusal(host, provenConnections, now);  // it ended because the host refused a new connection
+//     limits.reset(host);                                // no connection to the host is open
 //
 // Thread safety: none. Cost: O(1). Hosts are kept while transfers are in flight, or connections to them are scarce.
 
@@ -40,8 +41,15 @@
     /** A transfer to @p host that was in flight has ended. */
     void end(const std::string &host);
 
-    /** @param openConnections  connections to @p host that are established, in use or idle */
-    void recordRefusal(const std::string &host, std::size_t openConnections, Timestamp now);
+    /**
+     * Lowers the limit.
+     *
+     * @param provenConnections  connections to @p host over which a transfer has been completed. If there is none, the refusal says nothing about their
+     *                           number, as when the server restarts, and the limit stays
+     */
+    void recordRefusal(const std::string &host, std::size_t provenConnections, Timestamp now);
+    /** Restores the limit of @p host: there is no connection left that transfers could share. */
+    void reset(const std::string &host);
 
     /** True if the limit of @p host is lowered: a connection that is closed may not be replaceable. */
     bool isScarce(const std::string &host) const;
--- a/paddlepier/http/httpclient.cpp
+++ b/paddlepier/http/httpclient.cpp
@@ -496,7 +496,10 @@
         this->sockets.shutDownIdle(transfer->address, transfer->startedAt);
     }
     if (endOf(*transfer, code) == TransferEnd::ConnectionRefused) {
-        this->limits.recordRefusal(transfer->address, this->sockets.openCount(transfer->address), controlNow());
+        this->limits.recordRefusal(transfer->address, this->sockets.provenCount(transfer->address), controlNow());
+    }
+    if (this->limits.isScarce(transfer->address) && this->sockets.openCount(transfer->address) == 0) {
+        this->limits.reset(transfer->address);
     }
     this->startWaiting(transfer->address);
     if (transfer->sendAttempts > 1) {
--- a/paddlepier/http/transfersockets.cpp
+++ b/paddlepier/http/transfersockets.cpp
@@ -90,6 +90,7 @@
     }
     if (found->second.wasConnected) {
         found->second.idleSince = controlNow();
+        found->second.isProven = true;
         return;
     }
     // It may be a failed connection attempt that was closed without notification, so that its descriptor may be reused soon.
@@ -186,6 +187,16 @@
     return found == this->byAddress.end() ? 0 : found->second.size();
 }
 
+std::size_t TransferSockets::provenCount(const std::string &address) const
+{
+    const auto found = this->byAddress.find(address);
+    if (found == this->byAddress.end()) {
+        return 0;
+    }
+    const auto isProven = [this](int socket) { return this->sockets.at(socket).isProven; };
+    return static_cast<std::size_t>(std::count_if(found->second.begin(), found->second.end(), isProven));
+}
+
 void TransferSockets::shutDownIdle(const std::string &address, Timestamp since)
 {
     const auto found = this->byAddress.find(address);
--- a/paddlepier/http/transfersockets.h
+++ b/paddlepier/http/transfersockets.h
@@ -81,6 +81,8 @@
 
     /** Number of connections to @p address, idle or with a call in flight. */
     std::size_t openCount(const std::string &address) const;
+    /** Of these, the connections over which a call has been completed. */
+    std::size_t provenCount(const std::string &address) const;
 
     /** Shuts down connections to @p address that have been idle since @p since or longer. O(connections to the address). */
     void shutDownIdle(const std::string &address, Timestamp since);
@@ -92,6 +94,8 @@
         std::string address;
         /** A call has waited to read from it. The connection was thus established, and remove() will be called before it is closed. */
         bool wasConnected = false;
+        /** A call over it has been completed. */
+        bool isProven = false;
         /** Events registered with epoll; 0 if the socket isn't registered. */
         std::uint32_t events = 0;
         /** InfiniteFuture while a call is in flight. */
