Idle connections to workers are kept for 60 s

Cause: in a large cell an order goes to each worker every few seconds. With idle connections closed after 5 s most orders needed a new one.

The bound of three connections and the sharing of those that work, which the losses of power need, are unchanged.

--- a/paddlepier/cluster/ports.h
+++ b/paddlepier/cluster/ports.h
@@ -22,8 +22,8 @@
  */
 constexpr std::uint32_t maxConnectionsPerWorker = 3;
 
-/** Idle connections to workers are closed after this time, which is much longer than the pause between two orders to a busy worker. */
-constexpr Duration maxIdleWorkerConnectionTime = absl::Seconds(5);
+/** Idle connections to workers are closed after this time, which is much longer than the pause between two orders to a worker of a large cell. */
+constexpr Duration maxIdleWorkerConnectionTime = absl::Seconds(60);
 
 struct WorkerPort {
     /** The port that the leader's service uses calls back on the control thread. */
