--- a/review/standins-2/servers.cpp
+++ b/review/standins-2/servers.cpp
@@ -3,6 +3,7 @@
 // They follow PROTOCOL.md: testing/platformworkers.h with execution/fakeworkers.h. The id of a job tells what its tasks do:
 //     1a57...  they last until they are stopped, and are at work after 400 ms;
 //     bad0...  they fail by their own fault after 200 ms, on every server;
+//     c4a5...  they last, and take each server down 6.5 s after they have started there; another one is back after 0.3 to 3 s;
 //     others   they end as done after 300 ms.
 // Writes a line to standard output for each event of a run: milliseconds since 1970, event, server, task, run and end. Ends on SIGTERM.
 
@@ -28,6 +29,7 @@
 
 constexpr std::uint16_t serverPort = 8000;
 constexpr std::uint32_t firstHost = 101;
+constexpr Duration crashDelay = absl::Milliseconds(6500);
 
 work::StepSpecT makeStep(std::uint32_t milliProcessors, std::uint32_t estimatedMillis, bool isLasting)
 {
@@ -44,12 +46,17 @@
     return absl::StartsWith(task.job, "bad0");
 }
 
+bool isCrashing(const workload::TaskKey &task)
+{
+    return absl::StartsWith(task.job, "c4a5");
+}
+
 const work::StepSpecT &stepOf(const workload::TaskKey &task)
 {
     static const work::StepSpecT lasting = makeStep(200, 400, true);
     static const work::StepSpecT hopeless = makeStep(1800, 200, false);
     static const work::StepSpecT quick = makeStep(500, 300, false);
-    return absl::StartsWith(task.job, "1a57") ? lasting : isHopeless(task) ? hopeless : quick;
+    return absl::StartsWith(task.job, "1a57") || isCrashing(task) ? lasting : isHopeless(task) ? hopeless : quick;
 }
 
 void writeEvent(const execution::FakeWorkers::Event &event)
@@ -75,6 +82,8 @@
     testing::PlatformWorkers workers([&controls, &calls] { return controls[calls++ % controls.size()]; }, stepOf);
     workers.inspect([](execution::FakeWorkers &fake) {
         fake.observer = writeEvent;
+        fake.crashDelay = crashDelay;
+        fake.isCrashing = [](const workload::TaskKey &task, std::uint32_t) { return isCrashing(task); };
         fake.isFailing = [](const workload::TaskKey &task, std::uint32_t) { return isHopeless(task); };
     });
     const auto count = static_cast<std::uint32_t>(std::atoi(arguments[1].c_str()));
