--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -18,7 +18,7 @@
 config='{"version":7,"routes":['$(route quick 0),$(route watch 1)'],"services":['$service'],"limits":{"max_header_bytes":16384,"max_body_bytes":262144,"header_timeout_ms":3000,"idle_timeout_ms":15000}}'
 quick='{"task_spec":"quick","steps":[{"count":2,"cpu":500,"requested_memory_mb":100,"estimated_ms":300}]}'
 lasting='{"task_spec":"lasting","steps":[{"count":8,"cpu":200,"requested_memory_mb":100,"estimated_ms":400,"long_running":true,"anti_affinity":1}]}'
-hopeless='{"task_spec":"hopeless","steps":[{"count":32,"cpu":1800,"requested_memory_mb":100,"estimated_ms":200}]}'
+hopeless='{"task_spec":"hopeless","steps":[{"count":10,"cpu":1800,"requested_memory_mb":100,"estimated_ms":200}]}'
 
 # await STATE QUEUE ID SECONDS: returns 1 if the state isn't reached in time.
 await() {
