--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -5,10 +5,6 @@
 mkdir -p target/review-2
 # The libraries are those that the deploy file's build has linked the program with.
 libraries=$(sed 's/.*libpaddlepier_core\.a//' target/CMakeFiles/paddlepier.dir/link.txt)
-build() {
-    # shellcheck disable=SC2086
-    "${CXX:-c++}" -std=c++20 -O1 -I . "${@:2}" target/libpaddlepier_core.a $libraries -pthread -o "target/review-2/$1"
-    echo "built target/review-2/$1"
-}
-build servers review/standins-2/servers.cpp testing/platformworkers.cpp
-build hanging_servers review/standins-2/hanging_servers.cpp
+# shellcheck disable=SC2086
+"${CXX:-c++}" -std=c++20 -O1 -I . review/standins-2/servers.cpp target/libpaddlepier_core.a $libraries -pthread -o target/review-2/servers
+echo "built target/review-2/servers"
--- a/review/standins-2/cell.sh
+++ b/review/standins-2/cell.sh
@@ -85,9 +85,10 @@
     launch "entry-$1" entry 9402
 }
 
+# start_servers COUNT [HANG_MILLIS]
 start_servers() {
     # shellcheck disable=SC2086
-    "$servers" "$net" "$1" $controls >"$work/servers.log" 2>"$work/servers.err" &
+    "$servers" "$net" "$1" $controls ${2:-} >"$work/servers.log" 2>"$work/servers.err" &
     pids[servers]=$!
     note "$1 servers started"
 }
