Logs name the workers that are barred after failed runs, and until when

The lines didn't say which workers, for which failures, and until when, so that these hypotheses couldn't be told apart: (1) the suspension never ends, (2) it is extended again and again, (3) one job's failures put all workers under suspicion.

Change: worker.run-failed (worker, task, whether the worker is blamed, its failures, how long it is suspended), worker.trusted when a completed run clears them, and in step.waits, for workers-barred, the workers with their failures, the rest of their suspension and their runs.

--- a/paddlepier/execution/dispatcher.h
+++ b/paddlepier/execution/dispatcher.h
@@ -271,7 +271,10 @@
     void recordEnds(Timestamp now, const workload::Incarnation &worker, WorkerView &view, const WorkerAnswer &answer);
     /** Logs steps that are done. */
     void logEndedSteps(Timestamp now);
-    void evaluateEnd(Timestamp now, WorkerView &view, const ListedEnd &end);
+    void evaluateEnd(Timestamp now, const workload::Incarnation &worker, WorkerView &view, const ListedEnd &end);
+    /** A run has failed, or was stopped since it stalled. */
+    void recordFailedRun(Timestamp now, const workload::TaskKey &key, const workload::Incarnation &worker, WorkerView &view);
+    void recordDoneRun(const workload::Incarnation &worker, WorkerView &view);
     void handleStartAnswer(Timestamp now, const PendingCall &call, const StartOrder &order, const WorkerAnswer &answer);
     void handleStopAnswer(Timestamp now, const PendingCall &call, const StopOrder &order, const WorkerAnswer &answer);
     void stopRun(Timestamp now, const workload::TaskKey &key, RunTrack &track, StopReason reason);
--- a/paddlepier/execution/placement.cpp
+++ b/paddlepier/execution/placement.cpp
@@ -104,10 +104,13 @@
     const std::vector<planning::LongWait> waits = this->planner.findLongWaits(now, wallMillis);
     this->effects.longWaits += waits.size();
     for (const planning::LongWait &wait : waits) {
-        log::info(
-            "dispatch",
-            "step.waits",
-            {{"step", wait.step.text()}, {"tasks", wait.tasks}, {"seconds", absl::ToInt64Seconds(wait.waited)}, {"reason", planning::nameOf(wait.reason)}});
+        log::info("dispatch",
+                  "step.waits",
+                  {{"step", wait.step.text()},
+                   {"tasks", wait.tasks},
+                   {"seconds", absl::ToInt64Seconds(wait.waited)},
+                   {"reason", planning::nameOf(wait.reason)},
+                   {"barredWorkers", wait.barredWorkers}});
     }
 }
 
--- a/paddlepier/execution/polls.cpp
+++ b/paddlepier/execution/polls.cpp
@@ -259,7 +259,7 @@
         if (listed.sequence <= recorded) {
             continue;
         }
-        this->evaluateEnd(now, view, listed);
+        this->evaluateEnd(now, worker, view, listed);
         auto &end = record.ends.emplace_back(std::make_unique<work::RunEndT>());
         end->task = listed.task.record();
         end->run = listed.run;
--- a/paddlepier/execution/progress.cpp
+++ b/paddlepier/execution/progress.cpp
@@ -140,8 +140,8 @@
     if (this->hasStalled(now, key, track, step)) {
         // A gang's member that has completed its own work isn't the cause.
         const bool mayBeCause = !step.isGang || track.percent < completePercent;
-        if (mayBeCause && this->taskBackoff.recordFailedRun(key)) {
-            view.recordFailedRun(now);
+        if (mayBeCause) {
+            this->recordFailedRun(now, key, track.worker, view);
         }
         this->stopRun(now, key, track, StopReason::StandsStill);
         return;
@@ -190,7 +190,7 @@
     track->pace = answer.kind == AnswerKind::Accepted ? std::optional(order.percent) : std::nullopt;
 }
 
-void Dispatcher::evaluateEnd(Timestamp now, WorkerView &view, const ListedEnd &end)
+void Dispatcher::evaluateEnd(Timestamp now, const workload::Incarnation &worker, WorkerView &view, const ListedEnd &end)
 {
     const auto track = this->tracks.find(end.task);
     const bool isKnown = track != this->tracks.end() && track->second.run == end.run;
@@ -209,12 +209,33 @@
                    {"millis", absl::ToInt64Milliseconds(wholeTime)}});
     }
     if (end.kind == work::RunEndKind::Failed) {
-        if (this->taskBackoff.recordFailedRun(end.task)) {
-            view.recordFailedRun(now);
-        }
+        this->recordFailedRun(now, end.task, worker, view);
     } else if (end.kind == work::RunEndKind::Done) {
-        view.recordDoneRun();
+        this->recordDoneRun(worker, view);
+    }
+}
+
+void Dispatcher::recordFailedRun(Timestamp now, const workload::TaskKey &key, const workload::Incarnation &worker, WorkerView &view)
+{
+    const bool isBlamed = this->taskBackoff.recordFailedRun(key);
+    if (isBlamed) {
+        view.recordFailedRun(now);
+    }
+    log::info("dispatch",
+              "worker.run-failed",
+              {{"worker", worker.text()},
+               {"task", key.text()},
+               {"blamed", isBlamed},
+               {"failures", view.consecutiveFailures},
+               {"suspectMillis", absl::ToInt64Milliseconds(std::max(absl::ZeroDuration(), view.suspectUntil - now))}});
+}
+
+void Dispatcher::recordDoneRun(const workload::Incarnation &worker, WorkerView &view)
+{
+    if (view.consecutiveFailures > 0) {
+        log::info("dispatch", "worker.trusted", {{"worker", worker.text()}, {"failures", view.consecutiveFailures}});
     }
+    view.recordDoneRun();
 }
 
 void Dispatcher::logEndedSteps(Timestamp now)
--- a/paddlepier/planning/waitmonitor.cpp
+++ b/paddlepier/planning/waitmonitor.cpp
@@ -5,6 +5,8 @@
 #include "paddlepier/planning/eligibility.h"
 #include "paddlepier/planning/quotatracker.h"
 
+#include <absl/strings/str_cat.h>
+
 #include <algorithm>
 #include <array>
 #include <utility>
@@ -21,6 +23,9 @@
 /** Waits reported by one call; in a cell that stays full, hundreds of steps wait for the same reason. */
 constexpr std::size_t maxReports = 10;
 
+/** Workers described in one report. */
+constexpr std::size_t maxDescribedWorkers = 10;
+
 /** The task would fit into the worker if it ran nothing else. */
 bool isLargeEnough(const WorkerCapacity &worker, const work::StepSpecT &step)
 {
@@ -113,7 +118,10 @@
         }
         entry.reportedAt = now;
         const PendingStep pending = StepOrder::pendingStep(waiting, wallMillis);
-        waits.push_back({pending.key, pending.tasks.size(), now - entry.since, this->reasonFor(now, pending)});
+        waits.push_back({pending.key, pending.tasks.size(), now - entry.since, this->reasonFor(now, pending), ""});
+        if (waits.back().reason == WaitReason::WorkersBarred) {
+            waits.back().barredWorkers = this->describeBarredWorkers(now, pending);
+        }
         this->reported[pending.key] = waits.back();
         if (waits.size() >= maxReports) {
             break;
@@ -209,4 +217,27 @@
     return hasNoTicket ? WaitReason::AdviceAwaited : WaitReason::RoomKept;
 }
 
+std::string WaitMonitor::describeBarredWorkers(Timestamp now, const PendingStep &pending)
+{
+    const std::uint32_t service = this->capacityIndex.serviceNumber(pending.job->queue().service);
+    std::string text;
+    std::size_t described = 0;
+    for (const WorkerCapacity &worker : this->capacityIndex.all()) {
+        if (!mayRun(worker, pending, service) || worker.view->consecutiveFailures == 0 || described++ >= maxDescribedWorkers) {
+            continue;
+        }
+        const Duration remaining = std::max(absl::ZeroDuration(), worker.view->suspectUntil - now);
+        absl::StrAppend(&text,
+                        text.empty() ? "" : " ",
+                        worker.incarnation().text(),
+                        ":failures=",
+                        worker.view->consecutiveFailures,
+                        ",suspectMillis=",
+                        absl::ToInt64Milliseconds(remaining),
+                        ",runs=",
+                        worker.record->runs.size());
+    }
+    return text;
+}
+
 } // namespace paddlepier::planning
--- a/paddlepier/planning/waitmonitor.h
+++ b/paddlepier/planning/waitmonitor.h
@@ -75,6 +75,8 @@
     std::size_t tasks = 0;
     Duration waited;
     WaitReason reason = WaitReason::NoRoom;
+    /** For WorkersBarred: some of the workers, each with its failed runs, how long its suspension still lasts, and its runs; else empty. */
+    std::string barredWorkers;
 };
 
 class WaitMonitor
@@ -101,6 +103,8 @@
 
     void updateSteps(Timestamp now);
     WaitReason reasonFor(Timestamp now, const PendingStep &pending);
+    /** Describes workers that may run the step but aren't trusted with it. */
+    std::string describeBarredWorkers(Timestamp now, const PendingStep &pending);
     /** True if a worker of the step's service has its required label and satisfies @p isCounted. */
     template<typename Predicate>
     bool hasWorkerFor(const PendingStep &pending, Predicate isCounted) const;
