A job that fails by its own fault doesn't put its workers under suspicion

Cause: every failed run counted against its worker, up to two a task.

Evidence: worker.run-failed of one run on: 16 failures of one step within 0.23 s, all counted, two on each of eight workers.

Change: FailureAttribution. A step that fails on most workers of its service (three suffice), on more than two for each of its runs that is done or has outlived the failed one, is the cause: its failures are retracted from all workers. A step of which nothing has done well can make a worker suspect, but doesn't extend its suspension. A worker without an alternative in its service is suspended for 2 s at most. The bound of two failures a task stays.

Ruled out: retracting at two workers of a large cell (a task often meets two faulty ones), and retracting when a job fails (jobs of one task that a bad worker fails would clear that worker). Not measured: a service all of whose workers fail at once, where attempts are used up sooner.

--- a/paddlepier/execution/dispatcher.cpp
+++ b/paddlepier/execution/dispatcher.cpp
@@ -311,6 +311,7 @@
     this->adviceCache.removeEndedJobs(hasJobEnded);
     this->planner.removeEndedJobs(hasJobEnded);
     this->taskBackoff.removeEndedJobs(hasJobEnded);
+    this->failureAttribution.removeEndedJobs(hasJobEnded);
     std::erase_if(this->supersededTracks, [this](const auto &entry) {
         const auto &[incarnation, key, run] = entry.first;
         const workload::Worker *worker = this->state.findWorker(incarnation);
--- a/paddlepier/execution/dispatcher.h
+++ b/paddlepier/execution/dispatcher.h
@@ -25,6 +25,7 @@
 #define PADDLEPIER_EXECUTION_DISPATCHER_H
 
 #include "paddlepier/base/clock.h"
+#include "paddlepier/execution/failureattribution.h"
 #include "paddlepier/execution/orders.h"
 #include "paddlepier/execution/runtrack.h"
 #include "paddlepier/execution/stepreport.h"
@@ -272,9 +273,13 @@
     /** Logs steps that are done. */
     void logEndedSteps(Timestamp now);
     void evaluateEnd(Timestamp now, const workload::Incarnation &worker, WorkerView &view, const ListedEnd &end);
-    /** A run has failed, or was stopped since it stalled. */
-    void recordFailedRun(Timestamp now, const workload::TaskKey &key, const workload::Incarnation &worker, WorkerView &view);
+    /** A run has failed, or was stopped since it stalled. @param workedFor  how long it had made progress; infinite if that isn't known */
+    void recordFailedRun(Timestamp now, const workload::TaskKey &key, const workload::Incarnation &worker, WorkerView &view, Duration workedFor);
     void recordDoneRun(const workload::Incarnation &worker, WorkerView &view);
+    StepEvidence
+    evidenceFor(Timestamp now, const workload::TaskKey &key, const workload::Incarnation &worker, const WorkerView &view, Duration workedFor) const;
+    /** Number of runs of the task's step on other workers that have made progress for longer than @p workedFor, or have completed their start-up. */
+    std::size_t countOutlivingRuns(const workload::TaskKey &key, const workload::Incarnation &worker, Duration workedFor) const;
     void handleStartAnswer(Timestamp now, const PendingCall &call, const StartOrder &order, const WorkerAnswer &answer);
     void handleStopAnswer(Timestamp now, const PendingCall &call, const StopOrder &order, const WorkerAnswer &answer);
     void stopRun(Timestamp now, const workload::TaskKey &key, RunTrack &track, StopReason reason);
@@ -375,6 +380,7 @@
     /** Run time of the runs of a queue, as a ratio to their estimates. */
     std::map<std::string, double> typicalRatios;
     TaskBackoff taskBackoff;
+    FailureAttribution failureAttribution;
     planning::AdviceCache adviceCache;
     planning::Planner planner;
     std::map<std::uint64_t, PendingCall> calls;
--- a/paddlepier/execution/progress.cpp
+++ b/paddlepier/execution/progress.cpp
@@ -37,6 +37,9 @@
 constexpr double minRatio = 0.25;
 constexpr double maxRatio = 8.0;
 
+/** How much longer than a failed run another one must make progress to count as healthy: more than the end of a run may be reported late. */
+constexpr Duration minOutlivingTime = absl::Milliseconds(500);
+
 /** A lasting run has completed its start-up; any other has completed its work. */
 constexpr std::uint32_t completePercent = 100;
 
@@ -145,7 +148,7 @@
         // A gang's member that has completed its own work isn't the cause.
         const bool mayBeCause = !step.isGang || track.percent < completePercent;
         if (mayBeCause) {
-            this->recordFailedRun(now, key, track.worker, view);
+            this->recordFailedRun(now, key, track.worker, view, track.progressAt - track.runningSince);
         }
         this->stopRun(now, key, track, StopReason::StandsStill);
         return;
@@ -213,27 +216,75 @@
                    {"millis", absl::ToInt64Milliseconds(wholeTime)}});
     }
     if (end.kind == work::RunEndKind::Failed) {
-        this->recordFailedRun(now, end.task, worker, view);
+        this->recordFailedRun(now, end.task, worker, view, hasStarted ? now - track->second.runningSince : absl::InfiniteDuration());
     } else if (end.kind == work::RunEndKind::Done) {
         this->recordDoneRun(worker, view);
     }
 }
 
-void Dispatcher::recordFailedRun(Timestamp now, const workload::TaskKey &key, const workload::Incarnation &worker, WorkerView &view)
+void Dispatcher::recordFailedRun(Timestamp now, const workload::TaskKey &key, const workload::Incarnation &worker, WorkerView &view, Duration workedFor)
 {
-    const bool isBlamed = this->taskBackoff.recordFailedRun(key);
-    if (isBlamed) {
-        view.recordFailedRun(now);
+    const workload::StepKey step = key.stepKey();
+    const StepEvidence evidence = this->evidenceFor(now, key, worker, view, workedFor);
+    const FailureCause cause = this->failureAttribution.recordFailedRun(key, worker, evidence);
+    if (cause == FailureCause::Worker) {
+        view.recordFailedRun(now, step, evidence.hasAlternative);
+    } else if (cause == FailureCause::Job) {
+        for (const workload::Incarnation &failed : this->failureAttribution.failedWorkers(step)) {
+            const auto found = this->views.find(failed);
+            if (found != this->views.end() && found->second.failuresOf(step) > 0) {
+                found->second.retractFailedRuns(step);
+                this->markViewChanged(failed);
+            }
+        }
     }
     log::info("dispatch",
               "worker.run-failed",
               {{"worker", worker.text()},
                {"task", key.text()},
-               {"blamed", isBlamed},
+               {"cause", nameOf(cause)},
                {"failures", view.consecutiveFailures},
                {"suspectMillis", absl::ToInt64Milliseconds(std::max(absl::ZeroDuration(), view.suspectUntil - now))}});
 }
 
+StepEvidence
+Dispatcher::evidenceFor(Timestamp now, const workload::TaskKey &key, const workload::Incarnation &worker, const WorkerView &view, Duration workedFor) const
+{
+    StepEvidence evidence;
+    const workload::Job *job = this->state.findJob(key.job);
+    if (job == nullptr || !job->hasTask(key)) {
+        return evidence;
+    }
+    evidence.healthyRuns = job->occurrences()[key.occurrence].steps[key.step].doneTasks + this->countOutlivingRuns(key, worker, workedFor);
+    for (const auto &[incarnation, other] : this->state.workers()) {
+        if (other.registration.service != job->queue().service) {
+            continue;
+        }
+        ++evidence.workers;
+        const auto otherView = this->views.find(incarnation);
+        const bool isUsable = otherView != this->views.end() && otherView->second.isReachable() && !other.registration.isDraining;
+        evidence.hasAlternative = evidence.hasAlternative || (incarnation != worker && isUsable && !otherView->second.isSuspended(now));
+    }
+    evidence.failuresOnWorker = view.failuresOf(key.stepKey());
+    return evidence;
+}
+
+std::size_t Dispatcher::countOutlivingRuns(const workload::TaskKey &key, const workload::Incarnation &worker, Duration workedFor) const
+{
+    const bool isLasting = this->state.findJob(key.job)->stepSpec(key.step).isLasting;
+    const workload::StepKey step = key.stepKey();
+    std::size_t outliving = 0;
+    for (auto other = this->tracks.lower_bound({step.job, step.occurrence, step.step, 0});
+         other != this->tracks.end() && other->first.job == step.job && other->first.stepKey() == step;
+         ++other) {
+        const RunTrack &run = other->second;
+        const bool isElsewhere = run.phase == RunPhase::Running && run.worker != worker;
+        const bool hasOutlived = isLasting ? run.percent >= completePercent : run.progressAt - run.runningSince > workedFor + minOutlivingTime;
+        outliving += isElsewhere && hasOutlived ? 1 : 0;
+    }
+    return outliving;
+}
+
 void Dispatcher::recordDoneRun(const workload::Incarnation &worker, WorkerView &view)
 {
     if (view.consecutiveFailures > 0) {
--- a/paddlepier/execution/suspicion_test.cpp
+++ b/paddlepier/execution/suspicion_test.cpp
@@ -17,7 +17,10 @@
 /** Longest suspension of a worker, a test run, and the time until the next plan. */
 constexpr Duration maxUntilTrusted = absl::Seconds(10);
 
-/** Workers of 4 processors, each with one lasting task. */
+/** Time within which a caller expects the result of a job that fails by its own fault. */
+constexpr Duration maxUntilFailed = absl::Seconds(12);
+
+/** Workers of 4 processors, each with one lasting task. Jobs named `hopeless...` fail by their own fault. */
 class SuspicionFixture : public DispatcherFixture
 {
 public:
@@ -26,6 +29,7 @@
         for (unsigned int number = 0; number < workerCount; ++number) {
             this->addWorker(absl::StrCat("w", number));
         }
+        this->workers.isFailing = [](const workload::TaskKey &task, std::uint32_t) { return absl::StartsWith(task.job, "hopeless"); };
         this->workers.observer = [this](const FakeWorkers::Event &event) {
             this->startsByWorker[event.worker] += event.kind == FakeWorkers::EventKind::Started ? 1 : 0;
         };
@@ -39,6 +43,29 @@
         this->runFor(absl::Seconds(6));
     }
 
+    void submitHopeless(unsigned int jobs, std::uint32_t tasks)
+    {
+        for (unsigned int number = 0; number < jobs; ++number) {
+            this->submit(absl::StrCat("hopeless", number), tasks, 200, [](work::JobSpecT &, work::StepSpecT &step) {
+                step.demand = std::make_unique<work::Demand>(1500, 100, 0);
+            });
+        }
+    }
+
+    bool haveFailed(unsigned int jobs, Duration timeout)
+    {
+        return this->runUntil(
+            [this, jobs] {
+                for (unsigned int number = 0; number < jobs; ++number) {
+                    if (this->state.findJob(absl::StrCat("hopeless", number))->state() != work::JobState::Failed) {
+                        return false;
+                    }
+                }
+                return true;
+            },
+            timeout);
+    }
+
     /** Submits jobs of two tasks. @return whether all are completed within @p timeout */
     bool completeJobs(unsigned int jobs, Duration timeout)
     {
@@ -70,6 +97,36 @@
 } // namespace
 
 // Guards against a cell that gets no work for good since a job that fails by its own fault puts all workers under suspicion.
+TEST_CASE_METHOD(SuspicionFixture, "jobThatFailsByItsOwnFault_onWorkersWithLastingTasks_leavesThemUsable")
+{
+    this->begin(8);
+    this->submitHopeless(1, 10);
+    CHECK(this->haveFailed(1, maxUntilFailed));
+    CHECK(this->completeJobs(10, absl::Seconds(2)));
+    CHECK(this->workers.violations.empty());
+}
+
+TEST_CASE_METHOD(SuspicionFixture, "jobThatFailsByItsOwnFault_onASingleWorker_failsInTime")
+{
+    this->begin(1);
+    this->submitHopeless(1, 10);
+    CHECK(this->haveFailed(1, maxUntilFailed));
+    CHECK(this->completeJobs(10, absl::Seconds(17)));
+}
+
+TEST_CASE_METHOD(SuspicionFixture, "manyJobsThatFailByTheirOwnFault_onWorkersWithLastingTasks_leaveThemUsable")
+{
+    const auto workerCount = GENERATE(2U, 3U, 8U);
+    const auto tasks = GENERATE(1U, 4U, 24U);
+    CAPTURE(workerCount, tasks);
+    this->begin(workerCount);
+    this->submitHopeless(12, tasks);
+    CHECK(this->completeJobs(10, absl::Seconds(17)));
+    CHECK(this->haveFailed(12, absl::Seconds(30)));
+    CHECK(this->completeJobs(10, maxUntilTrusted));
+    CHECK(this->workers.violations.empty());
+}
+
 // Guards against a worker that is never trusted again since it is tested only while nothing runs there, and a lasting task does.
 TEST_CASE_METHOD(SuspicionFixture, "workerThatFailedItsRuns_withALastingTask_isTestedAndTrustedAgain")
 {
--- a/paddlepier/execution/taskbackoff.cpp
+++ b/paddlepier/execution/taskbackoff.cpp
@@ -1,4 +1,4 @@
-// Backoff for tasks whose starts are refused, and counts of their failed runs.
+// Backoff for tasks whose starts are refused.
 
 #include "paddlepier/execution/taskbackoff.h"
 
@@ -14,9 +14,6 @@
 constexpr Duration minBackoff = absl::Milliseconds(200);
 constexpr std::uint32_t maxDoublings = 6;
 
-/** Number of failed runs of one task for which their workers are blamed. A task often meets two faulty workers. */
-constexpr std::uint32_t maxBlamedRuns = 2;
-
 } // namespace
 
 void TaskBackoff::recordRefusal(Timestamp now, const workload::TaskKey &task)
@@ -32,11 +29,6 @@
     return now < this->latestBackoffEnd;
 }
 
-bool TaskBackoff::recordFailedRun(const workload::TaskKey &task)
-{
-    return ++this->byTask[task].failedRuns <= maxBlamedRuns;
-}
-
 bool TaskBackoff::isBackingOff(Timestamp now, const workload::TaskKey &task) const
 {
     const auto found = this->byTask.find(task);
--- a/paddlepier/execution/taskbackoff.h
+++ b/paddlepier/execution/taskbackoff.h
@@ -1,15 +1,13 @@
-// Backoff for tasks whose starts are refused, and counts of their failed runs.
+// Backoff for tasks whose starts are refused.
 //
 // A start that a worker refuses as invalid will probably be refused by other workers too. Without a backoff the task would be placed
-// again with every plan, indefinitely. A run that stalls or fails usually does so because of its worker. If that happens to a task
-// on several workers, the task itself is the more likely cause, and further workers aren't blamed: a single lasting task would
-// otherwise put all of them under suspicion.
+// again with every plan, indefinitely.
 //
 // Example:
 //     backoff.recordRefusal(now, task);
 //     if (backoff.isBackingOff(now, task)) { ... }
 //
-// Thread safety: none; owned by the dispatcher, for one term. Cost: O(log n) of the tasks with refusals or failed runs.
+// Thread safety: none; owned by the dispatcher, for one term. Cost: O(log n) of the tasks with refusals.
 
 #ifndef PADDLEPIER_EXECUTION_TASKBACKOFF_H
 #define PADDLEPIER_EXECUTION_TASKBACKOFF_H
@@ -28,8 +26,6 @@
 public:
     /** A worker has refused a start of the task as invalid. */
     void recordRefusal(Timestamp now, const workload::TaskKey &task);
-    /** A run of the task has failed, or was stopped since it stalled. @return whether its worker may be the cause */
-    bool recordFailedRun(const workload::TaskKey &task);
     /** True if any task may be backing off. Lets plans skip the look-up for each waiting task. */
     bool hasBackoffs(Timestamp now) const;
     /** True if the task must not be started yet. */
@@ -45,7 +41,6 @@
 private:
     struct Entry {
         std::uint32_t refusals = 0;
-        std::uint32_t failedRuns = 0;
         Timestamp backoffUntil = absl::InfinitePast();
     };
 
--- a/paddlepier/execution/workerview.cpp
+++ b/paddlepier/execution/workerview.cpp
@@ -35,6 +35,7 @@
 /** A worker that fails its runs is suspected for this time, doubled with each further failure. */
 constexpr Duration minSuspicionTime = absl::Milliseconds(500);
 constexpr std::uint32_t maxDoublings = 4;
+constexpr std::uint32_t maxDoublingsWithoutAlternative = 2;
 
 /** An answer may be lost, and a worker may execute some orders late; several orders in a row over this time are more than that. */
 constexpr std::uint32_t minUnansweredOrders = 3;
@@ -56,17 +57,36 @@
 {
 }
 
-void WorkerView::recordFailedRun(Timestamp now)
+void WorkerView::recordFailedRun(Timestamp now, const workload::StepKey &step, bool hasAlternative)
 {
+    ++this->failuresByStep[step];
     ++this->consecutiveFailures;
     this->lastFailureAt = now;
-    const std::uint32_t doublings = std::min(this->consecutiveFailures, maxDoublings);
+    const std::uint32_t doublings = std::min(this->consecutiveFailures, hasAlternative ? maxDoublings : maxDoublingsWithoutAlternative);
     this->suspectUntil = now + minSuspicionTime * (1U << doublings);
 }
 
 void WorkerView::recordDoneRun()
 {
     this->consecutiveFailures = 0;
+    this->failuresByStep.clear();
+}
+
+void WorkerView::retractFailedRuns(const workload::StepKey &step)
+{
+    this->consecutiveFailures -= this->failuresOf(step);
+    this->failuresByStep.erase(step);
+}
+
+bool WorkerView::isSuspended(Timestamp now) const
+{
+    return this->consecutiveFailures > 0 && now < this->suspectUntil;
+}
+
+std::uint32_t WorkerView::failuresOf(const workload::StepKey &step) const
+{
+    const auto found = this->failuresByStep.find(step);
+    return found == this->failuresByStep.end() ? 0 : found->second;
 }
 
 void WorkerView::recordAnswer(Timestamp now, std::optional<std::int64_t> clock)
--- a/paddlepier/execution/workerview.h
+++ b/paddlepier/execution/workerview.h
@@ -11,6 +11,7 @@
 #include "paddlepier/base/clock.h"
 #include "paddlepier/execution/pacecontrol.h"
 #include "paddlepier/workload/incarnation.h"
+#include "paddlepier/workload/taskkey.h"
 
 #include <algorithm>
 #include <cstddef>
@@ -46,9 +47,17 @@
      */
     WorkerView(Timestamp termBegin, Duration maxLease, const Duration *pausesOfProcess = nullptr);
 
-    /** A run has ended with a failure, caused by the task or by the worker. */
-    void recordFailedRun(Timestamp now);
+    /**
+     * A run of @p step has failed or stalled, and the worker may be the cause.
+     *
+     * @param hasAlternative  other workers can take its work meanwhile; if none can, a long suspension helps nobody
+     */
+    void recordFailedRun(Timestamp now, const workload::StepKey &step, bool hasAlternative);
     void recordDoneRun();
+    /** The worker wasn't the cause of the failures of @p step. */
+    void retractFailedRuns(const workload::StepKey &step);
+    /** Failed runs of @p step since the last run that was done. */
+    std::uint32_t failuresOf(const workload::StepKey &step) const;
     /** A complete answer has arrived. */
     void recordAnswer(Timestamp now, std::optional<std::int64_t> clockMillis);
     /** The worker has listed its runs, which proves that it was this incarnation that answered. */
@@ -86,6 +95,8 @@
     /** A call was sent whose answer is due by @p due. */
     void recordCall(std::uint64_t call, Timestamp due);
     void recordCallEnd(std::uint64_t call);
+    /** True if runs have failed there and the worker isn't tested yet. */
+    bool isSuspended(Timestamp now) const;
     /** True if an answer is overdue, so that the worker may be cut off. Detected long before a call times out. */
     bool isOverdue(Timestamp now) const;
     /** The next time at which an answer becomes overdue, or a block on starts or a suspicion ends; infinite if there is none. O(calls in flight). */
@@ -117,7 +128,7 @@
     Timestamp knownSince;
     Timestamp announcedAt;
     std::uint64_t announcedSequence = 0;
-    /** Number of failed runs since the last run that was done. */
+    /** Number of failed runs since the last run that was done, for which the worker may be the cause. */
     std::uint32_t consecutiveFailures = 0;
     /** No work before this time if several runs have failed there in a row. */
     Timestamp suspectUntil = absl::InfinitePast();
@@ -133,6 +144,8 @@
     bool isLikelyGone(Timestamp now) const;
     Duration totalPause() const;
 
+    // Invariant: the values add up to `consecutiveFailures`.
+    std::map<workload::StepKey, std::uint32_t> failuresByStep;
     Timestamp earlierLeasesExpireAt;
     std::int64_t latestLeaseEnd = 0;
     std::optional<std::int64_t> clockMillis;
--- a/paddlepier/execution/workerview_test.cpp
+++ b/paddlepier/execution/workerview_test.cpp
@@ -46,12 +46,12 @@
 
 TEST_CASE_METHOD(WorkerViewFixture, "suspicion_afterConsecutiveFailures_doublesAndIsBounded")
 {
-    this->view.recordFailedRun(this->begin);
+    this->view.recordFailedRun(this->begin, {"failing", 0, 0}, true);
     const Duration first = this->view.suspectUntil - this->begin;
-    this->view.recordFailedRun(this->begin);
+    this->view.recordFailedRun(this->begin, {"failing", 0, 0}, true);
     CHECK(this->view.suspectUntil - this->begin == 2 * first);
     for (int failure = 0; failure < 40; ++failure) {
-        this->view.recordFailedRun(this->begin);
+        this->view.recordFailedRun(this->begin, {"failing", 0, 0}, true);
     }
     CHECK(this->view.suspectUntil - this->begin < absl::Seconds(20));
     this->view.recordDoneRun();
--- a/paddlepier/planning/capacityindex_test.cpp
+++ b/paddlepier/planning/capacityindex_test.cpp
@@ -108,7 +108,7 @@
             view.recordCall(this->cell.random(), this->cell.now + absl::Milliseconds(20));
             break;
         case 3:
-            view.recordFailedRun(this->cell.now);
+            view.recordFailedRun(this->cell.now, {"failing", 0, 0}, true);
             break;
         default:
             view.startsBlockedUntil = this->cell.now + absl::Milliseconds(30);
--- a/paddlepier/planning/fakecell.h
+++ b/paddlepier/planning/fakecell.h
@@ -213,7 +213,7 @@
         }
         const std::uint32_t failures = this->chance(0.05) ? this->uniform(1, 3) : 0;
         for (std::uint32_t failure = 0; failure < failures; ++failure) {
-            view.recordFailedRun(this->now - absl::Seconds(this->uniform(0, 6)));
+            view.recordFailedRun(this->now - absl::Seconds(this->uniform(0, 6)), {"failing", 0, 0}, true);
         }
         this->apply(std::move(registration));
     }
--- a/paddlepier/planning/planner_test.cpp
+++ b/paddlepier/planning/planner_test.cpp
@@ -313,8 +313,8 @@
     this->addWorker("w1");
     this->addWorker("w2");
     this->addWorker("w3");
-    this->views.at({"w1"}).recordFailedRun(this->now);
-    this->views.at({"w1"}).recordFailedRun(this->now);
+    this->views.at({"w1"}).recordFailedRun(this->now, {"failing", 0, 0}, true);
+    this->views.at({"w1"}).recordFailedRun(this->now, {"failing", 0, 0}, true);
     work::RegisterWorkerT draining = this->state.findWorker({"w2"})->registration;
     draining.isDraining = true;
     this->apply(std::move(draining));
@@ -343,7 +343,7 @@
     end->kind = work::RunEndKind::Failed;
     this->apply(std::move(failed));
     this->tracks.clear();
-    this->views.at({"w1"}).recordFailedRun(this->now);
+    this->views.at({"w1"}).recordFailedRun(this->now, {"failing", 0, 0}, true);
     this->planner.markViewChanged({"w1"});
     CHECK(this->plan().placements.empty());
     // No other run could prove the worker healthy.
