A start leaves under the conditions of its placement

Cause: Dispatcher::driveStart() had its own list of conditions, which lacked the drain, the block on starts, service, label and spare services, all of which a placement checks. A start that waits for an answer, is repeated or is held for a silent worker was judged by fewer conditions.

All by the one leader, which knew of the drain: no late execution, no order of an earlier leader.

Change: barOfWorker() and barForStep() decide for placements and, by CapacityIndex::startBar(), before each call of a start. A change of a registration, the configuration or an evacuation checks the starts on their way at once: unsent ones end, those that may have arrived are stopped, those in a queue or about to be hedged lose their token. Each start expires with the wait for its answer (0.9 s), in a relay too. What has started goes on. The leader alone decides; Workload::placeRun() is unchanged, so that the log means the same to an older replica.

For the other direction: runsOnDrainingWorker_goOnUntilTheyEnd, startOnItsWay_whenItsWorkerDrains_goesOnIfTheWorkerAcceptsIt.

lateOrders_ofEarlierTerms_areDetected, which shows that orders must end with their term, found no violation any more: the expiry withholds the copies that it delivers after 0.9 s. It now takes off the expiry as well, so that it shows the same as before; the test with all guarantees is unchanged.

--- a/paddlepier/execution/dispatcher.cpp
+++ b/paddlepier/execution/dispatcher.cpp
@@ -71,7 +71,7 @@
 
 const char *nameOf(StopReason reason)
 {
-    static constexpr std::array<const char *, 11> names{"none",
+    static constexpr std::array<const char *, 12> names{"none",
                                                         "job-ended",
                                                         "preempted",
                                                         "stands-still",
@@ -81,7 +81,8 @@
                                                         "gang-incomplete",
                                                         "room-shrunk",
                                                         "quota-lowered",
-                                                        "evacuated"};
+                                                        "evacuated",
+                                                        "ineligible"};
     return names.at(static_cast<std::size_t>(reason));
 }
 
@@ -222,15 +223,24 @@
 void Dispatcher::syncWorkers(Timestamp now)
 {
     const auto &ledgerWorkers = this->state.workers();
+    bool isFullSync = false;
     const auto sync = [&](const workload::Incarnation &incarnation) {
-        const bool isInLedger = ledgerWorkers.contains(incarnation);
-        if (isInLedger && !this->views.contains(incarnation)) {
-            this->addView(now, incarnation);
-        } else if (!isInLedger) {
+        const auto worker = ledgerWorkers.find(incarnation);
+        if (worker == ledgerWorkers.end()) {
             this->removeView(incarnation);
+            return;
+        }
+        if (!this->views.contains(incarnation)) {
+            this->addView(now, incarnation);
+        }
+        const std::uint64_t sequence = worker->second.registration.sequence;
+        const bool isChanged = std::exchange(this->views.at(incarnation).registeredSequence, sequence) != sequence;
+        if (isChanged || isFullSync) {
+            this->withdrawBarredStarts(now, incarnation);
         }
     };
     if (!this->state.workerChanges().visitSince(this->syncedUntil, sync)) {
+        isFullSync = true;
         std::vector<workload::Incarnation> viewed;
         std::transform(this->views.begin(), this->views.end(), std::back_inserter(viewed), [](const auto &entry) { return entry.first; });
         std::for_each(viewed.begin(), viewed.end(), sync);
--- a/paddlepier/execution/dispatcher.h
+++ b/paddlepier/execution/dispatcher.h
@@ -198,6 +198,11 @@
     using UnsentRuns = std::vector<std::pair<workload::TaskKey, RunTrack>>;
     void driveRun(Timestamp now, const workload::TaskKey &key, RunTrack &track, UnsentRuns &unsent);
     void driveStart(Timestamp now, const workload::TaskKey &key, RunTrack &track, UnsentRuns &unsent);
+    /**
+     * Withdraws the starts of runs that the worker may not run any more, without waiting for their timers: one that waits is driven again, one that is
+     * on its way is sent only if it has left this process. What has started goes on.
+     */
+    void withdrawBarredStarts(Timestamp now, const workload::Incarnation &worker);
     /**
      * A suspect's start is preceded by another order that has no effect. If the worker answers that one and leaves the start unanswered, the start has
      * most probably reached it; its loss is then evidence against the task. The ledger records this before, since the leader may change meanwhile.
--- a/paddlepier/execution/lateorder_test.cpp
+++ b/paddlepier/execution/lateorder_test.cpp
@@ -25,6 +25,8 @@
     bool acknowledgementsAreBound = true;
     /** No start leaves its process once its run is known to have started. */
     bool startsEndWithTheirRuns = true;
+    /** No start leaves its process once its answer isn't awaited any more. */
+    bool startsExpire = true;
 };
 
 class LateOrderFixture : public DispatcherFixture
@@ -106,7 +108,9 @@
                 continue;
             }
             const bool isOfTerm = copy.term == this->terms || !this->guarantees.ordersEndWithTheirTerm;
-            const bool isWanted = copy.call.conditions.hold(this->now) || !this->guarantees.startsEndWithTheirRuns;
+            SendConditions conditions = copy.call.conditions;
+            conditions.sendBy = this->guarantees.startsExpire ? conditions.sendBy : absl::InfiniteFuture();
+            const bool isWanted = conditions.hold(this->now) || !this->guarantees.startsEndWithTheirRuns;
             if (!this->workers.workers[copy.call.worker.id].isCut && isOfTerm && isWanted) {
                 this->execute(copy.call);
             }
@@ -156,6 +160,8 @@
 {
     Guarantees guarantees;
     guarantees.ordersEndWithTheirTerm = false;
+    // A start that expires seldom outlives its term.
+    guarantees.startsExpire = false;
     CHECK(findsViolation(guarantees));
 }
 
--- a/paddlepier/execution/runs.cpp
+++ b/paddlepier/execution/runs.cpp
@@ -30,12 +30,32 @@
 /** How often all runs are scanned for jobs that have ended; a scan costs about 0.3 ms with 5,000 runs. */
 constexpr Duration obsoleteCheckInterval = absl::Milliseconds(50);
 
-/** Pause before a start is checked again that waits for its worker to become reachable. */
-constexpr Duration unreachableRetryPause = absl::Milliseconds(20);
+/** Pause before a start is checked again that waits for its worker to answer. */
+constexpr Duration momentaryBarRetryPause = absl::Milliseconds(20);
 
 /** A stop is sent again if the run is still listed after this time, in addition to the time that a stop may take. */
 constexpr Duration stopTimeout = absl::Milliseconds(1500);
 
+StopReason stopReasonOf(planning::StartBar bar)
+{
+    switch (bar) {
+    case planning::StartBar::Evacuated:
+        return StopReason::Evacuated;
+    case planning::StartBar::Draining:
+        return StopReason::WorkerLeaves;
+    case planning::StartBar::OtherService:
+    case planning::StartBar::SpareService:
+    case planning::StartBar::NoLabel:
+        return StopReason::Ineligible;
+    case planning::StartBar::None:
+    case planning::StartBar::StartsBlocked:
+    case planning::StartBar::Unreachable:
+    case planning::StartBar::AnswerOverdue:
+        break;
+    }
+    return StopReason::StartUnsettled;
+}
+
 } // namespace
 
 void Dispatcher::driveRuns(Timestamp now)
@@ -115,18 +135,15 @@
 
 void Dispatcher::driveStart(Timestamp now, const workload::TaskKey &key, RunTrack &track, UnsentRuns &unsent)
 {
-    if (this->state.isEvacuated(*this->state.findWorker(track.worker))) {
-        // Placed before the evacuation. A start that was sent may still arrive, so the run is stopped to prevent it.
-        this->cancelStart(now, key, track, StopReason::Evacuated, unsent);
+    const planning::StartBar bar = this->planner.startBar(now, key, track.worker);
+    if (isMomentary(bar) && track.mayStartLate) {
+        this->runTimers.schedule(key, now + momentaryBarRetryPause);
         return;
     }
-    if (!this->views.at(track.worker).isReachable()) {
-        if (!track.mayStartLate) {
-            // Nothing has reached the worker, so the task can be placed elsewhere.
-            unsent.emplace_back(key, track);
-        } else {
-            this->runTimers.schedule(key, now + unreachableRetryPause);
-        }
+    if (bar != planning::StartBar::None) {
+        // What held when the task was placed may have changed since. A start that was sent may still arrive, so the run is stopped to prevent it.
+        log::info("dispatch", "start.barred", {{"task", key.text()}, {"run", track.run}, {"worker", track.worker.text()}, {"bar", nameOf(bar)}});
+        this->cancelStart(now, key, track, stopReasonOf(bar), unsent);
         return;
     }
     if (this->state.findWorker(track.worker)->isOvercommitted()) {
@@ -157,14 +174,36 @@
     }
     WorkerCall &call = this->effects.calls.back();
     call.conditions.start = track.startToken;
-    if (track.verifiedAt > absl::InfinitePast() && !track.mayStartLate) {
-        call.conditions.sendBy = track.verifiedAt + verifiedFor;
-    }
+    const bool reliesOnAnswer = track.verifiedAt > absl::InfinitePast() && !track.mayStartLate;
+    // The conditions that were checked here may have changed by the time that an order leaves a queue or another instance.
+    call.conditions.sendBy = reliesOnAnswer ? track.verifiedAt + verifiedFor : now + orderTimeout;
     const std::int64_t leaseEnd = call.leaseEndOnWorkerClock;
     track.startLeaseEnd = std::max(track.startLeaseEnd, leaseEnd > 0 ? leaseEnd : std::numeric_limits<std::int64_t>::max());
     this->limitWatch(now, track.worker);
 }
 
+void Dispatcher::withdrawBarredStarts(Timestamp now, const workload::Incarnation &worker)
+{
+    for (const workload::TaskKey &key : this->state.findWorker(worker)->runs) {
+        const auto found = this->tracks.find(key);
+        if (found == this->tracks.end() || found->second.worker != worker || found->second.phase != RunPhase::Starting || found->second.isAdopted) {
+            continue;
+        }
+        RunTrack &track = found->second;
+        const planning::StartBar bar = this->planner.startBar(now, key, worker);
+        if (bar == planning::StartBar::None || isMomentary(bar)) {
+            continue;
+        }
+        track.startToken.reset();
+        if (track.isCallInFlight && !track.isVerifyInFlight && track.mayStartLate) {
+            this->stopRun(now, key, track, stopReasonOf(bar));
+        } else if (!track.isCallInFlight) {
+            track.nextCall = now;
+            this->runTimers.schedule(key, now);
+        }
+    }
+}
+
 bool Dispatcher::mustVerifyWorker(Timestamp now, const workload::TaskKey &key, const RunTrack &track) const
 {
     // After an unanswered start the run may be there, and another call of it adds no risk.
--- a/paddlepier/execution/runtrack.h
+++ b/paddlepier/execution/runtrack.h
@@ -35,9 +35,23 @@
 
 /**
  * Why a run is stopped. StandsStill: it has stalled. StartUnsettled: its start may still be executed and must be prevented. Disturbs: it is a
- * filling run that interferes with serving runs. RoomShrunk: the capacity of its worker was reduced.
+ * filling run that interferes with serving runs. RoomShrunk: the capacity of its worker was reduced. Ineligible: its worker doesn't offer what the step
+ * requires any more.
  */
-enum class StopReason { None, JobEnded, Preempted, StandsStill, WorkerLeaves, StartUnsettled, Disturbs, GangIncomplete, RoomShrunk, QuotaLowered, Evacuated };
+enum class StopReason {
+    None,
+    JobEnded,
+    Preempted,
+    StandsStill,
+    WorkerLeaves,
+    StartUnsettled,
+    Disturbs,
+    GangIncomplete,
+    RoomShrunk,
+    QuotaLowered,
+    Evacuated,
+    Ineligible
+};
 const char *nameOf(StopReason reason);
 
 struct RunTrack {
--- a/paddlepier/execution/workerview.h
+++ b/paddlepier/execution/workerview.h
@@ -128,6 +128,8 @@
     Timestamp knownSince;
     Timestamp announcedAt;
     std::uint64_t announcedSequence = 0;
+    /** Sequence of the registration under which starts were last checked. */
+    std::uint64_t registeredSequence = 0;
     /** Number of failed runs since the last run that was done, for which the worker may be the cause. */
     std::uint32_t consecutiveFailures = 0;
     /** No work before this time if several runs have failed there in a row. */
--- a/paddlepier/planning/capacityindex.cpp
+++ b/paddlepier/planning/capacityindex.cpp
@@ -2,8 +2,6 @@
 
 #include "paddlepier/planning/capacityindex.h"
 
-#include "paddlepier/planning/eligibility.h"
-
 #include <algorithm>
 #include <limits>
 #include <numeric>
@@ -226,8 +224,22 @@
 
 bool CapacityIndex::isUsable(Timestamp now, const WorkerCapacity &entry) const
 {
-    return entry.view != nullptr && entry.view->isReachable() && !entry.record->registration.isDraining && entry.view->startsBlockedUntil <= now
-           && !(this->excludesOverdue && entry.isOverdue) && !this->state.isEvacuated(*entry.record);
+    return barOfWorker(now, this->state, *entry.record, entry.view, this->excludesOverdue) == StartBar::None;
+}
+
+StartBar CapacityIndex::startBar(Timestamp now, const workload::TaskKey &task, const workload::Incarnation &worker) const
+{
+    const workload::Worker &record = *this->state.findWorker(worker);
+    const workload::Job &job = *this->state.findJob(task.job);
+    const std::string &service = job.queue().service;
+    const work::ServiceSpecT *spec = this->state.findService(service);
+    const bool isSpare = spec != nullptr && spec->isSpare;
+    const StartBar bar = barForStep(record, record.registration.service == service, isSpare, job.stepSpec(task.step));
+    if (bar != StartBar::None) {
+        return bar;
+    }
+    const auto view = this->views.find(worker);
+    return barOfWorker(now, this->state, record, view == this->views.end() ? nullptr : &view->second, this->excludesOverdue);
 }
 
 std::int32_t CapacityIndex::countTestRuns(Timestamp now, const WorkerCapacity &entry) const
--- a/paddlepier/planning/capacityindex.h
+++ b/paddlepier/planning/capacityindex.h
@@ -23,6 +23,7 @@
 #include "paddlepier/execution/timerqueue.h"
 #include "paddlepier/execution/workerview.h"
 #include "paddlepier/planning/advicecache.h"
+#include "paddlepier/planning/eligibility.h"
 #include "paddlepier/planning/suitability.h"
 #include "paddlepier/workload/workload.h"
 
@@ -59,6 +60,8 @@
 
     /** All entries, including vacant ones and workers that can't be used. */
     std::vector<WorkerCapacity> &all();
+    /** Why a start of the task must not be sent to the worker now, by the conditions under which the task would be placed there. O(log workers). */
+    StartBar startBar(Timestamp now, const workload::TaskKey &task, const workload::Incarnation &worker) const;
     /** Number of workers that can be used. */
     std::size_t usableCount() const;
     /** Number of times that an entry was read from the ledger and the worker's view. */
--- a/paddlepier/planning/eligibility.cpp
+++ b/paddlepier/planning/eligibility.cpp
@@ -2,13 +2,57 @@
 
 #include "paddlepier/planning/eligibility.h"
 
+#include <array>
+
 namespace paddlepier::planning
 {
 
+const char *nameOf(StartBar bar)
+{
+    static constexpr std::array<const char *, 9> names{
+        "none", "evacuated", "draining", "other-service", "spare-service", "no-label", "starts-blocked", "unreachable", "answer-overdue"};
+    return names.at(static_cast<std::size_t>(bar));
+}
+
+bool isMomentary(StartBar bar)
+{
+    return bar == StartBar::Unreachable || bar == StartBar::AnswerOverdue;
+}
+
+StartBar barOfWorker(Timestamp now, const workload::Workload &state, const workload::Worker &worker, const execution::WorkerView *view, bool excludesOverdue)
+{
+    if (state.isEvacuated(worker)) {
+        return StartBar::Evacuated;
+    }
+    if (worker.registration.isDraining) {
+        return StartBar::Draining;
+    }
+    if (view == nullptr) {
+        return StartBar::Unreachable;
+    }
+    if (view->startsBlockedUntil > now) {
+        return StartBar::StartsBlocked;
+    }
+    if (!view->isReachable()) {
+        return StartBar::Unreachable;
+    }
+    return excludesOverdue && view->isOverdue(now) ? StartBar::AnswerOverdue : StartBar::None;
+}
+
+StartBar barForStep(const workload::Worker &worker, bool hasService, bool isSpare, const work::StepSpecT &step)
+{
+    if (!hasService) {
+        return StartBar::OtherService;
+    }
+    if (isSpare) {
+        return StartBar::SpareService;
+    }
+    return step.requiredLabel.empty() || worker.hasLabel(step.requiredLabel) ? StartBar::None : StartBar::NoLabel;
+}
+
 bool mayRun(const WorkerCapacity &worker, const PendingStep &pending, std::uint32_t service)
 {
-    return worker.isUsable && worker.service == service && !worker.isSpare
-           && (pending.step->requiredLabel.empty() || worker.record->hasLabel(pending.step->requiredLabel));
+    return worker.isUsable && barForStep(*worker.record, worker.service == service, worker.isSpare, *pending.step) == StartBar::None;
 }
 
 bool isAcceptable(const WorkerCapacity &worker)
--- a/paddlepier/planning/planner.cpp
+++ b/paddlepier/planning/planner.cpp
@@ -82,6 +82,11 @@
     return plan;
 }
 
+StartBar Planner::startBar(Timestamp now, const workload::TaskKey &task, const workload::Incarnation &worker) const
+{
+    return this->capacityIndex.startBar(now, task, worker);
+}
+
 void Planner::markViewChanged(const workload::Incarnation &worker)
 {
     this->capacityIndex.markViewChanged(worker);
--- a/paddlepier/planning/planner.h
+++ b/paddlepier/planning/planner.h
@@ -87,6 +87,8 @@
 
     /** @param wallMillis  milliseconds since 1970 */
     Plan plan(Timestamp now, std::int64_t wallMillis, const PlanBudget &budget = {});
+    /** See CapacityIndex::startBar(). */
+    StartBar startBar(Timestamp now, const workload::TaskKey &task, const workload::Incarnation &worker) const;
     /** Must be called when a worker's view is new or has changed for any reason other than the passing of time. */
     void markViewChanged(const workload::Incarnation &worker);
 
