A draining worker's announcement must say how much time is left

Change: such a record is refused as field-missing; the others hold. A complete record of that kind can't be told from the worker's own and is taken. Rejected: ending a drain by a later announcement as ready, since that changes what an entry of the log means to replicas of an older build.

--- a/paddlepier/cluster/announcementfault.cpp
+++ b/paddlepier/cluster/announcementfault.cpp
@@ -64,6 +64,10 @@
     require(worker.labels.size() <= maxLabels && std::all_of(worker.labels.begin(), worker.labels.end(), isName),
             "labels: must be at most 64 names of 1 to 256 characters");
     require(call.sequence <= maxSequence, "sequence: exceeds the maximum of 2^53 - 1");
+    // A drain is never taken back, so that a record which doesn't tell when it ends must not begin one.
+    if (worker.isDraining && call.drainRemainingMillis == noRemainingTime) {
+        throw InvalidAnnouncementError(AnnouncementFault::FieldMissing, "remaining time of a draining worker: missing");
+    }
 }
 
 void reportRefusedAnnouncement(Counters &counters, const std::string &worker, AnnouncementFault fault, const std::string &problem)
--- a/paddlepier/cluster/announcementfault.h
+++ b/paddlepier/cluster/announcementfault.h
@@ -16,6 +16,7 @@
 #include "paddlepier/base/error.h"
 #include "paddlepier/wire/workload_generated.h"
 
+#include <cstdint>
 #include <string>
 
 namespace paddlepier::cluster
@@ -67,7 +68,13 @@
     }
 }
 
-/** @throws InvalidAnnouncementError if a name, the address, a label or the sequence number of an announcement is invalid */
+/** Time that a draining worker has left if its announcement names none. */
+constexpr std::int64_t noRemainingTime = -1;
+
+/**
+ * @throws InvalidAnnouncementError if a name, the address, a label or the sequence number of an announcement is invalid, or if a draining worker doesn't say
+ *         how much time it has left
+ */
 void checkAnnouncement(const work::AnnounceCallT &call);
 
 /** Counts a refused announcement and logs it. */
