--- a/paddlepier/execution/runs.cpp
+++ b/paddlepier/execution/runs.cpp
@@ -15,6 +15,9 @@
 /** A healthy worker answers within a few round trips, a slow one within some tenths of a second. */
 constexpr Duration orderTimeout = absl::Milliseconds(900);
 
+/** Added to the timeout of a start for its way to the worker; no instance sends it later, since its conditions may have changed by then. */
+constexpr Duration startTransitTime = absl::Milliseconds(300);
+
 /** Pause before an order without an answer is sent again. */
 constexpr Duration orderRetryPause = absl::Milliseconds(150);
 
@@ -175,8 +178,7 @@
     WorkerCall &call = this->effects.calls.back();
     call.conditions.start = track.startToken;
     const bool reliesOnAnswer = track.verifiedAt > absl::InfinitePast() && !track.mayStartLate;
-    // The conditions that were checked here may have changed by the time that an order leaves a queue or another instance.
-    call.conditions.sendBy = reliesOnAnswer ? track.verifiedAt + verifiedFor : now + orderTimeout;
+    call.conditions.sendBy = reliesOnAnswer ? track.verifiedAt + verifiedFor : now + orderTimeout + startTransitTime;
     const std::int64_t leaseEnd = call.leaseEndOnWorkerClock;
     track.startLeaseEnd = std::max(track.startLeaseEnd, leaseEnd > 0 ? leaseEnd : std::numeric_limits<std::int64_t>::max());
     this->limitWatch(now, track.worker);
--- a/paddlepier/http/httpserver_test.cpp
+++ b/paddlepier/http/httpserver_test.cpp
@@ -11,8 +11,11 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
+#include <atomic>
 #include <thread>
+#include <vector>
 
 namespace paddlepier::http
 {
@@ -94,4 +97,59 @@
     CHECK(this->heldExchanges() == 1);
 }
 
+// Guards against a process that aborts in a planned stop: the listening socket was closed while a thread of the library still removed it from its set.
+TEST_CASE("stop_ofManyServers_whileConnectionsAreMade_returns")
+{
+    constexpr int servers = 300;
+    constexpr int callers = 4;
+    for (int number = 0; number < servers; ++number) {
+        LimitSettings limits;
+        limits.trafficThreads = 4;
+        const Endpoint endpoint{"127.0.0.1", testing::freePort()};
+        HttpServer server(endpoint, limits, [](const std::shared_ptr<Exchange> &exchange) { exchange->respond({200, {}, ""}); });
+        std::atomic<bool> isOver{false};
+        std::vector<std::thread> threads;
+        for (int caller = 0; caller < callers; ++caller) {
+            threads.emplace_back([&] {
+                const SocketAddress address = toSocketAddress(endpoint);
+                while (!isOver) {
+                    const int connection = ::socket(AF_INET, SOCK_STREAM, 0);
+                    ::connect(connection, address.pointer(), address.size);
+                    ::close(connection);
+                }
+            });
+        }
+        absl::SleepFor(absl::Milliseconds(2));
+        server.stop(absl::Milliseconds(1));
+        isOver = true;
+        std::for_each(threads.begin(), threads.end(), [](std::thread &thread) { thread.join(); });
+    }
+}
+
+TEST_CASE_METHOD(HttpServerFixture, "connection_madeDuringStop_isRefused")
+{
+    std::thread caller([&] {
+        OutgoingRequest request;
+        request.method = "GET";
+        request.url = absl::StrCat("http://", this->endpoint.text(), "/");
+        fetch(request);
+    });
+    REQUIRE(testing::waitUntil([this] { return this->heldExchanges() == 1; }));
+    std::thread stopper([this] { this->server->stop(absl::Seconds(2)); });
+    const SocketAddress address = toSocketAddress(this->endpoint);
+    const auto isRefused = [&address] {
+        const int connection = ::socket(AF_INET, SOCK_STREAM, 0);
+        const int result = ::connect(connection, address.pointer(), address.size);
+        ::close(connection);
+        return result != 0;
+    };
+    // The exchange that is under way keeps the server from ending.
+    const bool wasRefused = testing::waitUntil(isRefused, absl::Seconds(1));
+    CHECK(wasRefused);
+    CHECK(this->server->activeExchanges() == 1);
+    this->held.front()->respond({200, {}, ""});
+    stopper.join();
+    caller.join();
+}
+
 } // namespace paddlepier::http
