--- a/paddlepier/http/httpserver_test.cpp
+++ b/paddlepier/http/httpserver_test.cpp
@@ -109,12 +109,14 @@
         HttpServer server(endpoint, limits, [](const std::shared_ptr<Exchange> &exchange) { exchange->respond({200, {}, ""}); });
         std::atomic<bool> isOver{false};
         std::vector<std::thread> threads;
+        threads.reserve(callers);
         for (int caller = 0; caller < callers; ++caller) {
             threads.emplace_back([&] {
                 const SocketAddress address = toSocketAddress(endpoint);
                 while (!isOver) {
                     const int connection = ::socket(AF_INET, SOCK_STREAM, 0);
-                    ::connect(connection, address.pointer(), address.size);
+                    // It is refused once the server has stopped.
+                    static_cast<void>(::connect(connection, address.pointer(), address.size));
                     ::close(connection);
                 }
             });
