One threshold of suspicion; a full synchronisation checks each worker once

Cause, from reading the change again: the number of failures that makes a worker suspect stood in planning/eligibility.h and again, under another name, in failureattribution.cpp, with nothing to keep the two in step. A full synchronisation visited each known worker twice, so that every change of the configuration or of an evacuation checked all starts twice. suspicion_test repeated two loops and a set-up.

Change: FailureAttribution uses planning::suspectFailureThreshold; a full synchronisation removes the views of workers that are gone and then visits the ledger's workers once; the test's loops are areAll() and failUntilSuspect(). Values, bounds and assertions are the same.

--- a/paddlepier/execution/dispatcher.cpp
+++ b/paddlepier/execution/dispatcher.cpp
@@ -241,9 +241,13 @@
     };
     if (!this->state.workerChanges().visitSince(this->syncedUntil, sync)) {
         isFullSync = true;
-        std::vector<workload::Incarnation> viewed;
-        std::transform(this->views.begin(), this->views.end(), std::back_inserter(viewed), [](const auto &entry) { return entry.first; });
-        std::for_each(viewed.begin(), viewed.end(), sync);
+        std::vector<workload::Incarnation> gone;
+        for (const auto &[incarnation, view] : this->views) {
+            if (!ledgerWorkers.contains(incarnation)) {
+                gone.push_back(incarnation);
+            }
+        }
+        std::for_each(gone.begin(), gone.end(), sync);
         std::for_each(ledgerWorkers.begin(), ledgerWorkers.end(), [&sync](const auto &entry) { sync(entry.first); });
     }
     this->syncedUntil = this->state.workerChanges().end();
--- a/paddlepier/execution/drain_test.cpp
+++ b/paddlepier/execution/drain_test.cpp
@@ -5,8 +5,9 @@
 #include <absl/strings/str_cat.h>
 #include <catch2/catch.hpp>
 
+#include <functional>
 #include <map>
-#include <set>
+#include <string>
 
 namespace paddlepier::execution
 {
--- a/paddlepier/execution/failureattribution.cpp
+++ b/paddlepier/execution/failureattribution.cpp
@@ -2,6 +2,8 @@
 
 #include "paddlepier/execution/failureattribution.h"
 
+#include "paddlepier/planning/eligibility.h"
+
 #include <algorithm>
 #include <array>
 
@@ -20,9 +22,6 @@
 
 constexpr std::uint32_t maxBlamedRunsOfTask = 2;
 
-/** Failures of a step without a healthy run that count against one worker: as many as suffice to suspect it. */
-constexpr std::uint32_t maxUnprovenFailures = 2;
-
 } // namespace
 
 const char *nameOf(FailureCause cause)
@@ -41,7 +40,7 @@
     if (hasFailedWidely && failedWorkers > failedWorkersPerHealthyRun * evidence.healthyRuns) {
         return FailureCause::Job;
     }
-    const bool isSaturated = evidence.healthyRuns == 0 && evidence.failuresOnWorker >= maxUnprovenFailures;
+    const bool isSaturated = evidence.healthyRuns == 0 && evidence.failuresOnWorker >= planning::suspectFailureThreshold;
     return failuresOfTask > maxBlamedRunsOfTask || isSaturated ? FailureCause::Unclear : FailureCause::Worker;
 }
 
--- a/paddlepier/execution/suspicion_test.cpp
+++ b/paddlepier/execution/suspicion_test.cpp
@@ -1,12 +1,14 @@
 // Workers under suspicion: which failed runs put a worker under suspicion, and how it is trusted again while lasting tasks run on it.
 
 #include "paddlepier/execution/dispatcherfixture.h"
+#include "paddlepier/planning/eligibility.h"
 
 #include <absl/strings/match.h>
 #include <absl/strings/str_cat.h>
 #include <catch2/catch.hpp>
 
-#include <functional>
+#include <map>
+#include <string>
 
 namespace paddlepier::execution
 {
@@ -52,42 +54,44 @@
         }
     }
 
+    /** True if the jobs named @p prefix and a number below @p count are in @p state. */
+    bool areAll(const std::string &prefix, unsigned int count, work::JobState state) const
+    {
+        for (unsigned int number = 0; number < count; ++number) {
+            if (this->state.findJob(absl::StrCat(prefix, number))->state() != state) {
+                return false;
+            }
+        }
+        return true;
+    }
+
     bool haveFailed(unsigned int jobs, Duration timeout)
     {
-        return this->runUntil(
-            [this, jobs] {
-                for (unsigned int number = 0; number < jobs; ++number) {
-                    if (this->state.findJob(absl::StrCat("hopeless", number))->state() != work::JobState::Failed) {
-                        return false;
-                    }
-                }
-                return true;
-            },
-            timeout);
+        return this->runUntil([this, jobs] { return this->areAll("hopeless", jobs, work::JobState::Failed); }, timeout);
     }
 
     /** Submits jobs of two tasks. @return whether all are completed within @p timeout */
     bool completeJobs(unsigned int jobs, Duration timeout)
     {
-        const int batch = this->batches++;
+        const std::string prefix = absl::StrCat("good", this->batches++, "-");
         for (unsigned int number = 0; number < jobs; ++number) {
-            this->addJob(absl::StrCat("good", batch, "-", number), 2, 300);
+            this->addJob(absl::StrCat(prefix, number), 2, 300);
         }
-        return this->runUntil(
-            [this, jobs, batch] {
-                for (unsigned int number = 0; number < jobs; ++number) {
-                    if (!this->isCompleted(absl::StrCat("good", batch, "-", number))) {
-                        return false;
-                    }
-                }
-                return true;
-            },
-            timeout);
+        return this->runUntil([this, jobs, &prefix] { return this->areAll(prefix, jobs, work::JobState::Completed); }, timeout);
+    }
+
+    /** The only worker fails the runs of two jobs, which stay unfinished, until it is suspect; it goes on failing. */
+    void failUntilSuspect(const std::string &worker)
+    {
+        this->workers.workers[worker].isFailing = true;
+        this->addJob("victim", 1, 200);
+        this->addJob("other", 1, 200);
+        REQUIRE(this->runUntil([this, &worker] { return this->isSuspect(worker); }, absl::Seconds(5)));
     }
 
     bool isSuspect(const std::string &worker) const
     {
-        return this->dispatcher->findView(this->incarnationOf(worker))->consecutiveFailures >= 2;
+        return this->dispatcher->findView(this->incarnationOf(worker))->consecutiveFailures >= planning::suspectFailureThreshold;
     }
 
     std::map<std::string, int> startsByWorker;
@@ -131,10 +135,7 @@
 TEST_CASE_METHOD(SuspicionFixture, "workerThatFailedItsRuns_withALastingTask_isTestedAndTrustedAgain")
 {
     this->begin(1);
-    this->workers.workers["w0"].isFailing = true;
-    this->addJob("victim", 1, 200);
-    this->addJob("other", 1, 200);
-    REQUIRE(this->runUntil([this] { return this->isSuspect("w0"); }, absl::Seconds(5)));
+    this->failUntilSuspect("w0");
     this->workers.workers["w0"].isFailing = false;
     CHECK(this->completeJobs(4, maxUntilTrusted));
     CHECK_FALSE(this->isSuspect("w0"));
@@ -145,10 +146,7 @@
 TEST_CASE_METHOD(SuspicionFixture, "workerThatFailedItsRuns_afterALastingTaskHasSettledThere_isTrustedAgain")
 {
     this->begin(1);
-    this->workers.workers["w0"].isFailing = true;
-    this->addJob("victim", 1, 200);
-    this->addJob("other", 1, 200);
-    REQUIRE(this->runUntil([this] { return this->isSuspect("w0"); }, absl::Seconds(5)));
+    this->failUntilSuspect("w0");
     this->workers.workers["w0"].isFailing = false;
     for (const char *id : {"victim", "other"}) {
         work::CancelJobT cancel;
@@ -163,10 +161,7 @@
 TEST_CASE_METHOD(SuspicionFixture, "workerOnProbation_withALastingTask_getsOneRunAtATime")
 {
     this->begin(1);
-    this->workers.workers["w0"].isFailing = true;
-    this->addJob("victim", 1, 200);
-    this->addJob("other", 1, 200);
-    REQUIRE(this->runUntil([this] { return this->isSuspect("w0"); }, absl::Seconds(5)));
+    this->failUntilSuspect("w0");
     this->addJob("waiting", 3, 200);
     const int before = this->startsByWorker["w0"];
     this->runFor(maxUntilTrusted);
@@ -188,16 +183,7 @@
     for (unsigned int number = 0; number < jobs; ++number) {
         this->addJob(absl::StrCat("job", number), 600 / jobs, 300);
     }
-    CHECK(this->runUntil(
-        [this, jobs] {
-            for (unsigned int number = 0; number < jobs; ++number) {
-                if (!this->isCompleted(absl::StrCat("job", number))) {
-                    return false;
-                }
-            }
-            return true;
-        },
-        absl::Seconds(30)));
+    CHECK(this->runUntil([this, jobs] { return this->areAll("job", jobs, work::JobState::Completed); }, absl::Seconds(30)));
     CHECK(this->isSuspect("w0"));
     CHECK(this->startsByWorker["w0"] - before <= 12);
 }
