--- a/review/standins-3/cell.cpp
+++ b/review/standins-3/cell.cpp
@@ -95,7 +95,7 @@
     std::filesystem::remove_all(this->folder, ignored);
 }
 
-std::string Cell::settingsOf(const Node &node) const
+std::string Cell::settingsOf(const Node &node, bool isFirstStart) const
 {
     const bool isCore = node.role == "core";
     const auto quoted = [](const std::string &host, std::uint16_t port) { return "\"" + host + ":" + std::to_string(port) + "\""; };
@@ -104,8 +104,8 @@
          << "\"\nserves = [\"" << (isCore ? "control" : "front") << "\"]\nip_address = \"" << node.host << "\"\nzone = \"" << node.zone
          << "\"\nregion = \"r\"\ninternal_port_range = [" << this->internalPort << "," << this->internalPort + internalPorts - 1 << "]\nseeds = ["
          << quoted(this->cores[0].host, this->controlPort) << "," << quoted(this->cores[1].host, this->controlPort) << ","
-         << quoted(this->cores[2].host, this->controlPort) << "]\nfirst_start = true\ncounts_as_loss = " << (isCore ? "true" : "false")
-         << "\ndiscovery = \"registry\"\nentry = \"vip\"\nheartbeat_ms = 1500\n"
+         << quoted(this->cores[2].host, this->controlPort) << "]\nfirst_start = " << (isFirstStart ? "true" : "false")
+         << "\ncounts_as_loss = " << (isCore ? "true" : "false") << "\ndiscovery = \"registry\"\nentry = \"vip\"\nheartbeat_ms = 1500\n"
          << "contracts = [\"base\",\"drain\",\"config\",\"cost\",\"recover\",\"sched\",\"advice\",\"upkeep\",\"sharing\"]\n"
          << "config_mode = \"highest\"\norders = \"call\"\nadvice = " << quoted(this->network + "250", this->minionPort) << "\n";
     if (isCore) {
@@ -126,12 +126,12 @@
     return text.str();
 }
 
-void Cell::launch(Node &node) const
+void Cell::launch(Node &node, bool isFirstStart) const
 {
     node.folder = this->folder + "/" + node.host;
     std::filesystem::create_directories(node.folder + "/data");
     const std::string settings = node.folder + "/node.toml";
-    std::ofstream(settings) << this->settingsOf(node);
+    std::ofstream(settings) << this->settingsOf(node, isFirstStart);
     const std::string log = node.folder + "/log";
     const std::string environment = "PADDLEPIER_CONFIG=" + settings;
     node.process = ::fork();
@@ -150,28 +150,50 @@
     }
 }
 
-bool Cell::start()
+void Cell::launchAll()
 {
-    if (::access(program, X_OK) != 0) {
-        return false;
-    }
-    for (Node &node : this->cores) {
-        this->launch(node);
-    }
-    for (Node &node : this->entries) {
-        this->launch(node);
+    for (std::vector<Node> *nodes : {&this->cores, &this->entries}) {
+        for (Node &node : *nodes) {
+            this->launch(node, true);
+        }
     }
-    while (this->record.seconds() < 20) {
-        const Answer answer = call(this->cores[0].host, this->controlPort, {"PUT", "/api/configuration", {}, configuration()}, 1000);
+}
+
+bool Cell::configure(int timeoutMillis)
+{
+    const double end = this->record.seconds() + timeoutMillis / 1000.0;
+    for (std::size_t attempt = 0; this->record.seconds() < end; ++attempt) {
+        const Node &core = this->cores[attempt % this->cores.size()];
+        const Answer answer = call(core.host, this->controlPort, {"PUT", "/api/configuration", {}, configuration()}, 1000);
         if (answer.status == 200) {
             this->record.write("config 1 is confirmed");
             return true;
         }
         std::this_thread::sleep_for(std::chrono::milliseconds(200));
     }
+    this->record.write("config 1 isn't confirmed");
     return false;
 }
 
+bool Cell::start()
+{
+    this->launchAll();
+    return ::access(program, X_OK) == 0 && this->configure(20'000);
+}
+
+void Cell::killCore(std::size_t core)
+{
+    Node &node = this->cores.at(core);
+    ::kill(node.process, SIGKILL);
+    ::waitpid(node.process, nullptr, 0);
+    node.process = -1;
+}
+
+void Cell::restartCore(std::size_t core)
+{
+    this->launch(this->cores.at(core), false);
+}
+
 void Cell::signalEntry(std::size_t entry, int number) const
 {
     ::kill(this->entries.at(entry).process, number);
--- a/review/standins-3/cell.h
+++ b/review/standins-3/cell.h
@@ -33,7 +33,15 @@
 
     /** Starts all processes and sends the first config. @return false if none is confirmed within 20 s */
     bool start();
+    /** Starts all processes without waiting for anything. */
+    void launchAll();
+    /** Sends the first config to one core after the other. @return true if it is confirmed */
+    bool configure(int timeoutMillis);
     void signalEntry(std::size_t entry, int number) const;
+    /** Ends the process of a core with SIGKILL; its folder stays. */
+    void killCore(std::size_t core);
+    /** Starts a core again, with the settings that the platform has then: the whole system doesn't start any more. */
+    void restartCore(std::size_t core);
     /** True while all processes run. */
     bool isWhole() const;
 
@@ -54,8 +62,8 @@
         pid_t process = -1;
     };
 
-    void launch(Node &node) const;
-    std::string settingsOf(const Node &node) const;
+    void launch(Node &node, bool isFirstStart) const;
+    std::string settingsOf(const Node &node, bool isFirstStart) const;
 
     Record &record;
     std::string folder;
