--- a/review/standins-3/minion.cpp
+++ b/review/standins-3/minion.cpp
@@ -18,6 +18,7 @@
 constexpr std::size_t withdrawalAttempts = 4;
 constexpr std::size_t listedEnds = 500;
 constexpr int stepMillis = 5;
+constexpr std::int64_t startupMillis = 500;
 
 void sleepMillis(int millis)
 {
@@ -26,12 +27,13 @@
 
 } // namespace
 
-Minion::Minion(std::string minionId, std::string minionHost, std::uint16_t minionPort, Control controlAddresses, Record &caseRecord)
+Minion::Minion(std::string minionId, std::string minionHost, std::uint16_t minionPort, Control controlAddresses, Record &caseRecord, bool isCutOff)
     : id(std::move(minionId))
     , host(std::move(minionHost))
     , port(minionPort)
     , control(std::move(controlAddresses))
     , record(caseRecord)
+    , isCut(isCutOff)
     , server(std::make_unique<Server>(this->host, this->port, [this](const Message &request) { return this->handle(request); }))
     , heartbeats([this] { this->sendHeartbeats(); })
     , worker([this] { this->work(); })
@@ -82,13 +84,21 @@
 void Minion::sendHeartbeats()
 {
     while (!this->isLeaving && !this->isEnded) {
-        this->sendHeartbeat();
+        if (!this->isCut) {
+            this->sendHeartbeat();
+        }
         for (int waited = 0; waited < heartbeatMillis && !this->isLeaving && !this->isEnded; waited += stepMillis) {
             sleepMillis(stepMillis);
         }
     }
 }
 
+void Minion::setCut(bool isCutOff)
+{
+    this->isCut = isCutOff;
+    this->record.write(this->id + (isCutOff ? " is cut off" : " is reached again"));
+}
+
 void Minion::drain()
 {
     {
@@ -171,6 +181,7 @@
     this->running.erase(found);
     this->settled[task] = std::max(this->settled[task], run);
     this->ended.push_back(Json{++this->endCount, task, run, how, ""});
+    this->runSpans[span].how = how;
     this->runSpans[span].end = this->record.write(this->id + " ends " + task + " run " + std::to_string(run) + ": " + how);
     this->changed.notify_all();
 }
@@ -182,6 +193,9 @@
 
 Answer Minion::handle(const Message &request)
 {
+    if (this->isCut) {
+        return {};
+    }
     const auto expected = request.headers.find("paddlepier-expected-instance");
     if (expected == request.headers.end() || expected->second != this->id) {
         return {421, ""};
@@ -202,6 +216,32 @@
     if (request.path == "/api/hold") {
         return this->hold(order, lock);
     }
+    return this->pace(order);
+}
+
+void Minion::setTail(int aloneMillis, int perFillingMillis)
+{
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    this->tailAlone = aloneMillis;
+    this->tailPerFilling = perFillingMillis;
+}
+
+int Minion::tailMillis() const
+{
+    int tail = this->tailAlone;
+    for (const auto &[task, run] : this->running) {
+        tail += run.fills ? this->tailPerFilling * run.percent / 100 : 0;
+    }
+    return tail;
+}
+
+Answer Minion::pace(const Json &order)
+{
+    const auto found = this->running.find(order["task"]);
+    if (found != this->running.end() && found->second.number == order["run"]) {
+        found->second.percent = order["percent"];
+        this->record.write(this->id + " paces " + found->first + " to " + std::to_string(found->second.percent) + " %");
+    }
     return {200, Json{{"clock_ms", this->clockMillis()}}.dump()};
 }
 
@@ -222,7 +262,9 @@
     if (found != this->running.end() || run <= this->settled[task]) {
         return this->refuse("old");
     }
-    this->running[task] = {run, now, std::stol(order.value("task_spec", "0")), this->runSpans.size()};
+    const std::string specification = order.value("task_spec", "0");
+    const auto is = [&specification](const char *kind) { return specification.find(kind) != std::string::npos; };
+    this->running[task] = {run, now, std::stol(specification), this->runSpans.size(), is("serves"), is("fills")};
     Span span;
     span.task = task;
     span.run = run;
@@ -251,10 +293,15 @@
     std::erase_if(this->ended, [lastSeen](const Json &end) { return end[0].get<std::uint64_t>() <= lastSeen; });
     const auto hasEnds = [this] { return !this->ended.empty() || this->isEnded; };
     this->changed.wait_for(lock, std::chrono::milliseconds(order.value("wait_ms", 0)), hasEnds);
+    if (this->isCut) {
+        return {};
+    }
     Json answer{{"clock_ms", this->clockMillis()}, {"running", Json::array()}, {"ended", Json::array()}};
     for (const auto &[task, run] : this->running) {
-        const std::int64_t percent = run.workMillis == 0 ? 100 : std::min<std::int64_t>(99, 100 * (this->clockMillis() - run.since) / run.workMillis);
-        answer["running"].push_back(Json{task, run.number, "", percent, 0});
+        // A task that lasts is at work after its start-up.
+        const std::int64_t whole = run.workMillis == 0 ? startupMillis : run.workMillis;
+        const std::int64_t percent = std::min<std::int64_t>(run.workMillis == 0 ? 100 : 99, 100 * (this->clockMillis() - run.since) / whole);
+        answer["running"].push_back(Json{task, run.number, "", percent, run.serves ? this->tailMillis() : 100});
     }
     for (std::size_t index = 0; index < std::min(listedEnds, this->ended.size()); ++index) {
         answer["ended"].push_back(this->ended[index]);
--- a/review/standins-3/minion.h
+++ b/review/standins-3/minion.h
@@ -1,6 +1,7 @@
 // A sound minion, as PROTOCOL.md describes it under "Running tasks" and "Service discovery".
 //
-// A task's `task_spec` is its work: a number of milliseconds, or 0 for one that runs until it is stopped.
+// A task's `task_spec` is its work: a number of milliseconds, or 0 for one that runs until it is stopped. After it may stand what the task is:
+// "serves" has a tail of response times, and each "fills" adds to it by its share of speed.
 //
 // Thread safety: all methods from any thread.
 
@@ -35,14 +36,19 @@
 class Minion
 {
 public:
-    Minion(std::string minionId, std::string minionHost, std::uint16_t minionPort, Control controlAddresses, Record &caseRecord);
+    /** @param isCutOff  whether it starts behind a cut */
+    Minion(std::string minionId, std::string minionHost, std::uint16_t minionPort, Control controlAddresses, Record &caseRecord, bool isCutOff = false);
     ~Minion();
 
     Minion(const Minion &) = delete;
     Minion &operator=(const Minion &) = delete;
 
+    /** Behind a cut it runs on; it receives nothing, and nothing that it sends arrives. */
+    void setCut(bool isCutOff);
     /** Reports `draining` until a node confirms it. */
     void drain();
+    /** From now on a task that serves has this tail alone, and so much more for each task that fills at full speed. */
+    void setTail(int aloneMillis, int perFillingMillis);
     /** Ends: everything that runs terminates, and nothing is answered any more. */
     void end();
     /**
@@ -57,6 +63,7 @@
         std::uint32_t run = 0;
         double begin = 0;
         double end = std::numeric_limits<double>::infinity();
+        std::string how = {};
     };
     std::vector<Span> spans();
     bool isRunning();
@@ -69,6 +76,9 @@
         std::int64_t since = 0;
         std::int64_t workMillis = 0;
         std::size_t span = 0;
+        bool serves = false;
+        bool fills = false;
+        int percent = 100; // share of speed
     };
 
     std::int64_t clockMillis() const;
@@ -78,6 +88,8 @@
     Answer handle(const Message &request);
     Answer start(const Json &order);
     Answer stop(const Json &order);
+    Answer pace(const Json &order);
+    int tailMillis() const;
     Answer hold(const Json &order, std::unique_lock<std::mutex> &lock);
     Answer refuse(const char *reason) const;
     void endRun(std::string task, const char *how);
@@ -98,9 +110,12 @@
     std::uint64_t fence = 0;
     std::uint64_t sequence = 0;
     std::int64_t leaseEnd = 0;
+    int tailAlone = 0;
+    int tailPerFilling = 0;
     bool isDraining = false;
     std::atomic<bool> isLeaving{false}; // no more heartbeats
     std::atomic<bool> isEnded{false};
+    std::atomic<bool> isCut{false};
     std::unique_ptr<Server> server;
     std::thread heartbeats;
     std::thread worker;
