--- a/review/standins-3/reborn.cpp
+++ b/review/standins-3/reborn.cpp
@@ -23,6 +23,7 @@
 constexpr double crashAfterCutSeconds = 2.0;
 constexpr double cutSeconds = 5.5;
 constexpr double stepSeconds = 0.01;
+constexpr double lookSeconds = 2;
 
 void sleepSeconds(double seconds)
 {
@@ -48,6 +49,7 @@
         return 2;
     }
     int cut = 0;
+    double nextLook = 0;
     std::string state;
     while (record.seconds() < 60 && state.find("completed") == std::string::npos && state.find("failed") == std::string::npos) {
         for (int seat = 1; hasTrouble && cut < cuts && seat <= minionCount; ++seat) {
@@ -67,10 +69,8 @@
             minion->setCut(false);
         }
         sleepSeconds(stepSeconds);
-        // Seldom, so that the record stays short.
-        static double nextLook = 0;
         if (record.seconds() >= nextLook) {
-            nextLook = record.seconds() + 2;
+            nextLook = record.seconds() + lookSeconds;
             state = cell.submission(0, "GET", submissionId, "", 3000).body;
         }
     }
