--- a/review/standins-3/cell.cpp
+++ b/review/standins-3/cell.cpp
@@ -228,9 +228,9 @@
     return std::make_unique<Minion>(id, this->network + std::to_string(200 + this->minionCount), this->minionPort, this->control(), this->record);
 }
 
-std::unique_ptr<Minion> Cell::restartBehindCut(const std::string &id, int seat)
+std::unique_ptr<Minion> Cell::restartMinion(const std::string &id, int seat)
 {
-    return std::make_unique<Minion>(id, this->network + std::to_string(200 + seat), this->minionPort, this->control(), this->record, true);
+    return std::make_unique<Minion>(id, this->network + std::to_string(200 + seat), this->minionPort, this->control(), this->record);
 }
 
 Answer Cell::submission(std::size_t entry, const std::string &method, const std::string &id, const std::string &body, int timeoutMillis)
--- a/review/standins-3/cell.h
+++ b/review/standins-3/cell.h
@@ -50,8 +50,8 @@
     std::string freeHost() const;
     /** A minion on an address of its own. */
     std::unique_ptr<Minion> addMinion(const std::string &id);
-    /** A new boot at the address of the minion that was added as number @p seat, from 1 on; behind a cut at first. */
-    std::unique_ptr<Minion> restartBehindCut(const std::string &id, int seat);
+    /** A new boot at the address of the minion that was added as number @p seat, from 1 on. */
+    std::unique_ptr<Minion> restartMinion(const std::string &id, int seat);
     /** A client's call for the submission @p id through an entry, recorded. */
     Answer submission(std::size_t entry, const std::string &method, const std::string &id, const std::string &body, int timeoutMillis);
 
