--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -3,7 +3,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review-3
-for program in reborn withdrawal filling cancelled; do
+for program in reborn withdrawal filling; do
     g++ -std=c++20 -O2 -Wall -Wextra -o "target/review-3/$program" "review/standins-3/$program.cpp" \
         review/standins-3/cell.cpp review/standins-3/minion.cpp review/standins-3/wire.cpp -pthread &
     builds+=($!)
