--- a/review/standins-4/gang.cpp
+++ b/review/standins-4/gang.cpp
@@ -45,6 +45,7 @@
     review::System system(record, program);
     const std::vector<std::string> cores{"core-1", "core-2", "core-3"};
     std::vector<std::string> hosts;
+    hosts.reserve(cores.size());
     for (const std::string &name : cores) {
         hosts.push_back(system.add(name, "core").host);
     }
--- a/review/standins-4/minions.cpp
+++ b/review/standins-4/minions.cpp
@@ -53,13 +53,15 @@
 
 } // namespace
 
-Minions::Minions(Record &caseRecord, int minionPort, std::vector<std::string> controlHosts, int operatorPort, std::int64_t workMillis, std::size_t gangSize)
+Minions::Minions(
+    Record &caseRecord, int minionPort, std::vector<std::string> controlHosts, int operatorPort, std::int64_t workMillis, std::size_t gangSize, bool isLasting)
     : record(caseRecord)
     , port(minionPort)
     , controls(std::move(controlHosts))
     , controlPort(operatorPort)
     , work(workMillis)
     , gang(gangSize)
+    , lasts(isLasting)
 {
     this->threads.emplace_back([this] { this->announce(); });
 }
@@ -148,6 +150,16 @@
     return "";
 }
 
+std::size_t Minions::runningTasks()
+{
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    std::size_t count = 0;
+    for (const auto &[host, minion] : this->minions) {
+        count += minion.isUp ? minion.running.size() : 0;
+    }
+    return count;
+}
+
 std::size_t Minions::doneTasks()
 {
     const std::lock_guard<std::mutex> lock(this->mutex);
@@ -207,7 +219,7 @@
             run.saved = savedValue(progress / saveInterval * saveInterval);
         }
     }
-    const bool isDone = isWhole && progress >= this->work;
+    const bool isDone = isWhole && !this->lasts && progress >= this->work;
     if (isDone || !isWhole) {
         for (const auto &[minion, task] : members) {
             this->endRun(*minion, task, isDone ? "done" : "broken");
@@ -220,7 +232,11 @@
     Json list{{"clock_ms", this->clockOf(minion)}, {"running", Json::array()}, {"ended", Json::array()}};
     for (const auto &[task, run] : minion.running) {
         const std::int64_t progress = this->presentRun == run.number ? run.baseMillis + this->record.now() - this->presentSince : run.baseMillis;
-        list["running"].push_back({task, run.number, run.saved, std::min<std::int64_t>(99, progress * 100 / this->work), 500});
+        list["running"].push_back({task,
+                                   run.number,
+                                   run.saved,
+                                   this->lasts ? std::min<std::int64_t>(100, progress / 5) : std::min<std::int64_t>(99, progress * 100 / this->work),
+                                   500});
     }
     for (const Ended &end : minion.ended) {
         list["ended"].push_back({end.number, end.task, end.run, end.how, end.saved});
--- a/review/standins-4/minions.h
+++ b/review/standins-4/minions.h
@@ -31,8 +31,14 @@
 class Minions
 {
 public:
-    /** @param workMillis work of each task; @param gangSize tasks of the one gang */
-    Minions(Record &caseRecord, int minionPort, std::vector<std::string> controlHosts, int controlPort, std::int64_t workMillis, std::size_t gangSize);
+    /** @param workMillis work of each task; @param gangSize tasks of the one gang; @param isLasting they are at work after half a second, and never end */
+    Minions(Record &caseRecord,
+            int minionPort,
+            std::vector<std::string> controlHosts,
+            int controlPort,
+            std::int64_t workMillis,
+            std::size_t gangSize,
+            bool isLasting = false);
     ~Minions();
 
     Minions(const Minions &) = delete;
@@ -47,6 +53,7 @@
     /** The address of a minion that runs a task at work; empty if there is none. */
     std::string findBusy();
     std::size_t doneTasks();
+    std::size_t runningTasks();
 
 private:
     struct Run {
@@ -97,6 +104,7 @@
     const int controlPort;
     const std::int64_t work;
     const std::size_t gang;
+    const bool lasts;
     std::mutex mutex;
     std::map<std::string, Minion> minions;
     std::vector<AcceptedStart> accepted;
