--- a/review/standins-4/minions.h
+++ b/review/standins-4/minions.h
@@ -44,6 +44,8 @@
     Minions(const Minions &) = delete;
     Minions &operator=(const Minions &) = delete;
 
+    /** The tasks work by themselves, each for the time that @p workOfTask tells; no gang. Call it before add(). */
+    void setWork(std::function<std::int64_t(const std::string &task)> workOfTask, int milliProcessors);
     void add(const std::string &host);
     /** The minion ends without a word, with all that it runs. */
     void crash(const std::string &host);
@@ -60,7 +62,7 @@
         int number = 0;
         std::int64_t baseMillis = 0;
         std::string saved;
-        bool isStopping = false;
+        std::int64_t startedAt = 0;
     };
     struct Ended {
         std::int64_t number = 0;
@@ -111,6 +113,8 @@
     std::int64_t presentSince = 0;
     int presentRun = 0;
     std::size_t done = 0;
+    std::function<std::int64_t(const std::string &task)> workOf;
+    int capacity = 1000;
     std::atomic<bool> stopping{false};
     std::vector<std::thread> threads;
     std::vector<std::thread> channels;
