--- a/review/standins-4/system.cpp
+++ b/review/standins-4/system.cpp
@@ -6,6 +6,7 @@
 #include <fcntl.h>
 #include <netinet/in.h>
 #include <poll.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -232,6 +233,8 @@
     const std::string metrics = machine.role == "core" ? "9401" : "9402";
     machine.pid = ::fork();
     if (machine.pid == 0) {
+        // It doesn't outlive the case, however that ends.
+        ::prctl(PR_SET_PDEATHSIG, SIGKILL);
         const int output = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
         ::dup2(output, STDOUT_FILENO);
         ::dup2(output, STDERR_FILENO);
