--- a/review/build-4.sh
+++ b/review/build-4.sh
@@ -5,6 +5,6 @@
 cd "$(dirname "$0")/.."
 out=target/review-4
 mkdir -p "$out"
-for program in replacement starve cancel; do
-    g++ -std=c++20 -O2 -Wall -Wextra -pthread -o "$out/$program" "review/standins-4/$program.cpp" review/standins-4/system.cpp review/standins-4/minions.cpp
+for program in replacement; do
+    g++ -std=c++20 -O2 -Wall -Wextra -pthread -o "$out/$program" "review/standins-4/$program.cpp" review/standins-4/system.cpp
 done
