A learner with a slower disk replaces a lost voter under load too

What callers see: after one core is lost for good, its successor stays a learner for as long as commands keep coming; the next loss then ends the group, and nothing acknowledged can be read.

Cause: Admission::admit() asked for matchOf(learner) >= commitIndex at the moment of a tick. A command is committed by the two fastest replicas, so that a learner whose disk is slower than theirs is always some commands short of it, however healthy.

Evidence: found while the property over planned replacements was written. In virtual time a learner with writes of 120 ms beside 25 commands a second isn't made a voter in 6 s; its log lacks only what is on its way. Ruled out: a learner that is still catching up.

Change: Replica::isCaughtUp(): a member also counts that has been sent every committed entry and has stored entries for an election timeout without falling silent. That is safe, since the membership entry stands behind those entries: it commits only when a majority of the new voters has stored everything before it.

Red before: learnerWithSlowDisk_underLoad_replacesLostVoter failed with the old comparison, and passes.

--- a/paddlepier/consensus/admission.cpp
+++ b/paddlepier/consensus/admission.cpp
@@ -106,8 +106,9 @@
         this->proposeChange(replica, next, Step::Learns, candidate, now);
         return false;
     }
-    // A replica that votes before it holds the whole log durably would make the group wait for it.
-    if (replica.matchOf(candidate) < replica.commitIndex()) {
+    // A replica that votes long before it holds the whole log durably would make the group wait for it. What is on its way needn't be awaited, or
+    // under load a replica never votes: the change commits only once a majority of the new voters holds everything before it.
+    if (!replica.isCaughtUp(candidate, now)) {
         return false;
     }
     const std::string replaced = this->voterToReplace(replica, instance, candidate, now);
--- a/paddlepier/consensus/admission_test.cpp
+++ b/paddlepier/consensus/admission_test.cpp
@@ -8,9 +8,11 @@
 #include <absl/strings/str_cat.h>
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <random>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace paddlepier::consensus
 {
@@ -136,6 +138,33 @@
     }
 }
 
+// Guards against a learner that never votes under load, since each command is committed before its slower disk has stored it.
+TEST_CASE_METHOD(AdmissionFixture, "learnerWithSlowDisk_underLoad_replacesLostVoter")
+{
+    FakeGroupFaults assumptions;
+    assumptions.limits = makeAssumptions(false).limits;
+    FakeGroup group(4, {}, 1, assumptions);
+    const auto voters = [&group] { return group.replica(group.leader().value())->membership().voters; };
+    const auto isVoter = [&](std::uint32_t member) {
+        const std::vector<std::string> names = voters();
+        return std::any_of(names.begin(), names.end(), [member](const std::string &voter) { return instanceOf(voter) == absl::StrCat("m", member); });
+    };
+    std::uint32_t learner = 0;
+    std::uint32_t lost = group.leader() == 0U ? 1 : 0;
+    while (isVoter(learner)) {
+        ++learner;
+    }
+    while (!isVoter(lost) || group.leader() == lost) {
+        ++lost;
+    }
+    group.step({Fault::SlowDisk, learner});
+    group.step({Fault::Crash, lost});
+    for (int step = 0; step < 150 && !isVoter(learner); ++step) {
+        group.step({Fault::Propose, 0, 3});
+    }
+    CHECK(isVoter(learner));
+}
+
 TEST_CASE_METHOD(AdmissionFixture, "leader_reelected_discardsEarlierAdmissionRequests")
 {
     constexpr std::uint64_t seed = 333;
--- a/paddlepier/consensus/fakegroup.h
+++ b/paddlepier/consensus/fakegroup.h
@@ -76,6 +76,8 @@
     void recoverAndVerify();
     /** The first violated guarantee, if any. */
     const std::optional<std::string> &violation() const;
+    /** @return the member with a caught-up leader; no value while there is none */
+    std::optional<std::size_t> leader() const;
 
 private:
     struct Write {
--- a/paddlepier/consensus/fakegroup_test.cpp
+++ b/paddlepier/consensus/fakegroup_test.cpp
@@ -366,6 +366,13 @@
     }
 }
 
+std::optional<std::size_t> FakeGroup::leader() const
+{
+    const auto leads = [](const Member &member) { return member.replica && member.replica->isCaughtUpLeader(); };
+    const auto found = std::find_if(this->members.begin(), this->members.end(), leads);
+    return found == this->members.end() ? std::nullopt : std::optional<std::size_t>(found - this->members.begin());
+}
+
 void FakeGroup::checkLeases()
 {
     std::size_t leased = 0;
--- a/paddlepier/consensus/replica.h
+++ b/paddlepier/consensus/replica.h
@@ -221,6 +221,11 @@
     bool hasPendingMembership() const;
     /** As leader: true if a majority of @p voters, which may differ from the current ones, has answered within the last heartbeats. */
     bool isInContactWithMajorityOf(const std::vector<std::string> &voters, Timestamp now) const;
+    /**
+     * As leader: true if @p member stores every committed entry, or has been sent all of them and has stored entries for an election timeout
+     * without falling silent. A member with a slower disk than the others is always some entries short of the newest commit.
+     */
+    bool isCaughtUp(const std::string &member, Timestamp now) const;
     /** As leader: the index up to which @p replica is known to be durable. */
     Index matchOf(const std::string &replica) const;
     /** As leader: when @p replica last answered, or when this replica became leader if it hasn't since; @p now for itself. */
@@ -247,6 +252,8 @@
         AppendWindow inFlight;
         /** True until the last common entry of the follower's log and this one is known. */
         bool probing = true;
+        /** When the follower first accepted a message since it was last silent. */
+        Timestamp acceptsSince = absl::InfiniteFuture();
         Timestamp lastSent;
         /** Send time of the newest append that the follower answered, by this replica's clock. */
         Timestamp lastAckSentAt = absl::InfinitePast();
--- a/paddlepier/consensus/replication.cpp
+++ b/paddlepier/consensus/replication.cpp
@@ -99,6 +99,17 @@
     return found == this->progresses.end() ? 0 : found->second.match;
 }
 
+bool Replica::isCaughtUp(const std::string &member, Timestamp now) const
+{
+    const auto found = this->progresses.find(member);
+    if (found == this->progresses.end()) {
+        return false;
+    }
+    const Progress &progress = found->second;
+    const bool keepsUp = !progress.probing && progress.next > this->committedIndex && now - progress.acceptsSince >= this->settings.electionTimeout;
+    return keepsUp || progress.match >= this->committedIndex;
+}
+
 Timestamp Replica::lastReplyOf(const std::string &replica, Timestamp now) const
 {
     const auto found = this->progresses.find(replica);
@@ -169,6 +180,7 @@
     if (heartbeat && !progress.silentSince && progress.inFlight.size() > 0
         && now - progress.lastHeard > maxMissedHeartbeats * this->settings.heartbeatInterval) {
         progress.silentSince = toMicros(now);
+        progress.acceptsSince = absl::InfiniteFuture();
         progress.probing = true;
     }
     if (progress.silentSince) {
@@ -362,6 +374,7 @@
     if (reply.accepted) {
         progress.match = std::max(progress.match, reply.matchIndex);
         progress.next = std::max(progress.next, progress.match + 1);
+        progress.acceptsSince = std::min(progress.acceptsSince, now);
         progress.probing = false;
         this->advanceCommit();
     } else if (reply.matchIndex >= progress.match) {
