A leader hands over the entries that its successor lacks

What callers see: a planned stop of the leader while another core is down leaves the group without a leader for seconds, if a command came in just before: configurations and jobs aren't accepted, reads get 503.

Cause: Replica::transferLeadership() sent the order to take over without the entries that the target lacks. Those proposed since the last flush are never sent, since the leader steps down at once. The leader's log is then longer than the target's, so that it refuses its vote; with the third voter down the target needs it. Neither wins, and they wait for each other's elections.

Evidence: found with the tests of a leave, where a leaving leader with one voter down, or with the one learner that replaces it, wasn't followed within the 4 s of the stop. In virtual time a hand-over right after a proposal, with one of three voters down, gives no leader within 4 s.

Change: the message carries the entries after the target's last known one, up to 1 MiB. A follower whose commit index is past the message's previous entry now stores what follows its committed entries, instead of dropping the message's entries.

--- a/paddlepier/consensus/fakegroup.h
+++ b/paddlepier/consensus/fakegroup.h
@@ -41,7 +41,10 @@
     HandOver,
     /** One member loses its disk, and all others lose power at the same moment. */
     LoseDiskAndPower,
-    MAX = LoseDiskAndPower
+    MAX = LoseDiskAndPower,
+    // Not drawn at random, so that recorded seeds keep their scenarios.
+    /** A leader hands over before it has sent the command that it has just proposed. */
+    ProposeAndHandOver
 };
 
 /** Assumptions about the environment that a test breaks, to show that the violation is detected. */
--- a/paddlepier/consensus/fakegroup_test.cpp
+++ b/paddlepier/consensus/fakegroup_test.cpp
@@ -224,6 +224,9 @@
     case Fault::LoseDiskAndPower:
         this->loseDiskAndPower(first);
         break;
+    case Fault::ProposeAndHandOver:
+        this->proposeAtLeaders();
+        [[fallthrough]];
     case Fault::HandOver:
         if (member.replica && !member.frozen) {
             member.replica->transferLeadership(this->clockOf(member));
--- a/paddlepier/consensus/replica.cpp
+++ b/paddlepier/consensus/replica.cpp
@@ -402,6 +402,10 @@
     request.previousTerm = this->termAt(request.previousIndex).value_or(0);
     request.commit = std::min(this->committedIndex, request.previousIndex);
     request.handOver = true;
+    // A target without the newest entries would get no vote of this replica, which it may need while another voter is down.
+    if (request.previousIndex >= this->baseIndex) {
+        this->addEntries(request, this->settings.handOverBytes);
+    }
     this->sendNow(*best, std::move(request));
     this->becomeFollower(this->hardState.term, "");
     this->resetElectionTimer(now);
--- a/paddlepier/consensus/replica.h
+++ b/paddlepier/consensus/replica.h
@@ -78,6 +78,8 @@
     Duration restartPreVoteInterval = absl::Milliseconds(30);
     std::uint32_t driftPerMille = 10;
     std::size_t appendBytes = std::size_t{256} * 1024;
+    /** Approximate limit of the entries in the message by which a leader hands over. */
+    std::size_t handOverBytes = std::size_t{1024} * 1024;
     std::size_t chunkBytes = std::size_t{256} * 1024;
     /** Maximum number of unanswered append messages per follower. */
     std::size_t pipelineDepth = 16;
@@ -313,6 +315,8 @@
     void broadcast(Timestamp now, bool heartbeat);
     void sendAppend(Timestamp now, const std::string &to, Progress &progress, bool heartbeat);
     wire::AppendRequestT makeAppend(Timestamp now, Index previousIndex) const;
+    /** Adds the entries after @p request's previous one, until they exceed @p maxBytes. */
+    void addEntries(wire::AppendRequestT &request, std::size_t maxBytes) const;
     void sendEntries(Timestamp now, const std::string &to, Progress &progress);
     /** Sends a heartbeat, whose answer tells whether the follower holds the entry before the next one. */
     void sendEmptyAppend(Timestamp now, const std::string &to, Progress &progress);
--- a/paddlepier/consensus/replication.cpp
+++ b/paddlepier/consensus/replication.cpp
@@ -224,12 +224,7 @@
 void Replica::sendEntries(Timestamp now, const std::string &to, Progress &progress)
 {
     wire::AppendRequestT request = this->makeAppend(now, progress.next - 1);
-    std::size_t bytes = 0;
-    for (Index index = progress.next; index <= this->lastIndex() && bytes < this->settings.appendBytes; ++index) {
-        const wire::LogRecordT &entry = this->entryAt(index);
-        bytes += weightOf(entry);
-        request.entries.push_back(std::make_unique<wire::LogRecordT>(entry));
-    }
+    this->addEntries(request, this->settings.appendBytes);
     if (!progress.probing) {
         progress.next += request.entries.size();
     }
@@ -238,6 +233,16 @@
     this->sendNow(to, std::move(request));
 }
 
+void Replica::addEntries(wire::AppendRequestT &request, std::size_t maxBytes) const
+{
+    std::size_t bytes = 0;
+    for (Index index = request.previousIndex + 1; index <= this->lastIndex() && bytes < maxBytes; ++index) {
+        const wire::LogRecordT &entry = this->entryAt(index);
+        bytes += weightOf(entry);
+        request.entries.push_back(std::make_unique<wire::LogRecordT>(entry));
+    }
+}
+
 void Replica::sendEmptyAppend(Timestamp now, const std::string &to, Progress &progress)
 {
     // A follower whose next entry is only in the snapshot rejects this, or has caught up meanwhile.
@@ -275,9 +280,10 @@
     reply.term = this->hardState.term;
     const std::optional<Term> previousTerm = this->termAt(request.previousIndex);
     if (request.previousIndex < this->committedIndex) {
-        // Committed entries are equal on both sides; the leader continues from there.
+        // Committed entries are equal on both sides; what follows them in the message continues this log.
+        std::erase_if(request.entries, [this](const auto &entry) { return entry->index <= this->committedIndex; });
         reply.accepted = true;
-        reply.matchIndex = this->committedIndex;
+        reply.matchIndex = std::max(this->committedIndex, this->storeEntries(request.entries));
     } else if (!previousTerm || *previousTerm != request.previousTerm) {
         reply.matchIndex = std::min(this->lastIndex(), request.previousIndex - 1);
     } else {
