A core that stops is replaced as a voter before it ends

For 20 s reads of the acknowledged configuration get 503, and GETs of the accepted submission 504.

Cause: a voter that gets SIGTERM hands over its leadership and ends in 20 ms, but keeps its vote until it has been silent for 2.5 s. Until then the group has three voters of which one is gone; one more loss leaves one of three, beside a learner that stores the whole log and can't vote.

Change: a leaving replica announces its leave to all others until the leader has added a learner in its place and demoted it, or answers that none can replace it (consensus/leave.h, Admission::replaceLeavingVoter()). The learner comes first: with the leaving voter up, neither order has a span in which one loss ends the group. Without a learner nothing changes, since SIGTERM is also a restart. Silence stays the fallback. Leadership isn't handed to a voter that leaves. The wait ends after two thirds of the platform's grace time. Silent learners are dropped with the next admission, so that replacements don't pile up. A request from a build without the new field, or to one, is handled as before.

--- a/paddlepier/cluster/coreprocess.cpp
+++ b/paddlepier/cluster/coreprocess.cpp
@@ -31,8 +31,8 @@
 /** A voter that is unresponsive for this long may be replaced; it is longer than the restart of a process. */
 constexpr Duration voterReplacementDelay = absl::Milliseconds(2500);
 
-/** Longest wait of a graceful stop for another leader and for pending calls. */
-constexpr Duration stopTimeout = absl::Seconds(2);
+/** Share of the termination grace that a stop may wait for another leader, a successor as a voter and pending calls; servers and disk need the rest. */
+constexpr double stopWaitShare = 2.0 / 3;
 
 constexpr Duration loadReportInterval = absl::Seconds(1);
 
@@ -445,16 +445,15 @@
 
 void CoreProcess::stopGracefully()
 {
-    const Timestamp end = controlNow() + stopTimeout;
-    this->node->transferLeadership(controlNow());
-    const auto hasHandedOver = [this] {
-        const bool hasOtherLeader = !this->node->replica().isLeader() && !this->node->replica().leader().empty();
-        return hasOtherLeader && this->leader->pendingCalls() == 0 && this->relayedCalls == 0;
-    };
-    while (controlNow() < end && !hasHandedOver()) {
+    const Timestamp end = controlNow() + stopWaitShare * this->coreOptions.terminationGrace;
+    this->node->leave();
+    const auto hasEnded = [this] { return this->node->hasLeft(controlNow()) && this->leader->pendingCalls() == 0 && this->relayedCalls == 0; };
+    while (controlNow() < end && !hasEnded()) {
         this->step(tickInterval);
     }
-    log::info("cluster", "stopped", {{"instance", this->options.settings.id}, {"calls", this->leader->pendingCalls()}});
+    log::info("cluster",
+              "stopped",
+              {{"instance", this->options.settings.id}, {"calls", this->leader->pendingCalls()}, {"hasLeft", this->node->hasLeft(controlNow())}});
 }
 
 } // namespace paddlepier::cluster
--- a/paddlepier/cluster/coreprocess.h
+++ b/paddlepier/cluster/coreprocess.h
@@ -31,6 +31,8 @@
     bool mayBootstrap = false;
     /** Number of voters: twice the number of tolerated disk losses, plus one. */
     std::size_t voters = 3;
+    /** Time that a graceful stop may take. */
+    Duration terminationGrace = absl::Seconds(3);
 };
 
 /** Cumulative time of the control thread by activity, and the number of its steps. */
--- a/paddlepier/consensus/admission.cpp
+++ b/paddlepier/consensus/admission.cpp
@@ -62,6 +62,63 @@
 void Admission::request(const std::string &instance, const std::string &replica)
 {
     this->pendingRequests[instance] = replica;
+    this->leaveAnnouncements.erase(replica);
+}
+
+void Admission::recordLeave(const std::string &replica, Timestamp now)
+{
+    std::erase_if(this->leaveAnnouncements, [this, now](const auto &entry) { return now - entry.second > this->limits.voterTimeout; });
+    this->leaveAnnouncements[replica] = now;
+}
+
+bool Admission::isLeaving(const Replica &replica, const std::string &name, Timestamp now) const
+{
+    const auto found = this->leaveAnnouncements.find(name);
+    if (found == this->leaveAnnouncements.end() || now - found->second > this->limits.voterTimeout) {
+        return false;
+    }
+    const Timestamp lastReply = replica.lastReplyOf(name, now);
+    const bool hasAnsweredThisLeader = !replica.isLeader() || lastReply > replica.leaderSince();
+    return !hasAnsweredThisLeader || lastReply - found->second < leaveRenewalTimeout;
+}
+
+std::vector<std::string> Admission::leavingVoters(const Replica &replica, Timestamp now) const
+{
+    std::vector<std::string> leaving;
+    for (const std::string &voter : replica.membership().voters) {
+        if (this->isLeaving(replica, voter, now)) {
+            leaving.push_back(voter);
+        }
+    }
+    return leaving;
+}
+
+bool Admission::hasStayingVoterBeside(const Replica &replica, const std::string &self, Timestamp now) const
+{
+    const std::vector<std::string> &voters = replica.membership().voters;
+    const auto stays = [&](const std::string &voter) { return voter != self && !this->isLeaving(replica, voter, now); };
+    return containsName(voters, self) && std::any_of(voters.begin(), voters.end(), stays);
+}
+
+bool Admission::hasStayingMember(const Replica &replica, const std::string &self, Timestamp now) const
+{
+    const wire::MembershipT &members = replica.membership();
+    const auto stays = [&](const std::string &name) { return name != self && replica.isInContactWith(name, now) && !this->isLeaving(replica, name, now); };
+    return std::any_of(members.voters.begin(), members.voters.end(), stays) || std::any_of(members.learners.begin(), members.learners.end(), stays);
+}
+
+wire::LeaveStatus Admission::leaveStatusOf(const Replica &replica, const std::string &name, Timestamp now) const
+{
+    // A new leader may need the leaving replica to commit the entries of its predecessor.
+    if (!replica.isCaughtUpLeader()) {
+        return wire::LeaveStatus::NotLeader;
+    }
+    const wire::MembershipT &members = replica.membership();
+    const auto mayReplace = [&](const std::string &learner) { return this->isSuccessor(replica, learner, now); };
+    const bool hasSuccessor = containsName(members.voters, name) && std::any_of(members.learners.begin(), members.learners.end(), mayReplace);
+    // A change that is still uncommitted may be lost with this leader.
+    const bool isChanging = replica.hasPendingMembership() || members.voters.size() > this->limits.maxVoters;
+    return hasSuccessor || isChanging ? wire::LeaveStatus::AwaitsSuccessor : wire::LeaveStatus::Settled;
 }
 
 void Admission::advance(Replica &replica, Timestamp now)
@@ -72,6 +129,7 @@
         return;
     }
     this->demoteSurplus(replica, now);
+    this->replaceLeavingVoter(replica, now);
     for (auto entry = this->pendingRequests.begin(); entry != this->pendingRequests.end();) {
         if (!replica.isCaughtUpLeader() || replica.hasPendingMembership()) {
             return;
@@ -86,22 +144,66 @@
     if (!hasSurplus || !replica.isCaughtUpLeader() || replica.hasPendingMembership()) {
         return;
     }
+    const std::vector<std::string> leaving = this->leavingVoters(replica, now);
+    if (containsName(leaving, replica.leader())) {
+        return; // It hands over, and the next leader demotes it.
+    }
     wire::MembershipT next = replica.membership();
-    std::string surplus = this->unresponsiveVoter(replica, now);
+    std::string surplus = leaving.empty() ? this->unresponsiveVoter(replica, now) : leaving.front();
     surplus = surplus.empty() ? this->voterInLargestDataCentre(replica) : surplus;
     eraseName(next.voters, surplus);
     next.learners.push_back(surplus);
     this->proposeChange(replica, next, Step::Removed, surplus, now);
 }
 
+void Admission::replaceLeavingVoter(Replica &replica, Timestamp now) const
+{
+    wire::MembershipT next = replica.membership();
+    if (next.voters.size() > this->limits.maxVoters || !replica.isCaughtUpLeader() || replica.hasPendingMembership()) {
+        return;
+    }
+    const std::vector<std::string> leaving = this->leavingVoters(replica, now);
+    const std::string successor = leaving.empty() ? "" : this->successorOf(replica, leaving.front(), now);
+    if (!successor.empty()) {
+        eraseName(next.learners, successor);
+        next.voters.push_back(successor);
+        this->proposeChange(replica, next, Step::Votes, successor, now);
+    }
+}
+
+bool Admission::isSuccessor(const Replica &replica, const std::string &learner, Timestamp now) const
+{
+    // A new replica of an instance whose older one still votes replaces that one.
+    const bool replacesOlder = !olderReplica(replica.membership().voters, instanceOf(learner), learner).empty();
+    return !replacesOlder && replica.isInContactWith(learner, now) && !this->isLeaving(replica, learner, now);
+}
+
+std::string Admission::successorOf(const Replica &replica, const std::string &leaving, Timestamp now) const
+{
+    std::map<std::string, std::vector<std::string>> voters = this->votersByDataCentre(replica);
+    eraseName(voters[this->limits.dataCentreOf(instanceOf(leaving))], leaving);
+    std::string best;
+    std::size_t fewest = std::numeric_limits<std::size_t>::max();
+    for (const std::string &learner : replica.membership().learners) {
+        const std::size_t neighbours = voters[this->limits.dataCentreOf(instanceOf(learner))].size();
+        if (neighbours < fewest && replica.isCaughtUp(learner, now) && this->isSuccessor(replica, learner, now)) {
+            best = learner;
+            fewest = neighbours;
+        }
+    }
+    return best;
+}
+
 bool Admission::admit(Replica &replica, const std::string &instance, const std::string &candidate, Timestamp now) const
 {
     wire::MembershipT next = replica.membership();
-    if (containsName(next.voters, candidate)) {
+    if (containsName(next.voters, candidate) || this->isLeaving(replica, candidate, now)) {
         return true;
     }
     if (!containsName(next.learners, candidate)) {
         eraseName(next.learners, olderReplica(next.learners, instance, candidate));
+        // Voters that were replaced before they stopped stay as learners until then.
+        std::erase_if(next.learners, [&](const std::string &learner) { return this->isSilent(replica, learner, now); });
         next.learners.push_back(candidate);
         this->proposeChange(replica, next, Step::Learns, candidate, now);
         return false;
@@ -171,11 +273,16 @@
     return found;
 }
 
+bool Admission::isSilent(const Replica &replica, const std::string &name, Timestamp now) const
+{
+    const Timestamp lastReply = replica.lastReplyOf(name, now);
+    return lastReply != absl::InfinitePast() && now - lastReply > this->limits.voterTimeout;
+}
+
 std::string Admission::unresponsiveVoter(const Replica &replica, Timestamp now) const
 {
     const std::vector<std::string> &voters = replica.membership().voters;
-    const auto isUnresponsive = [&](const std::string &voter) { return now - replica.lastReplyOf(voter, now) > this->limits.voterTimeout; };
-    const auto found = std::find_if(voters.begin(), voters.end(), isUnresponsive);
+    const auto found = std::find_if(voters.begin(), voters.end(), [&](const std::string &voter) { return this->isSilent(replica, voter, now); });
     return found == voters.end() ? "" : *found;
 }
 
--- a/paddlepier/consensus/fakegroup.h
+++ b/paddlepier/consensus/fakegroup.h
@@ -1,7 +1,7 @@
 // Test fake: a group of real replicas in one thread, with a fake network and fake disks in virtual time.
 //
 // Faults: loss, duplication, delay and reordering of messages, one-way and two-way cuts, freezes, crashes that lose
-// unsynced data (or part of it), lost disks, slow disks and clocks that run at different rates. An oracle checks every
+// unsynced data (or part of it), lost disks, slow disks and clocks that run at different rates; and planned stops. An oracle checks every
 // step and records the first violated guarantee as text.
 //
 // Thread safety: none. Used by replica_test.cpp and admission_test.cpp only.
@@ -10,6 +10,7 @@
 #define PADDLEPIER_CONSENSUS_FAKEGROUP_H
 
 #include "paddlepier/consensus/admission.h"
+#include "paddlepier/consensus/leave.h"
 #include "paddlepier/consensus/replica.h"
 
 #include <cstdint>
@@ -43,6 +44,10 @@
     LoseDiskAndPower,
     MAX = LoseDiskAndPower,
     // Not drawn at random, so that recorded seeds keep their scenarios.
+    /** A member is asked to stop, and ends once its leave is settled. */
+    Leave,
+    /** A new replica of the member is started with an empty disk. */
+    StartEmpty,
     /** A leader hands over before it has sent the command that it has just proposed. */
     ProposeAndHandOver
 };
@@ -55,6 +60,8 @@
     bool clocksStopWhileFrozen = false;
     /** A voter that was removed while unreachable requests admission once it has had no contact with a leader for some time. */
     bool removedVotersRequestAdmission = true;
+    /** A member that is asked to stop announces its leave. Otherwise it only hands over, and its silence has to tell the others. */
+    bool announcesLeave = true;
     /** Number of voters, and data centres of the instances. */
     Admission::Limits limits = {};
 };
@@ -79,9 +86,14 @@
     void recoverAndVerify();
     /** The first violated guarantee, if any. */
     const std::optional<std::string> &violation() const;
+    /** Proposes at the leaders until a command of these is committed. @return false if none is within @p timeout */
+    bool commitsWithin(Duration timeout);
     /** @return the member with a caught-up leader; no value while there is none */
     std::optional<std::size_t> leader() const;
 
+    /** Time after which a member that was asked to stop ends, settled or not. */
+    static constexpr Duration stopTimeout = absl::Seconds(4);
+
 private:
     struct Write {
         Timestamp due;
@@ -101,6 +113,9 @@
         Index applied = 0;
         Timestamp leaderSeenAt = absl::InfinitePast();
         std::uint32_t generation = 0;
+        /** Set while the member has been asked to stop. */
+        std::unique_ptr<Leave> leave;
+        Timestamp stopBy;
     };
     struct Message {
         Timestamp due;
@@ -115,6 +130,9 @@
     void tickAll();
     /** Requests admission from every reachable leader, as ReplicaNode does. */
     void requestAdmission(std::size_t index);
+    void beginLeave(std::size_t index);
+    /** Announces the leave to every reachable member, as ReplicaNode does; ends the member once it is settled. */
+    void advanceLeave(std::size_t index);
     void deliver();
     void processMember(std::size_t index);
     void finishWrites(std::size_t index);
@@ -144,6 +162,7 @@
     std::set<std::pair<std::size_t, std::size_t>> cuts;
     std::uint32_t lossPercent = 0;
     std::uint64_t nextCommand = 1;
+    std::uint64_t newestCommitted = 0;
     // The oracle: content of the committed entries by index.
     std::map<Index, std::string> committed;
     std::optional<std::string> firstViolation;
--- a/paddlepier/consensus/fakegroup_test.cpp
+++ b/paddlepier/consensus/fakegroup_test.cpp
@@ -4,7 +4,9 @@
 
 #include "paddlepier/wire/codec.h"
 
+#include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
+#include <absl/strings/strip.h>
 
 #include <algorithm>
 #include <utility>
@@ -118,6 +120,7 @@
     }
     member.writes.clear();
     member.replica.reset();
+    member.leave.reset();
     member.frozen = false;
 }
 
@@ -224,6 +227,12 @@
     case Fault::LoseDiskAndPower:
         this->loseDiskAndPower(first);
         break;
+    case Fault::Leave:
+        this->beginLeave(first);
+        break;
+    case Fault::StartEmpty:
+        this->restartWithEmptyDisk(first);
+        break;
     case Fault::ProposeAndHandOver:
         this->proposeAtLeaders();
         [[fallthrough]];
@@ -261,9 +270,49 @@
         if (member.slowDisk && !member.writes.empty()) {
             member.replica->confirmLeader();
         }
-        this->requestAdmission(index);
-        member.admission->advance(*member.replica, this->clockOf(member));
-        this->processMember(index);
+        member.leave ? this->advanceLeave(index) : this->requestAdmission(index);
+        if (member.replica) {
+            member.admission->advance(*member.replica, this->clockOf(member));
+            this->processMember(index);
+        }
+    }
+}
+
+void FakeGroup::beginLeave(std::size_t index)
+{
+    Member &member = this->members[index];
+    if (!member.replica || member.leave) {
+        return;
+    }
+    member.leave = std::make_unique<Leave>(member.identity);
+    member.leave->begin();
+    member.stopBy = this->now + stopTimeout;
+}
+
+void FakeGroup::advanceLeave(std::size_t index)
+{
+    Member &member = this->members[index];
+    const Timestamp at = this->clockOf(member);
+    const bool isDue = this->faults.announcesLeave && member.leave->isAnnouncementDue(at);
+    if (isDue) {
+        member.admission->recordLeave(member.identity, at);
+    }
+    for (std::size_t other = 0; isDue && other < this->members.size(); ++other) {
+        Member &peer = this->members[other];
+        if (other == index || !peer.replica || peer.frozen || this->cuts.contains({index, other})) {
+            continue;
+        }
+        peer.admission->recordLeave(member.identity, this->clockOf(peer));
+        if (!this->cuts.contains({other, index})) {
+            const wire::LeaveStatus status = peer.admission->leaveStatusOf(*peer.replica, member.identity, this->clockOf(peer));
+            member.leave->recordStatus(*member.replica, absl::StrCat("m", other), status);
+        }
+    }
+    member.replica->transferLeadership(at, member.admission->leavingVoters(*member.replica, at));
+    const bool isHandedOver = !member.replica->isLeader() && !member.replica->leader().empty();
+    const bool isSettled = this->faults.announcesLeave ? member.leave->isSettled(*member.replica, *member.admission, at) : isHandedOver;
+    if (isSettled || this->now >= member.stopBy) {
+        this->crash(index);
     }
 }
 
@@ -366,7 +415,21 @@
         if (!isNew && known->second != contentOf(entry)) {
             this->fail(absl::StrCat("two different entries were committed at ", entry.index));
         }
+        std::uint64_t command = 0;
+        if (entry.kind == wire::EntryKind::Command && absl::SimpleAtoi(absl::StripPrefix(wire::toString(entry.data), "command-"), &command)) {
+            this->newestCommitted = std::max(this->newestCommitted, command);
+        }
+    }
+}
+
+bool FakeGroup::commitsWithin(Duration timeout)
+{
+    const std::uint64_t first = this->nextCommand;
+    for (const Timestamp end = this->now + timeout; this->now < end && this->newestCommitted < first;) {
+        this->proposeAtLeaders();
+        this->run(stepTime);
     }
+    return this->newestCommitted >= first;
 }
 
 std::optional<std::size_t> FakeGroup::leader() const
--- a/paddlepier/consensus/replica.cpp
+++ b/paddlepier/consensus/replica.cpp
@@ -237,9 +237,7 @@
 {
     std::size_t responsive = 1;
     for (const auto &[member, progress] : this->progresses) {
-        if (this->isVoter(member) && now - progress.lastHeard < 2 * this->settings.electionTimeout) {
-            ++responsive;
-        }
+        responsive += this->isVoter(member) && this->isInContactWith(member, now) ? 1 : 0;
     }
     if (responsive >= this->quorum()) {
         return false;
@@ -379,7 +377,7 @@
     return true;
 }
 
-bool Replica::transferLeadership(Timestamp now)
+bool Replica::transferLeadership(Timestamp now, const std::vector<std::string> &excluded)
 {
     if (this->role != ReplicaRole::Leader) {
         return false;
@@ -389,7 +387,8 @@
     for (const std::string &voter : this->members.voters) {
         const auto found = this->progresses.find(voter);
         const bool isAlive = found != this->progresses.end() && now - found->second.lastReply < this->settings.electionTimeout;
-        if (isAlive && (best == nullptr || found->second.match > this->progresses.at(*best).match)) {
+        const bool isExcluded = std::find(excluded.begin(), excluded.end(), voter) != excluded.end();
+        if (isAlive && !isExcluded && (best == nullptr || found->second.match > this->progresses.at(*best).match)) {
             best = &voter;
         }
     }
@@ -469,6 +468,12 @@
     return static_cast<std::size_t>(std::count_if(voters.begin(), voters.end(), isResponsive)) >= voters.size() / 2 + 1;
 }
 
+bool Replica::isInContactWith(const std::string &member, Timestamp now) const
+{
+    const auto found = this->progresses.find(member);
+    return found != this->progresses.end() && now - found->second.lastHeard < 2 * this->settings.electionTimeout;
+}
+
 bool Replica::isCaughtUpLeader() const
 {
     return this->role == ReplicaRole::Leader && this->committedIndex >= this->termStartIndex;
--- a/paddlepier/consensus/replica.h
+++ b/paddlepier/consensus/replica.h
@@ -194,8 +194,8 @@
     /** Removes the entries up to @p index, which are covered by the state machine's snapshot @p data. */
     void compact(Index index, const std::string &data);
 
-    /** As leader: asks the most up-to-date voter to take over, and steps down. @return false if no voter can */
-    bool transferLeadership(Timestamp now);
+    /** As leader: asks the most up-to-date voter outside @p excluded to take over, and steps down. @return false if no voter can */
+    bool transferLeadership(Timestamp now, const std::vector<std::string> &excluded = {});
 
     Effects drainEffects();
 
@@ -223,6 +223,8 @@
     bool hasPendingMembership() const;
     /** As leader: true if a majority of @p voters, which may differ from the current ones, has answered within the last heartbeats. */
     bool isInContactWithMajorityOf(const std::vector<std::string> &voters, Timestamp now) const;
+    /** As leader: true if @p member has answered, or confirmed to hear this replica, within two election timeouts. */
+    bool isInContactWith(const std::string &member, Timestamp now) const;
     /**
      * As leader: true if @p member stores every committed entry, or has been sent all of them and has stored entries for an election timeout
      * without falling silent. A member with a slower disk than the others is always some entries short of the newest commit.
--- a/paddlepier/replication/replicanode.h
+++ b/paddlepier/replication/replicanode.h
@@ -3,7 +3,7 @@
 // Writes are batched: entries that arrive during a write are written together by the next one and share its sync. The node also ensures
 // that the group is bootstrapped only once, and that a replica whose folder was lost rejoins under a new identity: as a learner first, and as
 // a voter in place of the old replica once it stores the complete log durably. With acceptsNewInstances, a new instance may also replace a
-// voter that has been unresponsive. A leader that doesn't serve, or commits nothing although commands wait, transfers its leadership.
+// voter that has been unresponsive or that leaves. A leader that doesn't serve, or commits nothing although commands wait, transfers its leadership.
 //
 // Example:
 //     ReplicaNode<MyState> node(options, disk, send, counters, now, seed);
@@ -18,6 +18,7 @@
 #include "paddlepier/base/counters.h"
 #include "paddlepier/base/log.h"
 #include "paddlepier/consensus/admission.h"
+#include "paddlepier/consensus/leave.h"
 #include "paddlepier/consensus/replica.h"
 #include "paddlepier/replication/diskwriter.h"
 #include "paddlepier/replication/servingwatchdog.h"
@@ -146,9 +147,14 @@
     State &state();
     const consensus::Replica &replica() const;
 
-    /** Transfers leadership to another replica, if this one is the leader. */
+    /** Transfers leadership to another replica that doesn't leave, if this one is the leader. */
     void transferLeadership(Timestamp at);
 
+    /** Announces from the next tick on that this process is about to stop, and transfers leadership away. */
+    void leave();
+    /** After leave(): whether the group gains nothing from a later stop, and no proposal of this replica is pending. */
+    bool hasLeft(Timestamp at) const;
+
 private:
     struct Proposal {
         consensus::Term term = 0;
@@ -165,6 +171,8 @@
     void receiveJoinRequest(const std::string &fromInstance, const wire::JoinRequestT &request);
     void receiveJoinReply(const std::string &fromInstance, const wire::JoinReplyT &reply);
     void requestMembership(Timestamp at);
+    void sendJoinRequests(bool leaving);
+    void announceLeave(Timestamp at);
     void bootstrapIfAllAgree(Timestamp at);
     void applyEntry(const wire::LogRecordT &entry);
     void failProposals();
@@ -187,6 +195,7 @@
     std::shared_ptr<storage::ReplicaStore> store;
     consensus::Admission admission;
     std::unique_ptr<consensus::Replica> core;
+    consensus::Leave leaveProgress;
     State stateMachine;
     consensus::Index appliedIndex = 0;
     /** Newest term in which this replica was the leader and had applied all entries of earlier terms. */
--- a/paddlepier/replication/replicanode_detail.h
+++ b/paddlepier/replication/replicanode_detail.h
@@ -23,6 +23,7 @@
               log::info("ledger", consensus::nameOf(step), {{"ledger", this->options.name}, {"replica", replica}});
           },
           this->options.admission)
+    , leaveProgress(this->store->identity())
     , now(startedAt)
     , leaderSeenAt(startedAt)
 {
@@ -104,11 +105,34 @@
 template<ReplicatedState State>
 void ReplicaNode<State>::transferLeadership(Timestamp at)
 {
-    if (this->core->transferLeadership(at)) {
+    if (this->core->transferLeadership(at, this->admission.leavingVoters(*this->core, at))) {
         log::info("ledger", "leadership.handed-over", {{"ledger", this->options.name}});
     }
 }
 
+template<ReplicatedState State>
+void ReplicaNode<State>::leave()
+{
+    log::info("ledger", "replica.leaves", {{"ledger", this->options.name}, {"replica", this->store->identity()}, {"votes", this->isVoter()}});
+    this->leaveProgress.begin();
+}
+
+template<ReplicatedState State>
+bool ReplicaNode<State>::hasLeft(Timestamp at) const
+{
+    return this->proposals.empty() && this->leaveProgress.isSettled(*this->core, this->admission, at);
+}
+
+template<ReplicatedState State>
+void ReplicaNode<State>::announceLeave(Timestamp at)
+{
+    this->admission.recordLeave(this->store->identity(), at);
+    if (this->leaveProgress.isAnnouncementDue(at)) {
+        this->sendJoinRequests(true);
+    }
+    this->transferLeadership(at);
+}
+
 template<ReplicatedState State>
 void ReplicaNode<State>::superviseLeadership(Timestamp at)
 {
@@ -157,7 +181,9 @@
         this->leaderSeenAt = at;
     }
     const bool mayHaveBeenRemoved = this->options.acceptsNewInstances && at - this->leaderSeenAt > detail::leaderContactTimeout;
-    if (!this->isVoter() || mayHaveBeenRemoved) {
+    if (this->leaveProgress.hasBegun()) {
+        this->announceLeave(at);
+    } else if (!this->isVoter() || mayHaveBeenRemoved) {
         this->requestMembership(at);
     }
     this->admission.advance(*this->core, at);
@@ -181,17 +207,27 @@
         return;
     }
     this->nextJoinRequestAt = at + detail::joinInterval;
-    for (const std::string &instance : this->peers) {
+    this->sendJoinRequests(false);
+    this->bootstrapIfAllAgree(at);
+    this->hasGroupByInstance.clear();
+}
+
+template<ReplicatedState State>
+void ReplicaNode<State>::sendJoinRequests(bool leaving)
+{
+    for (const std::string &instance : this->knownInstances()) {
+        if (instance == this->options.instance) {
+            continue;
+        }
         wire::JoinRequestT request;
         request.instance = this->options.instance;
         request.replica = this->store->identity();
+        request.leaving = leaving;
         wire::PeerFrameT frame;
         frame.group = this->options.name;
         frame.body.Set(std::move(request));
         this->send(instance, std::move(frame));
     }
-    this->bootstrapIfAllAgree(at);
-    this->hasGroupByInstance.clear();
 }
 
 template<ReplicatedState State>
@@ -220,10 +256,13 @@
         return;
     }
     this->addPeer(fromInstance);
-    if (this->core->isLeader()) {
+    wire::JoinReplyT reply;
+    if (request.leaving) {
+        this->admission.recordLeave(request.replica, this->now);
+        reply.leaveStatus = this->admission.leaveStatusOf(*this->core, request.replica, this->now);
+    } else if (this->core->isLeader()) {
         this->admission.request(fromInstance, request.replica);
     }
-    wire::JoinReplyT reply;
     reply.instance = this->options.instance;
     reply.replica = this->store->identity();
     reply.formed = this->core->isMember();
@@ -238,6 +277,7 @@
 void ReplicaNode<State>::receiveJoinReply(const std::string &fromInstance, const wire::JoinReplyT &reply)
 {
     this->hasGroupByInstance[fromInstance] = reply.formed;
+    this->leaveProgress.recordStatus(*this->core, fromInstance, reply.leaveStatus);
     if (this->options.acceptsNewInstances) {
         for (const std::string &member : reply.members) {
             this->addPeer(member);
--- a/paddlepier/wire/peer_generated.h
+++ b/paddlepier/wire/peer_generated.h
@@ -231,6 +231,44 @@
 bool VerifyStoredBody(flatbuffers::Verifier &verifier, const void *obj, StoredBody type);
 bool VerifyStoredBodyVector(flatbuffers::Verifier &verifier, const flatbuffers::Vector<flatbuffers::Offset<void>> *values, const flatbuffers::Vector<StoredBody> *types);
 
+/// What a leaving replica is told: the sender doesn't lead; a learner is to replace the replica first; nothing remains to be done. Unknown in
+/// replies to other replicas, and from builds that don't replace leaving replicas.
+enum class LeaveStatus : uint8_t {
+  Unknown = 0,
+  NotLeader = 1,
+  AwaitsSuccessor = 2,
+  Settled = 3,
+  MIN = Unknown,
+  MAX = Settled
+};
+
+inline const LeaveStatus (&EnumValuesLeaveStatus())[4] {
+  static const LeaveStatus values[] = {
+    LeaveStatus::Unknown,
+    LeaveStatus::NotLeader,
+    LeaveStatus::AwaitsSuccessor,
+    LeaveStatus::Settled
+  };
+  return values;
+}
+
+inline const char * const *EnumNamesLeaveStatus() {
+  static const char * const names[5] = {
+    "Unknown",
+    "NotLeader",
+    "AwaitsSuccessor",
+    "Settled",
+    nullptr
+  };
+  return names;
+}
+
+inline const char *EnumNameLeaveStatus(LeaveStatus e) {
+  if (flatbuffers::IsOutRange(e, LeaveStatus::Unknown, LeaveStatus::Settled)) return "";
+  const size_t index = static_cast<size_t>(e);
+  return EnumNamesLeaveStatus()[index];
+}
+
 enum class PeerBody : uint8_t {
   NONE = 0,
   Hello = 1,
@@ -1861,9 +1899,10 @@
   }
   std::string instance{};
   std::string replica{};
+  bool leaving = false;
 };
 
-/// Sent by a replica without a membership to query the group's other instances whether the group exists.
+/// Sent by a replica without a membership to query the group's other instances whether the group exists, and by a replica that leaves.
 struct JoinRequest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef JoinRequestT NativeTableType;
   typedef JoinRequestBuilder Builder;
@@ -1873,7 +1912,8 @@
   }
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_INSTANCE = 4,
-    VT_REPLICA = 6
+    VT_REPLICA = 6,
+    VT_LEAVING = 8
   };
   const flatbuffers::String *instance() const {
     return GetPointer<const flatbuffers::String *>(VT_INSTANCE);
@@ -1881,12 +1921,17 @@
   const flatbuffers::String *replica() const {
     return GetPointer<const flatbuffers::String *>(VT_REPLICA);
   }
+  /// The replica's process is about to stop. It asks for no admission, and to be replaced if it votes.
+  bool leaving() const {
+    return GetField<uint8_t>(VT_LEAVING, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_INSTANCE) &&
            verifier.VerifyString(instance()) &&
            VerifyOffset(verifier, VT_REPLICA) &&
            verifier.VerifyString(replica()) &&
+           VerifyField<uint8_t>(verifier, VT_LEAVING, 1) &&
            verifier.EndTable();
   }
   JoinRequestT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1904,6 +1949,9 @@
   void add_replica(flatbuffers::Offset<flatbuffers::String> replica) {
     fbb_.AddOffset(JoinRequest::VT_REPLICA, replica);
   }
+  void add_leaving(bool leaving) {
+    fbb_.AddElement<uint8_t>(JoinRequest::VT_LEAVING, static_cast<uint8_t>(leaving), 0);
+  }
   explicit JoinRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1918,10 +1966,12 @@
 inline flatbuffers::Offset<JoinRequest> CreateJoinRequest(
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::String> instance = 0,
-    flatbuffers::Offset<flatbuffers::String> replica = 0) {
+    flatbuffers::Offset<flatbuffers::String> replica = 0,
+    bool leaving = false) {
   JoinRequestBuilder builder_(_fbb);
   builder_.add_replica(replica);
   builder_.add_instance(instance);
+  builder_.add_leaving(leaving);
   return builder_.Finish();
 }
 
@@ -1933,13 +1983,15 @@
 inline flatbuffers::Offset<JoinRequest> CreateJoinRequestDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     const char *instance = nullptr,
-    const char *replica = nullptr) {
+    const char *replica = nullptr,
+    bool leaving = false) {
   auto instance__ = instance ? _fbb.CreateString(instance) : 0;
   auto replica__ = replica ? _fbb.CreateString(replica) : 0;
   return paddlepier::wire::CreateJoinRequest(
       _fbb,
       instance__,
-      replica__);
+      replica__,
+      leaving);
 }
 
 flatbuffers::Offset<JoinRequest> CreateJoinRequest(flatbuffers::FlatBufferBuilder &_fbb, const JoinRequestT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -1953,6 +2005,7 @@
   std::string replica{};
   bool formed = false;
   std::vector<std::string> members{};
+  paddlepier::wire::LeaveStatus leaveStatus = paddlepier::wire::LeaveStatus::Unknown;
 };
 
 struct JoinReply FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -1966,7 +2019,8 @@
     VT_INSTANCE = 4,
     VT_REPLICA = 6,
     VT_FORMED = 8,
-    VT_MEMBERS = 10
+    VT_MEMBERS = 10,
+    VT_LEAVESTATUS = 12
   };
   const flatbuffers::String *instance() const {
     return GetPointer<const flatbuffers::String *>(VT_INSTANCE);
@@ -1981,6 +2035,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *members() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_MEMBERS);
   }
+  paddlepier::wire::LeaveStatus leaveStatus() const {
+    return static_cast<paddlepier::wire::LeaveStatus>(GetField<uint8_t>(VT_LEAVESTATUS, 0));
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_INSTANCE) &&
@@ -1991,6 +2048,7 @@
            VerifyOffset(verifier, VT_MEMBERS) &&
            verifier.VerifyVector(members()) &&
            verifier.VerifyVectorOfStrings(members()) &&
+           VerifyField<uint8_t>(verifier, VT_LEAVESTATUS, 1) &&
            verifier.EndTable();
   }
   JoinReplyT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2014,6 +2072,9 @@
   void add_members(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> members) {
     fbb_.AddOffset(JoinReply::VT_MEMBERS, members);
   }
+  void add_leaveStatus(paddlepier::wire::LeaveStatus leaveStatus) {
+    fbb_.AddElement<uint8_t>(JoinReply::VT_LEAVESTATUS, static_cast<uint8_t>(leaveStatus), 0);
+  }
   explicit JoinReplyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2030,11 +2091,13 @@
     flatbuffers::Offset<flatbuffers::String> instance = 0,
     flatbuffers::Offset<flatbuffers::String> replica = 0,
     bool formed = false,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> members = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> members = 0,
+    paddlepier::wire::LeaveStatus leaveStatus = paddlepier::wire::LeaveStatus::Unknown) {
   JoinReplyBuilder builder_(_fbb);
   builder_.add_members(members);
   builder_.add_replica(replica);
   builder_.add_instance(instance);
+  builder_.add_leaveStatus(leaveStatus);
   builder_.add_formed(formed);
   return builder_.Finish();
 }
@@ -2049,7 +2112,8 @@
     const char *instance = nullptr,
     const char *replica = nullptr,
     bool formed = false,
-    const std::vector<flatbuffers::Offset<flatbuffers::String>> *members = nullptr) {
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *members = nullptr,
+    paddlepier::wire::LeaveStatus leaveStatus = paddlepier::wire::LeaveStatus::Unknown) {
   auto instance__ = instance ? _fbb.CreateString(instance) : 0;
   auto replica__ = replica ? _fbb.CreateString(replica) : 0;
   auto members__ = members ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*members) : 0;
@@ -2058,7 +2122,8 @@
       instance__,
       replica__,
       formed,
-      members__);
+      members__,
+      leaveStatus);
 }
 
 flatbuffers::Offset<JoinReply> CreateJoinReply(flatbuffers::FlatBufferBuilder &_fbb, const JoinReplyT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -3128,6 +3193,7 @@
   (void)_resolver;
   { auto _e = instance(); if (_e) _o->instance = _e->str(); }
   { auto _e = replica(); if (_e) _o->replica = _e->str(); }
+  { auto _e = leaving(); _o->leaving = _e; }
 }
 
 inline flatbuffers::Offset<JoinRequest> JoinRequest::Pack(flatbuffers::FlatBufferBuilder &_fbb, const JoinRequestT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -3140,10 +3206,12 @@
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const JoinRequestT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _instance = _o->instance.empty() ? 0 : _fbb.CreateString(_o->instance);
   auto _replica = _o->replica.empty() ? 0 : _fbb.CreateString(_o->replica);
+  auto _leaving = _o->leaving;
   return paddlepier::wire::CreateJoinRequest(
       _fbb,
       _instance,
-      _replica);
+      _replica,
+      _leaving);
 }
 
 inline JoinReplyT *JoinReply::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -3159,6 +3227,7 @@
   { auto _e = replica(); if (_e) _o->replica = _e->str(); }
   { auto _e = formed(); _o->formed = _e; }
   { auto _e = members(); if (_e) { _o->members.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->members[_i] = _e->Get(_i)->str(); } } }
+  { auto _e = leaveStatus(); _o->leaveStatus = _e; }
 }
 
 inline flatbuffers::Offset<JoinReply> JoinReply::Pack(flatbuffers::FlatBufferBuilder &_fbb, const JoinReplyT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -3173,12 +3242,14 @@
   auto _replica = _o->replica.empty() ? 0 : _fbb.CreateString(_o->replica);
   auto _formed = _o->formed;
   auto _members = _o->members.size() ? _fbb.CreateVectorOfStrings(_o->members) : 0;
+  auto _leaveStatus = _o->leaveStatus;
   return paddlepier::wire::CreateJoinReply(
       _fbb,
       _instance,
       _replica,
       _formed,
-      _members);
+      _members,
+      _leaveStatus);
 }
 
 inline ConfigurationOfferT *ConfigurationOffer::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/testing/soak/cell.cpp
+++ b/testing/soak/cell.cpp
@@ -4,9 +4,11 @@
 
 #include <absl/strings/match.h>
 #include <absl/strings/str_cat.h>
+#include <absl/strings/str_split.h>
 #include <nlohmann/json.hpp>
 #include <signal.h>
 
+#include <algorithm>
 #include <filesystem>
 #include <fstream>
 
@@ -374,6 +376,32 @@
     return newest;
 }
 
+bool Cell::isCaughtUp() const
+{
+    const auto [term, core] = this->leader();
+    if (!core) {
+        return false;
+    }
+    std::ifstream log(absl::StrCat(this->folder, "/", this->instances[*core]->node.host, ".log"));
+    bool isComplete = false;
+    for (std::string line; std::getline(log, line);) {
+        if (absl::StrContains(line, "ledger.load")) {
+            // A row each: instance/lag/in flight/silence.
+            const auto report = nlohmann::json::parse(line);
+            const std::vector<std::string> followers = absl::StrSplit(report.at("followers").get<std::string>(), ' ', absl::SkipEmpty());
+            const auto hasNoLag = [](const std::string &follower) { return absl::StrContains(follower, "/0/"); };
+            isComplete = report.at("term").get<std::uint64_t>() == term && followers.size() + 1 == this->sizes.cores
+                         && std::all_of(followers.begin(), followers.end(), hasNoLag);
+        }
+    }
+    return isComplete;
+}
+
+bool Cell::hasEnded(std::uint32_t core) const
+{
+    return this->instances[core]->process->hasEnded();
+}
+
 Endpoint Cell::front(std::uint32_t entry) const
 {
     return {absl::StrCat("127.7.2.", entry + 1), frontPort};
--- a/testing/soak/cell.h
+++ b/testing/soak/cell.h
@@ -43,6 +43,9 @@
 
     /** The core that has served in the newest term, and that term, by the lines of the cores; no core before the first term. */
     std::pair<std::uint64_t, std::optional<std::uint32_t>> leader() const;
+    /** True if the newest leader reports that every other core stores its whole log. */
+    bool isCaughtUp() const;
+    bool hasEnded(std::uint32_t core) const;
     Endpoint front(std::uint32_t entry) const;
     Endpoint control(std::uint32_t core) const;
     /** When an entry last received SIGTERM for a planned stop; infinite future if not since its start. */
--- a/testing/soak/process_test.cpp
+++ b/testing/soak/process_test.cpp
@@ -23,6 +23,9 @@
 constexpr int lossesPerRound = 20;
 constexpr int rounds = 4;
 
+/** `recovery_s` of the platform's settings. */
+constexpr Duration recoveryTime = absl::Seconds(12);
+
 /** Includes a change of the leader. */
 constexpr Duration acceptTimeout = absl::Seconds(6);
 
@@ -44,7 +47,8 @@
 class CellFixture
 {
 public:
-    CellFixture()
+    explicit CellFixture(std::uint32_t cores = 3)
+        : sizes{cores, 2, 4, absl::ZeroDuration()}
     {
         REQUIRE(this->traffic.configure(absl::Seconds(20)));
         REQUIRE(this->traffic.submitUntilAccepted(absl::Seconds(20)));
@@ -70,12 +74,12 @@
     };
 
     static constexpr std::uint64_t seed = 1;
-    static inline const Sizes sizes{3, 2, 4, absl::ZeroDuration()};
 
+    const Sizes sizes;
     const Folder folder;
     Checker checker;
-    Cell cell{sizes, seed, folder.path, PADDLEPIER_PROGRAMS, checker};
-    Traffic traffic{cell, sizes, seed, checker};
+    Cell cell{this->sizes, seed, folder.path, PADDLEPIER_PROGRAMS, checker};
+    Traffic traffic{cell, this->sizes, seed, checker};
 };
 
 class LinkLossFixture : public CellFixture
@@ -111,7 +115,7 @@
 public:
     DeposedLeaderFixture()
     {
-        for (std::uint32_t other = 0; other < sizes.workers; ++other) {
+        for (std::uint32_t other = 0; other < this->sizes.workers; ++other) {
             if (other != worker) {
                 this->cell.begin(faultOf(FaultKind::ReduceCapacity, other));
             }
@@ -166,8 +170,42 @@
     static constexpr std::uint32_t worker = 1;
 };
 
+/** Three voters, and a core that stands by to replace one. */
+class ReplacementFixture : public CellFixture
+{
+public:
+    ReplacementFixture()
+        : CellFixture(4)
+    {
+        REQUIRE(waitUntil([this] { return this->cell.isCaughtUp(); }));
+    }
+
+    /** The faults last longer than the test: the cores don't return. */
+    void begin(FaultKind kind, std::uint32_t core)
+    {
+        Fault fault;
+        fault.kind = kind;
+        fault.target = core;
+        fault.length = absl::Hours(1);
+        this->cell.begin(fault);
+    }
+};
+
 } // namespace
 
+// Guards against LOST and CONFIG: a voter that is replaced as planned kept its vote until its silence had lasted 2.5 s, and the loss of another
+// voter before that ended the group.
+TEST_CASE_METHOD(ReplacementFixture, "leaderStoppedForGood_besideCaughtUpCore_nextLeaderMayBeLostAtOnce")
+{
+    const auto [term, stopped] = this->cell.leader();
+    this->begin(FaultKind::StopCore, stopped.value());
+    REQUIRE(waitUntil([this, core = *stopped] { return this->cell.hasEnded(core); }));
+    REQUIRE(waitUntil([this, before = term] { return this->cell.leader().first > before; }));
+    this->begin(FaultKind::KillCore, this->cell.leader().second.value());
+    CHECK(this->traffic.submitUntilAccepted(recoveryTime));
+    CHECK_THAT(this->checker.violations(), Catch::Equals(std::vector<std::string>{}));
+}
+
 TEST_CASE_METHOD(LinkLossFixture, "submission_afterAnswersToTheLeaderWereLostRepeatedly_isAccepted")
 {
     REQUIRE(waitUntil([this] { return this->cell.leader().second.has_value(); }));
