The soak replaces cores as planned and loses another one close behind

Change: seeds from 20,000,000,000 on begin with three rounds among four cores: one gets SIGTERM and an empty one takes its place, and 0 to 3 s after the signal another one loses its disk. Then a job has to be accepted within `recovery_s`, and the other faults follow. Recorded seeds keep their plans.

--- a/testing/soak/cell.cpp
+++ b/testing/soak/cell.cpp
@@ -11,6 +11,7 @@
 #include <algorithm>
 #include <filesystem>
 #include <fstream>
+#include <utility>
 
 namespace paddlepier::testing::soak
 {
@@ -138,6 +139,9 @@
     const PlatformNode &node = instance.node;
     const std::string settings = absl::StrCat(this->folder, "/", node.host, ".toml");
     std::ofstream(settings) << settingsOf(node);
+    if (std::exchange(instance.losesDisk, false)) {
+        std::filesystem::remove_all(node.dataDirectory);
+    }
     if (!node.dataDirectory.empty()) {
         std::filesystem::create_directories(node.dataDirectory);
     }
@@ -235,6 +239,10 @@
     case FaultKind::StopEntry:
         this->stop(instance, fault.length);
         break;
+    case FaultKind::ReplaceCore:
+        instance.losesDisk = true;
+        this->stop(instance, fault.length);
+        break;
     case FaultKind::KillCore:
     case FaultKind::KillEntry:
         this->kill(instance, fault.length);
--- a/testing/soak/cell.h
+++ b/testing/soak/cell.h
@@ -61,6 +61,8 @@
         Timestamp downUntil = absl::InfinitePast();
         bool isKilled = false;
         bool isPaused = false;
+        /** Starts with an empty disk. */
+        bool losesDisk = false;
         Timestamp startedAt;
         std::atomic<std::int64_t> stopMicros{0};
     };
--- a/testing/soak/checker_test.cpp
+++ b/testing/soak/checker_test.cpp
@@ -318,4 +318,19 @@
     CHECK(counts[FaultKind::BreakCoreLinks][0] >= 25);
 }
 
+TEST_CASE("soakPlan_withReplacements_losesOneOtherCoreCloseBehindEach")
+{
+    const Sizes sizes{coresForReplacements, 3, 12, absl::Seconds(8)};
+    const std::vector<Fault> replacements = planReplacements(firstReplacementSeed + 1, sizes);
+    CHECK(replacements == planReplacements(firstReplacementSeed + 1, sizes));
+    CHECK(planReplacements(23, sizes).empty());
+    REQUIRE(replacements.size() % 2 == 0);
+    for (std::size_t index = 0; index < replacements.size(); index += 2) {
+        CHECK(replacements[index].kind == FaultKind::ReplaceCore);
+        CHECK(replacements[index + 1].kind == FaultKind::LoseDisk);
+        CHECK(replacements[index].target != replacements[index + 1].target);
+        CHECK(replacements[index + 1].at - replacements[index].at <= absl::Seconds(3));
+    }
+}
+
 } // namespace paddlepier::testing::soak
--- a/testing/soak/main.cpp
+++ b/testing/soak/main.cpp
@@ -14,6 +14,7 @@
 #include <stdlib.h>
 #include <tclap/CmdLine.h>
 
+#include <algorithm>
 #include <filesystem>
 #include <fstream>
 #include <future>
@@ -53,6 +54,7 @@
 public:
     Run(std::uint64_t seed, const Sizes &sizes, const std::string &folder, const std::string &programs)
         : series(planSeries(seed, sizes))
+        , replacements(planReplacements(seed, sizes))
         , faults(planFaults(seed, sizes))
         , log(folder + "/soak.log")
         , cell(sizes, seed, folder, programs, this->checker)
@@ -71,6 +73,10 @@
             this->inject(this->series);
             this->checkCalm();
         }
+        if (!this->replacements.empty()) {
+            this->inject(this->replacements);
+            this->checkAccepted("the replacements");
+        }
         this->inject(this->faults);
         this->writeLog("heal");
         this->cell.heal();
@@ -83,8 +89,11 @@
 
     std::string summary()
     {
-        return absl::StrCat(
-            this->series.size() + this->faults.size(), " faults, ", this->checker.summary(), ", settled after ", absl::FormatDuration(this->settleTime));
+        return absl::StrCat(this->series.size() + this->replacements.size() + this->faults.size(),
+                            " faults, ",
+                            this->checker.summary(),
+                            ", settled after ",
+                            absl::FormatDuration(this->settleTime));
     }
 
 private:
@@ -212,6 +221,7 @@
     }
 
     const std::vector<Fault> series;
+    const std::vector<Fault> replacements;
     const std::vector<Fault> faults;
     std::ofstream log;
     Checker checker;
@@ -237,8 +247,9 @@
 }
 
 /** @return whether no rule was violated */
-bool runSeed(std::uint64_t seed, const Sizes &sizes, const std::string &programs, bool keepFolder)
+bool runSeed(std::uint64_t seed, Sizes sizes, const std::string &programs, bool keepFolder)
 {
+    sizes.cores = hasReplacements(seed) ? std::max(sizes.cores, coresForReplacements) : sizes.cores;
     std::string folder = absl::StrCat(std::filesystem::temp_directory_path().string(), "/paddlepier-soak-", seed, "-XXXXXX");
     if (::mkdtemp(folder.data()) == nullptr) {
         throw InternalError("cannot create a folder: " + folder);
@@ -278,6 +289,7 @@
     TCLAP::ValueArg<std::uint32_t> cores("", "cores", "core instances", false, 3, "number", line);
     TCLAP::ValueArg<std::uint32_t> seconds("", "seconds", "time with faults", false, 12, "number", line);
     TCLAP::SwitchArg withSeries("", "series", "fresh seeds with series of stops, broken connections between cores and changes", line);
+    TCLAP::SwitchArg withReplacements("", "replacements", "fresh seeds with planned replacements of cores, each with a loss close behind it", line);
     TCLAP::SwitchArg keep("", "keep", "keep the folder of a seed that held, too", line);
     line.parse(argc, argv);
     log::initialize(log::Level::Error);
@@ -287,7 +299,9 @@
         seeds.push_back(seed);
     }
     for (std::uint64_t number = 0; number < fresh.getValue(); ++number) {
-        const std::uint64_t first = withSeries.getValue() ? testing::soak::firstSeriesSeed : 0;
+        const std::uint64_t first = withReplacements.getValue() ? testing::soak::firstReplacementSeed
+                                    : withSeries.getValue()     ? testing::soak::firstSeriesSeed
+                                                                : 0;
         seeds.push_back(first + static_cast<std::uint64_t>(paddlepier::wallMicros()) / 1000 % 100'000'000 * 100 + number);
     }
     std::size_t broken = 0;
--- a/testing/soak/plan.cpp
+++ b/testing/soak/plan.cpp
@@ -23,7 +23,7 @@
     double maxSeconds;
 };
 
-constexpr std::array<KindRow, 19> kinds{{{FaultKind::StopCore, "stop-core", 4, 0.1, 2},
+constexpr std::array<KindRow, 20> kinds{{{FaultKind::StopCore, "stop-core", 4, 0.1, 2},
                                          {FaultKind::StopEntry, "stop-entry", 4, 0.1, 2},
                                          {FaultKind::KillCore, "kill-core", 8, 0.1, 3},
                                          {FaultKind::KillEntry, "kill-entry", 5, 0.1, 2},
@@ -42,7 +42,8 @@
                                          {FaultKind::DelayWorkerOrders, "worker-orders-late", 8, 0.5, 4},
                                          // Drawn separately, so that the other faults of recorded seeds stay the same.
                                          {FaultKind::ReduceCapacity, "shrink-room", 0, 2, 10},
-                                         {FaultKind::BreakCoreLinks, "break-core-links", 0, 0.01, 0.04}}};
+                                         {FaultKind::BreakCoreLinks, "break-core-links", 0, 0.01, 0.04},
+                                         {FaultKind::ReplaceCore, "replace-core", 0, 4, 5}}};
 
 /** Mean gap between two reductions of a capacity. */
 constexpr double reductionGapSeconds = 1.0;
@@ -65,6 +66,13 @@
 constexpr double minBreakGapSeconds = 0.1;
 constexpr double maxBreakGapSeconds = 0.2;
 
+/** Rounds of replacements. A round is longer than the absences in it and `catch_up_s` of the platform's settings together. */
+constexpr int replacementRounds = 3;
+constexpr double replacementRoundSeconds = 10;
+
+/** Bound of the time from a planned stop to the loss of another core. */
+constexpr double maxLossGapSeconds = 3;
+
 const KindRow &rowOf(FaultKind kind)
 {
     return *std::find_if(kinds.begin(), kinds.end(), [kind](const KindRow &row) { return row.kind == kind; });
@@ -118,6 +126,19 @@
         return this->faults;
     }
 
+    std::vector<Fault> replacements()
+    {
+        for (int round = 0; round < replacementRounds; ++round) {
+            const double at = 1 + round * replacementRoundSeconds;
+            const auto replaced = static_cast<std::uint32_t>(this->random() % this->sizes.cores);
+            const auto other = static_cast<std::uint32_t>(1 + this->random() % (this->sizes.cores - 1));
+            this->addOf(at, FaultKind::ReplaceCore, replaced);
+            this->addOf(at + this->uniform(0, maxLossGapSeconds), FaultKind::LoseDisk, (replaced + other) % this->sizes.cores);
+        }
+        sortByTime(this->faults);
+        return this->faults;
+    }
+
 private:
     double uniform(double min, double max)
     {
@@ -195,7 +216,7 @@
 
 bool isPlanned(FaultKind kind)
 {
-    return kind == FaultKind::StopCore || kind == FaultKind::StopEntry;
+    return kind == FaultKind::StopCore || kind == FaultKind::StopEntry || kind == FaultKind::ReplaceCore;
 }
 
 std::string Fault::text() const
@@ -206,7 +227,7 @@
 std::vector<Fault> planFaults(std::uint64_t seed, const Sizes &sizes)
 {
     if (!hasSeries(seed)) {
-        return FaultPlanner(seed, sizes).plan();
+        return FaultPlanner(hasReplacements(seed) ? seed - firstReplacementSeed : seed, sizes).plan();
     }
     std::vector<Fault> faults = FaultPlanner(seed - firstSeriesSeed, sizes).plan();
     const std::vector<Fault> series = FaultPlanner(seed + 1, sizes).series();
@@ -217,7 +238,17 @@
 
 bool hasSeries(std::uint64_t seed)
 {
-    return seed >= firstSeriesSeed;
+    return seed >= firstSeriesSeed && !hasReplacements(seed);
+}
+
+bool hasReplacements(std::uint64_t seed)
+{
+    return seed >= firstReplacementSeed;
+}
+
+std::vector<Fault> planReplacements(std::uint64_t seed, const Sizes &sizes)
+{
+    return hasReplacements(seed) ? FaultPlanner(seed, sizes).replacements() : std::vector<Fault>();
 }
 
 std::vector<Fault> planSeries(std::uint64_t seed, const Sizes &sizes)
--- a/testing/soak/plan.h
+++ b/testing/soak/plan.h
@@ -2,7 +2,8 @@
 //
 // Faults follow each other at random and may overlap without limit. Only a disk is lost at most once, which is as many as the
 // settings tolerate. A plan may begin with a quiet phase that contains planned stops only. Seeds from firstSeriesSeed on have, in
-// addition, series of planned stops and of broken connections between cores, first without other faults and then among them.
+// addition, series of planned stops and of broken connections between cores, first without other faults and then among them. Seeds from
+// firstReplacementSeed on begin with planned replacements of cores, each with the loss of another core close behind it.
 //
 // Thread safety: plain values and a function without state.
 
@@ -21,6 +22,8 @@
 enum class FaultKind {
     StopCore,
     StopEntry,
+    /** A planned stop after which an empty core starts in its place. */
+    ReplaceCore,
     KillCore,
     KillEntry,
     KillAllCores,
@@ -78,6 +81,18 @@
 
 bool hasSeries(std::uint64_t seed);
 
+/** Seeds from here on have replacements, for which a fourth core stands by. */
+constexpr std::uint64_t firstReplacementSeed = 20'000'000'000;
+constexpr std::uint32_t coresForReplacements = 4;
+
+bool hasReplacements(std::uint64_t seed);
+
+/**
+ * Phase before planFaults() for a seed with replacements; empty for others. In each round a core is replaced as planned, and 0 to 3 s later another
+ * one loses its disk; both are back and caught up before the next round. Sorted by time.
+ */
+std::vector<Fault> planReplacements(std::uint64_t seed, const Sizes &sizes);
+
 /**
  * Phase before planFaults() for a seed with series; empty for others. The entries are stopped one after the other, at first without faults. Then the
  * connections from the other cores to the leader are broken repeatedly, too briefly for an election. Sorted by time.
